Serve a request from end to end through separate processes

The thin whole path: caller, entry instance, scheduler core, endpoint, with configuration, membership and claims from the platform stand-in.

Conclusion: the path stands; policy, limits and recovery are still simple.

--- /dev/null
+++ b/cranberryglade/__init__.py
@@ -0,0 +1,165 @@
+"""Cranberryglade schedules requests over engines that are not alike."""
+
+import asyncio
+import secrets
+import signal
+
+from aiohttp import web
+
+from cranberryglade import callers
+from cranberryglade import claimants
+from cranberryglade import delegations
+from cranberryglade import endpoints
+from cranberryglade import executors
+from cranberryglade import facts
+from cranberryglade import forwarding
+from cranberryglade import lifecycle
+from cranberryglade import listeners
+from cranberryglade import log
+from cranberryglade import membership
+from cranberryglade import metrics
+from cranberryglade import operators
+from cranberryglade import peers
+from cranberryglade import platform
+from cranberryglade import settings
+from cranberryglade import subscriptions
+from cranberryglade import tickets
+from cranberryglade import tracing
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+
+INCARNATION_BYTES = 6
+
+logger = log.get_logger(__name__)
+
+
+class Cranberryglade:
+    """One instance of the system: wires the stages and runs them."""
+
+    def __init__(self, configured: settings.Settings):
+        self._settings = configured
+        self._lifecycle = lifecycle.Lifecycle()
+        self._tracing = tracing.Tracing(
+            configured.instance, configured.spans_file
+        )
+        self._metrics = metrics.Metrics(configured.statsd_address)
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self) -> None:
+        """Serves until a graceful stop is complete."""
+        self._on_signals()
+        caller_app = web.Application(
+            client_max_size=self._settings.request_bytes
+        )
+        peer_app = web.Application(
+            client_max_size=2 * self._settings.request_bytes
+        )
+        peer_address = listeners.Listener.open(self._settings.peer_address)
+        own = messages.Peer(
+            self._settings.instance,
+            self._incarnation,
+            peer_address.address,
+            self._settings.failure_domain,
+        )
+        self._wire(own, caller_app, peer_app)
+        self._runners.append(await peer_address.serve(peer_app))
+        caller_address = listeners.Listener.open(self._settings.caller_address)
+        self._runners.append(await caller_address.serve(caller_app))
+        self._lifecycle.step("started")
+        logger.info(
+            "listening",
+            caller_address=caller_address.address,
+            peer_address=peer_address.address,
+            incarnation=self._incarnation,
+        )
+        await self._lifecycle.stop_requested()
+        await self._stop()
+
+    def _on_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._lifecycle.request_stop)
+
+    def _wire(self, own, caller_app, peer_app) -> None:
+        key = peers.PeerKey(self._settings.peer_key)
+        office = tickets.TicketOffice(
+            own.failure_domain,
+            own.name,
+            own.incarnation,
+            self._settings.ticket_key,
+        )
+        core = scheduler.Scheduler(own)
+        fact_log = facts.FactLog(self._metrics)
+        self._endpoint_client = endpoints.EndpointClient()
+        self._peer_client = peers.PeerClient(
+            key, self._settings.probe_timeout_seconds
+        )
+        self._platform = platform.PlatformClient(
+            self._settings.platform_address,
+            self._settings.platform_timeout_seconds,
+        )
+        subscription = subscriptions.Subscription(self._platform)
+        members = membership.Membership(
+            own,
+            self._settings,
+            self._peer_client,
+            self._platform,
+            subscription,
+            core,
+        )
+        forwarder = forwarding.Forwarder(
+            self._peer_client, members, office, self._tracing
+        )
+        self._executor = executors.Executor(
+            core,
+            self._endpoint_client,
+            self._peer_client,
+            claimants.Claimant(self._platform),
+            forwarder,
+            fact_log,
+            self._metrics,
+            self._tracing,
+        )
+        members.stream.subscribe(self._executor.post)
+        callers.CallerInterface(
+            self._executor,
+            forwarder,
+            subscription,
+            office,
+            fact_log,
+            self._tracing,
+        ).register(caller_app)
+        operators.OperatorInterface(
+            own.name,
+            self._executor,
+            members,
+            subscription,
+            self._platform,
+            fact_log,
+            self._lifecycle,
+        ).register(caller_app)
+        delegations.PeerInterface(
+            self._executor, members, subscription, office, key, self._tracing
+        ).register(peer_app)
+        self._spawn(subscription.run(self._settings.poll_seconds))
+        self._spawn(members.run_list(self._settings.poll_seconds))
+        self._spawn(members.run_probes(self._settings.probe_seconds))
+
+    def _spawn(self, coroutine) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    async def _stop(self) -> None:
+        self._executor.post(messages.StopRequested())
+        await self._executor.drained()
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._endpoint_client.close()
+        await self._peer_client.close()
+        await self._platform.close()
+        self._tracing.close()
+        self._lifecycle.step("drained")
--- /dev/null
+++ b/cranberryglade/callers.py
@@ -0,0 +1,210 @@
+"""The interface for callers."""
+
+from aiohttp import web
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import access
+from cranberryglade import configuration
+from cranberryglade import exchanges
+from cranberryglade import executors
+from cranberryglade import facts
+from cranberryglade import forwarding
+from cranberryglade import intake
+from cranberryglade import responses
+from cranberryglade import submissions
+from cranberryglade import subscriptions
+from cranberryglade import tickets
+from cranberryglade import tracing
+from cranberryglade import verdicts
+from cranberryglade import wire
+
+MAXIMUM_TICKETS = 1000
+MAXIMUM_KEY_CHARACTERS = 128
+
+
+class CallerInterface:
+    """Handles what organisations send over HTTP."""
+
+    __slots__ = (
+        "_executor",
+        "_facts",
+        "_forwarder",
+        "_office",
+        "_subscription",
+        "_tracing",
+    )
+
+    def __init__(
+        self,
+        executor: executors.Executor,
+        forwarder: forwarding.Forwarder,
+        subscription: subscriptions.Subscription,
+        office: tickets.TicketOffice,
+        fact_log: facts.FactLog,
+        tracer: tracing.Tracing,
+    ):
+        self._executor = executor
+        self._forwarder = forwarder
+        self._subscription = subscription
+        self._office = office
+        self._facts = fact_log
+        self._tracing = tracer
+
+    def register(self, app: web.Application) -> None:
+        """Adds the routes."""
+        app.router.add_post("/v1/requests", self._post_request)
+        app.router.add_get("/v1/requests/{id}", self._get_request)
+        app.router.add_get(
+            "/v1/requests/{id}/explanation", self._get_explanation
+        )
+        app.router.add_post("/v1/tickets", self._post_tickets)
+
+    async def _post_request(self, http_request: web.Request):
+        current = self._subscription.current
+        if current is None:
+            return _no_configuration()
+        organisation = access.organisation(http_request, current)
+        if organisation is None:
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        body = await http_request.read()
+        match wire.decode(body, wire.RequestDocument):
+            case Failure(detail):
+                return responses.refusal(verdicts.Reason.MALFORMED, detail)
+            case Success(document):
+                return await self._serve(
+                    http_request, current, organisation.name, document
+                )
+
+    async def _serve(
+        self,
+        http_request: web.Request,
+        current: configuration.Configuration,
+        organisation: str,
+        document: wire.RequestDocument,
+    ):
+        rule = current.rules.get(document.kind)
+        if rule is None:
+            return responses.refusal(
+                verdicts.Reason.UNKNOWN_KIND, document.kind
+            )
+        key = http_request.headers.get(wire.KEY_HEADER, "")
+        problem = _problem(document, key)
+        if problem:
+            return responses.refusal(verdicts.Reason.MALFORMED, problem)
+        request_id = document.ticket or self._office.issue()
+        if self._office.read(request_id) is None:
+            return responses.refusal(
+                verdicts.Reason.MALFORMED, "ticket: not issued here"
+            )
+        span = self._tracing.start(
+            "receive",
+            self._tracing.extract(http_request.headers),
+            request_id=request_id,
+            kind=document.kind,
+        )
+        try:
+            submission = intake.submission(
+                document,
+                rule,
+                current.tiers[rule.tier],
+                request_id,
+                organisation,
+                self._executor.now,
+                key,
+                span,
+            )
+            exchange = self._exchange(submission)
+            if exchange.organisation != organisation:
+                return responses.refusal(verdicts.Reason.FORBIDDEN)
+            if document.stream:
+                return await responses.streamed(http_request, exchange)
+            return await responses.whole(exchange)
+        finally:
+            span.end()
+
+    def _exchange(
+        self, submission: submissions.Submission
+    ) -> exchanges.Exchange:
+        if self._office.is_home(submission.request.request_id):
+            return self._executor.submit(submission)
+        return self._forwarder.forward(submission)
+
+    async def _get_request(self, http_request: web.Request):
+        found = self._own_exchange(http_request)
+        if isinstance(found, web.Response):
+            return found
+        if found.verdict is None:
+            return web.Response(
+                body=wire.encode(
+                    wire.VerdictDocument(
+                        verdict="pending", request_id=found.request_id
+                    )
+                ),
+                status=202,
+                content_type=responses.JSON,
+            )
+        return await responses.whole(found)
+
+    async def _get_explanation(self, http_request: web.Request):
+        found = self._own_exchange(http_request)
+        if isinstance(found, web.Response):
+            return found
+        return web.Response(
+            body=wire.encode(self._facts.about(found.request_id)),
+            content_type=responses.JSON,
+        )
+
+    def _own_exchange(self, http_request: web.Request):
+        current = self._subscription.current
+        if current is None:
+            return _no_configuration()
+        organisation = access.organisation(http_request, current)
+        if organisation is None:
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        request_id = http_request.match_info["id"]
+        exchange = self._executor.exchanges.get(request_id)
+        if exchange is None or exchange.organisation != organisation.name:
+            return responses.refusal(
+                verdicts.Reason.UNKNOWN_REQUEST, request_id=request_id
+            )
+        return exchange
+
+    async def _post_tickets(self, http_request: web.Request):
+        current = self._subscription.current
+        if current is None:
+            return _no_configuration()
+        if access.organisation(http_request, current) is None:
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        body = await http_request.read()
+        match wire.decode(body or b"{}", wire.TicketsRequest):
+            case Success(wanted) if 1 <= wanted.count <= MAXIMUM_TICKETS:
+                issued = [self._office.issue() for _ in range(wanted.count)]
+                return web.Response(
+                    body=wire.encode(wire.TicketsDocument(tickets=issued)),
+                    content_type=responses.JSON,
+                )
+            case Success(_):
+                return responses.refusal(
+                    verdicts.Reason.MALFORMED, "count: 1 to 1000"
+                )
+            case Failure(detail):
+                return responses.refusal(verdicts.Reason.MALFORMED, detail)
+
+
+def _problem(document: wire.RequestDocument, key: str) -> str:
+    if key and document.ticket:
+        return "a ticket and an idempotency key exclude each other"
+    if len(key) > MAXIMUM_KEY_CHARACTERS or not key.isprintable():
+        return "Idempotency-Key: at most 128 printable characters"
+    for name in ("prompt_tokens", "max_tokens", "deadline_ms"):
+        value = getattr(document, name)
+        if value is not None and not 0 <= value <= 10_000_000:
+            return f"{name}: out of range"
+    return ""
+
+
+def _no_configuration() -> web.Response:
+    return responses.of_verdict(
+        "", verdicts.NotRun(verdicts.Reason.PLATFORM_UNAVAILABLE, 1.0)
+    )
--- /dev/null
+++ b/cranberryglade/daemon.py
@@ -0,0 +1,49 @@
+"""The program cranberrygladed."""
+
+import asyncio
+import sys
+
+import click
+from returns.result import Failure
+from returns.result import Success
+import uvloop
+
+import cranberryglade
+from cranberryglade import log
+from cranberryglade import settings
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 1
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="INI file, as described in docs/settings.md.",
+)
+def main(path: str) -> None:
+    """Runs one instance of the request scheduler until SIGTERM."""
+    match settings.read(path):
+        case Failure(problems):
+            for problem in problems:
+                click.echo(str(problem), err=True)
+            sys.exit(EXIT_SETTINGS)
+        case Success(configured):
+            _run(configured)
+
+
+def _run(configured: settings.Settings) -> None:
+    log.configure(configured.log_level, configured.instance)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(configured))
+    except OSError as error:
+        click.echo(f"cannot listen: {error}", err=True)
+        sys.exit(EXIT_ADDRESS)
+
+
+async def _serve(configured: settings.Settings) -> None:
+    await cranberryglade.Cranberryglade(configured).run()
--- /dev/null
+++ b/cranberryglade/intake.py
@@ -0,0 +1,78 @@
+"""Turns what callers and peers send into submissions for the core."""
+
+import dataclasses
+
+from cranberryglade import configuration
+from cranberryglade import submissions
+from cranberryglade import wire
+from cranberryglade.scheduling import messages
+
+CHARACTERS_PER_TOKEN = 4
+
+
+def submission(
+    document: wire.RequestDocument,
+    rule: configuration.Rule,
+    tier: configuration.Tier,
+    request_id: str,
+    organisation: str,
+    now: float,
+    key: str = "",
+    span: object = None,
+) -> submissions.Submission:
+    """Builds the submission of a caller's request; `now` in seconds."""
+    deadline_ms = document.deadline_ms or rule.deadline_ms
+    return submissions.Submission(
+        messages.Request(
+            request_id=request_id,
+            organisation=organisation,
+            kind=rule.name,
+            target=rule.target,
+            rank=tier.rank,
+            idempotent=rule.idempotent,
+            prompt_tokens=_prompt_tokens(document),
+            output_tokens=min(
+                rule.max_tokens, document.max_tokens or rule.max_tokens
+            ),
+            prefix=document.prefix,
+            deadline=now + deadline_ms / 1000,
+            first_token_deadline=now + tier.first_token_ms / 1000,
+            key=key,
+        ),
+        document,
+        span,
+    )
+
+
+def brought(
+    document: wire.DelegatedRequest,
+    rule: configuration.Rule,
+    tier: configuration.Tier,
+    now: float,
+    delegated: bool,
+    span: object,
+) -> submissions.Submission:
+    """Builds the submission of a request that a peer brought."""
+    built = submission(
+        document.request,
+        rule,
+        tier,
+        document.request_id,
+        document.organisation,
+        now,
+        document.key,
+        span,
+    )
+    request = dataclasses.replace(
+        built.request,
+        deadline=now + document.remaining_ms / 1000,
+        first_token_deadline=now + document.first_token_ms / 1000,
+        delegated=delegated,
+    )
+    return dataclasses.replace(built, request=request)
+
+
+def _prompt_tokens(document: wire.RequestDocument) -> int:
+    if document.prompt_tokens is not None:
+        return document.prompt_tokens
+    return -(-len(document.prompt) // CHARACTERS_PER_TOKEN)
--- /dev/null
+++ b/cranberryglade/log.py
@@ -0,0 +1,36 @@
+"""JSON-line logs by structlog."""
+
+import logging
+import sys
+
+import structlog
+
+
+def configure(level: str, instance: str) -> None:
+    """Sends every logger's lines to standard output as JSON.
+
+    Args:
+        level: least level that is written, such as "info".
+        instance: name that each line carries.
+    """
+    logging.basicConfig(stream=sys.stderr, level=logging.WARNING)
+    structlog.contextvars.bind_contextvars(instance=instance)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=True,
+    )
+
+
+def get_logger(name: str):
+    """Returns the logger of a module."""
+    return structlog.get_logger(module=name)
--- /dev/null
+++ b/cranberryglade/peers.py
@@ -0,0 +1,122 @@
+"""Talks to the other instances: digests, delegated and forwarded requests."""
+
+import hashlib
+import hmac
+
+import aiohttp
+from returns.result import Failure
+from returns.result import Result
+
+from cranberryglade import streams
+from cranberryglade import wire
+from cranberryglade.scheduling import answers
+from cranberryglade.scheduling import messages
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+SIGNATURE_HEADER = "X-Peer-Signature"
+
+
+class PeerKey:
+    """Signs messages between instances and checks their signatures.
+
+    >>> key = PeerKey(b"0" * 16)
+    >>> key.check(key.sign("/v1/peer/digest", b"{}"), "/v1/peer/digest", b"{}")
+    True
+    """
+
+    __slots__ = ("_key",)
+
+    def __init__(self, key: bytes):
+        self._key = key
+
+    def sign(self, path: str, body: bytes) -> str:
+        """Returns the signature of a message."""
+        signed = path.encode() + b"\n" + body
+        return hmac.new(self._key, signed, hashlib.sha256).hexdigest()
+
+    def check(self, signature: str, path: str, body: bytes) -> bool:
+        """Tells whether an instance that has the key sent the message."""
+        expected = self.sign(path, body).encode()
+        return hmac.compare_digest(expected, signature.encode())
+
+
+class PeerClient:
+    """One HTTP client for all peers."""
+
+    __slots__ = ("_key", "_probe_timeout", "_session")
+
+    def __init__(self, key: PeerKey, probe_timeout_seconds: float):
+        self._key = key
+        self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_seconds)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+            ),
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def exchange_digests(
+        self, address: str, own: wire.DigestDocument
+    ) -> Result[wire.DigestDocument, str]:
+        """Gives a peer the own digest and returns the peer's."""
+        path = "/v1/peer/digest"
+        body = wire.encode(own)
+        try:
+            async with self._session.post(
+                f"http://{address}{path}",
+                data=body,
+                headers=self._headers(path, body),
+                timeout=self._probe_timeout,
+            ) as response:
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(type(error).__name__)
+        if response.status != 200:
+            return Failure(f"status {response.status}")
+        return wire.decode(data, wire.DigestDocument)
+
+    async def delegate(
+        self,
+        peer: messages.Peer,
+        request: wire.DelegatedRequest,
+        headers: dict[str, str],
+        sink: streams.Sink,
+    ) -> streams.Ending:
+        """Has a peer run a request of which this instance is the home."""
+        return await self._send(
+            peer, "/v1/peer/requests", request, headers, sink
+        )
+
+    async def forward(
+        self,
+        peer: messages.Peer,
+        request: wire.DelegatedRequest,
+        headers: dict[str, str],
+        sink: streams.Sink,
+    ) -> streams.Ending:
+        """Brings a caller's request to its home."""
+        return await self._send(
+            peer, "/v1/peer/submissions", request, headers, sink
+        )
+
+    async def _send(self, peer, path, request, headers, sink):
+        body = wire.encode(request)
+        return await streams.read(
+            self._session,
+            "POST",
+            f"http://{peer.address}{path}",
+            body,
+            {**headers, **self._headers(path, body)},
+            answers.AnswerCheck(request.request_id),
+            sink,
+        )
+
+    def _headers(self, path: str, body: bytes) -> dict[str, str]:
+        return {
+            SIGNATURE_HEADER: self._key.sign(path, body),
+            "Content-Type": "application/json",
+        }
--- /dev/null
+++ b/cranberryglade/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: typed events in, typed actions out, no I/O, clock or task."""
--- /dev/null
+++ b/cranberryglade/scheduling/answers.py
@@ -0,0 +1,122 @@
+"""Whether an answer is whole: contiguous offsets and a matching end marker.
+
+An answer is a stream of server-sent events. Token events carry their offset as
+the event id; the last event is named "end" and carries the request id and the
+number of tokens.
+"""
+
+import msgspec
+
+TOKEN_MARK = b"id: "
+END_MARK = b"event: end\n"
+SEPARATOR = b"\n\n"
+
+
+class BrokenAnswerError(ValueError):
+    """The stream is not a contiguous part of the expected answer."""
+
+
+class EndMarker(msgspec.Struct):
+    """Data of the last event."""
+
+    request_id: str
+    count: int
+
+
+class AnswerCheck:
+    r"""Follows one answer through every connection that carries it.
+
+    >>> check = AnswerCheck("r1")
+    >>> check.feed(b'id: 0\ndata: {"text": "a"}\n\nid: 1')
+    b'id: 0\ndata: {"text": "a"}\n\n'
+    >>> check.next_offset
+    1
+    """
+
+    __slots__ = ("_complete", "_next_offset", "_partial", "_request_id")
+
+    def __init__(self, request_id: str):
+        self._request_id = request_id
+        self._next_offset = 0
+        self._partial = b""
+        self._complete = False
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first token that has not arrived."""
+        return self._next_offset
+
+    @property
+    def complete(self) -> bool:
+        """Whether the end marker has arrived and agrees."""
+        return self._complete
+
+    def reconnect(self) -> None:
+        """Forgets a half event, because another connection follows."""
+        self._partial = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes in bytes and returns the new whole token events.
+
+        Raises:
+            BrokenAnswerError: an offset is missing or the end disagrees.
+        """
+        data = self._partial + data
+        end = data.rfind(SEPARATOR)
+        if end < 0:
+            self._partial = data
+            return b""
+        self._partial = data[end + len(SEPARATOR) :]
+        accepted = [
+            event + SEPARATOR
+            for event in data[:end].split(SEPARATOR)
+            if self._take(event)
+        ]
+        return b"".join(accepted)
+
+    def _take(self, event: bytes) -> bool:
+        if event.startswith(TOKEN_MARK):
+            return self._take_token(event)
+        if event.startswith(END_MARK):
+            self._take_end(event)
+        return False
+
+    def _take_token(self, event: bytes) -> bool:
+        try:
+            offset = int(event[len(TOKEN_MARK) : event.index(b"\n")])
+        except ValueError as error:
+            raise BrokenAnswerError("offset") from error
+        if offset < self._next_offset:
+            return False
+        if offset > self._next_offset or self._complete:
+            raise BrokenAnswerError(f"offset {offset}")
+        self._next_offset += 1
+        return True
+
+    def _take_end(self, event: bytes) -> None:
+        data = event[len(END_MARK) + len(b"data: ") :]
+        try:
+            end = msgspec.json.decode(data, type=EndMarker)
+        except msgspec.MsgspecError as error:
+            raise BrokenAnswerError("end marker") from error
+        if end.request_id != self._request_id:
+            raise BrokenAnswerError("answer to another request")
+        if end.count != self._next_offset:
+            raise BrokenAnswerError(f"count {end.count}")
+        self._complete = True
+
+
+def end_event(request_id: str, count: int) -> bytes:
+    """The last event of an answer."""
+    marker = msgspec.json.encode(EndMarker(request_id, count))
+    return END_MARK + b"data: " + marker + SEPARATOR
+
+
+def token_event(offset: int, data: bytes) -> bytes:
+    """One token event; `data` is JSON on one line."""
+    return b"id: %d\ndata: %b\n\n" % (offset, data)
+
+
+def event_data(event: bytes) -> bytes:
+    """The JSON of one token event."""
+    return event.split(b"\ndata: ", 1)[1]
--- /dev/null
+++ b/cranberryglade/scheduling/lives.py
@@ -0,0 +1,144 @@
+"""The life of each request: claimed, placed, run and answered at most once."""
+
+from cranberryglade import charts
+from cranberryglade import verdicts
+from cranberryglade.scheduling import claims
+from cranberryglade.scheduling import decisions
+from cranberryglade.scheduling import messages
+
+
+class Lives:
+    """Steps requests through their chart; no other module changes a state."""
+
+    __slots__ = ("_chart", "_claims", "_decisions")
+
+    def __init__(self, collected: decisions.Decisions):
+        self._chart = charts.load("request")
+        self._claims = claims.Claims()
+        self._decisions = collected
+
+    @property
+    def unfinished(self) -> int:
+        """Requests that have no final verdict yet."""
+        return len(self._claims)
+
+    def find(self, request: messages.Request) -> str | None:
+        """The id under which the same request is already known."""
+        return self._claims.find(request)
+
+    def open(self, request: messages.Request) -> claims.Record:
+        """Starts the life of a request that is new here."""
+        return self._claims.open(request, self._chart.initial)
+
+    def get(self, request_id: str) -> claims.Record | None:
+        """The record of a request that is not final."""
+        return self._claims.get(request_id)
+
+    def claiming(self, request_id: str) -> claims.Record | None:
+        """The record of a request whose claim is not settled."""
+        record = self._claims.get(request_id)
+        if record is None or record.state != self._chart.initial:
+            return None
+        return record
+
+    def current(self, request_id: str, attempt: int) -> claims.Record | None:
+        """The record, unless the attempt is no longer its latest."""
+        record = self._claims.get(request_id)
+        if record is None or record.attempt != attempt:
+            return None
+        return record
+
+    def claim(self, record: claims.Record) -> None:
+        """Asks the platform for the caller's key."""
+        request = record.request
+        self._decisions.act(
+            messages.Claim(
+                request.request_id, request.organisation, request.key
+            )
+        )
+
+    def claimed(self, record: claims.Record) -> None:
+        """The request belongs here and may be placed."""
+        record.state = self._chart.step(record.state, "claimed")
+
+    def relay(self, record: claims.Record, holder: str) -> None:
+        """Has the holder of the key answer."""
+        request_id = record.request.request_id
+        record.state = self._chart.step(record.state, "relayed")
+        record.attempt += 1
+        self._decisions.note(request_id, "relayed", "key held", holder)
+        self._decisions.act(messages.Relay(request_id, record.attempt, holder))
+
+    def dispatch(
+        self, record: claims.Record, endpoint: messages.Endpoint
+    ) -> None:
+        """Sends the request to an endpoint."""
+        record.state = self._chart.step(record.state, "dispatched")
+        record.attempt += 1
+        record.endpoint = endpoint
+        record.peer = None
+        record.dispatched_at = self._decisions.now
+        self._decisions.act(
+            messages.Dispatch(
+                record.request.request_id, record.attempt, endpoint
+            )
+        )
+
+    def delegate(self, record: claims.Record, peer: messages.Peer) -> None:
+        """Hands the request over to a peer."""
+        record.state = self._chart.step(record.state, "delegated")
+        record.attempt += 1
+        record.endpoint = None
+        record.peer = peer
+        record.dispatched_at = self._decisions.now
+        self._decisions.act(
+            messages.Delegate(record.request.request_id, record.attempt, peer)
+        )
+
+    def give_back(self, record: claims.Record, reason: verdicts.Reason) -> None:
+        """The attempt did not run, or may be repeated: wait again."""
+        record.state = self._chart.step(record.state, "returned")
+        record.endpoint = None
+        record.peer = None
+        self._decisions.note(record.request.request_id, "retried", reason.value)
+
+    def answer(self, record: claims.Record) -> None:
+        """The whole answer has arrived."""
+        self._decisions.note(
+            record.request.request_id, "answered", "whole answer"
+        )
+        self._finish(record, "answered", verdicts.Ran())
+
+    def uncertain(
+        self, record: claims.Record, verdict: verdicts.MayHaveRun
+    ) -> None:
+        """Whether it ran cannot be known here."""
+        self._decisions.note(
+            record.request.request_id, "uncertain", verdict.reason.value
+        )
+        self._finish(record, "uncertain", verdict)
+
+    def refuse(
+        self,
+        record: claims.Record,
+        reason: verdicts.Reason,
+        retry_after_seconds: float | None,
+        measures: tuple[messages.Measure, ...] = (),
+    ) -> None:
+        """It has not run and will not; the caller is told at once."""
+        self._decisions.note(
+            record.request.request_id,
+            "refused",
+            reason.value,
+            measures=measures,
+        )
+        verdict = verdicts.NotRun(reason, retry_after_seconds)
+        self._finish(record, "refused", verdict)
+
+    def _finish(
+        self, record: claims.Record, event: str, verdict: verdicts.Verdict
+    ) -> None:
+        record.state = self._chart.step(record.state, event)
+        request_id = record.request.request_id
+        self._claims.close(request_id, verdict)
+        self._decisions.act(messages.Finish(request_id, verdict))
--- /dev/null
+++ b/cranberryglade/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around cranberryglade, with faults."""
--- /dev/null
+++ b/cranberryglade/standins/model.py
@@ -0,0 +1,178 @@
+"""A model engine as arithmetic: continuous batching and a prefix cache.
+
+It has no clock: the caller steps it and is told how long each step takes. The
+engine stand-in and the trace replay drive the same code.
+"""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Speed:
+    """How fast an engine is.
+
+    Attributes:
+        batch: requests that run at once.
+        step_seconds: time of a step with an empty batch.
+        sequence_seconds: added to a step by each running request.
+        prefill_seconds: added to a step by each prefilled token.
+        prefill_chunk: tokens prefilled in one step at most.
+        cache_tokens: room for cached prefixes.
+    """
+
+    batch: int = 8
+    step_seconds: float = 0.01
+    sequence_seconds: float = 0.0005
+    prefill_seconds: float = 0.00005
+    prefill_chunk: int = 2048
+    cache_tokens: int = 200_000
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Sequence:
+    """One request inside the engine.
+
+    Attributes:
+        request_id: the request.
+        prefix: name of the shared part of its prompt.
+        prompt_tokens: length of the prompt.
+        output_tokens: tokens it will generate.
+        prefilled: prompt tokens done.
+        generated: tokens generated.
+    """
+
+    request_id: str
+    prefix: str
+    prompt_tokens: int
+    output_tokens: int
+    prefilled: int = 0
+    generated: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Step:
+    """What one step of the batch did.
+
+    Attributes:
+        seconds: how long it took.
+        tokens: requests that got one more token.
+        finished: requests that got their last token.
+        prefilled_tokens: prompt tokens computed.
+    """
+
+    seconds: float
+    tokens: list[str]
+    finished: list[str]
+    prefilled_tokens: int
+
+
+class EngineModel:
+    """The state of one engine.
+
+    >>> engine = EngineModel(Speed())
+    >>> engine.admit(Sequence("r1", "", 100, 2))
+    >>> engine.step().tokens
+    ['r1']
+    >>> engine.step().finished
+    ['r1']
+    """
+
+    __slots__ = (
+        "_cache",
+        "_cached_tokens",
+        "_running",
+        "_speed",
+        "_waiting",
+        "slowdown",
+    )
+
+    def __init__(self, speed: Speed):
+        self._speed = speed
+        self._waiting: collections.OrderedDict[str, Sequence] = (
+            collections.OrderedDict()
+        )
+        self._running: dict[str, Sequence] = {}
+        self._cache: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._cached_tokens = 0
+        self.slowdown = 1.0
+
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests let in but not in the batch."""
+        return len(self._waiting)
+
+    @property
+    def idle(self) -> bool:
+        """Whether a step would do nothing."""
+        return not self._running and not self._waiting
+
+    def holds(self, prefix: str) -> bool:
+        """Whether a prefix is cached."""
+        return prefix in self._cache
+
+    def admit(self, sequence: Sequence) -> None:
+        """Lets a request in, in order of arrival."""
+        self._waiting[sequence.request_id] = sequence
+
+    def cancel(self, request_id: str) -> Sequence | None:
+        """Drops a request; returns what had been done of it."""
+        waiting = self._waiting.pop(request_id, None)
+        return waiting or self._running.pop(request_id, None)
+
+    def step(self) -> Step:
+        """Runs the batch once."""
+        self._fill_batch()
+        prefilled = self._prefill()
+        tokens = []
+        finished = []
+        for sequence in list(self._running.values()):
+            if sequence.prefilled < sequence.prompt_tokens:
+                continue
+            sequence.generated += 1
+            tokens.append(sequence.request_id)
+            if sequence.generated >= sequence.output_tokens:
+                finished.append(sequence.request_id)
+                del self._running[sequence.request_id]
+        seconds = self._speed.step_seconds
+        seconds += self._speed.sequence_seconds * len(tokens)
+        seconds += self._speed.prefill_seconds * prefilled
+        return Step(seconds * self.slowdown, tokens, finished, prefilled)
+
+    def _fill_batch(self) -> None:
+        while self._waiting and len(self._running) < self._speed.batch:
+            request_id, sequence = self._waiting.popitem(last=False)
+            cached = self._cache.get(sequence.prefix, 0)
+            if cached:
+                self._cache.move_to_end(sequence.prefix)
+            sequence.prefilled = min(cached, sequence.prompt_tokens - 1)
+            self._running[request_id] = sequence
+
+    def _prefill(self) -> int:
+        budget = self._speed.prefill_chunk
+        for sequence in self._running.values():
+            missing = sequence.prompt_tokens - sequence.prefilled
+            chunk = min(budget, missing)
+            if chunk <= 0:
+                continue
+            sequence.prefilled += chunk
+            budget -= chunk
+            if sequence.prefilled == sequence.prompt_tokens:
+                self._remember(sequence)
+        return self._speed.prefill_chunk - budget
+
+    def _remember(self, sequence: Sequence) -> None:
+        if not sequence.prefix or sequence.prefix in self._cache:
+            return
+        self._cache[sequence.prefix] = sequence.prompt_tokens
+        self._cached_tokens += sequence.prompt_tokens
+        while self._cached_tokens > self._speed.cache_tokens:
+            _, tokens = self._cache.popitem(last=False)
+            self._cached_tokens -= tokens
--- /dev/null
+++ b/cranberryglade/tests/support.py
@@ -0,0 +1,214 @@
+"""Starts the system's programs as processes of their own."""
+
+import contextlib
+import hashlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+
+START_SECONDS = 20.0
+BIN = pathlib.Path(sys.executable).parent
+ORGANISATION_TOKEN = "store-token"
+OPERATOR_TOKEN = "operator-token"
+
+CONFIGURATION = f"""
+[deployment]
+name = werkliste
+[tier counter]
+rank = 0
+[tier plans]
+rank = 1
+first_token_ms = 5000
+[organisation store-1]
+token_sha256 = {hashlib.sha256(ORGANISATION_TOKEN.encode()).hexdigest()}
+[operator ops]
+token_sha256 = {hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()}
+[rule counter-question]
+target = assistant
+tier = counter
+[rule reservation]
+target = lists
+tier = counter
+max_tokens = 0
+[rule stock-lookup]
+target = lists
+tier = counter
+idempotent = yes
+max_tokens = 0
+"""
+
+
+class Process:
+    """One program started by a test."""
+
+    def __init__(self, arguments):
+        self._process = subprocess.Popen(
+            [BIN / arguments[0], *arguments[1:]],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.listening = self._read_listening()
+
+    @property
+    def address(self):
+        line = self.listening
+        return line.get("address") or line.get("caller_address")
+
+    def _read_listening(self):
+        until = time.monotonic() + START_SECONDS
+        while time.monotonic() < until:
+            line = self._process.stdout.readline()
+            if not line:
+                break
+            found = json.loads(line)
+            if found.get("event") == "listening":
+                return found
+        raise RuntimeError("the program did not start")
+
+    def send(self, number):
+        self._process.send_signal(number)
+
+    def wait(self, seconds=20.0):
+        return self._process.wait(seconds)
+
+    def kill(self):
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+        self._process.wait()
+        self._process.stdout.close()
+
+
+class Deployment:
+    """A platform, endpoints and instances on loopback."""
+
+    def __init__(self, directory, stack):
+        self._directory = directory
+        self._stack = stack
+        self._listed = []
+        self.platform = self.start("cranberryglade", "standin", "platform")
+        self.faults(self.platform, {"lag_seconds": 0.0})
+        self.propose(CONFIGURATION, 0)
+
+    def start(self, *arguments):
+        process = Process(arguments)
+        self._stack.callback(process.kill)
+        return process
+
+    def endpoint(self, role, name, target, domain="wien-a", **options):
+        arguments = [
+            f"--{key.replace('_', '-')}={value}"
+            for key, value in options.items()
+        ]
+        process = self.start("cranberryglade", "standin", role, *arguments)
+        self.listed(name, role, process.address, domain, target)
+        return process
+
+    def listed(self, name, role, address, domain, target, state="live"):
+        self._listed = [row for row in self._listed if row["name"] != name]
+        self._listed.append(
+            {
+                "name": name,
+                "role": role,
+                "incarnation": f"{name}-i1",
+                "address": address,
+                "failure_domain": domain,
+                "target": target,
+                "state": state,
+            }
+        )
+        url = f"http://{self.platform.address}/standin/instances"
+        call("PUT", url, {"instances": self._listed})
+
+    def daemon(self, name, domain="wien-a", caller_port=0):
+        path = self._directory / f"{name}.ini"
+        path.write_text(
+            f"""[daemon]
+instance = {name}
+failure_domain = {domain}
+caller_address = 127.0.0.1:{caller_port}
+peer_address = 127.0.0.1:0
+probe_seconds = 0.1
+[platform]
+address = {self.platform.address}
+poll_seconds = 0.1
+[keys]
+peer = {"ab" * 16}
+ticket = {"cd" * 16}
+""",
+            encoding="utf-8",
+        )
+        process = self.start("cranberrygladed", "--settings", str(path))
+        peer_address = process.listening["peer_address"]
+        self.listed(name, "entry", peer_address, domain, "")
+        return process
+
+    def propose(self, text, version):
+        write = {
+            "table": "configuration",
+            "key": "current",
+            "expected_version": version,
+            "value": text,
+        }
+        url = f"http://{self.platform.address}/v1/transactions"
+        return call("POST", url, {"writes": [write]})
+
+    def faults(self, process, faults):
+        call("PUT", f"http://{process.address}/standin/faults", faults)
+
+    def runs(self, process):
+        return call("GET", f"http://{process.address}/standin/runs")[1]
+
+
+@contextlib.contextmanager
+def deployment(directory):
+    with contextlib.ExitStack() as stack:
+        yield Deployment(directory, stack)
+
+
+def call(method, url, body=None, headers=None, raw=False):
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=30) as response:
+            content, status = response.read(), response.status
+    except urllib.error.HTTPError as error:
+        content, status = error.read(), error.code
+    if raw or not content:
+        return status, content
+    return status, json.loads(content)
+
+
+def submit(process, body, headers=None, raw=False):
+    authorised = {"Authorization": f"Bearer {ORGANISATION_TOKEN}"}
+    return call(
+        "POST",
+        f"http://{process.address}/v1/requests",
+        body,
+        {**authorised, **(headers or {})},
+        raw,
+    )
+
+
+def status(process):
+    authorised = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    url = f"http://{process.address}/v1/operators/status"
+    return call("GET", url, headers=authorised)[1]
+
+
+def eventually(check, seconds=10.0):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        try:
+            if check():
+                return
+        except (OSError, KeyError, TypeError):
+            pass
+        time.sleep(0.02)
+    raise AssertionError("it did not come about in time")
--- /dev/null
+++ b/cranberryglade/tests/test_path.py
@@ -0,0 +1,50 @@
+"""The whole path, with every program as a process of its own."""
+
+import signal
+
+import pytest
+
+from cranberryglade.tests import support
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    with support.deployment(tmp_path) as started:
+        yield started
+
+
+def test_requests_are_served_from_end_to_end(deployment):
+    engine = deployment.endpoint("engine", "engine-1", "assistant")
+    service = deployment.endpoint("service", "lists-1", "lists")
+    first = deployment.daemon("entry-1")
+    second = deployment.daemon("entry-2")
+    for daemon in (first, second):
+        support.eventually(lambda d=daemon: len(support.status(d)["peers"]))
+        support.eventually(lambda d=daemon: support.status(d)["targets"])
+    question = {"kind": "counter-question", "prompt": "hi", "max_tokens": 5}
+    for daemon in (first, second):
+        status, answer = support.submit(daemon, question)
+        assert (status, answer["verdict"]) == (200, "ran"), answer
+        assert answer["answer"] == {"text": "w0 w1 w2 w3 w4 ", "tokens": 5}
+        status, stream = support.submit(
+            daemon, {**question, "stream": True}, raw=True
+        )
+        assert status == 200
+        assert stream.count(b"\nid: ") + stream.startswith(b"id: ") == 5
+        assert b'event: end\ndata: {"request_id":' in stream
+        status, answer = support.submit(
+            daemon,
+            {"kind": "reservation", "payload": {"item": 7}},
+            {"Idempotency-Key": "till-3/88"},
+        )
+        assert (status, answer["answer"]["effects"]) == (200, 1), answer
+    assert set(deployment.runs(engine).values()) == {1}
+    assert list(deployment.runs(service).values()) == [1]
+
+
+def test_a_stop_finishes_what_is_in_flight(deployment):
+    deployment.endpoint("service", "lists-1", "lists")
+    daemon = deployment.daemon("entry-1")
+    support.eventually(lambda: support.status(daemon)["targets"])
+    daemon.send(signal.SIGTERM)
+    assert daemon.wait() == 0
--- /dev/null
+++ b/cranberryglade/tests/test_scheduler.py
@@ -0,0 +1,50 @@
+"""The scheduler core, driven by events alone."""
+
+from cranberryglade import verdicts
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import builders
+
+
+def started():
+    core = scheduler.Scheduler(builders.peer())
+    core.handle(messages.EndpointJoined(builders.endpoint()), 0.0)
+    return core
+
+
+def of_type(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_dispatches_up_to_the_slots_and_then_in_tier_order():
+    core = started()
+    for name, rank in (("a", 1), ("b", 1), ("c", 1), ("d", 0)):
+        core.handle(messages.Submitted(builders.request(name, rank=rank)), 0.0)
+    actions = core.handle(messages.Answered("a", 1, 20), 1.0)
+    dispatched = of_type(actions, messages.Dispatch)
+    assert [action.request_id for action in dispatched] == ["d"]
+
+
+def test_the_same_request_is_joined_and_not_dispatched_again():
+    core = started()
+    core.handle(messages.Submitted(builders.request()), 0.0)
+    again = core.handle(messages.Submitted(builders.request()), 0.1)
+    assert again == [messages.Join("r1")]
+
+
+def test_a_lost_answer_of_a_once_only_request_may_have_run():
+    core = started()
+    core.handle(messages.Submitted(builders.request()), 0.0)
+    lost = verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+    actions = core.handle(messages.AttemptFailed("r1", 1, lost), 0.5)
+    assert messages.Finish("r1", lost) in actions
+    assert not of_type(actions, messages.Dispatch)
+
+
+def test_a_leaving_endpoint_gets_nothing_more():
+    core = started()
+    core.handle(messages.EndpointLeaving("engine-1", "i1", "test"), 0.0)
+    actions = core.handle(messages.Submitted(builders.request()), 0.0)
+    assert not of_type(actions, messages.Dispatch)
+    finish = of_type(actions, messages.Finish)[0]
+    assert finish.verdict.reason is verdicts.Reason.NO_ENDPOINT
--- /dev/null
+++ b/cranberryglade/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and the programs beside the daemon."""
--- /dev/null
+++ b/cranberryglade/tools/checks.py
@@ -0,0 +1,62 @@
+"""Runs the tests and passes over just the failures that are listed.
+
+KNOWN-RED.txt holds one entry a line: test id, command and seed, what was
+seen, and the issue, separated by " | ". A listed test that fails is printed
+and passed over; any other failure fails the run, and so does a listed test
+that passes.
+"""
+
+import pathlib
+import sys
+
+import pytest
+
+LISTING = pathlib.Path("KNOWN-RED.txt")
+
+
+class Collector:
+    """Collects the outcome of each test."""
+
+    def __init__(self):
+        self.failed: set[str] = set()
+        self.passed: set[str] = set()
+
+    def pytest_runtest_logreport(self, report) -> None:
+        """Takes in one report of pytest."""
+        if report.failed:
+            self.failed.add(report.nodeid)
+        elif report.when == "call":
+            self.passed.add(report.nodeid)
+
+
+def read_listing(text: str) -> dict[str, str]:
+    r"""Reads the listed tests, by id.
+
+    >>> read_listing("# none\n\na.py::test_b | cmd | seen | 4\n")
+    {'a.py::test_b': 'a.py::test_b | cmd | seen | 4'}
+    """
+    lines = [line.strip() for line in text.splitlines()]
+    entries = [line for line in lines if line and not line.startswith("#")]
+    return {entry.split(" | ")[0]: entry for entry in entries}
+
+
+def main() -> int:
+    """Runs pytest with the arguments given."""
+    listed = read_listing(LISTING.read_text(encoding="utf-8"))
+    collector = Collector()
+    code = pytest.main(sys.argv[1:], plugins=[collector])
+    for test in sorted(collector.failed & listed.keys()):
+        print(f"known red, passed over: {listed[test]}")
+    stale = collector.passed & listed.keys() - collector.failed
+    for test in sorted(stale):
+        print(f"listed as red but passes: {test}")
+    new = collector.failed - listed.keys()
+    for test in sorted(new):
+        print(f"failed: {test}")
+    if code not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
+        return int(code)
+    return 1 if new or stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cranberryglade/tools/commands.py
@@ -0,0 +1,13 @@
+"""The program cranberryglade."""
+
+import click
+
+from cranberryglade.tools import standins
+
+
+@click.group()
+def main() -> None:
+    """Client of the cranberryglade request scheduler."""
+
+
+main.add_command(standins.standin)
