Never run a request whose tombstone was dropped

Cause: tombstones were dropped by count alone, so that the 100,001st request made the first one unknown and a retry of it was dispatched again. The map of idempotency keys was never trimmed.

Request ids carry a sequence number of their home.

--- a/cranberryglade/executors.py
+++ b/cranberryglade/executors.py
@@ -94,16 +94,29 @@
         joined = self.post(messages.Submitted(request))
         if joined is None:
             return self._exchanges.get(request.request_id)
-        if fresh and joined != request.request_id:
+        kept = (
+            joined.request_id == request.request_id and joined.verdict is None
+        )
+        if fresh and not kept:
             self._discard(request.request_id)
-        return self._exchanges.get(joined) or _forgotten(request)
+        return self._joined(joined, request)
+
+    def _joined(
+        self, joined: messages.Join, request: messages.Request
+    ) -> exchanges.Exchange:
+        kept = self._exchanges.get(joined.request_id)
+        if kept is not None:
+            return kept
+        return _without_answer(
+            joined.request_id, request.organisation, joined.verdict
+        )
 
-    def post(self, event: messages.Event) -> str | None:
-        """Hands an event to the core; returns the id of a Join, if any."""
+    def post(self, event: messages.Event) -> messages.Join | None:
+        """Hands an event to the core; returns the Join, if there is one."""
         joined = None
         for action in self._scheduler.handle(event, self.now):
             if isinstance(action, messages.Join):
-                joined = action.request_id
+                joined = action
             else:
                 self._carry_out(action)
         self._arm()
@@ -270,7 +283,11 @@
     return max(0, round((deadline - now) * 1000))
 
 
-def _forgotten(request: messages.Request) -> exchanges.Exchange:
-    exchange = exchanges.Exchange(request.request_id, request.organisation)
-    exchange.finish(verdicts.MayHaveRun(verdicts.Reason.RETENTION_PASSED))
+def _without_answer(
+    request_id: str, organisation: str, verdict: verdicts.Verdict | None
+) -> exchanges.Exchange:
+    exchange = exchanges.Exchange(request_id, organisation)
+    if not isinstance(verdict, verdicts.NotRun | verdicts.MayHaveRun):
+        verdict = verdicts.MayHaveRun(verdicts.Reason.RETENTION_PASSED)
+    exchange.finish(verdict)
     return exchange
--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -22,10 +22,14 @@
         """Requests that have no final verdict yet."""
         return len(self._claims)
 
-    def find(self, request: messages.Request) -> str | None:
-        """The id under which the same request is already known."""
+    def find(self, request: messages.Request) -> claims.Known | None:
+        """The same request, if it was seen before."""
         return self._claims.find(request)
 
+    def look_up(self, request_id: str) -> claims.Known | None:
+        """What is known under an id."""
+        return self._claims.look_up(request_id)
+
     def open(self, request: messages.Request) -> claims.Record:
         """Starts the life of a request that is new here."""
         return self._claims.open(request, self._chart.initial)
@@ -140,5 +144,5 @@
     ) -> None:
         record.state = self._chart.step(record.state, event)
         request_id = record.request.request_id
-        self._claims.close(request_id, verdict)
+        self._claims.close(request_id, verdict, self._decisions.now)
         self._decisions.act(messages.Finish(request_id, verdict))
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -61,6 +61,8 @@
         first_token_deadline: when its first token must be there.
         key: the caller's own idempotency key, or "".
         delegated: handed over by a peer, which remains the home.
+        streamed: the caller reads tokens as they come.
+        fingerprint: digest of what is asked, or "".
     """
 
     request_id: str
@@ -76,6 +78,8 @@
     first_token_deadline: float
     key: str = ""
     delegated: bool = False
+    streamed: bool = False
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -106,6 +110,25 @@
     address: str
     failure_domain: str
 
+    @property
+    def home(self) -> str:
+        """The part of a request id that names this incarnation."""
+        return f"{self.failure_domain}.{self.name}.{self.incarnation}"
+
+
+def split_id(request_id: str) -> tuple[str, int]:
+    """Returns the home and the sequence number that a request id names.
+
+    >>> split_id("wien-a.entry-1.c0ffee.7.5167")
+    ('wien-a.entry-1.c0ffee', 7)
+    >>> split_id("r1")
+    ('', 0)
+    """
+    parts = request_id.rsplit(".", 2)
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return "", 0
+    return parts[0], int(parts[1])
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Submitted:
@@ -119,8 +142,8 @@
 
     WON = "won"
     UNAVAILABLE = "unavailable"
-    UNCERTAIN = "uncertain"
     LOST = "lost"
+    REUSED = "reused"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -131,11 +154,15 @@
         request_id: the request that claimed.
         outcome: what became of the claim.
         holder: the request that holds the key, or "" if that is not known.
+        version: version of the row that names the holder.
+        retry_after_seconds: when the platform may be asked again.
     """
 
     request_id: str
     outcome: ClaimOutcome
     holder: str = ""
+    version: int = 0
+    retry_after_seconds: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -263,6 +290,11 @@
     """The instance is to stop gracefully."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CutRequested:
+    """The instance is to stop at once: every request gets its verdict."""
+
+
 Event = (
     Submitted
     | ClaimSettled
@@ -279,23 +311,48 @@
     | PeerGone
     | Tick
     | StopRequested
+    | CutRequested
 )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Claim:
-    """Claim the caller's key at the platform, then report ClaimSettled."""
+    """Claim the caller's key at the platform, then report ClaimSettled.
+
+    Attributes:
+        request_id: the request that is to hold the key.
+        organisation: whose key it is.
+        key: the caller's own idempotency key.
+        fingerprint: digest of what is asked.
+        expected_version: version of the row to replace; 0 to insert one.
+    """
 
     request_id: str
     organisation: str
     key: str
+    fingerprint: str = ""
+    expected_version: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Join:
-    """The request is already known here: attach the caller to it."""
+    """The request is already known here: attach the caller to it.
+
+    Attributes:
+        request_id: the id under which it is known.
+        verdict: what became of it; None while it is not final.
+    """
+
+    request_id: str
+    verdict: verdicts.Verdict | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reject:
+    """Refuse what was submitted without touching the request it names."""
 
     request_id: str
+    verdict: verdicts.NotRun
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -327,10 +384,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CancelAttempt:
-    """Tell the endpoint to stop an attempt whose answer nobody awaits."""
+    """Stop an attempt whose answer nobody awaits.
+
+    Attributes:
+        request_id: the request.
+        attempt: which dispatch of it.
+        endpoint: where it runs; None if a peer has it.
+    """
 
     request_id: str
     attempt: int
+    endpoint: Endpoint | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -371,5 +435,13 @@
 
 
 Action = (
-    Claim | Join | Dispatch | Delegate | Relay | CancelAttempt | Finish | Fact
+    Claim
+    | Join
+    | Reject
+    | Dispatch
+    | Delegate
+    | Relay
+    | CancelAttempt
+    | Finish
+    | Fact
 )
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -96,7 +96,7 @@
     def _submit(self, request: messages.Request) -> None:
         known = self._lives.find(request)
         if known is not None:
-            self._decisions.act(messages.Join(known))
+            self._join(known, request)
             return
         record = self._lives.open(request)
         if self._stopping:
@@ -108,6 +108,10 @@
         else:
             self._admit(record)
 
+    def _join(self, known: claims.Known, request: messages.Request) -> None:
+        del request
+        self._decisions.act(messages.Join(known.request_id, known.verdict))
+
     def _settle_claim(self, event: messages.ClaimSettled) -> None:
         record = self._lives.claiming(event.request_id)
         if record is None:
@@ -123,9 +127,6 @@
                 )
             case messages.ClaimOutcome.LOST:
                 self._lives.relay(record, event.holder)
-            case messages.ClaimOutcome.UNCERTAIN:
-                lost = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
-                self._lives.uncertain(record, lost)
 
     def _admit(self, record: claims.Record) -> None:
         self._retries.deposit()
--- a/cranberryglade/verdicts.py
+++ b/cranberryglade/verdicts.py
@@ -13,6 +13,7 @@
     UNKNOWN_KIND = "unknown_kind"
     UNKNOWN_REQUEST = "unknown_request"
     TOO_LARGE = "too_large"
+    KEY_REUSED = "key_reused"
     SHED = "shed"
     DEADLINE = "deadline_cannot_be_met"
     DEADLINE_PASSED = "deadline_passed"
@@ -24,8 +25,12 @@
     ENDPOINT_REFUSED = "endpoint_refused"
     ANSWER_LOST = "answer_lost"
     ANSWER_NOT_WHOLE = "answer_not_whole"
+    ENDPOINT_SILENT = "endpoint_silent"
+    PEER_LOST = "peer_lost"
     HOME_UNREACHABLE = "home_unreachable"
     RETENTION_PASSED = "retention_passed"
+    INSTANCE_CUT = "instance_cut"
+    INTERNAL = "internal"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
