Say not run only when no attempt may have run, and free keys of the refused

FirstToken is now an event of the core, which also knows whether anybody reads; without a reader the attempt may be repeated. * NotRun after the first token was believed. * A key whose holder had been refused answered MayHaveRun for ever, because the home looked for itself among its peers. The row is now replaced by compare-and-set once the holder has said NotRun, here or at its home. * A key or ticket with another body joined the first request. * A cancelled request that was running went on without a verdict. * Waiting requests were not handed over at a planned stop. * A task of the executor that raised left its request without a verdict.

Every MayHaveRun is counted by cause.

--- a/cranberryglade/endpoints.py
+++ b/cranberryglade/endpoints.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from cranberryglade import log
 from cranberryglade import streams
 from cranberryglade import verdicts
 from cranberryglade import wire
@@ -11,6 +12,9 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 SILENCE_TIMEOUT_SECONDS = 30.0
 RESUME_ATTEMPTS = 2
+CANCEL_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+logger = log.get_logger(__name__)
 
 
 class EndpointClient:
@@ -73,6 +77,19 @@
             return _after_dispatch(ending)
         return ending
 
+    async def cancel(
+        self, endpoint: messages.Endpoint, request_id: str
+    ) -> None:
+        """Tells an engine to stop a request; plain services cannot."""
+        if endpoint.kind is messages.EndpointKind.SERVICE:
+            return
+        url = f"http://{endpoint.address}/v1/generate/{request_id}"
+        try:
+            async with self._session.delete(url, timeout=CANCEL_TIMEOUT):
+                pass
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            logger.info("cancel lost", error=type(error).__name__)
+
     async def _resume(
         self,
         url: str,
--- a/cranberryglade/executors.py
+++ b/cranberryglade/executors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 from cranberryglade import claimants
 from cranberryglade import endpoints
@@ -20,6 +21,10 @@
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
 
+Started = (
+    messages.Claim | messages.Dispatch | messages.Delegate | messages.Relay
+)
+
 logger = log.get_logger(__name__)
 
 
@@ -27,6 +32,7 @@
     """Feeds events to the core and turns its actions into I/O."""
 
     __slots__ = (
+        "_cancelling",
         "_claimant",
         "_client",
         "_exchanges",
@@ -39,6 +45,7 @@
         "_submissions",
         "_tasks",
         "_tracing",
+        "_uncertain",
         "_wake",
         "_wake_at",
     )
@@ -66,6 +73,8 @@
         self._exchanges = exchanges.Exchanges()
         self._submissions: dict[str, submissions.Submission] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        self._cancelling: set[asyncio.Task] = set()
+        self._uncertain: collections.Counter[str] = collections.Counter()
         self._wake: asyncio.TimerHandle | None = None
         self._wake_at: float | None = None
 
@@ -94,6 +103,10 @@
         joined = self.post(messages.Submitted(request))
         if joined is None:
             return self._exchanges.get(request.request_id)
+        if isinstance(joined, messages.Reject):
+            if fresh:
+                self._discard(request.request_id)
+            return _without_answer("", request.organisation, joined.verdict)
         kept = (
             joined.request_id == request.request_id and joined.verdict is None
         )
@@ -111,17 +124,37 @@
             joined.request_id, request.organisation, joined.verdict
         )
 
-    def post(self, event: messages.Event) -> messages.Join | None:
-        """Hands an event to the core; returns the Join, if there is one."""
+    def post(
+        self, event: messages.Event
+    ) -> messages.Join | messages.Reject | None:
+        """Hands an event to the core.
+
+        Returns:
+            The Join or Reject of a submission that is not a new request.
+        """
         joined = None
         for action in self._scheduler.handle(event, self.now):
-            if isinstance(action, messages.Join):
+            if isinstance(action, messages.Join | messages.Reject):
                 joined = action
             else:
                 self._carry_out(action)
         self._arm()
         return joined
 
+    @property
+    def uncertain(self) -> dict[str, int]:
+        """How many requests may have run, by cause."""
+        return dict(self._uncertain)
+
+    def count_verdict(self, verdict: verdicts.Verdict) -> None:
+        """Counts a final verdict, and its cause if it is MayHaveRun."""
+        name = type(verdict).__name__.lower()
+        self._metrics.count(f"verdict.{name}")
+        if isinstance(verdict, verdicts.MayHaveRun):
+            cause = verdict.reason.value
+            self._uncertain[cause] += 1
+            self._metrics.count(f"verdict.{name}.{cause}")
+
     async def drained(self) -> None:
         """Waits until every request has its verdict."""
         while self._scheduler.unfinished:
@@ -131,46 +164,65 @@
         match action:
             case messages.Fact():
                 self._facts.add(action)
-            case messages.Claim(request_id=request_id):
-                self._start(request_id, self._claim(action))
-            case messages.Dispatch(request_id=request_id):
-                self._start(request_id, self._dispatch(action))
-            case messages.Delegate(request_id=request_id):
-                self._start(request_id, self._delegate(action))
-            case messages.Relay(request_id=request_id):
-                self._start(request_id, self._relay(action))
-            case messages.CancelAttempt(request_id=request_id):
-                task = self._tasks.get(request_id)
-                if task is not None:
-                    task.cancel()
+            case messages.Claim():
+                self._start(action, self._claim(action))
+            case messages.Dispatch():
+                self._start(action, self._dispatch(action))
+            case messages.Delegate():
+                self._start(action, self._delegate(action))
+            case messages.Relay():
+                self._start(action, self._relay(action))
+            case messages.CancelAttempt():
+                self._cancel(action)
             case messages.Finish(request_id=request_id, verdict=verdict):
                 self._finish(request_id, verdict)
 
-    def _start(self, request_id: str, coroutine) -> None:
+    def _start(self, action: Started, coroutine) -> None:
         task = self._loop.create_task(coroutine)
-        self._tasks[request_id] = task
-        task.add_done_callback(lambda done: self._ended(request_id, done))
+        self._tasks[action.request_id] = task
+        task.add_done_callback(lambda done: self._ended(action, done))
+
+    def _ended(self, action: Started, task: asyncio.Task) -> None:
+        if self._tasks.get(action.request_id) is task:
+            del self._tasks[action.request_id]
+        if task.cancelled() or task.exception() is None:
+            return
+        logger.error("task failed", exc_info=task.exception())
+        if isinstance(action, messages.Claim):
+            self.post(
+                messages.ClaimSettled(
+                    action.request_id, messages.ClaimOutcome.UNAVAILABLE
+                )
+            )
+            return
+        verdict = verdicts.MayHaveRun(verdicts.Reason.INTERNAL)
+        self.post(
+            messages.AttemptFailed(action.request_id, action.attempt, verdict)
+        )
 
-    def _ended(self, request_id: str, task: asyncio.Task) -> None:
-        if self._tasks.get(request_id) is task:
-            del self._tasks[request_id]
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("task failed", exc_info=task.exception())
+    def _cancel(self, action: messages.CancelAttempt) -> None:
+        task = self._tasks.pop(action.request_id, None)
+        if task is not None:
+            task.cancel()
+        if action.endpoint is not None:
+            stopping = self._loop.create_task(
+                self._client.cancel(action.endpoint, action.request_id)
+            )
+            self._cancelling.add(stopping)
+            stopping.add_done_callback(self._cancelling.discard)
 
     def _finish(self, request_id: str, verdict: verdicts.Verdict) -> None:
         submission = self._submissions.pop(request_id, None)
         self._exchanges.finish(request_id, verdict)
         if submission is not None:
-            name = type(verdict).__name__.lower()
-            self._metrics.count(f"verdict.{name}")
+            self.count_verdict(verdict)
 
     def _discard(self, request_id: str) -> None:
         self._submissions.pop(request_id, None)
         self._exchanges.forget(request_id)
 
     async def _claim(self, action: messages.Claim) -> None:
-        outcome, holder = await self._claimant.claim(action)
-        self.post(messages.ClaimSettled(action.request_id, outcome, holder))
+        self.post(await self._claimant.claim(action))
 
     async def _relay(self, action: messages.Relay) -> None:
         ending = await self._forwarder.relay(
--- a/cranberryglade/intake.py
+++ b/cranberryglade/intake.py
@@ -1,6 +1,9 @@
 """Turns what callers and peers send into submissions for the core."""
 
 import dataclasses
+import hashlib
+
+import msgspec
 
 from cranberryglade import configuration
 from cranberryglade import submissions
@@ -8,6 +11,7 @@
 from cranberryglade.scheduling import messages
 
 CHARACTERS_PER_TOKEN = 4
+FINGERPRINT_BYTES = 12
 
 
 def submission(
@@ -38,6 +42,8 @@
             deadline=now + deadline_ms / 1000,
             first_token_deadline=now + tier.first_token_ms / 1000,
             key=key,
+            streamed=document.stream,
+            fingerprint=fingerprint(document),
         ),
         document,
         span,
@@ -68,10 +74,34 @@
         deadline=now + document.remaining_ms / 1000,
         first_token_deadline=now + document.first_token_ms / 1000,
         delegated=delegated,
+        streamed=True,
     )
     return dataclasses.replace(built, request=request)
 
 
+def fingerprint(document: wire.RequestDocument) -> str:
+    """Digest of what is asked, whatever way it is to be answered.
+
+    >>> first = wire.RequestDocument(kind="reservation", payload={"item": 7})
+    >>> again = wire.RequestDocument(
+    ...     kind="reservation", payload={"item": 7}, stream=True
+    ... )
+    >>> fingerprint(first) == fingerprint(again)
+    True
+    """
+    asked = msgspec.json.encode(
+        [
+            document.kind,
+            document.prompt,
+            document.prefix,
+            document.max_tokens,
+            document.payload,
+        ],
+        order="deterministic",
+    )
+    return hashlib.blake2b(asked, digest_size=FINGERPRINT_BYTES).hexdigest()
+
+
 def _prompt_tokens(document: wire.RequestDocument) -> int:
     if document.prompt_tokens is not None:
         return document.prompt_tokens
--- a/cranberryglade/scheduling/claims.py
+++ b/cranberryglade/scheduling/claims.py
@@ -27,6 +27,7 @@
         streamed: whether a caller may read tokens as they come.
         delivered: whether a token of the current attempt has arrived.
         holder_version: version of the claim row that names another holder.
+        lost: why an earlier attempt may have run, or None.
     """
 
     request: messages.Request
@@ -38,6 +39,7 @@
     streamed: bool = False
     delivered: bool = False
     holder_version: int = 0
+    lost: verdicts.Reason | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -52,12 +52,34 @@
             return None
         return record
 
-    def claim(self, record: claims.Record) -> None:
-        """Asks the platform for the caller's key."""
+    def waiting(self) -> list[claims.Record]:
+        """The records of the requests that wait to be placed."""
+        return [r for r in self._claims.live() if r.state == "waiting"]
+
+    def live(self) -> list[claims.Record]:
+        """The records of all requests that are not final."""
+        return self._claims.live()
+
+    def deliver(self, record: claims.Record) -> None:
+        """The first token of the current attempt has arrived."""
+        record.delivered = True
+
+    def claim(self, record: claims.Record, expected_version: int = 0) -> None:
+        """Asks the platform for the caller's key.
+
+        Args:
+            record: the request.
+            expected_version: version of the row of a holder that has not run
+                and never will; 0 if the key is thought to be free.
+        """
         request = record.request
         self._decisions.act(
             messages.Claim(
-                request.request_id, request.organisation, request.key
+                request.request_id,
+                request.organisation,
+                request.key,
+                request.fingerprint,
+                expected_version,
             )
         )
 
@@ -65,23 +87,31 @@
         """The request belongs here and may be placed."""
         record.state = self._chart.step(record.state, "claimed")
 
-    def relay(self, record: claims.Record, holder: str) -> None:
-        """Has the holder of the key answer."""
+    def relay(self, record: claims.Record, holder: str, version: int) -> None:
+        """Has the holder of the key answer; `version` is that of its row."""
         request_id = record.request.request_id
         record.state = self._chart.step(record.state, "relayed")
-        record.attempt += 1
+        record.holder_version = version
+        self._begin(record)
         self._decisions.note(request_id, "relayed", "key held", holder)
         self._decisions.act(messages.Relay(request_id, record.attempt, holder))
 
+    def take_over(self, record: claims.Record) -> None:
+        """The holder of the key has not run and never will: claim again."""
+        record.state = self._chart.step(record.state, "released")
+        self._decisions.note(
+            record.request.request_id, "claimed again", "holder has not run"
+        )
+        self.claim(record, record.holder_version)
+
     def dispatch(
         self, record: claims.Record, endpoint: messages.Endpoint
     ) -> None:
         """Sends the request to an endpoint."""
         record.state = self._chart.step(record.state, "dispatched")
-        record.attempt += 1
+        self._begin(record)
         record.endpoint = endpoint
         record.peer = None
-        record.dispatched_at = self._decisions.now
         self._decisions.act(
             messages.Dispatch(
                 record.request.request_id, record.attempt, endpoint
@@ -91,20 +121,33 @@
     def delegate(self, record: claims.Record, peer: messages.Peer) -> None:
         """Hands the request over to a peer."""
         record.state = self._chart.step(record.state, "delegated")
-        record.attempt += 1
+        self._begin(record)
         record.endpoint = None
         record.peer = peer
-        record.dispatched_at = self._decisions.now
         self._decisions.act(
             messages.Delegate(record.request.request_id, record.attempt, peer)
         )
 
-    def give_back(self, record: claims.Record, reason: verdicts.Reason) -> None:
+    def give_back(
+        self, record: claims.Record, verdict: verdicts.Verdict
+    ) -> None:
         """The attempt did not run, or may be repeated: wait again."""
         record.state = self._chart.step(record.state, "returned")
         record.endpoint = None
         record.peer = None
-        self._decisions.note(record.request.request_id, "retried", reason.value)
+        if isinstance(verdict, verdicts.MayHaveRun):
+            record.lost = verdict.reason
+        self._decisions.note(
+            record.request.request_id, "retried", verdict.reason.value
+        )
+
+    def stop_attempt(self, record: claims.Record) -> None:
+        """Asks whoever runs the current attempt to stop it."""
+        self._decisions.act(
+            messages.CancelAttempt(
+                record.request.request_id, record.attempt, record.endpoint
+            )
+        )
 
     def answer(self, record: claims.Record) -> None:
         """The whole answer has arrived."""
@@ -129,7 +172,13 @@
         retry_after_seconds: float | None,
         measures: tuple[messages.Measure, ...] = (),
     ) -> None:
-        """It has not run and will not; the caller is told at once."""
+        """It gets no further attempt; the caller is told at once.
+
+        The verdict is NotRun unless an earlier attempt may have run.
+        """
+        if record.lost is not None:
+            self.uncertain(record, verdicts.MayHaveRun(record.lost))
+            return
         self._decisions.note(
             record.request.request_id,
             "refused",
@@ -139,6 +188,11 @@
         verdict = verdicts.NotRun(reason, retry_after_seconds)
         self._finish(record, "refused", verdict)
 
+    def _begin(self, record: claims.Record) -> None:
+        record.attempt += 1
+        record.delivered = False
+        record.dispatched_at = self._decisions.now
+
     def _finish(
         self, record: claims.Record, event: str, verdict: verdicts.Verdict
     ) -> None:
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -9,9 +9,11 @@
 from cranberryglade.scheduling import placement
 from cranberryglade.scheduling import pools
 from cranberryglade.scheduling import retries
+from cranberryglade.scheduling import routing
 
 STOPPING_RETRY_SECONDS = 0.1
 PLATFORM_RETRY_SECONDS = 2.0
+MAXIMUM_ATTEMPTS = 4
 
 
 class Scheduler:
@@ -24,6 +26,7 @@
     __slots__ = (
         "_decisions",
         "_fleet",
+        "_home",
         "_lives",
         "_placement",
         "_retries",
@@ -38,6 +41,7 @@
             self._decisions, self._fleet, self._lives
         )
         self._retries = retries.RetryBudget()
+        self._home = instance.home
         self._stopping = False
 
     @property
@@ -74,6 +78,8 @@
                 self._settle_claim(event)
             case messages.Cancelled(request_id=request_id):
                 self._cancel(request_id)
+            case messages.FirstToken():
+                self._first_token(event)
             case messages.Answered():
                 self._answered(event)
             case messages.AttemptFailed():
@@ -89,7 +95,9 @@
             case messages.PeerGone(name=name):
                 self._fleet.drop_peer(name)
             case messages.StopRequested():
-                self._stopping = True
+                self._stop()
+            case messages.CutRequested():
+                self._cut()
             case _:
                 pass
 
@@ -109,7 +117,13 @@
             self._admit(record)
 
     def _join(self, known: claims.Known, request: messages.Request) -> None:
-        del request
+        if request.fingerprint != known.fingerprint and known.fingerprint:
+            refused = verdicts.NotRun(verdicts.Reason.KEY_REUSED)
+            self._decisions.act(messages.Reject(known.request_id, refused))
+            return
+        record = self._lives.get(known.request_id)
+        if record is not None and request.streamed:
+            record.streamed = True
         self._decisions.act(messages.Join(known.request_id, known.verdict))
 
     def _settle_claim(self, event: messages.ClaimSettled) -> None:
@@ -123,15 +137,39 @@
                 self._lives.refuse(
                     record,
                     verdicts.Reason.PLATFORM_UNAVAILABLE,
-                    PLATFORM_RETRY_SECONDS,
+                    event.retry_after_seconds or PLATFORM_RETRY_SECONDS,
                 )
+            case messages.ClaimOutcome.REUSED:
+                self._lives.refuse(record, verdicts.Reason.KEY_REUSED, None)
             case messages.ClaimOutcome.LOST:
-                self._lives.relay(record, event.holder)
+                self._follow_holder(record, event)
+
+    def _follow_holder(
+        self, record: claims.Record, event: messages.ClaimSettled
+    ) -> None:
+        home, _ = messages.split_id(event.holder)
+        if home != self._home:
+            self._lives.relay(record, event.holder, event.version)
+            return
+        known = self._lives.look_up(event.holder)
+        if known and isinstance(known.verdict, verdicts.NotRun):
+            self._lives.claim(record, event.version)
+            return
+        lost = verdicts.MayHaveRun(verdicts.Reason.RETENTION_PASSED)
+        self._lives.uncertain(record, lost)
 
     def _admit(self, record: claims.Record) -> None:
         self._retries.deposit()
         self._lives.claimed(record)
-        self._placement.admit(record)
+        if self._stopping:
+            self._hand_over(record)
+        else:
+            self._placement.admit(record)
+
+    def _first_token(self, event: messages.FirstToken) -> None:
+        record = self._lives.current(event.request_id, event.attempt)
+        if record is not None:
+            self._lives.deliver(record)
 
     def _answered(self, event: messages.Answered) -> None:
         record = self._lives.current(event.request_id, event.attempt)
@@ -144,27 +182,105 @@
         record = self._lives.current(event.request_id, event.attempt)
         if record is None:
             return
+        if record.state == "relaying":
+            self._relay_failed(record, _believed(record, event.verdict))
+            return
         self._placement.ended(record, None)
-        if self._may_repeat(record, event.verdict) and self._retries.take():
-            self._lives.give_back(record, event.verdict.reason)
-            self._placement.wait(record)
+        verdict = _believed(record, event.verdict)
+        if self._may_repeat(record, verdict) and self._retries.take():
+            self._repeat(record, verdict)
             return
-        match event.verdict:
+        self._end(record, verdict)
+
+    def _relay_failed(
+        self, record: claims.Record, verdict: verdicts.Verdict
+    ) -> None:
+        match verdict:
+            case verdicts.NotRun(reason=verdicts.Reason.KEY_REUSED):
+                self._end(record, verdict)
+            case verdicts.NotRun() if self._retries.take():
+                self._lives.take_over(record)
+            case _:
+                self._end(record, verdict)
+
+    def _end(self, record: claims.Record, verdict: verdicts.Verdict) -> None:
+        match verdict:
             case verdicts.NotRun(reason=reason, retry_after_seconds=retry):
                 self._lives.refuse(record, reason, retry)
             case verdicts.MayHaveRun():
-                self._lives.uncertain(record, event.verdict)
+                self._lives.uncertain(record, verdict)
 
     def _may_repeat(
         self, record: claims.Record, verdict: verdicts.Verdict
     ) -> bool:
-        if record.endpoint is None:
+        if record.streamed and record.delivered:
+            return False
+        if record.attempt >= MAXIMUM_ATTEMPTS:
             return False
         return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
 
+    def _repeat(self, record: claims.Record, verdict: verdicts.Verdict) -> None:
+        delegated = record.endpoint is None
+        self._lives.give_back(record, verdict)
+        if self._stopping:
+            self._hand_over(record)
+        elif delegated:
+            self._placement.admit(record)
+        else:
+            self._placement.wait(record)
+
     def _cancel(self, request_id: str) -> None:
         record = self._lives.get(request_id)
         if record is None:
             return
-        if self._placement.withdraw(record.request):
+        held = record.state == "claiming"
+        if held or self._placement.withdraw(record.request):
             self._lives.refuse(record, verdicts.Reason.CANCELLED, None)
+        else:
+            self._abandon(record, verdicts.Reason.CANCELLED)
+
+    def _abandon(self, record: claims.Record, reason: verdicts.Reason) -> None:
+        self._placement.ended(record, None)
+        self._lives.stop_attempt(record)
+        self._lives.uncertain(record, verdicts.MayHaveRun(reason))
+
+    def _stop(self) -> None:
+        self._stopping = True
+        for record in self._lives.waiting():
+            self._placement.withdraw(record.request)
+            self._hand_over(record)
+
+    def _hand_over(self, record: claims.Record) -> None:
+        request = record.request
+        peer = None
+        if not request.delegated:
+            peer = routing.choose_peer(self._fleet.offers(request.target))
+        if peer is None:
+            self._lives.refuse(
+                record, verdicts.Reason.STOPPING, STOPPING_RETRY_SECONDS
+            )
+            return
+        self._decisions.note(
+            request.request_id, "delegated", "stopping", peer.name
+        )
+        self._lives.delegate(record, peer)
+
+    def _cut(self) -> None:
+        self._stopping = True
+        for record in self._lives.live():
+            if record.state == "waiting":
+                self._placement.withdraw(record.request)
+            if record.state in ("claiming", "waiting"):
+                self._lives.refuse(
+                    record, verdicts.Reason.STOPPING, STOPPING_RETRY_SECONDS
+                )
+            else:
+                self._abandon(record, verdicts.Reason.INSTANCE_CUT)
+
+
+def _believed(
+    record: claims.Record, verdict: verdicts.Verdict
+) -> verdicts.Verdict:
+    if record.delivered and isinstance(verdict, verdicts.NotRun):
+        return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+    return verdict
--- a/cranberryglade/tests/test_claims.py
+++ b/cranberryglade/tests/test_claims.py
@@ -1,5 +1,7 @@
 """What the home remembers, and what it does once it has forgotten."""
 
+import pytest
+
 from cranberryglade import verdicts
 from cranberryglade.scheduling import claims
 from cranberryglade.scheduling import messages
@@ -59,3 +61,204 @@
     kept.close(ticket(9), verdicts.Ran(), 2 * claims.KEPT_TOMBSTONE_SECONDS)
     assert kept.dropped == 5
     assert kept.find(builders.request("r1", key="k" * 100)) is None
+
+
+LOST = verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+REFUSED = verdicts.NotRun(verdicts.Reason.ENDPOINT_REFUSED)
+
+
+def submitted(core, request_id="r1", now=0.0, **changes):
+    request = builders.request(request_id, **changes)
+    return core.handle(messages.Submitted(request), now)
+
+
+def finished(actions):
+    found = of_type(actions, messages.Finish)
+    return found[0].verdict if found else None
+
+
+@pytest.mark.parametrize(
+    ("streamed", "delivered", "repeated"),
+    [
+        (False, False, True),
+        (False, True, True),
+        (True, False, True),
+        (True, True, False),
+    ],
+)
+def test_tokens_that_a_caller_may_have_read_are_never_contradicted(
+    streamed, delivered, repeated
+):
+    core = started()
+    submitted(core, idempotent=True, streamed=streamed)
+    if delivered:
+        core.handle(messages.FirstToken("r1", 1), 0.1)
+    actions = core.handle(messages.AttemptFailed("r1", 1, LOST), 0.2)
+    assert bool(of_type(actions, messages.Dispatch)) == repeated
+    assert finished(actions) == (None if repeated else LOST)
+
+
+def test_a_follower_who_joins_late_counts_as_a_reader():
+    core = started()
+    submitted(core, idempotent=True)
+    core.handle(messages.FirstToken("r1", 1), 0.1)
+    submitted(core, idempotent=True, streamed=True)
+    actions = core.handle(messages.AttemptFailed("r1", 1, LOST), 0.2)
+    assert finished(actions) == LOST
+
+
+@pytest.mark.parametrize(
+    ("said", "verdict"),
+    [
+        ([LOST, REFUSED, REFUSED, REFUSED], LOST),
+        ([REFUSED, LOST, REFUSED, REFUSED], LOST),
+        ([REFUSED] * 4, REFUSED),
+    ],
+)
+def test_not_run_is_said_only_if_no_attempt_may_have_run(said, verdict):
+    core = started()
+    submitted(core, idempotent=True)
+    for attempt, item in enumerate(said, 1):
+        failed = messages.AttemptFailed("r1", attempt, item)
+        actions = core.handle(failed, 0.1)
+    assert finished(actions) == verdict
+
+
+@pytest.mark.parametrize(
+    ("event", "now"),
+    [
+        (messages.Tick(), 60.0),
+        (messages.Cancelled("r1"), 0.3),
+        (messages.StopRequested(), 0.3),
+        (messages.CutRequested(), 0.3),
+    ],
+)
+def test_waiting_after_a_lost_attempt_does_not_end_in_not_run(event, now):
+    core = started()
+    submitted(core, idempotent=True)
+    core.handle(messages.EndpointLeaving("engine-1", "i1", "test"), 0.1)
+    core.handle(messages.AttemptFailed("r1", 1, LOST), 0.2)
+    assert finished(core.handle(event, now)) == LOST
+
+
+def test_a_refusal_after_the_first_token_is_not_believed():
+    core = started()
+    submitted(core)
+    core.handle(messages.FirstToken("r1", 1), 0.1)
+    actions = core.handle(messages.AttemptFailed("r1", 1, REFUSED), 0.2)
+    assert finished(actions) == LOST
+
+
+OUTCOME = messages.ClaimOutcome
+
+
+def settled(core, request_id, outcome, holder="", version=0, now=0.1):
+    event = messages.ClaimSettled(request_id, outcome, holder, version)
+    return core.handle(event, now)
+
+
+def test_a_key_whose_holder_was_refused_can_be_used_again():
+    core = started()
+    first, second = ticket(1), ticket(2)
+    submitted(core, first, key="k")
+    core.handle(messages.EndpointLeaving("engine-1", "i1", "test"), 0.0)
+    refused = finished(settled(core, first, OUTCOME.WON))
+    assert refused.reason is verdicts.Reason.NO_ENDPOINT
+    submitted(core, second, key="k")
+    actions = settled(core, second, OUTCOME.LOST, first, 1)
+    claimed = of_type(actions, messages.Claim)
+    assert [claim.expected_version for claim in claimed] == [1]
+
+
+@pytest.mark.parametrize(
+    ("answer", "claims_again"),
+    [
+        (verdicts.NotRun(verdicts.Reason.SHED), True),
+        (verdicts.NotRun(verdicts.Reason.KEY_REUSED), False),
+        (verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE), False),
+    ],
+)
+def test_a_key_held_elsewhere_follows_its_holder(answer, claims_again):
+    core = started()
+    holder = "wien-b.entry-9.beef.4.5167"
+    submitted(core, key="k")
+    actions = settled(core, "r1", OUTCOME.LOST, holder, 3)
+    assert of_type(actions, messages.Relay)[0].holder == holder
+    actions = core.handle(messages.AttemptFailed("r1", 1, answer), 0.2)
+    claimed = of_type(actions, messages.Claim)
+    assert [claim.expected_version for claim in claimed] == [3] * claims_again
+    assert finished(actions) == (None if claims_again else answer)
+    assert not of_type(actions, messages.Dispatch)
+
+
+def test_a_key_held_by_a_forgotten_request_may_have_run(monkeypatch):
+    monkeypatch.setattr(claims, "KEPT_TOMBSTONES", 1)
+    core = started()
+    for sequence in (1, 2):
+        serve(core, builders.request(ticket(sequence)))
+    submitted(core, ticket(3), key="k")
+    actions = settled(core, ticket(3), OUTCOME.LOST, ticket(1), 1)
+    assert finished(actions) == FORGOTTEN
+
+
+def test_another_request_under_a_known_id_or_key_is_refused():
+    core = started()
+    submitted(core, key="k", fingerprint="f1")
+    settled(core, "r1", OUTCOME.WON)
+    for request_id, key in (("r1", ""), ("r2", "k")):
+        actions = submitted(core, request_id, key=key, fingerprint="f2")
+        refused = verdicts.NotRun(verdicts.Reason.KEY_REUSED)
+        assert actions == [messages.Reject("r1", refused)]
+
+
+@pytest.mark.parametrize("outcome", [OUTCOME.WON, OUTCOME.UNAVAILABLE])
+def test_a_claim_that_is_settled_after_the_request_ended(outcome):
+    core = started()
+    submitted(core, key="k")
+    verdict = finished(core.handle(messages.Cancelled("r1"), 0.1))
+    assert verdict == verdicts.NotRun(verdicts.Reason.CANCELLED)
+    assert settled(core, "r1", outcome) == []
+
+
+def test_a_running_request_that_is_cancelled_may_have_run():
+    core = started()
+    submitted(core)
+    actions = core.handle(messages.Cancelled("r1"), 0.1)
+    assert finished(actions) == verdicts.MayHaveRun(verdicts.Reason.CANCELLED)
+    stopped = of_type(actions, messages.CancelAttempt)
+    assert stopped == [messages.CancelAttempt("r1", 1, builders.endpoint())]
+    assert not core.handle(messages.Answered("r1", 1, 9), 0.2)
+
+
+def test_a_stop_hands_waiting_requests_to_a_peer_and_remains_their_home():
+    core = started(slots=1)
+    submitted(core, "running")
+    submitted(core, "waiting")
+    digest = messages.TargetDigest("assistant", 3, 0, -1, 0.0)
+    peer = builders.peer("entry-2")
+    core.handle(messages.PeerReported(peer, (digest,)), 0.1)
+    core.handle(messages.EndpointJoined(builders.endpoint(slots=1)), 0.1)
+    actions = core.handle(messages.StopRequested(), 0.2)
+    assert of_type(actions, messages.Delegate) == [
+        messages.Delegate("waiting", 1, peer)
+    ]
+    assert core.unfinished == 2
+    actions = core.handle(messages.Answered("waiting", 1, 20), 0.3)
+    assert finished(actions) == verdicts.Ran()
+
+
+def test_a_stop_refuses_what_nobody_can_take():
+    core = started(slots=1)
+    submitted(core, "running")
+    submitted(core, "waiting")
+    actions = core.handle(messages.StopRequested(), 0.2)
+    assert of_type(actions, messages.Finish) == [
+        messages.Finish(
+            "waiting",
+            verdicts.NotRun(
+                verdicts.Reason.STOPPING, scheduler.STOPPING_RETRY_SECONDS
+            ),
+        )
+    ]
+    actions = submitted(core, "new")
+    assert finished(actions).reason is verdicts.Reason.STOPPING
