--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -22,6 +22,7 @@
 from cranberryglade import peers
 from cranberryglade import platform
 from cranberryglade import settings
+from cranberryglade import snapshots
 from cranberryglade import subscriptions
 from cranberryglade import tickets
 from cranberryglade import tracing
@@ -29,6 +30,7 @@
 from cranberryglade.scheduling import scheduler
 
 INCARNATION_BYTES = 6
+CUT_SECONDS = 2.0
 
 logger = log.get_logger(__name__)
 
@@ -51,10 +53,12 @@
         """Serves until a graceful stop is complete."""
         self._on_signals()
         caller_app = web.Application(
-            client_max_size=self._settings.request_bytes
+            client_max_size=self._settings.request_bytes,
+            middlewares=[self._lifecycle.count],
         )
         peer_app = web.Application(
-            client_max_size=2 * self._settings.request_bytes
+            client_max_size=2 * self._settings.request_bytes,
+            middlewares=[self._lifecycle.count],
         )
         peer_address = listeners.Listener.open(self._settings.peer_address)
         own = messages.Peer(
@@ -109,8 +113,10 @@
             subscription,
             core,
         )
+        self._home = own.home
+        self._archive = snapshots.Archive(self._platform)
         forwarder = forwarding.Forwarder(
-            self._peer_client, members, office, self._tracing
+            self._peer_client, members, office, self._archive, self._tracing
         )
         self._executor = executors.Executor(
             core,
@@ -152,14 +158,35 @@
 
     async def _stop(self) -> None:
         self._executor.post(messages.StopRequested())
+        draining = asyncio.create_task(self._drain())
+        cutting = asyncio.create_task(self._lifecycle.cut_requested())
+        await asyncio.wait(
+            {draining, cutting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not draining.done():
+            self._executor.post(messages.CutRequested())
+            await asyncio.wait({draining}, timeout=CUT_SECONDS)
+        cutting.cancel()
+        draining.cancel()
+        await self._archive.store(
+            snapshots.take(
+                self._executor.scheduler, self._home, self._executor.exchanges
+            )
+        )
+        await self._close()
+        self._lifecycle.step("drained")
+
+    async def _drain(self) -> None:
         await self._executor.drained()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._lifecycle.idle()
+
+    async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
         self._tracing.close()
-        self._lifecycle.step("drained")
--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -11,6 +11,7 @@
 from cranberryglade import facts
 from cranberryglade import forwarding
 from cranberryglade import intake
+from cranberryglade import peers
 from cranberryglade import responses
 from cranberryglade import submissions
 from cranberryglade import subscriptions
@@ -55,6 +56,7 @@
         """Adds the routes."""
         app.router.add_post("/v1/requests", self._post_request)
         app.router.add_get("/v1/requests/{id}", self._get_request)
+        app.router.add_delete("/v1/requests/{id}", self._delete_request)
         app.router.add_get(
             "/v1/requests/{id}/explanation", self._get_explanation
         )
@@ -92,8 +94,8 @@
         problem = _problem(document, key)
         if problem:
             return responses.refusal(verdicts.Reason.MALFORMED, problem)
-        request_id = document.ticket or self._office.issue()
-        if self._office.read(request_id) is None:
+        request_id = document.ticket or self._office.issue(organisation)
+        if self._office.read(request_id, organisation) is None:
             return responses.refusal(
                 verdicts.Reason.MALFORMED, "ticket: not issued here"
             )
@@ -131,20 +133,32 @@
         return self._forwarder.forward(submission)
 
     async def _get_request(self, http_request: web.Request):
-        found = self._own_exchange(http_request)
-        if isinstance(found, web.Response):
-            return found
-        if found.verdict is None:
-            return web.Response(
-                body=wire.encode(
-                    wire.VerdictDocument(
-                        verdict="pending", request_id=found.request_id
-                    )
-                ),
-                status=202,
-                content_type=responses.JSON,
+        return await self._look_up(http_request, cancel=False)
+
+    async def _delete_request(self, http_request: web.Request):
+        return await self._look_up(http_request, cancel=True)
+
+    async def _look_up(self, http_request: web.Request, cancel: bool):
+        current = self._subscription.current
+        if current is None:
+            return _no_configuration()
+        organisation = access.organisation(http_request, current)
+        if organisation is None:
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        request_id = http_request.match_info["id"]
+        if self._office.read(request_id, organisation.name) is None:
+            return responses.refusal(
+                verdicts.Reason.UNKNOWN_REQUEST, request_id=request_id
+            )
+        if not self._office.is_home(request_id):
+            found = await self._forwarder.look_up(
+                request_id, organisation.name, cancel
             )
-        return await responses.whole(found)
+            return _relayed(request_id, found)
+        if cancel:
+            self._executor.cancel(request_id)
+        exchange = self._executor.look_up(request_id, organisation.name)
+        return await responses.current(request_id, exchange)
 
     async def _get_explanation(self, http_request: web.Request):
         found = self._own_exchange(http_request)
@@ -174,12 +188,16 @@
         current = self._subscription.current
         if current is None:
             return _no_configuration()
-        if access.organisation(http_request, current) is None:
+        organisation = access.organisation(http_request, current)
+        if organisation is None:
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         body = await http_request.read()
         match wire.decode(body or b"{}", wire.TicketsRequest):
             case Success(wanted) if 1 <= wanted.count <= MAXIMUM_TICKETS:
-                issued = [self._office.issue() for _ in range(wanted.count)]
+                issued = [
+                    self._office.issue(organisation.name)
+                    for _ in range(wanted.count)
+                ]
                 return web.Response(
                     body=wire.encode(wire.TicketsDocument(tickets=issued)),
                     content_type=responses.JSON,
@@ -192,6 +210,18 @@
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
 
+def _relayed(
+    request_id: str, found: peers.Found | verdicts.Verdict
+) -> web.Response:
+    match found:
+        case peers.Found(status=status, body=body):
+            return web.Response(
+                body=body, status=status, content_type=responses.JSON
+            )
+        case _:
+            return responses.of_verdict(request_id, found)
+
+
 def _problem(document: wire.RequestDocument, key: str) -> str:
     if key and document.ticket:
         return "a ticket and an idempotency key exclude each other"
--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -51,6 +51,7 @@
         app.router.add_post("/v1/peer/digest", self._post_digest)
         app.router.add_post("/v1/peer/requests", self._post_delegated)
         app.router.add_post("/v1/peer/submissions", self._post_submission)
+        app.router.add_post("/v1/peer/lookups", self._post_lookup)
 
     async def _post_digest(self, http_request: web.Request):
         match await self._read(http_request, wire.DigestDocument):
@@ -80,6 +81,18 @@
             case Failure(refused):
                 return refused
 
+    async def _post_lookup(self, http_request: web.Request):
+        match await self._read(http_request, wire.LookupDocument):
+            case Success(asked):
+                if asked.cancel:
+                    self._executor.cancel(asked.request_id)
+                found = self._executor.look_up(
+                    asked.request_id, asked.organisation
+                )
+                return await responses.current(asked.request_id, found)
+            case Failure(refused):
+                return refused
+
     async def _serve(self, http_request, brought, delegated):
         current = self._subscription.current
         rule = current.rules.get(brought.request.kind) if current else None
--- a/cranberryglade/endpoints.py
+++ b/cranberryglade/endpoints.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from cranberryglade import log
+from cranberryglade import silence
 from cranberryglade import streams
 from cranberryglade import verdicts
 from cranberryglade import wire
@@ -10,7 +11,8 @@
 from cranberryglade.scheduling import messages
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-SILENCE_TIMEOUT_SECONDS = 30.0
+SILENCE_SECONDS = (5.0, 30.0)
+RESUME_SILENCE_SECONDS = 2.0
 RESUME_ATTEMPTS = 2
 CANCEL_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 
@@ -26,9 +28,7 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT_SECONDS,
-                sock_read=SILENCE_TIMEOUT_SECONDS,
+                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
         )
 
@@ -47,8 +47,21 @@
         request: wire.EngineRequest,
         headers: dict[str, str],
         sink: streams.Sink,
+        left_seconds: float,
     ) -> streams.Ending:
-        """Dispatches a request once; a cut stream is resumed, not re-sent."""
+        """Dispatches a request once; a cut stream is resumed, not re-sent.
+
+        Args:
+            endpoint: where to.
+            request: what to run.
+            headers: further headers.
+            sink: is given the token events.
+            left_seconds: time left until the deadline. An endpoint that is
+                silent for that long, within SILENCE_SECONDS, is given up.
+
+        Returns:
+            How the one dispatch ended; never Cut.
+        """
         check = answers.AnswerCheck(request.request_id)
         headers = {
             wire.REQUEST_ID_HEADER: request.request_id,
@@ -56,25 +69,25 @@
             "Content-Type": "application/json",
             **headers,
         }
-        path = "generate"
-        if endpoint.kind is messages.EndpointKind.SERVICE:
-            path = "call"
+        service = endpoint.kind is messages.EndpointKind.SERVICE
+        path = "call" if service else "generate"
         url = f"http://{endpoint.address}/v1/{path}"
-        ending = await streams.read(
-            self._session,
+        least, most = SILENCE_SECONDS
+        ending = await self._read(
             "POST",
             url,
             wire.encode(request),
             headers,
             check,
             sink,
+            min(most, max(least, left_seconds)),
         )
-        for _ in range(RESUME_ATTEMPTS):
-            if not isinstance(ending, streams.Cut):
+        for _ in range(0 if service else RESUME_ATTEMPTS):
+            if not _interrupted(ending):
                 break
             ending = await self._resume(url, request, check, sink)
-        if isinstance(ending, streams.Cut | verdicts.NotRun):
-            return _after_dispatch(ending)
+        if isinstance(ending, streams.Cut):
+            return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
         return ending
 
     async def cancel(
@@ -98,22 +111,46 @@
         sink: streams.Sink,
     ) -> streams.Ending:
         check.reconnect()
-        headers = {"Last-Event-ID": str(check.next_offset - 1)}
-        ending = await streams.read(
-            self._session,
+        ending = await self._read(
             "GET",
             f"{url}/{request.request_id}",
             b"",
-            headers,
+            {"Last-Event-ID": str(check.next_offset - 1)},
             check,
             sink,
+            RESUME_SILENCE_SECONDS,
         )
         if isinstance(ending, verdicts.NotRun):
             return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
         return ending
 
+    async def _read(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+        check: answers.AnswerCheck,
+        sink: streams.Sink,
+        silence_seconds: float,
+    ) -> streams.Ending:
+        try:
+            return await silence.bounded(
+                lambda heard: streams.read(
+                    self._session, method, url, body, headers, check, heard
+                ),
+                sink,
+                silence_seconds,
+            )
+        except silence.SilenceError:
+            return verdicts.MayHaveRun(verdicts.Reason.ENDPOINT_SILENT)
+
 
-def _after_dispatch(ending: streams.Ending) -> streams.Ending:
-    if isinstance(ending, streams.Cut):
-        return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
-    return ending
+def _interrupted(ending: streams.Ending) -> bool:
+    match ending:
+        case streams.Cut():
+            return True
+        case verdicts.MayHaveRun(reason=verdicts.Reason.ENDPOINT_SILENT):
+            return True
+        case _:
+            return False
--- a/cranberryglade/exchanges.py
+++ b/cranberryglade/exchanges.py
@@ -90,6 +90,10 @@
             self._changed.clear()
             await self._changed.wait()
 
+    def events(self) -> bytes:
+        """The token events."""
+        return b"".join(self._chunks)
+
     def data(self) -> list[bytes]:
         """The JSON of each token event."""
         events = b"".join(self._chunks).split(answers.SEPARATOR)
@@ -125,6 +129,10 @@
         live = self._live.get(request_id)
         return live or self._finished.get(request_id)
 
+    def finished(self) -> list[Exchange]:
+        """The kept exchanges, latest first."""
+        return list(reversed(self._finished.values()))
+
     def forget(self, request_id: str) -> None:
         """Drops an exchange that was never used."""
         self._live.pop(request_id, None)
--- a/cranberryglade/executors.py
+++ b/cranberryglade/executors.py
@@ -124,6 +124,27 @@
             joined.request_id, request.organisation, joined.verdict
         )
 
+    def cancel(self, request_id: str) -> None:
+        """Ends a request whose answer nobody wants any more."""
+        self.post(messages.Cancelled(request_id))
+
+    def look_up(
+        self, request_id: str, organisation: str
+    ) -> exchanges.Exchange | None:
+        """The exchange of a request of which this instance is the home.
+
+        Returns:
+            Its exchange, without the answer if that is no longer kept; None
+            if the organisation has not submitted it.
+        """
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            return exchange if exchange.organisation == organisation else None
+        known = self._scheduler.look_up(request_id)
+        if known is None:
+            return None
+        return _without_answer(request_id, organisation, known.verdict)
+
     def post(
         self, event: messages.Event
     ) -> messages.Join | messages.Reject | None:
@@ -204,12 +225,18 @@
         task = self._tasks.pop(action.request_id, None)
         if task is not None:
             task.cancel()
+        stopping = self._loop.create_task(self._cancel_remote(action))
+        self._cancelling.add(stopping)
+        stopping.add_done_callback(self._cancelling.discard)
+
+    async def _cancel_remote(self, action: messages.CancelAttempt) -> None:
         if action.endpoint is not None:
-            stopping = self._loop.create_task(
-                self._client.cancel(action.endpoint, action.request_id)
+            await self._client.cancel(action.endpoint, action.request_id)
+        elif action.peer is not None:
+            asked = wire.LookupDocument(
+                request_id=action.request_id, organisation="", cancel=True
             )
-            self._cancelling.add(stopping)
-            stopping.add_done_callback(self._cancelling.discard)
+            await self._peers.look_up(action.peer, asked)
 
     def _finish(self, request_id: str, verdict: verdicts.Verdict) -> None:
         submission = self._submissions.pop(request_id, None)
@@ -258,6 +285,7 @@
             ),
             headers,
             self._sink(action.request_id, action.attempt),
+            request.deadline - self.now,
         )
         span.end()
         self._report(action.request_id, action.attempt, ending)
@@ -281,6 +309,7 @@
                 attempt=action.attempt,
                 remaining_ms=_left_ms(request.deadline, self.now),
                 first_token_ms=_left_ms(request.first_token_deadline, self.now),
+                idempotent=request.idempotent,
             ),
             headers,
             self._sink(action.request_id, action.attempt),
--- a/cranberryglade/forwarding.py
+++ b/cranberryglade/forwarding.py
@@ -2,32 +2,57 @@
 
 import asyncio
 
+from returns.result import Success
+
 from cranberryglade import exchanges
 from cranberryglade import membership
 from cranberryglade import peers
+from cranberryglade import snapshots
 from cranberryglade import streams
 from cranberryglade import submissions
 from cranberryglade import tickets
 from cranberryglade import tracing
 from cranberryglade import verdicts
 from cranberryglade import wire
+from cranberryglade.scheduling import messages
+
+NOT_OF_THE_HOME = frozenset(
+    {
+        verdicts.Reason.CONNECTION_REFUSED,
+        verdicts.Reason.FORBIDDEN,
+        verdicts.Reason.MALFORMED,
+        verdicts.Reason.TOO_LARGE,
+        verdicts.Reason.UNAUTHENTICATED,
+        verdicts.Reason.UNKNOWN_KIND,
+        verdicts.Reason.UNKNOWN_REQUEST,
+    }
+)
 
 
 class Forwarder:
     """Relays requests whose home is another instance."""
 
-    __slots__ = ("_client", "_membership", "_office", "_tasks", "_tracing")
+    __slots__ = (
+        "_archive",
+        "_client",
+        "_membership",
+        "_office",
+        "_tasks",
+        "_tracing",
+    )
 
     def __init__(
         self,
         client: peers.PeerClient,
         members: membership.Membership,
         office: tickets.TicketOffice,
+        archive: snapshots.Archive,
         tracer: tracing.Tracing,
     ):
         self._client = client
         self._membership = members
         self._office = office
+        self._archive = archive
         self._tracing = tracer
         self._tasks: set[asyncio.Task] = set()
 
@@ -72,14 +97,69 @@
             sink: is given the token events.
 
         Returns:
-            The home's verdict; MayHaveRun if it cannot be reached.
+            The home's verdict. If the home cannot be reached, what it left
+            behind when it stopped, or else MayHaveRun.
         """
-        ticket = self._office.read(request_id)
-        home = None
-        if ticket is not None:
-            home = self._membership.find(ticket.instance, ticket.incarnation)
+        home = self._home(request_id, submission.request.organisation)
         if home is None:
+            return await self._left_behind(request_id, sink)
+        delivered = False
+
+        def note(events: bytes) -> None:
+            nonlocal delivered
+            delivered = delivered or bool(events)
+            sink(events)
+
+        ending = await self._send(submission, request_id, home, note)
+        if delivered or not _unknown(ending):
+            return ending
+        return await self._left_behind(request_id, sink)
+
+    async def look_up(
+        self, request_id: str, organisation: str, cancel: bool
+    ) -> peers.Found | verdicts.Verdict:
+        """Asks the home of a request about it, or to cancel it.
+
+        Returns:
+            The home's answer; a verdict if the home cannot be reached.
+        """
+        home = self._home(request_id, organisation)
+        if home is not None:
+            asked = wire.LookupDocument(
+                request_id=request_id, organisation=organisation, cancel=cancel
+            )
+            match await self._client.look_up(home, asked):
+                case Success(found):
+                    return found
+        finding = await self._archive.find(request_id)
+        if finding is None:
             return verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
+        return finding.verdict
+
+    def _home(self, request_id: str, organisation: str):
+        ticket = self._office.read(request_id, organisation)
+        if ticket is None:
+            return None
+        return self._membership.find(ticket.instance, ticket.incarnation)
+
+    async def _left_behind(
+        self, request_id: str, sink: streams.Sink
+    ) -> streams.Ending:
+        finding = await self._archive.find(request_id)
+        if finding is None:
+            return verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
+        if finding.answer is None:
+            return finding.verdict
+        sink(finding.answer.events)
+        return streams.Whole(finding.answer.tokens)
+
+    async def _send(
+        self,
+        submission: submissions.Submission,
+        request_id: str,
+        home: messages.Peer,
+        sink: streams.Sink,
+    ) -> streams.Ending:
         request = submission.request
         now = asyncio.get_running_loop().time()
         span = self._tracing.start(
@@ -95,22 +175,27 @@
                 request=submission.document,
                 request_id=request_id,
                 organisation=request.organisation,
-                remaining_ms=round((request.deadline - now) * 1000),
-                first_token_ms=round(
-                    (request.first_token_deadline - now) * 1000
+                remaining_ms=_milliseconds(request.deadline - now),
+                first_token_ms=_milliseconds(
+                    request.first_token_deadline - now
                 ),
             ),
             headers,
             sink,
         )
         span.end()
-        if _refused(ending):
-            return verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
         return ending
 
 
-def _refused(ending: streams.Ending) -> bool:
-    return (
-        isinstance(ending, verdicts.NotRun)
-        and ending.reason is verdicts.Reason.CONNECTION_REFUSED
-    )
+def _unknown(ending: streams.Ending) -> bool:
+    match ending:
+        case streams.Cut() | verdicts.MayHaveRun():
+            return True
+        case verdicts.NotRun(reason=reason):
+            return reason in NOT_OF_THE_HOME
+        case _:
+            return False
+
+
+def _milliseconds(seconds: float) -> int:
+    return max(0, round(seconds * 1000))
--- a/cranberryglade/intake.py
+++ b/cranberryglade/intake.py
@@ -73,6 +73,8 @@
         built.request,
         deadline=now + document.remaining_ms / 1000,
         first_token_deadline=now + document.first_token_ms / 1000,
+        idempotent=built.request.idempotent
+        and (document.idempotent or not delegated),
         delegated=delegated,
         streamed=True,
     )
--- a/cranberryglade/listeners.py
+++ b/cranberryglade/listeners.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 BACKLOG = 1024
+SHUTDOWN_SECONDS = 1.0
 
 
 class Listener:
@@ -34,7 +35,12 @@
 
     async def serve(self, app: web.Application) -> web.AppRunner:
         """Starts serving an application."""
-        runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handle_signals=False,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
         await runner.setup()
         await web.SockSite(runner, self._socket).start()
         return runner
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -1,21 +1,35 @@
 """Talks to the other instances: digests, delegated and forwarded requests."""
 
+import dataclasses
 import hashlib
 import hmac
 
 import aiohttp
 from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
+from cranberryglade import silence
 from cranberryglade import streams
+from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
 from cranberryglade.scheduling import messages
 
 CONNECT_TIMEOUT_SECONDS = 0.5
+LOOKUP_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+SILENCE_MARGIN_SECONDS = 5.0
 SIGNATURE_HEADER = "X-Peer-Signature"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Found:
+    """A peer's answer about a request: HTTP status and JSON."""
+
+    status: int
+    body: bytes
+
+
 class PeerKey:
     """Signs messages between instances and checks their signatures.
 
@@ -79,6 +93,23 @@
             return Failure(f"status {response.status}")
         return wire.decode(data, wire.DigestDocument)
 
+    async def look_up(
+        self, peer: messages.Peer, asked: wire.LookupDocument
+    ) -> Result[Found, str]:
+        """Asks a peer about a request, or to cancel it."""
+        path = "/v1/peer/lookups"
+        body = wire.encode(asked)
+        try:
+            async with self._session.post(
+                f"http://{peer.address}{path}",
+                data=body,
+                headers=self._headers(path, body),
+                timeout=LOOKUP_TIMEOUT,
+            ) as response:
+                return Success(Found(response.status, await response.read()))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(type(error).__name__)
+
     async def delegate(
         self,
         peer: messages.Peer,
@@ -105,15 +136,23 @@
 
     async def _send(self, peer, path, request, headers, sink):
         body = wire.encode(request)
-        return await streams.read(
-            self._session,
-            "POST",
-            f"http://{peer.address}{path}",
-            body,
-            {**headers, **self._headers(path, body)},
-            answers.AnswerCheck(request.request_id),
-            sink,
-        )
+        bound = max(0, request.remaining_ms) / 1000 + SILENCE_MARGIN_SECONDS
+        try:
+            return await silence.bounded(
+                lambda heard: streams.read(
+                    self._session,
+                    "POST",
+                    f"http://{peer.address}{path}",
+                    body,
+                    {**headers, **self._headers(path, body)},
+                    answers.AnswerCheck(request.request_id),
+                    heard,
+                ),
+                sink,
+                bound,
+            )
+        except silence.SilenceError:
+            return verdicts.MayHaveRun(verdicts.Reason.PEER_LOST)
 
     def _headers(self, path: str, body: bytes) -> dict[str, str]:
         return {
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -81,6 +81,29 @@
     )
 
 
+async def current(
+    request_id: str, exchange: exchanges.Exchange | None
+) -> web.Response:
+    """Answers what has become of a request so far, without waiting."""
+    if exchange is None:
+        document = wire.VerdictDocument(
+            verdict="unknown",
+            request_id=request_id,
+            reason=verdicts.Reason.UNKNOWN_REQUEST.value,
+        )
+        return web.Response(
+            body=wire.encode(document), status=404, content_type=JSON
+        )
+    if exchange.verdict is not None:
+        return await whole(exchange)
+    pending = wire.VerdictDocument(
+        verdict="pending", request_id=exchange.request_id
+    )
+    return web.Response(
+        body=wire.encode(pending), status=202, content_type=JSON
+    )
+
+
 async def streamed(
     http_request: web.Request, exchange: exchanges.Exchange
 ) -> web.StreamResponse:
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -41,6 +41,11 @@
         self._partial = b""
         self._complete = False
 
+    @property
+    def request_id(self) -> str:
+        """The request whose answer this is."""
+        return self._request_id
+
     @property
     def next_offset(self) -> int:
         """Offset of the first token that has not arrived."""
--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -60,6 +60,14 @@
         """The records of all requests that are not final."""
         return self._claims.live()
 
+    def floor(self, home: str) -> int:
+        """Highest sequence number of a home that has been forgotten."""
+        return self._claims.floor(home)
+
+    def tombstones(self, home: str) -> dict[int, verdicts.Verdict]:
+        """Verdicts by sequence number of the ids of one home."""
+        return self._claims.tombstones(home)
+
     def deliver(self, record: claims.Record) -> None:
         """The first token of the current attempt has arrived."""
         record.delivered = True
@@ -145,7 +153,10 @@
         """Asks whoever runs the current attempt to stop it."""
         self._decisions.act(
             messages.CancelAttempt(
-                record.request.request_id, record.attempt, record.endpoint
+                record.request.request_id,
+                record.attempt,
+                record.endpoint,
+                record.peer,
             )
         )
 
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -389,12 +389,14 @@
     Attributes:
         request_id: the request.
         attempt: which dispatch of it.
-        endpoint: where it runs; None if a peer has it.
+        endpoint: where it runs, or None.
+        peer: which peer has it, or None.
     """
 
     request_id: str
     attempt: int
     endpoint: Endpoint | None = None
+    peer: Peer | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -26,6 +26,7 @@
     __slots__ = (
         "_decisions",
         "_fleet",
+        "_handed_over",
         "_home",
         "_lives",
         "_placement",
@@ -42,6 +43,7 @@
         )
         self._retries = retries.RetryBudget()
         self._home = instance.home
+        self._handed_over: list[int] = []
         self._stopping = False
 
     @property
@@ -49,6 +51,23 @@
         """Requests that have no final verdict yet."""
         return self._lives.unfinished
 
+    @property
+    def floor(self) -> int:
+        """Highest sequence number of this home that has been forgotten."""
+        return self._lives.floor(self._home)
+
+    def look_up(self, request_id: str) -> claims.Known | None:
+        """What is known of a request."""
+        return self._lives.look_up(request_id)
+
+    def tombstones(self) -> dict[int, verdicts.Verdict]:
+        """Verdicts of this home's requests by sequence number."""
+        return self._lives.tombstones(self._home)
+
+    def handed_over(self) -> list[int]:
+        """Sequence numbers of requests handed over since the stop began."""
+        return list(self._handed_over)
+
     def digests(self) -> tuple[messages.TargetDigest, ...]:
         """What peers are told about the load of this instance."""
         return self._placement.digests()
@@ -264,6 +283,7 @@
             request.request_id, "delegated", "stopping", peer.name
         )
         self._lives.delegate(record, peer)
+        self._handed_over.append(messages.split_id(request.request_id)[1])
 
     def _cut(self) -> None:
         self._stopping = True
--- /dev/null
+++ b/cranberryglade/silence.py
@@ -0,0 +1,47 @@
+"""Gives up on a giver from whom nothing has come for too long."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+
+Sink = Callable[[bytes], None]
+T = TypeVar("T")
+
+
+class SilenceError(TimeoutError):
+    """Nothing has arrived within the bound."""
+
+
+async def bounded(
+    start: Callable[[Sink], Awaitable[T]], sink: Sink, seconds: float
+) -> T:
+    """Runs a reader until it ends or has been silent for too long.
+
+    Args:
+        start: begins to read and passes what arrives to the sink it is given.
+        sink: is given what arrives.
+        seconds: longest silence.
+
+    Raises:
+        SilenceError: the reader was silent for that long and was cancelled.
+    """
+    loop = asyncio.get_running_loop()
+    heard_at = loop.time()
+
+    def note(events: bytes) -> None:
+        nonlocal heard_at
+        heard_at = loop.time()
+        sink(events)
+
+    reading = asyncio.ensure_future(start(note))
+    try:
+        while True:
+            left = heard_at + seconds - loop.time()
+            if left <= 0:
+                raise SilenceError
+            await asyncio.wait({reading}, timeout=left)
+            if reading.done():
+                return reading.result()
+    finally:
+        reading.cancel()
--- a/cranberryglade/streams.py
+++ b/cranberryglade/streams.py
@@ -55,13 +55,13 @@
     """
     try:
         async with session.request(
-            method, url, data=body, headers=headers
+            method, url, data=body, headers=headers, allow_redirects=False
         ) as response:
             if response.status != 200:
-                return await _refusal(response)
+                return await _refusal(response, check.request_id)
             async for data in response.content.iter_any():
                 sink(check.feed(data))
-    except aiohttp.ClientConnectorError:
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return verdicts.NotRun(verdicts.Reason.CONNECTION_REFUSED, 0.1)
     except answers.BrokenAnswerError:
         return verdicts.MayHaveRun(verdicts.Reason.ANSWER_NOT_WHOLE)
@@ -70,10 +70,13 @@
     return Whole(check.next_offset) if check.complete else Cut()
 
 
-async def _refusal(response: aiohttp.ClientResponse) -> Ending:
+async def _refusal(response: aiohttp.ClientResponse, request_id: str) -> Ending:
     decoded = wire.decode(await response.read(), wire.VerdictDocument)
     match decoded:
-        case Success(document) if document.verdict == "not_run":
+        case Success(document) if (
+            document.verdict == "not_run"
+            and document.request_id in ("", request_id)
+        ):
             return wire.read_verdict(document)
         case _:
             return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
--- /dev/null
+++ b/cranberryglade/tests/test_endpoints.py
@@ -0,0 +1,241 @@
+"""Contract with endpoints: what each of their replies is taken for."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from cranberryglade import endpoints
+from cranberryglade import streams
+from cranberryglade import verdicts
+from cranberryglade import wire
+from cranberryglade.scheduling import messages
+from cranberryglade.tests import builders
+
+R = verdicts.Reason
+LOST = verdicts.MayHaveRun(R.ANSWER_LOST)
+NOT_WHOLE = verdicts.MayHaveRun(R.ANSWER_NOT_WHOLE)
+SILENT = verdicts.MayHaveRun(R.ENDPOINT_SILENT)
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+CLOSE = STREAM + b"Connection: close\r\n\r\n"
+
+
+def token(offset):
+    return b'id: %d\ndata: {"text":"w%d "}\n\n' % (offset, offset)
+
+
+def end(count, request_id=b"r1"):
+    data = b'{"request_id":"%b","count":%d}' % (request_id, count)
+    return b"event: end\ndata: " + data + b"\n\n"
+
+
+def kept_alive(body):
+    return STREAM + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def refusal(status, body, more=b""):
+    head = b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n"
+    return head % (status, more, len(body)) + body
+
+
+WHOLE = token(0) + token(1) + end(2)
+
+
+class Fake:
+    """Accepts connections and answers with bytes from a script.
+
+    A reply of None keeps the connection open and says nothing; b"" closes it.
+    """
+
+    def __init__(self, replies):
+        self.heads = []
+        self._replies = list(replies)
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                await reader.readexactly(_length(head))
+                reply = self._replies.pop(0) if self._replies else b""
+                if reply is None:
+                    await asyncio.sleep(60)
+                writer.write(reply)
+                if b"Content-Length" not in reply:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    def count(self, method):
+        return sum(head.startswith(method) for head in self.heads)
+
+
+def _length(head):
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
+@pytest.fixture
+async def client(monkeypatch):
+    monkeypatch.setattr(endpoints, "SILENCE_SECONDS", (0.2, 0.4))
+    monkeypatch.setattr(endpoints, "RESUME_SILENCE_SECONDS", 0.1)
+    opened = endpoints.EndpointClient()
+    yield opened
+    await opened.close()
+
+
+async def run(client, address, kind=messages.EndpointKind.ENGINE):
+    received = []
+    ending = await client.run(
+        builders.endpoint(address=address, kind=kind),
+        wire.EngineRequest(request_id="r1", attempt=1, kind="brief"),
+        {},
+        received.append,
+        30.0,
+    )
+    return ending, b"".join(received)
+
+
+NOT_RUN = b'{"verdict":"not_run","reason":"endpoint_refused"%b}'
+ELSEWHERE = b"Location: http://127.0.0.1:%d/v1/generate\r\n"
+
+CASES = {
+    "whole": ([kept_alive(WHOLE)], streams.Whole(2)),
+    "tokens twice": (
+        [CLOSE + token(0) + token(0) + token(1) + token(0) + end(2)],
+        streams.Whole(2),
+    ),
+    "cut, then resumed": (
+        [CLOSE + token(0) + b"id: 1\nda", CLOSE + token(1) + end(2)],
+        streams.Whole(2),
+    ),
+    "cut twice, then resumed": (
+        [CLOSE + token(0), CLOSE + token(1), CLOSE + end(2)],
+        streams.Whole(2),
+    ),
+    "resumed too early": (
+        [CLOSE + token(0), CLOSE + token(0) + token(1) + end(2)],
+        streams.Whole(2),
+    ),
+    "resumed too late": ([CLOSE + token(0), CLOSE + token(2)], NOT_WHOLE),
+    "resumed with another answer": (
+        [CLOSE + token(0), CLOSE + token(1) + end(2, b"r2")],
+        NOT_WHOLE,
+    ),
+    "cut for good": ([CLOSE + token(0), b"", b""], LOST),
+    "cut and forgotten": (
+        [CLOSE + token(0), refusal(b"404 Not Found", b"")],
+        LOST,
+    ),
+    "cut and denied": (
+        [CLOSE + token(0), refusal(b"503 No", NOT_RUN % b"")],
+        LOST,
+    ),
+    "accepted, then dead": ([b""], LOST),
+    "wrong count": ([CLOSE + token(0) + end(2)], NOT_WHOLE),
+    "crossed": ([CLOSE + token(0) + end(1, b"r2")], NOT_WHOLE),
+    "a gap": ([CLOSE + token(0) + token(2) + end(3)], NOT_WHOLE),
+    "tokens after the end": (
+        [CLOSE + token(0) + end(1) + token(1)],
+        NOT_WHOLE,
+    ),
+    "no stream": ([refusal(b"200 OK", b"{}")], LOST),
+    "refused": (
+        [refusal(b"503 No", NOT_RUN % b"")],
+        verdicts.NotRun(R.ENDPOINT_REFUSED),
+    ),
+    "refused by id": (
+        [refusal(b"429 No", NOT_RUN % b',"request_id":"r1"')],
+        verdicts.NotRun(R.ENDPOINT_REFUSED),
+    ),
+    "another refused": (
+        [refusal(b"503 No", NOT_RUN % b',"request_id":"r2"')],
+        LOST,
+    ),
+    "failed": ([refusal(b"500 Oh", b"")], LOST),
+    "failed in other words": ([refusal(b"503 No", b"<html>")], LOST),
+    "refused, cut short": (
+        [b"HTTP/1.1 503 No\r\nContent-Length: 99\r\n\r\n" + NOT_RUN % b""],
+        LOST,
+    ),
+    "silent": ([None, None, None], SILENT),
+    "silent after a token": ([CLOSE + token(0), None, None], SILENT),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+async def test_a_reply_of_an_engine(client, name):
+    replies, expected = CASES[name]
+    async with Fake(replies) as fake:
+        ending, received = await run(client, fake.address)
+        assert ending == expected
+        assert fake.count(b"POST") == 1
+    if isinstance(expected, streams.Whole):
+        assert received == token(0) + token(1)
+
+
+@pytest.mark.parametrize("status", [b"307 Go", b"308 Go", b"302 Go"])
+async def test_a_redirection_is_not_followed(client, status):
+    async with Fake([kept_alive(WHOLE)]) as other:
+        port = int(other.address.rpartition(":")[2])
+        reply = refusal(status, b"", ELSEWHERE % port)
+        async with Fake([reply]) as fake:
+            ending, _ = await run(client, fake.address)
+            assert ending == LOST
+            assert (fake.count(b"POST"), other.heads) == (1, [])
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumptions"),
+    [
+        (messages.EndpointKind.ENGINE, 2),
+        (messages.EndpointKind.SERVICE, 0),
+    ],
+)
+async def test_a_stale_connection_is_not_used_to_send_again(
+    client, kind, resumptions
+):
+    async with Fake([kept_alive(WHOLE), b"", b"", b"", b""]) as fake:
+        ending, _ = await run(client, fake.address, kind)
+        assert ending == streams.Whole(2)
+        ending, _ = await run(client, fake.address, kind)
+        assert ending == LOST
+        assert fake.count(b"POST") == 2
+        assert fake.count(b"GET") >= resumptions
+
+
+async def test_a_refused_connection_means_not_run(client):
+    async with Fake([]) as fake:
+        address = fake.address
+    ending, _ = await run(client, address)
+    assert ending == verdicts.NotRun(R.CONNECTION_REFUSED, 0.1)
+
+
+async def test_an_endpoint_that_does_not_accept_means_not_run(monkeypatch):
+    monkeypatch.setattr(endpoints, "CONNECT_TIMEOUT_SECONDS", 0.2)
+    with contextlib.ExitStack() as stack:
+        full = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        full.listen(0)
+        for _ in range(3):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(full.getsockname())
+        client = endpoints.EndpointClient()
+        address = f"127.0.0.1:{full.getsockname()[1]}"
+        ending, _ = await run(client, address)
+        await client.close()
+    assert ending == verdicts.NotRun(R.CONNECTION_REFUSED, 0.1)
--- a/cranberryglade/tickets.py
+++ b/cranberryglade/tickets.py
@@ -28,9 +28,9 @@
     """Issues request ids of one home and reads those of any.
 
     >>> office = TicketOffice("wien-a", "entry-1", "c0ffee", b"0" * 16)
-    >>> office.read(office.issue()).instance
+    >>> office.read(office.issue("store-1"), "store-1").instance
     'entry-1'
-    >>> office.read("wien-a.entry-1.c0ffee.7.0badbad") is None
+    >>> office.read(office.issue("store-1"), "store-2") is None
     True
     """
 
@@ -43,18 +43,19 @@
         self._key = key
         self._sequence = 0
 
-    def issue(self) -> str:
+    def issue(self, organisation: str) -> str:
         """Returns an id that was never issued before."""
         self._sequence += 1
         unsigned = f"{self._home}.{self._sequence}"
-        return f"{unsigned}.{self._sign(unsigned)}"
+        return f"{unsigned}.{self._sign(unsigned, organisation)}"
 
-    def read(self, text: str) -> Ticket | None:
-        """Reads an id; None if it was not issued by an instance."""
+    def read(self, text: str, organisation: str) -> Ticket | None:
+        """Reads an id; None if no instance issued it to the organisation."""
+        if not text.isascii():
+            return None
         unsigned, _, signature = text.rpartition(".")
-        if not hmac.compare_digest(
-            self._sign(unsigned).encode(), signature.encode()
-        ):
+        expected = self._sign(unsigned, organisation)
+        if not hmac.compare_digest(expected, signature):
             return None
         domain, instance, incarnation, sequence = unsigned.split(".")
         return Ticket(domain, instance, incarnation, int(sequence))
@@ -63,6 +64,7 @@
         """Tells whether this incarnation issued the id."""
         return request_id.startswith(self._home + ".")
 
-    def _sign(self, unsigned: str) -> str:
-        digest = hmac.new(self._key, unsigned.encode(), hashlib.sha256)
+    def _sign(self, unsigned: str, organisation: str) -> str:
+        signed = f"{organisation}\0{unsigned}".encode()
+        digest = hmac.new(self._key, signed, hashlib.sha256)
         return digest.hexdigest()[:SIGNATURE_CHARACTERS]
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -127,6 +127,7 @@
         remaining_ms: time left until the deadline.
         first_token_ms: time left until the first token is due.
         version: version of the configuration that the sender goes by.
+        idempotent: whether the sender's rule lets it be dispatched again.
     """
 
     request: RequestDocument
@@ -137,6 +138,15 @@
     remaining_ms: int
     first_token_ms: int
     version: int = 0
+    idempotent: bool = False
+
+
+class LookupDocument(Document):
+    """Asks an instance about a request, or to cancel it."""
+
+    request_id: str
+    organisation: str
+    cancel: bool = False
 
 
 class DigestDocument(Document, kw_only=True):
