Interleave the faults over two cores and count runs from outside

Operations go on in any order, which is what a frozen process looks like from outside. A ledger outside the cores counts runs and compares them with what callers were told.

It found one fault: a repeated failure of an attempt that had been given back raised IllegalTransitionError; an attempt that is not under way is ignored now. Nine mutants of the core are each caught with the violation that was meant.

--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -6,6 +6,8 @@
 from cranberryglade.scheduling import decisions
 from cranberryglade.scheduling import messages
 
+UNDER_WAY = ("running", "relaying")
+
 
 class Lives:
     """Steps requests through their chart; no other module changes a state."""
@@ -46,11 +48,11 @@
         return record
 
     def current(self, request_id: str, attempt: int) -> claims.Record | None:
-        """The record, unless the attempt is no longer its latest."""
+        """The record, unless the attempt is not under way any more."""
         record = self._claims.get(request_id)
         if record is None or record.attempt != attempt:
             return None
-        return record
+        return record if record.state in UNDER_WAY else None
 
     def waiting(self) -> list[claims.Record]:
         """The records of the requests that wait to be placed."""
--- /dev/null
+++ b/cranberryglade/tests/test_interleavings.py
@@ -0,0 +1,191 @@
+"""Properties that hold whatever happens, in whichever order."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from cranberryglade import verdicts
+from cranberryglade.scheduling import claims
+from cranberryglade.scheduling import lives
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import worlds
+
+NUMBER = strategies.integers(0, 63)
+FLAG = strategies.booleans()
+KEY = strategies.sampled_from(["k1", "k1", "k2", "", ""])
+RARELY = strategies.sampled_from([False, False, False, True])
+SECONDS = strategies.sampled_from([0.1, 0.1, 0.1, 5.0, 40.0])
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=40,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class Interleavings(stateful.RuleBasedStateMachine):
+    """Two instances, their endpoints, the table, and all the faults."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = worlds.World()
+
+    def home(self, number):
+        return self.world.homes[number % 2]
+
+    @stateful.rule(number=NUMBER, key=KEY, idempotent=FLAG, streamed=FLAG)
+    def submit(self, number, key, idempotent, streamed):
+        idempotent = idempotent and not key
+        self.world.submit(self.home(number), key, idempotent, streamed)
+
+    @stateful.precondition(lambda self: self.world.submitted)
+    @stateful.rule(number=NUMBER, cancels=RARELY)
+    def ask_again(self, number, cancels):
+        requests = self.world.submitted
+        request = requests[-1 - number % len(requests)]
+        home = self.world.home_of(request.request_id)
+        if home is not None and cancels:
+            self.world.handle(home, messages.Cancelled(request.request_id))
+        elif home is not None:
+            self.world.bring(home, request)
+
+    @stateful.precondition(lambda self: self.world.ready())
+    @stateful.rule(number=NUMBER, choice=NUMBER)
+    def go_on(self, number, choice):
+        ready = self.world.ready()
+        self.world.step(ready[number % len(ready)], choice)
+
+    @stateful.precondition(lambda self: self.world.ready())
+    @stateful.rule(choice=NUMBER)
+    def go_on_with_the_latest(self, choice):
+        self.world.step(self.world.ready()[-1], choice)
+
+    @stateful.precondition(lambda self: self.world.ready())
+    @stateful.rule(choice=NUMBER)
+    def go_on_with_the_oldest(self, choice):
+        self.world.step(self.world.ready()[0], choice)
+
+    @stateful.precondition(lambda self: self.world.late_writes)
+    @stateful.rule(number=NUMBER)
+    def write_late(self, number):
+        late = self.world.late_writes
+        self.world.write(*late.pop(number % len(late)))
+
+    @stateful.precondition(lambda self: self.world.past)
+    @stateful.rule(number=NUMBER)
+    def repeat_an_event(self, number):
+        past = self.world.past
+        home, event = past[-1 - number % len(past)]
+        if home.alive:
+            self.world.handle(home, event)
+
+    @stateful.rule(number=NUMBER, leaves=RARELY, seconds=SECONDS)
+    def change_endpoint(self, number, leaves, seconds):
+        home = self.home(number)
+        self.world.now += seconds
+        event = messages.EndpointJoined(home.endpoint)
+        if leaves:
+            event = messages.EndpointGone(home.endpoint.name)
+        self.world.handle(home, event)
+
+    @stateful.rule(number=NUMBER, sent=FLAG)
+    def end(self, number, sent):
+        home = self.home(number)
+        if home.stopping and number % 16 < 2:
+            self.world.handle(home, messages.CutRequested())
+        elif home.stopping:
+            self.world.exit(home)
+        elif number % 16 < 2:
+            self.world.crash(home, sent)
+        elif number % 16 < 6:
+            self.world.stop(home)
+
+    @stateful.invariant()
+    def nothing_is_violated(self):
+        self.world.ledger.check()
+
+    def teardown(self):
+        assert self.world.settle() == []
+        self.world.ledger.check()
+
+
+def explore():
+    stateful.run_state_machine_as_test(Interleavings, settings=SETTINGS)
+
+
+@pytest.mark.parametrize("kept", [100_000, 2])
+def test_the_properties_hold_under_interleaved_faults(kept, monkeypatch):
+    monkeypatch.setattr(claims, "KEPT_TOMBSTONES", kept)
+    explore()
+
+
+def _repeat_always(core, record, verdict):
+    del core, record, verdict
+    return True
+
+
+def _believe(record, verdict):
+    del record
+    return verdict
+
+
+def _forget(known, request_id):
+    del known, request_id
+    return False
+
+
+def _stay_open(core):
+    del core
+
+
+def _refuse(living, record, reason, retry_after_seconds, measures=()):
+    del measures
+    verdict = verdicts.NotRun(reason, retry_after_seconds)
+    living._finish(record, "refused", verdict)
+
+
+def _take_over_always(core, record, verdict):
+    del verdict
+    core._lives.take_over(record)
+
+
+def _any_attempt(living, request_id, attempt):
+    del attempt
+    return living.get(request_id)
+
+
+def _repeat_what_was_read(core, record, verdict):
+    del core
+    return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
+
+
+def _call_it_answered(core, record, verdict):
+    del verdict
+    core._lives.answer(record)
+
+
+SCHEDULER = scheduler.Scheduler
+MUTATIONS = [
+    (SCHEDULER, "_may_repeat", _repeat_always, "ran 2 times"),
+    (scheduler, "_believed", _believe, "told not run"),
+    (claims.Claims, "forgotten", _forget, "was told"),
+    (lives.Lives, "refuse", _refuse, "told not run"),
+    (SCHEDULER, "_relay_failed", _take_over_always, "ran 2 times"),
+    (lives.Lives, "current", _any_attempt, "ran . times"),
+    (SCHEDULER, "_stop", _stay_open, "admitted after the stop"),
+    (SCHEDULER, "_may_repeat", _repeat_what_was_read, "was read from"),
+    (SCHEDULER, "_end", _call_it_answered, "ran without an answer"),
+]
+
+
+@pytest.mark.parametrize(("owner", "name", "mutant", "caught"), MUTATIONS)
+def test_a_violation_is_caught(owner, name, mutant, caught, monkeypatch):
+    monkeypatch.setattr(claims, "KEPT_TOMBSTONES", 2)
+    monkeypatch.setattr(owner, name, mutant)
+    with pytest.raises(worlds.ViolationError, match=caught):
+        explore()
--- /dev/null
+++ b/cranberryglade/tests/worlds.py
@@ -0,0 +1,413 @@
+"""Scheduler cores with fake endpoints, a fake table and a ledger of runs."""
+
+import collections
+import dataclasses
+
+from cranberryglade import exchanges
+from cranberryglade import snapshots
+from cranberryglade import verdicts
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import builders
+
+LOST = verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+GONE = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
+REFUSED = verdicts.NotRun(verdicts.Reason.ENDPOINT_REFUSED)
+OUTCOME = messages.ClaimOutcome
+DIGEST = messages.TargetDigest("assistant", 3, 0, -1, 0.0)
+
+
+class ViolationError(AssertionError):
+    """A property does not hold."""
+
+
+class Ledger:
+    """Counts from outside the cores what ran and what callers were told."""
+
+    def __init__(self):
+        self.once = {}
+        self.runs = collections.Counter()
+        self.answered = set()
+        self.relayed_to = {}
+        self.told = collections.defaultdict(list)
+        self.read = collections.defaultdict(set)
+        self.admitted_after_stop = []
+
+    def check(self):
+        found = self.violations()
+        if found:
+            raise ViolationError("; ".join(found))
+
+    def violations(self):
+        runs = collections.Counter()
+        for request_id, logical in self.once.items():
+            runs[logical] += self.runs[request_id]
+        found = [
+            f"{logical} ran {n} times" for logical, n in runs.items() if n > 1
+        ]
+        for request_id, said in self.told.items():
+            if self.runs[request_id] and any(
+                isinstance(verdict, verdicts.NotRun) for verdict in said
+            ):
+                found.append(f"{request_id} ran, but was told not run")
+            if len(said) > 1:
+                found.append(f"{request_id} was told {said}")
+            holder = self.relayed_to.get(request_id)
+            if verdicts.Ran() in said and not (
+                {request_id, holder} & self.answered
+            ):
+                found.append(f"{request_id} was told ran without an answer")
+        for request_id, attempts in self.read.items():
+            if len(attempts) > 1:
+                found.append(f"{request_id} was read from {attempts}")
+        for request_id in self.admitted_after_stop:
+            found.append(f"{request_id} was admitted after the stop")
+        return found
+
+
+@dataclasses.dataclass(eq=False)
+class Operation:
+    """What an instance has under way with somebody else.
+
+    Attributes:
+        home: whose it is.
+        action: what the core wants.
+        state: "new", "running" or "token" for a dispatch, "reply" for an
+            answer that travels back, "attached" while a peer works on it.
+        cancelled: nobody listens to it any more.
+        verdict: the reply that travels back.
+    """
+
+    home: "Home"
+    action: messages.Action
+    state: str = "new"
+    cancelled: bool = False
+    verdict: verdicts.Verdict | None = None
+
+
+class Home:
+    """One incarnation of an instance."""
+
+    def __init__(self, domain, number):
+        self.peer = builders.peer(
+            f"entry-{domain}", incarnation=f"i{number}", failure_domain=domain
+        )
+        self.core = scheduler.Scheduler(self.peer)
+        self.endpoint = builders.endpoint(
+            f"engine-{domain}", failure_domain=domain, slots=1
+        )
+        self.requests = {}
+        self.followers = collections.defaultdict(list)
+        self.sequence = 0
+        self.alive = True
+        self.stopping = False
+
+    def issue(self):
+        self.sequence += 1
+        return f"{self.peer.home}.{self.sequence}.5167"
+
+
+class World:
+    """Two instances in two failure domains, and all that may happen to them."""
+
+    def __init__(self):
+        self.ledger = Ledger()
+        self.now = 0.0
+        self.operations = []
+        self.table = {}
+        self.late_writes = []
+        self.past = []
+        self.snapshots = {}
+        self.tokens = {}
+        self.submitted = []
+        self.incarnations = 0
+        self.homes = [self.start(domain) for domain in ("wien-a", "wien-b")]
+        for home in self.homes:
+            self.introduce(home)
+
+    def start(self, domain):
+        self.incarnations += 1
+        home = Home(domain, self.incarnations)
+        home.core.handle(messages.EndpointJoined(home.endpoint), self.now)
+        return home
+
+    def introduce(self, home):
+        for other in self.homes:
+            if other is not home:
+                for one, two in ((home, other), (other, home)):
+                    reported = messages.PeerReported(two.peer, (DIGEST,))
+                    self.handle(one, reported)
+
+    def home_of(self, request_id):
+        issuer, _ = messages.split_id(request_id)
+        found = [h for h in self.homes if h.alive and h.peer.home == issuer]
+        return found[0] if found else None
+
+    def submit(self, home, key="", idempotent=False, streamed=False):
+        request = builders.request(
+            home.issue(),
+            key=key,
+            idempotent=idempotent,
+            streamed=streamed,
+            deadline=self.now + 30,
+        )
+        if not idempotent:
+            self.ledger.once[request.request_id] = key or request.request_id
+        self.submitted.append(request)
+        joined = self.bring(home, request)
+        if joined is not None:
+            self.submitted.remove(request)
+
+    def bring(self, home, request):
+        """A caller's request, first or again, at its home."""
+        token = self.tokens.get(request.request_id)
+        if request.streamed and token:
+            self.ledger.read[request.request_id].add(token)
+        home.requests.setdefault(request.request_id, request)
+        return self.handle(home, messages.Submitted(request))
+
+    def handle(self, home, event):
+        self.now += 0.001
+        joined = None
+        for action in home.core.handle(event, self.now):
+            match action:
+                case messages.Join():
+                    joined = action
+                case messages.Finish(request_id=request_id, verdict=verdict):
+                    self.finish(home, request_id, verdict)
+                case messages.CancelAttempt():
+                    self.cancel(home, action)
+                case messages.Fact() | messages.Reject():
+                    pass
+                case _:
+                    self.begin(home, event, action)
+        return joined
+
+    def begin(self, home, event, action):
+        if (
+            home.stopping
+            and isinstance(event, messages.Submitted)
+            and not isinstance(action, messages.Relay)
+        ):
+            self.ledger.admitted_after_stop.append(action.request_id)
+        if isinstance(action, messages.Relay):
+            self.ledger.relayed_to[action.request_id] = action.holder
+        if isinstance(action, messages.Dispatch):
+            self.tokens.pop(action.request_id, None)
+        self.operations.append(Operation(home, action))
+
+    def cancel(self, home, action):
+        for operation in self.operations:
+            if (
+                operation.home is home
+                and isinstance(
+                    operation.action, messages.Dispatch | messages.Delegate
+                )
+                and operation.action.request_id == action.request_id
+            ):
+                operation.cancelled = True
+
+    def finish(self, home, request_id, verdict):
+        for operation in home.followers.pop(request_id, []):
+            operation.state, operation.verdict = "reply", verdict
+        request = home.requests.get(request_id)
+        if request is not None and not request.delegated:
+            self.ledger.told[request_id].append(verdict)
+
+    def report(self, operation, event):
+        if operation in self.operations:
+            self.operations.remove(operation)
+        if operation.home.alive and not operation.cancelled:
+            self.past.append((operation.home, event))
+            self.handle(operation.home, event)
+
+    def fail(self, operation, verdict):
+        action = operation.action
+        self.report(
+            operation,
+            messages.AttemptFailed(action.request_id, action.attempt, verdict),
+        )
+
+    def ready(self):
+        return [o for o in self.operations if o.state != "attached"]
+
+    def step(self, operation, choice):
+        """Lets one operation go on; `choice` says which way."""
+        match operation:
+            case Operation(action=messages.Claim()):
+                self.step_claim(operation, choice % 4)
+            case Operation(action=messages.Dispatch(), state="new"):
+                self.step_new(operation, choice % 4)
+            case Operation(action=messages.Dispatch()):
+                self.step_running(operation, choice % 4)
+            case Operation(state="new"):
+                self.step_to_peer(operation, choice % 4)
+            case Operation(state="reply"):
+                self.step_reply(operation, choice % 4)
+
+    def step_claim(self, operation, choice):
+        action = operation.action
+        row = (action.key, action.request_id, action.expected_version)
+        if choice == 3:
+            self.late_writes.append(row)
+        if choice >= 2:
+            outcome = messages.ClaimSettled(
+                action.request_id, OUTCOME.UNAVAILABLE
+            )
+        else:
+            self.write(*row)
+            holder, version = self.table[action.key]
+            won = holder == action.request_id
+            outcome = messages.ClaimSettled(
+                action.request_id,
+                OUTCOME.WON if won else OUTCOME.LOST,
+                holder,
+                version,
+            )
+        self.report(operation, outcome)
+
+    def write(self, key, request_id, expected_version):
+        _, version = self.table.get(key, ("", 0))
+        if version == expected_version:
+            self.table[key] = (request_id, version + 1)
+
+    def step_new(self, operation, choice):
+        if choice == 3 or operation.cancelled and choice == 2:
+            self.fail(operation, REFUSED)
+            return
+        self.ledger.runs[operation.action.request_id] += 1
+        operation.state = "running"
+
+    def step_running(self, operation, choice):
+        action = operation.action
+        if choice == 1:
+            self.first_token(operation)
+        elif choice == 2:
+            self.fail(operation, LOST)
+        elif choice == 3 and operation.state == "token":
+            self.fail(operation, REFUSED)
+        else:
+            if not operation.cancelled:
+                self.ledger.answered.add(action.request_id)
+            self.report(
+                operation,
+                messages.Answered(action.request_id, action.attempt, 9),
+            )
+
+    def first_token(self, operation):
+        action = operation.action
+        if operation.cancelled or not operation.home.alive:
+            return
+        operation.state = "token"
+        token = (operation.home.peer.home, action.attempt)
+        event = messages.FirstToken(action.request_id, action.attempt)
+        request = operation.home.requests[action.request_id]
+        if not request.delegated:
+            self.tokens[action.request_id] = token
+            if any(
+                other.streamed
+                for other in self.submitted
+                if other.request_id == action.request_id
+            ):
+                self.ledger.read[action.request_id].add(token)
+        self.past.append((operation.home, event))
+        self.handle(operation.home, event)
+
+    def step_to_peer(self, operation, choice):
+        action = operation.action
+        if isinstance(action, messages.Relay):
+            peer = self.home_of(action.holder)
+        else:
+            peer = self.home_of(f"{action.peer.home}.1.5167")
+        if peer is None or choice == 3:
+            self.fail(operation, self.unreachable(action))
+            return
+        request = dataclasses.replace(
+            operation.home.requests[action.request_id], key="", streamed=True
+        )
+        operation.state = "attached"
+        if isinstance(action, messages.Relay):
+            request = dataclasses.replace(request, request_id=action.holder)
+        else:
+            request = dataclasses.replace(request, delegated=True)
+        peer.followers[request.request_id].append(operation)
+        joined = self.bring(peer, request)
+        if joined is not None and joined.verdict is not None:
+            peer.followers[request.request_id].remove(operation)
+            operation.state, operation.verdict = "reply", joined.verdict
+
+    def unreachable(self, action):
+        if isinstance(action, messages.Delegate):
+            return REFUSED
+        return self.left_behind(action.holder)
+
+    def left_behind(self, request_id):
+        issuer, _ = messages.split_id(request_id)
+        snapshot = self.snapshots.get(issuer)
+        if snapshot is None:
+            return GONE
+        return snapshots.find(snapshot, request_id).verdict
+
+    def step_reply(self, operation, choice):
+        action, verdict = operation.action, operation.verdict
+        if choice == 3:
+            self.fail(operation, LOST)
+        elif isinstance(verdict, verdicts.Ran):
+            self.report(
+                operation,
+                messages.Answered(action.request_id, action.attempt, 9),
+            )
+        else:
+            self.fail(operation, verdict)
+
+    def crash(self, home, sent):
+        """Kills an instance; `sent` says what had left it before."""
+        for operation in [o for o in self.operations if o.home is home]:
+            if sent and operation.state == "new":
+                self.step(operation, 0)
+        self.leave(home)
+
+    def leave(self, home):
+        home.alive = False
+        self.operations = [o for o in self.operations if o.home is not home]
+        for operations in home.followers.values():
+            for operation in operations:
+                operation.state, operation.verdict = "reply", LOST
+        self.homes[self.homes.index(home)] = fresh = self.start(
+            home.peer.failure_domain
+        )
+        self.introduce(fresh)
+
+    def stop(self, home):
+        home.stopping = True
+        self.handle(home, messages.StopRequested())
+
+    def exit(self, home):
+        """The end of a planned stop, once every request has its verdict."""
+        if home.stopping and not home.core.unfinished:
+            self.snapshots[home.peer.home] = snapshots.take(
+                home.core, home.peer.home, exchanges.Exchanges()
+            )
+            self.leave(home)
+
+    def settle(self):
+        """Lets everything end; returns the requests that got no verdict."""
+        for _ in range(2000):
+            ready = self.ready()
+            if ready:
+                self.step(ready[0], 0)
+            elif self.unanswered():
+                self.now += 60.0
+                for home in self.homes:
+                    self.handle(home, messages.Tick())
+            else:
+                break
+        return self.unanswered()
+
+    def unanswered(self):
+        return [
+            request.request_id
+            for request in self.submitted
+            if self.home_of(request.request_id)
+            and not self.ledger.told[request.request_id]
+        ]
