Generate configurations by questionnaire and drive both samples

Cause: the thin path had no client beyond the stand-ins, so nothing showed a whole deployment at work. Adds the questionnaire with two samples, the commands for configuration, callers and operators, explanations that follow a request over its instances, and a demonstration that kills an endpoint and an instance of each deployment.

A verdict with an answer could not be decoded, because msgspec reads no union of Raw and None; the field now defaults to an empty Raw.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -11,6 +11,7 @@
 from cranberryglade import delegations
 from cranberryglade import endpoints
 from cranberryglade import executors
+from cranberryglade import explanations
 from cranberryglade import facts
 from cranberryglade import forwarding
 from cranberryglade import lifecycle
@@ -25,6 +26,7 @@
 from cranberryglade import subscriptions
 from cranberryglade import tickets
 from cranberryglade import tracing
+from cranberryglade import watching
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
 
@@ -137,9 +139,21 @@
             members,
             subscription,
             self._platform,
-            fact_log,
             self._lifecycle,
         ).register(caller_app)
+        watching.WatchInterface(
+            self._executor, subscription, fact_log
+        ).register(caller_app)
+        explanations.Explainer(
+            own,
+            self._executor,
+            members,
+            subscription,
+            office,
+            fact_log,
+            key,
+            self._peer_client,
+        ).register(caller_app, peer_app)
         delegations.PeerInterface(
             self._executor, members, subscription, office, key, self._tracing
         ).register(peer_app)
--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -18,6 +18,7 @@
 from cranberryglade import tracing
 from cranberryglade import verdicts
 from cranberryglade import wire
+from cranberryglade.scheduling import messages
 
 MAXIMUM_TICKETS = 1000
 MAXIMUM_KEY_CHARACTERS = 128
@@ -55,9 +56,6 @@
         """Adds the routes."""
         app.router.add_post("/v1/requests", self._post_request)
         app.router.add_get("/v1/requests/{id}", self._get_request)
-        app.router.add_get(
-            "/v1/requests/{id}/explanation", self._get_explanation
-        )
         app.router.add_post("/v1/tickets", self._post_tickets)
 
     async def _post_request(self, http_request: web.Request):
@@ -128,8 +126,21 @@
     ) -> exchanges.Exchange:
         if self._office.is_home(submission.request.request_id):
             return self._executor.submit(submission)
+        self._note_forwarding(submission.request.request_id)
         return self._forwarder.forward(submission)
 
+    def _note_forwarding(self, request_id: str) -> None:
+        home = self._office.read(request_id)
+        self._facts.add(
+            messages.Fact(
+                self._executor.now,
+                request_id,
+                "forwarded",
+                "the ticket names its home",
+                home.instance,
+            )
+        )
+
     async def _get_request(self, http_request: web.Request):
         found = self._own_exchange(http_request)
         if isinstance(found, web.Response):
@@ -146,15 +157,6 @@
             )
         return await responses.whole(found)
 
-    async def _get_explanation(self, http_request: web.Request):
-        found = self._own_exchange(http_request)
-        if isinstance(found, web.Response):
-            return found
-        return web.Response(
-            body=wire.encode(self._facts.about(found.request_id)),
-            content_type=responses.JSON,
-        )
-
     def _own_exchange(self, http_request: web.Request):
         current = self._subscription.current
         if current is None:
--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -18,7 +18,27 @@
 MILLISECONDS = "a whole number of milliseconds from 1 to 3600000"
 MAXIMUM_MILLISECONDS = 3_600_000
 
-DEPLOYMENT = (options.Option("name", options.parse_name, NAME),)
+PRIORITIES = ("goodput", "prefill")
+TARGET_KINDS = ("model", "service")
+
+DEPLOYMENT = (
+    options.Option("name", options.parse_name, NAME),
+    options.Option(
+        "weighs",
+        options.choice(PRIORITIES),
+        "one of " + ", ".join(PRIORITIES),
+        PRIORITIES[0],
+    ),
+)
+TARGET = (
+    options.Option(
+        "kind",
+        options.choice(TARGET_KINDS),
+        "one of " + ", ".join(TARGET_KINDS),
+        TARGET_KINDS[0],
+    ),
+    options.Option("fenced", options.parse_flag, "yes or no", False),
+)
 TIER = (
     options.Option(
         "rank",
@@ -60,6 +80,7 @@
     ),
 )
 KINDS = {
+    "target": TARGET,
     "tier": TIER,
     "organisation": ORGANISATION,
     "operator": OPERATOR,
@@ -67,6 +88,21 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Target:
+    """A model or a plain service.
+
+    Attributes:
+        name: what rules call it.
+        kind: "model" or "service".
+        fenced: whether its endpoints refuse orders with an old fencing number.
+    """
+
+    name: str
+    kind: str
+    fenced: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tier:
     """How urgent requests are; rank 0 is shed last."""
@@ -116,10 +152,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Configuration:
-    """One checked version of the shared configuration."""
+    """One checked version of the shared configuration.
+
+    Attributes:
+        version: number that only grows.
+        deployment: name of the deployment.
+        weighs: what counts more there, "goodput" or "prefill" (less waste).
+        targets: models and services by name.
+        tiers: tiers by name.
+        organisations: organisations by name.
+        operators: operators by name.
+        rules: rules by kind of request.
+        text: the INI text.
+    """
 
     version: int
     deployment: str
+    weighs: str
+    targets: dict[str, Target]
     tiers: dict[str, Tier]
     organisations: dict[str, Organisation]
     operators: dict[str, Operator]
@@ -139,13 +189,13 @@
         return Failure([options.Problem(source, "-", "", line, "INI text")])
     problems = []
     found = {kind: {} for kind in KINDS}
-    deployment = ""
+    deployment = {}
     for section in parser.sections():
         kind, _, name = section.partition(" ")
         values = dict(parser[section])
         if section == "deployment":
             result = options.read_section(source, section, values, DEPLOYMENT)
-            deployment = result.map(lambda v: v["name"]).value_or("")
+            deployment = result.value_or(values)
         elif kind in KINDS and options.NAME_PATTERN.fullmatch(name):
             result = options.read_section(source, section, values, KINDS[kind])
             found[kind][name] = result.value_or(None)
@@ -182,7 +232,9 @@
 def _build(version, deployment, found, text) -> Configuration:
     return Configuration(
         version,
-        deployment,
+        deployment["name"],
+        deployment["weighs"],
+        {n: Target(n, **v) for n, v in found["target"].items()},
         {n: Tier(n, **v) for n, v in found["tier"].items()},
         {n: Organisation(n, **v) for n, v in found["organisation"].items()},
         {n: Operator(n, **v) for n, v in found["operator"].items()},
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -1,7 +1,5 @@
 """The interface for operators and for the platform's balancer."""
 
-import asyncio
-
 from aiohttp import web
 from returns.result import Failure
 from returns.result import Success
@@ -9,7 +7,6 @@
 from cranberryglade import access
 from cranberryglade import configuration
 from cranberryglade import executors
-from cranberryglade import facts
 from cranberryglade import lifecycle
 from cranberryglade import membership
 from cranberryglade import platform
@@ -83,7 +80,6 @@
 
     __slots__ = (
         "_executor",
-        "_facts",
         "_instance",
         "_lifecycle",
         "_membership",
@@ -98,7 +94,6 @@
         members: membership.Membership,
         subscription: subscriptions.Subscription,
         platform_client: platform.PlatformClient,
-        fact_log: facts.FactLog,
         life: lifecycle.Lifecycle,
     ):
         self._instance = instance
@@ -106,7 +101,6 @@
         self._membership = members
         self._subscription = subscription
         self._platform = platform_client
-        self._facts = fact_log
         self._lifecycle = life
 
     def register(self, app: web.Application) -> None:
@@ -119,7 +113,6 @@
         app.router.add_post(f"{prefix}/drain", self._post_drain)
         app.router.add_get(f"{prefix}/configuration", self._get_configuration)
         app.router.add_put(f"{prefix}/configuration", self._put_configuration)
-        app.router.add_get(f"{prefix}/facts", self._get_facts)
 
     async def _get_health(self, _: web.Request):
         return web.Response(text="ok\n")
@@ -239,24 +232,6 @@
                     ProblemsDocument(problems=[f"platform: {error}"]), 503
                 )
 
-    async def _get_facts(self, http_request: web.Request):
-        if not self._authorised(http_request):
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        response = web.StreamResponse(
-            headers={"Content-Type": "application/jsonl"}
-        )
-        await response.prepare(http_request)
-        queue: asyncio.Queue[messages.Fact] = asyncio.Queue(maxsize=1000)
-        subscribed = self._facts.stream.subscribe(
-            lambda fact: None if queue.full() else queue.put_nowait(fact)
-        )
-        try:
-            while True:
-                fact = await queue.get()
-                await response.write(facts.encode(fact) + b"\n")
-        finally:
-            subscribed.dispose()
-
 
 def _document(document, status: int = 200) -> web.Response:
     return web.Response(
--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import re
 from typing import Any
@@ -110,11 +111,24 @@
 def parse_address(text: str) -> str:
     """Reads "host:port" with a port of 0 to 65535."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not 0 <= int(port) <= 65535:
+    if not colon or not host or not port.isascii() or not port.isdigit():
+        raise ValueError(text)
+    if int(port) > 65535:
         raise ValueError(text)
     return text
 
 
+def text_of(value: Any) -> str:
+    """Writes a value as it stands in a file.
+
+    >>> text_of(True), text_of(0.5)
+    ('yes', '0.5')
+    """
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
 def parse_flag(text: str) -> bool:
     """Reads "yes" or "no"."""
     if text not in ("yes", "no"):
@@ -122,6 +136,17 @@
     return text == "yes"
 
 
+def choice(allowed: Sequence[str]) -> Callable[[str], str]:
+    """Returns a parser of one word out of several."""
+
+    def parse(text: str) -> str:
+        if text not in allowed:
+            raise ValueError(text)
+        return text
+
+    return parse
+
+
 def number(low: float, high: float, kind: type = int) -> Callable[[str], float]:
     """Returns a parser of numbers within the bounds."""
 
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from typing import TypeVar
 
 import aiohttp
 from returns.result import Failure
@@ -12,6 +13,8 @@
 from cranberryglade.scheduling import answers
 from cranberryglade.scheduling import messages
 
+T = TypeVar("T")
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 SIGNATURE_HEADER = "X-Peer-Signature"
 
@@ -63,8 +66,15 @@
         self, address: str, own: wire.DigestDocument
     ) -> Result[wire.DigestDocument, str]:
         """Gives a peer the own digest and returns the peer's."""
-        path = "/v1/peer/digest"
-        body = wire.encode(own)
+        return await self.ask(
+            address, "/v1/peer/digest", own, wire.DigestDocument
+        )
+
+    async def ask(
+        self, address: str, path: str, document: wire.Document, kind: type[T]
+    ) -> Result[T, str]:
+        """Makes one short call to a peer and reads its answer."""
+        body = wire.encode(document)
         try:
             async with self._session.post(
                 f"http://{address}{path}",
@@ -77,7 +87,7 @@
             return Failure(type(error).__name__)
         if response.status != 200:
             return Failure(f"status {response.status}")
-        return wire.decode(data, wire.DigestDocument)
+        return wire.decode(data, kind)
 
     async def delegate(
         self,
--- a/cranberryglade/standins/engine.py
+++ b/cranberryglade/standins/engine.py
@@ -9,6 +9,7 @@
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
 from cranberryglade.standins import model
+from cranberryglade.standins import recording
 
 
 class Faults(wire.Document):
@@ -55,14 +56,20 @@
     __slots__ = (
         "_faults",
         "_model",
+        "_recorder",
         "_runs",
         "_stepping",
         "_streams",
         "_woken",
     )
 
-    def __init__(self, speed: model.Speed):
+    def __init__(
+        self,
+        speed: model.Speed,
+        recorder: recording.Recorder | None = None,
+    ):
         self._model = model.EngineModel(speed)
+        self._recorder = recorder or recording.Recorder("engine")
         self._streams: dict[str, _Stream] = {}
         self._runs: collections.Counter[str] = collections.Counter()
         self._faults = Faults()
@@ -78,6 +85,7 @@
         app.router.add_put("/standin/faults", self._put_faults)
         app.router.add_get("/standin/runs", self._get_runs)
         app.on_startup.append(self._start)
+        app.on_cleanup.append(self._recorder.close)
         return app
 
     async def _start(self, _: web.Application) -> None:
@@ -108,6 +116,7 @@
             )
             return web.Response(body=wire.encode(refused), status=503)
         self._runs[request.request_id] += 1
+        self._recorder.ran(body)
         stream = _Stream()
         self._streams[request.request_id] = stream
         self._model.admit(
@@ -121,7 +130,9 @@
         self._woken.set()
         if self._faults.accept_and_die:
             http_request.transport.abort()
-        return await self._send(http_request, request.request_id, 0)
+        request_id = request.request_id
+        with self._recorder.span("generate", http_request, request_id):
+            return await self._send(http_request, request_id, 0)
 
     async def _get_generate(self, http_request: web.Request):
         request_id = http_request.match_info["id"]
--- a/cranberryglade/standins/platform.py
+++ b/cranberryglade/standins/platform.py
@@ -39,11 +39,14 @@
         "_snapshots",
     )
 
-    def __init__(self):
+    def __init__(self, listed: list[wire.InstanceDocument] | None = None):
+        listed = listed or []
         self._rows: dict[str, wire.RowDocument] = {}
         self._objects: dict[str, bytes] = {}
-        self._instances: dict[str, wire.InstanceDocument] = {}
-        self._snapshots = collections.deque([(0.0, [])])
+        self._instances: dict[str, wire.InstanceDocument] = {
+            item.name: item for item in listed
+        }
+        self._snapshots = collections.deque([(0.0, listed)])
         self._faults = Faults()
         self._counts: collections.Counter[str] = collections.Counter()
 
--- a/cranberryglade/standins/service.py
+++ b/cranberryglade/standins/service.py
@@ -8,6 +8,7 @@
 
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
+from cranberryglade.standins import recording
 
 
 class Faults(wire.Document):
@@ -35,9 +36,10 @@
 class ServiceStandin:
     """Counts how often each request took effect."""
 
-    __slots__ = ("_faults", "_runs")
+    __slots__ = ("_faults", "_recorder", "_runs")
 
-    def __init__(self):
+    def __init__(self, recorder: recording.Recorder | None = None):
+        self._recorder = recorder or recording.Recorder("service")
         self._runs: collections.Counter[str] = collections.Counter()
         self._faults = Faults()
 
@@ -47,6 +49,7 @@
         app.router.add_post("/v1/call", self._post_call)
         app.router.add_put("/standin/faults", self._put_faults)
         app.router.add_get("/standin/runs", self._get_runs)
+        app.on_cleanup.append(self._recorder.close)
         return app
 
     async def _post_call(self, http_request: web.Request):
@@ -58,7 +61,9 @@
             )
             return web.Response(body=wire.encode(refused), status=503)
         self._runs[call.request_id] += 1
-        await asyncio.sleep(self._faults.delay_seconds)
+        self._recorder.ran(body)
+        with self._recorder.span("call", http_request, call.request_id):
+            await asyncio.sleep(self._faults.delay_seconds)
         if self._faults.accept_and_die:
             http_request.transport.abort()
         receipt = Receipt(
--- /dev/null
+++ b/cranberryglade/tools/changes.py
@@ -0,0 +1,227 @@
+"""Commands that change one tier, organisation, operator or rule.
+
+Each reads the configuration in force, changes one section and proposes the
+result on the version that it read. If another change came first, it starts
+again, unless that change touched the same section.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import click
+
+from cranberryglade import access
+from cranberryglade import configuration
+from cranberryglade import operators
+from cranberryglade import options
+from cranberryglade.tools import configure
+from cranberryglade.tools import generation
+from cranberryglade.tools import output
+from cranberryglade.tools import sections
+
+ATTEMPTS = 5
+DIGEST = "token_sha256"
+ABOUT = {
+    "tier": "how urgent requests are; rank 0 is shed last",
+    "organisation": "who sends requests, and their share of capacity",
+    "operator": "who may watch and change the deployment",
+    "rule": "kinds of request: where they go, which may be repeated",
+    "target": "models and services that rules send requests to",
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Change:
+    """One change of one section.
+
+    Attributes:
+        section: the section, such as "tier counter".
+        values: options to set, as texts.
+        adds: whether the section must be new.
+    """
+
+    section: str
+    values: dict[str, str]
+    adds: bool
+
+
+def apply(connection: output.Connection, change: Change) -> int:
+    """Makes a change; returns the version that holds it, or exits."""
+    seen = None
+    for _ in range(ATTEMPTS):
+        row = configure.show_current(connection)
+        present = sections.read(row.value).get(change.section)
+        _check_presence(change, present, seen, row.version)
+        merged = {**(present or {}), **change.values}
+        if present == merged:
+            output.note(f"version {row.version} holds this already")
+            return row.version
+        reply = connection.ask(
+            "PUT",
+            configure.PATH,
+            operators.ProposalDocument(
+                expected_version=row.version,
+                text=sections.replace(row.value, change.section, merged),
+            ),
+        )
+        if reply.status == 200:
+            return row.version + 1
+        if reply.status != 409:
+            code = output.EXIT_FAILED
+            if reply.status == 422:
+                code = output.EXIT_INVALID
+            raise output.CommandError(configure.problems_of(reply), code)
+        seen = present if present is not None else {}
+        output.note(
+            f"conflict on version {row.version}: "
+            f"{configure.problems_of(reply)}; trying again"
+        )
+    raise output.CommandError(
+        f"{ATTEMPTS} conflicts in a row; nothing was changed",
+        output.EXIT_CONFLICT,
+    )
+
+
+def _check_presence(
+    change: Change,
+    present: dict[str, str] | None,
+    seen: dict[str, str] | None,
+    version: int,
+) -> None:
+    if change.adds and present is not None and present != change.values:
+        raise output.CommandError(
+            f"[{change.section}] exists in version {version}; change it",
+            output.EXIT_CONFLICT,
+        )
+    if not change.adds and present is None:
+        raise output.CommandError(
+            f"[{change.section}] is not in version {version}; add it",
+            output.EXIT_FAILED,
+        )
+    if not change.adds and seen is not None and present != seen:
+        raise output.CommandError(
+            f"[{change.section}] was changed by another operator: "
+            f"it was {seen}, version {version} has {present}; "
+            "nothing was changed",
+            output.EXIT_CONFLICT,
+        )
+
+
+def group(kind: str) -> click.Group:
+    """Returns the commands about one kind of section."""
+    declared = configuration.KINDS[kind]
+
+    @click.group(kind, help=f"{kind.capitalize()}s: {ABOUT[kind]}.")
+    def commands() -> None:
+        pass
+
+    commands.add_command(_list_command(kind, declared))
+    commands.add_command(_change_command(kind, declared, adds=True))
+    commands.add_command(_change_command(kind, declared, adds=False))
+    return commands
+
+
+def _list_command(kind: str, declared) -> click.Command:
+    @click.command("list", help=f"Lists the {kind}s in force.")
+    @output.connected
+    def list_all(connection: output.Connection) -> None:
+        row = configure.show_current(connection)
+        found = {
+            section.partition(" ")[2]: values
+            for section, values in sections.read(row.value).items()
+            if section.startswith(f"{kind} ")
+        }
+        if connection.as_json:
+            output.print_json(found)
+            return
+        names = [option.name for option in declared]
+        rows = [
+            (name, *(_shown(values, option) for option in declared))
+            for name, values in found.items()
+        ]
+        click.echo(output.table((kind, *names), rows))
+
+    return list_all
+
+
+def _shown(values: dict[str, str], option: options.Option) -> str:
+    default = option.default
+    if default is options.REQUIRED:
+        default = "-"
+    text = values.get(option.name, options.text_of(default))
+    return text[:12] + "..." if option.name == DIGEST else text
+
+
+def _change_command(kind: str, declared, adds: bool) -> click.Command:
+    verb = "add" if adds else "change"
+    made_up = any(option.name == DIGEST for option in declared)
+
+    @click.command(verb, help=_help(kind, declared, verb))
+    @click.argument("name")
+    @output.connected
+    def change(connection: output.Connection, name: str, **given) -> None:
+        if not options.NAME_PATTERN.fullmatch(name):
+            raise output.CommandError(
+                f"name {name}: allowed is {configuration.NAME}",
+                output.EXIT_INVALID,
+            )
+        new_token = given.pop("new_token", False)
+        values = {k: v for k, v in given.items() if v is not None}
+        token = ""
+        if made_up and DIGEST not in values and (adds or new_token):
+            token = generation.new_token()
+            values[DIGEST] = access.token_digest(token)
+        if not values and not adds:
+            raise output.CommandError(
+                "nothing to change; see --help", output.EXIT_INVALID
+            )
+        version = apply(connection, Change(f"{kind} {name}", values, adds))
+        _report(connection, version, token)
+
+    command: Callable = change
+    for option in reversed(declared):
+        command = click.option(
+            "--" + option.name.replace("_", "-"),
+            option.name,
+            help=_option_help(option, adds),
+        )(command)
+    if made_up and not adds:
+        command = click.option(
+            "--new-token", is_flag=True, help="Make up a new token."
+        )(command)
+    return command
+
+
+def _report(connection: output.Connection, version: int, token: str) -> None:
+    if connection.as_json:
+        output.print_json({"version": version, "token": token or None})
+        return
+    configure.report_version(connection, version)
+    if token:
+        click.echo(f"token, shown this once: {token}")
+
+
+def _option_help(option: options.Option, adds: bool) -> str:
+    text = option.allowed[0].upper() + option.allowed[1:]
+    if not adds:
+        return text + "."
+    if option.name == DIGEST:
+        return text + "; a token is made up when this is absent."
+    if option.default is options.REQUIRED:
+        return text + "; needed."
+    return f"{text}; otherwise {options.text_of(option.default)}."
+
+
+def _help(kind: str, declared, verb: str) -> str:
+    article = "an" if kind[0] in "aeiou" else "a"
+    flags = {
+        "tier": "counter --rank 0 --first-token-ms 510",
+        "organisation": "store-17 --weight 2",
+        "operator": "night-shift",
+        "rule": "deposit --target lists --tier counter --idempotent no",
+        "target": "lists --kind service --fenced no",
+    }[kind]
+    return (
+        f"{verb.capitalize()}s {article} {kind}.\n\n\b\nExample:\n"
+        f"  cranberryglade {kind} {verb} {flags}"
+    )
--- /dev/null
+++ b/cranberryglade/tools/client.py
@@ -0,0 +1,142 @@
+"""HTTP client of the command line."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import dataclasses
+
+import aiohttp
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade import wire
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+MAXIMUM_LINE_BYTES = 1_048_576
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unanswered:
+    """A call that got no answer.
+
+    Attributes:
+        address: who was called, "host:port".
+        detail: what went wrong.
+        sent: whether the other side may have seen the call.
+    """
+
+    address: str
+    detail: str
+    sent: bool
+
+    def __str__(self) -> str:
+        seen = "it may have been received" if self.sent else "nothing was sent"
+        return f"{self.address} did not answer: {self.detail}; {seen}"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """A whole HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        body: bytes of the answer.
+    """
+
+    status: int
+    body: bytes
+
+
+class Client:
+    """Calls one instance on behalf of the holder of a token."""
+
+    __slots__ = ("_address", "_headers", "_session")
+
+    def __init__(self, address: str, token: str = ""):
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            read_bufsize=MAXIMUM_LINE_BYTES,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+            ),
+        )
+
+    @property
+    def address(self) -> str:
+        """Who is called, "host:port"."""
+        return self._address
+
+    async def __aenter__(self) -> "Client":
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        await self._session.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        document: wire.Document | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_seconds: float | None = None,
+    ) -> Result[Reply, Unanswered]:
+        """Makes one call and returns its whole answer."""
+        try:
+            async with self._session.request(
+                method,
+                self._url(path),
+                data=None if document is None else wire.encode(document),
+                headers={**self._headers, **(headers or {})},
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+                ),
+            ) as response:
+                return Success(Reply(response.status, await response.read()))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(self._unanswered(error))
+
+    async def follow(
+        self,
+        method: str,
+        path: str,
+        document: wire.Document | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> AsyncIterator[Reply | bytes]:
+        """Makes one call; yields its head with an empty body, then lines.
+
+        Raises:
+            LostError: the connection could not be made or ended early.
+        """
+        try:
+            async with self._session.request(
+                method,
+                self._url(path),
+                data=None if document is None else wire.encode(document),
+                headers={**self._headers, **(headers or {})},
+            ) as response:
+                yield Reply(response.status, b"")
+                async for line in response.content:
+                    yield line
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise LostError(self._unanswered(error)) from error
+
+    def _url(self, path: str) -> str:
+        return f"http://{self._address}{path}"
+
+    def _unanswered(self, error: Exception) -> Unanswered:
+        sent = not isinstance(error, aiohttp.ClientConnectorError)
+        return Unanswered(self._address, type(error).__name__, sent)
+
+
+class LostError(Exception):
+    """A followed answer ended early.
+
+    Attributes:
+        unanswered: what is known of it.
+    """
+
+    def __init__(self, unanswered: Unanswered):
+        super().__init__(str(unanswered))
+        self.unanswered = unanswered
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -2,12 +2,44 @@
 
 import click
 
+from cranberryglade import configuration
+from cranberryglade.tools import changes
+from cranberryglade.tools import configure
+from cranberryglade.tools import demo
+from cranberryglade.tools import observe
+from cranberryglade.tools import questionnaire
 from cranberryglade.tools import standins
+from cranberryglade.tools import submit
 
+EPILOG = """\b
+Exit codes:
+  0  done, or the request ran
+  1  failed: unreachable, refused or not readable
+  2  wrong usage, settings, answers or configuration
+  3  the request did not run
+  4  the request may have run
+  5  another change came first
+"""
 
-@click.group()
+
+@click.group(epilog=EPILOG)
+@click.version_option(package_name="cranberryglade")
 def main() -> None:
     """Client of the cranberryglade request scheduler."""
 
 
-main.add_command(standins.standin)
+for command in (
+    configure.config,
+    *(changes.group(kind) for kind in configuration.KINDS),
+    demo.demo,
+    observe.drain,
+    observe.endpoints,
+    observe.status,
+    observe.watch,
+    questionnaire.questionnaire,
+    standins.standin,
+    submit.explain,
+    submit.submit,
+    submit.tickets,
+):
+    main.add_command(command)
--- /dev/null
+++ b/cranberryglade/tools/configure.py
@@ -0,0 +1,203 @@
+"""Commands about the shared configuration as a whole."""
+
+import asyncio
+import pathlib
+
+import click
+import msgspec
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import configuration
+from cranberryglade import operators
+from cranberryglade import platform
+from cranberryglade import subscriptions
+from cranberryglade import wire
+from cranberryglade.tools import output
+
+PATH = "/v1/operators/configuration"
+HISTORY_PATH = "/v1/operators/configuration/history"
+FIRST_VERSION = 1
+PLATFORM_TIMEOUT_SECONDS = 5.0
+
+file_argument = click.argument(
+    "file", type=click.Path(dir_okay=False, path_type=pathlib.Path)
+)
+
+
+@click.group()
+def config() -> None:
+    """Checks, proposes and shows the shared configuration."""
+
+
+@config.command()
+@file_argument
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def check(file: pathlib.Path, as_json: bool) -> None:
+    r"""Checks a configuration file without sending it.
+
+    \b
+    Example:
+      cranberryglade config check samples/werkliste/configuration.ini
+    """
+    parsed = configuration.parse(
+        output.read_file(file), FIRST_VERSION, str(file)
+    )
+    problems = [str(problem) for problem in parsed.swap().value_or([])]
+    if as_json:
+        output.print_json(operators.ProblemsDocument(problems=problems))
+    for problem in [] if as_json else problems:
+        click.echo(problem, err=True)
+    if problems:
+        raise SystemExit(output.EXIT_INVALID)
+    if not as_json:
+        found = parsed.unwrap()
+        click.echo(
+            f"{file}: deployment {found.deployment}, {len(found.tiers)} tiers, "
+            f"{len(found.organisations)} organisations, "
+            f"{len(found.rules)} rules"
+        )
+
+
+@config.command()
+@file_argument
+@click.option(
+    "--expected-version",
+    type=click.IntRange(min=0),
+    help="Version that the file was derived from; asked for if absent.",
+)
+@click.option(
+    "--platform",
+    "platform_address",
+    help="Write the first version straight to the platform's table service.",
+)
+@output.connected
+def propose(
+    connection: output.Connection,
+    file: pathlib.Path,
+    expected_version: int | None,
+    platform_address: str | None,
+) -> None:
+    r"""Puts a configuration in force, unless another change came first.
+
+    A new deployment has no operators yet, so its first version goes straight
+    to the platform; whoever may write there may do that.
+
+    \b
+    Examples:
+      cranberryglade config propose next.ini --expected-version 7
+      cranberryglade config propose first.ini --platform 127.0.0.1:8090
+    """
+    text = output.read_file(file)
+    if platform_address is not None:
+        version = asyncio.run(_write_first(platform_address, text, str(file)))
+    else:
+        if expected_version is None:
+            expected_version = show_current(connection).version
+        version = propose_text(connection, text, expected_version)
+    report_version(connection, version)
+
+
+@config.command()
+@output.connected
+def show(connection: output.Connection) -> None:
+    """Prints the configuration in force."""
+    row = show_current(connection)
+    if connection.as_json:
+        output.print_json(row)
+        return
+    click.echo(f"; version {row.version}")
+    click.echo(row.value, nl=False)
+
+
+@config.command()
+@output.connected
+def history(connection: output.Connection) -> None:
+    """Lists the versions that have been accepted, newest last."""
+    reply = connection.ask("GET", HISTORY_PATH)
+    entries = output.decode(reply, list[operators.HistoryEntry])
+    if connection.as_json:
+        output.print_json(entries)
+        return
+    rows = [(e.version, e.operator, e.accepted_at) for e in entries]
+    click.echo(output.table(("version", "operator", "accepted at"), rows))
+
+
+def show_current(connection: output.Connection) -> wire.RowDocument:
+    """The configuration in force."""
+    return output.decode(connection.ask("GET", PATH), wire.RowDocument)
+
+
+def propose_text(
+    connection: output.Connection, text: str, expected_version: int
+) -> int:
+    """Proposes a configuration; returns its version or exits."""
+    reply = connection.ask(
+        "PUT",
+        PATH,
+        operators.ProposalDocument(
+            expected_version=expected_version, text=text
+        ),
+    )
+    if reply.status == 200:
+        return output.decode(reply, wire.RowDocument).version
+    code = {
+        409: output.EXIT_CONFLICT,
+        422: output.EXIT_INVALID,
+    }.get(reply.status, output.EXIT_FAILED)
+    raise output.CommandError(problems_of(reply), code)
+
+
+def problems_of(reply) -> str:
+    """Says why a proposal was not accepted."""
+    try:
+        document = msgspec.json.decode(
+            reply.body, type=operators.ProblemsDocument
+        )
+    except msgspec.MsgspecError:
+        return output.explain_refusal(reply)
+    return "\n".join(document.problems)
+
+
+def report_version(connection: output.Connection, version: int) -> None:
+    """Prints the version that a change has got."""
+    if connection.as_json:
+        output.print_json({"version": version})
+    else:
+        click.echo(f"version {version} is accepted")
+
+
+async def _write_first(address: str, text: str, source: str) -> int:
+    parsed = configuration.parse(text, FIRST_VERSION, source)
+    if isinstance(parsed, Failure):
+        problems = [str(problem) for problem in parsed.failure()]
+        raise output.CommandError("\n".join(problems), output.EXIT_INVALID)
+    client = platform.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
+    try:
+        outcome = await client.transact(
+            [
+                wire.WriteDocument(
+                    table=subscriptions.TABLE,
+                    key=subscriptions.KEY,
+                    expected_version=0,
+                    value=text,
+                )
+            ]
+        )
+        stored = await client.row(subscriptions.TABLE, subscriptions.KEY)
+    finally:
+        await client.close()
+    match outcome, stored:
+        case Success(done), _ if done.committed:
+            return FIRST_VERSION
+        case _, Success(row) if row.value == text:
+            return row.version
+        case Success(_), Success(row):
+            raise output.CommandError(
+                f"version {row.version} is in force already",
+                output.EXIT_CONFLICT,
+            )
+        case _:
+            raise output.CommandError(
+                f"the platform did not answer: {outcome.failure()}"
+            )
--- /dev/null
+++ b/cranberryglade/tools/questions.py
@@ -0,0 +1,281 @@
+"""What the questionnaire asks, and the checked answers.
+
+Answers files are INI with the sections below, or JSON with the same names:
+`{"deployment": {...}, "tier": {"counter": {...}}}`.
+"""
+
+import configparser
+import dataclasses
+import json
+from typing import Any
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade import configuration
+from cranberryglade import options
+
+ANSWER_TOKENS = {"none": 0, "short": 128, "long": 2048}
+DEADLINES_MS = {"none": 5_000, "short": 10_000, "long": 120_000}
+ANSWER_LENGTHS = tuple(ANSWER_TOKENS)
+TOKEN = "8 to 200 printable characters without spaces"
+MAXIMUM_TOKEN_CHARACTERS = 200
+MINIMUM_TOKEN_CHARACTERS = 8
+
+
+def _parse_token(text: str) -> str:
+    wide_enough = len(text) >= MINIMUM_TOKEN_CHARACTERS
+    if not wide_enough or len(text) > MAXIMUM_TOKEN_CHARACTERS:
+        raise ValueError(text)
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError(text)
+    return text
+
+
+def _parse_key(text: str) -> str:
+    options.parse_secret(text)
+    return text
+
+
+_NAME = configuration.NAME
+_RULE = {option.name: option for option in configuration.RULE}
+_ORGANISATION = {o.name: o for o in configuration.ORGANISATION}
+_TOKEN = options.Option("token", _parse_token, TOKEN, "")
+_ADDRESS = '"host:port"'
+_KEY = "at least 32 hexadecimal digits"
+
+SINGLE = {
+    "deployment": configuration.DEPLOYMENT,
+    "platform": (
+        options.Option(
+            "address", options.parse_address, _ADDRESS, "127.0.0.1:8090"
+        ),
+    ),
+    "keys": (
+        options.Option("peer", _parse_key, _KEY, ""),
+        options.Option("ticket", _parse_key, _KEY, ""),
+    ),
+}
+NAMED = {
+    "target": configuration.TARGET,
+    "tier": configuration.TIER,
+    "request": (
+        _RULE["target"],
+        _RULE["tier"],
+        options.Option("repeatable", options.parse_flag, "yes or no", False),
+        options.Option(
+            "answer",
+            options.choice(ANSWER_LENGTHS),
+            "one of " + ", ".join(ANSWER_LENGTHS),
+            "short",
+        ),
+        options.Option(
+            "deadline_ms",
+            options.number(0, configuration.MAXIMUM_MILLISECONDS),
+            "milliseconds up to 3600000; 0 for what suits the length",
+            0,
+        ),
+    ),
+    "organisation": (_ORGANISATION["weight"], _TOKEN),
+    "operator": (_TOKEN,),
+    "instance": (
+        options.Option("failure_domain", options.parse_name, _NAME),
+        options.Option("caller_address", options.parse_address, _ADDRESS),
+        options.Option("peer_address", options.parse_address, _ADDRESS),
+    ),
+}
+REQUIRED = ("tier", "request", "organisation", "operator")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Target:
+    """A model or service that requests are for."""
+
+    name: str
+    kind: str
+    fenced: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tier:
+    """How urgent requests are; `first_token_ms` in milliseconds."""
+
+    name: str
+    rank: int
+    first_token_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """A kind of request.
+
+    Attributes:
+        name: the kind.
+        target: model or service that serves it.
+        tier: name of its tier.
+        repeatable: whether it may run more than once.
+        answer: "none" (a plain service), "short" or "long".
+        deadline_ms: time for the whole answer; 0 for what suits its length.
+    """
+
+    name: str
+    target: str
+    tier: str
+    repeatable: bool
+    answer: str
+    deadline_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Organisation:
+    """Who sends requests; an empty token is to be made up."""
+
+    name: str
+    weight: float
+    token: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Operator:
+    """Who runs the deployment; an empty token is to be made up."""
+
+    name: str
+    token: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Instance:
+    """One entry instance."""
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answers:
+    """All answers about one deployment; empty keys are to be made up."""
+
+    deployment: str
+    weighs: str
+    platform_address: str
+    peer_key: str
+    ticket_key: str
+    targets: list[Target]
+    tiers: list[Tier]
+    requests: list[Request]
+    organisations: list[Organisation]
+    operators: list[Operator]
+    instances: list[Instance]
+
+
+def read(text: str, source: str) -> Result[Answers, list[options.Problem]]:
+    """Checks an answers file in INI or JSON."""
+    load = _load_json if text.lstrip().startswith("{") else _load_ini
+    return load(text, source).bind(lambda found: check(found, source))
+
+
+def _load_ini(text: str, source: str):
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        line = str(error).splitlines()[0]
+        return Failure([options.Problem(source, "-", "", line, "INI text")])
+    return Success({name: dict(parser[name]) for name in parser.sections()})
+
+
+def _load_json(text: str, source: str):
+    try:
+        found = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        return Failure(
+            [options.Problem(source, "-", "", str(error), "JSON text")]
+        )
+    sections = {}
+    for kind, values in found.items():
+        if not isinstance(values, dict):
+            return Failure(
+                [options.Problem(source, kind, "", str(values), "an object")]
+            )
+        if kind not in NAMED:
+            sections[kind] = _texts(values)
+            continue
+        for name, inner in values.items():
+            if not isinstance(inner, dict):
+                inner = {"": inner}
+            sections[f"{kind} {name}"] = _texts(inner)
+    return Success(sections)
+
+
+def _texts(values: dict[str, Any]) -> dict[str, str]:
+    return {name: options.text_of(value) for name, value in values.items()}
+
+
+def check(
+    sections: dict[str, dict[str, str]], source: str
+) -> Result[Answers, list[options.Problem]]:
+    """Checks answers given as texts by section."""
+    problems: list[options.Problem] = []
+    values: dict[str, dict] = {kind: {} for kind in NAMED}
+    for section, texts in sections.items():
+        kind, _, name = section.partition(" ")
+        if kind not in NAMED or not options.NAME_PATTERN.fullmatch(name):
+            if section not in SINGLE:
+                problems.append(_unknown(source, section))
+            continue
+        result = options.read_section(source, section, texts, NAMED[kind])
+        values[kind][name] = result.value_or({})
+        problems += result.swap().value_or([])
+    for section, declared in SINGLE.items():
+        texts = sections.get(section, {})
+        result = options.read_section(source, section, texts, declared)
+        values[section] = result.value_or({})
+        problems += result.swap().value_or([])
+    problems += [
+        options.Problem(source, f"{kind} NAME", "", "(missing)", "one or more")
+        for kind in REQUIRED
+        if not values[kind]
+    ]
+    if not problems:
+        problems = _references(source, values)
+    return Failure(problems) if problems else Success(_build(values))
+
+
+def _unknown(source: str, section: str) -> options.Problem:
+    named = ", ".join(f"{kind} NAME" for kind in NAMED)
+    allowed = ", ".join(SINGLE) + ", " + named
+    return options.Problem(source, section, "", "(unknown)", allowed)
+
+
+def _references(source: str, values) -> list[options.Problem]:
+    problems = []
+    for name, request in values["request"].items():
+        for field in ("target", "tier"):
+            if request[field] in values[field] or not values[field]:
+                continue
+            allowed = "one of " + ", ".join(values[field])
+            problems.append(
+                options.Problem(
+                    source, f"request {name}", field, request[field], allowed
+                )
+            )
+    return problems
+
+
+def _build(values) -> Answers:
+    return Answers(
+        values["deployment"]["name"],
+        values["deployment"]["weighs"],
+        values["platform"]["address"],
+        values["keys"]["peer"],
+        values["keys"]["ticket"],
+        [Target(n, **v) for n, v in values["target"].items()],
+        [Tier(n, **v) for n, v in values["tier"].items()],
+        [Request(n, **v) for n, v in values["request"].items()],
+        [Organisation(n, **v) for n, v in values["organisation"].items()],
+        [Operator(n, **v) for n, v in values["operator"].items()],
+        [Instance(n, **v) for n, v in values["instance"].items()],
+    )
--- /dev/null
+++ b/cranberryglade/tools/sending.py
@@ -0,0 +1,158 @@
+"""Sends one request the safe way.
+
+A request is sent under a ticket or a key, so that sending it again joins the
+first instead of running it twice. After "not run" it is sent again when the
+answer says so; after "may have run" only an idempotent request would be, and
+a caller cannot know that, so it never is. When the connection is lost, the
+state is asked for; nothing is sent again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import time
+
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import verdicts
+from cranberryglade import wire
+from cranberryglade.tools import client
+from cranberryglade.tools import reading
+
+REQUESTS_PATH = "/v1/requests"
+TICKETS_PATH = "/v1/tickets"
+ASK_ATTEMPTS = 10
+ASK_PERIOD_SECONDS = 0.3
+LOST = verdicts.Reason.ANSWER_LOST.value
+NOT_SENT = verdicts.Reason.CONNECTION_REFUSED.value
+
+Notes = Callable[[str], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """How a request ended.
+
+    Attributes:
+        document: the verdict.
+        first_token_seconds: from sending to the first token; None if none.
+        total_seconds: from first sending to the verdict.
+        sendings: how often it was sent.
+    """
+
+    document: wire.VerdictDocument
+    first_token_seconds: float | None
+    total_seconds: float
+    sendings: int
+
+
+class Sender:
+    """Sends requests by one client and follows their answers."""
+
+    __slots__ = ("_client", "_note")
+
+    def __init__(self, called: client.Client, note: Notes):
+        self._client = called
+        self._note = note
+
+    async def ticket(self) -> str | wire.VerdictDocument:
+        """Obtains a ticket, or the reason why there is none."""
+        result = await self._client.call(
+            "POST", TICKETS_PATH, wire.TicketsRequest()
+        )
+        match result:
+            case Success(reply) if reply.status == 200:
+                document = wire.decode(reply.body, wire.TicketsDocument)
+                return document.unwrap().tickets[0]
+            case Success(reply):
+                return _read_verdict(reply)
+            case Failure(unanswered):
+                return _verdict("not_run", NOT_SENT, str(unanswered))
+
+    async def send(
+        self,
+        request: wire.RequestDocument,
+        key: str,
+        patience_seconds: float,
+        tokens: reading.Tokens | None = None,
+    ) -> Outcome:
+        """Sends a request until it has run, may have run or time is up.
+
+        Args:
+            request: what is asked.
+            key: the caller's idempotency key; "" with a ticket.
+            patience_seconds: how long to go on after refusals.
+            tokens: is given the text of each token of a streamed answer.
+        """
+        began = time.monotonic()
+        sendings = 0
+        while True:
+            sendings += 1
+            document, first = await self._send_once(request, key, tokens)
+            if document.verdict != "not_run":
+                break
+            wait = document.retry_after_ms
+            left = patience_seconds - (time.monotonic() - began)
+            if wait is None or wait / 1000 > left:
+                break
+            self._note(
+                f"not run: {document.reason}; again in {wait / 1000:.1f} s"
+            )
+            await asyncio.sleep(wait / 1000)
+            if request.ticket is not None:
+                await self._renew(request)
+        total = time.monotonic() - began
+        return Outcome(document, first, total, sendings)
+
+    async def _renew(self, request: wire.RequestDocument) -> None:
+        """Replaces the ticket of a request that has not run and will not."""
+        obtained = await self.ticket()
+        if isinstance(obtained, str):
+            request.ticket = obtained
+
+    async def _send_once(self, request, key, tokens):
+        headers = {wire.KEY_HEADER: key} if key else {}
+        reader = reading.AnswerReader(request, tokens)
+        try:
+            async for part in self._client.follow(
+                "POST", REQUESTS_PATH, request, headers
+            ):
+                reader.take(part)
+        except client.LostError as error:
+            if not error.unanswered.sent:
+                detail = str(error.unanswered)
+                return _verdict("not_run", NOT_SENT, detail), None
+        document = reader.verdict() or await self._ask(reader.request_id)
+        return document, reader.first_token_seconds
+
+    async def _ask(self, request_id: str) -> wire.VerdictDocument:
+        lost = _verdict("may_have_run", LOST, "the connection was lost")
+        lost.request_id = request_id
+        if not request_id:
+            return lost
+        self._note("the answer was lost; asking what became of the request")
+        path = f"{REQUESTS_PATH}/{request_id}"
+        for _ in range(ASK_ATTEMPTS):
+            result = await self._client.call(
+                "GET", path, timeout_seconds=ASK_PERIOD_SECONDS * ASK_ATTEMPTS
+            )
+            match result:
+                case Success(reply) if reply.status != 202:
+                    found = _read_verdict(reply)
+                    unknown = verdicts.Reason.UNKNOWN_REQUEST.value
+                    return lost if found.reason == unknown else found
+            await asyncio.sleep(ASK_PERIOD_SECONDS)
+        return lost
+
+
+def _read_verdict(reply: client.Reply) -> wire.VerdictDocument:
+    match wire.decode(reply.body, wire.VerdictDocument):
+        case Success(document):
+            return document
+        case _:
+            return _verdict("may_have_run", LOST, f"status {reply.status}")
+
+
+def _verdict(verdict: str, reason: str, detail: str) -> wire.VerdictDocument:
+    return wire.VerdictDocument(verdict=verdict, reason=reason, detail=detail)
--- a/cranberryglade/tools/standins.py
+++ b/cranberryglade/tools/standins.py
@@ -1,12 +1,19 @@
 """Commands that start stand-ins."""
 
+import pathlib
+
 import click
+from returns.result import Failure
+from returns.result import Success
 
+from cranberryglade import wire
 from cranberryglade.standins import engine
 from cranberryglade.standins import model
 from cranberryglade.standins import platform
+from cranberryglade.standins import recording
 from cranberryglade.standins import service
 from cranberryglade.standins import serving
+from cranberryglade.tools import output
 
 address_option = click.option(
     "--address",
@@ -16,6 +23,16 @@
 )
 
 
+runs_option = click.option(
+    "--runs-file",
+    default="",
+    help="Gets each request that was let in, as a line of JSON.",
+)
+spans_option = click.option(
+    "--spans-file", default="", help="Gets the spans, as lines of JSON."
+)
+
+
 @click.group()
 def standin() -> None:
     """Starts a stand-in for a system around the scheduler."""
@@ -23,9 +40,17 @@
 
 @standin.command("platform")
 @address_option
-def start_platform(address: str) -> None:
+@click.option(
+    "--instances",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help="JSON file with the list to begin with, as in samples/.",
+)
+def start_platform(address: str, instances: pathlib.Path | None) -> None:
     """Table service, object store and instance list."""
-    serving.serve("platform", address, platform.PlatformStandin().application())
+    listed = _read_instances(instances) if instances else []
+    serving.serve(
+        "platform", address, platform.PlatformStandin(listed).application()
+    )
 
 
 @standin.command("engine")
@@ -34,14 +59,39 @@
 @click.option(
     "--step-ms", default=10.0, show_default=True, help="Time of one step."
 )
-def start_engine(address: str, batch: int, step_ms: float) -> None:
+@runs_option
+@spans_option
+def start_engine(
+    address: str,
+    batch: int,
+    step_ms: float,
+    runs_file: str,
+    spans_file: str,
+) -> None:
     """A model engine that batches continuously."""
     speed = model.Speed(batch=batch, step_seconds=step_ms / 1000)
-    serving.serve("engine", address, engine.EngineStandin(speed).application())
+    recorder = recording.Recorder("engine", runs_file, spans_file)
+    serving.serve(
+        "engine", address, engine.EngineStandin(speed, recorder).application()
+    )
 
 
 @standin.command("service")
 @address_option
-def start_service(address: str) -> None:
+@runs_option
+@spans_option
+def start_service(address: str, runs_file: str, spans_file: str) -> None:
     """A plain service that counts its effects."""
-    serving.serve("service", address, service.ServiceStandin().application())
+    recorder = recording.Recorder("service", runs_file, spans_file)
+    serving.serve(
+        "service", address, service.ServiceStandin(recorder).application()
+    )
+
+
+def _read_instances(path: pathlib.Path) -> list[wire.InstanceDocument]:
+    data = output.read_file(path).encode()
+    match wire.decode(data, wire.InstanceList):
+        case Success(listed):
+            return listed.instances
+        case Failure(detail):
+            raise output.CommandError(f"{path}: {detail}", output.EXIT_INVALID)
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -20,6 +20,7 @@
 ATTEMPT_HEADER = "X-Attempt"
 KEY_HEADER = "Idempotency-Key"
 EVENT_STREAM = "text/event-stream"
+NO_ANSWER = msgspec.Raw()
 
 
 class Document(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -69,7 +70,7 @@
     reason: str = ""
     retry_after_ms: int | None = None
     detail: str = ""
-    answer: msgspec.Raw | None = None
+    answer: msgspec.Raw = NO_ANSWER
 
 
 class AnswerDocument(Document):
