Answer every malformed request with a truthful verdict

Cause: what aiohttp refuses by itself (oversized body, unknown path, wrong method, headers that are too large) was answered in plain text without a verdict, and a token or peer signature that is no ASCII text ended in an internal error, because encoding a surrogate raises. Ruled out: malformed JSON, bad UTF-8, deep nesting, NaN and huge numbers, which were refused correctly before.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -14,6 +14,7 @@
 from cranberryglade import explanations
 from cranberryglade import facts
 from cranberryglade import forwarding
+from cranberryglade import guards
 from cranberryglade import lifecycle
 from cranberryglade import listeners
 from cranberryglade import log
@@ -53,10 +54,12 @@
         """Serves until a graceful stop is complete."""
         self._on_signals()
         caller_app = web.Application(
-            client_max_size=self._settings.request_bytes
+            client_max_size=self._settings.request_bytes,
+            middlewares=[guards.guard],
         )
         peer_app = web.Application(
-            client_max_size=2 * self._settings.request_bytes
+            client_max_size=2 * self._settings.request_bytes,
+            middlewares=[guards.guard],
         )
         peer_address = listeners.Listener.open(self._settings.peer_address)
         own = messages.Peer(
--- a/cranberryglade/access.py
+++ b/cranberryglade/access.py
@@ -1,6 +1,7 @@
 """Who may do what: organisations' and operators' tokens."""
 
 import hashlib
+import hmac
 
 from aiohttp import web
 
@@ -32,8 +33,11 @@
     header = http_request.headers.get("Authorization", "")
     if not header.startswith(SCHEME):
         return None
-    digest = token_digest(header.removeprefix(SCHEME))
+    token = header.removeprefix(SCHEME)
+    if not token.isascii():
+        return None
+    digest = token_digest(token)
     for holder in holders:
-        if holder.token_sha256 == digest:
+        if hmac.compare_digest(holder.token_sha256, digest):
             return holder
     return None
--- a/cranberryglade/listeners.py
+++ b/cranberryglade/listeners.py
@@ -4,6 +4,8 @@
 
 from aiohttp import web
 
+from cranberryglade import guards
+
 BACKLOG = 1024
 
 
@@ -36,5 +38,5 @@
         """Starts serving an application."""
         runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await runner.setup()
-        await web.SockSite(runner, self._socket).start()
+        await guards.Site(runner, self._socket).start()
         return runner
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -40,7 +40,8 @@
     def check(self, signature: str, path: str, body: bytes) -> bool:
         """Tells whether an instance that has the key sent the message."""
         expected = self.sign(path, body).encode()
-        return hmac.compare_digest(expected, signature.encode())
+        given = signature.encode(errors="replace")
+        return hmac.compare_digest(expected, given)
 
 
 class PeerClient:
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -15,6 +15,8 @@
     verdicts.Reason.FORBIDDEN: 403,
     verdicts.Reason.UNKNOWN_KIND: 404,
     verdicts.Reason.UNKNOWN_REQUEST: 404,
+    verdicts.Reason.UNKNOWN_PATH: 404,
+    verdicts.Reason.WRONG_METHOD: 405,
     verdicts.Reason.TOO_LARGE: 413,
     verdicts.Reason.SHED: 429,
     verdicts.Reason.DEADLINE: 429,
--- a/cranberryglade/tests/support.py
+++ b/cranberryglade/tests/support.py
@@ -13,6 +13,7 @@
 START_SECONDS = 20.0
 BIN = pathlib.Path(sys.executable).parent
 ORGANISATION_TOKEN = "store-token"
+OTHER_TOKEN = "other-token"
 OPERATOR_TOKEN = "operator-token"
 
 CONFIGURATION = f"""
@@ -25,6 +26,8 @@
 first_token_ms = 5000
 [organisation store-1]
 token_sha256 = {hashlib.sha256(ORGANISATION_TOKEN.encode()).hexdigest()}
+[organisation store-2]
+token_sha256 = {hashlib.sha256(OTHER_TOKEN.encode()).hexdigest()}
 [operator ops]
 token_sha256 = {hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()}
 [rule counter-question]
--- a/cranberryglade/verdicts.py
+++ b/cranberryglade/verdicts.py
@@ -11,6 +11,8 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     UNKNOWN_KIND = "unknown_kind"
+    UNKNOWN_PATH = "unknown_path"
+    WRONG_METHOD = "wrong_method"
     UNKNOWN_REQUEST = "unknown_request"
     TOO_LARGE = "too_large"
     SHED = "shed"
@@ -26,6 +28,7 @@
     ANSWER_NOT_WHOLE = "answer_not_whole"
     HOME_UNREACHABLE = "home_unreachable"
     RETENTION_PASSED = "retention_passed"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
