Show one trace over every hop, and log in JSON throughout

Spans of all processes are now read back by a test that finds one trace id and the parent chain caller, entry, home, delegate, endpoint; the same test finds no token, key or payload in logs, spans or explanations. Gauges report what waits and what was dropped.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -14,6 +14,7 @@
 from cranberryglade import explanations
 from cranberryglade import facts
 from cranberryglade import forwarding
+from cranberryglade import gauges
 from cranberryglade import guards
 from cranberryglade import lifecycle
 from cranberryglade import listeners
@@ -160,6 +161,11 @@
         delegations.PeerInterface(
             self._executor, members, subscription, office, key, self._tracing
         ).register(peer_app)
+        self._spawn(
+            gauges.Gauges(
+                self._metrics, self._executor, subscription, fact_log
+            ).run()
+        )
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
         self._spawn(members.run_probes(self._settings.probe_seconds))
--- /dev/null
+++ b/cranberryglade/gauges.py
@@ -0,0 +1,47 @@
+"""Reports the state of an instance as gauges, at a steady period."""
+
+import asyncio
+
+from cranberryglade import executors
+from cranberryglade import facts
+from cranberryglade import metrics
+from cranberryglade import subscriptions
+
+PERIOD_SECONDS = 5.0
+
+
+class Gauges:
+    """Reads what the other stages know and sends it to statsd."""
+
+    __slots__ = ("_executor", "_facts", "_metrics", "_subscription")
+
+    def __init__(
+        self,
+        sink: metrics.Metrics,
+        executor: executors.Executor,
+        subscription: subscriptions.Subscription,
+        fact_log: facts.FactLog,
+    ):
+        self._metrics = sink
+        self._executor = executor
+        self._subscription = subscription
+        self._facts = fact_log
+
+    async def run(self) -> None:
+        """Reports for ever."""
+        while True:
+            self.report()
+            await asyncio.sleep(PERIOD_SECONDS)
+
+    def report(self) -> None:
+        """Reports once."""
+        core = self._executor.scheduler
+        self._metrics.gauge("version", self._subscription.version)
+        self._metrics.gauge("unfinished", core.unfinished)
+        self._metrics.gauge("dropped.answers", self._executor.exchanges.dropped)
+        self._metrics.gauge("dropped.facts", self._facts.dropped)
+        for digest in core.digests():
+            self._metrics.gauge(f"waiting.{digest.target}", digest.waiting)
+            self._metrics.gauge(
+                f"free_slots.{digest.target}", digest.free_slots
+            )
--- a/cranberryglade/log.py
+++ b/cranberryglade/log.py
@@ -1,4 +1,4 @@
-"""JSON-line logs by structlog."""
+"""JSON-line logs by structlog, those of libraries included."""
 
 import logging
 import sys
@@ -13,22 +13,32 @@
         level: least level that is written, such as "info".
         instance: name that each line carries.
     """
-    logging.basicConfig(stream=sys.stderr, level=logging.WARNING)
     structlog.contextvars.bind_contextvars(instance=instance)
+    shared = [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso"),
+        structlog.processors.format_exc_info,
+    ]
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=[*shared, structlog.processors.JSONRenderer()],
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
         logger_factory=structlog.PrintLoggerFactory(sys.stdout),
         cache_logger_on_first_use=True,
     )
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=shared,
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                structlog.processors.JSONRenderer(),
+            ],
+        )
+    )
+    logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
 
 
 def get_logger(name: str):
--- a/cranberryglade/tests/support.py
+++ b/cranberryglade/tests/support.py
@@ -78,6 +78,13 @@
     def wait(self, seconds=20.0):
         return self._process.wait(seconds)
 
+    def rest(self):
+        """Stops the program and returns the lines that it still wrote."""
+        self.send(signal.SIGTERM)
+        lines = self._process.stdout.read().splitlines()
+        self.wait()
+        return lines
+
     def kill(self):
         if self._process.poll() is None:
             self._process.send_signal(signal.SIGCONT)
@@ -127,7 +134,7 @@
         url = f"http://{self.platform.address}/standin/instances"
         call("PUT", url, {"instances": self._listed})
 
-    def daemon(self, name, domain="wien-a", caller_port=0):
+    def daemon(self, name, domain="wien-a", caller_port=0, spans=""):
         path = self._directory / f"{name}.ini"
         path.write_text(
             f"""[daemon]
@@ -142,6 +149,8 @@
 [keys]
 peer = {"ab" * 16}
 ticket = {"cd" * 16}
+[observation]
+spans_file = {spans}
 """,
             encoding="utf-8",
         )
--- /dev/null
+++ b/cranberryglade/tests/test_observation.py
@@ -0,0 +1,136 @@
+"""What can be seen of a request: spans, logs, metrics and facts."""
+
+import json
+import logging
+import socket
+
+from cranberryglade import facts
+from cranberryglade import log
+from cranberryglade import metrics
+from cranberryglade.scheduling import messages
+from cranberryglade.tests import support
+from cranberryglade.tools import describing
+
+TRACE = "0af7651916cd43dd8448eb211c80319c"
+CALLER_SPAN = "b7ad6b7169203331"
+SECRET_TEXT = "the-dog-was-called-Bonnie"
+PATH = [
+    *("receive", "forward", "home", "delegate", "delegated", "dispatch"),
+    "call",
+]
+
+
+def spans_of(path):
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return [json.loads(line) for line in lines]
+
+
+def test_one_trace_spans_every_hop_and_tells_no_secret(tmp_path):
+    with support.deployment(tmp_path) as deployment:
+        files = {
+            name: tmp_path / f"{name}.spans"
+            for name in ("lists", "entry-1", "entry-2", "entry-3")
+        }
+        service = deployment.endpoint(
+            *("service", "lists-1", "lists", "wien-b"),
+            spans_file=files["lists"],
+        )
+        home, entry, owner = (
+            deployment.daemon(f"entry-{n}", domain, spans=files[f"entry-{n}"])
+            for n, domain in ((1, "wien-a"), (2, "wien-c"), (3, "wien-b"))
+        )
+        daemons = (home, entry, owner)
+        for daemon in daemons:
+            support.eventually(
+                lambda d=daemon: len(support.status(d)["peers"]) == 2
+            )
+        support.eventually(lambda: support.status(owner)["targets"])
+        authorised = {"Authorization": f"Bearer {support.ORGANISATION_TOKEN}"}
+        _, issued = support.call(
+            "POST", f"http://{home.address}/v1/tickets", {}, authorised
+        )
+        ticket = issued["tickets"][0]
+        support.eventually(lambda: run_once(entry, ticket))
+        explained = support.call(
+            "GET",
+            f"http://{entry.address}/v1/requests/{ticket}/explanation",
+            headers=authorised,
+        )[1]
+        logged = "\n".join(line for daemon in daemons for line in daemon.rest())
+        service.rest()
+        spans = [span for path in files.values() for span in spans_of(path)]
+    traced = [
+        span for span in spans if span["context"]["trace_id"] == f"0x{TRACE}"
+    ]
+    by_id = {span["context"]["span_id"]: span for span in traced}
+    chain = [next(span for span in traced if span["name"] == "call")]
+    while parent := by_id.get(chain[-1]["parent_id"]):
+        chain.append(parent)
+    assert [span["name"] for span in reversed(chain)] == PATH
+    assert chain[-1]["parent_id"] == f"0x{CALLER_SPAN}"
+    assert [hop["instance"] for hop in explained["hops"]] == [
+        *("entry-2", "entry-1", "entry-3")
+    ]
+    assert all(hop["facts"] for hop in explained["hops"])
+    assert all(json.loads(line) for line in logged.splitlines())
+    written = logged + json.dumps(spans) + json.dumps(explained)
+    for secret in (
+        *(support.ORGANISATION_TOKEN, support.OPERATOR_TOKEN),
+        *("ab" * 16, "cd" * 16, SECRET_TEXT),
+    ):
+        assert secret not in written
+
+
+def run_once(entry, ticket):
+    """Sends the request, under a trace of the caller's, until it has run."""
+    _, answer = support.submit(
+        entry,
+        {
+            "kind": "reservation",
+            "payload": {"memo": SECRET_TEXT},
+            "ticket": ticket,
+        },
+        {"traceparent": f"00-{TRACE}-{CALLER_SPAN}-01"},
+    )
+    return answer["verdict"] == "ran"
+
+
+def test_lines_of_libraries_are_json_too(capsys):
+    kept = logging.root.handlers[:]
+    try:
+        log.configure("info", "entry-1")
+        logging.getLogger("aiohttp.server").warning("odd %s", "line")
+        line = json.loads(capsys.readouterr().out)
+    finally:
+        logging.root.handlers[:] = kept
+    assert (line["event"], line["level"]) == ("odd line", "warning")
+    assert line["instance"] == "entry-1"
+
+
+def test_metrics_go_to_statsd_under_one_prefix():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(5)
+        sink = metrics.Metrics(f"127.0.0.1:{receiver.getsockname()[1]}")
+        sink.count("verdict.ran")
+        sink.gauge("unfinished", 3)
+        sink.timing("answer", 0.25)
+        received = [receiver.recv(200) for _ in range(3)]
+    assert received == [
+        b"cranberryglade.verdict.ran:1|c",
+        b"cranberryglade.unfinished:3|g",
+        b"cranberryglade.answer:250.000000|ms",
+    ]
+
+
+def test_facts_are_kept_within_bounds_and_drops_are_counted():
+    kept = facts.FactLog(metrics.Metrics(""))
+    for number in range(facts.KEPT_REQUESTS + 5):
+        kept.add(messages.Fact(0.0, f"r{number}", "queued", "admitted"))
+    for _ in range(facts.KEPT_FACTS_OF_REQUEST):
+        kept.add(messages.Fact(0.0, "r9", "retried", "answer_lost"))
+    assert kept.about("r4") == []
+    assert len(kept.about("r5")) == 1
+    assert len(kept.about("r9")) == facts.KEPT_FACTS_OF_REQUEST
+    assert kept.dropped == 6
+    assert set(describing.MEANINGS) >= {"queued", "retried"}
--- a/cranberryglade/tools/standins.py
+++ b/cranberryglade/tools/standins.py
@@ -55,7 +55,9 @@
 
 @standin.command("engine")
 @address_option
-@click.option("--batch", default=8, show_default=True)
+@click.option(
+    "--batch", default=8, show_default=True, help="Requests run at once."
+)
 @click.option(
     "--step-ms", default=10.0, show_default=True, help="Time of one step."
 )
