Name every wrong setting, and never show a secret in a message

Cause: a wrong key was echoed to standard error; a spans file in a directory that does not exist ended the start with a traceback; "or nothing" for the statsd address was refused.

--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import pathlib
 import re
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 REQUIRED = object()
+HIDDEN = "(hidden)"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,12 +51,14 @@
         parse: turns the text into a value; raises ValueError.
         allowed: what is accepted, in words.
         default: the value when it is absent, or REQUIRED.
+        secret: whether problems must not show the value.
     """
 
     name: str
     parse: Callable[[str], Any]
     allowed: str
     default: Any = REQUIRED
+    secret: bool = False
 
 
 def read_section(
@@ -91,8 +95,9 @@
         try:
             parsed[option.name] = option.parse(text)
         except ValueError:
+            shown = HIDDEN if option.secret else text
             problems.append(
-                Problem(source, section, option.name, text, option.allowed)
+                Problem(source, section, option.name, shown, option.allowed)
             )
     return Failure(problems) if problems else Success(parsed)
 
@@ -129,6 +134,18 @@
     return str(value)
 
 
+def optional(parse: Callable[[str], Any]) -> Callable[[str], Any]:
+    """Returns a parser that reads nothing as nothing."""
+    return lambda text: parse(text) if text else ""
+
+
+def parse_path(text: str) -> str:
+    """Reads the path of a file in a directory that exists."""
+    if not pathlib.Path(text).parent.is_dir():
+        raise ValueError(text)
+    return text
+
+
 def parse_flag(text: str) -> bool:
     """Reads "yes" or "no"."""
     if text not in ("yes", "no"):
--- a/cranberryglade/settings.py
+++ b/cranberryglade/settings.py
@@ -67,20 +67,25 @@
         _seconds("timeout_seconds", PLATFORM_TIMEOUT_SECONDS),
     ),
     "keys": (
-        options.Option("peer", options.parse_secret, SECRET),
-        options.Option("ticket", options.parse_secret, SECRET),
+        options.Option("peer", options.parse_secret, SECRET, secret=True),
+        options.Option("ticket", options.parse_secret, SECRET, secret=True),
     ),
     "observation": (
         options.Option(
             "statsd_address",
-            options.parse_address,
+            options.optional(options.parse_address),
             ADDRESS + " or nothing",
             STATSD_ADDRESS,
         ),
         options.Option(
             "log_level", _level, "one of " + ", ".join(LEVELS), LOG_LEVEL
         ),
-        options.Option("spans_file", str, "a path", SPANS_FILE),
+        options.Option(
+            "spans_file",
+            options.optional(options.parse_path),
+            "a file in a directory that exists, or nothing",
+            SPANS_FILE,
+        ),
     ),
 }
 
--- a/cranberryglade/tools/questions.py
+++ b/cranberryglade/tools/questions.py
@@ -41,7 +41,7 @@
 _NAME = configuration.NAME
 _RULE = {option.name: option for option in configuration.RULE}
 _ORGANISATION = {o.name: o for o in configuration.ORGANISATION}
-_TOKEN = options.Option("token", _parse_token, TOKEN, "")
+_TOKEN = options.Option("token", _parse_token, TOKEN, "", secret=True)
 _ADDRESS = '"host:port"'
 _KEY = "at least 32 hexadecimal digits"
 
@@ -53,8 +53,8 @@
         ),
     ),
     "keys": (
-        options.Option("peer", _parse_key, _KEY, ""),
-        options.Option("ticket", _parse_key, _KEY, ""),
+        options.Option("peer", _parse_key, _KEY, "", secret=True),
+        options.Option("ticket", _parse_key, _KEY, "", secret=True),
     ),
 }
 NAMED = {
