--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test format environment
+.PHONY: demo docs test format environment
 
 environment: .venv/.ready
 
@@ -18,6 +18,9 @@
 	$(BIN)/ruff check cranberryglade
 	$(BIN)/python -m cranberryglade.tools.checks
 
+docs: environment
+	$(BIN)/python -m cranberryglade.tools.reference
+
 format: environment
 	$(BIN)/ruff format cranberryglade
 	$(BIN)/ruff check --fix cranberryglade
--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -22,12 +22,15 @@
 TARGET_KINDS = ("model", "service")
 
 DEPLOYMENT = (
-    options.Option("name", options.parse_name, NAME),
+    options.Option(
+        "name", options.parse_name, NAME, about="name of the deployment"
+    ),
     options.Option(
         "weighs",
         options.choice(PRIORITIES),
         "one of " + ", ".join(PRIORITIES),
         PRIORITIES[0],
+        about="what weighs more: answers in time, or little wasted prefill",
     ),
 )
 TARGET = (
@@ -36,47 +39,87 @@
         options.choice(TARGET_KINDS),
         "one of " + ", ".join(TARGET_KINDS),
         TARGET_KINDS[0],
+        about="a model behind engines, or a plain service",
+    ),
+    options.Option(
+        "fenced",
+        options.parse_flag,
+        "yes or no",
+        False,
+        about="whether its endpoints refuse orders with an old fencing number",
     ),
-    options.Option("fenced", options.parse_flag, "yes or no", False),
 )
 TIER = (
     options.Option(
         "rank",
         options.number(0, 15),
         "a whole number from 0 (highest) to 15",
+        about="order in which load is shed: the highest number first",
     ),
     options.Option(
         "first_token_ms",
         options.number(1, MAXIMUM_MILLISECONDS),
         MILLISECONDS,
         510,
+        about="time within which the first token is due",
     ),
 )
 ORGANISATION = (
-    options.Option("token_sha256", options.parse_digest, DIGEST),
+    options.Option(
+        "token_sha256",
+        options.parse_digest,
+        DIGEST,
+        about="digest of the token with which it is recognised",
+    ),
     options.Option(
         "weight",
         options.number(0.01, 1000.0, float),
         "a number from 0.01 to 1000",
         1.0,
+        about="its share of capacity, relative to the others",
+    ),
+)
+OPERATOR = (
+    options.Option(
+        "token_sha256",
+        options.parse_digest,
+        DIGEST,
+        about="digest of the token with which it is recognised",
     ),
 )
-OPERATOR = (options.Option("token_sha256", options.parse_digest, DIGEST),)
 RULE = (
-    options.Option("target", options.parse_name, NAME),
-    options.Option("tier", options.parse_name, "the name of a tier section"),
-    options.Option("idempotent", options.parse_flag, "yes or no", False),
+    options.Option(
+        "target",
+        options.parse_name,
+        NAME,
+        about="model or service that serves such requests",
+    ),
+    options.Option(
+        "tier",
+        options.parse_name,
+        "the name of a tier section",
+        about="their tier",
+    ),
+    options.Option(
+        "idempotent",
+        options.parse_flag,
+        "yes or no",
+        False,
+        about="whether such a request may be dispatched more than once",
+    ),
     options.Option(
         "deadline_ms",
         options.number(1, MAXIMUM_MILLISECONDS),
         MILLISECONDS,
         30_000,
+        about="time for the whole answer when the caller gives none",
     ),
     options.Option(
         "max_tokens",
         options.number(0, 1_000_000),
         "a whole number from 0 (a plain service) to 1000000",
         1024,
+        about="longest answer; 0 for a plain service",
     ),
 )
 KINDS = {
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -18,7 +18,17 @@
 
 
 class EndpointStatus(wire.Document):
-    """One endpoint as this instance sees it."""
+    """One endpoint as this instance sees it.
+
+    Attributes:
+        name: the platform's name of it.
+        target: model or service that it offers.
+        failure_domain: where it runs.
+        outstanding: requests that this instance has sent it.
+        slots: requests it is built to run at once.
+        owned: whether this instance feeds it.
+        leaving: whether it gets no new work.
+    """
 
     name: str
     target: str
@@ -52,7 +62,11 @@
 
 
 class DrainRequest(wire.Document):
-    """Orders that an endpoint get no new work."""
+    """Orders that an endpoint get no new work.
+
+    Attributes:
+        endpoint: the platform's name of it.
+    """
 
     endpoint: str
 
@@ -70,7 +84,11 @@
 
 
 class ProblemsDocument(wire.Document):
-    """Why a configuration was not accepted."""
+    """Why a configuration was not accepted.
+
+    Attributes:
+        problems: one text for each.
+    """
 
     problems: list[str]
 
--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -51,6 +51,7 @@
         parse: turns the text into a value; raises ValueError.
         allowed: what is accepted, in words.
         default: the value when it is absent, or REQUIRED.
+        about: what it is for, for the reference pages.
         secret: whether problems must not show the value.
     """
 
@@ -58,6 +59,7 @@
     parse: Callable[[str], Any]
     allowed: str
     default: Any = REQUIRED
+    about: str = ""
     secret: bool = False
 
 
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -17,7 +17,12 @@
 
 
 class EndMarker(msgspec.Struct):
-    """Data of the last event."""
+    """Data of the last event.
+
+    Attributes:
+        request_id: the request that was answered.
+        count: number of token events before it.
+    """
 
     request_id: str
     count: int
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -343,7 +343,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Measure:
-    """One number that a decision compared, with its unit in the name."""
+    """One number that a decision compared, with its unit in the name.
+
+    Attributes:
+        name: what was measured.
+        value: the number.
+    """
 
     name: str
     value: float
--- a/cranberryglade/settings.py
+++ b/cranberryglade/settings.py
@@ -33,42 +33,90 @@
     return text
 
 
-def _seconds(name: str, default: float) -> options.Option:
+def _seconds(name: str, default: float, about: str) -> options.Option:
     return options.Option(
         name,
         options.number(0.01, 60.0, float),
         "a number of seconds from 0.01 to 60",
         default,
+        about,
     )
 
 
 SECTIONS = {
     "daemon": (
-        options.Option("instance", options.parse_name, NAME),
-        options.Option("failure_domain", options.parse_name, NAME),
         options.Option(
-            "caller_address", options.parse_address, ADDRESS, CALLER_ADDRESS
+            "instance",
+            options.parse_name,
+            NAME,
+            about="name of this instance, unique in the deployment",
         ),
         options.Option(
-            "peer_address", options.parse_address, ADDRESS, PEER_ADDRESS
+            "failure_domain", options.parse_name, NAME, about="where it runs"
+        ),
+        options.Option(
+            "caller_address",
+            options.parse_address,
+            ADDRESS,
+            CALLER_ADDRESS,
+            about="where callers and operators reach it; port 0 is a free one",
+        ),
+        options.Option(
+            "peer_address",
+            options.parse_address,
+            ADDRESS,
+            PEER_ADDRESS,
+            about="where the other instances reach it",
         ),
         options.Option(
             "request_bytes",
             options.number(1024, 67_108_864),
             "a whole number of bytes from 1024 to 67108864",
             REQUEST_BYTES,
+            about="longest body of a request; longer ones are `too_large`",
+        ),
+        _seconds(
+            "probe_seconds", PROBE_SECONDS, "pause between probes of peers"
+        ),
+        _seconds(
+            "probe_timeout_seconds",
+            PROBE_TIMEOUT_SECONDS,
+            "how long a peer may take to answer a probe",
         ),
-        _seconds("probe_seconds", PROBE_SECONDS),
-        _seconds("probe_timeout_seconds", PROBE_TIMEOUT_SECONDS),
     ),
     "platform": (
-        options.Option("address", options.parse_address, ADDRESS),
-        _seconds("poll_seconds", POLL_SECONDS),
-        _seconds("timeout_seconds", PLATFORM_TIMEOUT_SECONDS),
+        options.Option(
+            "address",
+            options.parse_address,
+            ADDRESS,
+            about="the services of the platform",
+        ),
+        _seconds(
+            "poll_seconds",
+            POLL_SECONDS,
+            "pause between readings of configuration and list",
+        ),
+        _seconds(
+            "timeout_seconds",
+            PLATFORM_TIMEOUT_SECONDS,
+            "how long the platform may take to answer",
+        ),
     ),
     "keys": (
-        options.Option("peer", options.parse_secret, SECRET, secret=True),
-        options.Option("ticket", options.parse_secret, SECRET, secret=True),
+        options.Option(
+            "peer",
+            options.parse_secret,
+            SECRET,
+            secret=True,
+            about="with it the instances sign what they tell each other",
+        ),
+        options.Option(
+            "ticket",
+            options.parse_secret,
+            SECRET,
+            secret=True,
+            about="with it they sign request ids",
+        ),
     ),
     "observation": (
         options.Option(
@@ -76,15 +124,21 @@
             options.optional(options.parse_address),
             ADDRESS + " or nothing",
             STATSD_ADDRESS,
+            about="where metrics go",
         ),
         options.Option(
-            "log_level", _level, "one of " + ", ".join(LEVELS), LOG_LEVEL
+            "log_level",
+            _level,
+            "one of " + ", ".join(LEVELS),
+            LOG_LEVEL,
+            about="least level logged",
         ),
         options.Option(
             "spans_file",
             options.optional(options.parse_path),
             "a file in a directory that exists, or nothing",
             SPANS_FILE,
+            about="gets the spans, a line of JSON each",
         ),
     ),
 }
--- /dev/null
+++ b/cranberryglade/tests/test_docs.py
@@ -0,0 +1,66 @@
+"""The reference pages say what the code declares."""
+
+import importlib
+import pathlib
+import pkgutil
+import re
+
+import pytest
+
+import cranberryglade
+from cranberryglade import wire
+from cranberryglade.tools import reference
+
+ROOT = pathlib.Path(__file__).parents[2]
+PAGES = sorted((ROOT / "docs").glob("*.md"))
+LINK = re.compile(r"\]\(([\w./-]+)(?:#[\w-]+)?\)")
+BEHIND_THE_SYSTEM = ("cranberryglade.standins", "cranberryglade.tools")
+
+
+def documents():
+    """All messages that travel between processes."""
+    for module in pkgutil.walk_packages(
+        cranberryglade.__path__, "cranberryglade."
+    ):
+        if "tests" not in module.name:
+            importlib.import_module(module.name)
+    found = [wire.Document]
+    for kind in found:
+        found += kind.__subclasses__()
+    return {
+        f"{kind.__module__.removeprefix('cranberryglade.')}.{kind.__name__}"
+        for kind in found[1:]
+        if not kind.__module__.startswith(BEHIND_THE_SYSTEM)
+    }
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_generated_tables_are_up_to_date(page):
+    text = page.read_text(encoding="utf-8")
+    assert reference.rewrite(text) == text, "run make docs"
+
+
+def test_every_message_and_field_is_described():
+    text = (ROOT / "docs" / "interfaces.md").read_text(encoding="utf-8")
+    described = reference.messages_in(text)
+    assert documents() - described == set()
+    missing = {}
+    for name in described:
+        found = reference.load(name)
+        fields = {row.name for row in reference.rows(found)}
+        missing[name] = fields - reference.attributes(found).keys()
+    assert {n: f for n, f in missing.items() if f} == {}
+
+
+def test_every_option_says_what_it_is_for():
+    for sections in reference.OPTIONS.values():
+        for section, declared in sections.items():
+            for option in declared:
+                assert option.about, (section, option.name)
+
+
+def test_links_lead_to_pages():
+    for page in [ROOT / "README.md", *PAGES]:
+        text = page.read_text(encoding="utf-8")
+        for target in LINK.findall(text):
+            assert (page.parent / target).exists(), (page.name, target)
--- a/cranberryglade/tools/questions.py
+++ b/cranberryglade/tools/questions.py
@@ -41,7 +41,14 @@
 _NAME = configuration.NAME
 _RULE = {option.name: option for option in configuration.RULE}
 _ORGANISATION = {o.name: o for o in configuration.ORGANISATION}
-_TOKEN = options.Option("token", _parse_token, TOKEN, "", secret=True)
+_TOKEN = options.Option(
+    "token",
+    _parse_token,
+    TOKEN,
+    "",
+    secret=True,
+    about="its token; made up and printed once when absent",
+)
 _ADDRESS = '"host:port"'
 _KEY = "at least 32 hexadecimal digits"
 
@@ -49,12 +56,30 @@
     "deployment": configuration.DEPLOYMENT,
     "platform": (
         options.Option(
-            "address", options.parse_address, _ADDRESS, "127.0.0.1:8090"
+            "address",
+            options.parse_address,
+            _ADDRESS,
+            "127.0.0.1:8090",
+            about="address of the platform's services",
         ),
     ),
     "keys": (
-        options.Option("peer", _parse_key, _KEY, "", secret=True),
-        options.Option("ticket", _parse_key, _KEY, "", secret=True),
+        options.Option(
+            "peer",
+            _parse_key,
+            _KEY,
+            "",
+            secret=True,
+            about="key between instances; made up when absent",
+        ),
+        options.Option(
+            "ticket",
+            _parse_key,
+            _KEY,
+            "",
+            secret=True,
+            about="key of request ids; made up when absent",
+        ),
     ),
 }
 NAMED = {
@@ -63,26 +88,49 @@
     "request": (
         _RULE["target"],
         _RULE["tier"],
-        options.Option("repeatable", options.parse_flag, "yes or no", False),
+        options.Option(
+            "repeatable",
+            options.parse_flag,
+            "yes or no",
+            False,
+            about="whether such a request may run more than once",
+        ),
         options.Option(
             "answer",
             options.choice(ANSWER_LENGTHS),
             "one of " + ", ".join(ANSWER_LENGTHS),
             "short",
+            about="none for a plain service, up to 128 tokens, or up to 2048",
         ),
         options.Option(
             "deadline_ms",
             options.number(0, configuration.MAXIMUM_MILLISECONDS),
             "milliseconds up to 3600000; 0 for what suits the length",
             0,
+            about="time for the whole answer",
         ),
     ),
     "organisation": (_ORGANISATION["weight"], _TOKEN),
     "operator": (_TOKEN,),
     "instance": (
-        options.Option("failure_domain", options.parse_name, _NAME),
-        options.Option("caller_address", options.parse_address, _ADDRESS),
-        options.Option("peer_address", options.parse_address, _ADDRESS),
+        options.Option(
+            "failure_domain",
+            options.parse_name,
+            _NAME,
+            about="where the instance runs",
+        ),
+        options.Option(
+            "caller_address",
+            options.parse_address,
+            _ADDRESS,
+            about="where callers reach it",
+        ),
+        options.Option(
+            "peer_address",
+            options.parse_address,
+            _ADDRESS,
+            about="where the other instances reach it",
+        ),
     ),
 }
 REQUIRED = ("tier", "request", "organisation", "operator")
--- /dev/null
+++ b/cranberryglade/tools/reference.py
@@ -0,0 +1,174 @@
+"""Writes the tables of the reference pages from what the code declares.
+
+A page holds blocks between `<!-- begin KIND NAME -->` and `<!-- end -->`; the
+text between is generated, the rest is written by hand.
+"""
+
+import dataclasses
+import importlib
+import inspect
+import pathlib
+import re
+
+import msgspec
+
+from cranberryglade import configuration
+from cranberryglade import options
+from cranberryglade import responses
+from cranberryglade import settings
+from cranberryglade import verdicts
+from cranberryglade.tools import questions
+
+DOCS = pathlib.Path("docs")
+BLOCK = re.compile(
+    r"(<!-- begin (\w+) ([\w. ]+) -->\n).*?(<!-- end -->)", re.DOTALL
+)
+OPTIONS = {
+    "daemon": settings.SECTIONS,
+    "configuration": {
+        "deployment": configuration.DEPLOYMENT,
+        **configuration.KINDS,
+    },
+    "answers": {**questions.SINGLE, **questions.NAMED},
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """One field of a message, as texts."""
+
+    name: str
+    type: str
+    default: str
+
+
+def main() -> None:
+    """Rewrites the generated blocks of all pages."""
+    for page in sorted(DOCS.glob("*.md")):
+        text = page.read_text(encoding="utf-8")
+        page.write_text(rewrite(text), encoding="utf-8")
+
+
+def rewrite(text: str) -> str:
+    """Returns a page with its blocks generated anew."""
+    return BLOCK.sub(
+        lambda found: found[1] + _generate(found[2], found[3]) + found[4], text
+    )
+
+
+def messages_in(text: str) -> set[str]:
+    """The messages that a page describes, as "module.Name"."""
+    return {found[3] for found in BLOCK.finditer(text) if found[2] == "message"}
+
+
+def _generate(kind: str, name: str) -> str:
+    match kind:
+        case "options":
+            source, _, section = name.partition(" ")
+            return _options(OPTIONS[source][section])
+        case "message":
+            return _message(name)
+        case "reasons":
+            return _reasons()
+        case _:
+            raise ValueError(f"unknown block {kind}")
+
+
+def _options(declared: tuple[options.Option, ...]) -> str:
+    lines = ["| option | allowed | default | meaning |", "|---|---|---|---|"]
+    for option in declared:
+        default = "needed"
+        if option.default is not options.REQUIRED:
+            text = options.text_of(option.default or "")
+            default = f"`{text}`" if text else "nothing"
+            if option.default is False:
+                default = "`no`"
+        lines.append(
+            f"| `{option.name}` | {option.allowed} | {default} "
+            f"| {option.about} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _message(name: str) -> str:
+    found = load(name)
+    meanings = attributes(found)
+    lines = ["| field | type | default | meaning |", "|---|---|---|---|"]
+    for row in rows(found):
+        lines.append(
+            f"| `{row.name}` | {row.type} | {row.default} "
+            f"| {meanings.get(row.name, '')} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def load(name: str) -> type:
+    """Finds a message by "module.Name"."""
+    module, _, struct = name.rpartition(".")
+    return getattr(importlib.import_module(f"cranberryglade.{module}"), struct)
+
+
+def rows(found: type) -> list[Row]:
+    """The fields of a message, in their order."""
+    if dataclasses.is_dataclass(found):
+        return [
+            Row(item.name, _type(item.type), _default(item.default))
+            for item in dataclasses.fields(found)
+        ]
+    return [
+        Row(
+            field.name,
+            _type(field.type),
+            _default(field.default)
+            if field.default_factory is msgspec.NODEFAULT
+            else "`[]`",
+        )
+        for field in msgspec.structs.fields(found)
+    ]
+
+
+def attributes(found: type) -> dict[str, str]:
+    """The meanings of the fields, from the "Attributes:" of a doc comment."""
+    text = inspect.getdoc(found) or ""
+    _, _, listed = text.partition("Attributes:\n")
+    meanings: dict[str, str] = {}
+    name = ""
+    for line in listed.splitlines():
+        begins = re.match(r"^    (\w+): (.*)$", line)
+        if begins:
+            name = begins[1]
+            meanings[name] = begins[2]
+        elif name and line.startswith("        "):
+            meanings[name] += " " + line.strip()
+        elif line.strip():
+            break
+    return meanings
+
+
+def _type(kind) -> str:
+    text = kind if isinstance(kind, str) else inspect.formatannotation(kind)
+    text = re.sub(r"[\w.]+\.(\w+)", r"\1", text)
+    return text.replace("|", "or").replace("Raw", "JSON")
+
+
+def _default(default) -> str:
+    if default in (msgspec.NODEFAULT, dataclasses.MISSING):
+        return "needed"
+    if isinstance(default, msgspec.Raw):
+        return "absent"
+    return f"`{msgspec.json.encode(default).decode()}`"
+
+
+def _reasons() -> str:
+    meanings = attributes(verdicts.Reason)
+    lines = ["| reason | status when not run | meaning |", "|---|---|---|"]
+    for reason in verdicts.Reason:
+        status = responses.STATUSES.get(reason, responses.STATUS_NOT_RUN)
+        lines.append(
+            f"| `{reason.value}` | {status} | {meanings[reason.name]} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    main()
--- a/cranberryglade/verdicts.py
+++ b/cranberryglade/verdicts.py
@@ -5,7 +5,32 @@
 
 
 class Reason(enum.Enum):
-    """Why a request has the verdict it has; the value goes on the wire."""
+    """Why a request has the verdict it has; the value goes on the wire.
+
+    Attributes:
+        MALFORMED: the request cannot be read, or a field is out of range.
+        UNAUTHENTICATED: the token or signature is missing or wrong.
+        FORBIDDEN: the ticket belongs to another organisation's request.
+        UNKNOWN_KIND: no rule of the configuration has that name.
+        UNKNOWN_PATH: there is nothing at that path.
+        WRONG_METHOD: the path takes the methods named in "Allow" alone.
+        UNKNOWN_REQUEST: no request of the organisation is kept by that id.
+        TOO_LARGE: the body is longer than the instance takes.
+        SHED: load left no room for it before its deadline.
+        DEADLINE: it could not be answered by its deadline.
+        DEADLINE_PASSED: its deadline passed before it ran.
+        NO_ENDPOINT: no live endpoint offers its model or service.
+        STOPPING: the instance is stopping; another one takes it.
+        CANCELLED: the caller withdrew it before it ran.
+        PLATFORM_UNAVAILABLE: its key cannot be claimed at the platform now.
+        CONNECTION_REFUSED: no connection was made, so nothing was sent.
+        ENDPOINT_REFUSED: the endpoint said that it did not start it.
+        ANSWER_LOST: it was sent, and the answer did not arrive.
+        ANSWER_NOT_WHOLE: the answer had gaps or belonged to another request.
+        HOME_UNREACHABLE: the instance that knows its fate does not answer.
+        RETENTION_PASSED: it was known once, and its fate is no longer kept.
+        INTERNAL_ERROR: a fault of the instance itself, which it has logged.
+    """
 
     MALFORMED = "malformed"
     UNAUTHENTICATED = "unauthenticated"
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -74,20 +74,33 @@
 
 
 class AnswerDocument(Document):
-    """A whole answer of a model."""
+    """A whole answer of a model.
+
+    Attributes:
+        text: what it generated.
+        tokens: how many tokens that took.
+    """
 
     text: str
     tokens: int
 
 
 class TicketsRequest(Document):
-    """Asks for request ids in bulk."""
+    """Asks for request ids in bulk.
+
+    Attributes:
+        count: how many, 1 to 1000.
+    """
 
     count: int = 1
 
 
 class TicketsDocument(Document):
-    """Request ids whose home is the instance that answers."""
+    """Request ids whose home is the instance that answers.
+
+    Attributes:
+        tickets: the ids; each is for one request.
+    """
 
     tickets: list[str]
 
@@ -191,13 +204,22 @@
 
 
 class InstanceList(Document):
-    """The platform's lagging list."""
+    """The platform's lagging list.
+
+    Attributes:
+        instances: live and leaving instances of all roles.
+    """
 
     instances: list[InstanceDocument]
 
 
 class RowDocument(Document):
-    """One row of the table service; version 0 means that it is absent."""
+    """One row of the table service; version 0 means that it is absent.
+
+    Attributes:
+        value: what is stored; "" if absent.
+        version: number that each write raises by one.
+    """
 
     value: str
     version: int
@@ -220,7 +242,11 @@
 
 
 class TransactionDocument(Document):
-    """Writes that take effect all or none."""
+    """Writes that take effect all or none.
+
+    Attributes:
+        writes: the conditional writes.
+    """
 
     writes: list[WriteDocument]
 
