--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -11,8 +11,11 @@
 from cranberryglade import delegations
 from cranberryglade import endpoints
 from cranberryglade import executors
+from cranberryglade import explanations
 from cranberryglade import facts
 from cranberryglade import forwarding
+from cranberryglade import gauges
+from cranberryglade import guards
 from cranberryglade import lifecycle
 from cranberryglade import listeners
 from cranberryglade import log
@@ -24,8 +27,10 @@
 from cranberryglade import settings
 from cranberryglade import snapshots
 from cranberryglade import subscriptions
+from cranberryglade import tallies
 from cranberryglade import tickets
 from cranberryglade import tracing
+from cranberryglade import watching
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
 
@@ -54,11 +59,11 @@
         self._on_signals()
         caller_app = web.Application(
             client_max_size=self._settings.request_bytes,
-            middlewares=[self._lifecycle.count],
+            middlewares=[self._lifecycle.count, guards.guard],
         )
         peer_app = web.Application(
             client_max_size=2 * self._settings.request_bytes,
-            middlewares=[self._lifecycle.count],
+            middlewares=[self._lifecycle.count, guards.guard],
         )
         peer_address = listeners.Listener.open(self._settings.peer_address)
         own = messages.Peer(
@@ -115,8 +120,14 @@
         )
         self._home = own.home
         self._archive = snapshots.Archive(self._platform)
+        tally = tallies.Tally(self._metrics)
         forwarder = forwarding.Forwarder(
-            self._peer_client, members, office, self._archive, self._tracing
+            self._peer_client,
+            members,
+            office,
+            self._archive,
+            tally,
+            self._tracing,
         )
         self._executor = executors.Executor(
             core,
@@ -125,7 +136,7 @@
             claimants.Claimant(self._platform),
             forwarder,
             fact_log,
-            self._metrics,
+            tally,
             self._tracing,
         )
         members.stream.subscribe(self._executor.post)
@@ -143,12 +154,30 @@
             members,
             subscription,
             self._platform,
-            fact_log,
             self._lifecycle,
+            tally,
+        ).register(caller_app)
+        watching.WatchInterface(
+            self._executor, subscription, fact_log
         ).register(caller_app)
+        explanations.Explainer(
+            own,
+            self._executor,
+            members,
+            subscription,
+            office,
+            fact_log,
+            key,
+            self._peer_client,
+        ).register(caller_app, peer_app)
         delegations.PeerInterface(
             self._executor, members, subscription, office, key, self._tracing
         ).register(peer_app)
+        self._spawn(
+            gauges.Gauges(
+                self._metrics, self._executor, subscription, fact_log
+            ).run()
+        )
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
         self._spawn(members.run_probes(self._settings.probe_seconds))
--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -19,6 +19,7 @@
 from cranberryglade import tracing
 from cranberryglade import verdicts
 from cranberryglade import wire
+from cranberryglade.scheduling import messages
 
 MAXIMUM_TICKETS = 1000
 MAXIMUM_KEY_CHARACTERS = 128
@@ -57,9 +58,6 @@
         app.router.add_post("/v1/requests", self._post_request)
         app.router.add_get("/v1/requests/{id}", self._get_request)
         app.router.add_delete("/v1/requests/{id}", self._delete_request)
-        app.router.add_get(
-            "/v1/requests/{id}/explanation", self._get_explanation
-        )
         app.router.add_post("/v1/tickets", self._post_tickets)
 
     async def _post_request(self, http_request: web.Request):
@@ -95,10 +93,12 @@
         if problem:
             return responses.refusal(verdicts.Reason.MALFORMED, problem)
         request_id = document.ticket or self._office.issue(organisation)
-        if self._office.read(request_id, organisation) is None:
+        if self._office.parse(request_id) is None:
             return responses.refusal(
                 verdicts.Reason.MALFORMED, "ticket: not issued here"
             )
+        if self._office.read(request_id, organisation) is None:
+            return responses.refusal(verdicts.Reason.FORBIDDEN)
         span = self._tracing.start(
             "receive",
             self._tracing.extract(http_request.headers),
@@ -130,8 +130,21 @@
     ) -> exchanges.Exchange:
         if self._office.is_home(submission.request.request_id):
             return self._executor.submit(submission)
+        self._note_forwarding(submission.request.request_id)
         return self._forwarder.forward(submission)
 
+    def _note_forwarding(self, request_id: str) -> None:
+        home = self._office.parse(request_id)
+        self._facts.add(
+            messages.Fact(
+                self._executor.now,
+                request_id,
+                "forwarded",
+                "the ticket names its home",
+                home.instance,
+            )
+        )
+
     async def _get_request(self, http_request: web.Request):
         return await self._look_up(http_request, cancel=False)
 
@@ -160,30 +173,6 @@
         exchange = self._executor.look_up(request_id, organisation.name)
         return await responses.current(request_id, exchange)
 
-    async def _get_explanation(self, http_request: web.Request):
-        found = self._own_exchange(http_request)
-        if isinstance(found, web.Response):
-            return found
-        return web.Response(
-            body=wire.encode(self._facts.about(found.request_id)),
-            content_type=responses.JSON,
-        )
-
-    def _own_exchange(self, http_request: web.Request):
-        current = self._subscription.current
-        if current is None:
-            return _no_configuration()
-        organisation = access.organisation(http_request, current)
-        if organisation is None:
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        request_id = http_request.match_info["id"]
-        exchange = self._executor.exchanges.get(request_id)
-        if exchange is None or exchange.organisation != organisation.name:
-            return responses.refusal(
-                verdicts.Reason.UNKNOWN_REQUEST, request_id=request_id
-            )
-        return exchange
-
     async def _post_tickets(self, http_request: web.Request):
         current = self._subscription.current
         if current is None:
--- a/cranberryglade/executors.py
+++ b/cranberryglade/executors.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 
 from cranberryglade import claimants
 from cranberryglade import endpoints
@@ -11,10 +10,10 @@
 from cranberryglade import facts
 from cranberryglade import forwarding
 from cranberryglade import log
-from cranberryglade import metrics
 from cranberryglade import peers
 from cranberryglade import streams
 from cranberryglade import submissions
+from cranberryglade import tallies
 from cranberryglade import tracing
 from cranberryglade import verdicts
 from cranberryglade import wire
@@ -39,13 +38,12 @@
         "_facts",
         "_forwarder",
         "_loop",
-        "_metrics",
         "_peers",
         "_scheduler",
         "_submissions",
+        "_tally",
         "_tasks",
         "_tracing",
-        "_uncertain",
         "_wake",
         "_wake_at",
     )
@@ -58,7 +56,7 @@
         claimant: claimants.Claimant,
         forwarder: forwarding.Forwarder,
         fact_log: facts.FactLog,
-        sink: metrics.Metrics,
+        tally: tallies.Tally,
         tracer: tracing.Tracing,
     ):
         self._loop = asyncio.get_running_loop()
@@ -68,13 +66,12 @@
         self._claimant = claimant
         self._forwarder = forwarder
         self._facts = fact_log
-        self._metrics = sink
+        self._tally = tally
         self._tracing = tracer
         self._exchanges = exchanges.Exchanges()
         self._submissions: dict[str, submissions.Submission] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._cancelling: set[asyncio.Task] = set()
-        self._uncertain: collections.Counter[str] = collections.Counter()
         self._wake: asyncio.TimerHandle | None = None
         self._wake_at: float | None = None
 
@@ -162,20 +159,6 @@
         self._arm()
         return joined
 
-    @property
-    def uncertain(self) -> dict[str, int]:
-        """How many requests may have run, by cause."""
-        return dict(self._uncertain)
-
-    def count_verdict(self, verdict: verdicts.Verdict) -> None:
-        """Counts a final verdict, and its cause if it is MayHaveRun."""
-        name = type(verdict).__name__.lower()
-        self._metrics.count(f"verdict.{name}")
-        if isinstance(verdict, verdicts.MayHaveRun):
-            cause = verdict.reason.value
-            self._uncertain[cause] += 1
-            self._metrics.count(f"verdict.{name}.{cause}")
-
     async def drained(self) -> None:
         """Waits until every request has its verdict."""
         while self._scheduler.unfinished:
@@ -216,7 +199,7 @@
                 )
             )
             return
-        verdict = verdicts.MayHaveRun(verdicts.Reason.INTERNAL)
+        verdict = verdicts.MayHaveRun(verdicts.Reason.INTERNAL_ERROR)
         self.post(
             messages.AttemptFailed(action.request_id, action.attempt, verdict)
         )
@@ -242,7 +225,7 @@
         submission = self._submissions.pop(request_id, None)
         self._exchanges.finish(request_id, verdict)
         if submission is not None:
-            self.count_verdict(verdict)
+            self._tally.add(verdict)
 
     def _discard(self, request_id: str) -> None:
         self._submissions.pop(request_id, None)
--- a/cranberryglade/forwarding.py
+++ b/cranberryglade/forwarding.py
@@ -10,6 +10,7 @@
 from cranberryglade import snapshots
 from cranberryglade import streams
 from cranberryglade import submissions
+from cranberryglade import tallies
 from cranberryglade import tickets
 from cranberryglade import tracing
 from cranberryglade import verdicts
@@ -37,6 +38,7 @@
         "_client",
         "_membership",
         "_office",
+        "_tally",
         "_tasks",
         "_tracing",
     )
@@ -47,12 +49,14 @@
         members: membership.Membership,
         office: tickets.TicketOffice,
         archive: snapshots.Archive,
+        tally: tallies.Tally,
         tracer: tracing.Tracing,
     ):
         self._client = client
         self._membership = members
         self._office = office
         self._archive = archive
+        self._tally = tally
         self._tracing = tracer
         self._tasks: set[asyncio.Task] = set()
 
@@ -75,13 +79,13 @@
         )
         match ending:
             case streams.Whole():
-                exchange.finish(verdicts.Ran())
+                verdict = verdicts.Ran()
             case streams.Cut():
-                exchange.finish(
-                    verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
-                )
+                verdict = verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
             case _:
-                exchange.finish(ending)
+                verdict = ending
+        self._tally.add(verdict)
+        exchange.finish(verdict)
 
     async def relay(
         self,
--- a/cranberryglade/listeners.py
+++ b/cranberryglade/listeners.py
@@ -4,6 +4,8 @@
 
 from aiohttp import web
 
+from cranberryglade import guards
+
 BACKLOG = 1024
 SHUTDOWN_SECONDS = 1.0
 
@@ -42,5 +44,5 @@
             shutdown_timeout=SHUTDOWN_SECONDS,
         )
         await runner.setup()
-        await web.SockSite(runner, self._socket).start()
+        await guards.Site(runner, self._socket).start()
         return runner
--- a/cranberryglade/snapshots.py
+++ b/cranberryglade/snapshots.py
@@ -27,14 +27,25 @@
 
 
 class Uncertain(wire.Document):
-    """A request that may have run, and why."""
+    """A request that may have run.
+
+    Attributes:
+        sequence: its sequence number.
+        reason: why, as in verdicts.Reason.
+    """
 
     sequence: int
     reason: str
 
 
 class KeptAnswer(wire.Document):
-    """The whole answer of a request: its token events."""
+    """The whole answer of a request.
+
+    Attributes:
+        sequence: its sequence number.
+        tokens: number of token events.
+        events: the token events, in base64.
+    """
 
     sequence: int
     tokens: int
--- a/cranberryglade/tickets.py
+++ b/cranberryglade/tickets.py
@@ -5,6 +5,7 @@
 import hmac
 
 SIGNATURE_CHARACTERS = 24
+PARTS = 5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,8 +58,14 @@
         expected = self._sign(unsigned, organisation)
         if not hmac.compare_digest(expected, signature):
             return None
-        domain, instance, incarnation, sequence = unsigned.split(".")
-        return Ticket(domain, instance, incarnation, int(sequence))
+        return self.parse(text)
+
+    def parse(self, text: str) -> Ticket | None:
+        """Reads an id whoever it was issued to; None if it is not an id."""
+        parts = text.split(".")
+        if len(parts) != PARTS or not parts[3].isdecimal():
+            return None
+        return Ticket(parts[0], parts[1], parts[2], int(parts[3]))
 
     def is_home(self, request_id: str) -> bool:
         """Tells whether this incarnation issued the id."""
