Bring demonstration requests to their home through another instance

A ticket and its request now go to instances that the balancer chooses separately, as callers would; before, no request passed two instances.

--- a/cranberryglade/tools/demo.py
+++ b/cranberryglade/tools/demo.py
@@ -22,7 +22,7 @@
 START_SECONDS = 20.0
 POLL_SECONDS = 0.2
 SEED = 7
-EXPLAINED = 40
+EXPLAINED = 100
 ANSWERS_FILE = "answers.ini"
 RATES_PER_SECOND = {"none": 5.0, "short": 6.0, "long": 1.0}
 PROMPT_TOKENS = {"none": (0, 0), "short": (20, 400), "long": (1000, 6000)}
@@ -209,7 +209,7 @@
         await deployment.balancer.check()
         token = deployment.answers.operators[0].token
         for result in deployment.caller.results[-EXPLAINED:]:
-            if not result.request_id or not deployment.balancer.ready:
+            if result.verdict != "ran" or not deployment.balancer.ready:
                 continue
             address = deployment.balancer.choose()
             found = await _ask(address, token, result.request_id)
--- a/cranberryglade/tools/load.py
+++ b/cranberryglade/tools/load.py
@@ -200,6 +200,7 @@
             if isinstance(obtained, wire.VerdictDocument):
                 return _take(result, obtained, RETRY_SECONDS)
             request.ticket = obtained
+            called = self._client(self._balancer.choose(), token)
         headers = {wire.KEY_HEADER: key} if key else {}
         reader = reading.AnswerReader(request, None)
         sent_after = time.monotonic() - began
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -71,6 +71,7 @@
 kill_now() {
   echo "  kill -9 $1" >&2
   kill -9 "${pids[$1]}"
+  wait "${pids[$1]}" 2>/dev/null || true
   unset "pids[$1]"
 }
 
