Trust a later refusal only if it speaks of the same request

Cause: after a lost connection the command line took any refusal of its question for the request's verdict, so that an instance without configuration made a request that may have run "not run". The demonstration's checker gets tests of its own with violations that it must catch.

--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -30,7 +30,7 @@
         options.choice(PRIORITIES),
         "one of " + ", ".join(PRIORITIES),
         PRIORITIES[0],
-        about="what weighs more: answers in time, or little wasted prefill",
+        about="what weighs more to the team; recorded for its operators",
     ),
 )
 TARGET = (
--- a/cranberryglade/tests/test_fuzz.py
+++ b/cranberryglade/tests/test_fuzz.py
@@ -148,6 +148,32 @@
     assert ask(daemon.address, "GET", "/health")[0] == 200
 
 
+OPERATOR = {"Authorization": f"Bearer {support.OPERATOR_TOKEN}"}
+WRONG_ORDERS = [
+    ("PUT", "/v1/operators/configuration", b"{", 400),
+    ("PUT", "/v1/operators/configuration", b'{"text": 3}', 400),
+    (
+        *("PUT", "/v1/operators/configuration"),
+        *(b'{"expected_version": -7, "text": "[deployment]"}', 422),
+    ),
+    ("POST", "/v1/operators/drain", b'{"endpoint": null}', 400),
+    ("POST", "/v1/operators/drain", b'{"all": true}', 400),
+    ("GET", "/v1/operators/facts?colour=red", b"", 400),
+    ("DELETE", "/v1/operators/status", b"", 405),
+]
+
+
+@pytest.mark.parametrize(("method", "path", "sent", "expected"), WRONG_ORDERS)
+def test_wrong_orders_of_operators_are_refused(
+    served, method, path, sent, expected
+):
+    _, _, daemon = served
+    before = support.status(daemon)["version"]
+    status, found = ask(daemon.address, method, path, sent, OPERATOR)
+    assert (status, bool(json.loads(found))) == (expected, True)
+    assert support.status(daemon)["version"] == before
+
+
 def test_another_organisation_learns_nothing_of_a_request(served):
     _, _, daemon = served
     status, answer = support.submit(daemon, GOOD)
--- /dev/null
+++ b/cranberryglade/tests/test_report.py
@@ -0,0 +1,87 @@
+"""The demonstration's report, above all that it catches violations."""
+
+import dataclasses
+
+import pytest
+
+from cranberryglade import wire
+from cranberryglade.tools import load
+from cranberryglade.tools import report
+
+KIND = load.Kind(
+    name="deposit",
+    tier="counter",
+    organisation="store",
+    token="",
+    per_second=1.0,
+    deadline_seconds=5.0,
+    first_token_seconds=0.5,
+    once=True,
+    service=False,
+    prompt_tokens=(0, 0),
+    max_tokens=(0, 0),
+)
+
+
+def result(reference, verdict="ran", **changes):
+    values = {"seconds": 1.0, "first_token_seconds": 0.2, "kind": KIND}
+    return load.Result(
+        reference=reference, verdict=verdict, **{**values, **changes}
+    )
+
+
+def run(reference, tokens=100):
+    return wire.EngineRequest(
+        request_id="r",
+        attempt=1,
+        kind=KIND.name,
+        prompt=reference,
+        prompt_tokens=tokens,
+    )
+
+
+def test_a_clean_run_is_no_violation():
+    found = report.evaluate(
+        {"shop": [result("a"), result("b", "not_run", refused=["shed"])]},
+        [run("a")],
+    )
+    assert not found.violated
+    assert (found.prefill_tokens, found.wasted_tokens) == (100, 0)
+    assert found.refusals == {"shed": 1}
+    assert found.goodput == [
+        report.TierGoodput("shop", "counter", offered=2, in_time=1, share=0.5)
+    ]
+    assert "ran twice: none" in report.describe(found)
+
+
+@pytest.mark.parametrize(
+    ("results", "runs", "field"),
+    [
+        ([result("a")], [run("a"), run("a")], "ran_twice"),
+        ([result("a", "may_have_run")], [run("a"), run("a")], "ran_twice"),
+        ([result("a", "not_run")], [run("a")], "untrue"),
+    ],
+)
+def test_what_must_never_happen_is_caught(results, runs, field):
+    found = report.evaluate({"shop": results}, runs)
+    assert found.violated
+    assert getattr(found, field) == ["a"]
+    assert '["a"]' in report.describe(found)
+
+
+def test_an_idempotent_request_may_run_twice_and_wastes_prefill():
+    kind = dataclasses.replace(KIND, once=False)
+    found = report.evaluate(
+        {"shop": [result("a", kind=kind)]}, [run("a"), run("a", 70)]
+    )
+    assert not found.violated
+    assert (found.prefill_tokens, found.wasted_tokens) == (170, 100)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"seconds": 5.1}, {"first_token_seconds": 0.6}]
+)
+def test_late_answers_are_no_goodput(changes):
+    found = report.evaluate({"shop": [result("a", **changes)]}, [run("a")])
+    assert found.goodput[0].in_time == 0
+    assert found.wasted_tokens == 100
--- a/cranberryglade/tools/load.py
+++ b/cranberryglade/tools/load.py
@@ -241,7 +241,9 @@
         if not isinstance(result, Success):
             return lost
         read = wire.decode(result.unwrap().body, wire.VerdictDocument)
-        return read.value_or(lost)
+        found = read.value_or(lost)
+        known = request.ticket or found.request_id
+        return found if known and sending.settles(found, known) else lost
 
     def _request(self, kind: Kind, reference: str) -> wire.RequestDocument:
         if kind.service:
--- a/cranberryglade/tools/sending.py
+++ b/cranberryglade/tools/sending.py
@@ -140,12 +140,23 @@
             match result:
                 case Success(reply) if reply.status != 202:
                     found = _read_verdict(reply)
-                    unknown = verdicts.Reason.UNKNOWN_REQUEST.value
-                    return lost if found.reason == unknown else found
+                    return found if settles(found, request_id) else lost
             await asyncio.sleep(ASK_PERIOD_SECONDS)
         return lost
 
 
+def settles(document: wire.VerdictDocument, request_id: str) -> bool:
+    """Tells whether a later answer settles what became of a request.
+
+    A refusal that does not name the request, or does not know it, speaks of
+    the later call alone.
+    """
+    if document.verdict != "not_run":
+        return True
+    unknown = verdicts.Reason.UNKNOWN_REQUEST.value
+    return document.request_id == request_id and document.reason != unknown
+
+
 def _read_verdict(reply: client.Reply) -> wire.VerdictDocument:
     match wire.decode(reply.body, wire.VerdictDocument):
         case Success(document):
