Check references while the questionnaire asks

Cause: a wrong model or tier name was found only after the last question, and all answers were lost. The names entered before are now what is allowed.

--- a/cranberryglade/tests/test_questionnaire.py
+++ b/cranberryglade/tests/test_questionnaire.py
@@ -109,7 +109,7 @@
         *("shop", "speed", "prefill"),
         *("assistant", "model", "yes", "till", "service", "no", ""),
         *("fast", "0", "510", "slow", "one", "1", "5000", ""),
-        *("ask", "assistant", "fast", "no", "short", "0"),
+        *("", "ask", "nobody", "assistant", "fast", "no", "short", "0"),
         *("pay", "till", "fast", "no", "none", "0", ""),
         *("one", "2", ""),
         *("ops", ""),
@@ -118,7 +118,7 @@
     ]
     result = run("--output", tmp_path, asked="\n".join(asked) + "\n")
     assert result.exit_code == 0, result.output
-    assert result.output.count("allowed is") == 2, result.output
+    assert result.output.count("allowed is") == 4, result.output
     text = (tmp_path / "configuration.ini").read_text()
     parsed = configuration.parse(text, 1).unwrap()
     assert parsed.rules["pay"].max_tokens == 0
--- a/cranberryglade/tools/questionnaire.py
+++ b/cranberryglade/tools/questionnaire.py
@@ -1,6 +1,8 @@
 """The command that asks a new team about its deployment."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
 import pathlib
 
 import click
@@ -18,21 +20,20 @@
 QUESTIONS = {
     ("deployment", "name"): "Name of the deployment",
     ("deployment", "weighs"): (
-        "What weighs more: late answers (goodput) or prefill that is thrown "
-        "away (prefill)"
+        "What weighs more, answers that are late or prefill thrown away"
     ),
-    ("target", "kind"): "Is it a model or a plain service",
+    ("target", "kind"): "A model or a plain service",
     ("target", "fenced"): (
         "Do its endpoints refuse orders with an old fencing number"
     ),
-    ("tier", "rank"): "Rank (0 is shed last)",
-    ("tier", "first_token_ms"): "First token due within (ms)",
+    ("tier", "rank"): "Rank, 0 is shed last",
+    ("tier", "first_token_ms"): "First token due within",
     ("request", "target"): "Which model or service runs it",
     ("request", "tier"): "Which tier is it in",
     ("request", "repeatable"): "May it run more than once",
-    ("request", "answer"): "Length of the answer (none: a plain service)",
+    ("request", "answer"): "Length of the answer, none for a plain service",
     ("request", "deadline_ms"): ("Whole answer due within"),
-    ("organisation", "weight"): "Share of capacity (weight)",
+    ("organisation", "weight"): "Share of capacity",
     ("platform", "address"): "Address of the platform's services",
     ("instance", "failure_domain"): "Failure domain",
     ("instance", "caller_address"): "Address for callers",
@@ -137,23 +138,47 @@
     }
     for kind, declared in questions.NAMED.items():
         click.echo(f"\nNow the {LISTS[kind]}; an empty name ends the list.")
-        while name := _ask_name(kind):
-            sections[f"{kind} {name}"] = _ask_section(kind, declared)
+        while name := _ask_name(kind, sections):
+            known = [_known(option, sections) for option in declared]
+            sections[f"{kind} {name}"] = _ask_section(kind, known)
     sections["platform"] = _ask_section(
         "platform", questions.SINGLE["platform"]
     )
     return sections
 
 
-def _ask_name(kind: str) -> str:
+def _ask_name(kind: str, sections: dict[str, dict[str, str]]) -> str:
+    needed = kind in questions.REQUIRED and not _names(kind, sections)
+
     def read(text: str) -> str:
+        if not text and needed:
+            raise ValueError(text)
         return options.parse_name(text) if text else ""
 
-    return _prompt(f"Name of a {kind}", read, configuration.NAME, "")
+    return _prompt(f"Name of the next {kind}", read, configuration.NAME, "")
+
+
+def _names(kind: str, sections: dict[str, dict[str, str]]) -> list[str]:
+    pairs = (section.split(" ", 1) for section in sections if " " in section)
+    return [name for found, name in pairs if found == kind]
+
+
+def _known(
+    option: options.Option, sections: dict[str, dict[str, str]]
+) -> options.Option:
+    """Narrows an option that names another section to what was entered."""
+    names = _names(option.name, sections)
+    if not names:
+        return option
+    return dataclasses.replace(
+        option,
+        parse=options.choice(names),
+        allowed="one of " + ", ".join(names),
+    )
 
 
 def _ask_section(
-    kind: str, declared: tuple[options.Option, ...]
+    kind: str, declared: Sequence[options.Option]
 ) -> dict[str, str]:
     answers = {}
     for option in declared:
@@ -161,7 +186,7 @@
         if question is None:
             continue
         answers[option.name] = _ask(question, option)
-    return {name: text for name, text in answers.items() if text != ""}
+    return answers
 
 
 def _ask(question: str, option: options.Option) -> str:
@@ -189,7 +214,9 @@
             raise click.BadParameter(f"allowed is {allowed}") from error
 
     return click.prompt(
-        f"{question} [{allowed}]" if allowed else question,
+        question
+        if allowed == configuration.NAME
+        else f"{question} ({allowed})",
         default=default,
         value_proc=process,
         show_default=bool(default),
