--- a/cranberryglade/tests/test_commands.py
+++ b/cranberryglade/tests/test_commands.py
@@ -160,6 +160,18 @@
     assert (found["verdict"], len(found["hops"])) == ("ran", 1)
 
 
+def test_an_explanation_of_a_joined_key_leads_to_its_holder(served):
+    _, _, (first, second) = served
+    sent = ("submit", "reservation", "--payload={}", "--key=till-10", "--json")
+    holder, joined = (
+        json.loads(ask(daemon, *sent).stdout)["request_id"]
+        for daemon in (first, second)
+    )
+    explained = ask(second, "explain", joined).output
+    assert f"relayed -> {holder}" in explained
+    assert "dispatched -> lists-1" in explained
+
+
 def test_watch_shows_the_decisions_asked_for(served):
     _, _, (first, _) = served
     sender = threading.Timer(
--- a/cranberryglade/tests/test_docs.py
+++ b/cranberryglade/tests/test_docs.py
@@ -4,11 +4,14 @@
 import pathlib
 import pkgutil
 import re
+import shlex
 
+import click
 import pytest
 
 import cranberryglade
 from cranberryglade import wire
+from cranberryglade.tools import commands
 from cranberryglade.tools import reference
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -64,3 +67,31 @@
         text = page.read_text(encoding="utf-8")
         for target in LINK.findall(text):
             assert (page.parent / target).exists(), (page.name, target)
+
+
+def examples():
+    """Command lines shown on pages and in help texts."""
+    texts = [page.read_text(encoding="utf-8") for page in PAGES]
+    texts += [command.help or "" for command in walk(commands.main)]
+    for text in texts:
+        joined = text.replace("\\\n", " ")
+        yield from re.findall(r"^ {2,4}cranberryglade (.*)$", joined, re.M)
+
+
+def walk(command):
+    yield command
+    for inner in getattr(command, "commands", {}).values():
+        yield from walk(inner)
+
+
+def test_command_lines_shown_can_be_typed():
+    shown = list(examples())
+    assert len(shown) > 20
+    for line in shown:
+        words = shlex.split(line, comments=True)
+        command = commands.main
+        while isinstance(command, click.Group):
+            command = command.commands[words.pop(0)]
+        known = {name for option in command.params for name in option.opts}
+        flags = {word for word in words if word.startswith("--")}
+        assert flags <= known, line
--- a/cranberryglade/tests/test_observation.py
+++ b/cranberryglade/tests/test_observation.py
@@ -51,12 +51,11 @@
         )
         ticket = issued["tickets"][0]
         support.eventually(lambda: run_once(entry, ticket))
-        explained = support.call(
-            "GET",
-            f"http://{entry.address}/v1/requests/{ticket}/explanation",
-            headers=authorised,
-        )[1]
-        logged = "\n".join(line for daemon in daemons for line in daemon.rest())
+        url = f"http://{entry.address}/v1/requests/{ticket}/explanation"
+        explained = support.call("GET", url, headers=authorised)[1]
+        lines = home.rest()
+        _, orphaned = support.call("GET", url, headers=authorised)
+        logged = "\n".join([*lines, *entry.rest(), *owner.rest()])
         service.rest()
         spans = [span for path in files.values() for span in spans_of(path)]
     traced = [
@@ -72,6 +71,8 @@
         *("entry-2", "entry-1", "entry-3")
     ]
     assert all(hop["facts"] for hop in explained["hops"])
+    assert orphaned["verdict"] == "unknown", orphaned
+    assert orphaned["hops"][0]["missing"]
     assert all(json.loads(line) for line in logged.splitlines())
     written = logged + json.dumps(spans) + json.dumps(explained)
     for secret in (
