Tell a refusal by the home's endpoint from a home out of reach

Cause: an entry instance read the home's verdict "connection_refused" (its endpoint is dead) as its own connection to the home being refused, and told the caller "may have run" though the home knew that it had not. Ruled out: homes that really died (they alone remain). New test in test_commands.py: exit code 4 before, 3 now.

--- a/cranberryglade/tests/test_commands.py
+++ b/cranberryglade/tests/test_commands.py
@@ -138,6 +138,26 @@
     assert "not run: no_endpoint; again in" in result.output
 
 
+def test_a_dead_endpoint_behind_the_home_means_not_run(served):
+    deployment, _, (first, second) = served
+    deployment.listed("dead-1", "service", "127.0.0.1:1", "wien-a", "dead")
+    run(first, "rule", "add", "dead", "--target=dead", "--tier=counter")
+    for daemon in (first, second):
+        support.eventually(
+            lambda d=daemon: (
+                "dead" in run(d, "rule", "list").stdout
+                and "dead-1" in run(d, "endpoints").stdout
+            )
+        )
+    ticket = ask(first, "tickets").stdout.strip()
+    for daemon in (first, second):
+        result = ask(
+            *(daemon, "submit", "dead", "--payload={}", "--patience=0"),
+            f"--ticket={ticket}",
+        )
+        assert result.exit_code == output.EXIT_NOT_RUN, result.output
+
+
 def test_status_and_endpoints_show_the_deployment(served):
     _, _, (first, _) = served
     found = json.loads(run(first, "status", "--json").stdout)
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -317,11 +317,17 @@
 
 
 def read_verdict(document: VerdictDocument) -> verdicts.Verdict:
-    """Reads a verdict; one that cannot be understood may have run."""
+    """Reads the verdict of another process.
+
+    One that cannot be understood may have run. A connection that was refused
+    there was not refused here, so it reads as the refusal of an endpoint.
+    """
     try:
         reason = verdicts.Reason(document.reason)
     except ValueError:
         reason = verdicts.Reason.ANSWER_LOST
+    if reason is verdicts.Reason.CONNECTION_REFUSED:
+        reason = verdicts.Reason.ENDPOINT_REFUSED
     match document.verdict:
         case "not_run":
             retry = document.retry_after_ms
