Keep signs of leaving by process, so that stale signs of living lose

Cause: a fleet that kept only a flag on its member took an endpoint back when it was dropped and listed again, when the sign came before the listing, or when a list read from an old copy showed a replaced incarnation. Signs are now kept by name and incarnation, and replaced incarnations are remembered; the chart endpoint.toml is stepped by the fleet.

Endpoints of other failure domains are no longer kept.

--- a/cranberryglade/scheduling/fleet.py
+++ b/cranberryglade/scheduling/fleet.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator
 import dataclasses
 
+from cranberryglade import charts
 from cranberryglade.scheduling import decisions
+from cranberryglade.scheduling import departures
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import ownership
 from cranberryglade.scheduling import pools
@@ -24,17 +26,40 @@
 
 
 class Fleet:
-    """Pools of endpoints by target, and peers with their digests."""
-
-    __slots__ = ("_decisions", "_instance", "_peers", "_pools", "_targets")
+    """Pools of the own domain's endpoints, and peers with their digests.
+
+    Endpoints of other failure domains are reached through the instances there
+    and are not kept.
+    """
+
+    __slots__ = (
+        "_chart",
+        "_decisions",
+        "_departures",
+        "_instance",
+        "_owners",
+        "_peers",
+        "_pools",
+        "_states",
+        "_targets",
+    )
 
     def __init__(self, instance: messages.Peer, collected: decisions.Decisions):
         self._instance = instance
         self._decisions = collected
+        self._chart = charts.load("endpoint")
+        self._departures = departures.Departures()
+        self._owners = ownership.Owners(instance.name)
         self._pools: dict[str, pools.Pool] = {}
         self._targets: dict[str, str] = {}
+        self._states: dict[str, str] = {}
         self._peers: dict[str, _PeerView] = {}
 
+    @property
+    def marks(self) -> list[departures.Mark]:
+        """The endpoint processes known to be leaving."""
+        return list(self._departures)
+
     def pool(self, target: str) -> pools.Pool:
         """The pool of a target, empty if nothing is known of it."""
         pool = self._pools.get(target)
@@ -51,6 +76,10 @@
         target = self._targets.get(name)
         return self._pools[target].members.get(name) if target else None
 
+    def state(self, name: str) -> str | None:
+        """State of the endpoint chart; None for an unknown endpoint."""
+        return self._states.get(name)
+
     def offers(self, target: str) -> Iterator[Offer]:
         """What the peers say about a target."""
         for view in self._peers.values():
@@ -59,63 +88,92 @@
                 yield Offer(view.peer, digest)
 
     def join_endpoint(self, endpoint: messages.Endpoint) -> None:
-        """Takes in a live endpoint."""
-        members = self.pool(endpoint.target).members
-        known = members.get(endpoint.name)
+        """Takes in an endpoint that a list shows as live."""
+        if endpoint.failure_domain != self._instance.failure_domain:
+            return
+        if self._departures.is_replaced(endpoint.name, endpoint.incarnation):
+            return
+        known = self.member(endpoint.name)
         if known and known.endpoint.incarnation == endpoint.incarnation:
+            self._step(endpoint.name, "listed")
             return
-        members[endpoint.name] = pools.Member(endpoint)
-        self._targets[endpoint.name] = endpoint.target
-        self._share_out()
-        self._decisions.note(
-            "", "endpoint joined", "platform list", endpoint.name
-        )
+        if known:
+            self._forget(endpoint.name, "replaced")
+            self._departures.replace(endpoint.name, known.endpoint.incarnation)
+        self._enter(endpoint)
 
     def leave_endpoint(self, event: messages.EndpointLeaving) -> None:
-        """Gives an endpoint no new work from now on."""
+        """Gives an endpoint process no new work from now on."""
         member = self.member(event.name)
-        if member is None or member.leaving:
-            return
-        if event.incarnation not in ("", member.endpoint.incarnation):
+        incarnation = event.incarnation
+        if not incarnation:
+            if member is None:
+                return
+            incarnation = member.endpoint.incarnation
+        if not self._departures.add(
+            event.name, incarnation, self._decisions.now
+        ):
             return
-        member.leaving = True
-        self._decisions.note("", "endpoint leaving", event.sign, event.name)
+        if member and member.endpoint.incarnation == incarnation:
+            self._step(event.name, "leaving", event.sign)
+
+    def hear_endpoint(self, event: messages.EndpointHeard) -> None:
+        """Takes in whether an endpoint process answers this instance."""
+        member = self.member(event.name)
+        if member and member.endpoint.incarnation == event.incarnation:
+            self._step(event.name, "answered" if event.answers else "silent")
 
     def drop_endpoint(self, name: str) -> None:
         """Forgets an endpoint."""
-        target = self._targets.pop(name, None)
-        if target is not None:
-            self._pools[target].members.pop(name, None)
+        if name in self._targets:
+            self._forget(name, "dropped")
+            present = {
+                (member.endpoint.name, member.endpoint.incarnation)
+                for pool in self._pools.values()
+                for member in pool.members.values()
+            }
+            self._departures.expire(self._decisions.now, present)
 
     def see_peer(self, event: messages.PeerReported) -> None:
         """Takes in what a peer says."""
-        known = event.peer.name in self._peers
         by_target = {digest.target: digest for digest in event.digests}
         self._peers[event.peer.name] = _PeerView(event.peer, by_target)
-        if not known:
-            self._share_out()
+        if event.peer.failure_domain == self._instance.failure_domain:
+            self._share_out(self._owners.add_instance(event.peer.name))
 
     def drop_peer(self, name: str) -> None:
         """Forgets a peer."""
         if self._peers.pop(name, None) is not None:
-            self._share_out()
-
-    def _share_out(self) -> None:
-        names = self._domain_instances()
-        for pool in self._pools.values():
-            for member in pool.members.values():
-                member.owned = self._owns(member.endpoint, names)
-
-    def _domain_instances(self) -> list[str]:
-        domain = self._instance.failure_domain
-        peers = [
-            view.peer.name
-            for view in self._peers.values()
-            if view.peer.failure_domain == domain
-        ]
-        return [self._instance.name, *peers]
-
-    def _owns(self, endpoint: messages.Endpoint, names: list[str]) -> bool:
-        if endpoint.failure_domain != self._instance.failure_domain:
-            return False
-        return ownership.owner(endpoint.name, names) == self._instance.name
+            self._share_out(self._owners.remove_instance(name))
+
+    def _enter(self, endpoint: messages.Endpoint) -> None:
+        name = endpoint.name
+        self.pool(endpoint.target).members[name] = pools.Member(endpoint)
+        self._targets[name] = endpoint.target
+        self._states[name] = self._chart.initial
+        self._owners.add_endpoint(name)
+        self._share_out([name])
+        self._decisions.note("", "endpoint joined", "platform list", name)
+        if self._departures.is_leaving(name, endpoint.incarnation):
+            self._step(name, "leaving", "known sign")
+
+    def _forget(self, name: str, event: str) -> None:
+        self._step(name, event)
+        del self._states[name]
+        del self._pools[self._targets.pop(name)].members[name]
+        self._owners.remove_endpoint(name)
+
+    def _step(self, name: str, event: str, reason: str = "") -> None:
+        before = self._states[name]
+        self._states[name] = after = self._chart.step(before, event)
+        if after != before:
+            self.member(name).leaving = after == "leaving"
+            self._share_out([name])
+            self._decisions.note("", f"endpoint {after}", reason or event, name)
+
+    def _share_out(self, names: list[str]) -> None:
+        for name in names:
+            self.member(name).owned = (
+                self._owners.owner(name) == self._instance.name
+                and self._states[name] != "silent"
+            )
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -212,6 +212,21 @@
     name: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointHeard:
+    """An endpoint answered this instance, or has been silent for too long.
+
+    Attributes:
+        name: the endpoint.
+        incarnation: which process behind the name.
+        answers: whether it answers.
+    """
+
+    name: str
+    incarnation: str
+    answers: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LoadReported:
     """A stale report of an engine's load.
@@ -273,6 +288,7 @@
     | EndpointJoined
     | EndpointLeaving
     | EndpointGone
+    | EndpointHeard
     | LoadReported
     | CacheReported
     | PeerReported
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -3,6 +3,7 @@
 from cranberryglade import verdicts
 from cranberryglade.scheduling import claims
 from cranberryglade.scheduling import decisions
+from cranberryglade.scheduling import departures
 from cranberryglade.scheduling import fleet
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
@@ -49,6 +50,10 @@
         """What peers are told about the load of this instance."""
         return self._placement.digests()
 
+    def marks(self) -> list[departures.Mark]:
+        """The endpoint processes known to be leaving."""
+        return self._fleet.marks
+
     def all_pools(self) -> list[pools.Pool]:
         """The pools of all targets, for reading."""
         return self._fleet.all_pools()
@@ -84,6 +89,8 @@
                 self._fleet.leave_endpoint(event)
             case messages.EndpointGone(name=name):
                 self._fleet.drop_endpoint(name)
+            case messages.EndpointHeard():
+                self._fleet.hear_endpoint(event)
             case messages.PeerReported():
                 self._fleet.see_peer(event)
             case messages.PeerGone(name=name):
