Find peers by random probing and pass on versions and signs of leaving

Cause: each instance probed every known peer twice a second, so its cost grew with the failure domain.

One exchange a second carries the sender's own entry, six fresh ones and signs of leaving.

Signatures are bound to the incarnation of the receiver, answers to the request. Messages are ordered by a beat. Each of these rules was taken out in turn and a test failed: beat, replaced incarnations, rumours, retries of absent peers.

Proposals carry a nonce, peers pass versions on. The list is read by failure domain and conditionally.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -1,6 +1,7 @@
 """Cranberryglade schedules requests over engines that are not alike."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -21,6 +22,7 @@
 from cranberryglade import operators
 from cranberryglade import peers
 from cranberryglade import platform
+from cranberryglade import proposals
 from cranberryglade import settings
 from cranberryglade import subscriptions
 from cranberryglade import tickets
@@ -100,7 +102,8 @@
             self._settings.platform_address,
             self._settings.platform_timeout_seconds,
         )
-        subscription = subscriptions.Subscription(self._platform)
+        generator = random.Random(own.incarnation)
+        subscription = subscriptions.Subscription(self._platform, generator)
         members = membership.Membership(
             own,
             self._settings,
@@ -108,6 +111,7 @@
             self._platform,
             subscription,
             core,
+            generator,
         )
         forwarder = forwarding.Forwarder(
             self._peer_client, members, office, self._tracing
@@ -122,6 +126,7 @@
             self._metrics,
             self._tracing,
         )
+        self._members = members
         members.stream.subscribe(self._executor.post)
         callers.CallerInterface(
             self._executor,
@@ -136,12 +141,18 @@
             self._executor,
             members,
             subscription,
-            self._platform,
+            proposals.Proposals(self._platform),
             fact_log,
             self._lifecycle,
         ).register(caller_app)
         delegations.PeerInterface(
-            self._executor, members, subscription, office, key, self._tracing
+            self._executor,
+            members,
+            subscription,
+            office,
+            key,
+            own.incarnation,
+            self._tracing,
         ).register(peer_app)
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
@@ -158,6 +169,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._members.close()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -5,11 +5,13 @@
 from returns.result import Success
 
 from cranberryglade import configuration
+from cranberryglade import digests
 from cranberryglade import executors
 from cranberryglade import intake
 from cranberryglade import membership
 from cranberryglade import peers
 from cranberryglade import responses
+from cranberryglade import revisions
 from cranberryglade import submissions
 from cranberryglade import subscriptions
 from cranberryglade import tickets
@@ -23,6 +25,7 @@
 
     __slots__ = (
         "_executor",
+        "_incarnation",
         "_key",
         "_membership",
         "_office",
@@ -37,6 +40,7 @@
         subscription: subscriptions.Subscription,
         office: tickets.TicketOffice,
         key: peers.PeerKey,
+        incarnation: str,
         tracer: tracing.Tracing,
     ):
         self._executor = executor
@@ -44,22 +48,35 @@
         self._subscription = subscription
         self._office = office
         self._key = key
+        self._incarnation = incarnation
         self._tracing = tracer
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
-        app.router.add_post("/v1/peer/digest", self._post_digest)
+        app.router.add_post(membership.DIGEST_PATH, self._post_digest)
+        app.router.add_post(
+            membership.CONFIGURATION_PATH, self._post_configuration
+        )
         app.router.add_post("/v1/peer/requests", self._post_delegated)
         app.router.add_post("/v1/peer/submissions", self._post_submission)
 
     async def _post_digest(self, http_request: web.Request):
-        match await self._read(http_request, wire.DigestDocument):
-            case Success(digest):
-                self._membership.heard(digest)
-                own = self._membership.own_digest()
-                return web.Response(
-                    body=wire.encode(own), content_type=responses.JSON
-                )
+        body = await http_request.read()
+        is_bound = self._is_signed(http_request, body, self._incarnation)
+        if not is_bound and not self._is_signed(http_request, body, ""):
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        match digests.decode(body):
+            case Success(message):
+                answer = self._membership.answer_to(message, is_bound)
+                return self._signed(http_request, answer)
+            case Failure(detail):
+                return responses.refusal(verdicts.Reason.MALFORMED, detail)
+
+    async def _post_configuration(self, http_request: web.Request):
+        match await self._read(http_request, revisions.UpdateRequest):
+            case Success(request):
+                update = self._subscription.update_for(request.known_version)
+                return self._signed(http_request, wire.encode(update))
             case Failure(refused):
                 return refused
 
@@ -117,10 +134,22 @@
             span,
         )
 
+    def _is_signed(
+        self, http_request: web.Request, body: bytes, bound: str
+    ) -> bool:
+        signature = http_request.headers.get(peers.SIGNATURE_HEADER, "")
+        return self._key.check(signature, http_request.path, body, bound)
+
+    def _signed(self, http_request: web.Request, body: bytes) -> web.Response:
+        asked = http_request.headers[peers.SIGNATURE_HEADER]
+        signature = self._key.sign(http_request.path, body, asked)
+        return web.Response(
+            body=body, headers={peers.SIGNATURE_HEADER: signature}
+        )
+
     async def _read(self, http_request: web.Request, kind: type):
         body = await http_request.read()
-        signature = http_request.headers.get(peers.SIGNATURE_HEADER, "")
-        if not self._key.check(signature, http_request.path, body):
+        if not self._is_signed(http_request, body, self._incarnation):
             return Failure(responses.refusal(verdicts.Reason.UNAUTHENTICATED))
         return wire.decode(body, kind).alt(
             lambda detail: responses.refusal(verdicts.Reason.MALFORMED, detail)
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -12,13 +12,16 @@
 from cranberryglade import facts
 from cranberryglade import lifecycle
 from cranberryglade import membership
-from cranberryglade import platform
+from cranberryglade import proposals
 from cranberryglade import responses
+from cranberryglade import revisions
 from cranberryglade import subscriptions
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 
+HISTORY_VERSIONS = 10
+
 
 class EndpointStatus(wire.Document):
     """One endpoint as this instance sees it."""
@@ -32,6 +35,13 @@
     leaving: bool
 
 
+class PeerVersion(wire.Document):
+    """The newest version that a peer says it knows."""
+
+    instance: str
+    version: int
+
+
 class StatusDocument(wire.Document):
     """How an instance is.
 
@@ -39,18 +49,24 @@
         instance: its name.
         state: state of the instance chart.
         version: version of the configuration in force; 0 for none.
+        accepted_version: newest version known, in force or not.
+        problems: why that version is not in force here.
         confirmed_seconds_ago: since the platform last confirmed it.
         unfinished: requests without a verdict.
         peers: names of the peers that answer.
+        peer_versions: versions that the peers know.
         targets: load by target.
     """
 
     instance: str
     state: str
     version: int
+    accepted_version: int
+    problems: list[str]
     confirmed_seconds_ago: float | None
     unfinished: int
     peers: list[str]
+    peer_versions: list[PeerVersion]
     targets: list[messages.TargetDigest]
 
 
@@ -60,16 +76,26 @@
     endpoint: str
 
 
+class DrainDocument(wire.Document):
+    """The endpoint process that gets no new work from now on."""
+
+    endpoint: str
+    incarnation: str
+
+
 class ProposalDocument(wire.Document):
     """A configuration to put in force.
 
     Attributes:
         expected_version: the version it was derived from; 0 for none.
         text: INI text.
+        nonce: the same for every repetition of one proposal; chosen here
+            when empty.
     """
 
     expected_version: int
     text: str
+    nonce: str = ""
 
 
 class ProblemsDocument(wire.Document):
@@ -78,6 +104,34 @@
     problems: list[str]
 
 
+class ConflictDocument(ProblemsDocument):
+    """Another change came first.
+
+    Attributes:
+        proposed: what was to be written.
+        present: what was written under that number; None if it is not kept.
+    """
+
+    proposed: revisions.Revision
+    present: revisions.Revision | None
+
+
+class UncertainDocument(ProblemsDocument):
+    """The platform did not tell whether the configuration was accepted.
+
+    Attributes:
+        nonce: to be given when the proposal is repeated.
+    """
+
+    nonce: str
+
+
+class HistoryDocument(wire.Document):
+    """The last versions that are kept, newest first."""
+
+    revisions: list[revisions.Revision]
+
+
 class OperatorInterface:
     """Handles what operators send over HTTP."""
 
@@ -87,7 +141,7 @@
         "_instance",
         "_lifecycle",
         "_membership",
-        "_platform",
+        "_proposals",
         "_subscription",
     )
 
@@ -97,7 +151,7 @@
         executor: executors.Executor,
         members: membership.Membership,
         subscription: subscriptions.Subscription,
-        platform_client: platform.PlatformClient,
+        proposed: proposals.Proposals,
         fact_log: facts.FactLog,
         life: lifecycle.Lifecycle,
     ):
@@ -105,7 +159,7 @@
         self._executor = executor
         self._membership = members
         self._subscription = subscription
-        self._platform = platform_client
+        self._proposals = proposed
         self._facts = fact_log
         self._lifecycle = life
 
@@ -119,23 +173,31 @@
         app.router.add_post(f"{prefix}/drain", self._post_drain)
         app.router.add_get(f"{prefix}/configuration", self._get_configuration)
         app.router.add_put(f"{prefix}/configuration", self._put_configuration)
+        app.router.add_get(f"{prefix}/configuration/history", self._get_history)
         app.router.add_get(f"{prefix}/facts", self._get_facts)
 
     async def _get_health(self, _: web.Request):
         return web.Response(text="ok\n")
 
     async def _get_ready(self, _: web.Request):
-        ready = self._lifecycle.ready and self._subscription.current
+        ready = (
+            self._lifecycle.ready
+            and self._subscription.current is not None
+            and self._membership.is_introduced
+        )
         return web.Response(
             text="ready\n" if ready else "not ready\n",
             status=200 if ready else 503,
         )
 
     def _authorised(self, http_request: web.Request) -> bool:
+        return self._operator(http_request) is not None
+
+    def _operator(
+        self, http_request: web.Request
+    ) -> configuration.Operator | None:
         current = self._subscription.current
-        if current is None:
-            return False
-        return access.operator(http_request, current) is not None
+        return access.operator(http_request, current) if current else None
 
     async def _get_status(self, http_request: web.Request):
         if not self._authorised(http_request):
@@ -147,6 +209,8 @@
                 instance=self._instance,
                 state=self._lifecycle.state,
                 version=self._subscription.version,
+                accepted_version=self._subscription.accepted.version,
+                problems=self._subscription.problems,
                 confirmed_seconds_ago=(
                     None
                     if confirmed is None
@@ -154,6 +218,10 @@
                 ),
                 unfinished=core.unfinished,
                 peers=sorted(peer.name for peer in self._membership.peers),
+                peer_versions=[
+                    PeerVersion(instance=e.peer.name, version=e.version)
+                    for e in self._membership.entries
+                ],
                 targets=list(core.digests()),
             )
         )
@@ -181,62 +249,87 @@
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         match wire.decode(await http_request.read(), DrainRequest):
             case Success(order):
-                self._executor.post(
-                    messages.EndpointLeaving(order.endpoint, "", "operator")
-                )
-                return _document(order)
+                return self._drain(order.endpoint)
             case Failure(detail):
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
+    def _drain(self, name: str) -> web.Response:
+        for pool in self._executor.scheduler.all_pools():
+            member = pool.members.get(name)
+            if member is not None:
+                incarnation = member.endpoint.incarnation
+                self._membership.announce(
+                    messages.EndpointLeaving(name, incarnation, "operator")
+                )
+                return _document(
+                    DrainDocument(endpoint=name, incarnation=incarnation)
+                )
+        problem = f"no endpoint {name} in this failure domain"
+        return _document(ProblemsDocument(problems=[problem]), 404)
+
     async def _get_configuration(self, http_request: web.Request):
         if not self._authorised(http_request):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        current = self._subscription.current
+        accepted = self._subscription.accepted
         return _document(
-            wire.RowDocument(value=current.text, version=current.version)
+            wire.RowDocument(value=accepted.text, version=accepted.version)
         )
 
-    async def _put_configuration(self, http_request: web.Request):
+    async def _get_history(self, http_request: web.Request):
         if not self._authorised(http_request):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        newest = self._subscription.accepted.version
+        match await self._proposals.history(newest, HISTORY_VERSIONS):
+            case Success(found):
+                return _document(HistoryDocument(revisions=found))
+            case Failure(error):
+                return _document(
+                    ProblemsDocument(problems=[f"platform: {error}"]), 503
+                )
+
+    async def _put_configuration(self, http_request: web.Request):
+        operator = self._operator(http_request)
+        if operator is None:
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         match wire.decode(await http_request.read(), ProposalDocument):
             case Success(proposal):
-                return await self._propose(proposal)
+                outcome = await self._proposals.propose(
+                    proposal.text,
+                    proposal.expected_version,
+                    operator.name,
+                    proposal.nonce,
+                )
+                await self._subscription.poll()
+                return self._tell(outcome)
             case Failure(detail):
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
-    async def _propose(self, proposal: ProposalDocument):
-        checked = configuration.parse(
-            proposal.text, proposal.expected_version + 1
-        )
-        if isinstance(checked, Failure):
-            problems = [str(problem) for problem in checked.failure()]
-            return _document(ProblemsDocument(problems=problems), 422)
-        outcome = await self._platform.transact(
-            [
-                wire.WriteDocument(
-                    table=subscriptions.TABLE,
-                    key=subscriptions.KEY,
-                    expected_version=proposal.expected_version,
-                    value=proposal.text,
-                )
-            ]
-        )
-        await self._subscription.poll()
+    def _tell(self, outcome: proposals.Outcome) -> web.Response:
         match outcome:
-            case Success(done) if done.committed:
+            case proposals.Accepted(revision=revision):
                 return _document(
                     wire.RowDocument(
-                        value=proposal.text,
-                        version=proposal.expected_version + 1,
+                        value=revision.text, version=revision.version
                     )
                 )
-            case Success(_):
-                problem = f"version {self._subscription.version} is in force"
-                return _document(ProblemsDocument(problems=[problem]), 409)
-            case Failure(error):
+            case proposals.Refused(problems=problems):
+                return _document(ProblemsDocument(problems=problems), 422)
+            case proposals.Conflict(proposed=proposed, present=present):
+                version = self._subscription.accepted.version
                 return _document(
-                    ProblemsDocument(problems=[f"platform: {error}"]), 503
+                    ConflictDocument(
+                        problems=[f"version {version} is in force"],
+                        proposed=proposed,
+                        present=present,
+                    ),
+                    409,
+                )
+            case proposals.Uncertain(nonce=nonce, error=error):
+                return _document(
+                    UncertainDocument(
+                        problems=[f"platform: {error}"], nonce=nonce
+                    ),
+                    503,
                 )
 
     async def _get_facts(self, http_request: web.Request):
--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -115,6 +115,15 @@
     return text
 
 
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Reads addresses separated by blanks.
+
+    >>> parse_addresses("127.0.0.1:81 127.0.0.2:81")
+    ('127.0.0.1:81', '127.0.0.2:81')
+    """
+    return tuple(parse_address(item) for item in text.split())
+
+
 def parse_flag(text: str) -> bool:
     """Reads "yes" or "no"."""
     if text not in ("yes", "no"):
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -6,6 +6,7 @@
 import aiohttp
 from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
 from cranberryglade import streams
 from cranberryglade import wire
@@ -14,14 +15,22 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 SIGNATURE_HEADER = "X-Peer-Signature"
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
 class PeerKey:
     """Signs messages between instances and checks their signatures.
 
+    A signature is bound to the incarnation of the receiver or, for an answer,
+    to the signature of the request, so that a message that was recorded and
+    is sent again later is refused.
+
     >>> key = PeerKey(b"0" * 16)
-    >>> key.check(key.sign("/v1/peer/digest", b"{}"), "/v1/peer/digest", b"{}")
+    >>> signature = key.sign("/v1/peer/digest", b"{}", "i1")
+    >>> key.check(signature, "/v1/peer/digest", b"{}", "i1")
     True
+    >>> key.check(signature, "/v1/peer/digest", b"{}", "i2")
+    False
     """
 
     __slots__ = ("_key",)
@@ -29,14 +38,16 @@
     def __init__(self, key: bytes):
         self._key = key
 
-    def sign(self, path: str, body: bytes) -> str:
+    def sign(self, path: str, body: bytes, bound: str = "") -> str:
         """Returns the signature of a message."""
-        signed = path.encode() + b"\n" + body
+        signed = f"{path}\n{bound}\n".encode() + body
         return hmac.new(self._key, signed, hashlib.sha256).hexdigest()
 
-    def check(self, signature: str, path: str, body: bytes) -> bool:
+    def check(
+        self, signature: str, path: str, body: bytes, bound: str = ""
+    ) -> bool:
         """Tells whether an instance that has the key sent the message."""
-        expected = self.sign(path, body).encode()
+        expected = self.sign(path, body, bound).encode()
         return hmac.compare_digest(expected, signature.encode())
 
 
@@ -59,17 +70,24 @@
         """Closes all connections."""
         await self._session.close()
 
-    async def exchange_digests(
-        self, address: str, own: wire.DigestDocument
-    ) -> Result[wire.DigestDocument, str]:
-        """Gives a peer the own digest and returns the peer's."""
-        path = "/v1/peer/digest"
-        body = wire.encode(own)
+    async def call(
+        self, address: str, incarnation: str, path: str, body: bytes
+    ) -> Result[bytes, str]:
+        """Sends a short message and returns the body of the answer.
+
+        Args:
+            address: where to send it.
+            incarnation: the process meant; "" if that is not known.
+            path: path of the interface for peers.
+            body: the message.
+        """
+        signature = self._key.sign(path, body, incarnation)
         try:
             async with self._session.post(
                 f"http://{address}{path}",
                 data=body,
-                headers=self._headers(path, body),
+                headers={SIGNATURE_HEADER: signature},
+                skip_auto_headers=SKIPPED_HEADERS,
                 timeout=self._probe_timeout,
             ) as response:
                 data = await response.read()
@@ -77,7 +95,10 @@
             return Failure(type(error).__name__)
         if response.status != 200:
             return Failure(f"status {response.status}")
-        return wire.decode(data, wire.DigestDocument)
+        answered = response.headers.get(SIGNATURE_HEADER, "")
+        if not self._key.check(answered, path, data, signature):
+            return Failure("signature of the answer")
+        return Success(data)
 
     async def delegate(
         self,
@@ -110,13 +131,15 @@
             "POST",
             f"http://{peer.address}{path}",
             body,
-            {**headers, **self._headers(path, body)},
+            {**headers, **self._headers(path, body, peer.incarnation)},
             answers.AnswerCheck(request.request_id),
             sink,
         )
 
-    def _headers(self, path: str, body: bytes) -> dict[str, str]:
+    def _headers(
+        self, path: str, body: bytes, incarnation: str
+    ) -> dict[str, str]:
         return {
-            SIGNATURE_HEADER: self._key.sign(path, body),
+            SIGNATURE_HEADER: self._key.sign(path, body, incarnation),
             "Content-Type": "application/json",
         }
--- a/cranberryglade/platform.py
+++ b/cranberryglade/platform.py
@@ -10,6 +10,8 @@
 
 from cranberryglade import wire
 
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+
 
 class PlatformError(Exception):
     """The platform did not answer; a write may have taken effect."""
@@ -23,16 +25,41 @@
     def __init__(self, address: str, timeout_seconds: float):
         self._base = f"http://{address}/v1"
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=timeout_seconds)
+            timeout=aiohttp.ClientTimeout(total=timeout_seconds),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
 
-    async def instances(self) -> Result[wire.InstanceList, PlatformError]:
-        """Reads the lagging list of live and leaving instances."""
-        return await self._read("instances", wire.InstanceList)
+    async def instances(
+        self, tag: str, **wanted: str
+    ) -> Result[wire.TaggedList, PlatformError]:
+        """Reads the lagging list of live and leaving instances.
+
+        Args:
+            tag: what the last read gave; "" for the first.
+            **wanted: values that fields of the instances must have.
+        """
+        url = self._url("instances").with_query(wanted)
+        headers = {"If-None-Match": tag} if tag else {}
+        try:
+            async with self._session.get(url, headers=headers) as response:
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(PlatformError(type(error).__name__))
+        if response.status == 304:
+            return Success(wire.TaggedList(tag=tag, instances=None))
+        if response.status != 200:
+            return Failure(PlatformError(f"status {response.status}"))
+        read = wire.decode(data, wire.InstanceList).alt(PlatformError)
+        return read.map(
+            lambda listed: wire.TaggedList(
+                tag=response.headers.get("ETag", ""),
+                instances=listed.instances,
+            )
+        )
 
     async def row(
         self, table: str, key: str
@@ -63,6 +90,9 @@
         """Reads an object; empty if it is absent."""
         return await self._fetch("GET", f"objects/{name}", b"")
 
+    def _url(self, path: str) -> yarl.URL:
+        return yarl.URL(f"{self._base}/{path}", encoded=True)
+
     async def _read(self, path, kind):
         return await self._call("GET", path, b"", kind)
 
@@ -78,7 +108,7 @@
         try:
             async with self._session.request(
                 method,
-                yarl.URL(f"{self._base}/{path}", encoded=True),
+                self._url(path),
                 data=body,
             ) as response:
                 data = await response.read()
--- /dev/null
+++ b/cranberryglade/scheduling/gossip.py
@@ -0,0 +1,372 @@
+"""Who the other instances are, found by random probing.
+
+Each period an instance exchanges messages with one other. A message holds
+what the sender says of itself, a few fresh entries about third instances, and
+signs that endpoints leave. So the cost of an instance does not depend on how
+many there are. Only its own failed probes make an instance drop a peer; what
+others say merely makes it look sooner.
+"""
+
+import random
+
+from cranberryglade.scheduling import departures
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import news
+from cranberryglade.scheduling import views
+
+RELAYED_ENTRIES = 6
+RELAYED_FOREIGN_ENTRIES = 1
+RELAYED_MARKS = 32
+REPEATED_MARKS = 2
+RELAYED_LOST = 4
+SPREAD_TIMES = 12
+URGENT_CONTACTS = 3
+FOREIGN_EVERY = 4
+RETRY_EVERY = 8
+FOREIGN_CONTACTS = 3
+FOREIGN_RETENTION_SECONDS = 60.0
+TRUSTED_AGE_SECONDS = 10.0
+RELAYED_AGE_SECONDS = 30.0
+ASK_AGAIN_SECONDS = 5.0
+
+
+class Gossip:
+    """Decides whom to probe, what to tell, and whom to believe.
+
+    Without clock and I/O: times are given in seconds of the caller's
+    monotonic clock, and what it concludes is returned as events.
+    """
+
+    __slots__ = (
+        "_beat",
+        "_foreign",
+        "_lost",
+        "_marks",
+        "_order",
+        "_own",
+        "_random",
+        "_spread",
+        "_ticks",
+        "_urgent",
+        "_views",
+    )
+
+    def __init__(self, own: messages.Peer, generator: random.Random):
+        self._own = own
+        self._random = generator
+        self._views = views.Views()
+        self._beat = 0
+        self._ticks = 0
+        self._foreign: set[str] = set()
+        self._order: list[str] = []
+        self._urgent: list[str] = []
+        self._marks: list[news.Leaving] = []
+        self._spread: dict[news.Leaving | news.Lost, int] = {}
+        self._lost: list[news.Lost] = []
+
+    @property
+    def peers(self) -> list[messages.Peer]:
+        """The instances that answer."""
+        return [entry.peer for entry in self.entries]
+
+    @property
+    def entries(self) -> list[news.Entry]:
+        """The newest that is known of each instance that answers."""
+        return [view.entry for view in self._views if self._counts(view)]
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether each instance heard of has been tried at least once."""
+        return not self._urgent
+
+    def neighbours(self) -> list[news.Contact]:
+        """The instances of the own failure domain that answer."""
+        return [view.contact for view in self._live(foreign=False)]
+
+    def introduce(self, name: str, address: str, domain: str) -> None:
+        """Learns of an instance from a list or from the settings."""
+        if name == self._own.name or address == self._own.address:
+            return
+        known = self._views.get(name)
+        view = self._views.introduce(name, address, domain)
+        foreign = domain not in ("", self._own.failure_domain)
+        if not foreign and (known is None or not known.is_live):
+            self._ask(view.name)
+
+    def retire(self, listed: set[str]) -> None:
+        """Forgets instances that neither answer nor are listed."""
+        for view in list(self._views):
+            if not self._counts(view) and view.name not in listed:
+                self._views.forget(view.name)
+
+    def mark(self, leaving: list[departures.Mark]) -> list[news.Leaving]:
+        """Sets the endpoint processes known to be leaving.
+
+        Returns:
+            Those that were not known before.
+        """
+        marks = [news.Leaving(m.name, m.incarnation) for m in leaving]
+        known = set(self._marks)
+        fresh = [mark for mark in marks if mark not in known]
+        self._marks = marks
+        kept = set(marks) | set(self._lost)
+        self._spread = {k: n for k, n in self._spread.items() if k in kept}
+        return fresh
+
+    def tick(self, now: float) -> list[news.Contact]:
+        """Whom to exchange messages with in this period."""
+        self._ticks += 1
+        chosen = [self._views.get(name) for name in self._take_urgent()]
+        if self._ticks % RETRY_EVERY == 0:
+            chosen.append(self._pick(self._absent()))
+        elif self._ticks % FOREIGN_EVERY == 0:
+            chosen.append(self._pick_foreign())
+        else:
+            chosen.append(self._next_neighbour())
+        if chosen[-1] is None:
+            chosen[-1] = self._next_neighbour()
+        wanted = {view.name: view for view in chosen if view is not None}
+        for view in wanted.values():
+            view.asked_at = now
+        return [view.contact for view in wanted.values()]
+
+    def message(
+        self,
+        to: str,
+        version: int,
+        digests: tuple[messages.TargetDigest, ...],
+        now: float,
+    ) -> news.Message:
+        """Writes a message to the instance of that name."""
+        self._beat += 1
+        own = news.Entry(self._own, self._beat, version, digests)
+        domain = self._domain_of(to)
+        relayed = self._relays(to, domain, now)
+        if domain != self._own.failure_domain:
+            return news.Message(own, relayed)
+        return news.Message(own, relayed, self._told_marks(), self._told_lost())
+
+    def hear(
+        self, message: news.Message, now: float
+    ) -> list[messages.Event] | None:
+        """Takes in a message that an instance sent to this one.
+
+        Returns:
+            What follows; None for a message from a replaced process.
+        """
+        entry = message.own
+        if entry.peer.name == self._own.name:
+            return None
+        view = self._views.introduce(
+            entry.peer.name, entry.peer.address, entry.peer.failure_domain
+        )
+        if entry.peer.incarnation in view.replaced:
+            return None
+        events: list[messages.Event] = [
+            messages.EndpointLeaving(sign.name, sign.incarnation, "peer")
+            for sign in message.leaving
+        ]
+        same = view.incarnation == entry.peer.incarnation
+        if same and entry.beat <= view.direct_beat:
+            return events
+        self._views.hear(view, entry, now)
+        view.direct_beat = entry.beat
+        self._views.forget(entry.peer.address)
+        events += self._reported(view)
+        for relayed in message.relayed:
+            events += self._hear_relayed(relayed, now)
+        for lost in message.lost:
+            self._hear_lost(lost, now)
+        return events
+
+    def expire(self, now: float) -> list[messages.Event]:
+        """Drops contacts in other failure domains not heard of for long."""
+        old = [
+            name
+            for name in sorted(self._foreign)
+            if now - self._views.get(name).said_at > FOREIGN_RETENTION_SECONDS
+        ]
+        self._foreign.difference_update(old)
+        return [messages.PeerGone(name) for name in old]
+
+    def miss(self, name: str) -> list[messages.Event]:
+        """Takes in that an instance did not answer."""
+        view = self._views.get(name)
+        if view is None:
+            return []
+        if not self._views.miss(view):
+            if view.is_live:
+                self._ask(name)
+            return []
+        self._foreign.discard(name)
+        lost = news.Lost(name, view.incarnation)
+        self._lost = [*self._lost[1 - RELAYED_LOST :], lost]
+        return [messages.PeerGone(name)]
+
+    def _counts(self, view: views.View) -> bool:
+        near = view.failure_domain == self._own.failure_domain
+        return view.is_live and (near or view.name in self._foreign)
+
+    def _reported(self, view: views.View) -> list[messages.Event]:
+        reported = messages.PeerReported(view.entry.peer, view.entry.digests)
+        if view.failure_domain == self._own.failure_domain:
+            return [reported]
+        self._foreign.add(view.name)
+        contacts = [
+            self._views.get(name)
+            for name in sorted(self._foreign)
+            if self._views.get(name).failure_domain == view.failure_domain
+        ]
+        if len(contacts) <= FOREIGN_CONTACTS:
+            return [reported]
+        oldest = min(contacts, key=lambda other: other.said_at)
+        self._foreign.discard(oldest.name)
+        return [reported, messages.PeerGone(oldest.name)]
+
+    def _hear_relayed(
+        self, relayed: news.Relayed, now: float
+    ) -> list[messages.Event]:
+        entry = relayed.entry
+        peer = entry.peer
+        if peer.name == self._own.name:
+            return []
+        view = self._views.introduce(
+            peer.name, peer.address, peer.failure_domain
+        )
+        if peer.incarnation in view.replaced:
+            return []
+        if view.entry and view.incarnation != peer.incarnation:
+            self._ask_address(view, peer, now)
+            return []
+        if view.entry and entry.beat <= view.entry.beat:
+            return []
+        is_old = relayed.age_seconds > TRUSTED_AGE_SECONDS
+        if not view.is_live and (view.state == "gone" or is_old):
+            self._ask_again(view, now)
+            return []
+        self._views.hear(view, entry, now - relayed.age_seconds)
+        return self._reported(view)
+
+    def _hear_lost(self, lost: news.Lost, now: float) -> None:
+        view = self._views.get(lost.name)
+        if view is None or not view.is_live:
+            return
+        if view.incarnation == lost.incarnation and not view.rumoured:
+            view.rumoured = now - view.asked_at >= ASK_AGAIN_SECONDS
+            self._ask_again(view, now)
+
+    def _ask(self, name: str) -> None:
+        if name not in self._urgent:
+            self._urgent.append(name)
+
+    def _ask_again(self, view: views.View, now: float) -> None:
+        if now - view.asked_at >= ASK_AGAIN_SECONDS:
+            self._ask(view.name)
+
+    def _ask_address(
+        self, view: views.View, peer: messages.Peer, now: float
+    ) -> None:
+        if now - view.asked_at >= ASK_AGAIN_SECONDS:
+            view.address = peer.address
+            self._ask(view.name)
+
+    def _take_urgent(self) -> list[str]:
+        taken = self._urgent[:URGENT_CONTACTS]
+        del self._urgent[:URGENT_CONTACTS]
+        return [name for name in taken if self._views.get(name)]
+
+    def _next_neighbour(self) -> views.View | None:
+        while True:
+            if not self._order:
+                self._order = [v.name for v in self._live(foreign=False)]
+                self._random.shuffle(self._order)
+                if not self._order:
+                    return None
+            view = self._views.get(self._order.pop())
+            if view is not None and view.is_live:
+                return view
+
+    def _pick_foreign(self) -> views.View | None:
+        domains = {
+            view.failure_domain
+            for view in self._views
+            if view.failure_domain not in ("", self._own.failure_domain)
+        }
+        if not domains:
+            return None
+        domain = self._random.choice(sorted(domains))
+        known = [v for v in self._views if v.failure_domain == domain]
+        live = [view for view in known if view.is_live]
+        return self._pick(live if len(live) >= FOREIGN_CONTACTS else known)
+
+    def _pick(self, among: list[views.View]) -> views.View | None:
+        return self._random.choice(among) if among else None
+
+    def _absent(self) -> list[views.View]:
+        return [view for view in self._views if not view.is_live]
+
+    def _live(self, foreign: bool) -> list[views.View]:
+        own = self._own.failure_domain
+        return [
+            view
+            for view in self._views
+            if view.is_live and (view.failure_domain != own) == foreign
+        ]
+
+    def _domain_of(self, name: str) -> str:
+        view = self._views.get(name)
+        return (view and view.failure_domain) or self._own.failure_domain
+
+    def _relays(
+        self, to: str, domain: str, now: float
+    ) -> tuple[news.Relayed, ...]:
+        near = self._freshest(self._live(foreign=False), to, now)
+        if domain != self._own.failure_domain:
+            near.sort(key=_free_slots, reverse=True)
+        far = self._freshest(self._live(foreign=True), to, now)
+        chosen = near[:RELAYED_ENTRIES] + far[:RELAYED_FOREIGN_ENTRIES]
+        for view in chosen:
+            view.relays += 1
+        return tuple(
+            news.Relayed(view.entry, max(0.0, now - view.said_at))
+            for view in chosen
+        )
+
+    def _freshest(
+        self, among: list[views.View], to: str, now: float
+    ) -> list[views.View]:
+        fresh = [
+            view
+            for view in among
+            if view.name != to and now - view.said_at <= RELAYED_AGE_SECONDS
+        ]
+        fresh.sort(key=lambda view: (view.relays, -view.said_at))
+        return fresh
+
+    def _told_marks(self) -> tuple[news.Leaving, ...]:
+        fresh = [
+            mark
+            for mark in self._marks
+            if self._spread.get(mark, 0) < SPREAD_TIMES
+        ]
+        if fresh:
+            return self._told(fresh, RELAYED_MARKS)
+        return self._told(self._marks, REPEATED_MARKS)
+
+    def _told_lost(self) -> tuple[news.Lost, ...]:
+        fresh = [
+            lost
+            for lost in self._lost
+            if self._spread.get(lost, 0) < SPREAD_TIMES
+        ]
+        return self._told(fresh, RELAYED_LOST)
+
+    def _told(self, known: list, count: int) -> tuple:
+        chosen = sorted(known, key=lambda item: self._spread.get(item, 0))
+        for item in chosen[:count]:
+            self._spread[item] = self._spread.get(item, 0) + 1
+        return tuple(chosen[:count])
+
+
+def _free_slots(view: views.View) -> int:
+    return sum(digest.free_slots for digest in view.entry.digests)
--- a/cranberryglade/settings.py
+++ b/cranberryglade/settings.py
@@ -15,10 +15,11 @@
 STATSD_ADDRESS = ""
 LOG_LEVEL = "info"
 SPANS_FILE = ""
+CONTACTS = ()
 REQUEST_BYTES = 1_048_576
-POLL_SECONDS = 1.0
+POLL_SECONDS = 5.0
 PLATFORM_TIMEOUT_SECONDS = 2.0
-PROBE_SECONDS = 0.5
+PROBE_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.5
 
 ADDRESS = '"host:port"'
@@ -58,6 +59,12 @@
             "a whole number of bytes from 1024 to 67108864",
             REQUEST_BYTES,
         ),
+        options.Option(
+            "contacts",
+            options.parse_addresses,
+            ADDRESS + " of instances, separated by blanks",
+            CONTACTS,
+        ),
         _seconds("probe_seconds", PROBE_SECONDS),
         _seconds("probe_timeout_seconds", PROBE_TIMEOUT_SECONDS),
     ),
@@ -96,6 +103,7 @@
     caller_address: str
     peer_address: str
     request_bytes: int
+    contacts: tuple[str, ...]
     probe_seconds: float
     probe_timeout_seconds: float
     platform_address: str
--- a/cranberryglade/standins/platform.py
+++ b/cranberryglade/standins/platform.py
@@ -118,12 +118,24 @@
         self._objects[http_request.match_info["name"]] = data
         return web.Response()
 
-    async def _get_instances(self, _: web.Request):
+    async def _get_instances(self, http_request: web.Request):
         await self._fault("lists")
         horizon = _now() - self._faults.lag_seconds
         while len(self._snapshots) > 1 and self._snapshots[1][0] <= horizon:
             self._snapshots.popleft()
-        return _json(wire.InstanceList(instances=self._snapshots[0][1]))
+        taken_at, instances = self._snapshots[0]
+        tag = f'"{taken_at}"'
+        if http_request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        wanted = http_request.query
+        found = [
+            item
+            for item in instances
+            if all(getattr(item, name) == wanted[name] for name in wanted)
+        ]
+        response = _json(wire.InstanceList(instances=found))
+        response.headers["ETag"] = tag
+        return response
 
     async def _put_instances(self, http_request: web.Request):
         body = await http_request.read()
--- a/cranberryglade/subscriptions.py
+++ b/cranberryglade/subscriptions.py
@@ -1,31 +1,64 @@
 """Keeps the newest configuration in force."""
 
 import asyncio
+import collections
+import random
 
 import reactivex
 from reactivex import subject
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import charts
 from cranberryglade import configuration
 from cranberryglade import log
 from cranberryglade import platform
+from cranberryglade import revisions
 from cranberryglade import wire
 
-TABLE = "configuration"
-KEY = "current"
+KEPT_CHANGES = 64
+FIRST_POLL_SECONDS = 1.0
+JITTER = 0.2
 
 logger = log.get_logger(__name__)
 
 
 class Subscription:
-    """Polls the configuration's row; a lower version is never applied."""
-
-    __slots__ = ("_confirmed_at", "_current", "_platform", "_subject")
-
-    def __init__(self, client: platform.PlatformClient):
+    """Polls the configuration's row and takes newer versions from peers.
+
+    A lower version is never applied. A version that this program cannot read
+    is kept and reported, and the former one stays in force.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_changes",
+        "_chart",
+        "_confirmed_at",
+        "_current",
+        "_platform",
+        "_problems",
+        "_random",
+        "_state",
+        "_subject",
+    )
+
+    def __init__(
+        self, client: platform.PlatformClient, generator: random.Random
+    ):
         self._platform = client
+        self._random = generator
+        self._chart = charts.load("configuration")
+        self._state = self._chart.initial
         self._current: configuration.Configuration | None = None
+        self._accepted = revisions.Revision(
+            version=0, nonce="", operator="", text=""
+        )
+        self._changes: collections.OrderedDict[int, revisions.Change] = (
+            collections.OrderedDict()
+        )
+        self._problems: list[str] = []
         self._confirmed_at: float | None = None
         self._subject: subject.Subject = subject.Subject()
 
@@ -39,6 +72,21 @@
         """Version in force; 0 before the first is known."""
         return self._current.version if self._current else 0
 
+    @property
+    def accepted(self) -> revisions.Revision:
+        """The newest version known, also if this program cannot read it."""
+        return self._accepted
+
+    @property
+    def state(self) -> str:
+        """State of the configuration chart."""
+        return self._state
+
+    @property
+    def problems(self) -> list[str]:
+        """Why the newest version known is not in force."""
+        return self._problems
+
     @property
     def confirmed_at(self) -> float | None:
         """When the platform last confirmed the version, in loop seconds."""
@@ -50,34 +98,151 @@
         return self._subject
 
     async def run(self, period_seconds: float) -> None:
-        """Polls for ever."""
+        """Polls for ever, at a jittered period."""
         while True:
             await self.poll()
-            await asyncio.sleep(period_seconds)
+            period = period_seconds
+            if self._current is None:
+                period = min(period, FIRST_POLL_SECONDS)
+            share = self._random.uniform(1 - JITTER, 1 + JITTER)
+            await asyncio.sleep(period * share)
 
     async def poll(self) -> None:
         """Reads the row once."""
-        match await self._platform.row(TABLE, KEY):
+        match await self._platform.row(revisions.TABLE, revisions.CURRENT):
             case Success(row):
-                self._confirmed_at = asyncio.get_running_loop().time()
-                self.offer(row)
+                await self._take_row(row)
             case Failure(error):
                 logger.warning("configuration not read", error=str(error))
 
-    def offer(self, row: wire.RowDocument) -> bool:
-        """Applies a row if it is newer than what is in force."""
-        if row.version <= self.version:
+    def update_for(self, known_version: int) -> revisions.Update:
+        """What a peer that knows that version needs."""
+        newest = self._accepted
+        update = revisions.Update(
+            version=newest.version,
+            nonce=newest.nonce,
+            operator=newest.operator,
+            sha256=revisions.digest(newest.text),
+        )
+        wanted = range(known_version + 1, newest.version + 1)
+        if all(version in self._changes for version in wanted):
+            update.changes = [self._changes[version] for version in wanted]
+        else:
+            update.text = newest.text
+        return update
+
+    def take_update(self, update: revisions.Update, known_version: int) -> bool:
+        """Applies what a peer sent for that known version.
+
+        Returns:
+            Whether a newer version was taken in.
+        """
+        if update.version <= self._accepted.version:
+            return False
+        if update.text is not None:
+            if revisions.digest(update.text) != update.sha256:
+                return False
+            return self._accept(update, update.text, [])
+        if known_version != self._accepted.version:
+            return False
+        return self._apply(update, update.changes)
+
+    async def _take_row(self, row: wire.RowDocument) -> None:
+        if row.version > self._accepted.version:
+            await self._take_newer(row)
+        if 0 < row.version == self._accepted.version:
+            self._confirmed_at = asyncio.get_running_loop().time()
+
+    async def _take_newer(self, row: wire.RowDocument) -> None:
+        match revisions.read_head(row):
+            case Success(head):
+                update = revisions.Update(
+                    version=row.version,
+                    nonce=head.nonce,
+                    operator=head.operator,
+                    sha256=head.sha256,
+                )
+                follows = self._accepted.version == row.version - 1
+                if follows and self._apply(update, [head.change]):
+                    return
+                self._take_text(update, await self._read_text(row.version))
+            case Failure(_):
+                update = revisions.Update(
+                    version=row.version, nonce="", operator="", sha256=""
+                )
+                self._accept(update, row.value, [])
+
+    def _take_text(
+        self,
+        update: revisions.Update,
+        read: Result[revisions.Revision, object],
+    ) -> None:
+        match read:
+            case Success(revision) if (
+                revision.version == update.version
+                and revisions.digest(revision.text) == update.sha256
+            ):
+                self._accept(update, revision.text, [])
+            case _:
+                logger.warning("text not read", version=update.version)
+
+    async def _read_text(
+        self, version: int
+    ) -> Result[revisions.Revision, object]:
+        read = await self._platform.row(
+            revisions.TABLE, revisions.text_key(version)
+        )
+        return read.bind(
+            lambda row: wire.decode(row.value.encode(), revisions.Revision)
+        )
+
+    def _apply(
+        self, update: revisions.Update, changes: list[revisions.Change]
+    ) -> bool:
+        text = self._accepted.text
+        match revisions.apply(text, changes, update.sha256):
+            case Success(changed):
+                return self._accept(update, changed, changes)
+            case Failure(_):
+                return False
+
+    def _accept(
+        self,
+        update: revisions.Update,
+        text: str,
+        changes: list[revisions.Change],
+    ) -> bool:
+        if update.version <= self._accepted.version:
             return False
-        match configuration.parse(row.value, row.version):
+        first = update.version - len(changes) + 1
+        if not changes:
+            self._changes.clear()
+        for version, change in enumerate(changes, first):
+            self._changes[version] = change
+        while len(self._changes) > KEPT_CHANGES:
+            self._changes.popitem(last=False)
+        self._accepted = revisions.Revision(
+            version=update.version,
+            nonce=update.nonce,
+            operator=update.operator,
+            text=text,
+        )
+        self._put_in_force(self._accepted)
+        return True
+
+    def _put_in_force(self, revision: revisions.Revision) -> None:
+        match configuration.parse(revision.text, revision.version):
             case Success(parsed):
+                self._state = self._chart.step(self._state, "applied")
                 self._current = parsed
-                logger.info("configuration in force", version=row.version)
+                self._problems = []
+                logger.info("configuration in force", version=revision.version)
                 self._subject.on_next(parsed)
-                return True
             case Failure(problems):
+                self._state = self._chart.step(self._state, "refused")
+                self._problems = [str(problem) for problem in problems]
                 logger.error(
                     "configuration refused",
-                    version=row.version,
-                    problems=[str(problem) for problem in problems],
+                    version=revision.version,
+                    problems=self._problems,
                 )
-                return False
--- /dev/null
+++ b/cranberryglade/tests/test_gossip.py
@@ -0,0 +1,237 @@
+"""Membership by gossip: what is believed, spread, dropped and taken back."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from cranberryglade import digests
+from cranberryglade.tests import gossiping
+
+DOMAIN_SIZE = 43
+APPLIED_SECONDS = 12
+BYTES_PER_SECOND = 4096
+
+
+def everyone_sees_everyone(net):
+    names = {node.peer.name for node in net.nodes.values()}
+    return all(
+        set(node.view) == names - {node.peer.name}
+        for node in net.nodes.values()
+    )
+
+
+def periods_until(net, check, limit):
+    for period in range(limit + 1):
+        if check():
+            return period
+        net.run(1)
+    raise AssertionError(f"not within {limit} periods")
+
+
+def test_a_full_domain_stays_within_its_bytes_and_spreads_news_in_time():
+    net = gossiping.network(DOMAIN_SIZE)
+    periods_until(net, lambda: everyone_sees_everyone(net), 30)
+    before = net.bytes
+    net.run(15)
+    per_instance = 2 * (net.bytes - before) / 15 / DOMAIN_SIZE
+    assert per_instance < BYTES_PER_SECOND
+    net.node("entry-1").version = 2
+    periods_until(
+        net,
+        lambda: all(node.version == 2 for node in net.nodes.values()),
+        APPLIED_SECONDS,
+    )
+
+
+def test_a_sign_pushed_to_the_neighbours_reaches_them_at_once():
+    net = gossiping.network(20)
+    net.run(20)
+    first = net.node("entry-0")
+    first.leave("engine-1", "i1", net.now)
+    for contact in first.core.neighbours():
+        net.exchange(first, contact)
+    assert all(list(node.marks) for node in net.nodes.values())
+
+
+def test_a_sign_reaches_all_by_gossip_though_its_source_dies():
+    net = gossiping.network(20)
+    net.run(30)
+    net.node("entry-0").leave("engine-1", "i1", net.now)
+    net.run(1)
+    del net.nodes["entry-0:1"]
+    periods_until(
+        net, lambda: all(list(n.marks) for n in net.nodes.values()), 15
+    )
+
+
+def test_a_dead_instance_is_dropped_and_a_new_process_replaces_the_old():
+    net = gossiping.network(20)
+    net.run(30)
+    del net.nodes["entry-2:1"]
+    gone = lambda: all("entry-2" not in n.view for n in net.nodes.values())  # noqa: E731
+    periods_until(net, gone, 30)
+    fresh = gossiping.Node("entry-2", 99, "i2")
+    net.nodes["entry-2:1"] = fresh
+    for node in net.nodes.values():
+        peer = node.peer
+        fresh.core.introduce(peer.name, peer.address, peer.failure_domain)
+    periods_until(net, lambda: everyone_sees_everyone(net), 40)
+    assert {
+        node.view["entry-2"] for node in net.nodes.values() if node is not fresh
+    } == {fresh.peer.incarnation}
+
+
+def test_a_new_process_at_once_at_the_old_address_replaces_the_old():
+    net = gossiping.network(6)
+    net.run(10)
+    fresh = gossiping.Node("entry-2", 99, "i2")
+    net.nodes["entry-2:1"] = fresh
+    for node in net.nodes.values():
+        peer = node.peer
+        fresh.core.introduce(peer.name, peer.address, peer.failure_domain)
+    net.run(6)
+    seen = {n.view["entry-2"] for n in net.nodes.values() if n is not fresh}
+    assert seen == {fresh.peer.incarnation}
+
+
+def test_a_frozen_instance_is_dropped_and_rejoins_when_it_wakes():
+    net = gossiping.network(10)
+    net.run(10)
+    net.run(20, frozen={"entry-3"})
+    others = [n for n in net.nodes.values() if n.peer.name != "entry-3"]
+    assert all("entry-3" not in node.view for node in others)
+    periods_until(net, lambda: everyone_sees_everyone(net), 20)
+
+
+def test_two_sides_of_a_cut_drop_each_other_and_meet_again():
+    net = gossiping.network(10)
+    net.run(10)
+    left = {f"entry-{n}" for n in range(5)}
+    net.cut = lambda a, b: (a in left) != (b in left)
+    net.run(60)
+    assert set(net.node("entry-0").view) == left - {"entry-0"}
+    net.cut = lambda a, b: False
+    periods_until(net, lambda: everyone_sees_everyone(net), 40)
+
+
+def test_an_instance_cut_from_one_peer_only_drops_only_that_one():
+    net = gossiping.network(10)
+    net.run(10)
+    net.cut = lambda a, b: {a, b} == {"entry-0", "entry-1"}
+    net.run(60)
+    assert "entry-1" not in net.node("entry-0").view
+    assert all(
+        {"entry-0", "entry-1"} - {name} <= set(net.node(name).view)
+        for name in (f"entry-{n}" for n in range(2, 10))
+    )
+
+
+def test_an_old_message_sent_again_changes_nothing():
+    net = gossiping.network(2)
+    net.run(5)
+    first, second = net.nodes.values()
+    recorded = first.write("entry-1", net.now)
+    second.read(first.write("entry-1", net.now), net.now)
+    before = second.core.entries
+    second.read(recorded, net.now)
+    assert second.core.entries == before
+
+
+def test_a_message_of_a_replaced_process_is_not_believed():
+    net = gossiping.network(2)
+    net.run(5)
+    first, second = net.nodes.values()
+    recorded = digests.decode(first.write("entry-1", net.now)).unwrap()
+    fresh = gossiping.Node("entry-0", 99, "i2")
+    second.read(fresh.write("entry-1", net.now), net.now)
+    assert second.core.hear(recorded, net.now) is None
+    assert second.view["entry-0"] == fresh.peer.incarnation
+
+
+def test_other_domains_show_a_few_contacts_and_keep_their_signs():
+    domains = ("wien-a", "wien-b", "wien-c")
+    net = gossiping.network(30, domains)
+    net.node("entry-1").leave("engine-1", "i1", net.now)
+    net.run(60)
+    for node in net.nodes.values():
+        near = node.peer.failure_domain
+        by_domain = {domain: 0 for domain in domains}
+        for name in node.view:
+            by_domain[net.node(name).peer.failure_domain] += 1
+        assert by_domain.pop(near) == 9
+        assert all(1 <= count <= 3 for count in by_domain.values()), by_domain
+        assert bool(list(node.marks)) == (near == "wien-b")
+
+
+def test_a_domain_that_is_cut_off_is_forgotten_and_found_again():
+    net = gossiping.network(12, ("wien-a", "wien-b"))
+    net.run(20)
+    net.cut = lambda a, b: (
+        net.node(a).peer.failure_domain != net.node(b).peer.failure_domain
+    )
+    net.run(120)
+    assert all(len(node.view) == 5 for node in net.nodes.values())
+    net.cut = lambda a, b: False
+    net.run(60)
+    assert all(len(node.view) == 8 for node in net.nodes.values())
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["run", "freeze", "thaw", "restart", "cut", "heal"]),
+        st.integers(0, 5),
+        st.integers(0, 5),
+    ),
+    max_size=25,
+)
+
+
+def play(history):
+    net = gossiping.network(6)
+    net.run(5)
+    frozen, pairs, restarts = set(), set(), 0
+    net.cut = lambda a, b: frozenset((a, b)) in pairs
+    for kind, one, other in history:
+        name = f"entry-{one}"
+        match kind:
+            case "run":
+                net.run(other + 1, frozen)
+            case "freeze":
+                frozen.add(name)
+            case "thaw":
+                frozen.discard(name)
+            case "cut":
+                pairs.add(frozenset((name, f"entry-{other}")))
+            case "heal":
+                pairs.clear()
+            case "restart":
+                restarts += 1
+                fresh = gossiping.Node(name, restarts, f"r{restarts}")
+                net.nodes[f"{name}:1"] = fresh
+                frozen.discard(name)
+                for node in net.nodes.values():
+                    fresh.core.introduce(
+                        node.peer.name,
+                        node.peer.address,
+                        node.peer.failure_domain,
+                    )
+    return net, pairs
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(steps)
+def test_after_any_faults_everyone_finds_the_present_processes(history):
+    net, pairs = play(history)
+    pairs.clear()
+    periods_until(net, lambda: everyone_sees_everyone(net), 60)
+    net.run(10)
+    present = {n.peer.name: n.peer.incarnation for n in net.nodes.values()}
+    for node in net.nodes.values():
+        expected = {k: v for k, v in present.items() if k != node.peer.name}
+        assert node.view == expected
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"x" * 100])
+def test_a_malformed_message_is_refused(data):
+    assert digests.decode(data).swap().unwrap()
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -12,7 +12,6 @@
 from returns.result import Success
 
 from cranberryglade import verdicts
-from cranberryglade.scheduling import messages
 
 T = TypeVar("T")
 
@@ -139,28 +138,6 @@
     version: int = 0
 
 
-class DigestDocument(Document, kw_only=True):
-    """What an instance tells its peers.
-
-    Attributes:
-        instance: its name.
-        incarnation: which process of that name.
-        address: where its peers reach it, "host:port".
-        failure_domain: where it runs.
-        version: version of the configuration in force there.
-        targets: what it could take on.
-        leaving: endpoints of which it has a sign of leaving.
-    """
-
-    instance: str
-    incarnation: str
-    address: str
-    failure_domain: str
-    version: int
-    targets: list[messages.TargetDigest]
-    leaving: list[str] = []
-
-
 class InstanceDocument(Document, kw_only=True):
     """One row of the platform's list.
 
@@ -195,6 +172,18 @@
     instances: list[InstanceDocument]
 
 
+class TaggedList(Document):
+    """What a conditional read of the list gave.
+
+    Attributes:
+        tag: names the state of the list, for the next read.
+        instances: the list; None if it is unchanged.
+    """
+
+    tag: str
+    instances: list[InstanceDocument] | None
+
+
 class RowDocument(Document):
     """One row of the table service; version 0 means that it is absent."""
 
