Test versions of the configuration under lost answers, races and old copies

A proposal whose answer is lost is settled by its nonce, also when the same operator repeats it after another version has followed. The loser sees both texts.

--- a/cranberryglade/proposals.py
+++ b/cranberryglade/proposals.py
@@ -138,7 +138,10 @@
             return current
         if isinstance(slot, Failure):
             return slot
-        if current.unwrap().version != revision.version - 1:
+        if current.unwrap().version < revision.version - 1:
+            shown = f"shows version {current.unwrap().version}"
+            return Failure(platform.PlatformError(shown))
+        if current.unwrap().version >= revision.version:
             return Success(_settled(revision, current.unwrap(), slot.unwrap()))
         former = await self._text(current.unwrap())
         if isinstance(former, Failure):
--- /dev/null
+++ b/cranberryglade/tests/fakes.py
@@ -0,0 +1,67 @@
+"""A platform in memory whose faults are chosen call by call."""
+
+import asyncio
+
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import platform
+from cranberryglade import wire
+
+LOST = Failure(platform.PlatformError("TimeoutError"))
+
+
+class FakePlatform:
+    """Table service; `faults` holds what happens to the next calls.
+
+    "ok": answered. "down": refused without effect. "lost": takes effect, the
+    answer is lost. "late": takes effect after the next call only. "old": a
+    read from a copy that is one write behind.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.former = {}
+        self.faults = []
+        self.late = []
+        self.reads = 0
+
+    def fault(self):
+        fault = self.faults.pop(0) if self.faults else "ok"
+        late, self.late = self.late, []
+        for writes in late:
+            self.commit(writes)
+        return fault
+
+    async def row(self, table, key):
+        self.reads += 1
+        await asyncio.sleep(0)
+        fault = self.fault()
+        if fault in ("down", "lost", "late"):
+            return LOST
+        rows = self.former if fault == "old" else self.rows
+        absent = wire.RowDocument(value="", version=0)
+        return Success(rows.get(f"{table}/{key}", absent))
+
+    async def transact(self, writes):
+        await asyncio.sleep(0)
+        fault = self.fault()
+        if fault == "down":
+            return LOST
+        if fault == "late":
+            self.late.append(writes)
+            return LOST
+        outcome = self.commit(writes)
+        return LOST if fault == "lost" else Success(outcome)
+
+    def commit(self, writes):
+        for write in writes:
+            present = self.rows.get(f"{write.table}/{write.key}")
+            if (present.version if present else 0) != write.expected_version:
+                return wire.TransactionOutcome(committed=False)
+        self.former = dict(self.rows)
+        for write in writes:
+            self.rows[f"{write.table}/{write.key}"] = wire.RowDocument(
+                value=write.value, version=write.expected_version + 1
+            )
+        return wire.TransactionOutcome(committed=True)
