--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -20,9 +20,11 @@
 from cranberryglade import membership
 from cranberryglade import metrics
 from cranberryglade import operators
+from cranberryglade import orders
 from cranberryglade import peers
 from cranberryglade import platform
 from cranberryglade import proposals
+from cranberryglade import reports
 from cranberryglade import settings
 from cranberryglade import subscriptions
 from cranberryglade import tickets
@@ -128,6 +130,11 @@
         )
         self._members = members
         members.stream.subscribe(self._executor.post)
+        self._reports = reports.Reports(core, members)
+        self._reports.stream.subscribe(self._executor.post)
+        self._orders = orders.Orders(
+            orders.Leases(self._platform, own.incarnation)
+        )
         callers.CallerInterface(
             self._executor,
             forwarder,
@@ -142,6 +149,7 @@
             members,
             subscription,
             proposals.Proposals(self._platform),
+            self._orders,
             fact_log,
             self._lifecycle,
         ).register(caller_app)
@@ -156,6 +164,7 @@
         ).register(peer_app)
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
+        self._spawn(self._reports.run())
         self._spawn(members.run_probes(self._settings.probe_seconds))
 
     def _spawn(self, coroutine) -> None:
@@ -170,6 +179,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._members.close()
+        await self._reports.close()
+        await self._orders.close()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -1,6 +1,7 @@
 """The interface for operators and for the platform's balancer."""
 
 import asyncio
+from typing import Literal
 
 from aiohttp import web
 from returns.result import Failure
@@ -12,6 +13,7 @@
 from cranberryglade import facts
 from cranberryglade import lifecycle
 from cranberryglade import membership
+from cranberryglade import orders
 from cranberryglade import proposals
 from cranberryglade import responses
 from cranberryglade import revisions
@@ -76,6 +78,21 @@
     endpoint: str
 
 
+class OrderRequest(wire.Document):
+    """An order for an endpoint; see orders.OrderDocument."""
+
+    endpoint: str
+    kind: Literal["load", "role", "drain"]
+    value: str = ""
+
+
+class OrderOutcome(wire.Document):
+    """The endpoint has carried out an order."""
+
+    done: bool
+    fencing_number: int
+
+
 class DrainDocument(wire.Document):
     """The endpoint process that gets no new work from now on."""
 
@@ -141,6 +158,7 @@
         "_instance",
         "_lifecycle",
         "_membership",
+        "_orders",
         "_proposals",
         "_subscription",
     )
@@ -152,6 +170,7 @@
         members: membership.Membership,
         subscription: subscriptions.Subscription,
         proposed: proposals.Proposals,
+        given: orders.Orders,
         fact_log: facts.FactLog,
         life: lifecycle.Lifecycle,
     ):
@@ -160,6 +179,7 @@
         self._membership = members
         self._subscription = subscription
         self._proposals = proposed
+        self._orders = given
         self._facts = fact_log
         self._lifecycle = life
 
@@ -171,6 +191,7 @@
         app.router.add_get(f"{prefix}/status", self._get_status)
         app.router.add_get(f"{prefix}/endpoints", self._get_endpoints)
         app.router.add_post(f"{prefix}/drain", self._post_drain)
+        app.router.add_post(f"{prefix}/orders", self._post_order)
         app.router.add_get(f"{prefix}/configuration", self._get_configuration)
         app.router.add_put(f"{prefix}/configuration", self._put_configuration)
         app.router.add_get(f"{prefix}/configuration/history", self._get_history)
@@ -254,18 +275,43 @@
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
     def _drain(self, name: str) -> web.Response:
+        endpoint = self._find(name)
+        if endpoint is None:
+            return _unknown(name)
+        incarnation = endpoint.incarnation
+        self._membership.announce(
+            messages.EndpointLeaving(name, incarnation, "operator")
+        )
+        return _document(DrainDocument(endpoint=name, incarnation=incarnation))
+
+    def _find(self, name: str) -> messages.Endpoint | None:
         for pool in self._executor.scheduler.all_pools():
             member = pool.members.get(name)
             if member is not None:
-                incarnation = member.endpoint.incarnation
-                self._membership.announce(
-                    messages.EndpointLeaving(name, incarnation, "operator")
-                )
-                return _document(
-                    DrainDocument(endpoint=name, incarnation=incarnation)
-                )
-        problem = f"no endpoint {name} in this failure domain"
-        return _document(ProblemsDocument(problems=[problem]), 404)
+                return member.endpoint
+        return None
+
+    async def _post_order(self, http_request: web.Request):
+        if not self._authorised(http_request):
+            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+        match wire.decode(await http_request.read(), OrderRequest):
+            case Success(order):
+                return await self._order(order)
+            case Failure(detail):
+                return responses.refusal(verdicts.Reason.MALFORMED, detail)
+
+    async def _order(self, order: OrderRequest) -> web.Response:
+        endpoint = self._find(order.endpoint)
+        if endpoint is None:
+            return _unknown(order.endpoint)
+        match await self._orders.give(endpoint, order.kind, order.value):
+            case orders.Done(fencing_number=number):
+                return _document(OrderOutcome(done=True, fencing_number=number))
+            case orders.NotDone(reason=reason):
+                return _document(ProblemsDocument(problems=[reason]), 409)
+            case orders.MayBeDone(reason=reason):
+                problem = f"the endpoint did not answer: {reason}"
+                return _document(ProblemsDocument(problems=[problem]), 504)
 
     async def _get_configuration(self, http_request: web.Request):
         if not self._authorised(http_request):
@@ -351,6 +397,11 @@
             subscribed.dispose()
 
 
+def _unknown(endpoint: str) -> web.Response:
+    problem = f"no endpoint {endpoint} in this failure domain"
+    return _document(ProblemsDocument(problems=[problem]), 404)
+
+
 def _document(document, status: int = 200) -> web.Response:
     return web.Response(
         body=wire.encode(document),
--- a/cranberryglade/scheduling/fleet.py
+++ b/cranberryglade/scheduling/fleet.py
@@ -80,6 +80,10 @@
         """State of the endpoint chart; None for an unknown endpoint."""
         return self._states.get(name)
 
+    def owns(self, name: str) -> bool:
+        """Whether this instance feeds the endpoint of that name."""
+        return self._owners.owner(name) == self._instance.name
+
     def offers(self, target: str) -> Iterator[Offer]:
         """What the peers say about a target."""
         for view in self._peers.values():
@@ -174,6 +178,5 @@
     def _share_out(self, names: list[str]) -> None:
         for name in names:
             self.member(name).owned = (
-                self._owners.owner(name) == self._instance.name
-                and self._states[name] != "silent"
+                self.owns(name) and self._states[name] != "silent"
             )
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -54,6 +54,10 @@
         """The endpoint processes known to be leaving."""
         return self._fleet.marks
 
+    def owns(self, endpoint: str) -> bool:
+        """Whether this instance feeds the endpoint of that name."""
+        return self._fleet.owns(endpoint)
+
     def all_pools(self) -> list[pools.Pool]:
         """The pools of all targets, for reading."""
         return self._fleet.all_pools()
--- a/cranberryglade/standins/engine.py
+++ b/cranberryglade/standins/engine.py
@@ -8,6 +8,7 @@
 
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
+from cranberryglade.standins import control
 from cranberryglade.standins import model
 
 
@@ -77,9 +78,13 @@
         app.router.add_get("/v1/load", self._get_load)
         app.router.add_put("/standin/faults", self._put_faults)
         app.router.add_get("/standin/runs", self._get_runs)
+        control.Control(self._model, self._is_leaving).register(app)
         app.on_startup.append(self._start)
         return app
 
+    def _is_leaving(self) -> bool:
+        return self._faults.leaving
+
     async def _start(self, _: web.Application) -> None:
         self._stepping = asyncio.create_task(self._run())
 
--- a/cranberryglade/standins/model.py
+++ b/cranberryglade/standins/model.py
@@ -114,6 +114,11 @@
         """Whether a step would do nothing."""
         return not self._running and not self._waiting
 
+    @property
+    def cached(self) -> list[str]:
+        """The prefixes that are cached."""
+        return list(self._cache)
+
     def holds(self, prefix: str) -> bool:
         """Whether a prefix is cached."""
         return prefix in self._cache
