--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -1,6 +1,5 @@
 """The interface for operators and for the platform's balancer."""
 
-import asyncio
 from typing import Literal
 
 from aiohttp import web
@@ -9,24 +8,30 @@
 
 from cranberryglade import access
 from cranberryglade import configuration
+from cranberryglade import editing
 from cranberryglade import executors
-from cranberryglade import facts
 from cranberryglade import lifecycle
 from cranberryglade import membership
 from cranberryglade import orders
-from cranberryglade import proposals
 from cranberryglade import responses
-from cranberryglade import revisions
 from cranberryglade import subscriptions
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 
-HISTORY_VERSIONS = 10
-
 
 class EndpointStatus(wire.Document):
-    """One endpoint as this instance sees it."""
+    """One endpoint as this instance sees it.
+
+    Attributes:
+        name: the platform's name of it.
+        target: model or service that it offers.
+        failure_domain: where it runs.
+        outstanding: requests that this instance has sent it.
+        slots: requests it is built to run at once.
+        owned: whether this instance feeds it.
+        leaving: whether it gets no new work.
+    """
 
     name: str
     target: str
@@ -38,7 +43,12 @@
 
 
 class PeerVersion(wire.Document):
-    """The newest version that a peer says it knows."""
+    """The newest version that a peer says it knows.
+
+    Attributes:
+        instance: its name.
+        version: newest version known there.
+    """
 
     instance: str
     version: int
@@ -73,13 +83,23 @@
 
 
 class DrainRequest(wire.Document):
-    """Orders that an endpoint get no new work."""
+    """Orders that an endpoint get no new work.
+
+    Attributes:
+        endpoint: the platform's name of it.
+    """
 
     endpoint: str
 
 
 class OrderRequest(wire.Document):
-    """An order for an endpoint; see orders.OrderDocument."""
+    """An order for an endpoint.
+
+    Attributes:
+        endpoint: the platform's name of it.
+        kind: what to do.
+        value: what to load, or the role; "" for a drain.
+    """
 
     endpoint: str
     kind: Literal["load", "role", "drain"]
@@ -87,66 +107,27 @@
 
 
 class OrderOutcome(wire.Document):
-    """The endpoint has carried out an order."""
-
-    done: bool
-    fencing_number: int
-
-
-class DrainDocument(wire.Document):
-    """The endpoint process that gets no new work from now on."""
-
-    endpoint: str
-    incarnation: str
-
-
-class ProposalDocument(wire.Document):
-    """A configuration to put in force.
-
-    Attributes:
-        expected_version: the version it was derived from; 0 for none.
-        text: INI text.
-        nonce: the same for every repetition of one proposal; chosen here
-            when empty.
-    """
-
-    expected_version: int
-    text: str
-    nonce: str = ""
-
-
-class ProblemsDocument(wire.Document):
-    """Why a configuration was not accepted."""
-
-    problems: list[str]
-
-
-class ConflictDocument(ProblemsDocument):
-    """Another change came first.
+    """The endpoint has carried out an order.
 
     Attributes:
-        proposed: what was to be written.
-        present: what was written under that number; None if it is not kept.
+        done: always true.
+        fencing_number: number of the lease it was given under.
     """
 
-    proposed: revisions.Revision
-    present: revisions.Revision | None
+    done: bool
+    fencing_number: int
 
 
-class UncertainDocument(ProblemsDocument):
-    """The platform did not tell whether the configuration was accepted.
+class DrainDocument(wire.Document):
+    """The endpoint process that gets no new work from now on.
 
     Attributes:
-        nonce: to be given when the proposal is repeated.
+        endpoint: the platform's name of it.
+        incarnation: which process of that name.
     """
 
-    nonce: str
-
-
-class HistoryDocument(wire.Document):
-    """The last versions that are kept, newest first."""
-
-    revisions: list[revisions.Revision]
+    endpoint: str
+    incarnation: str
 
 
 class OperatorInterface:
@@ -154,12 +135,10 @@
 
     __slots__ = (
         "_executor",
-        "_facts",
         "_instance",
         "_lifecycle",
         "_membership",
         "_orders",
-        "_proposals",
         "_subscription",
     )
 
@@ -169,18 +148,14 @@
         executor: executors.Executor,
         members: membership.Membership,
         subscription: subscriptions.Subscription,
-        proposed: proposals.Proposals,
         given: orders.Orders,
-        fact_log: facts.FactLog,
         life: lifecycle.Lifecycle,
     ):
         self._instance = instance
         self._executor = executor
         self._membership = members
         self._subscription = subscription
-        self._proposals = proposed
         self._orders = given
-        self._facts = fact_log
         self._lifecycle = life
 
     def register(self, app: web.Application) -> None:
@@ -192,10 +167,6 @@
         app.router.add_get(f"{prefix}/endpoints", self._get_endpoints)
         app.router.add_post(f"{prefix}/drain", self._post_drain)
         app.router.add_post(f"{prefix}/orders", self._post_order)
-        app.router.add_get(f"{prefix}/configuration", self._get_configuration)
-        app.router.add_put(f"{prefix}/configuration", self._put_configuration)
-        app.router.add_get(f"{prefix}/configuration/history", self._get_history)
-        app.router.add_get(f"{prefix}/facts", self._get_facts)
 
     async def _get_health(self, _: web.Request):
         return web.Response(text="ok\n")
@@ -225,7 +196,7 @@
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         confirmed = self._subscription.confirmed_at
         core = self._executor.scheduler
-        return _document(
+        return responses.document(
             StatusDocument(
                 instance=self._instance,
                 state=self._lifecycle.state,
@@ -263,7 +234,7 @@
             for pool in self._executor.scheduler.all_pools()
             for member in pool.members.values()
         ]
-        return _document(rows)
+        return responses.document(rows)
 
     async def _post_drain(self, http_request: web.Request):
         if not self._authorised(http_request):
@@ -282,7 +253,9 @@
         self._membership.announce(
             messages.EndpointLeaving(name, incarnation, "operator")
         )
-        return _document(DrainDocument(endpoint=name, incarnation=incarnation))
+        return responses.document(
+            DrainDocument(endpoint=name, incarnation=incarnation)
+        )
 
     def _find(self, name: str) -> messages.Endpoint | None:
         for pool in self._executor.scheduler.all_pools():
@@ -306,105 +279,20 @@
             return _unknown(order.endpoint)
         match await self._orders.give(endpoint, order.kind, order.value):
             case orders.Done(fencing_number=number):
-                return _document(OrderOutcome(done=True, fencing_number=number))
+                return responses.document(
+                    OrderOutcome(done=True, fencing_number=number)
+                )
             case orders.NotDone(reason=reason):
-                return _document(ProblemsDocument(problems=[reason]), 409)
+                return responses.document(
+                    editing.ProblemsDocument(problems=[reason]), 409
+                )
             case orders.MayBeDone(reason=reason):
                 problem = f"the endpoint did not answer: {reason}"
-                return _document(ProblemsDocument(problems=[problem]), 504)
-
-    async def _get_configuration(self, http_request: web.Request):
-        if not self._authorised(http_request):
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        accepted = self._subscription.accepted
-        return _document(
-            wire.RowDocument(value=accepted.text, version=accepted.version)
-        )
-
-    async def _get_history(self, http_request: web.Request):
-        if not self._authorised(http_request):
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        newest = self._subscription.accepted.version
-        match await self._proposals.history(newest, HISTORY_VERSIONS):
-            case Success(found):
-                return _document(HistoryDocument(revisions=found))
-            case Failure(error):
-                return _document(
-                    ProblemsDocument(problems=[f"platform: {error}"]), 503
+                return responses.document(
+                    editing.ProblemsDocument(problems=[problem]), 504
                 )
 
-    async def _put_configuration(self, http_request: web.Request):
-        operator = self._operator(http_request)
-        if operator is None:
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        match wire.decode(await http_request.read(), ProposalDocument):
-            case Success(proposal):
-                outcome = await self._proposals.propose(
-                    proposal.text,
-                    proposal.expected_version,
-                    operator.name,
-                    proposal.nonce,
-                )
-                await self._subscription.poll()
-                return self._tell(outcome)
-            case Failure(detail):
-                return responses.refusal(verdicts.Reason.MALFORMED, detail)
-
-    def _tell(self, outcome: proposals.Outcome) -> web.Response:
-        match outcome:
-            case proposals.Accepted(revision=revision):
-                return _document(
-                    wire.RowDocument(
-                        value=revision.text, version=revision.version
-                    )
-                )
-            case proposals.Refused(problems=problems):
-                return _document(ProblemsDocument(problems=problems), 422)
-            case proposals.Conflict(proposed=proposed, present=present):
-                version = self._subscription.accepted.version
-                return _document(
-                    ConflictDocument(
-                        problems=[f"version {version} is in force"],
-                        proposed=proposed,
-                        present=present,
-                    ),
-                    409,
-                )
-            case proposals.Uncertain(nonce=nonce, error=error):
-                return _document(
-                    UncertainDocument(
-                        problems=[f"platform: {error}"], nonce=nonce
-                    ),
-                    503,
-                )
-
-    async def _get_facts(self, http_request: web.Request):
-        if not self._authorised(http_request):
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        response = web.StreamResponse(
-            headers={"Content-Type": "application/jsonl"}
-        )
-        await response.prepare(http_request)
-        queue: asyncio.Queue[messages.Fact] = asyncio.Queue(maxsize=1000)
-        subscribed = self._facts.stream.subscribe(
-            lambda fact: None if queue.full() else queue.put_nowait(fact)
-        )
-        try:
-            while True:
-                fact = await queue.get()
-                await response.write(facts.encode(fact) + b"\n")
-        finally:
-            subscribed.dispose()
-
 
 def _unknown(endpoint: str) -> web.Response:
     problem = f"no endpoint {endpoint} in this failure domain"
-    return _document(ProblemsDocument(problems=[problem]), 404)
-
-
-def _document(document, status: int = 200) -> web.Response:
-    return web.Response(
-        body=wire.encode(document),
-        status=status,
-        content_type=responses.JSON,
-    )
+    return responses.document(editing.ProblemsDocument(problems=[problem]), 404)
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -1,7 +1,9 @@
 """Talks to the other instances: digests, delegated and forwarded requests."""
 
+import dataclasses
 import hashlib
 import hmac
+from typing import TypeVar
 
 import aiohttp
 from returns.result import Failure
@@ -13,6 +15,8 @@
 from cranberryglade.scheduling import answers
 from cranberryglade.scheduling import messages
 
+T = TypeVar("T")
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 SIGNATURE_HEADER = "X-Peer-Signature"
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -48,7 +52,14 @@
     ) -> bool:
         """Tells whether an instance that has the key sent the message."""
         expected = self.sign(path, body, bound).encode()
-        return hmac.compare_digest(expected, signature.encode())
+        given = signature.encode(errors="replace")
+        return hmac.compare_digest(expected, given)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Answer:
+    body: bytes
+    signature: str
 
 
 class PeerClient:
@@ -82,6 +93,33 @@
             body: the message.
         """
         signature = self._key.sign(path, body, incarnation)
+        match await self._post(address, path, body, signature):
+            case Success(answer):
+                is_genuine = self._key.check(
+                    answer.signature, path, answer.body, signature
+                )
+                if is_genuine:
+                    return Success(answer.body)
+                return Failure("signature of the answer")
+            case Failure(error):
+                return Failure(error)
+
+    async def ask(
+        self,
+        peer: messages.Peer,
+        path: str,
+        document: wire.Document,
+        kind: type[T],
+    ) -> Result[T, str]:
+        """Makes one short call to a peer and reads its answer."""
+        answer = await self.call(
+            peer.address, peer.incarnation, path, wire.encode(document)
+        )
+        return answer.bind(lambda data: wire.decode(data, kind))
+
+    async def _post(
+        self, address: str, path: str, body: bytes, signature: str
+    ) -> Result[_Answer, str]:
         try:
             async with self._session.post(
                 f"http://{address}{path}",
@@ -95,10 +133,9 @@
             return Failure(type(error).__name__)
         if response.status != 200:
             return Failure(f"status {response.status}")
-        answered = response.headers.get(SIGNATURE_HEADER, "")
-        if not self._key.check(answered, path, data, signature):
-            return Failure("signature of the answer")
-        return Success(data)
+        return Success(
+            _Answer(data, response.headers.get(SIGNATURE_HEADER, ""))
+        )
 
     async def delegate(
         self,
--- a/cranberryglade/platform.py
+++ b/cranberryglade/platform.py
@@ -1,5 +1,6 @@
 """Client of the platform: table service, object store, instance list."""
 
+import dataclasses
 import urllib.parse
 
 import aiohttp
@@ -17,6 +18,19 @@
     """The platform did not answer; a write may have taken effect."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TaggedList:
+    """What a conditional read of the list gave.
+
+    Attributes:
+        tag: names the state of the list, for the next read.
+        instances: the list; None if it is unchanged.
+    """
+
+    tag: str
+    instances: list[wire.InstanceDocument] | None
+
+
 class PlatformClient:
     """Talks to the platform's services over HTTP."""
 
@@ -35,7 +49,7 @@
 
     async def instances(
         self, tag: str, **wanted: str
-    ) -> Result[wire.TaggedList, PlatformError]:
+    ) -> Result[TaggedList, PlatformError]:
         """Reads the lagging list of live and leaving instances.
 
         Args:
@@ -50,12 +64,12 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(PlatformError(type(error).__name__))
         if response.status == 304:
-            return Success(wire.TaggedList(tag=tag, instances=None))
+            return Success(TaggedList(tag=tag, instances=None))
         if response.status != 200:
             return Failure(PlatformError(f"status {response.status}"))
         read = wire.decode(data, wire.InstanceList).alt(PlatformError)
         return read.map(
-            lambda listed: wire.TaggedList(
+            lambda listed: TaggedList(
                 tag=response.headers.get("ETag", ""),
                 instances=listed.instances,
             )
--- a/cranberryglade/proposals.py
+++ b/cranberryglade/proposals.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import datetime
 import secrets
 
 from returns.result import Failure
@@ -87,6 +88,9 @@
             nonce=nonce or secrets.token_hex(NONCE_BYTES),
             operator=operator,
             text=text,
+            accepted_at=datetime.datetime.now(datetime.UTC).isoformat(
+                timespec="seconds"
+            ),
         )
         checked = configuration.parse(text, revision.version)
         if isinstance(checked, Failure):
--- a/cranberryglade/reports.py
+++ b/cranberryglade/reports.py
@@ -59,7 +59,13 @@
 
 
 class LoadDocument(wire.Document, forbid_unknown_fields=False):
-    """Answer of an endpoint that is asked for its load."""
+    """Answer of an endpoint that is asked for its load.
+
+    Attributes:
+        running: requests in its batch.
+        waiting: requests let in and not in the batch.
+        state: "live" or "leaving".
+    """
 
     running: int = 0
     waiting: int = 0
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -15,6 +15,8 @@
     verdicts.Reason.FORBIDDEN: 403,
     verdicts.Reason.UNKNOWN_KIND: 404,
     verdicts.Reason.UNKNOWN_REQUEST: 404,
+    verdicts.Reason.UNKNOWN_PATH: 404,
+    verdicts.Reason.WRONG_METHOD: 405,
     verdicts.Reason.TOO_LARGE: 413,
     verdicts.Reason.SHED: 429,
     verdicts.Reason.DEADLINE: 429,
@@ -61,6 +63,13 @@
             return STATUS_MAY_HAVE_RUN
 
 
+def document(content: object, status: int = 200) -> web.Response:
+    """Answers with one message."""
+    return web.Response(
+        body=wire.encode(content), status=status, content_type=JSON
+    )
+
+
 async def whole(exchange: exchanges.Exchange) -> web.Response:
     """Answers with the whole answer once there is a verdict."""
     verdict = await exchange.finished()
--- a/cranberryglade/revisions.py
+++ b/cranberryglade/revisions.py
@@ -56,16 +56,23 @@
         nonce: chosen by the writer; "" for a row written by hand.
         operator: who wrote it; "" for a row written by hand.
         text: INI text.
+        accepted_at: when, by the clock of the instance that wrote it; for
+            people, nothing is decided by it.
     """
 
     version: int
     nonce: str
     operator: str
     text: str
+    accepted_at: str = ""
 
 
 class UpdateRequest(wire.Document):
-    """Asks a peer for what came after a version."""
+    """Asks a peer for what came after a version.
+
+    Attributes:
+        known_version: the newest version that the sender knows; 0 for none.
+    """
 
     known_version: int
 
