Prove leaving, versions, freezing and cuts with real processes

Four tests, default periods where a bound is checked: signs of leaving by drain and by the endpoint's own report with the platform down; a version with its answer lost, at an instance without platform and at a newcomer; an instance stopped and continued; another failure domain, with a platform that takes a minute to answer. Unreadable platform is logged once and not at each poll.

--- a/cranberryglade/membership.py
+++ b/cranberryglade/membership.py
@@ -52,6 +52,7 @@
         "_core",
         "_gossip",
         "_has_tried",
+        "_is_cut_off",
         "_learning",
         "_listed",
         "_own",
@@ -87,6 +88,7 @@
         self._tag = ""
         self._all_entries_at: float | None = None
         self._has_tried = False
+        self._is_cut_off = False
         self._learning: asyncio.Task | None = None
         self._spreading: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -177,11 +179,15 @@
             self._tag, failure_domain=self._own.failure_domain
         )
         match read:
-            case Success(listed) if listed.instances is not None:
-                self._tag = listed.tag
-                self._take_list(listed.instances)
+            case Success(listed):
+                self._is_cut_off = False
+                if listed.instances is not None:
+                    self._tag = listed.tag
+                    self._take_list(listed.instances)
             case Failure(error):
-                logger.warning("instances not read", error=str(error))
+                if not self._is_cut_off:
+                    logger.warning("instances not read", error=str(error))
+                self._is_cut_off = True
         await self._read_all_entries()
         self._has_tried = True
 
--- a/cranberryglade/subscriptions.py
+++ b/cranberryglade/subscriptions.py
@@ -37,6 +37,7 @@
         "_chart",
         "_confirmed_at",
         "_current",
+        "_is_cut_off",
         "_platform",
         "_problems",
         "_random",
@@ -59,6 +60,7 @@
             collections.OrderedDict()
         )
         self._problems: list[str] = []
+        self._is_cut_off = False
         self._confirmed_at: float | None = None
         self._subject: subject.Subject = subject.Subject()
 
@@ -112,8 +114,11 @@
         match await self._platform.row(revisions.TABLE, revisions.CURRENT):
             case Success(row):
                 await self._take_row(row)
+                self._is_cut_off = False
             case Failure(error):
-                logger.warning("configuration not read", error=str(error))
+                if not self._is_cut_off:
+                    logger.warning("configuration not read", error=str(error))
+                self._is_cut_off = True
 
     def update_for(self, known_version: int) -> revisions.Update:
         """What a peer that knows that version needs."""
--- a/cranberryglade/tests/support.py
+++ b/cranberryglade/tests/support.py
@@ -134,7 +134,17 @@
         url = f"http://{self.platform.address}/standin/instances"
         call("PUT", url, {"instances": self._listed})
 
-    def daemon(self, name, domain="wien-a", caller_port=0, spans=""):
+    def daemon(
+        self,
+        name,
+        domain="wien-a",
+        caller_port=0,
+        spans="",
+        platform=None,
+        contacts="",
+        probe_seconds=0.1,
+        poll_seconds=0.1,
+    ):
         path = self._directory / f"{name}.ini"
         path.write_text(
             f"""[daemon]
@@ -142,10 +152,11 @@
 failure_domain = {domain}
 caller_address = 127.0.0.1:{caller_port}
 peer_address = 127.0.0.1:0
-probe_seconds = 0.1
+probe_seconds = {probe_seconds}
+contacts = {contacts}
 [platform]
-address = {self.platform.address}
-poll_seconds = 0.1
+address = {platform or self.platform.address}
+poll_seconds = {poll_seconds}
 [keys]
 peer = {"ab" * 16}
 ticket = {"cd" * 16}
@@ -214,6 +225,12 @@
     return call("GET", url, headers=authorised)[1]
 
 
+def operate(process, method, path, body=None):
+    authorised = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    url = f"http://{process.address}/v1/operators/{path}"
+    return call(method, url, body, authorised)
+
+
 def eventually(check, seconds=10.0):
     until = time.monotonic() + seconds
     while time.monotonic() < until:
--- /dev/null
+++ b/cranberryglade/tests/test_outage.py
@@ -0,0 +1,151 @@
+"""Instances without platform, frozen, cut off; every program a process."""
+
+import signal
+import time
+
+import pytest
+
+from cranberryglade.tests import support
+
+LEAVING_SECONDS = 3.0
+APPLIED_SECONDS = 12.0
+NOWHERE = "127.0.0.1:1"
+QUESTION = {"kind": "counter-question", "prompt": "hi", "max_tokens": 2}
+DEFAULT_PERIODS = {"probe_seconds": 1.0, "poll_seconds": 5.0}
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    with support.deployment(tmp_path) as started:
+        yield started
+
+
+def peers_of(daemon):
+    return sorted(support.status(daemon)["peers"])
+
+
+def slots_seen(daemon):
+    targets = support.status(daemon)["targets"]
+    return sum(target["free_slots"] for target in targets)
+
+
+def is_leaving(daemon, endpoint):
+    rows = support.operate(daemon, "GET", "endpoints")[1]
+    return [row["leaving"] for row in rows if row["name"] == endpoint] == [True]
+
+
+def meet(*daemons):
+    names = {daemon.listening["instance"] for daemon in daemons}
+    for daemon in daemons:
+        others = sorted(names - {daemon.listening["instance"]})
+        support.eventually(
+            lambda d=daemon, o=others: peers_of(d) == o, seconds=20.0
+        )
+
+
+def test_signs_of_leaving_spread_without_the_platform(deployment):
+    engines = [
+        deployment.endpoint("engine", f"engine-{n}", "assistant")
+        for n in range(3)
+    ]
+    daemons = [
+        deployment.daemon(f"entry-{n}", **DEFAULT_PERIODS) for n in range(3)
+    ]
+    meet(*daemons)
+    for daemon in daemons:
+        rows = support.operate(daemon, "GET", "endpoints")[1]
+        assert len(rows) == 3
+    deployment.faults(deployment.platform, {"down": True})
+
+    def within(endpoint):
+        support.eventually(
+            lambda: all(is_leaving(daemon, endpoint) for daemon in daemons),
+            seconds=LEAVING_SECONDS,
+        )
+
+    status, answer = support.operate(
+        daemons[0], "POST", "drain", {"endpoint": "engine-0"}
+    )
+    assert (status, answer["incarnation"]) == (200, "engine-0-i1")
+    within("engine-0")
+    deployment.faults(engines[1], {"leaving": True})
+    within("engine-1")
+    deployment.faults(deployment.platform, {"lag_seconds": 0.0})
+    before = [deployment.runs(engine) for engine in engines[:2]]
+    for daemon in daemons:
+        for _ in range(3):
+            assert support.submit(daemon, QUESTION)[0] == 200
+    assert [deployment.runs(engine) for engine in engines[:2]] == before
+    status, _ = support.operate(
+        daemons[0], "POST", "drain", {"endpoint": "engine-9"}
+    )
+    assert status == 404
+
+
+def test_a_version_comes_into_force_on_both_sides_of_an_outage(deployment):
+    near = deployment.daemon("entry-0", **DEFAULT_PERIODS)
+    support.eventually(lambda: support.status(near)["version"] == 1)
+    contacts = near.listening["peer_address"]
+    cut = deployment.daemon(
+        "entry-1", platform=NOWHERE, contacts=contacts, **DEFAULT_PERIODS
+    )
+    support.eventually(lambda: support.status(cut)["version"] == 1)
+    deployment.faults(deployment.platform, {"lose_answers": 1})
+    text = support.CONFIGURATION.replace("rank = 1", "rank = 2")
+    proposal = {"expected_version": 1, "text": text, "nonce": "n1"}
+    for _ in range(2):
+        status, answer = support.operate(near, "PUT", "configuration", proposal)
+        assert (status, answer["version"]) == (200, 2), answer
+    support.eventually(
+        lambda: all(support.status(d)["version"] == 2 for d in (near, cut)),
+        seconds=APPLIED_SECONDS,
+    )
+    assert support.status(cut)["confirmed_seconds_ago"] is None
+    late = {"expected_version": 1, "text": support.CONFIGURATION}
+    status, answer = support.operate(near, "PUT", "configuration", late)
+    assert (status, answer["present"]["text"]) == (409, text)
+    assert answer["proposed"]["text"] == support.CONFIGURATION
+    deployment.faults(deployment.platform, {"down": True})
+    began = time.monotonic()
+    status, answer = support.operate(near, "PUT", "configuration", late)
+    assert (status, bool(answer["nonce"])) == (503, True)
+    assert time.monotonic() - began < APPLIED_SECONDS
+    newcomer = deployment.daemon("entry-2", contacts=contacts)
+    support.eventually(lambda: support.status(newcomer)["version"] == 2)
+
+
+def test_a_frozen_instance_loses_its_endpoints_and_gets_them_back(deployment):
+    for number in range(4):
+        deployment.endpoint("engine", f"engine-{number}", "assistant")
+    first, second = deployment.daemon("entry-0"), deployment.daemon("entry-1")
+    meet(first, second)
+    support.eventually(lambda: slots_seen(first) + slots_seen(second) == 32)
+    deployment.faults(deployment.platform, {"down": True})
+    second.send(signal.SIGSTOP)
+    support.eventually(lambda: slots_seen(first) == 32)
+    assert support.submit(first, QUESTION)[0] == 200
+    second.send(signal.SIGCONT)
+    meet(first, second)
+    support.eventually(lambda: slots_seen(first) + slots_seen(second) == 32)
+    assert support.submit(second, QUESTION)[0] == 200
+
+
+def test_another_domain_is_used_and_a_slow_platform_holds_nobody_up(deployment):
+    deployment.endpoint("engine", "engine-0", "assistant", "wien-b")
+    near = deployment.daemon("entry-a", "wien-a")
+    far = deployment.daemon("entry-b", "wien-b")
+    meet(near, far)
+    deployment.faults(deployment.platform, {"delay_seconds": 60.0})
+    support.eventually(lambda: slots_seen(far) > 0)
+    support.eventually(lambda: support.submit(near, QUESTION)[0] == 200)
+    began = time.monotonic()
+    for daemon in (near, far):
+        assert support.submit(daemon, QUESTION)[0] == 200
+    assert time.monotonic() - began < 2.0
+    far.send(signal.SIGSTOP)
+    support.eventually(lambda: peers_of(near) == [])
+    status, answer = support.submit(near, QUESTION)
+    assert (status, answer["verdict"]) == (503, "not_run")
+    far.send(signal.SIGCONT)
+    meet(near, far)
+    support.eventually(lambda: support.submit(near, QUESTION)[0] == 200)
