--- /dev/null
+++ b/cranberryglade/tests/test_orders.py
@@ -0,0 +1,195 @@
+"""Orders under leases: one holder, fencing, waits where it is ignored."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import msgspec
+import pytest
+
+from cranberryglade import listeners
+from cranberryglade import orders
+from cranberryglade.standins import control
+from cranberryglade.standins import engine
+from cranberryglade.standins import model
+from cranberryglade.tests import builders
+from cranberryglade.tests import fakes
+
+
+class FakeOrders(orders.Orders):
+    """Gives orders to a list, with a chosen time of flight."""
+
+    def __init__(self, leases, received, flight_seconds=0.0, lost=False):
+        super().__init__(leases)
+        self.received = received
+        self.flight_seconds = flight_seconds
+        self.lost = lost
+
+    async def _send(self, endpoint, order, left):
+        assert left > 0
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        await asyncio.sleep(self.flight_seconds)
+        self.received.append((sent_at, loop.time(), order))
+        if self.lost:
+            return orders.MayBeDone("TimeoutError")
+        return orders.Done(order.fencing_number)
+
+
+@contextlib.asynccontextmanager
+async def givers(platform, received, **options):
+    made = [
+        FakeOrders(orders.Leases(platform, f"i{n}"), received, **options)
+        for n in range(2)
+    ]
+    try:
+        yield made
+    finally:
+        for giver in made:
+            await giver.close()
+
+
+UNFENCED = builders.endpoint()
+FENCED = dataclasses.replace(UNFENCED, fenced=True)
+
+
+@pytest.mark.looptime
+async def test_fencing_numbers_grow_and_a_released_lease_is_free_at_once():
+    received = []
+    async with givers(fakes.FakePlatform(), received) as (first, second):
+        began = asyncio.get_running_loop().time()
+        for giver in (first, second, first):
+            given = await giver.give(UNFENCED, "load", "model-b")
+            assert isinstance(given, orders.Done)
+        assert asyncio.get_running_loop().time() - began < 1.0
+    numbers = [order.fencing_number for _, _, order in received]
+    assert numbers == sorted(set(numbers))
+
+
+@pytest.mark.looptime
+async def test_of_two_operators_at_once_one_is_told_to_come_back():
+    received = []
+    platform = fakes.FakePlatform()
+    async with givers(platform, received, flight_seconds=1.0) as (one, other):
+        outcomes = await asyncio.gather(
+            one.give(FENCED, "role", "prefill"),
+            other.give(FENCED, "role", "decode"),
+        )
+    kinds = sorted(type(outcome).__name__ for outcome in outcomes)
+    assert kinds == ["Done", "NotDone"]
+    assert len(received) == 1
+
+
+@pytest.mark.looptime
+async def test_a_lapsed_lease_is_taken_over_after_it_was_seen_unchanged():
+    received = []
+    platform = fakes.FakePlatform()
+    loop = asyncio.get_running_loop()
+    await orders.Leases(platform, "crashed").take(UNFENCED.name)
+    began = loop.time()
+    async with givers(platform, received) as (first, _):
+        assert isinstance(await first.give(UNFENCED, "load", "b"), orders.Done)
+    waited = received[0][0] - began
+    assert waited >= orders.LEASE_SECONDS + orders.LONGEST_FLIGHT_SECONDS
+
+
+@pytest.mark.looptime
+async def test_an_order_without_answer_delays_the_next_unless_it_is_fenced():
+    for endpoint, delay in (
+        (UNFENCED, orders.LONGEST_FLIGHT_SECONDS),
+        (FENCED, 0.0),
+    ):
+        received = []
+        platform = fakes.FakePlatform()
+        async with givers(platform, received) as (first, second):
+            first.lost = True
+            lost = await first.give(endpoint, "load", "b")
+            assert isinstance(lost, orders.MayBeDone)
+            await second.give(endpoint, "load", "c")
+        waited = received[1][0] - received[0][1]
+        assert delay <= waited < delay + 1.0
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("faults", "outcome", "count"),
+    [
+        (["down"], orders.NotDone, 0),
+        (["ok", "down"], orders.NotDone, 0),
+        (["ok", "lost"], orders.Done, 1),
+        (["ok", "lost", "down", "ok"], orders.Done, 1),
+        (["ok", "lost", "down", "down", "down"], orders.NotDone, 0),
+        (["old"], orders.Done, 1),
+        (["ok", "ok", "lost"], orders.Done, 1),
+    ],
+)
+async def test_an_order_while_the_platform_fails(faults, outcome, count):
+    received = []
+    platform = fakes.FakePlatform()
+    platform.faults = faults
+    async with givers(platform, received) as (first, _):
+        assert isinstance(await first.give(FENCED, "load", "b"), outcome)
+    assert len(received) == count
+
+
+@pytest.mark.looptime
+async def test_a_holder_that_wakes_up_late_does_not_send():
+    received = []
+    platform = fakes.FakePlatform()
+    async with givers(platform, received) as (first, _):
+        lease = (await orders.Leases(platform, "i0").take("engine-1")).unwrap()
+        await asyncio.sleep(orders.LEASE_SECONDS)
+        given = await first._give(FENCED, "load", "b", lease)
+    assert (given, received) == (orders.NotDone("the lease has lapsed"), [])
+
+
+@contextlib.asynccontextmanager
+async def served_engine():
+    standin = engine.EngineStandin(model.Speed())
+    listener = listeners.Listener.open("127.0.0.1:0")
+    runner = await listener.serve(standin.application())
+    try:
+        yield listener.address
+    finally:
+        await runner.cleanup()
+
+
+async def test_an_engine_refuses_an_old_number_only_if_it_is_fenced():
+    async with served_engine() as address:
+        giver = orders.Orders(orders.Leases(fakes.FakePlatform(), "i0"))
+        endpoint = dataclasses.replace(FENCED, address=address)
+        old = orders.OrderDocument(kind="load", value="b", fencing_number=1)
+        new = msgspec.structs.replace(old, fencing_number=2)
+        for faults, outcome in (
+            (control.Faults(fenced=True), orders.NotDone),
+            (control.Faults(), orders.Done),
+            (control.Faults(lose_orders=1), orders.MayBeDone),
+        ):
+            async with giver._session.put(
+                f"http://{address}/standin/control",
+                data=orders.wire.encode(faults),
+            ):
+                pass
+            if outcome is not orders.MayBeDone:
+                sent = await giver._send(endpoint, new, 1.0)
+                assert sent == orders.Done(2)
+            assert isinstance(await giver._send(endpoint, old, 1.0), outcome)
+        nowhere = dataclasses.replace(endpoint, address="127.0.0.1:1")
+        given = await giver._send(nowhere, old, 1.0)
+        assert isinstance(given, orders.NotDone)
+        await giver.close()
+
+
+class RacingPlatform(fakes.FakePlatform):
+    """Another instance takes the lease while the answer is lost."""
+
+    async def transact(self, writes):
+        other = orders.LeaseRow(holder="other", nonce="n", settled=False)
+        self.commit([orders._write("engine-1", 0, other)])
+        await super().transact(writes)
+        return fakes.LOST
+
+
+async def test_a_lost_answer_is_not_taken_for_a_lease_of_another():
+    taken = await orders.Leases(RacingPlatform(), "i0").take("engine-1")
+    assert taken.swap().unwrap() == "lease not taken"
