--- a/cranberryglade/platform.py
+++ b/cranberryglade/platform.py
@@ -1,5 +1,6 @@
 """Client of the platform: table service, object store, instance list."""
 
+import dataclasses
 import urllib.parse
 
 import aiohttp
@@ -10,11 +11,26 @@
 
 from cranberryglade import wire
 
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+
 
 class PlatformError(Exception):
     """The platform did not answer; a write may have taken effect."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TaggedList:
+    """What a conditional read of the list gave.
+
+    Attributes:
+        tag: names the state of the list, for the next read.
+        instances: the list; None if it is unchanged.
+    """
+
+    tag: str
+    instances: list[wire.InstanceDocument] | None
+
+
 class PlatformClient:
     """Talks to the platform's services over HTTP."""
 
@@ -23,16 +39,41 @@
     def __init__(self, address: str, timeout_seconds: float):
         self._base = f"http://{address}/v1"
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=timeout_seconds)
+            timeout=aiohttp.ClientTimeout(total=timeout_seconds),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._session.close()
 
-    async def instances(self) -> Result[wire.InstanceList, PlatformError]:
-        """Reads the lagging list of live and leaving instances."""
-        return await self._read("instances", wire.InstanceList)
+    async def instances(
+        self, tag: str, **wanted: str
+    ) -> Result[TaggedList, PlatformError]:
+        """Reads the lagging list of live and leaving instances.
+
+        Args:
+            tag: what the last read gave; "" for the first.
+            **wanted: values that fields of the instances must have.
+        """
+        url = self._url("instances").with_query(wanted)
+        headers = {"If-None-Match": tag} if tag else {}
+        try:
+            async with self._session.get(url, headers=headers) as response:
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(PlatformError(type(error).__name__))
+        if response.status == 304:
+            return Success(TaggedList(tag=tag, instances=None))
+        if response.status != 200:
+            return Failure(PlatformError(f"status {response.status}"))
+        read = wire.decode(data, wire.InstanceList).alt(PlatformError)
+        return read.map(
+            lambda listed: TaggedList(
+                tag=response.headers.get("ETag", ""),
+                instances=listed.instances,
+            )
+        )
 
     async def row(
         self, table: str, key: str
@@ -63,6 +104,9 @@
         """Reads an object; empty if it is absent."""
         return await self._fetch("GET", f"objects/{name}", b"")
 
+    def _url(self, path: str) -> yarl.URL:
+        return yarl.URL(f"{self._base}/{path}", encoded=True)
+
     async def _read(self, path, kind):
         return await self._call("GET", path, b"", kind)
 
@@ -78,7 +122,7 @@
         try:
             async with self._session.request(
                 method,
-                yarl.URL(f"{self._base}/{path}", encoded=True),
+                self._url(path),
                 data=body,
             ) as response:
                 data = await response.read()
--- a/cranberryglade/tests/test_fuzz.py
+++ b/cranberryglade/tests/test_fuzz.py
@@ -210,7 +210,8 @@
     address = daemon.listening["peer_address"]
     unsigned = ask(address, "POST", path, sent)
     check_refused(*unsigned, "unauthenticated")
-    signature = {peers.SIGNATURE_HEADER: KEY.sign(path, sent)}
+    incarnation = daemon.listening["incarnation"]
+    signature = {peers.SIGNATURE_HEADER: KEY.sign(path, sent, incarnation)}
     status, found = ask(address, "POST", path, sent, signature)
     assert status in (200, 400, 403, 404, 429, 503, 504), found
 
--- a/cranberryglade/tools/changes.py
+++ b/cranberryglade/tools/changes.py
@@ -12,7 +12,7 @@
 
 from cranberryglade import access
 from cranberryglade import configuration
-from cranberryglade import operators
+from cranberryglade import editing
 from cranberryglade import options
 from cranberryglade.tools import configure
 from cranberryglade.tools import generation
@@ -59,7 +59,7 @@
         reply = connection.ask(
             "PUT",
             configure.PATH,
-            operators.ProposalDocument(
+            editing.ProposalDocument(
                 expected_version=row.version,
                 text=sections.replace(row.value, change.section, merged),
             ),
--- a/cranberryglade/tools/configure.py
+++ b/cranberryglade/tools/configure.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import secrets
 
 import click
 import msgspec
@@ -9,13 +10,15 @@
 from returns.result import Success
 
 from cranberryglade import configuration
-from cranberryglade import operators
+from cranberryglade import editing
 from cranberryglade import platform
-from cranberryglade import subscriptions
+from cranberryglade import proposals
+from cranberryglade import revisions
 from cranberryglade import wire
 from cranberryglade.tools import output
 
 PATH = "/v1/operators/configuration"
+REPETITIONS = 2
 HISTORY_PATH = "/v1/operators/configuration/history"
 FIRST_VERSION = 1
 PLATFORM_TIMEOUT_SECONDS = 5.0
@@ -45,7 +48,7 @@
     )
     problems = [str(problem) for problem in parsed.swap().value_or([])]
     if as_json:
-        output.print_json(operators.ProblemsDocument(problems=problems))
+        output.print_json(editing.ProblemsDocument(problems=problems))
     for problem in [] if as_json else problems:
         click.echo(problem, err=True)
     if problems:
@@ -115,7 +118,7 @@
 def history(connection: output.Connection) -> None:
     """Lists the versions that have been accepted, newest last."""
     reply = connection.ask("GET", HISTORY_PATH)
-    entries = output.decode(reply, list[operators.HistoryEntry])
+    entries = output.decode(reply, list[editing.HistoryEntry])
     if connection.as_json:
         output.print_json(entries)
         return
@@ -132,13 +135,16 @@
     connection: output.Connection, text: str, expected_version: int
 ) -> int:
     """Proposes a configuration; returns its version or exits."""
-    reply = connection.ask(
-        "PUT",
-        PATH,
-        operators.ProposalDocument(
-            expected_version=expected_version, text=text
-        ),
+    proposal = editing.ProposalDocument(
+        expected_version=expected_version,
+        text=text,
+        nonce=secrets.token_hex(proposals.NONCE_BYTES),
     )
+    reply = connection.ask("PUT", PATH, proposal)
+    for _ in range(REPETITIONS):
+        if reply.status != 503:
+            break
+        reply = connection.ask("PUT", PATH, proposal)
     if reply.status == 200:
         return output.decode(reply, wire.RowDocument).version
     code = {
@@ -152,11 +158,19 @@
     """Says why a proposal was not accepted."""
     try:
         document = msgspec.json.decode(
-            reply.body, type=operators.ProblemsDocument
+            reply.body,
+            type=editing.ProblemsDocument,
         )
     except msgspec.MsgspecError:
         return output.explain_refusal(reply)
-    return "\n".join(document.problems)
+    lines = list(document.problems)
+    for title, revision in (
+        ("present", document.present),
+        ("proposed", document.proposed),
+    ):
+        if revision is not None:
+            lines += [f"{title}, by {revision.operator}:", revision.text]
+    return "\n".join(lines)
 
 
 def report_version(connection: output.Connection, version: int) -> None:
@@ -177,14 +191,14 @@
         outcome = await client.transact(
             [
                 wire.WriteDocument(
-                    table=subscriptions.TABLE,
-                    key=subscriptions.KEY,
+                    table=revisions.TABLE,
+                    key=revisions.CURRENT,
                     expected_version=0,
                     value=text,
                 )
             ]
         )
-        stored = await client.row(subscriptions.TABLE, subscriptions.KEY)
+        stored = await client.row(revisions.TABLE, revisions.CURRENT)
     finally:
         await client.close()
     match outcome, stored:
