Give orders from the command line; settle lost answers of changes by nonce

The configuration's word that a target's endpoints check fencing numbers now counts beside the platform's list. Module tables of the internals page are generated. A change whose answer the platform loses is made once (new test).

--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -219,6 +219,11 @@
     rules: dict[str, Rule]
     text: str
 
+    def is_fenced(self, target: str) -> bool:
+        """Whether the endpoints of a target refuse orders that are old."""
+        declared = self.targets.get(target)
+        return declared is not None and declared.fenced
+
 
 def parse(
     text: str, version: int, source: str = "configuration"
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -1,5 +1,6 @@
 """The interface for operators and for the platform's balancer."""
 
+import dataclasses
 from typing import Literal
 
 from aiohttp import web
@@ -284,6 +285,9 @@
         endpoint = self._find(order.endpoint)
         if endpoint is None:
             return _unknown(order.endpoint)
+        current = self._subscription.current
+        if current is not None and current.is_fenced(endpoint.target):
+            endpoint = dataclasses.replace(endpoint, fenced=True)
         match await self._orders.give(endpoint, order.kind, order.value):
             case orders.Done(fencing_number=number):
                 return responses.document(
--- a/cranberryglade/tests/test_commands.py
+++ b/cranberryglade/tests/test_commands.py
@@ -267,3 +267,33 @@
     assert run(first, "config", "check", path).exit_code == 2
     result = run(first, "config", "propose", path)
     assert (result.exit_code, "rank = x" in result.output) == (2, True)
+
+
+def test_a_change_whose_answer_is_lost_is_made_once(served):
+    deployment, _, (first, _) = served
+    before = json.loads(run(first, "config", "show", "--json").stdout)
+    deployment.faults(
+        deployment.platform, {"lag_seconds": 0.0, "lose_answers": 1}
+    )
+    result = run(first, "tier", "add", "once", "--rank=8", "--json")
+    assert result.exit_code == 0, result.output
+    assert json.loads(result.stdout)["version"] == before["version"] + 1
+    entries = json.loads(run(first, "config", "history", "--json").stdout)
+    newest = entries[-1]
+    assert newest["version"] == before["version"] + 1
+    assert (newest["operator"], "T" in newest["accepted_at"]) == ("ops", True)
+    assert "accepted at" in run(first, "config", "history").stdout
+
+
+def test_orders_and_drains_name_what_they_cannot_do(served):
+    _, _, (first, _) = served
+    done = run(first, "order", "engine-1", "load", "adapter-7", "--json")
+    assert done.exit_code == 0, done.output
+    assert json.loads(done.stdout)["fencing_number"] > 0
+    for command in (("drain", "nobody"), ("order", "nobody", "drain")):
+        result = run(first, *command)
+        assert (result.exit_code, "nobody" in result.output) == (1, True)
+    assert run(first, "drain", "engine-1").exit_code == 0
+    rows = json.loads(run(first, "endpoints", "--json").stdout)
+    leaving = {row["name"] for row in rows if row["leaving"]}
+    assert leaving == {"engine-1"}
--- a/cranberryglade/tools/changes.py
+++ b/cranberryglade/tools/changes.py
@@ -12,7 +12,6 @@
 
 from cranberryglade import access
 from cranberryglade import configuration
-from cranberryglade import editing
 from cranberryglade import options
 from cranberryglade.tools import configure
 from cranberryglade.tools import generation
@@ -56,26 +55,15 @@
         if present == merged:
             output.note(f"version {row.version} holds this already")
             return row.version
-        reply = connection.ask(
-            "PUT",
-            configure.PATH,
-            editing.ProposalDocument(
-                expected_version=row.version,
-                text=sections.replace(row.value, change.section, merged),
-            ),
-        )
+        text = sections.replace(row.value, change.section, merged)
+        reply = configure.put(connection, text, row.version)
         if reply.status == 200:
             return row.version + 1
         if reply.status != 409:
-            code = output.EXIT_FAILED
-            if reply.status == 422:
-                code = output.EXIT_INVALID
-            raise output.CommandError(configure.problems_of(reply), code)
+            code = configure.EXIT_CODES.get(reply.status, output.EXIT_FAILED)
+            raise output.CommandError(output.explain_refusal(reply), code)
         seen = present if present is not None else {}
-        output.note(
-            f"conflict on version {row.version}: "
-            f"{configure.problems_of(reply)}; trying again"
-        )
+        output.note(f"conflict on version {row.version}; trying again")
     raise output.CommandError(
         f"{ATTEMPTS} conflicts in a row; nothing was changed",
         output.EXIT_CONFLICT,
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -34,6 +34,7 @@
     demo.demo,
     observe.drain,
     observe.endpoints,
+    observe.order,
     observe.status,
     observe.watch,
     questionnaire.questionnaire,
--- a/cranberryglade/tools/configure.py
+++ b/cranberryglade/tools/configure.py
@@ -5,7 +5,6 @@
 import secrets
 
 import click
-import msgspec
 from returns.result import Failure
 from returns.result import Success
 
@@ -15,13 +14,16 @@
 from cranberryglade import proposals
 from cranberryglade import revisions
 from cranberryglade import wire
+from cranberryglade.tools import client
 from cranberryglade.tools import output
 
 PATH = "/v1/operators/configuration"
-REPETITIONS = 2
+PROPOSAL_ATTEMPTS = 3
 HISTORY_PATH = "/v1/operators/configuration/history"
 FIRST_VERSION = 1
 PLATFORM_TIMEOUT_SECONDS = 5.0
+STATUS_UNCERTAIN = 503
+EXIT_CODES = {409: output.EXIT_CONFLICT, 422: output.EXIT_INVALID}
 
 file_argument = click.argument(
     "file", type=click.Path(dir_okay=False, path_type=pathlib.Path)
@@ -131,46 +133,36 @@
     return output.decode(connection.ask("GET", PATH), wire.RowDocument)
 
 
-def propose_text(
+def put(
     connection: output.Connection, text: str, expected_version: int
-) -> int:
-    """Proposes a configuration; returns its version or exits."""
+) -> client.Reply:
+    """Proposes a configuration; an untold outcome is asked for again.
+
+    The nonce is the same each time, so that a proposal that was accepted is
+    recognised and one that was not is made again.
+    """
     proposal = editing.ProposalDocument(
         expected_version=expected_version,
         text=text,
         nonce=secrets.token_hex(proposals.NONCE_BYTES),
     )
-    reply = connection.ask("PUT", PATH, proposal)
-    for _ in range(REPETITIONS):
-        if reply.status != 503:
-            break
+    for _ in range(PROPOSAL_ATTEMPTS):
         reply = connection.ask("PUT", PATH, proposal)
-    if reply.status == 200:
-        return output.decode(reply, wire.RowDocument).version
-    code = {
-        409: output.EXIT_CONFLICT,
-        422: output.EXIT_INVALID,
-    }.get(reply.status, output.EXIT_FAILED)
-    raise output.CommandError(problems_of(reply), code)
+        if reply.status != STATUS_UNCERTAIN:
+            break
+        output.note("the platform did not tell the outcome; asking again")
+    return reply
 
 
-def problems_of(reply) -> str:
-    """Says why a proposal was not accepted."""
-    try:
-        document = msgspec.json.decode(
-            reply.body,
-            type=editing.ProblemsDocument,
-        )
-    except msgspec.MsgspecError:
-        return output.explain_refusal(reply)
-    lines = list(document.problems)
-    for title, revision in (
-        ("present", document.present),
-        ("proposed", document.proposed),
-    ):
-        if revision is not None:
-            lines += [f"{title}, by {revision.operator}:", revision.text]
-    return "\n".join(lines)
+def propose_text(
+    connection: output.Connection, text: str, expected_version: int
+) -> int:
+    """Proposes a configuration; returns its version or exits."""
+    reply = put(connection, text, expected_version)
+    if reply.status == 200:
+        return output.decode(reply, wire.RowDocument).version
+    code = EXIT_CODES.get(reply.status, output.EXIT_FAILED)
+    raise output.CommandError(output.explain_refusal(reply), code)
 
 
 def report_version(connection: output.Connection, version: int) -> None:
@@ -186,9 +178,9 @@
     if isinstance(parsed, Failure):
         problems = [str(problem) for problem in parsed.failure()]
         raise output.CommandError("\n".join(problems), output.EXIT_INVALID)
-    client = platform.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
+    store = platform.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
     try:
-        outcome = await client.transact(
+        outcome = await store.transact(
             [
                 wire.WriteDocument(
                     table=revisions.TABLE,
@@ -198,9 +190,9 @@
                 )
             ]
         )
-        stored = await client.row(revisions.TABLE, revisions.CURRENT)
+        stored = await store.row(revisions.TABLE, revisions.CURRENT)
     finally:
-        await client.close()
+        await store.close()
     match outcome, stored:
         case Success(done), _ if done.committed:
             return FIRST_VERSION
--- a/cranberryglade/tools/observe.py
+++ b/cranberryglade/tools/observe.py
@@ -9,6 +9,8 @@
 from cranberryglade.tools import output
 
 FACTS_PATH = "/v1/operators/facts"
+ORDERS = ("load", "role", "drain")
+ORDER_EXIT_CODES = {409: output.EXIT_NOT_RUN, 504: output.EXIT_MAY_HAVE_RUN}
 
 
 @click.command()
@@ -24,8 +26,16 @@
     ago = "never" if confirmed is None else f"{confirmed:.1f} s ago"
     click.echo(f"instance    {found.instance} ({found.state})")
     click.echo(f"version     {found.version}, confirmed {ago}")
+    if found.accepted_version > found.version:
+        click.echo(f"accepted    {found.accepted_version}, not in force here:")
+    for problem in found.problems:
+        click.echo(f"            {problem}")
     click.echo(f"unfinished  {found.unfinished} requests")
-    click.echo(f"peers       {', '.join(found.peers) or 'none'}")
+    for cause, count in found.uncertain.items():
+        click.echo(f"uncertain   {count} requests: {cause}")
+    versions = {p.instance: p.version for p in found.peer_versions}
+    known = [f"{name} ({versions.get(name, '?')})" for name in found.peers]
+    click.echo(f"peers       {', '.join(known) or 'none'} (version known)")
     rows = [
         (t.target, t.free_slots, t.waiting, t.wait_seconds)
         for t in found.targets
@@ -70,6 +80,40 @@
         click.echo(f"{endpoint} gets no new work from now on")
 
 
+@click.command()
+@click.argument("endpoint")
+@click.argument("kind", type=click.Choice(ORDERS))
+@click.argument("value", default="")
+@output.connected
+def order(
+    connection: output.Connection, endpoint: str, kind: str, value: str
+) -> None:
+    r"""Orders an ENDPOINT to load a VALUE, take a role, or drain.
+
+    The order is given under a lease with a fencing number. Exit code 3 says
+    that it was not carried out, 4 that it may have been.
+
+    \b
+    Examples:
+      cranberryglade order assistant-3 load adapter-7
+      cranberryglade order assistant-3 role prefill
+    """
+    reply = connection.ask(
+        "POST",
+        "/v1/operators/orders",
+        operators.OrderRequest(endpoint=endpoint, kind=kind, value=value),
+    )
+    if reply.status in ORDER_EXIT_CODES:
+        raise output.CommandError(
+            output.explain_refusal(reply), ORDER_EXIT_CODES[reply.status]
+        )
+    done = output.decode(reply, operators.OrderOutcome)
+    if connection.as_json:
+        output.print_json(done)
+    else:
+        click.echo(f"done under fencing number {done.fencing_number}")
+
+
 @click.command()
 @click.option("--request", "request_id", default="", help="One request.")
 @click.option("--organisation", default="", help="One organisation.")
--- a/cranberryglade/tools/output.py
+++ b/cranberryglade/tools/output.py
@@ -15,6 +15,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import editing
 from cranberryglade import wire
 from cranberryglade.tools import client
 
@@ -122,6 +123,9 @@
 
 def explain_refusal(reply: client.Reply) -> str:
     """Says in words why a call was refused."""
+    match wire.decode(reply.body, editing.ProblemsDocument):
+        case Success(document):
+            return _problems(document)
     match wire.decode(reply.body, wire.VerdictDocument):
         case Success(document):
             text = f"{document.verdict}: {document.reason}"
@@ -134,6 +138,17 @@
             return f"status {reply.status}"
 
 
+def _problems(document: editing.ProblemsDocument) -> str:
+    lines = list(document.problems)
+    for title, revision in (
+        ("present", document.present),
+        ("proposed", document.proposed),
+    ):
+        if revision is not None:
+            lines += [f"{title}, by {revision.operator}:", revision.text]
+    return "\n".join(lines)
+
+
 def read_file(path: pathlib.Path) -> str:
     """Reads a text file that a command was given."""
     try:
--- a/cranberryglade/tools/reference.py
+++ b/cranberryglade/tools/reference.py
@@ -8,6 +8,7 @@
 import importlib
 import inspect
 import pathlib
+import pkgutil
 import re
 
 import msgspec
@@ -70,6 +71,8 @@
             return _message(name)
         case "reasons":
             return _reasons()
+        case "modules":
+            return _modules(name)
         case _:
             raise ValueError(f"unknown block {kind}")
 
@@ -159,6 +162,17 @@
     return f"`{msgspec.json.encode(default).decode()}`"
 
 
+def _modules(name: str) -> str:
+    package = importlib.import_module(name)
+    lines = ["| module | job |", "|---|---|"]
+    for module in pkgutil.iter_modules(package.__path__):
+        if not module.ispkg:
+            found = importlib.import_module(f"{name}.{module.name}")
+            summary = inspect.getdoc(found).splitlines()[0]
+            lines.append(f"| `{module.name}` | {summary} |")
+    return "\n".join(lines) + "\n"
+
+
 def _reasons() -> str:
     meanings = attributes(verdicts.Reason)
     lines = ["| reason | status when not run | meaning |", "|---|---|---|"]
