Explain an instance once that is both entry and delegate

Cause: the entry instance put its own hop first though the home's delegate was the same instance, so its decisions were listed twice (seen in make demo). New test failed in three runs of three before, passes now.

--- a/cranberryglade/explanations.py
+++ b/cranberryglade/explanations.py
@@ -48,7 +48,7 @@
         verdict: "ran", "not_run", "may_have_run", "pending", or "unknown" when
             its home cannot be reached.
         reason: reason of the verdict, or "".
-        hops: the instances that it passed, the one asked first.
+        hops: the instances that it passed, each once.
     """
 
     request_id: str
@@ -158,9 +158,9 @@
             ticket.instance, ticket.incarnation, asked, "home"
         )
         if found is not None and found.verdict != "unknown":
-            own = self._hop(asked.request_id)
-            if own.facts:
-                found.hops.insert(0, own)
+            passed = {hop.instance for hop in found.hops}
+            if self._own.name not in passed:
+                found.hops.insert(0, self._hop(asked.request_id))
         return found
 
     async def _explain_here(
--- a/cranberryglade/tests/test_commands.py
+++ b/cranberryglade/tests/test_commands.py
@@ -192,6 +192,36 @@
     assert "dispatched -> lists-1" in explained
 
 
+def test_an_instance_that_is_entry_and_delegate_is_explained_once(served):
+    deployment, _, (first, second) = served
+    home = deployment.daemon("entry-9", domain="wien-z")
+    support.eventually(
+        lambda: (
+            len(support.status(home)["peers"]) == 2
+            and "entry-9" in support.status(first)["peers"]
+            and "entry-9" in support.status(second)["peers"]
+        )
+    )
+    ticket = ask(home, "tickets").stdout.strip()
+    support.eventually(
+        lambda: (
+            ask(
+                first,
+                "submit",
+                "reservation",
+                "--payload={}",
+                f"--ticket={ticket}",
+            ).exit_code
+            == 0
+        )
+    )
+    hops = json.loads(run(first, "explain", ticket, "--json").stdout)["hops"]
+    names = [hop["instance"] for hop in hops]
+    assert "entry-9" in names
+    assert len(names) == len(set(names)), names
+    home.kill()
+
+
 def test_watch_shows_the_decisions_asked_for(served):
     _, _, (first, _) = served
     sender = threading.Timer(
