--- a/cranberryglade/scheduling/claims.py
+++ b/cranberryglade/scheduling/claims.py
@@ -26,7 +26,8 @@
         dispatched_at: when the current attempt began, in seconds.
         streamed: whether a caller may read tokens as they come.
         delivered: whether a token of the current attempt has arrived.
-        holder_version: version of the claim row that names another holder.
+        holder_version: version of the claim row that names another holder; 0
+            if the request holds its key itself.
         lost: why an earlier attempt may have run, or None.
     """
 
@@ -41,6 +42,11 @@
     holder_version: int = 0
     lost: verdicts.Reason | None = None
 
+    @property
+    def holds_key(self) -> bool:
+        """Whether the key's fate is decided here."""
+        return not self.holder_version
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tombstone:
@@ -172,9 +178,10 @@
         self, request_id: str, verdict: verdicts.Verdict, now: float
     ) -> None:
         """Turns a record into a tombstone; `now` in seconds."""
-        request = self._live.pop(request_id).request
+        record = self._live.pop(request_id)
+        request = record.request
         key = _scoped(request) if request.key else ""
-        if isinstance(verdict, verdicts.NotRun):
+        if not record.holds_key or isinstance(verdict, verdicts.NotRun):
             self._release(key, request_id)
             key = ""
         size = TOMBSTONE_OVERHEAD_BYTES + len(request_id) + 2 * len(key)
--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -96,6 +96,7 @@
     def claimed(self, record: claims.Record) -> None:
         """The request belongs here and may be placed."""
         record.state = self._chart.step(record.state, "claimed")
+        record.holder_version = 0
 
     def relay(self, record: claims.Record, holder: str, version: int) -> None:
         """Has the holder of the key answer; `version` is that of its row."""
--- a/cranberryglade/tests/test_claims.py
+++ b/cranberryglade/tests/test_claims.py
@@ -191,6 +191,18 @@
     assert not of_type(actions, messages.Dispatch)
 
 
+def test_a_key_held_elsewhere_is_asked_about_again_once_the_cut_has_healed():
+    core = started()
+    holder = "wien-b.entry-9.beef.4.5167"
+    submitted(core, key="k")
+    settled(core, "r1", OUTCOME.LOST, holder, 1)
+    gone = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
+    core.handle(messages.AttemptFailed("r1", 1, gone), 0.2)
+    submitted(core, "r2", key="k")
+    actions = settled(core, "r2", OUTCOME.LOST, holder, 1)
+    assert of_type(actions, messages.Relay)
+
+
 def test_a_key_held_by_a_forgotten_request_may_have_run(monkeypatch):
     monkeypatch.setattr(claims, "KEPT_TOMBSTONES", 1)
     core = started()
