--- a/cranberryglade/tests/test_interleavings.py
+++ b/cranberryglade/tests/test_interleavings.py
@@ -21,7 +21,6 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=100,
     stateful_step_count=40,
     phases=[hypothesis.Phase.generate],
     suppress_health_check=list(hypothesis.HealthCheck),
@@ -114,8 +113,11 @@
         self.world.ledger.check()
 
 
-def explore():
-    stateful.run_state_machine_as_test(Interleavings, settings=SETTINGS)
+def explore(examples=100):
+    stateful.run_state_machine_as_test(
+        Interleavings,
+        settings=hypothesis.settings(SETTINGS, max_examples=examples),
+    )
 
 
 @pytest.mark.parametrize("kept", [100_000, 2])
@@ -188,4 +190,4 @@
     monkeypatch.setattr(claims, "KEPT_TOMBSTONES", 2)
     monkeypatch.setattr(owner, name, mutant)
     with pytest.raises(worlds.ViolationError, match=caught):
-        explore()
+        explore(examples=1000)
