--- a/cranberryglade/explanations.py
+++ b/cranberryglade/explanations.py
@@ -131,11 +131,16 @@
     async def _post_explanation(self, http_request: web.Request):
         body = await http_request.read()
         signature = http_request.headers.get(peers.SIGNATURE_HEADER, "")
-        if not self._key.check(signature, http_request.path, body):
+        path = http_request.path
+        if not self._key.check(signature, path, body, self._own.incarnation):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         match wire.decode(body, ExplanationRequest):
             case Success(asked):
-                return _respond(asked, await self._explain_here(asked))
+                response = _respond(asked, await self._explain_here(asked))
+                response.headers[peers.SIGNATURE_HEADER] = self._key.sign(
+                    path, response.body, signature
+                )
+                return response
             case Failure(detail):
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
@@ -210,7 +215,7 @@
         if peer is None or (incarnation and peer.incarnation != incarnation):
             return _missing(asked, instance, f"the {role} cannot be reached")
         result: Result = await self._client.ask(
-            peer.address, PEER_PATH, asked, ExplanationDocument
+            peer, PEER_PATH, asked, ExplanationDocument
         )
         match result:
             case Success(found):
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -23,6 +23,7 @@
 LOOKUP_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 SILENCE_MARGIN_SECONDS = 5.0
 SIGNATURE_HEADER = "X-Peer-Signature"
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -36,9 +37,16 @@
 class PeerKey:
     """Signs messages between instances and checks their signatures.
 
+    A signature is bound to the incarnation of the receiver or, for an answer,
+    to the signature of the request, so that a message that was recorded and
+    is sent again later is refused.
+
     >>> key = PeerKey(b"0" * 16)
-    >>> key.check(key.sign("/v1/peer/digest", b"{}"), "/v1/peer/digest", b"{}")
+    >>> signature = key.sign("/v1/peer/digest", b"{}", "i1")
+    >>> key.check(signature, "/v1/peer/digest", b"{}", "i1")
     True
+    >>> key.check(signature, "/v1/peer/digest", b"{}", "i2")
+    False
     """
 
     __slots__ = ("_key",)
@@ -46,18 +54,26 @@
     def __init__(self, key: bytes):
         self._key = key
 
-    def sign(self, path: str, body: bytes) -> str:
+    def sign(self, path: str, body: bytes, bound: str = "") -> str:
         """Returns the signature of a message."""
-        signed = path.encode() + b"\n" + body
+        signed = f"{path}\n{bound}\n".encode() + body
         return hmac.new(self._key, signed, hashlib.sha256).hexdigest()
 
-    def check(self, signature: str, path: str, body: bytes) -> bool:
+    def check(
+        self, signature: str, path: str, body: bytes, bound: str = ""
+    ) -> bool:
         """Tells whether an instance that has the key sent the message."""
-        expected = self.sign(path, body).encode()
+        expected = self.sign(path, body, bound).encode()
         given = signature.encode(errors="replace")
         return hmac.compare_digest(expected, given)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Answer:
+    body: bytes
+    signature: str
+
+
 class PeerClient:
     """One HTTP client for all peers."""
 
@@ -77,24 +93,51 @@
         """Closes all connections."""
         await self._session.close()
 
-    async def exchange_digests(
-        self, address: str, own: wire.DigestDocument
-    ) -> Result[wire.DigestDocument, str]:
-        """Gives a peer the own digest and returns the peer's."""
-        return await self.ask(
-            address, "/v1/peer/digest", own, wire.DigestDocument
-        )
+    async def call(
+        self, address: str, incarnation: str, path: str, body: bytes
+    ) -> Result[bytes, str]:
+        """Sends a short message and returns the body of the answer.
+
+        Args:
+            address: where to send it.
+            incarnation: the process meant; "" if that is not known.
+            path: path of the interface for peers.
+            body: the message.
+        """
+        signature = self._key.sign(path, body, incarnation)
+        match await self._post(address, path, body, signature):
+            case Success(answer):
+                is_genuine = self._key.check(
+                    answer.signature, path, answer.body, signature
+                )
+                if is_genuine:
+                    return Success(answer.body)
+                return Failure("signature of the answer")
+            case Failure(error):
+                return Failure(error)
 
     async def ask(
-        self, address: str, path: str, document: wire.Document, kind: type[T]
+        self,
+        peer: messages.Peer,
+        path: str,
+        document: wire.Document,
+        kind: type[T],
     ) -> Result[T, str]:
         """Makes one short call to a peer and reads its answer."""
-        body = wire.encode(document)
+        answer = await self.call(
+            peer.address, peer.incarnation, path, wire.encode(document)
+        )
+        return answer.bind(lambda data: wire.decode(data, kind))
+
+    async def _post(
+        self, address: str, path: str, body: bytes, signature: str
+    ) -> Result[_Answer, str]:
         try:
             async with self._session.post(
                 f"http://{address}{path}",
                 data=body,
-                headers=self._headers(path, body),
+                headers={SIGNATURE_HEADER: signature},
+                skip_auto_headers=SKIPPED_HEADERS,
                 timeout=self._probe_timeout,
             ) as response:
                 data = await response.read()
@@ -102,7 +145,9 @@
             return Failure(type(error).__name__)
         if response.status != 200:
             return Failure(f"status {response.status}")
-        return wire.decode(data, kind)
+        return Success(
+            _Answer(data, response.headers.get(SIGNATURE_HEADER, ""))
+        )
 
     async def look_up(
         self, peer: messages.Peer, asked: wire.LookupDocument
@@ -114,7 +159,7 @@
             async with self._session.post(
                 f"http://{peer.address}{path}",
                 data=body,
-                headers=self._headers(path, body),
+                headers=self._headers(path, body, peer.incarnation),
                 timeout=LOOKUP_TIMEOUT,
             ) as response:
                 return Success(Found(response.status, await response.read()))
@@ -155,7 +200,7 @@
                     "POST",
                     f"http://{peer.address}{path}",
                     body,
-                    {**headers, **self._headers(path, body)},
+                    {**headers, **self._headers(path, body, peer.incarnation)},
                     answers.AnswerCheck(request.request_id),
                     heard,
                 ),
@@ -165,8 +210,10 @@
         except silence.SilenceError:
             return verdicts.MayHaveRun(verdicts.Reason.PEER_LOST)
 
-    def _headers(self, path: str, body: bytes) -> dict[str, str]:
+    def _headers(
+        self, path: str, body: bytes, incarnation: str
+    ) -> dict[str, str]:
         return {
-            SIGNATURE_HEADER: self._key.sign(path, body),
+            SIGNATURE_HEADER: self._key.sign(path, body, incarnation),
             "Content-Type": "application/json",
         }
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -12,7 +12,6 @@
 from returns.result import Success
 
 from cranberryglade import verdicts
-from cranberryglade.scheduling import messages
 
 T = TypeVar("T")
 
@@ -169,28 +168,6 @@
     cancel: bool = False
 
 
-class DigestDocument(Document, kw_only=True):
-    """What an instance tells its peers.
-
-    Attributes:
-        instance: its name.
-        incarnation: which process of that name.
-        address: where its peers reach it, "host:port".
-        failure_domain: where it runs.
-        version: version of the configuration in force there.
-        targets: what it could take on.
-        leaving: endpoints of which it has a sign of leaving.
-    """
-
-    instance: str
-    incarnation: str
-    address: str
-    failure_domain: str
-    version: int
-    targets: list[messages.TargetDigest]
-    leaving: list[str] = []
-
-
 class InstanceDocument(Document, kw_only=True):
     """One row of the platform's list.
 
