--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -84,6 +84,8 @@
         document: wire.RequestDocument,
     ):
         rule = current.rules.get(document.kind)
+        if rule is None and document.ticket:
+            return await self._found(document.ticket, organisation, False)
         if rule is None:
             return responses.refusal(
                 verdicts.Reason.UNKNOWN_KIND, document.kind
@@ -158,19 +160,23 @@
         organisation = access.organisation(http_request, current)
         if organisation is None:
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        request_id = http_request.match_info["id"]
-        if self._office.read(request_id, organisation.name) is None:
+        return await self._found(
+            http_request.match_info["id"], organisation.name, cancel
+        )
+
+    async def _found(self, request_id: str, organisation: str, cancel: bool):
+        if self._office.read(request_id, organisation) is None:
             return responses.refusal(
                 verdicts.Reason.UNKNOWN_REQUEST, request_id=request_id
             )
         if not self._office.is_home(request_id):
             found = await self._forwarder.look_up(
-                request_id, organisation.name, cancel
+                request_id, organisation, cancel
             )
             return _relayed(request_id, found)
         if cancel:
             self._executor.cancel(request_id)
-        exchange = self._executor.look_up(request_id, organisation.name)
+        exchange = self._executor.look_up(request_id, organisation)
         return await responses.current(request_id, exchange)
 
     async def _post_tickets(self, http_request: web.Request):
--- a/cranberryglade/forwarding.py
+++ b/cranberryglade/forwarding.py
@@ -28,6 +28,7 @@
         verdicts.Reason.UNKNOWN_REQUEST,
     }
 )
+GONE = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
 
 
 class Forwarder:
@@ -106,7 +107,7 @@
         """
         home = self._home(request_id, submission.request.organisation)
         if home is None:
-            return await self._left_behind(request_id, sink)
+            return await self._left_behind(request_id, sink, GONE)
         delivered = False
 
         def note(events: bytes) -> None:
@@ -117,7 +118,8 @@
         ending = await self._send(submission, request_id, home, note)
         if delivered or not _unknown(ending):
             return ending
-        return await self._left_behind(request_id, sink)
+        known = ending if isinstance(ending, verdicts.MayHaveRun) else GONE
+        return await self._left_behind(request_id, sink, known)
 
     async def look_up(
         self, request_id: str, organisation: str, cancel: bool
@@ -136,9 +138,7 @@
                 case Success(found):
                     return found
         finding = await self._archive.find(request_id)
-        if finding is None:
-            return verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
-        return finding.verdict
+        return GONE if finding is None else finding.verdict
 
     def _home(self, request_id: str, organisation: str):
         ticket = self._office.read(request_id, organisation)
@@ -147,11 +147,14 @@
         return self._membership.find(ticket.instance, ticket.incarnation)
 
     async def _left_behind(
-        self, request_id: str, sink: streams.Sink
+        self,
+        request_id: str,
+        sink: streams.Sink,
+        otherwise: verdicts.MayHaveRun,
     ) -> streams.Ending:
         finding = await self._archive.find(request_id)
         if finding is None:
-            return verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
+            return otherwise
         if finding.answer is None:
             return finding.verdict
         sink(finding.answer.events)
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -21,7 +21,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 LOOKUP_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
-SILENCE_MARGIN_SECONDS = 5.0
+SILENCE_MARGIN_SECONDS = 10.0
 SIGNATURE_HEADER = "X-Peer-Signature"
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -71,6 +71,8 @@
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
         """What peers are told about the load of this instance."""
+        if self._stopping:
+            return ()
         return self._placement.digests()
 
     def marks(self) -> list[departures.Mark]:
--- a/cranberryglade/tests/test_claims.py
+++ b/cranberryglade/tests/test_claims.py
@@ -274,3 +274,4 @@
     ]
     actions = submitted(core, "new")
     assert finished(actions).reason is verdicts.Reason.STOPPING
+    assert core.digests() == ()
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -1,6 +1,5 @@
 """Contract with endpoints: what each of their replies is taken for."""
 
-import asyncio
 import contextlib
 import socket
 
@@ -12,81 +11,18 @@
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 from cranberryglade.tests import builders
+from cranberryglade.tests.fakes import CLOSE
+from cranberryglade.tests.fakes import WHOLE
+from cranberryglade.tests.fakes import Fake
+from cranberryglade.tests.fakes import end
+from cranberryglade.tests.fakes import kept_alive
+from cranberryglade.tests.fakes import refusal
+from cranberryglade.tests.fakes import token
 
 R = verdicts.Reason
 LOST = verdicts.MayHaveRun(R.ANSWER_LOST)
 NOT_WHOLE = verdicts.MayHaveRun(R.ANSWER_NOT_WHOLE)
 SILENT = verdicts.MayHaveRun(R.ENDPOINT_SILENT)
-STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-CLOSE = STREAM + b"Connection: close\r\n\r\n"
-
-
-def token(offset):
-    return b'id: %d\ndata: {"text":"w%d "}\n\n' % (offset, offset)
-
-
-def end(count, request_id=b"r1"):
-    data = b'{"request_id":"%b","count":%d}' % (request_id, count)
-    return b"event: end\ndata: " + data + b"\n\n"
-
-
-def kept_alive(body):
-    return STREAM + b"Content-Length: %d\r\n\r\n" % len(body) + body
-
-
-def refusal(status, body, more=b""):
-    head = b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n"
-    return head % (status, more, len(body)) + body
-
-
-WHOLE = token(0) + token(1) + end(2)
-
-
-class Fake:
-    """Accepts connections and answers with bytes from a script.
-
-    A reply of None keeps the connection open and says nothing; b"" closes it.
-    """
-
-    def __init__(self, replies):
-        self.heads = []
-        self._replies = list(replies)
-        self._server = None
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        return self
-
-    async def __aexit__(self, *_):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.heads.append(head)
-                await reader.readexactly(_length(head))
-                reply = self._replies.pop(0) if self._replies else b""
-                if reply is None:
-                    await asyncio.sleep(60)
-                writer.write(reply)
-                if b"Content-Length" not in reply:
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
-
-    def count(self, method):
-        return sum(head.startswith(method) for head in self.heads)
-
-
-def _length(head):
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return int(line.split(b":")[1])
-    return 0
 
 
 @pytest.fixture
--- a/cranberryglade/tests/test_interleavings.py
+++ b/cranberryglade/tests/test_interleavings.py
@@ -16,7 +16,7 @@
 FLAG = strategies.booleans()
 KEY = strategies.sampled_from(["k1", "k1", "k2", "", ""])
 RARELY = strategies.sampled_from([False, False, False, True])
-SECONDS = strategies.sampled_from([0.1, 0.1, 0.1, 5.0, 40.0])
+SECONDS = strategies.sampled_from([0.1, 0.1, 0.1, 5.0, 40.0, -20.0])
 SETTINGS = hypothesis.settings(
     derandomize=True,
     database=None,
@@ -69,6 +69,14 @@
     def go_on_with_the_oldest(self, choice):
         self.world.step(self.world.ready()[0], choice)
 
+    @stateful.precondition(lambda self: self.world.running())
+    @stateful.rule(number=NUMBER)
+    def break_off_after_a_token(self, number):
+        running = self.world.running()
+        operation = running[number % len(running)]
+        self.world.first_token(operation)
+        self.world.fail(operation, worlds.LOST)
+
     @stateful.precondition(lambda self: self.world.late_writes)
     @stateful.rule(number=NUMBER)
     def write_late(self, number):
@@ -174,7 +182,7 @@
 SCHEDULER = scheduler.Scheduler
 MUTATIONS = [
     (SCHEDULER, "_may_repeat", _repeat_always, "ran 2 times"),
-    (scheduler, "_believed", _believe, "told not run"),
+    (scheduler, "_believed", _believe, "told not run|ran 2 times"),
     (claims.Claims, "forgotten", _forget, "was told"),
     (lives.Lives, "refuse", _refuse, "told not run"),
     (SCHEDULER, "_relay_failed", _take_over_always, "ran 2 times"),
--- a/cranberryglade/tests/test_processes.py
+++ b/cranberryglade/tests/test_processes.py
@@ -54,6 +54,11 @@
     def later(self, daemon, body, headers=None, raw=False):
         return self._pool.submit(support.submit, daemon, body, headers, raw)
 
+    def writes(self):
+        """Transactions that the platform has been asked for."""
+        url = f"http://{self.deployment.platform.address}/standin/counts"
+        return support.call("GET", url)[1].get("writes", 0)
+
     def started(self, count=1):
         """Waits until that many requests run."""
         support.eventually(lambda: self.runs() == self.runs_before + count)
@@ -134,6 +139,28 @@
     assert pair.runs() == pair.runs_before + 1
 
 
+def test_a_home_that_was_frozen_while_it_claimed_runs_once(pair):
+    pair.deployment.faults(pair.deployment.platform, {"delay_seconds": 0.5})
+    key = {"Idempotency-Key": "till-3/90"}
+    first = pair.later(pair.first, RESERVATION, key)
+    writes = pair.writes()
+    support.eventually(lambda: pair.writes() > writes)
+    pair.first.send(signal.SIGSTOP)
+    pair.alone()
+    pair.deployment.faults(pair.deployment.platform, {})
+    second = support.submit(pair.second, RESERVATION, key)[1]
+    assert said(second) == ("may_have_run", "home_unreachable")
+    pair.first.send(signal.SIGCONT)
+    verdict = first.result()[1]["verdict"]
+    assert verdict in ("ran", "not_run")
+    assert pair.runs() == pair.runs_before + (verdict == "ran")
+    support.eventually(lambda: pair.knows_all(pair.second))
+    for daemon in (pair.second, pair.first):
+        answer = support.submit(daemon, RESERVATION, key)[1]
+        assert said(answer) == ("ran", ""), answer
+    assert pair.runs() == pair.runs_before + 1
+
+
 def test_a_planned_stop_cuts_nothing_and_leaves_what_it_knew(pair):
     answered, unused = ticket(pair.first), ticket(pair.first)
     streamed = {**QUESTION, "ticket": answered, "stream": True}
--- a/cranberryglade/tests/worlds.py
+++ b/cranberryglade/tests/worlds.py
@@ -231,6 +231,9 @@
     def ready(self):
         return [o for o in self.operations if o.state != "attached"]
 
+    def running(self):
+        return [o for o in self.operations if o.state in ("running", "token")]
+
     def step(self, operation, choice):
         """Lets one operation go on; `choice` says which way."""
         match operation:
