--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -1,74 +1,67 @@
-"""A server that answers with the bytes of a script."""
+"""A platform in memory whose faults are chosen call by call."""
 
 import asyncio
 
-STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-CLOSE = STREAM + b"Connection: close\r\n\r\n"
+from returns.result import Failure
+from returns.result import Success
 
+from cranberryglade import platform
+from cranberryglade import wire
 
-def token(offset):
-    return b'id: %d\ndata: {"text":"w%d "}\n\n' % (offset, offset)
+LOST = Failure(platform.PlatformError("TimeoutError"))
 
 
-def end(count, request_id=b"r1"):
-    data = b'{"request_id":"%b","count":%d}' % (request_id, count)
-    return b"event: end\ndata: " + data + b"\n\n"
+class FakePlatform:
+    """Table service; `faults` holds what happens to the next calls.
 
-
-def kept_alive(body):
-    return STREAM + b"Content-Length: %d\r\n\r\n" % len(body) + body
-
-
-def refusal(status, body, more=b""):
-    head = b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n"
-    return head % (status, more, len(body)) + body
-
-
-WHOLE = token(0) + token(1) + end(2)
-
-
-class Fake:
-    """Accepts connections and answers with bytes from a script.
-
-    A reply of None keeps the connection open and says nothing; b"" closes it.
+    "ok": answered. "down": refused without effect. "lost": takes effect, the
+    answer is lost. "late": takes effect after the next call only. "old": a
+    read from a copy that is one write behind.
     """
 
-    def __init__(self, replies):
-        self.heads = []
-        self._replies = list(replies)
-        self._server = None
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        return self
-
-    async def __aexit__(self, *_):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.heads.append(head)
-                await reader.readexactly(_length(head))
-                reply = self._replies.pop(0) if self._replies else b""
-                if reply is None:
-                    await asyncio.sleep(60)
-                writer.write(reply)
-                if b"Content-Length" not in reply:
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
-
-    def count(self, method):
-        return sum(head.startswith(method) for head in self.heads)
-
-
-def _length(head):
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            return int(line.split(b":")[1])
-    return 0
+    def __init__(self):
+        self.rows = {}
+        self.former = {}
+        self.faults = []
+        self.late = []
+        self.reads = 0
+
+    def fault(self):
+        fault = self.faults.pop(0) if self.faults else "ok"
+        late, self.late = self.late, []
+        for writes in late:
+            self.commit(writes)
+        return fault
+
+    async def row(self, table, key):
+        self.reads += 1
+        await asyncio.sleep(0)
+        fault = self.fault()
+        if fault in ("down", "lost", "late"):
+            return LOST
+        rows = self.former if fault == "old" else self.rows
+        absent = wire.RowDocument(value="", version=0)
+        return Success(rows.get(f"{table}/{key}", absent))
+
+    async def transact(self, writes):
+        await asyncio.sleep(0)
+        fault = self.fault()
+        if fault == "down":
+            return LOST
+        if fault == "late":
+            self.late.append(writes)
+            return LOST
+        outcome = self.commit(writes)
+        return LOST if fault == "lost" else Success(outcome)
+
+    def commit(self, writes):
+        for write in writes:
+            present = self.rows.get(f"{write.table}/{write.key}")
+            if (present.version if present else 0) != write.expected_version:
+                return wire.TransactionOutcome(committed=False)
+        self.former = dict(self.rows)
+        for write in writes:
+            self.rows[f"{write.table}/{write.key}"] = wire.RowDocument(
+                value=write.value, version=write.expected_version + 1
+            )
+        return wire.TransactionOutcome(committed=True)
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -11,13 +11,13 @@
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 from cranberryglade.tests import builders
-from cranberryglade.tests.fakes import CLOSE
-from cranberryglade.tests.fakes import WHOLE
-from cranberryglade.tests.fakes import Fake
-from cranberryglade.tests.fakes import end
-from cranberryglade.tests.fakes import kept_alive
-from cranberryglade.tests.fakes import refusal
-from cranberryglade.tests.fakes import token
+from cranberryglade.tests.scripted import CLOSE
+from cranberryglade.tests.scripted import WHOLE
+from cranberryglade.tests.scripted import Fake
+from cranberryglade.tests.scripted import end
+from cranberryglade.tests.scripted import kept_alive
+from cranberryglade.tests.scripted import refusal
+from cranberryglade.tests.scripted import token
 
 R = verdicts.Reason
 LOST = verdicts.MayHaveRun(R.ANSWER_LOST)
--- a/cranberryglade/tests/test_forwarding.py
+++ b/cranberryglade/tests/test_forwarding.py
@@ -17,7 +17,7 @@
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.tests import builders
-from cranberryglade.tests import fakes
+from cranberryglade.tests import scripted
 
 R = verdicts.Reason
 LOST = verdicts.MayHaveRun(R.ANSWER_LOST)
@@ -30,12 +30,12 @@
     HOME.failure_domain, HOME.name, HOME.incarnation, b"0" * 16
 )
 TICKET = OFFICE.issue("store-1")
-WHOLE = fakes.token(0) + fakes.end(1, TICKET.encode())
+WHOLE = scripted.token(0) + scripted.end(1, TICKET.encode())
 
 
 def refused(reason, request_id=TICKET):
     document = wire.verdict_document(request_id, verdicts.NotRun(reason, 1.0))
-    return fakes.refusal(b"503 No", wire.encode(document))
+    return scripted.refusal(b"503 No", wire.encode(document))
 
 
 def snapshot(**changes):
@@ -62,7 +62,7 @@
 
 
 REPLIES = {
-    "whole": ([fakes.kept_alive(WHOLE)], streams.Whole(1), streams.Whole(1)),
+    "whole": ([scripted.kept_alive(WHOLE)], streams.Whole(1), streams.Whole(1)),
     "refused": ([refused(R.SHED)], SHED, SHED),
     "another refused": ([refused(R.SHED, "r2")], LOST, LOST),
     "malformed": (
@@ -76,14 +76,14 @@
         GONE,
     ),
     "accepted, then dead": ([b""], streams.Cut(), GONE),
-    "cut": ([fakes.CLOSE + fakes.token(0)], streams.Cut(), streams.Cut()),
+    "cut": ([scripted.CLOSE + scripted.token(0)], streams.Cut(), streams.Cut()),
     "crossed": (
-        [fakes.CLOSE + fakes.token(0) + fakes.end(1)],
+        [scripted.CLOSE + scripted.token(0) + scripted.end(1)],
         NOT_WHOLE,
         NOT_WHOLE,
     ),
     "redirected": (
-        [fakes.refusal(b"307 Go", b"", b"Location: /elsewhere\r\n")],
+        [scripted.refusal(b"307 Go", b"", b"Location: /elsewhere\r\n")],
         LOST,
         LOST,
     ),
@@ -129,7 +129,7 @@
 async def test_a_reply_of_a_peer(client, name):
     replies, from_peer, from_home = REPLIES[name]
     for expected, is_home in ((from_peer, False), (from_home, True)):
-        async with fakes.Fake(replies or []) as fake:
+        async with scripted.Fake(replies or []) as fake:
             peer = builders.peer("entry-9", address=fake.address)
             if replies is None:
                 await fake.__aexit__()
@@ -143,7 +143,7 @@
             assert fake.count(b"POST") == (replies is not None)
 
 
-ANSWER = snapshots.KeptAnswer(sequence=1, tokens=1, events=fakes.token(0))
+ANSWER = snapshots.KeptAnswer(sequence=1, tokens=1, events=scripted.token(0))
 CUT = snapshots.Uncertain(sequence=1, reason="instance_cut")
 
 
