--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -1,5 +1,7 @@
 """The interface for callers."""
 
+import http
+
 from aiohttp import web
 from returns.result import Failure
 from returns.result import Success
@@ -84,12 +86,8 @@
         document: wire.RequestDocument,
     ):
         rule = current.rules.get(document.kind)
-        if rule is None and document.ticket:
-            return await self._found(document.ticket, organisation, False)
         if rule is None:
-            return responses.refusal(
-                verdicts.Reason.UNKNOWN_KIND, document.kind
-            )
+            return await self._unknown_kind(document, organisation)
         key = http_request.headers.get(wire.KEY_HEADER, "")
         problem = _problem(document, key)
         if problem:
@@ -127,6 +125,15 @@
         finally:
             span.end()
 
+    async def _unknown_kind(
+        self, document: wire.RequestDocument, organisation: str
+    ) -> web.Response:
+        if document.ticket:
+            found = await self._found(document.ticket, organisation, False)
+            if found.status != http.HTTPStatus.NOT_FOUND:
+                return found
+        return responses.refusal(verdicts.Reason.UNKNOWN_KIND, document.kind)
+
     def _exchange(
         self, submission: submissions.Submission
     ) -> exchanges.Exchange:
