--- /dev/null
+++ b/cranberryglade/tools/bench.py
@@ -0,0 +1,54 @@
+"""Commands that measure speed; see docs/CAPACITY.md for what they gave."""
+
+import asyncio
+
+import click
+import msgspec
+import uvloop
+
+from cranberryglade.tools import benchengine
+from cranberryglade.tools import benchload
+
+
+@click.group()
+def bench() -> None:
+    """Measures a running daemon, or the scheduler core alone."""
+
+
+@bench.command("engine")
+@click.option("--address", default="127.0.0.1:0", show_default=True)
+@click.option("--interval-ms", default=48.0, show_default=True)
+def start_engine(address: str, interval_ms: float) -> None:
+    """Serves streams of one event per interval until it is ended."""
+    _run(_serve_engine(address, interval_ms / 1000))
+
+
+@bench.command("load")
+@click.option("--address", required=True, help="The daemon's, for callers.")
+@click.option("--token", required=True, help="An organisation's token.")
+@click.option("--kind", required=True, help="Kind of every request.")
+@click.option("--rate", default=180.0, show_default=True)
+@click.option("--tokens", default=244, show_default=True)
+@click.option("--ramp-seconds", default=14.0, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--pid", default=0, help="Process whose usage is measured.")
+def send_load(**options) -> None:
+    """Sends streamed requests and prints what was measured as JSON."""
+    report = _run(benchload.run(benchload.Plan(**options)))
+    click.echo(msgspec.json.encode(report).decode())
+
+
+async def _serve_engine(address: str, interval: float) -> None:
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    server = await loop.create_server(
+        lambda: benchengine.BenchEngine(loop, interval), host, int(port)
+    )
+    bound = server.sockets[0].getsockname()
+    click.echo(msgspec.json.encode({"address": f"{bound[0]}:{bound[1]}"}))
+    await server.serve_forever()
+
+
+def _run(coroutine):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(coroutine)
--- /dev/null
+++ b/cranberryglade/tools/benchengine.py
@@ -0,0 +1,104 @@
+"""A cheap engine for load measurements: one event per token, at fixed times.
+
+It speaks just enough HTTP for the daemon and does no scheduling of its own, so
+that several thousand streams fit into one process.
+"""
+
+import asyncio
+import time
+
+import msgspec
+
+from cranberryglade.scheduling import answers
+
+HEAD_END = b"\r\n\r\n"
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
+class _Request(msgspec.Struct):
+    request_id: str
+    max_tokens: int
+
+
+class BenchEngine(asyncio.Protocol):
+    """One connection of the engine.
+
+    Each token event carries when it was sent, in nanoseconds of the monotonic
+    clock; the first also carries how long after the request that was.
+    """
+
+    __slots__ = (
+        "_buffer",
+        "_interval",
+        "_loop",
+        "_received_ns",
+        "_request",
+        "_sent",
+        "_started",
+        "_timer",
+        "_transport",
+    )
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, interval: float):
+        self._loop = loop
+        self._interval = interval
+        self._buffer = b""
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def connection_lost(self, _) -> None:
+        """Ends the stream."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Starts a stream once the request is whole."""
+        self._buffer += data
+        head, found, body = self._buffer.partition(HEAD_END)
+        if not found or len(body) < _content_length(head):
+            return
+        self._buffer = b""
+        if not head.startswith(b"POST /v1/generate "):
+            self._transport.write(NOT_FOUND)
+            return
+        self._received_ns = time.monotonic_ns()
+        self._request = msgspec.json.decode(body, type=_Request)
+        self._sent = 0
+        self._started = self._loop.time()
+        self._transport.write(HEAD)
+        self._step()
+
+    def _step(self) -> None:
+        now_ns = time.monotonic_ns()
+        event = answers.token_event(
+            self._sent,
+            b'{"text":"word ","at":%d,"after":%d}'
+            % (now_ns, now_ns - self._received_ns),
+        )
+        self._transport.write(_chunk(event))
+        self._sent += 1
+        if self._sent >= self._request.max_tokens:
+            end = answers.end_event(self._request.request_id, self._sent)
+            self._transport.write(_chunk(end) + LAST_CHUNK)
+            return
+        due = self._started + self._sent * self._interval
+        self._timer = self._loop.call_at(due, self._step)
+
+
+def _content_length(head: bytes) -> int:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2])
+    return 0
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/cranberryglade/tools/benchload.py
@@ -0,0 +1,252 @@
+"""A caller for load measurements: many streams, each token timed."""
+
+import array
+import asyncio
+import dataclasses
+import random
+import re
+import time
+
+import msgspec
+import numpy
+
+from cranberryglade.tools import processes
+
+MILLISECONDS_PER_NANOSECOND = 1e-6
+BYTES_PER_MEGABYTE = 1_000_000
+SEED = 1
+END = b"event: end\n"
+LAST_CHUNK = b"0\r\n\r\n"
+OK = b"HTTP/1.1 200 "
+STAMP = re.compile(rb'"at":(\d+),"after":(\d+)}\n')
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """What to send.
+
+    Attributes:
+        address: "host:port" of the daemon's interface for callers.
+        token: the organisation's token.
+        kind: kind of every request.
+        rate: requests per second, at random times.
+        tokens: length of every answer.
+        ramp_seconds: time before anything is measured.
+        seconds: time that is measured.
+        pid: process whose usage is measured; 0 for none.
+    """
+
+    address: str
+    token: str
+    kind: str
+    rate: float
+    tokens: int
+    ramp_seconds: float
+    seconds: float
+    pid: int
+
+
+class Percentiles(msgspec.Struct):
+    """Percentiles of a time in milliseconds."""
+
+    p50: float
+    p95: float
+    p99: float
+
+
+class Report(msgspec.Struct):
+    """What was measured between the ramp and the end.
+
+    Attributes:
+        requests_per_second: requests sent.
+        tokens_per_second: token events received.
+        streams: most streams open at once.
+        whole: streams that ended with a marker that agrees.
+        failed: streams that did not.
+        added_first_token_ms: from sending the request to its first token,
+            without the time inside the engine.
+        added_token_ms: from the engine's write of a token to its arrival.
+        gap_ms: between two tokens of a stream.
+        cores: processor time of the daemon by elapsed time.
+        resident_mb: resident memory of the daemon at the end.
+        peak_mb: largest resident memory of the daemon.
+    """
+
+    requests_per_second: float
+    tokens_per_second: float
+    streams: int
+    whole: int
+    failed: int
+    added_first_token_ms: Percentiles
+    added_token_ms: Percentiles
+    gap_ms: Percentiles
+    cores: float = 0.0
+    resident_mb: float = 0.0
+    peak_mb: float = 0.0
+
+
+class Samples:
+    """What all streams have measured."""
+
+    __slots__ = ("failed", "first", "gaps", "lags", "measuring", "whole")
+
+    def __init__(self):
+        self.measuring = False
+        self.first = array.array("q")
+        self.lags = array.array("q")
+        self.gaps = array.array("q")
+        self.whole = 0
+        self.failed = 0
+
+
+class Stream(asyncio.Protocol):
+    """One connection of a caller; carries one answer after another."""
+
+    __slots__ = (
+        "_count",
+        "_idle",
+        "_last_ns",
+        "_open",
+        "_samples",
+        "_sent_ns",
+        "_tail",
+        "_transport",
+        "_whole",
+    )
+
+    def __init__(self, samples: Samples, idle: list, open_streams: set):
+        self._samples = samples
+        self._idle = idle
+        self._open = open_streams
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def connection_lost(self, _) -> None:
+        """Counts an answer that was cut."""
+        if self in self._open:
+            self._open.discard(self)
+            self._samples.failed += 1
+
+    def send(self, request: bytes) -> None:
+        """Sends one request."""
+        self._open.add(self)
+        self._count = 0
+        self._tail = b""
+        self._whole = False
+        self._sent_ns = time.monotonic_ns()
+        self._transport.write(request)
+
+    def data_received(self, data: bytes) -> None:
+        """Times the tokens and checks the end."""
+        now_ns = time.monotonic_ns()
+        if self._tail:
+            data = self._tail + data
+        self._tail = b""
+        if not data.endswith((b"\r\n", b"}")):
+            self._tail = data
+            return
+        for stamp in STAMP.finditer(data):
+            self._token(now_ns, int(stamp[1]), int(stamp[2]))
+        if END in data:
+            self._whole = b'"count":%d}' % self._count in data
+        refused = data.startswith(b"HTTP/") and not data.startswith(OK)
+        if not refused and not data.endswith(LAST_CHUNK):
+            return
+        self._samples.whole += self._whole
+        self._samples.failed += not self._whole
+        self._open.discard(self)
+        self._idle.append(self)
+
+    def _token(self, now_ns: int, at_ns: int, after_ns: int) -> None:
+        self._count += 1
+        if self._samples.measuring:
+            self._samples.lags.append(now_ns - at_ns)
+            if self._count == 1:
+                self._samples.first.append(now_ns - self._sent_ns - after_ns)
+            else:
+                self._samples.gaps.append(now_ns - self._last_ns)
+        self._last_ns = now_ns
+
+
+async def run(plan: Plan) -> Report:
+    """Sends the load and measures."""
+    samples = Samples()
+    idle: list[Stream] = []
+    open_streams: set[Stream] = set()
+    sending = asyncio.create_task(_send(plan, samples, idle, open_streams))
+    await asyncio.sleep(plan.ramp_seconds)
+    samples.measuring = True
+    before = processes.usage(plan.pid) if plan.pid else None
+    started = time.monotonic()
+    await asyncio.sleep(plan.seconds)
+    elapsed = time.monotonic() - started
+    samples.measuring = False
+    report = _report(samples, len(open_streams), elapsed)
+    if before is not None:
+        after = processes.usage(plan.pid)
+        used = after.cpu_seconds - before.cpu_seconds
+        report.cores = round(used / elapsed, 3)
+        report.resident_mb = round(after.resident_bytes / BYTES_PER_MEGABYTE, 1)
+        report.peak_mb = round(after.peak_bytes / BYTES_PER_MEGABYTE, 1)
+    sending.cancel()
+    return report
+
+
+async def _send(plan, samples, idle, open_streams) -> None:
+    loop = asyncio.get_running_loop()
+    host, _, port = plan.address.rpartition(":")
+    request = _request(plan)
+    chance = random.Random(SEED)
+    due = loop.time()
+    while True:
+        due += chance.expovariate(plan.rate)
+        await asyncio.sleep(due - loop.time())
+        if not idle:
+            _, stream = await loop.create_connection(
+                lambda: Stream(samples, idle, open_streams), host, int(port)
+            )
+        else:
+            stream = idle.pop()
+        stream.send(request)
+
+
+def _request(plan: Plan) -> bytes:
+    body = msgspec.json.encode(
+        {
+            "kind": plan.kind,
+            "prompt": "How many litres of paint for forty square metres?",
+            "max_tokens": plan.tokens,
+            "deadline_ms": 600_000,
+            "stream": True,
+        }
+    )
+    head = (
+        f"POST /v1/requests HTTP/1.1\r\nHost: {plan.address}\r\n"
+        f"Authorization: Bearer {plan.token}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def _report(samples: Samples, streams: int, elapsed: float) -> Report:
+    return Report(
+        requests_per_second=round(len(samples.first) / elapsed, 1),
+        tokens_per_second=round(len(samples.lags) / elapsed, 1),
+        streams=streams,
+        whole=samples.whole,
+        failed=samples.failed,
+        added_first_token_ms=_percentiles(samples.first),
+        added_token_ms=_percentiles(samples.lags),
+        gap_ms=_percentiles(samples.gaps),
+    )
+
+
+def _percentiles(values: array.array) -> Percentiles:
+    if not values:
+        return Percentiles(0.0, 0.0, 0.0)
+    found = numpy.percentile(values, (50, 95, 99))
+    return Percentiles(
+        *(round(float(v) * MILLISECONDS_PER_NANOSECOND, 2) for v in found)
+    )
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -2,6 +2,7 @@
 
 import click
 
+from cranberryglade.tools import bench
 from cranberryglade.tools import standins
 
 
@@ -11,3 +12,4 @@
 
 
 main.add_command(standins.standin)
+main.add_command(bench.bench)
