Take streamed bodies from the transport once aiohttp has read the head

By profile half of the time per token went into aiohttp's parser, its stream reader, a timer per read and a task wake-up per read. A protocol now stands between the connection and aiohttp's: heads, refusals and whole bodies pass to aiohttp as before, the chunks of an event stream go straight to the check. Ruled out: replacing aiohttp's protocol class (private attribute), and a swap after the head (the parser may stand inside a chunk). The check takes a single expected event without splitting it.

--- a/cranberryglade/endpoints.py
+++ b/cranberryglade/endpoints.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from cranberryglade import bodies
 from cranberryglade import streams
 from cranberryglade import verdicts
 from cranberryglade import wire
@@ -21,6 +22,7 @@
     def __init__(self):
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            request_class=bodies.Request,
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=CONNECT_TIMEOUT_SECONDS,
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from cranberryglade import bodies
 from cranberryglade import streams
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
@@ -50,6 +51,7 @@
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_seconds)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            request_class=bodies.Request,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -61,6 +61,9 @@
         Raises:
             BrokenAnswerError: an offset is missing or the end disagrees.
         """
+        if self._is_next(data):
+            self._next_offset += 1
+            return data
         data = self._partial + data
         end = data.rfind(SEPARATOR)
         if end < 0:
@@ -74,6 +77,14 @@
         ]
         return b"".join(accepted)
 
+    def _is_next(self, data: bytes) -> bool:
+        return (
+            data.startswith(b"id: %d\n" % self._next_offset)
+            and data.find(SEPARATOR) == len(data) - len(SEPARATOR)
+            and not self._partial
+            and not self._complete
+        )
+
     def _take(self, event: bytes) -> bool:
         if event.startswith(TOKEN_MARK):
             return self._take_token(event)
--- a/cranberryglade/streams.py
+++ b/cranberryglade/streams.py
@@ -1,5 +1,6 @@
 """Reads one answer over HTTP, whoever gives it, and says how it ended."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
@@ -7,11 +8,13 @@
 import aiohttp
 from returns.result import Success
 
+from cranberryglade import bodies
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
 
-Sink = Callable[[bytes], None]
+# Returns None, or a future to wait for before more is read.
+Sink = Callable[[bytes], asyncio.Future | None]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -59,8 +62,7 @@
         ) as response:
             if response.status != 200:
                 return await _refusal(response)
-            async for data in response.content.iter_any():
-                sink(check.feed(data))
+            await _pass_on(response, check, sink)
     except aiohttp.ClientConnectorError:
         return verdicts.NotRun(verdicts.Reason.CONNECTION_REFUSED, 0.1)
     except answers.BrokenAnswerError:
@@ -70,6 +72,22 @@
     return Whole(check.next_offset) if check.complete else Cut()
 
 
+async def _pass_on(
+    response: aiohttp.ClientResponse, check: answers.AnswerCheck, sink: Sink
+) -> None:
+    def take(data: bytes) -> asyncio.Future | None:
+        return sink(check.feed(data))
+
+    body = bodies.of(response)
+    if body is not None:
+        await body.deliver(take)
+        return
+    async for data in response.content.iter_any():
+        room = take(data)
+        if room is not None:
+            await room
+
+
 async def _refusal(response: aiohttp.ClientResponse) -> Ending:
     decoded = wire.decode(await response.read(), wire.VerdictDocument)
     match decoded:
