Write token events to the caller's transport in the turn that brings them

The queue of chunks, its event and a task wake-up per chunk were most of the caller's side. A caller now reads what is there through aiohttp, with its back-pressure, and is then written to directly until it falls behind by 64 KiB; when all callers of an answer are 256 KiB behind, the endpoint is not read. An answer over 16 MiB ends as not whole. An attempt after one that was partly passed on is taken up behind it, counted in tokens rather than chunks.

--- a/cranberryglade/exchanges.py
+++ b/cranberryglade/exchanges.py
@@ -2,38 +2,58 @@
 
 import asyncio
 import collections
+from typing import Protocol
 
 from cranberryglade import verdicts
 from cranberryglade.scheduling import answers
 
 KEPT_ANSWERS = 20_000
 KEPT_BYTES = 33_554_432
+ANSWER_BYTES = 16_777_216
+AHEAD_BYTES = 262_144
+
+
+class Writer(Protocol):
+    """Where a caller's answer is written as it comes."""
+
+    def write(self, events: bytes) -> bool:
+        """Writes token events; False if the caller falls behind."""
 
 
 class Exchange:
     """One request's answer as far as it has arrived.
 
-    Any number of callers may follow it from its beginning.
+    Any number of callers may follow it from its beginning. Each reads what is
+    there at its own pace, and then has what comes written by the turn of the
+    loop that brings it. A caller that falls behind goes back to reading.
     """
 
     __slots__ = (
-        "_changed",
-        "_chunks",
-        "_finished",
+        "_behind",
+        "_data",
         "_organisation",
+        "_passed_on",
         "_request_id",
-        "_size",
+        "_room",
+        "_skip",
+        "_starting",
         "_verdict",
+        "_waiters",
+        "_writers",
     )
 
     def __init__(self, request_id: str, organisation: str):
         self._request_id = request_id
         self._organisation = organisation
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._data = bytearray()
         self._verdict: verdicts.Verdict | None = None
-        self._changed = asyncio.Event()
-        self._finished = asyncio.Event()
+        self._starting: list[asyncio.Future] = []
+        self._waiters: list[asyncio.Future] = []
+        self._writers: dict[Writer, asyncio.Future] = {}
+        self._behind: dict[Writer, int] = {}
+        self._room: asyncio.Future | None = None
+        self._passed_on = False
+        self._skip = 0
 
     @property
     def request_id(self) -> str:
@@ -53,48 +73,150 @@
     @property
     def size(self) -> int:
         """Bytes held."""
-        return self._size
+        return len(self._data)
 
-    def append(self, events: bytes) -> None:
-        """Adds token events."""
-        if events:
-            self._chunks.append(events)
-            self._size += len(events)
-            self._changed.set()
+    def append(self, events: bytes) -> asyncio.Future | None:
+        """Adds token events.
+
+        Returns:
+            None, or a future that is done when a caller has caught up.
+
+        Raises:
+            BrokenAnswerError: the answer is longer than any that is kept.
+        """
+        if self._skip:
+            events = self._without_skipped(events)
+        if not events:
+            return self._room
+        self._data += events
+        if len(self._data) > ANSWER_BYTES:
+            raise answers.BrokenAnswerError("too long")
+        if self._starting:
+            _wake(self._starting)
+        if self._writers:
+            self._write(events)
+        return self._hold() if self._behind else None
 
     def restart(self) -> None:
-        """Drops what an attempt that did not end has delivered."""
-        self._chunks.clear()
-        self._size = 0
+        """Drops what an attempt that did not end has delivered.
+
+        What a caller has already been given stays, and the next attempt is
+        taken up behind it.
+        """
+        if self._passed_on:
+            self._skip = self._data.count(answers.SEPARATOR)
+        else:
+            self._data.clear()
 
     def finish(self, verdict: verdicts.Verdict) -> None:
         """Sets the final verdict."""
         self._verdict = verdict
-        self._changed.set()
-        self._finished.set()
+        self._release()
+        for writer in list(self._writers):
+            self._detach(writer)
+        _wake(self._starting)
+        _wake(self._waiters)
 
     async def finished(self) -> verdicts.Verdict:
         """Waits for the final verdict."""
-        await self._finished.wait()
+        while self._verdict is None:
+            await _wait(self._waiters)
         return self._verdict
 
-    async def follow(self):
-        """Yields the token events in order until the verdict is final."""
-        position = 0
-        while True:
-            while position < len(self._chunks):
-                position += 1
-                yield self._chunks[position - 1]
-            if self._verdict is not None:
-                return
-            self._changed.clear()
-            await self._changed.wait()
+    async def started(self) -> None:
+        """Waits for the first token event or the final verdict."""
+        if self._verdict is None and not self._data:
+            await _wait(self._starting)
+
+    def read(self, position: int, limit: int) -> bytes:
+        """Reads bytes from a position on, at most `limit`."""
+        self._passed_on = True
+        return bytes(self._data[position : position + limit])
+
+    def catch_up(self, writer: Writer, position: int) -> None:
+        """Notes how far a caller that has fallen behind has come."""
+        if writer not in self._behind:
+            return
+        self._behind[writer] = position
+        if len(self._data) - position <= AHEAD_BYTES:
+            self._release()
+
+    def leave(self, writer: Writer) -> None:
+        """Forgets a caller."""
+        self._writers.pop(writer, None)
+        if self._behind.pop(writer, None) is not None:
+            self._release()
+
+    async def pass_on(self, writer: Writer, position: int) -> int:
+        """Has what comes written until the verdict, or the caller lags.
+
+        Args:
+            writer: the caller.
+            position: what the caller has; all that is there.
+
+        Returns:
+            The position that the caller has reached.
+        """
+        if position < len(self._data) or self._verdict is not None:
+            return position
+        self._behind.pop(writer, None)
+        future = asyncio.get_running_loop().create_future()
+        self._writers[writer] = future
+        try:
+            return await future
+        finally:
+            self._writers.pop(writer, None)
 
     def data(self) -> list[bytes]:
         """The JSON of each token event."""
-        events = b"".join(self._chunks).split(answers.SEPARATOR)
+        events = bytes(self._data).split(answers.SEPARATOR)
         return [answers.event_data(event) for event in events if event]
 
+    def _write(self, events: bytes) -> None:
+        lagging = [w for w in self._writers if not w.write(events)]
+        for writer in lagging:
+            self._detach(writer)
+            self._behind[writer] = len(self._data)
+
+    def _detach(self, writer: Writer) -> None:
+        future = self._writers.pop(writer)
+        if not future.done():
+            future.set_result(len(self._data))
+
+    def _hold(self) -> asyncio.Future | None:
+        if self._writers:
+            return None
+        if len(self._data) - max(self._behind.values()) <= AHEAD_BYTES:
+            return None
+        if self._room is None:
+            self._room = asyncio.get_running_loop().create_future()
+        return self._room
+
+    def _release(self) -> None:
+        room, self._room = self._room, None
+        if room is not None and not room.done():
+            room.set_result(None)
+
+    def _without_skipped(self, events: bytes) -> bytes:
+        separator = answers.SEPARATOR
+        while self._skip and events:
+            events = events[events.index(separator) + len(separator) :]
+            self._skip -= 1
+        return events
+
+
+async def _wait(waiters: list[asyncio.Future]) -> None:
+    waiter = asyncio.get_running_loop().create_future()
+    waiters.append(waiter)
+    await waiter
+
+
+def _wake(waiters: list[asyncio.Future]) -> None:
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
+    waiters.clear()
+
 
 class Exchanges:
     """Exchanges by request id; finished ones are kept within bounds."""
--- a/cranberryglade/executors.py
+++ b/cranberryglade/executors.py
@@ -228,12 +228,12 @@
         exchange.restart()
         arrived = False
 
-        def sink(events: bytes) -> None:
+        def sink(events: bytes) -> asyncio.Future | None:
             nonlocal arrived
             if events and not arrived:
                 arrived = True
                 self.post(messages.FirstToken(request_id, attempt))
-            exchange.append(events)
+            return exchange.append(events)
 
         return sink
 
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -1,5 +1,8 @@
 """HTTP responses that carry verdicts and answers."""
 
+import asyncio
+import contextlib
+
 from aiohttp import web
 import msgspec
 
@@ -20,6 +23,7 @@
     verdicts.Reason.DEADLINE: 429,
     verdicts.Reason.CANCELLED: 409,
 }
+BUFFERED_BYTES = 65_536
 STATUS_NOT_RUN = 503
 STATUS_MAY_HAVE_RUN = 504
 
@@ -81,6 +85,27 @@
     )
 
 
+class TransportWriter:
+    """Writes chunks to the transport of a response that is under way.
+
+    aiohttp has sent the head and applies back-pressure whenever the caller
+    falls behind; this writes only as long as the transport takes it.
+    """
+
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: asyncio.Transport):
+        self._transport = transport
+
+    def write(self, events: bytes) -> bool:
+        """Writes token events; False if the caller falls behind."""
+        transport = self._transport
+        if transport.is_closing():
+            return False
+        transport.write(b"%x\r\n%b\r\n" % (len(events), events))
+        return transport.get_write_buffer_size() <= BUFFERED_BYTES
+
+
 async def streamed(
     http_request: web.Request, exchange: exchanges.Exchange
 ) -> web.StreamResponse:
@@ -89,9 +114,9 @@
     A request that is refused before its first token gets an ordinary refusal,
     so that its status tells the truth.
     """
-    chunks = exchange.follow()
-    first = await anext(chunks, None)
-    if first is None and not isinstance(exchange.verdict, verdicts.Ran):
+    await exchange.started()
+    refused = exchange.verdict is not None and not exchange.size
+    if refused and not isinstance(exchange.verdict, verdicts.Ran):
         return of_verdict(exchange.request_id, exchange.verdict)
     response = web.StreamResponse(
         headers={
@@ -99,16 +124,37 @@
             wire.REQUEST_ID_HEADER: exchange.request_id,
         }
     )
-    await response.prepare(http_request)
-    if first is not None:
-        await response.write(first)
-    async for chunk in chunks:
-        await response.write(chunk)
-    await response.write(_last_event(exchange))
-    await response.write_eof()
+    response.enable_chunked_encoding()
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(http_request)
+        if http_request.transport is not None:
+            await _follow(http_request.transport, response, exchange)
+        await response.write(_last_event(exchange))
+        await response.write_eof()
     return response
 
 
+async def _follow(
+    transport: asyncio.Transport,
+    response: web.StreamResponse,
+    exchange: exchanges.Exchange,
+) -> None:
+    writer = TransportWriter(transport)
+    position = 0
+    try:
+        while True:
+            while position < exchange.size:
+                piece = exchange.read(position, BUFFERED_BYTES)
+                await response.write(piece)
+                position += len(piece)
+                exchange.catch_up(writer, position)
+            if exchange.verdict is not None or transport.is_closing():
+                return
+            position = await exchange.pass_on(writer, position)
+    finally:
+        exchange.leave(writer)
+
+
 def _last_event(exchange: exchanges.Exchange) -> bytes:
     if isinstance(exchange.verdict, verdicts.Ran):
         return answers.end_event(exchange.request_id, len(exchange.data()))
