--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -162,20 +162,22 @@
 
     def _take(self, data: bytes) -> None:
         try:
-            if not self._held and self._take_one(data):
-                return
-            self._take_many(self._held + data)
+            if self._held or not self._take_one(data):
+                self._take_many(self._held + data)
         except Exception as error:
             self._fail(error)
 
     def _take_one(self, data: bytes) -> bool:
         line_end = data.find(LINE_END, 0, SIZE_CHARACTERS)
-        if line_end <= 0:
+        try:
+            size = int(data[:line_end], 16)
+        except ValueError:
             return False
-        size = _size(data[:line_end])
-        if not size or len(data) != line_end + size + 4:
+        if size <= 0 or len(data) != line_end + size + 4:
             return False
-        self._give(data[line_end + 2 : -2])
+        room = self._consumer(data[line_end + 2 : -2])
+        if room is not None:
+            self._pause(room)
         return True
 
     def _take_many(self, data: bytes) -> None:
@@ -196,13 +198,14 @@
             raise BrokenBodyError("chunk size")
         self._held = b"" if ended else data[start:]
         if pieces:
-            self._give(b"".join(pieces))
+            room = self._consumer(b"".join(pieces))
+            if room is not None:
+                self._pause(room)
         if ended:
             self._end()
 
-    def _give(self, data: bytes) -> None:
-        room = self._consumer(data)
-        if room is not None and not self._paused:
+    def _pause(self, room: asyncio.Future) -> None:
+        if not self._paused:
             self._paused = True
             self._transport.pause_reading()
             room.add_done_callback(self._resume)
--- a/cranberryglade/exchanges.py
+++ b/cranberryglade/exchanges.py
@@ -173,8 +173,12 @@
         return [answers.event_data(event) for event in events if event]
 
     def _write(self, events: bytes) -> None:
-        lagging = [w for w in self._writers if not w.write(events)]
-        for writer in lagging:
+        lagging = None
+        for writer in self._writers:
+            if not writer.write(events):
+                lagging = lagging or []
+                lagging.append(writer)
+        for writer in lagging or ():
             self._detach(writer)
             self._behind[writer] = len(self._data)
 
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -61,10 +61,17 @@
         Raises:
             BrokenAnswerError: an offset is missing or the end disagrees.
         """
-        if self._is_next(data):
+        if (
+            data.startswith(b"id: %d\n" % self._next_offset)
+            and data.find(SEPARATOR) == len(data) - len(SEPARATOR)
+            and not self._partial
+            and not self._complete
+        ):
             self._next_offset += 1
             return data
-        data = self._partial + data
+        return self._feed_run(self._partial + data)
+
+    def _feed_run(self, data: bytes) -> bytes:
         end = data.rfind(SEPARATOR)
         if end < 0:
             self._partial = data
@@ -77,14 +84,6 @@
         ]
         return b"".join(accepted)
 
-    def _is_next(self, data: bytes) -> bool:
-        return (
-            data.startswith(b"id: %d\n" % self._next_offset)
-            and data.find(SEPARATOR) == len(data) - len(SEPARATOR)
-            and not self._partial
-            and not self._complete
-        )
-
     def _take(self, event: bytes) -> bool:
         if event.startswith(TOKEN_MARK):
             return self._take_token(event)
