--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -11,8 +11,11 @@
 from cranberryglade import delegations
 from cranberryglade import endpoints
 from cranberryglade import executors
+from cranberryglade import explanations
 from cranberryglade import facts
 from cranberryglade import forwarding
+from cranberryglade import gauges
+from cranberryglade import guards
 from cranberryglade import lifecycle
 from cranberryglade import listeners
 from cranberryglade import log
@@ -25,6 +28,7 @@
 from cranberryglade import subscriptions
 from cranberryglade import tickets
 from cranberryglade import tracing
+from cranberryglade import watching
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
 
@@ -51,10 +55,12 @@
         """Serves until a graceful stop is complete."""
         self._on_signals()
         caller_app = web.Application(
-            client_max_size=self._settings.request_bytes
+            client_max_size=self._settings.request_bytes,
+            middlewares=[guards.guard],
         )
         peer_app = web.Application(
-            client_max_size=2 * self._settings.request_bytes
+            client_max_size=2 * self._settings.request_bytes,
+            middlewares=[guards.guard],
         )
         peer_address = listeners.Listener.open(self._settings.peer_address)
         own = messages.Peer(
@@ -137,12 +143,29 @@
             members,
             subscription,
             self._platform,
-            fact_log,
             self._lifecycle,
         ).register(caller_app)
+        watching.WatchInterface(
+            self._executor, subscription, fact_log
+        ).register(caller_app)
+        explanations.Explainer(
+            own,
+            self._executor,
+            members,
+            subscription,
+            office,
+            fact_log,
+            key,
+            self._peer_client,
+        ).register(caller_app, peer_app)
         delegations.PeerInterface(
             self._executor, members, subscription, office, key, self._tracing
         ).register(peer_app)
+        self._spawn(
+            gauges.Gauges(
+                self._metrics, self._executor, subscription, fact_log
+            ).run()
+        )
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
         self._spawn(members.run_probes(self._settings.probe_seconds))
--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
+import pathlib
 import re
 from typing import Any
 
@@ -12,6 +14,7 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 REQUIRED = object()
+HIDDEN = "(hidden)"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,12 +51,16 @@
         parse: turns the text into a value; raises ValueError.
         allowed: what is accepted, in words.
         default: the value when it is absent, or REQUIRED.
+        about: what it is for, for the reference pages.
+        secret: whether problems must not show the value.
     """
 
     name: str
     parse: Callable[[str], Any]
     allowed: str
     default: Any = REQUIRED
+    about: str = ""
+    secret: bool = False
 
 
 def read_section(
@@ -90,8 +97,9 @@
         try:
             parsed[option.name] = option.parse(text)
         except ValueError:
+            shown = HIDDEN if option.secret else text
             problems.append(
-                Problem(source, section, option.name, text, option.allowed)
+                Problem(source, section, option.name, shown, option.allowed)
             )
     return Failure(problems) if problems else Success(parsed)
 
@@ -110,7 +118,32 @@
 def parse_address(text: str) -> str:
     """Reads "host:port" with a port of 0 to 65535."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not 0 <= int(port) <= 65535:
+    if not colon or not host or not port.isascii() or not port.isdigit():
+        raise ValueError(text)
+    if int(port) > 65535:
+        raise ValueError(text)
+    return text
+
+
+def text_of(value: Any) -> str:
+    """Writes a value as it stands in a file.
+
+    >>> text_of(True), text_of(0.5)
+    ('yes', '0.5')
+    """
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def optional(parse: Callable[[str], Any]) -> Callable[[str], Any]:
+    """Returns a parser that reads nothing as nothing."""
+    return lambda text: parse(text) if text else ""
+
+
+def parse_path(text: str) -> str:
+    """Reads the path of a file in a directory that exists."""
+    if not pathlib.Path(text).parent.is_dir():
         raise ValueError(text)
     return text
 
@@ -122,6 +155,17 @@
     return text == "yes"
 
 
+def choice(allowed: Sequence[str]) -> Callable[[str], str]:
+    """Returns a parser of one word out of several."""
+
+    def parse(text: str) -> str:
+        if text not in allowed:
+            raise ValueError(text)
+        return text
+
+    return parse
+
+
 def number(low: float, high: float, kind: type = int) -> Callable[[str], float]:
     """Returns a parser of numbers within the bounds."""
 
