--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -25,7 +25,9 @@
 from cranberryglade import peers
 from cranberryglade import platform
 from cranberryglade import settings
+from cranberryglade import snapshots
 from cranberryglade import subscriptions
+from cranberryglade import tallies
 from cranberryglade import tickets
 from cranberryglade import tracing
 from cranberryglade import watching
@@ -33,6 +35,7 @@
 from cranberryglade.scheduling import scheduler
 
 INCARNATION_BYTES = 6
+CUT_SECONDS = 2.0
 
 logger = log.get_logger(__name__)
 
@@ -56,11 +59,11 @@
         self._on_signals()
         caller_app = web.Application(
             client_max_size=self._settings.request_bytes,
-            middlewares=[guards.guard],
+            middlewares=[self._lifecycle.count, guards.guard],
         )
         peer_app = web.Application(
             client_max_size=2 * self._settings.request_bytes,
-            middlewares=[guards.guard],
+            middlewares=[self._lifecycle.count, guards.guard],
         )
         peer_address = listeners.Listener.open(self._settings.peer_address)
         own = messages.Peer(
@@ -115,8 +118,16 @@
             subscription,
             core,
         )
+        self._home = own.home
+        self._archive = snapshots.Archive(self._platform)
+        tally = tallies.Tally(self._metrics)
         forwarder = forwarding.Forwarder(
-            self._peer_client, members, office, self._tracing
+            self._peer_client,
+            members,
+            office,
+            self._archive,
+            tally,
+            self._tracing,
         )
         self._executor = executors.Executor(
             core,
@@ -125,7 +136,7 @@
             claimants.Claimant(self._platform),
             forwarder,
             fact_log,
-            self._metrics,
+            tally,
             self._tracing,
         )
         members.stream.subscribe(self._executor.post)
@@ -144,6 +155,7 @@
             subscription,
             self._platform,
             self._lifecycle,
+            tally,
         ).register(caller_app)
         watching.WatchInterface(
             self._executor, subscription, fact_log
@@ -175,14 +187,35 @@
 
     async def _stop(self) -> None:
         self._executor.post(messages.StopRequested())
+        draining = asyncio.create_task(self._drain())
+        cutting = asyncio.create_task(self._lifecycle.cut_requested())
+        await asyncio.wait(
+            {draining, cutting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not draining.done():
+            self._executor.post(messages.CutRequested())
+            await asyncio.wait({draining}, timeout=CUT_SECONDS)
+        cutting.cancel()
+        draining.cancel()
+        await self._archive.store(
+            snapshots.take(
+                self._executor.scheduler, self._home, self._executor.exchanges
+            )
+        )
+        await self._close()
+        self._lifecycle.step("drained")
+
+    async def _drain(self) -> None:
         await self._executor.drained()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._lifecycle.idle()
+
+    async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
         self._tracing.close()
-        self._lifecycle.step("drained")
--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -49,13 +49,11 @@
         "_consumer",
         "_ended",
         "_head",
-        "_heard_at",
         "_held",
         "_in_body",
         "_loop",
         "_paused",
         "_protocol",
-        "_silence",
         "_transport",
     )
 
@@ -78,7 +76,6 @@
         self._consumer: Consumer | None = None
         self._ended: asyncio.Future | None = None
         self._paused = False
-        self._silence: float | None = None
 
     async def deliver(self, consumer: Consumer) -> None:
         """Gives the body to a function until it ends.
@@ -89,16 +86,10 @@
 
         Raises:
             ConnectionError: the connection ended before the body did.
-            TimeoutError: nothing was heard for the session's sock_read.
             Exception: whatever the consumer raised.
         """
         self._consumer = consumer
         self._ended = self._loop.create_future()
-        self._heard_at = self._loop.time()
-        if self._silence:
-            self._loop.call_later(
-                self._silence, self._check_silence, self._ended
-            )
         held, self._held = self._held, b""
         self._resume(None)
         if held:
@@ -111,7 +102,6 @@
     def data_received(self, data: bytes) -> None:
         """Passes heads on to aiohttp and bodies to their consumer."""
         if self._consumer is not None:
-            self._heard_at = self._loop.time()
             self._take(data)
         elif self._in_body:
             self._hold(data)
@@ -150,7 +140,6 @@
             return
         self._in_body = True
         self._held = data[end:]
-        self._silence = self._protocol.read_timeout
         self._protocol.read_timeout = None
         self._protocol.data_received(data[:end])
 
@@ -213,7 +202,6 @@
     def _resume(self, _) -> None:
         if self._paused:
             self._paused = False
-            self._heard_at = self._loop.time()
             with contextlib.suppress(RuntimeError):
                 self._transport.resume_reading()
 
@@ -230,16 +218,6 @@
         if self._ended is not None and not self._ended.done():
             self._ended.set_exception(error)
 
-    def _check_silence(self, ended: asyncio.Future) -> None:
-        if ended.done():
-            return
-        left = self._heard_at + self._silence - self._loop.time()
-        if left <= 0 and not self._paused:
-            self._fail(TimeoutError("the sender is silent"))
-            return
-        left = left if left > 0 else self._silence
-        self._loop.call_later(left, self._check_silence, ended)
-
 
 def of(response: aiohttp.ClientResponse) -> Body | None:
     """The streamed body of a response, unless aiohttp reads it itself."""
--- a/cranberryglade/exchanges.py
+++ b/cranberryglade/exchanges.py
@@ -17,7 +17,7 @@
     """Where a caller's answer is written as it comes."""
 
     def write(self, events: bytes) -> bool:
-        """Writes token events; False if the caller falls behind."""
+        """Writes token events, or nothing and returns False."""
 
 
 class Exchange:
@@ -113,7 +113,7 @@
         self._verdict = verdict
         self._release()
         for writer in list(self._writers):
-            self._detach(writer)
+            self._detach(writer, len(self._data))
         _wake(self._starting)
         _wake(self._waiters)
 
@@ -134,9 +134,7 @@
         return bytes(self._data[position : position + limit])
 
     def catch_up(self, writer: Writer, position: int) -> None:
-        """Notes how far a caller that has fallen behind has come."""
-        if writer not in self._behind:
-            return
+        """Notes how far a caller that reads at its own pace has come."""
         self._behind[writer] = position
         if len(self._data) - position <= AHEAD_BYTES:
             self._release()
@@ -167,6 +165,10 @@
         finally:
             self._writers.pop(writer, None)
 
+    def events(self) -> bytes:
+        """The token events."""
+        return bytes(self._data)
+
     def data(self) -> list[bytes]:
         """The JSON of each token event."""
         events = bytes(self._data).split(answers.SEPARATOR)
@@ -179,13 +181,13 @@
                 lagging = lagging or []
                 lagging.append(writer)
         for writer in lagging or ():
-            self._detach(writer)
-            self._behind[writer] = len(self._data)
+            self._behind[writer] = len(self._data) - len(events)
+            self._detach(writer, self._behind[writer])
 
-    def _detach(self, writer: Writer) -> None:
+    def _detach(self, writer: Writer, position: int) -> None:
         future = self._writers.pop(writer)
         if not future.done():
-            future.set_result(len(self._data))
+            future.set_result(position)
 
     def _hold(self) -> asyncio.Future | None:
         if self._writers:
@@ -251,6 +253,10 @@
         live = self._live.get(request_id)
         return live or self._finished.get(request_id)
 
+    def finished(self) -> list[Exchange]:
+        """The kept exchanges, latest first."""
+        return list(reversed(self._finished.values()))
+
     def forget(self, request_id: str) -> None:
         """Drops an exchange that was never used."""
         self._live.pop(request_id, None)
--- a/cranberryglade/listeners.py
+++ b/cranberryglade/listeners.py
@@ -7,6 +7,7 @@
 from cranberryglade import guards
 
 BACKLOG = 1024
+SHUTDOWN_SECONDS = 1.0
 
 
 class Listener:
@@ -36,7 +37,12 @@
 
     async def serve(self, app: web.Application) -> web.AppRunner:
         """Starts serving an application."""
-        runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handle_signals=False,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
         await runner.setup()
         await guards.Site(runner, self._socket).start()
         return runner
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -12,6 +12,7 @@
 from cranberryglade import platform
 from cranberryglade import responses
 from cranberryglade import subscriptions
+from cranberryglade import tallies
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
@@ -48,6 +49,7 @@
         version: version of the configuration in force; 0 for none.
         confirmed_seconds_ago: since the platform last confirmed it.
         unfinished: requests without a verdict.
+        uncertain: requests that may have run, by cause.
         peers: names of the peers that answer.
         targets: load by target.
     """
@@ -57,6 +59,7 @@
     version: int
     confirmed_seconds_ago: float | None
     unfinished: int
+    uncertain: dict[str, int]
     peers: list[str]
     targets: list[messages.TargetDigest]
 
@@ -103,6 +106,7 @@
         "_membership",
         "_platform",
         "_subscription",
+        "_tally",
     )
 
     def __init__(
@@ -113,6 +117,7 @@
         subscription: subscriptions.Subscription,
         platform_client: platform.PlatformClient,
         life: lifecycle.Lifecycle,
+        tally: tallies.Tally,
     ):
         self._instance = instance
         self._executor = executor
@@ -120,6 +125,7 @@
         self._subscription = subscription
         self._platform = platform_client
         self._lifecycle = life
+        self._tally = tally
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
@@ -164,6 +170,7 @@
                     else round(self._executor.now - confirmed, 3)
                 ),
                 unfinished=core.unfinished,
+                uncertain=self._tally.uncertain,
                 peers=sorted(peer.name for peer in self._membership.peers),
                 targets=list(core.digests()),
             )
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -21,6 +21,7 @@
     verdicts.Reason.UNKNOWN_PATH: 404,
     verdicts.Reason.WRONG_METHOD: 405,
     verdicts.Reason.TOO_LARGE: 413,
+    verdicts.Reason.KEY_REUSED: 422,
     verdicts.Reason.SHED: 429,
     verdicts.Reason.DEADLINE: 429,
     verdicts.Reason.CANCELLED: 409,
@@ -100,12 +101,37 @@
         self._transport = transport
 
     def write(self, events: bytes) -> bool:
-        """Writes token events; False if the caller falls behind."""
+        """Writes token events, or nothing and returns False."""
         transport = self._transport
+        if transport.get_write_buffer_size() > BUFFERED_BYTES:
+            return False
         if transport.is_closing():
             return False
         transport.write(b"%x\r\n%b\r\n" % (len(events), events))
-        return transport.get_write_buffer_size() <= BUFFERED_BYTES
+        return True
+
+
+async def current(
+    request_id: str, exchange: exchanges.Exchange | None
+) -> web.Response:
+    """Answers what has become of a request so far, without waiting."""
+    if exchange is None:
+        document = wire.VerdictDocument(
+            verdict="unknown",
+            request_id=request_id,
+            reason=verdicts.Reason.UNKNOWN_REQUEST.value,
+        )
+        return web.Response(
+            body=wire.encode(document), status=404, content_type=JSON
+        )
+    if exchange.verdict is not None:
+        return await whole(exchange)
+    pending = wire.VerdictDocument(
+        verdict="pending", request_id=exchange.request_id
+    )
+    return web.Response(
+        body=wire.encode(pending), status=202, content_type=JSON
+    )
 
 
 async def streamed(
@@ -146,10 +172,10 @@
     try:
         while True:
             while position < exchange.size:
+                exchange.catch_up(writer, position)
                 piece = exchange.read(position, BUFFERED_BYTES)
                 await response.write(piece)
                 position += len(piece)
-                exchange.catch_up(writer, position)
             if exchange.verdict is not None or transport.is_closing():
                 return
             position = await exchange.pass_on(writer, position)
--- a/cranberryglade/tools/bench.py
+++ b/cranberryglade/tools/bench.py
@@ -16,8 +16,18 @@
 
 
 @bench.command("engine")
-@click.option("--address", default="127.0.0.1:0", show_default=True)
-@click.option("--interval-ms", default=48.0, show_default=True)
+@click.option(
+    "--address",
+    default="127.0.0.1:0",
+    show_default=True,
+    help="Where to listen; port 0 takes a free one.",
+)
+@click.option(
+    "--interval-ms",
+    default=48.0,
+    show_default=True,
+    help="Time between two tokens of a stream.",
+)
 def start_engine(address: str, interval_ms: float) -> None:
     """Serves streams of one event per interval until it is ended."""
     _run(_serve_engine(address, interval_ms / 1000))
@@ -27,10 +37,21 @@
 @click.option("--address", required=True, help="The daemon's, for callers.")
 @click.option("--token", required=True, help="An organisation's token.")
 @click.option("--kind", required=True, help="Kind of every request.")
-@click.option("--rate", default=180.0, show_default=True)
-@click.option("--tokens", default=244, show_default=True)
-@click.option("--ramp-seconds", default=14.0, show_default=True)
-@click.option("--seconds", default=10.0, show_default=True)
+@click.option(
+    "--rate", default=180.0, show_default=True, help="Requests per second."
+)
+@click.option(
+    "--tokens", default=244, show_default=True, help="Length of each answer."
+)
+@click.option(
+    "--ramp-seconds",
+    default=14.0,
+    show_default=True,
+    help="Time before anything is measured.",
+)
+@click.option(
+    "--seconds", default=10.0, show_default=True, help="Time measured."
+)
 @click.option("--pid", default=0, help="Process whose usage is measured.")
 def send_load(**options) -> None:
     """Sends streamed requests and prints what was measured as JSON."""
--- a/cranberryglade/tools/load.py
+++ b/cranberryglade/tools/load.py
@@ -200,6 +200,7 @@
             if isinstance(obtained, wire.VerdictDocument):
                 return _take(result, obtained, RETRY_SECONDS)
             request.ticket = obtained
+            called = self._client(self._balancer.choose(), token)
         headers = {wire.KEY_HEADER: key} if key else {}
         reader = reading.AnswerReader(request, None)
         sent_after = time.monotonic() - began
@@ -240,7 +241,9 @@
         if not isinstance(result, Success):
             return lost
         read = wire.decode(result.unwrap().body, wire.VerdictDocument)
-        return read.value_or(lost)
+        found = read.value_or(lost)
+        known = request.ticket or found.request_id
+        return found if known and sending.settles(found, known) else lost
 
     def _request(self, kind: Kind, reference: str) -> wire.RequestDocument:
         if kind.service:
