--- a/cranberryglade/silence.py
+++ b/cranberryglade/silence.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-Sink = Callable[[bytes], None]
+Sink = Callable[[bytes], asyncio.Future | None]
 T = TypeVar("T")
 
 
@@ -20,7 +20,8 @@
 
     Args:
         start: begins to read and passes what arrives to the sink it is given.
-        sink: is given what arrives.
+        sink: is given what arrives; while a future that it has returned is
+            not done, nothing is read and no silence is counted.
         seconds: longest silence.
 
     Raises:
@@ -28,15 +29,19 @@
     """
     loop = asyncio.get_running_loop()
     heard_at = loop.time()
+    room: asyncio.Future | None = None
 
-    def note(events: bytes) -> None:
-        nonlocal heard_at
+    def note(events: bytes) -> asyncio.Future | None:
+        nonlocal heard_at, room
         heard_at = loop.time()
-        sink(events)
+        room = sink(events)
+        return room
 
     reading = asyncio.ensure_future(start(note))
     try:
         while True:
+            if room is not None and not room.done():
+                heard_at = loop.time()
             left = heard_at + seconds - loop.time()
             if left <= 0:
                 raise SilenceError
