--- a/cranberryglade/tests/test_processes.py
+++ b/cranberryglade/tests/test_processes.py
@@ -107,7 +107,9 @@
         pair.later(pair.first, ticketed),
         pair.later(pair.first, RESERVATION, key),
     ]
-    pair.started(2)
+    long = {**QUESTION, "max_tokens": 1000, "stream": True}
+    calls.append(pair.later(pair.first, long, raw=True))
+    pair.started(3)
     pair.first.send(signal.SIGKILL)
     for call in calls:
         assert isinstance(call.exception(), OSError | http.client.HTTPException)
@@ -119,7 +121,7 @@
             assert said(answer) == lost
     assert said(look_up(pair.second, held)) == lost
     assert support.status(pair.second)["uncertain"][lost[1]] >= 4
-    assert pair.runs() == pair.runs_before + 2
+    assert pair.runs() == pair.runs_before + 3
 
 
 def test_a_home_that_was_frozen_wakes_up_to_the_only_run(pair):
