--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -10,6 +10,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import bodies
 from cranberryglade import silence
 from cranberryglade import streams
 from cranberryglade import verdicts
@@ -84,6 +85,7 @@
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_seconds)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            request_class=bodies.Request,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
--- /dev/null
+++ b/cranberryglade/tests/test_bodies.py
@@ -0,0 +1,216 @@
+"""Streamed bodies: chunks, back-pressure, and connections used again."""
+
+import asyncio
+import socket
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from cranberryglade import bodies
+from cranberryglade import exchanges
+from cranberryglade import responses
+from cranberryglade import streams
+from cranberryglade import verdicts
+from cranberryglade.scheduling import answers
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+EVENTS = [answers.token_event(i, b'{"text":"w"}') for i in range(3)]
+END = answers.end_event("r1", 3)
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+WHOLE = HEAD + b"".join(map(chunk, [*EVENTS, END])) + b"0\r\n\r\n"
+
+
+class Giver:
+    """Answers each request on a connection with the next list of writes."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.connections = 0
+
+    async def __call__(self, reader, writer):
+        self.connections += 1
+        while await reader.readuntil(b"\r\n\r\n"):
+            for data in self.replies.pop(0):
+                if data is None:
+                    writer.transport.abort()
+                    return
+                writer.write(data)
+                await asyncio.sleep(0.001)
+
+
+async def read_all(giver, count=1):
+    server = await asyncio.start_server(giver, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    ends = []
+    async with aiohttp.ClientSession(request_class=bodies.Request) as session:
+        for _ in range(count):
+            got = []
+            check = answers.AnswerCheck("r1")
+            ending = await streams.read(
+                session,
+                "GET",
+                f"http://127.0.0.1:{port}/",
+                b"",
+                {},
+                check,
+                lambda data, into=got: into.append(data),
+            )
+            ends.append((ending, b"".join(got)))
+    server.close()
+    return ends
+
+
+SPLITS = {
+    "at once": [WHOLE],
+    "byte by byte": [WHOLE[i : i + 1] for i in range(len(WHOLE))],
+    "inside a chunk": [WHOLE[: len(HEAD) + 9], WHOLE[len(HEAD) + 9 :]],
+    "one read per chunk": [
+        HEAD,
+        *(chunk(event) for event in [*EVENTS, END]),
+        b"0\r\n\r\n",
+    ],
+    "events across chunks": [
+        HEAD,
+        *(
+            chunk((b"".join(EVENTS) + END)[i : i + 7])
+            for i in range(0, len(b"".join(EVENTS) + END), 7)
+        ),
+        b"0\r\nX-Trailer: 1\r\n\r\n",
+    ],
+}
+
+
+@pytest.mark.parametrize("name", SPLITS)
+async def test_a_body_is_whole_however_it_is_split(name):
+    giver = Giver(SPLITS[name], [WHOLE])
+    found = await read_all(giver, 2)
+    assert found == [(streams.Whole(3), b"".join(EVENTS))] * 2
+    assert giver.connections == 1, "the connection is used again"
+
+
+FAULTS = {
+    "cut in a chunk": ([WHOLE[: len(HEAD) + 30], None], streams.Cut()),
+    "cut after the head": ([HEAD, None], streams.Cut()),
+    "ended without its marker": (
+        [HEAD + chunk(EVENTS[0]) + b"0\r\n\r\n"],
+        streams.Cut(),
+    ),
+    "no size": ([HEAD + b"zz\r\nabc\r\n"], streams.Cut()),
+    "negative size": ([HEAD + b"-5\r\nabc\r\n"], streams.Cut()),
+    "endless size": ([HEAD + b"1" * 400], streams.Cut()),
+    "offset missing": (
+        [HEAD + chunk(EVENTS[0]), chunk(EVENTS[2])],
+        verdicts.MayHaveRun(verdicts.Reason.ANSWER_NOT_WHOLE),
+    ),
+    "another's answer": (
+        [
+            HEAD + b"".join(map(chunk, EVENTS)),
+            chunk(answers.end_event("r2", 3)),
+        ],
+        verdicts.MayHaveRun(verdicts.Reason.ANSWER_NOT_WHOLE),
+    ),
+    "count disagrees": (
+        [HEAD + chunk(EVENTS[0]), chunk(END)],
+        verdicts.MayHaveRun(verdicts.Reason.ANSWER_NOT_WHOLE),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+async def test_a_body_that_is_not_whole_never_passes(name):
+    writes, expected = FAULTS[name]
+    ((ending, _),) = await read_all(Giver(writes))
+    assert ending == expected
+
+
+async def test_a_body_with_a_length_is_left_to_aiohttp():
+    body = b"".join(EVENTS) + END
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    giver = Giver([head, body], [head + body])
+    found = await read_all(giver, 2)
+    assert found == [(streams.Whole(3), b"".join(EVENTS))] * 2
+    assert giver.connections == 1
+
+
+async def test_a_slow_caller_holds_back_its_endpoint_alone():
+    exchange = exchanges.Exchange("r1", "store-1")
+    event = answers.token_event(0, b'"' + b"x" * 65_536 + b'"')
+    total = 0
+
+    async def handle(http_request):
+        return await responses.streamed(http_request, exchange)
+
+    app = web.Application()
+    app.router.add_get("/", handle)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+    await web.SockSite(runner, listening).start()
+    port = listening.getsockname()[1]
+    narrow = socket.socket()
+    narrow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    narrow.connect(("127.0.0.1", port))
+    reader, writer = await asyncio.open_connection(sock=narrow, limit=4096)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    room = None
+    while room is None:
+        room = exchange.append(event)
+        total += len(event)
+        assert total < exchanges.ANSWER_BYTES
+        await asyncio.sleep(0.001)
+    assert not room.done()
+    received = await reader.readuntil(b"\r\n\r\n")
+    while not room.done():
+        received += await reader.read(65_536)
+    exchange.finish(verdicts.Ran())
+    received += await reader.read(-1)
+    assert received.count(b"x" * 1000) >= total // 66_000
+    assert b'event: end\ndata: {"request_id":"r1"' in received
+    writer.close()
+    await runner.cleanup()
+
+
+class Collector:
+    def __init__(self):
+        self.data = b""
+
+    def write(self, events):
+        self.data += events
+        return True
+
+
+async def test_a_second_attempt_continues_what_a_caller_was_given():
+    exchange = exchanges.Exchange("r1", "store-1")
+    exchange.append(EVENTS[0])
+    exchange.restart()
+    assert exchange.size == 0, "nobody was given anything"
+    exchange.append(EVENTS[0] + EVENTS[1])
+    position = len(exchange.read(0, 1000))
+    collector = Collector()
+    following = asyncio.create_task(exchange.pass_on(collector, position))
+    await asyncio.sleep(0)
+    exchange.restart()
+    exchange.append(EVENTS[0])
+    exchange.append(EVENTS[1] + EVENTS[2])
+    exchange.finish(verdicts.Ran())
+    await following
+    assert collector.data == EVENTS[2]
+    assert exchange.events() == b"".join(EVENTS)
+
+
+async def test_an_answer_without_bound_ends_as_not_whole():
+    exchange = exchanges.Exchange("r1", "store-1")
+    event = b"x" * 1_048_576
+    with pytest.raises(answers.BrokenAnswerError):
+        for _ in range(exchanges.ANSWER_BYTES // len(event) + 1):
+            exchange.append(event)
