Reach homes of other failure domains through a contact

A daemon sees a few contacts of each other failure domain, not every instance. A ticket or key of a home there that was not among them was answered home_unreachable although it lives. It is now brought to a contact of that domain, which passes it on within the domain; the new tests failed before.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -188,6 +188,7 @@
         ).register(caller_app, peer_app)
         delegations.PeerInterface(
             self._executor,
+            forwarder,
             members,
             subscription,
             office,
--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -13,7 +13,6 @@
 from cranberryglade import facts
 from cranberryglade import forwarding
 from cranberryglade import intake
-from cranberryglade import peers
 from cranberryglade import responses
 from cranberryglade import submissions
 from cranberryglade import subscriptions
@@ -180,7 +179,7 @@
             found = await self._forwarder.look_up(
                 request_id, organisation, cancel
             )
-            return _relayed(request_id, found)
+            return responses.relayed(request_id, found)
         if cancel:
             self._executor.cancel(request_id)
         exchange = self._executor.look_up(request_id, organisation)
@@ -212,18 +211,6 @@
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
 
-def _relayed(
-    request_id: str, found: peers.Found | verdicts.Verdict
-) -> web.Response:
-    match found:
-        case peers.Found(status=status, body=body):
-            return web.Response(
-                body=body, status=status, content_type=responses.JSON
-            )
-        case _:
-            return responses.of_verdict(request_id, found)
-
-
 def _problem(document: wire.RequestDocument, key: str) -> str:
     if key and document.ticket:
         return "a ticket and an idempotency key exclude each other"
--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -7,6 +7,7 @@
 from cranberryglade import configuration
 from cranberryglade import digests
 from cranberryglade import executors
+from cranberryglade import forwarding
 from cranberryglade import intake
 from cranberryglade import membership
 from cranberryglade import peers
@@ -25,6 +26,7 @@
 
     __slots__ = (
         "_executor",
+        "_forwarder",
         "_incarnation",
         "_key",
         "_membership",
@@ -36,6 +38,7 @@
     def __init__(
         self,
         executor: executors.Executor,
+        forwarder: forwarding.Forwarder,
         members: membership.Membership,
         subscription: subscriptions.Subscription,
         office: tickets.TicketOffice,
@@ -44,6 +47,7 @@
         tracer: tracing.Tracing,
     ):
         self._executor = executor
+        self._forwarder = forwarder
         self._membership = members
         self._subscription = subscription
         self._office = office
@@ -90,7 +94,7 @@
 
     async def _post_submission(self, http_request: web.Request):
         match await self._read(http_request, wire.DelegatedRequest):
-            case Success(brought) if self._office.is_home(brought.request_id):
+            case Success(brought) if self._office.is_near(brought.request_id):
                 return await self._serve(http_request, brought, False)
             case Success(brought):
                 verdict = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
@@ -106,10 +110,22 @@
                 found = self._executor.look_up(
                     asked.request_id, asked.organisation
                 )
+                if found is None and self._is_passed_on(asked.request_id):
+                    return await self._look_up_further(asked)
                 return await responses.current(asked.request_id, found)
             case Failure(refused):
                 return refused
 
+    async def _look_up_further(self, asked: wire.LookupDocument):
+        found = await self._forwarder.look_up(
+            asked.request_id, asked.organisation, asked.cancel
+        )
+        return responses.relayed(asked.request_id, found)
+
+    def _is_passed_on(self, request_id: str) -> bool:
+        office = self._office
+        return office.is_near(request_id) and not office.is_home(request_id)
+
     async def _serve(self, http_request, brought, delegated):
         current = self._subscription.current
         rule = current.rules.get(brought.request.kind) if current else None
@@ -121,9 +137,13 @@
             request_id=brought.request_id,
         )
         try:
-            exchange = self._executor.submit(
-                self._submission(current, rule, brought, delegated, span)
+            submission = self._submission(
+                current, rule, brought, delegated, span
             )
+            if delegated or self._office.is_home(brought.request_id):
+                exchange = self._executor.submit(submission)
+            else:
+                exchange = self._forwarder.forward(submission)
             if exchange.organisation != brought.organisation:
                 return responses.refusal(verdicts.Reason.FORBIDDEN)
             return await responses.streamed(http_request, exchange)
--- a/cranberryglade/forwarding.py
+++ b/cranberryglade/forwarding.py
@@ -105,7 +105,7 @@
             The home's verdict. If the home cannot be reached, what it left
             behind when it stopped, or else MayHaveRun.
         """
-        home = self._home(request_id, submission.request.organisation)
+        home = self._next_hop(request_id, submission.request.organisation)
         if home is None:
             return await self._left_behind(request_id, sink, GONE)
         delivered = False
@@ -129,7 +129,7 @@
         Returns:
             The home's answer; a verdict if the home cannot be reached.
         """
-        home = self._home(request_id, organisation)
+        home = self._next_hop(request_id, organisation)
         if home is not None:
             asked = wire.LookupDocument(
                 request_id=request_id, organisation=organisation, cancel=cancel
@@ -140,11 +140,21 @@
         finding = await self._archive.find(request_id)
         return GONE if finding is None else finding.verdict
 
-    def _home(self, request_id: str, organisation: str):
+    def _next_hop(self, request_id: str, organisation: str):
         ticket = self._office.read(request_id, organisation)
         if ticket is None:
             return None
-        return self._membership.find(ticket.instance, ticket.incarnation)
+        found = self._membership.find(ticket.instance, ticket.incarnation)
+        if found is not None or self._office.is_near(request_id):
+            return found
+        contacts = [
+            peer
+            for peer in self._membership.peers
+            if peer.failure_domain == ticket.failure_domain
+        ]
+        if not contacts:
+            return None
+        return contacts[ticket.sequence % len(contacts)]
 
     async def _left_behind(
         self,
--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cranberryglade import exchanges
+from cranberryglade import peers
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import answers
@@ -141,6 +142,17 @@
     )
 
 
+def relayed(
+    request_id: str, found: peers.Found | verdicts.Verdict
+) -> web.Response:
+    """Answers with what another instance said about a request."""
+    match found:
+        case peers.Found(status=status, body=body):
+            return web.Response(body=body, status=status, content_type=JSON)
+        case _:
+            return of_verdict(request_id, found)
+
+
 async def streamed(
     http_request: web.Request, exchange: exchanges.Exchange
 ) -> web.StreamResponse:
--- a/cranberryglade/tests/test_forwarding.py
+++ b/cranberryglade/tests/test_forwarding.py
@@ -3,9 +3,13 @@
 import asyncio
 import types
 
+from aiohttp import web
 import pytest
 
+from cranberryglade import delegations
+from cranberryglade import exchanges
 from cranberryglade import forwarding
+from cranberryglade import listeners
 from cranberryglade import metrics
 from cranberryglade import peers
 from cranberryglade import snapshots
@@ -29,6 +33,9 @@
 OFFICE = tickets.TicketOffice(
     HOME.failure_domain, HOME.name, HOME.incarnation, b"0" * 16
 )
+OFFICE_OF_CONTACT = tickets.TicketOffice(
+    HOME.failure_domain, "entry-8", "i8", b"0" * 16
+)
 TICKET = OFFICE.issue("store-1")
 WHOLE = scripted.token(0) + scripted.end(1, TICKET.encode())
 
@@ -96,22 +103,24 @@
 }
 
 
-def asked():
+def asked(request_id=TICKET):
     return wire.DelegatedRequest(
         request=wire.RequestDocument(kind="reservation"),
-        request_id=TICKET,
+        request_id=request_id,
         organisation="store-1",
         remaining_ms=0,
         first_token_ms=0,
     )
 
 
-def relay(client, kept, home):
-    found = types.SimpleNamespace(find=lambda instance, incarnation: home)
+def relay(client, kept, home, contacts=(), office=OFFICE):
+    found = types.SimpleNamespace(
+        find=lambda instance, incarnation: home, peers=contacts
+    )
     forwarder = forwarding.Forwarder(
         client,
         found,
-        OFFICE,
+        office,
         Archive(kept),
         tallies.Tally(metrics.Metrics("")),
         tracing.Tracing("entry-1", ""),
@@ -160,3 +169,65 @@
 )
 async def test_what_a_home_left_behind(client, kept, expected):
     assert await relay(client, kept, None) == expected
+
+
+FAR = tickets.TicketOffice("wien-b", "entry-1", "i1", b"0" * 16)
+
+
+async def test_a_home_in_another_domain_is_reached_through_a_contact(client):
+    async with scripted.Fake([scripted.kept_alive(WHOLE)]) as fake:
+        contact = builders.peer("entry-8", address=fake.address)
+        ending = await relay(client, None, None, [contact], FAR)
+        assert ending == streams.Whole(1)
+        assert fake.count(b"POST /v1/peer/submissions") == 1
+
+
+@pytest.mark.parametrize(
+    ("request_id", "passed_on"),
+    [(TICKET, True), (FAR.issue("store-1"), False)],
+)
+async def test_a_contact_passes_on_to_homes_of_its_domain(
+    client, request_id, passed_on
+):
+    answered = exchanges.Exchange(request_id, "store-1")
+    answered.append(scripted.token(0))
+    answered.finish(verdicts.Ran())
+    rule = types.SimpleNamespace(
+        name="r",
+        target="t",
+        tier="a",
+        idempotent=False,
+        max_tokens=1,
+        deadline_ms=1,
+    )
+    tier = types.SimpleNamespace(rank=0, first_token_ms=1)
+    ran = verdicts.Ran()
+    interface = delegations.PeerInterface(
+        types.SimpleNamespace(now=0.0, look_up=lambda *asked: None),
+        types.SimpleNamespace(
+            forward=lambda submission: answered,
+            look_up=lambda *asked: asyncio.sleep(0, ran),
+        ),
+        None,
+        types.SimpleNamespace(
+            current=types.SimpleNamespace(
+                rules={"reservation": rule}, tiers={"a": tier}
+            )
+        ),
+        OFFICE_OF_CONTACT,
+        peers.PeerKey(b"0" * 16),
+        "entry-8-i1",
+        tracing.Tracing("entry-8", ""),
+    )
+    app = web.Application()
+    interface.register(app)
+    listener = listeners.Listener.open("127.0.0.1:0")
+    runner = await listener.serve(app)
+    peer = builders.peer("entry-8", address=listener.address)
+    brought = asked(request_id)
+    ending = await client.forward(peer, brought, {}, lambda events: None)
+    assert ending == (streams.Whole(1) if passed_on else GONE)
+    lookup = wire.LookupDocument(request_id=request_id, organisation="store-1")
+    found = (await client.look_up(peer, lookup)).unwrap()
+    assert found.status == (200 if passed_on else 404)
+    await runner.cleanup()
--- a/cranberryglade/tickets.py
+++ b/cranberryglade/tickets.py
@@ -35,11 +35,12 @@
     True
     """
 
-    __slots__ = ("_home", "_key", "_sequence")
+    __slots__ = ("_failure_domain", "_home", "_key", "_sequence")
 
     def __init__(
         self, failure_domain: str, instance: str, incarnation: str, key: bytes
     ):
+        self._failure_domain = failure_domain
         self._home = f"{failure_domain}.{instance}.{incarnation}"
         self._key = key
         self._sequence = 0
@@ -71,6 +72,10 @@
         """Tells whether this incarnation issued the id."""
         return request_id.startswith(self._home + ".")
 
+    def is_near(self, request_id: str) -> bool:
+        """Tells whether its home is in the own failure domain."""
+        return request_id.startswith(self._failure_domain + ".")
+
     def _sign(self, unsigned: str, organisation: str) -> str:
         signed = f"{organisation}\0{unsigned}".encode()
         digest = hmac.new(self._key, signed, hashlib.sha256)
