--- a/cranberryglade/explanations.py
+++ b/cranberryglade/explanations.py
@@ -147,7 +147,9 @@
     async def _explain(
         self, asked: ExplanationRequest
     ) -> ExplanationDocument | None:
-        ticket = self._office.read(asked.request_id)
+        ticket = self._office.parse(asked.request_id)
+        if asked.organisation:
+            ticket = self._office.read(asked.request_id, asked.organisation)
         if ticket is None:
             return None
         if self._office.is_home(asked.request_id):
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -15,6 +15,7 @@
 from cranberryglade import orders
 from cranberryglade import responses
 from cranberryglade import subscriptions
+from cranberryglade import tallies
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
@@ -65,6 +66,7 @@
         problems: why that version is not in force here.
         confirmed_seconds_ago: since the platform last confirmed it.
         unfinished: requests without a verdict.
+        uncertain: requests that may have run, by cause.
         peers: names of the peers that answer.
         peer_versions: versions that the peers know.
         targets: load by target.
@@ -77,6 +79,7 @@
     problems: list[str]
     confirmed_seconds_ago: float | None
     unfinished: int
+    uncertain: dict[str, int]
     peers: list[str]
     peer_versions: list[PeerVersion]
     targets: list[messages.TargetDigest]
@@ -140,6 +143,7 @@
         "_membership",
         "_orders",
         "_subscription",
+        "_tally",
     )
 
     def __init__(
@@ -150,6 +154,7 @@
         subscription: subscriptions.Subscription,
         given: orders.Orders,
         life: lifecycle.Lifecycle,
+        tally: tallies.Tally,
     ):
         self._instance = instance
         self._executor = executor
@@ -157,6 +162,7 @@
         self._subscription = subscription
         self._orders = given
         self._lifecycle = life
+        self._tally = tally
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
@@ -209,6 +215,7 @@
                     else round(self._executor.now - confirmed, 3)
                 ),
                 unfinished=core.unfinished,
+                uncertain=self._tally.uncertain,
                 peers=sorted(peer.name for peer in self._membership.peers),
                 peer_versions=[
                     PeerVersion(instance=e.peer.name, version=e.version)
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -140,6 +140,7 @@
         remaining_ms: time left until the deadline.
         first_token_ms: time left until the first token is due.
         version: version of the configuration that the sender goes by.
+        idempotent: whether the sender's rule lets it be dispatched again.
     """
 
     request: RequestDocument
@@ -150,6 +151,21 @@
     remaining_ms: int
     first_token_ms: int
     version: int = 0
+    idempotent: bool = False
+
+
+class LookupDocument(Document):
+    """Asks an instance about a request, or to cancel it.
+
+    Attributes:
+        request_id: the request.
+        organisation: whose request it must be.
+        cancel: whether to withdraw it.
+    """
+
+    request_id: str
+    organisation: str
+    cancel: bool = False
 
 
 class InstanceDocument(Document, kw_only=True):
