--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -19,6 +19,8 @@
 from cranberryglade import verdicts
 from cranberryglade import wire
 
+SPARED_HEADERS = ("Content-Type", "Date", "Server")
+
 
 class PeerInterface:
     """Handles what other instances send over HTTP."""
@@ -53,6 +55,7 @@
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
+        app.on_response_prepare.append(_spare_headers)
         app.router.add_post(membership.DIGEST_PATH, self._post_digest)
         app.router.add_post(
             membership.CONFIGURATION_PATH, self._post_configuration
@@ -167,3 +170,11 @@
         return wire.decode(body, kind).alt(
             lambda detail: responses.refusal(verdicts.Reason.MALFORMED, detail)
         )
+
+
+async def _spare_headers(
+    http_request: web.Request, response: web.StreamResponse
+) -> None:
+    if http_request.path == membership.DIGEST_PATH:
+        for name in SPARED_HEADERS:
+            response.headers.popall(name, None)
--- a/cranberryglade/platform.py
+++ b/cranberryglade/platform.py
@@ -57,7 +57,9 @@
             **wanted: values that fields of the instances must have.
         """
         url = self._url("instances").with_query(wanted)
-        headers = {"If-None-Match": tag} if tag else {}
+        headers = {"Accept-Encoding": "gzip"}
+        if tag:
+            headers["If-None-Match"] = tag
         try:
             async with self._session.get(url, headers=headers) as response:
                 data = await response.read()
--- a/cranberryglade/standins/control.py
+++ b/cranberryglade/standins/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 from aiohttp import web
 import msgspec
@@ -11,7 +12,7 @@
 from cranberryglade import wire
 from cranberryglade.standins import model
 
-LINE_SECONDS = 1.0
+LINE_SECONDS = 2.0
 CHECK_SECONDS = 0.05
 
 
@@ -61,6 +62,11 @@
     async def _get_events(self, http_request: web.Request):
         response = web.StreamResponse()
         await response.prepare(http_request)
+        with contextlib.suppress(ConnectionResetError):
+            await self._publish(response)
+        return response
+
+    async def _publish(self, response: web.StreamResponse) -> None:
         sequence = 0
         known: set[str] = set()
         while True:
--- a/cranberryglade/standins/platform.py
+++ b/cranberryglade/standins/platform.py
@@ -138,6 +138,7 @@
         ]
         response = _json(wire.InstanceList(instances=found))
         response.headers["ETag"] = tag
+        response.enable_compression()
         return response
 
     async def _put_instances(self, http_request: web.Request):
--- /dev/null
+++ b/cranberryglade/tests/measure_control.py
@@ -0,0 +1,149 @@
+"""Measures what control costs an instance; run it with `python -m`.
+
+Two parts: cores over the fake transport by size of the failure domain, and
+real daemons on loopback, idle, with the default periods.
+"""
+
+import contextlib
+import os
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+
+from cranberryglade.tests import gossiping
+from cranberryglade.tests import support
+
+SIZES = (5, 11, 22, 43, 86)
+SETTLE_PERIODS = 40
+PERIODS = 60
+TICK_SECONDS = 1 / os.sysconf("SC_CLK_TCK")
+WATCHED_SECONDS = 30.0
+
+
+def until(net, check, limit=200):
+    for period in range(limit):
+        if check():
+            return period
+        net.run(1)
+    return limit
+
+
+def measure_core(count):
+    net = gossiping.network(count)
+    net.run(SETTLE_PERIODS)
+    net.bytes = net.exchanges = 0
+    began = time.process_time()
+    net.run(PERIODS)
+    spent = time.process_time() - began
+    ages = sorted(
+        net.now - view.said_at
+        for node in net.nodes.values()
+        for view in node.core._views
+        if view.is_live
+    )
+    message = net.bytes / net.exchanges / 2
+    exchanges = net.exchanges / PERIODS / count
+    net.node("entry-0").leave("engine-1", "i1", net.now)
+    marked = until(net, lambda: all(list(n.marks) for n in net.nodes.values()))
+    net.node("entry-1").version = 2
+    applied = until(
+        net, lambda: all(n.version == 2 for n in net.nodes.values())
+    )
+    del net.nodes["entry-2:1"]
+    noticed = until(
+        net, lambda: any("entry-2" not in n.view for n in net.nodes.values())
+    )
+    dropped = noticed + until(
+        net, lambda: all("entry-2" not in n.view for n in net.nodes.values())
+    )
+    print(
+        f"{count:3} instances: {message:.0f} bytes a message, "
+        f"{4 * message * exchanges:.0f} bytes/s in and out, "
+        f"{1e6 * spent / net_exchanges(count, exchanges):.0f} us an exchange "
+        f"(both sides); digest age median {statistics.median(ages):.0f} s, "
+        f"95% {ages[int(len(ages) * 0.95)]:.0f} s; sign by gossip alone "
+        f"{marked} s, version {applied} s, death first {noticed} s, "
+        f"all {dropped} s"
+    )
+
+
+def net_exchanges(count, exchanges):
+    return PERIODS * count * exchanges
+
+
+def usage(process):
+    proc = pathlib.Path("/proc") / str(process._process.pid)
+    fields = (proc / "stat").read_text().rpartition(")")[2].split()
+    spent = (int(fields[11]) + int(fields[12])) * TICK_SECONDS
+    io = dict(
+        line.split(": ") for line in (proc / "io").read_text().splitlines()
+    )
+    resident = int((proc / "statm").read_text().split()[1]) * 4096
+    return spent, int(io["rchar"]), int(io["wchar"]), resident
+
+
+def measure_daemons(count, endpoints):
+    with contextlib.ExitStack() as stack:
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        started = stack.enter_context(
+            support.deployment(pathlib.Path(directory))
+        )
+        for number in range(endpoints):
+            started.endpoint("engine", f"engine-{number}", "assistant")
+        daemons = [
+            started.daemon(f"entry-{n}", probe_seconds=1.0, poll_seconds=5.0)
+            for n in range(count)
+        ]
+        for daemon in daemons:
+            support.eventually(
+                lambda d=daemon: len(support.status(d)["peers"]) == count - 1,
+                seconds=90.0,
+            )
+        time.sleep(10.0)
+        before = [usage(daemon) for daemon in daemons]
+        time.sleep(WATCHED_SECONDS)
+        after = [usage(daemon) for daemon in daemons]
+        spent, read, written = (
+            statistics.mean(
+                a[i] - b[i] for a, b in zip(after, before, strict=True)
+            )
+            / WATCHED_SECONDS
+            for i in range(3)
+        )
+        resident = max(item[3] for item in after)
+        version = support.status(daemons[0])["version"]
+        text = support.CONFIGURATION.replace("rank = 1", "rank = 2")
+        began = time.monotonic()
+        support.operate(
+            daemons[0],
+            "PUT",
+            "configuration",
+            {"expected_version": version, "text": text},
+        )
+        waiting = set(range(count))
+        times = []
+        while waiting:
+            for number in list(waiting):
+                if support.status(daemons[number])["version"] > version:
+                    waiting.discard(number)
+                    times.append(time.monotonic() - began)
+        print(
+            f"{count:3} daemons, {endpoints} engines: "
+            f"{100 * spent:.2f}% of a core, {read:.0f} bytes/s read, "
+            f"{written:.0f} bytes/s written, {resident / 1e6:.0f} MB; "
+            f"version in force everywhere after {max(times):.1f} s "
+            f"(median {statistics.median(times):.1f} s)"
+        )
+
+
+def main():
+    for count in SIZES:
+        measure_core(count)
+    for count in map(int, sys.argv[1:]):
+        measure_daemons(count, endpoints=6)
+
+
+if __name__ == "__main__":
+    main()
