Join instances in memory under lists that lag, fail or lie

Found on the way: an entry of an older process, passed on by a peer that does not know better, made an instance look for the newer one at the old address and drop it. An old process that runs beside the new one is believed only when it answers. The check of leaving catches instances that do not tell each other (deliberate violation). A control task that fails is logged.

--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -206,7 +206,9 @@
         self._spawn(members.run_probes(self._settings.probe_seconds))
 
     def _spawn(self, coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
 
     async def _stop(self) -> None:
         self._members.stop()
@@ -246,3 +248,8 @@
         await self._peer_client.close()
         await self._platform.close()
         self._tracing.close()
+
+
+def _report_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("task failed", exc_info=task.exception())
--- a/cranberryglade/membership.py
+++ b/cranberryglade/membership.py
@@ -261,8 +261,8 @@
             )
         )
 
-    def _hear(self, message: news.Message) -> None:
-        events = self._gossip.hear(message, self._now)
+    def _hear(self, message: news.Message, is_answer: bool = False) -> None:
+        events = self._gossip.hear(message, self._now, is_answer)
         if events is None:
             return
         for event in events:
@@ -280,7 +280,7 @@
         )
         match answer.bind(digests.decode):
             case Success(message):
-                self._hear(message)
+                self._hear(message, is_answer=True)
                 stranger = message.own.peer.name != contact.name
                 if stranger and contact.name != contact.address:
                     self._missed(contact)
--- a/cranberryglade/scheduling/gossip.py
+++ b/cranberryglade/scheduling/gossip.py
@@ -156,10 +156,16 @@
         return news.Message(own, relayed, self._told_marks(), self._told_lost())
 
     def hear(
-        self, message: news.Message, now: float
+        self, message: news.Message, now: float, is_answer: bool = False
     ) -> list[messages.Event] | None:
         """Takes in a message that an instance sent to this one.
 
+        Args:
+            message: the message.
+            now: time in seconds.
+            is_answer: whether it answers a message of this instance, which
+                proves that its sender runs now.
+
         Returns:
             What follows; None for a message from a replaced process.
         """
@@ -170,7 +176,10 @@
             entry.peer.name, entry.peer.address, entry.peer.failure_domain
         )
         if entry.peer.incarnation in view.replaced:
-            return None
+            if not is_answer:
+                self._ask_at(entry.peer)
+                return None
+            view.replaced.remove(entry.peer.incarnation)
         events: list[messages.Event] = [
             messages.EndpointLeaving(sign.name, sign.incarnation, "peer")
             for sign in message.leaving
@@ -246,7 +255,7 @@
         if peer.incarnation in view.replaced:
             return []
         if view.entry and view.incarnation != peer.incarnation:
-            self._ask_address(view, peer, now)
+            self._ask_at(peer)
             return []
         if view.entry and entry.beat <= view.entry.beat:
             return []
@@ -273,12 +282,11 @@
         if now - view.asked_at >= ASK_AGAIN_SECONDS:
             self._ask(view.name)
 
-    def _ask_address(
-        self, view: views.View, peer: messages.Peer, now: float
-    ) -> None:
-        if now - view.asked_at >= ASK_AGAIN_SECONDS:
-            view.address = peer.address
-            self._ask(view.name)
+    def _ask_at(self, peer: messages.Peer) -> None:
+        if self._views.get(peer.address) is None:
+            domain = peer.failure_domain
+            self._views.introduce(peer.address, peer.address, domain)
+            self._ask(peer.address)
 
     def _take_urgent(self) -> list[str]:
         taken = self._urgent[:URGENT_CONTACTS]
--- a/cranberryglade/tests/gossiping.py
+++ b/cranberryglade/tests/gossiping.py
@@ -55,10 +55,10 @@
         message = self.core.message(to, self.version, targets, now)
         return digests.encode(message)
 
-    def read(self, data, now):
+    def read(self, data, now, is_answer=False):
         message = digests.decode(data).unwrap()
         self.version = max(self.version, message.own.version)
-        self.apply(self.core.hear(message, now), now)
+        self.apply(self.core.hear(message, now, is_answer), now)
         return message.own.peer.name
 
 
@@ -114,7 +114,7 @@
             name = peer.name
             other.core.introduce(name, peer.address, peer.failure_domain)
         answer = other.write(name, self.now)
-        node.read(answer, self.now)
+        node.read(answer, self.now, is_answer=True)
         self.bytes += len(request) + len(answer)
         self.exchanges += 1
 
--- a/cranberryglade/tests/test_gossip.py
+++ b/cranberryglade/tests/test_gossip.py
@@ -1,11 +1,14 @@
 """Membership by gossip: what is believed, spread, dropped and taken back."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 
 from cranberryglade import digests
+from cranberryglade.scheduling import news
 from cranberryglade.tests import gossiping
 
 DOMAIN_SIZE = 43
@@ -149,6 +152,43 @@
     assert second.view["entry-0"] == fresh.peer.incarnation
 
 
+def test_an_old_entry_passed_on_does_not_drop_a_newer_process():
+    net = gossiping.network(3)
+    net.run(5)
+    old = net.node("entry-2")
+    message = digests.decode(old.write("entry-1", net.now)).unwrap()
+    fresh = gossiping.Node("entry-2", 99, "i2")
+    fresh.peer = dataclasses.replace(fresh.peer, address="moved:1")
+    fresh.core._own = fresh.peer
+    net.nodes = {n.peer.address: n for n in (*net.nodes.values(), fresh)}
+    del net.nodes["entry-2:1"]
+    newcomer = gossiping.Node("entry-9", 7)
+    newcomer.read(fresh.write("entry-9", net.now), net.now)
+    carrier = dataclasses.replace(
+        digests.decode(net.node("entry-0").write("entry-9", net.now)).unwrap(),
+        relayed=(news.Relayed(message.own, 1.0),),
+    )
+    newcomer.apply(newcomer.core.hear(carrier, net.now), net.now)
+    net.nodes["entry-9:1"] = newcomer
+    net.run(10)
+    assert newcomer.view["entry-2"] == fresh.peer.incarnation
+
+
+def test_an_old_process_that_runs_beside_the_new_one_stops_nobody():
+    net = gossiping.network(3)
+    net.run(5)
+    old = net.nodes.pop("entry-2:1")
+    fresh = gossiping.Node("entry-2", 99, "i2")
+    net.nodes["entry-2:1"] = fresh
+    net.run(10)
+    first = net.node("entry-0")
+    first.read(old.write("entry-0", net.now), net.now)
+    assert first.view["entry-2"] == fresh.peer.incarnation
+    first.read(old.write("entry-0", net.now), net.now, is_answer=True)
+    net.run(10)
+    assert first.view["entry-2"] == fresh.peer.incarnation
+
+
 def test_other_domains_show_a_few_contacts_and_keep_their_signs():
     domains = ("wien-a", "wien-b", "wien-c")
     net = gossiping.network(30, domains)
--- /dev/null
+++ b/cranberryglade/tests/test_membership.py
@@ -0,0 +1,295 @@
+"""Instances joined in memory: lists that lag, fail or lie; signs spread."""
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import digests
+from cranberryglade import membership
+from cranberryglade import platform
+from cranberryglade import revisions
+from cranberryglade import settings
+from cranberryglade import subscriptions
+from cranberryglade import wire
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import builders
+from cranberryglade.tests import fakes
+from cranberryglade.tests import properties
+
+PROBE_SECONDS = settings.PROBE_SECONDS
+POLL_SECONDS = settings.POLL_SECONDS
+TEXT = "[deployment]\nname = a\n"
+
+
+class FakeList(fakes.FakePlatform):
+    """Serves a list of instances and a table; `down` refuses both."""
+
+    def __init__(self):
+        super().__init__()
+        self.listed = []
+        self.down = False
+
+    async def instances(self, tag, **wanted):
+        del tag, wanted
+        if self.down:
+            return Failure(platform.PlatformError("down"))
+        return Success(platform.TaggedList("", list(self.listed)))
+
+    async def row(self, table, key):
+        return fakes.LOST if self.down else await super().row(table, key)
+
+
+class Wire:
+    """Carries calls between instances by address."""
+
+    def __init__(self):
+        self.instances = {}
+        self.calls = 0
+
+    async def call(self, address, incarnation, path, body):
+        self.calls += 1
+        await asyncio.sleep(0.01)
+        other = self.instances.get(address)
+        if other is None or incarnation not in ("", other.own.incarnation):
+            return Failure("refused")
+        if path == membership.DIGEST_PATH:
+            message = digests.decode(body).unwrap()
+            return Success(other.members.answer_to(message, bool(incarnation)))
+        asked = wire.decode(body, revisions.UpdateRequest).unwrap()
+        update = other.subscription.update_for(asked.known_version)
+        return Success(wire.encode(update))
+
+
+class Instance:
+    """One instance without its interfaces."""
+
+    def __init__(self, joined, number, check):
+        name = f"entry-{number}"
+        self.own = builders.peer(name, address=f"{name}:1")
+        self.check = check
+        self.platform = FakeList()
+        generator = random.Random(number)
+        self.core = scheduler.Scheduler(self.own)
+        self.subscription = subscriptions.Subscription(self.platform, generator)
+        self.members = membership.Membership(
+            self.own,
+            settings.parse(SETTINGS, "test").unwrap(),
+            joined,
+            self.platform,
+            self.subscription,
+            self.core,
+            generator,
+        )
+        self.members.stream.subscribe(self.post)
+        joined.instances[self.own.address] = self
+        self.tasks = []
+
+    @property
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def post(self, event):
+        if isinstance(event, messages.EndpointLeaving):
+            self.check.sign(event.name, event.incarnation, self.now)
+        return self.core.handle(event, self.now)
+
+    def start(self):
+        if self.tasks:
+            return
+        for coroutine in (
+            self.members.run_list(POLL_SECONDS),
+            self.members.run_probes(PROBE_SECONDS),
+            self.subscription.run(POLL_SECONDS),
+        ):
+            self.tasks.append(asyncio.create_task(coroutine))
+
+    def submit(self, number):
+        deadline = self.now + 60
+        request = builders.request(
+            f"{self.own.name}-{number}",
+            deadline=deadline,
+            first_token_deadline=deadline,
+        )
+        for action in self.post(messages.Submitted(request)):
+            if isinstance(action, messages.Dispatch):
+                endpoint = action.endpoint
+                self.check.dispatched(
+                    endpoint.name, endpoint.incarnation, self.now
+                )
+                self.post(messages.Answered(request.request_id, 1, 20))
+
+    def owned(self):
+        pools = self.core.all_pools()
+        return {m.endpoint.name for pool in pools for m in pool.serving}
+
+
+SETTINGS = f"""[daemon]
+instance = entry-0
+failure_domain = wien-a
+[platform]
+address = 127.0.0.1:1
+[keys]
+peer = {"ab" * 16}
+ticket = {"cd" * 16}
+"""
+
+
+def listed(name, state="live", incarnation="i1", role="engine"):
+    return wire.InstanceDocument(
+        name=name,
+        role=role,
+        incarnation=incarnation,
+        address=f"{name}:1",
+        failure_domain="wien-a",
+        state=state,
+        target="assistant" if role == "engine" else "",
+    )
+
+
+ENGINES = [f"engine-{number}" for number in range(6)]
+
+
+@pytest.fixture
+async def domain():
+    joined, check = Wire(), properties.LeavingCheck()
+    made = [Instance(joined, number, check) for number in range(4)]
+    entries = [listed(i.own.name, role="entry") for i in made]
+    for instance in made:
+        instance.platform.listed = entries + [listed(e) for e in ENGINES]
+    yield made
+    for instance in made:
+        instance.members.close()
+        for task in instance.tasks:
+            task.cancel()
+
+
+async def settled(domain):
+    for instance in domain:
+        instance.start()
+    await asyncio.sleep(20)
+    assert all(len(i.members.peers) == len(domain) - 1 for i in domain)
+    assert set().union(*(i.owned() for i in domain)) == set(ENGINES)
+
+
+async def load(domain, seconds):
+    for number in range(int(seconds * 4)):
+        for instance in domain:
+            instance.submit(number)
+        await asyncio.sleep(0.25)
+
+
+def change_list(instance, *changed):
+    names = {item.name for item in changed}
+    kept = [i for i in instance.platform.listed if i.name not in names]
+    instance.platform.listed = kept + list(changed)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("others_platform", ["down", "lagging"])
+async def test_a_sign_in_one_list_stops_new_work_everywhere(
+    domain, others_platform
+):
+    await settled(domain)
+    for instance in domain[1:]:
+        instance.platform.down = others_platform == "down"
+    change_list(domain[0], *(listed(e, "leaving") for e in ENGINES[:3]))
+    await load(domain, 15)
+    assert set(domain[0].check.signs) == {(e, "i1") for e in ENGINES[:3]}
+    assert set().union(*(i.owned() for i in domain)) == set(ENGINES[3:])
+
+
+@pytest.mark.looptime
+async def test_a_new_process_of_a_drained_endpoint_gets_work(domain):
+    await settled(domain)
+    sign = messages.EndpointLeaving("engine-0", "i1", "operator")
+    domain[2].members.announce(sign)
+    await load(domain, 5)
+    assert "engine-0" not in set().union(*(i.owned() for i in domain))
+    for instance in domain:
+        change_list(instance, listed("engine-0", incarnation="i2"))
+    await load(domain, 10)
+    assert "engine-0" in set().union(*(i.owned() for i in domain))
+
+
+@pytest.mark.looptime
+async def test_the_check_catches_instances_that_do_not_tell(
+    domain, monkeypatch
+):
+    await settled(domain)
+    monkeypatch.setattr(membership.Membership, "_mark", lambda _: None)
+    monkeypatch.setattr(membership.Membership, "_spread", lambda _: None)
+    monkeypatch.setattr(
+        "cranberryglade.scheduling.gossip.Gossip._told_marks", lambda _: ()
+    )
+    for instance in domain[1:]:
+        instance.platform.down = True
+    change_list(domain[0], *(listed(e, "leaving") for e in ENGINES))
+    with pytest.raises(properties.Violation):
+        await load(domain, 15)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("lie", ["empty", "down", "old"])
+async def test_a_list_that_fails_empties_no_view(domain, lie):
+    await settled(domain)
+    for instance in domain:
+        instance.platform.down = lie == "down"
+        if lie == "empty":
+            instance.platform.listed = []
+        if lie == "old":
+            change_list(instance, *(listed(e) for e in ENGINES[:2]))
+    await asyncio.sleep(60)
+    await settled(domain)
+
+
+@pytest.mark.looptime
+async def test_a_sign_in_all_lists_is_not_pushed_by_all(domain):
+    await settled(domain)
+    joined = domain[0].members._client
+    before = joined.calls
+    await asyncio.sleep(POLL_SECONDS * 2)
+    usual = joined.calls - before
+    for instance in domain:
+        change_list(instance, *(listed(e, "leaving") for e in ENGINES))
+    before = joined.calls
+    await asyncio.sleep(POLL_SECONDS * 2)
+    pushes = joined.calls - before - usual
+    assert pushes <= 2 * (len(domain) - 1)
+
+
+@pytest.mark.looptime
+async def test_a_version_spreads_to_instances_without_platform(domain):
+    for instance in domain[1:]:
+        instance.platform.down = True
+    domain[0].platform.rows["configuration/current"] = wire.RowDocument(
+        value=TEXT, version=1
+    )
+    for instance in domain:
+        instance.start()
+    for version in (1, 2):
+        if version == 2:
+            domain[0].platform.rows["configuration/current"] = wire.RowDocument(
+                value=TEXT + "[tier a]\nrank = 0\n", version=2
+            )
+        await asyncio.sleep(12)
+        assert {i.subscription.version for i in domain} == {version}
+
+
+@pytest.mark.looptime
+async def test_a_message_that_is_not_bound_is_not_believed(domain):
+    await settled(domain)
+    stranger = builders.peer("entry-9", address="entry-9:1")
+    forged = digests.encode(
+        membership.news.Message(
+            membership.news.Entry(stranger, 1, 99, ()),
+            leaving=(membership.news.Leaving("engine-0", "i1"),),
+        )
+    )
+    domain[0].members.answer_to(digests.decode(forged).unwrap(), False)
+    await asyncio.sleep(5)
+    assert "entry-9" not in {p.name for p in domain[0].members.peers}
+    assert not domain[0].check.signs
