--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -239,11 +239,11 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
         self._members.close()
         await self._reports.close()
         await self._orders.close()
-        for runner in self._runners:
-            await runner.cleanup()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -10,6 +10,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import bodies
 from cranberryglade import silence
 from cranberryglade import streams
 from cranberryglade import verdicts
@@ -21,7 +22,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 LOOKUP_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
-SILENCE_MARGIN_SECONDS = 5.0
+SILENCE_MARGIN_SECONDS = 10.0
 SIGNATURE_HEADER = "X-Peer-Signature"
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
@@ -84,6 +85,7 @@
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_seconds)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            request_class=bodies.Request,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
