--- a/cranberryglade/responses.py
+++ b/cranberryglade/responses.py
@@ -68,6 +68,13 @@
             return STATUS_MAY_HAVE_RUN
 
 
+def document(content: object, status: int = 200) -> web.Response:
+    """Answers with one message."""
+    return web.Response(
+        body=wire.encode(content), status=status, content_type=JSON
+    )
+
+
 async def whole(exchange: exchanges.Exchange) -> web.Response:
     """Answers with the whole answer once there is a verdict."""
     verdict = await exchange.finished()
