--- a/cranberryglade/tools/bench.py
+++ b/cranberryglade/tools/bench.py
@@ -1,6 +1,7 @@
 """Commands that measure speed; see docs/CAPACITY.md for what they gave."""
 
 import asyncio
+import time
 
 import click
 import msgspec
@@ -8,6 +9,8 @@
 
 from cranberryglade.tools import benchengine
 from cranberryglade.tools import benchload
+from cranberryglade.tools import benchslopes
+from cranberryglade.tools import processes
 
 
 @click.group()
@@ -53,12 +56,44 @@
     "--seconds", default=10.0, show_default=True, help="Time measured."
 )
 @click.option("--pid", default=0, help="Process whose usage is measured.")
+@click.option(
+    "--keyed", is_flag=True, help="Give each request a key of its own."
+)
 def send_load(**options) -> None:
     """Sends streamed requests and prints what was measured as JSON."""
     report = _run(benchload.run(benchload.Plan(**options)))
     click.echo(msgspec.json.encode(report).decode())
 
 
+@bench.command("slopes")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
+def print_slopes(as_json: bool) -> None:
+    """Prints how time and memory of the decisions grow with their state."""
+    for slope in benchslopes.all_slopes():
+        if as_json:
+            click.echo(msgspec.json.encode(slope).decode())
+            continue
+        click.echo(
+            f"{slope.name}: {slope.slope:g} {slope.unit} per {slope.per}"
+        )
+        for size, value in zip(slope.sizes, slope.values, strict=True):
+            click.echo(f"  {size:>9,}  {value:>16,.2f} {slope.unit}")
+
+
+@bench.command("rest")
+@click.argument("pids", type=int, nargs=-1, required=True)
+@click.option(
+    "--seconds", default=10.0, show_default=True, help="Time measured."
+)
+def measure_rest(pids: tuple[int, ...], seconds: float) -> None:
+    """Measures what running daemons spend, and prints the mean as JSON."""
+    before = [processes.usage(pid) for pid in pids]
+    time.sleep(seconds)
+    after = [processes.usage(pid) for pid in pids]
+    spent = processes.spending(before, after, seconds)
+    click.echo(msgspec.json.encode(spent).decode())
+
+
 async def _serve_engine(address: str, interval: float) -> None:
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
--- a/cranberryglade/tools/benchload.py
+++ b/cranberryglade/tools/benchload.py
@@ -2,9 +2,12 @@
 
 import array
 import asyncio
+from collections.abc import Iterator
 import dataclasses
+import itertools
 import random
 import re
+import secrets
 import time
 
 import msgspec
@@ -34,6 +37,7 @@
         ramp_seconds: time before anything is measured.
         seconds: time that is measured.
         pid: process whose usage is measured; 0 for none.
+        keyed: whether each request has an idempotency key of its own.
     """
 
     address: str
@@ -44,6 +48,7 @@
     ramp_seconds: float
     seconds: float
     pid: int
+    keyed: bool = False
 
 
 class Percentiles(msgspec.Struct):
@@ -197,7 +202,7 @@
 async def _send(plan, samples, idle, open_streams) -> None:
     loop = asyncio.get_running_loop()
     host, _, port = plan.address.rpartition(":")
-    request = _request(plan)
+    requests = _requests(plan)
     chance = random.Random(SEED)
     due = loop.time()
     while True:
@@ -209,10 +214,10 @@
             )
         else:
             stream = idle.pop()
-        stream.send(request)
+        stream.send(next(requests))
 
 
-def _request(plan: Plan) -> bytes:
+def _requests(plan: Plan) -> Iterator[bytes]:
     body = msgspec.json.encode(
         {
             "kind": plan.kind,
@@ -225,9 +230,12 @@
     head = (
         f"POST /v1/requests HTTP/1.1\r\nHost: {plan.address}\r\n"
         f"Authorization: Bearer {plan.token}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+    ).encode()
+    prefix = secrets.token_hex(4)
+    for number in itertools.count():
+        key = f"Idempotency-Key: {prefix}-{number}\r\n" if plan.keyed else ""
+        yield head + key.encode() + b"\r\n" + body
 
 
 def _report(samples: Samples, streams: int, elapsed: float) -> Report:
--- a/cranberryglade/tools/processes.py
+++ b/cranberryglade/tools/processes.py
@@ -6,6 +6,7 @@
 import re
 
 BYTES_PER_KIB = 1024
+MEGABYTE = 1_000_000
 CPU_FIELDS = slice(11, 13)
 
 
@@ -17,11 +18,34 @@
         cpu_seconds: user and system time of all its threads.
         resident_bytes: resident memory now.
         peak_bytes: largest resident memory so far.
+        read_bytes: bytes read from sockets and files.
+        written_bytes: bytes written to sockets and files.
     """
 
     cpu_seconds: float
     resident_bytes: int
     peak_bytes: int
+    read_bytes: int
+    written_bytes: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Spending:
+    """What each of some processes spends on average.
+
+    Attributes:
+        processes: how many.
+        cores: processor time by elapsed time.
+        read_bytes_per_second: from sockets and files.
+        written_bytes_per_second: to sockets and files.
+        resident_mb: resident memory, in millions of bytes.
+    """
+
+    processes: int
+    cores: float
+    read_bytes_per_second: float
+    written_bytes_per_second: float
+    resident_mb: float
 
 
 def usage(pid: int) -> Usage:
@@ -36,6 +60,28 @@
         cpu_seconds((directory / "stat").read_text(encoding="utf-8")),
         _kib(status, "VmRSS") * BYTES_PER_KIB,
         _kib(status, "VmHWM") * BYTES_PER_KIB,
+        *_transferred((directory / "io").read_text(encoding="utf-8")),
+    )
+
+
+def spending(
+    before: list[Usage], after: list[Usage], seconds: float
+) -> Spending:
+    """The mean of what processes used between two readings."""
+    count = len(before)
+    share = count * seconds
+
+    def used(name: str) -> float:
+        return sum(getattr(u, name) for u in after) - sum(
+            getattr(u, name) for u in before
+        )
+
+    return Spending(
+        count,
+        round(used("cpu_seconds") / share, 5),
+        round(used("read_bytes") / share, 1),
+        round(used("written_bytes") / share, 1),
+        round(sum(u.resident_bytes for u in after) / count / MEGABYTE, 1),
     )
 
 
@@ -54,3 +100,8 @@
 def _kib(status: str, name: str) -> int:
     found = re.search(rf"^{name}:\s+(\d+) kB$", status, re.MULTILINE)
     return int(found[1]) if found else 0
+
+
+def _transferred(io: str) -> tuple[int, int]:
+    values = dict(line.split(": ") for line in io.splitlines())
+    return int(values["rchar"]), int(values["wchar"])
