--- /dev/null
+++ b/tools/bench_programs.sh
@@ -0,0 +1,88 @@
+# Starts the programs that the measurements need; sourced by the others.
+
+DIRECTORY=$(mktemp -d)
+PIDS=()
+
+finish() {
+  for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait
+  rm -rf "$DIRECTORY"
+}
+trap finish EXIT
+
+# start NAME PROGRAM...: runs a program; its output goes to a named file.
+start() {
+  local name=$1
+  shift
+  "$@" >"$DIRECTORY/$name" 2>"$DIRECTORY/$name.errors" &
+  PIDS+=($!)
+}
+
+# address NAME FIELD: prints an address from a program's start message.
+address() {
+  local file=$DIRECTORY/$1 field=$2
+  for _ in $(seq 200); do
+    grep -qs "\"$field\"" "$file" && break
+    sleep 0.05
+  done
+  sed -n "s/.*\"$field\": *\"\([^\"]*\)\".*/\1/p" "$file" | head -n 1
+}
+
+digest() { printf %s "$1" | sha256sum | cut -d ' ' -f 1; }
+
+put() { curl -sSf -o /dev/null -X "$1" "http://$PLATFORM$2" -d "$3"; }
+
+# list_row NAME ROLE ADDRESS: prints one row of the platform's list.
+list_row() {
+  local target=
+  [[ $2 == engine ]] && target=assistant
+  printf '{"name":"%s","role":"%s","incarnation":"i1","address":"%s",' \
+    "$1" "$2" "$3"
+  printf '"slots":4000,"failure_domain":"domain-1","target":"%s"}' "$target"
+}
+
+# start_platform ENGINES: starts the platform and the engines.
+start_platform() {
+  local text number
+  start platform cranberryglade standin platform
+  PLATFORM=$(address platform address)
+  ROWS=()
+  for number in $(seq "$1"); do
+    start "engine-$number" cranberryglade bench engine
+    ROWS+=("$(list_row "engine-$number" engine \
+      "$(address "engine-$number" address)")")
+  done
+  text="[deployment]\nname = bench\n[tier counter]\nrank = 0\n\
+[organisation store-1]\ntoken_sha256 = $(digest store-token)\n\
+[operator ops]\ntoken_sha256 = $(digest operator-token)\n\
+[rule counter-question]\ntarget = assistant\ntier = counter\n"
+  put PUT /standin/faults '{"lag_seconds":0.0}'
+  put POST /v1/transactions "{\"writes\":[{\"table\":\"configuration\",
+    \"key\":\"current\",\"expected_version\":0,\"value\":\"$text\"}]}"
+}
+
+# start_daemon NAME: starts a daemon; its process id is PIDS[-1].
+start_daemon() {
+  cat >"$DIRECTORY/$1.ini" <<INI
+[daemon]
+instance = $1
+failure_domain = domain-1
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+[platform]
+address = $PLATFORM
+[keys]
+peer = abababababababababababababababab
+ticket = cdcdcdcdcdcdcdcdcdcdcdcdcdcdcdcd
+INI
+  start "$1" ${DAEMON:-cranberrygladed} --settings "$DIRECTORY/$1.ini"
+  ROWS+=("$(list_row "$1" entry "$(address "$1" peer_address)")")
+}
+
+# list_all: puts all rows on the platform's list.
+list_all() {
+  local IFS=,
+  put PUT /standin/instances "{\"instances\":[${ROWS[*]}]}"
+}
+
+counts() { curl -sSf "http://$PLATFORM/standin/counts"; }
