--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -188,6 +188,7 @@
         ).register(caller_app, peer_app)
         delegations.PeerInterface(
             self._executor,
+            forwarder,
             members,
             subscription,
             office,
@@ -206,9 +207,12 @@
         self._spawn(members.run_probes(self._settings.probe_seconds))
 
     def _spawn(self, coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
 
     async def _stop(self) -> None:
+        self._members.stop()
         self._executor.post(messages.StopRequested())
         draining = asyncio.create_task(self._drain())
         cutting = asyncio.create_task(self._lifecycle.cut_requested())
@@ -245,3 +249,8 @@
         await self._peer_client.close()
         await self._platform.close()
         self._tracing.close()
+
+
+def _report_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("task failed", exc_info=task.exception())
