--- a/cranberryglade/tools/observe.py
+++ b/cranberryglade/tools/observe.py
@@ -34,8 +34,8 @@
     for cause, count in found.uncertain.items():
         click.echo(f"uncertain   {count} requests: {cause}")
     versions = {p.instance: p.version for p in found.peer_versions}
-    known = [f"{name} ({versions.get(name, '?')})" for name in found.peers]
-    click.echo(f"peers       {', '.join(known) or 'none'} (version known)")
+    known = [f"{n} (knows {versions.get(n, '?')})" for n in found.peers]
+    click.echo(f"peers       {', '.join(known) or 'none'}")
     rows = [
         (t.target, t.free_slots, t.waiting, t.wait_seconds)
         for t in found.targets
