--- /dev/null
+++ b/cranberryglade/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against the scheduler core, in virtual time."""
--- /dev/null
+++ b/cranberryglade/replay/generator.py
@@ -0,0 +1,374 @@
+"""Makes traces of the two deployments from a seed."""
+
+import dataclasses
+import math
+import random
+
+from cranberryglade.replay import traces
+from cranberryglade.standins import model
+
+ENGINE = model.Speed(
+    batch=8,
+    step_seconds=0.02,
+    sequence_seconds=0.001,
+    prefill_seconds=0.00008,
+    prefill_chunk=256,
+    cache_tokens=60_000,
+)
+SERVICE = model.Speed(batch=4, step_seconds=0.04, sequence_seconds=0.001)
+GENERATIONS = (("g1", 1.5), ("g2", 1.0), ("g3", 0.7))
+BURST_FACTOR = 2.5
+BURST_SECONDS = (6.0, 18.0)
+TEMPLATES = 12
+SERVICE_LOAD = 0.02
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Kind:
+    """One kind of request.
+
+    Attributes:
+        name: rule of the configuration.
+        target: the model or service.
+        rank: rank of the tier.
+        share: part of the target's work.
+        prompt: shortest and longest prompt in tokens.
+        output: shortest and longest answer; (0, 0) for a service.
+        prefix: tokens of the shared part; 0 for none.
+        deadline_seconds: time for the whole answer.
+        first_token_seconds: time for the first token.
+        idempotent: whether it may run more than once.
+        keyed: whether callers bring their own keys.
+    """
+
+    name: str
+    target: str
+    rank: int
+    share: float
+    prompt: tuple[int, int]
+    output: tuple[int, int]
+    prefix: int
+    deadline_seconds: float
+    first_token_seconds: float = 2.0
+    idempotent: bool = True
+    keyed: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Deployment:
+    """Who sends what to which endpoints.
+
+    Attributes:
+        failure_domain: where it all stands.
+        hop_seconds: one way.
+        engines: number of engines of each model.
+        services: number of endpoints of each plain service.
+        organisations: name and part of the requests.
+        kinds: what they send.
+    """
+
+    failure_domain: str
+    hop_seconds: float
+    engines: dict[str, int]
+    services: dict[str, int]
+    organisations: tuple[tuple[str, float], ...]
+    kinds: tuple[Kind, ...]
+
+
+DEPLOYMENTS = {
+    "tulikalpa": Deployment(
+        "salt-lake",
+        0.001,
+        {"brief-writer": 6},
+        {"commission-desk": 3},
+        (
+            ("kolkata", 0.42),
+            ("howrah", 0.3),
+            ("overseas", 0.14),
+            ("memorials", 0.09),
+            ("shelters", 0.05),
+        ),
+        (
+            Kind(
+                "reply",
+                "brief-writer",
+                0,
+                0.3,
+                (60, 900),
+                (20, 300),
+                0,
+                12.0,
+                0.51,
+                False,
+            ),
+            Kind(
+                "brief",
+                "brief-writer",
+                1,
+                0.4,
+                (700, 6000),
+                (150, 900),
+                600,
+                40.0,
+                2.0,
+                False,
+            ),
+            Kind(
+                "painter-note",
+                "brief-writer",
+                2,
+                0.3,
+                (800, 20000),
+                (100, 1200),
+                600,
+                60.0,
+                4.0,
+            ),
+            Kind(
+                "deposit",
+                "commission-desk",
+                0,
+                0.5,
+                (50, 50),
+                (0, 0),
+                0,
+                3.0,
+                1.0,
+                False,
+                True,
+            ),
+            Kind(
+                "status-lookup",
+                "commission-desk",
+                1,
+                0.5,
+                (50, 50),
+                (0, 0),
+                0,
+                3.0,
+                1.0,
+            ),
+        ),
+    ),
+    "werkliste": Deployment(
+        "wien-a",
+        0.0015,
+        {"assistant": 5},
+        {"lists": 3},
+        (
+            ("stores-east", 0.4),
+            ("customer-app", 0.35),
+            ("stores-west", 0.12),
+            ("planners", 0.08),
+            ("franchise-new", 0.05),
+        ),
+        (
+            Kind(
+                "counter",
+                "assistant",
+                0,
+                0.25,
+                (60, 400),
+                (15, 90),
+                0,
+                4.0,
+                0.51,
+                False,
+            ),
+            Kind(
+                "range-check",
+                "assistant",
+                1,
+                0.25,
+                (600, 3000),
+                (80, 400),
+                500,
+                15.0,
+            ),
+            Kind(
+                "plan",
+                "assistant",
+                2,
+                0.5,
+                (3000, 24000),
+                (300, 1200),
+                2000,
+                60.0,
+                5.0,
+            ),
+            Kind(
+                "reservation",
+                "lists",
+                0,
+                0.5,
+                (50, 50),
+                (0, 0),
+                0,
+                3.0,
+                1.0,
+                False,
+                True,
+            ),
+            Kind(
+                "stock-lookup", "lists", 1, 0.5, (50, 50), (0, 0), 0, 3.0, 1.0
+            ),
+        ),
+    ),
+}
+
+
+def make(
+    deployment: str, load: float, seconds: float, seed: int, instances: int
+) -> traces.Trace:
+    """Makes a trace.
+
+    Args:
+        deployment: a key of DEPLOYMENTS.
+        load: offered work divided by what the engines can do.
+        seconds: how long requests arrive.
+        seed: of the random numbers.
+        instances: number of entry instances.
+    """
+    chosen = DEPLOYMENTS[deployment]
+    rng = random.Random(seed)
+    endpoints = _endpoints(chosen)
+    header = traces.Header(
+        name=f"{deployment} load {load} seed {seed}",
+        failure_domain=chosen.failure_domain,
+        instances=instances,
+        hop_seconds=chosen.hop_seconds,
+        capacity=load,
+    )
+    bursts = _bursts(rng, seconds)
+    requests = []
+    for kind in chosen.kinds:
+        engines = [e for e in endpoints if e.target == kind.target]
+        part = load if kind.output[1] else SERVICE_LOAD
+        rate = part * kind.share * sum(1 / e.factor for e in engines)
+        rate /= _mean_work(kind, engines[0].speed)
+        requests += _requests(rng, kind, chosen, rate, seconds, bursts)
+    requests.sort(key=lambda request: request.at)
+    return traces.Trace(header, endpoints, requests, _faults(chosen, seconds))
+
+
+def _endpoints(deployment: Deployment) -> list[traces.Endpoint]:
+    lines = []
+    for target, count in deployment.engines.items():
+        for number in range(count):
+            generation, factor = GENERATIONS[number % len(GENERATIONS)]
+            lines.append(
+                traces.Endpoint(
+                    name=f"{target}-{number}",
+                    target=target,
+                    generation=generation,
+                    factor=factor,
+                    speed=ENGINE,
+                )
+            )
+    for target, count in deployment.services.items():
+        lines += [
+            traces.Endpoint(
+                name=f"{target}-{number}",
+                target=target,
+                slots=SERVICE.batch,
+                speed=SERVICE,
+            )
+            for number in range(count)
+        ]
+    return lines
+
+
+def _bursts(rng: random.Random, seconds: float) -> list[tuple[float, float]]:
+    bursts = []
+    at = rng.uniform(10.0, 25.0)
+    while at < seconds:
+        length = rng.uniform(*BURST_SECONDS)
+        bursts.append((at, at + length))
+        at += length + rng.uniform(10.0, 30.0)
+    return bursts
+
+
+def _requests(rng, kind, deployment, rate, seconds, bursts):
+    inside = sum(min(end, seconds) - start for start, end in bursts) / seconds
+    calm = rate / (1 + inside * (BURST_FACTOR - 1))
+    names = [name for name, _ in deployment.organisations]
+    parts = [part for _, part in deployment.organisations]
+    at = 0.0
+    lines = []
+    while True:
+        bursting = any(start <= at < end for start, end in bursts)
+        at += rng.expovariate(calm * (BURST_FACTOR if bursting else 1.0))
+        if at >= seconds:
+            return lines
+        organisation = rng.choices(names, parts)[0]
+        lines.append(_request(rng, kind, organisation, at, len(lines)))
+
+
+def _request(rng, kind, organisation, at, number) -> traces.Request:
+    prefix = ""
+    if kind.prefix:
+        prefix = f"{kind.name}/{organisation}/{rng.randrange(TEMPLATES)}"
+    longest = kind.output[1]
+    return traces.Request(
+        at=round(at, 4),
+        request_id=f"{kind.name}-{number}",
+        organisation=organisation,
+        kind=kind.name,
+        target=kind.target,
+        rank=kind.rank,
+        idempotent=kind.idempotent,
+        keyed=kind.keyed,
+        prompt_tokens=_length(rng, kind.prompt),
+        max_tokens=longest,
+        output_tokens=_length(rng, kind.output) if longest else 0,
+        prefix=prefix,
+        prefix_tokens=kind.prefix,
+        deadline_seconds=kind.deadline_seconds,
+        first_token_seconds=kind.first_token_seconds,
+    )
+
+
+def _length(rng: random.Random, bounds: tuple[int, int]) -> int:
+    low, high = bounds
+    return round(math.exp(rng.uniform(math.log(low), math.log(high))))
+
+
+def _mean(bounds: tuple[int, int]) -> float:
+    low, high = bounds
+    return (high - low) / math.log(high / low) if high > low else high
+
+
+def _mean_work(kind: Kind, speed: model.Speed) -> float:
+    prompt = _mean(kind.prompt) - kind.prefix / 2
+    return speed.engine_seconds(prompt, max(1, _mean(kind.output)))
+
+
+def _faults(deployment: Deployment, seconds: float) -> list[traces.Fault]:
+    target = next(iter(deployment.engines))
+    slowed, left, died = (f"{target}-{number}" for number in (1, 2, 3))
+    times = [round(seconds * part, 1) for part in (0.25, 0.3, 0.5, 0.6)]
+    first, early, middle, late = times
+    return [
+        traces.Fault(
+            at=first,
+            fault="slow",
+            subject=slowed,
+            factor=6.0,
+            scene="straggler",
+        ),
+        traces.Fault(
+            at=late, fault="slow", subject=slowed, factor=1.0, scene="straggler"
+        ),
+        traces.Fault(at=early, fault="leaving", subject=left, scene="leaving"),
+        traces.Fault(
+            at=middle, fault="died", subject=died, scene="endpoint-died"
+        ),
+        traces.Fault(
+            at=middle,
+            fault="instance_died",
+            subject="entry-1",
+            scene="instance-died",
+        ),
+        traces.Fault(at=first, fault="platform_down", scene="platform-down"),
+        traces.Fault(at=middle, fault="platform_up", scene="platform-down"),
+    ]
--- /dev/null
+++ b/cranberryglade/scheduling/baselines/__init__.py
@@ -0,0 +1,1 @@
+"""Simple policies that the scheduler's own is compared with."""
--- /dev/null
+++ b/cranberryglade/scheduling/baselines/thin.py
@@ -0,0 +1,233 @@
+"""The first version of the scheduler's policy, kept to compare with.
+
+Admission by tier and arrival against average speeds; the endpoint with the
+most free slots; a hand-off only where there is no own endpoint.
+"""
+
+from cranberryglade import verdicts
+from cranberryglade.scheduling import claims
+from cranberryglade.scheduling import decisions
+from cranberryglade.scheduling import fleet
+from cranberryglade.scheduling import lives
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import pools
+
+NO_ENDPOINT_RETRY_SECONDS = 1.0
+SHED_RETRY_SECONDS = 1.0
+PREFILL_SECONDS_PER_TOKEN = 0.00005
+DECODE_SECONDS_PER_TOKEN = 0.02
+SERVICE_SECONDS = 0.02
+LEARNING_RATE = 0.1
+
+
+class ThinPlacement:
+    """Decides for each waiting request whether, where and when it runs."""
+
+    __slots__ = ("_decisions", "_estimates", "_fleet", "_lives")
+
+    def __init__(
+        self,
+        collected: decisions.Decisions,
+        known: fleet.Fleet,
+        living: lives.Lives,
+    ):
+        self._decisions = collected
+        self._fleet = known
+        self._lives = living
+        self._estimates = Averages()
+
+    def digests(self) -> tuple[messages.TargetDigest, ...]:
+        """What peers are told about the load of this instance."""
+        return tuple(_digest(pool) for pool in self._fleet.all_pools())
+
+    def next_wake(self) -> float | None:
+        """When something is due without an event, in seconds."""
+        expiries = [p.queue.next_expiry() for p in self._fleet.all_pools()]
+        return min((e for e in expiries if e is not None), default=None)
+
+    def admit(self, record: claims.Record) -> None:
+        """Queues, hands over or refuses a request that is new here."""
+        request = record.request
+        pool = self._fleet.pool(request.target)
+        if not pool.serving:
+            self._delegate_or_refuse(record)
+            return
+        late = self._late_seconds(pool, request)
+        if late > 0:
+            self._lives.refuse(record, verdicts.Reason.DEADLINE, late)
+            return
+        self._decisions.note(request.request_id, "queued", "admitted")
+        self.wait(record)
+
+    def wait(self, record: claims.Record) -> None:
+        """Puts a request into its queue."""
+        request = record.request
+        latest = request.deadline - self._estimates.seconds(request)
+        queue = self._fleet.pool(request.target).queue
+        queue.push(request, self._decisions.now, latest)
+
+    def withdraw(self, request: messages.Request) -> bool:
+        """Takes a request out of its queue; False if it is not there."""
+        queue = self._fleet.pool(request.target).queue
+        return queue.remove(request.request_id) is not None
+
+    def ended(self, record: claims.Record, output_tokens: int | None) -> None:
+        """Gives back the slot of an attempt.
+
+        Args:
+            record: the request, before its state changes.
+            output_tokens: length of a whole answer; None if it failed.
+        """
+        if record.endpoint is None:
+            return
+        member = self._fleet.member(record.endpoint.name)
+        if member and member.endpoint == record.endpoint:
+            member.outstanding -= 1
+        if output_tokens is not None:
+            seconds = self._decisions.now - record.dispatched_at
+            self._estimates.learn(record.request, seconds, output_tokens)
+
+    def readmit(self, record: claims.Record) -> None:
+        """Queues a request whose attempt did not run or may be repeated."""
+        self.wait(record)
+
+    def first_token(self, record: claims.Record) -> None:
+        """Does nothing."""
+
+    def load(self, event: messages.LoadReported) -> None:
+        """Does nothing."""
+
+    def cache(self, event: messages.CacheReported) -> None:
+        """Does nothing."""
+
+    def run(self) -> None:
+        """Refuses what is hopeless, then dispatches what can start."""
+        for pool in self._fleet.all_pools():
+            self._expire(pool)
+            while self._dispatch_one(pool):
+                pass
+
+    def _late_seconds(
+        self, pool: pools.Pool, request: messages.Request
+    ) -> float:
+        run = self._estimates.seconds(request)
+        slots = sum(member.endpoint.slots for member in pool.serving)
+        ahead = pool.queue.count_up_to(request.rank)
+        wait = 0.0
+        if pool.free_slots <= ahead:
+            wait = (ahead + 1) * run / max(1, slots)
+        return max(0.0, self._decisions.now + wait + run - request.deadline)
+
+    def _delegate_or_refuse(self, record: claims.Record) -> None:
+        request = record.request
+        peer = None
+        if not request.delegated:
+            peer = _choose_peer(self._fleet.offers(request.target))
+        if peer is None:
+            self._lives.refuse(
+                record,
+                verdicts.Reason.NO_ENDPOINT,
+                NO_ENDPOINT_RETRY_SECONDS,
+            )
+            return
+        self._decisions.note(
+            request.request_id, "delegated", "no own endpoint", peer.name
+        )
+        self._lives.delegate(record, peer)
+
+    def _expire(self, pool: pools.Pool) -> None:
+        while entry := pool.queue.pop_expired(self._decisions.now):
+            record = self._lives.get(entry.request.request_id)
+            self._lives.refuse(record, verdicts.Reason.SHED, SHED_RETRY_SECONDS)
+
+    def _dispatch_one(self, pool: pools.Pool) -> bool:
+        request = pool.queue.peek()
+        if request is None:
+            return False
+        member = _choose_member(pool)
+        if member is None:
+            return False
+        pool.queue.remove(request.request_id)
+        self._decisions.note(
+            request.request_id,
+            "dispatched",
+            "most free slots",
+            member.endpoint.name,
+            (messages.Measure("free_slots", member.free_slots),),
+        )
+        member.outstanding += 1
+        record = self._lives.get(request.request_id)
+        self._lives.dispatch(record, member.endpoint)
+        return True
+
+
+def _choose_member(pool: pools.Pool) -> pools.Member | None:
+    free = [m for m in pool.members.values() if m.free_slots > 0]
+    return max(
+        free, key=lambda m: (m.free_slots, m.endpoint.name), default=None
+    )
+
+
+def _choose_peer(offers) -> messages.Peer | None:
+    best = min(offers, key=_preference, default=None)
+    return best.peer if best else None
+
+
+def _preference(offer: fleet.Offer):
+    digest = offer.digest
+    return (-digest.free_slots, digest.wait_seconds, offer.peer.name)
+
+
+def _digest(pool: pools.Pool) -> messages.TargetDigest:
+    slots = sum(member.endpoint.slots for member in pool.serving)
+    wait = len(pool.queue) * SERVICE_SECONDS / slots if slots else 0.0
+    return messages.TargetDigest(
+        pool.target,
+        pool.free_slots,
+        len(pool.queue),
+        pool.queue.worst_rank,
+        wait,
+    )
+
+
+class Averages:
+    """Running averages of speed, by target, and of length, by kind."""
+
+    __slots__ = ("_decode_seconds", "_lengths", "_service_seconds")
+
+    def __init__(self):
+        self._decode_seconds: dict[str, float] = {}
+        self._service_seconds: dict[str, float] = {}
+        self._lengths: dict[str, float] = {}
+
+    def length(self, request: messages.Request) -> float:
+        """Expected length of the answer in tokens."""
+        learnt = self._lengths.get(request.kind, request.output_tokens)
+        return min(learnt, request.output_tokens)
+
+    def seconds(self, request: messages.Request) -> float:
+        """Expected time from dispatch to the whole answer."""
+        if request.output_tokens == 0:
+            return self._service_seconds.get(request.target, SERVICE_SECONDS)
+        decode = self._decode_seconds.get(
+            request.target, DECODE_SECONDS_PER_TOKEN
+        )
+        prefill = request.prompt_tokens * PREFILL_SECONDS_PER_TOKEN
+        return prefill + self.length(request) * decode
+
+    def learn(
+        self, request: messages.Request, seconds: float, output_tokens: int
+    ) -> None:
+        """Takes in one request that ended after that many seconds."""
+        if request.output_tokens == 0:
+            _average(self._service_seconds, request.target, seconds)
+            return
+        _average(self._lengths, request.kind, output_tokens)
+        prefill = request.prompt_tokens * PREFILL_SECONDS_PER_TOKEN
+        decode = max(0.0, seconds - prefill) / max(1, output_tokens)
+        _average(self._decode_seconds, request.target, decode)
+
+
+def _average(averages: dict[str, float], name: str, value: float) -> None:
+    before = averages.get(name, value)
+    averages[name] = before + LEARNING_RATE * (value - before)
--- a/cranberryglade/scheduling/fleet.py
+++ b/cranberryglade/scheduling/fleet.py
@@ -1,5 +1,6 @@
 """The endpoints and peers that this instance knows of."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -7,6 +8,7 @@
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import ownership
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import queues
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,10 +28,23 @@
 class Fleet:
     """Pools of endpoints by target, and peers with their digests."""
 
-    __slots__ = ("_decisions", "_instance", "_peers", "_pools", "_targets")
-
-    def __init__(self, instance: messages.Peer, collected: decisions.Decisions):
+    __slots__ = (
+        "_decisions",
+        "_instance",
+        "_make_queue",
+        "_peers",
+        "_pools",
+        "_targets",
+    )
+
+    def __init__(
+        self,
+        instance: messages.Peer,
+        collected: decisions.Decisions,
+        make_queue: Callable[[], queues.Queue] = queues.Queue,
+    ):
         self._instance = instance
+        self._make_queue = make_queue
         self._decisions = collected
         self._pools: dict[str, pools.Pool] = {}
         self._targets: dict[str, str] = {}
@@ -39,7 +54,7 @@
         """The pool of a target, empty if nothing is known of it."""
         pool = self._pools.get(target)
         if pool is None:
-            pool = self._pools[target] = pools.Pool(target)
+            pool = self._pools[target] = pools.Pool(target, self._make_queue())
         return pool
 
     def all_pools(self) -> list[pools.Pool]:
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -98,6 +98,19 @@
             seconds = self._decisions.now - record.dispatched_at
             self._estimates.learn(record.request, seconds, output_tokens)
 
+    def readmit(self, record: claims.Record) -> None:
+        """Queues a request whose attempt did not run or may be repeated."""
+        self.wait(record)
+
+    def first_token(self, record: claims.Record) -> None:
+        """Does nothing."""
+
+    def load(self, event: messages.LoadReported) -> None:
+        """Does nothing."""
+
+    def cache(self, event: messages.CacheReported) -> None:
+        """Does nothing."""
+
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
         for pool in self._fleet.all_pools():
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -35,10 +35,10 @@
 
     __slots__ = ("members", "queue", "target")
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, queue: queues.Queue):
         self.target = target
         self.members: dict[str, Member] = {}
-        self.queue = queues.Queue()
+        self.queue = queue
 
     @property
     def serving(self) -> list[Member]:
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 from cranberryglade.scheduling import fleet
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
-from cranberryglade.scheduling import placement
+from cranberryglade.scheduling import policies
 from cranberryglade.scheduling import pools
 from cranberryglade.scheduling import retries
 
@@ -30,11 +30,15 @@
         "_stopping",
     )
 
-    def __init__(self, instance: messages.Peer):
+    def __init__(
+        self,
+        instance: messages.Peer,
+        policy: policies.Policy = policies.PREDICTIVE,
+    ):
         self._decisions = decisions.Decisions()
-        self._fleet = fleet.Fleet(instance, self._decisions)
+        self._fleet = fleet.Fleet(instance, self._decisions, policy.queue)
         self._lives = lives.Lives(self._decisions)
-        self._placement = placement.Placement(
+        self._placement = policy.placement(
             self._decisions, self._fleet, self._lives
         )
         self._retries = retries.RetryBudget()
@@ -74,6 +78,12 @@
                 self._settle_claim(event)
             case messages.Cancelled(request_id=request_id):
                 self._cancel(request_id)
+            case messages.FirstToken():
+                self._first_token(event)
+            case messages.LoadReported():
+                self._placement.load(event)
+            case messages.CacheReported():
+                self._placement.cache(event)
             case messages.Answered():
                 self._answered(event)
             case messages.AttemptFailed():
@@ -132,6 +142,11 @@
         self._lives.claimed(record)
         self._placement.admit(record)
 
+    def _first_token(self, event: messages.FirstToken) -> None:
+        record = self._lives.current(event.request_id, event.attempt)
+        if record is not None:
+            self._placement.first_token(record)
+
     def _answered(self, event: messages.Answered) -> None:
         record = self._lives.current(event.request_id, event.attempt)
         if record is None:
@@ -146,7 +161,7 @@
         self._placement.ended(record, None)
         if self._may_repeat(record, event.verdict) and self._retries.take():
             self._lives.give_back(record, event.verdict.reason)
-            self._placement.wait(record)
+            self._placement.readmit(record)
             return
         match event.verdict:
             case verdicts.NotRun(reason=reason, retry_after_seconds=retry):
--- a/cranberryglade/standins/model.py
+++ b/cranberryglade/standins/model.py
@@ -28,6 +28,19 @@
     prefill_chunk: int = 2048
     cache_tokens: int = 200_000
 
+    def engine_seconds(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Share of a full engine's time that a request takes."""
+        step = self.step_seconds + self.batch * self.sequence_seconds
+        decode = output_tokens * step / self.batch
+        return prompt_tokens * self.prefill_seconds + decode
+
+    def alone_seconds(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Time of a request that has the engine to itself."""
+        steps = -(-prompt_tokens // self.prefill_chunk) - 1 + output_tokens
+        prefill = prompt_tokens * self.prefill_seconds
+        decode = output_tokens * self.sequence_seconds
+        return steps * self.step_seconds + prefill + decode
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Sequence:
@@ -38,7 +51,9 @@
         prefix: name of the shared part of its prompt.
         prompt_tokens: length of the prompt.
         output_tokens: tokens it will generate.
+        prefix_tokens: length of the shared part; 0 for the whole prompt.
         prefilled: prompt tokens done.
+        cached: how many of them came from the cache.
         generated: tokens generated.
     """
 
@@ -46,7 +61,9 @@
     prefix: str
     prompt_tokens: int
     output_tokens: int
+    prefix_tokens: int = 0
     prefilled: int = 0
+    cached: int = 0
     generated: int = 0
 
 
@@ -152,7 +169,8 @@
             cached = self._cache.get(sequence.prefix, 0)
             if cached:
                 self._cache.move_to_end(sequence.prefix)
-            sequence.prefilled = min(cached, sequence.prompt_tokens - 1)
+            sequence.cached = min(cached, sequence.prompt_tokens - 1)
+            sequence.prefilled = sequence.cached
             self._running[request_id] = sequence
 
     def _prefill(self) -> int:
@@ -171,8 +189,9 @@
     def _remember(self, sequence: Sequence) -> None:
         if not sequence.prefix or sequence.prefix in self._cache:
             return
-        self._cache[sequence.prefix] = sequence.prompt_tokens
-        self._cached_tokens += sequence.prompt_tokens
+        tokens = sequence.prefix_tokens or sequence.prompt_tokens
+        self._cache[sequence.prefix] = tokens
+        self._cached_tokens += tokens
         while self._cached_tokens > self._speed.cache_tokens:
             _, tokens = self._cache.popitem(last=False)
             self._cached_tokens -= tokens
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -2,6 +2,7 @@
 
 import click
 
+from cranberryglade.tools import replay
 from cranberryglade.tools import standins
 
 
@@ -11,3 +12,5 @@
 
 
 main.add_command(standins.standin)
+main.add_command(replay.replay)
+main.add_command(replay.trace_group)
--- /dev/null
+++ b/cranberryglade/tools/replay.py
@@ -0,0 +1,99 @@
+"""Commands that make and replay traces."""
+
+import pathlib
+import sys
+
+import click
+import msgspec
+
+from cranberryglade.replay import generator
+from cranberryglade.replay import measures
+from cranberryglade.replay import reports
+from cranberryglade.replay import runs
+from cranberryglade.replay import traces
+from cranberryglade.scheduling import policies
+
+NAMES = [policy.name for policy in policies.POLICIES]
+
+
+@click.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path, exists=True))
+@click.option(
+    "--policy",
+    "chosen",
+    multiple=True,
+    type=click.Choice(NAMES),
+    help="Policy to replay; all of them when absent.",
+)
+@click.option("--seed", default=1, show_default=True, help="Of the callers.")
+@click.option(
+    "--scene",
+    "scenes",
+    multiple=True,
+    help="Scene of faults to replay, or 'all'; none when absent.",
+)
+@click.option(
+    "--instances", type=int, help="Instances instead of the trace's number."
+)
+@click.option(
+    "--report",
+    type=click.Path(path_type=pathlib.Path),
+    help="Where to write a plot over time (PNG).",
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON line each.")
+def replay(path, chosen, seed, scenes, instances, report, as_json) -> None:
+    """Replays the trace at PATH under one policy or all, in virtual time."""
+    try:
+        trace = traces.read(path)
+    except ValueError as error:
+        raise click.ClickException(str(error)) from error
+    unknown = set(scenes) - set(trace.scenes) - {"all"}
+    if unknown:
+        known = ", ".join(trace.scenes) or "none"
+        raise click.BadParameter(f"scenes of this trace: {known}")
+    wanted = set(trace.scenes) if "all" in scenes else set(scenes)
+    trace = trace.only(wanted)
+    if instances:
+        header = msgspec.structs.replace(trace.header, instances=instances)
+        trace = msgspec.structs.replace(trace, header=header)
+    results = [_run(trace, name, seed) for name in chosen or NAMES]
+    found = [measures.figures(result) for result in results]
+    for line in found if as_json else []:
+        click.echo(msgspec.json.encode(line))
+    if not as_json:
+        click.echo(reports.table(trace, found))
+    if report is not None:
+        reports.plot(results, report)
+
+
+def _run(trace: traces.Trace, policy: str, seed: int) -> runs.Result:
+    def progress(seconds: float) -> None:
+        if sys.stderr.isatty():
+            click.echo(f"\r{policy}: {seconds:.0f} s", nl=False, err=True)
+
+    result = runs.Run(trace, policy, seed).run(progress)
+    progress(trace.seconds)
+    return result
+
+
+@click.group("trace")
+def trace_group() -> None:
+    """Makes traces."""
+
+
+@trace_group.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+@click.option(
+    "--deployment",
+    type=click.Choice(sorted(generator.DEPLOYMENTS)),
+    required=True,
+)
+@click.option("--load", default=0.7, show_default=True, help="Of capacity.")
+@click.option("--seconds", default=120.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--instances", default=2, show_default=True)
+def make(path, deployment, load, seconds, seed, instances) -> None:
+    """Writes a generated trace to PATH."""
+    trace = generator.make(deployment, load, seconds, seed, instances)
+    traces.write(path, trace)
+    click.echo(f"{len(trace.requests)} requests")
