Place requests by predicted finish, fair shares and room for short work

Now: speeds learnt per endpoint and generation, lengths per kind, start-time fair queueing between organisations and slack within one, prefixes remembered per endpoint, one long prefill at a time on at most half of the endpoints, hand-off by digests with expected waits.

--- a/cranberryglade/scheduling/admission.py
+++ b/cranberryglade/scheduling/admission.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 
-from cranberryglade.scheduling import estimates
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
 
-MINIMUM_RETRY_SECONDS = 0.05
+MINIMUM_RETRY_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -27,15 +26,25 @@
 def forecast(
     pool: pools.Pool,
     request: messages.Request,
-    learnt: estimates.Estimates,
+    run_seconds: float,
     now: float,
 ) -> Forecast:
     """Predicts the finish of a request in a pool with serving endpoints."""
-    run = learnt.seconds(request)
-    slots = sum(member.endpoint.slots for member in pool.serving)
-    ahead = pool.queue.count_up_to(request.rank)
-    wait = 0.0
-    if pool.free_slots <= ahead:
-        wait = (ahead + 1) * run / max(1, slots)
-    late = max(0.0, now + wait + run - request.deadline)
-    return Forecast(wait, run, late)
+    wait = pool.wait_seconds(pool.queue.work_before(request))
+    late = max(0.0, now + wait + run_seconds - request.deadline)
+    return Forecast(wait, run_seconds, late)
+
+
+def book_return(
+    pool: pools.Pool, rank: int, run_seconds: float, now: float
+) -> float:
+    """When a refused request should come back, in seconds from now.
+
+    Each refusal books the time that its work takes, so that those who come
+    back do not come together.
+    """
+    slots = max(1, pool.slots)
+    drained = now + pool.queue.work_up_to(rank) / slots
+    start = max(pool.booked_until, drained, now + MINIMUM_RETRY_SECONDS)
+    pool.booked_until = start + run_seconds / slots
+    return start - now
--- a/cranberryglade/scheduling/estimates.py
+++ b/cranberryglade/scheduling/estimates.py
@@ -1,51 +1,69 @@
-"""How long requests take, learnt from those that ended."""
+"""How long answers are, learnt by kind from those that ended."""
+
+import collections
+import dataclasses
+import math
 
 from cranberryglade.scheduling import messages
 
-PREFILL_SECONDS_PER_TOKEN = 0.00005
-DECODE_SECONDS_PER_TOKEN = 0.02
-SERVICE_SECONDS = 0.02
-LEARNING_RATE = 0.1
+KEPT_KINDS = 1_000
+LEARNING_RATE = 0.05
+FIRST_SHARE = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Length:
+    mean: float
+    variance: float = 0.0
+    samples: int = 0
+
+    def learn(self, tokens: int) -> None:
+        self.samples += 1
+        rate = max(LEARNING_RATE, 1 / self.samples)
+        step = tokens - self.mean
+        self.mean += rate * step
+        self.variance = (1 - rate) * (self.variance + rate * step * step)
 
 
 class Estimates:
-    """Running averages of speed, by target, and of length, by kind."""
+    """Lengths of answers by kind; the kind not used for longest is forgotten.
 
-    __slots__ = ("_decode_seconds", "_lengths", "_service_seconds")
+    >>> from cranberryglade.tests import builders
+    >>> learnt = Estimates()
+    >>> request = builders.request(output_tokens=100)
+    >>> learnt.length(request)
+    50.0
+    >>> learnt.learn(request, 30)
+    >>> learnt.length(request)
+    30.0
+    """
+
+    __slots__ = ("_lengths",)
 
     def __init__(self):
-        self._decode_seconds: dict[str, float] = {}
-        self._service_seconds: dict[str, float] = {}
-        self._lengths: dict[str, float] = {}
-
-    def length(self, request: messages.Request) -> float:
-        """Expected length of the answer in tokens."""
-        learnt = self._lengths.get(request.kind, request.output_tokens)
-        return min(learnt, request.output_tokens)
-
-    def seconds(self, request: messages.Request) -> float:
-        """Expected time from dispatch to the whole answer."""
-        if request.output_tokens == 0:
-            return self._service_seconds.get(request.target, SERVICE_SECONDS)
-        decode = self._decode_seconds.get(
-            request.target, DECODE_SECONDS_PER_TOKEN
+        self._lengths: collections.OrderedDict[str, _Length] = (
+            collections.OrderedDict()
         )
-        prefill = request.prompt_tokens * PREFILL_SECONDS_PER_TOKEN
-        return prefill + self.length(request) * decode
-
-    def learn(
-        self, request: messages.Request, seconds: float, output_tokens: int
-    ) -> None:
-        """Takes in one request that ended after that many seconds."""
-        if request.output_tokens == 0:
-            _average(self._service_seconds, request.target, seconds)
-            return
-        _average(self._lengths, request.kind, output_tokens)
-        prefill = request.prompt_tokens * PREFILL_SECONDS_PER_TOKEN
-        decode = max(0.0, seconds - prefill) / max(1, output_tokens)
-        _average(self._decode_seconds, request.target, decode)
-
-
-def _average(averages: dict[str, float], name: str, value: float) -> None:
-    before = averages.get(name, value)
-    averages[name] = before + LEARNING_RATE * (value - before)
+
+    def length(self, request: messages.Request, deviations: float = 0) -> float:
+        """Expected length of the answer in tokens.
+
+        Args:
+            request: what will be answered.
+            deviations: how many standard deviations above the mean.
+        """
+        learnt = self._lengths.get(request.kind)
+        if learnt is None:
+            return request.output_tokens * FIRST_SHARE
+        expected = learnt.mean + deviations * math.sqrt(learnt.variance)
+        return min(expected, request.output_tokens)
+
+    def learn(self, request: messages.Request, output_tokens: int) -> None:
+        """Takes in the length of a whole answer."""
+        learnt = self._lengths.get(request.kind)
+        if learnt is None:
+            learnt = self._lengths[request.kind] = _Length(output_tokens)
+            if len(self._lengths) > KEPT_KINDS:
+                self._lengths.popitem(last=False)
+        self._lengths.move_to_end(request.kind)
+        learnt.learn(output_tokens)
--- /dev/null
+++ b/cranberryglade/scheduling/handoffs.py
@@ -0,0 +1,78 @@
+"""Which peer should take a request over."""
+
+import dataclasses
+
+from cranberryglade.scheduling import fleet
+from cranberryglade.scheduling import messages
+
+HOP_SECONDS = 0.01
+FIRST_RATE = 8.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Sent:
+    digest: messages.TargetDigest
+    count: int = 0
+    work: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """A peer and what it would make of a request.
+
+    Attributes:
+        peer: the instance.
+        wait_seconds: expected time until it starts the request.
+        displaces: whether lower tiers wait there.
+    """
+
+    peer: messages.Peer
+    wait_seconds: float
+    displaces: bool
+
+
+class Handoffs:
+    """Reads digests, and adds what was sent since each of them was made."""
+
+    __slots__ = ("_fleet", "_sent")
+
+    def __init__(self, known: fleet.Fleet):
+        self._fleet = known
+        self._sent: dict[tuple[str, str], _Sent] = {}
+
+    def best(self, request: messages.Request) -> Candidate | None:
+        """The peer that could start the request soonest."""
+        candidates = [
+            self._candidate(offer, request)
+            for offer in self._fleet.offers(request.target)
+            if offer.digest.rate > 0
+        ]
+        return min(
+            candidates,
+            key=lambda c: (c.wait_seconds, not c.displaces, c.peer.name),
+            default=None,
+        )
+
+    def sent(
+        self, request: messages.Request, peer: messages.Peer, work: float
+    ) -> None:
+        """Counts a request that was handed to a peer."""
+        sent = self._sent.get((peer.name, request.target))
+        if sent is not None:
+            sent.count += 1
+            sent.work += work
+
+    def _candidate(
+        self, offer: fleet.Offer, request: messages.Request
+    ) -> Candidate:
+        digest = offer.digest
+        key = (offer.peer.name, request.target)
+        sent = self._sent.get(key)
+        if sent is None or sent.digest is not digest:
+            sent = self._sent[key] = _Sent(digest)
+        wait = HOP_SECONDS
+        if digest.free_slots <= sent.count:
+            rank = min(request.rank, len(digest.waits) - 1)
+            ahead = digest.waits[rank] if digest.waits else digest.wait_seconds
+            wait += ahead + sent.work / digest.rate
+        return Candidate(offer.peer, wait, digest.worst_rank > request.rank)
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -61,6 +61,7 @@
         first_token_deadline: when its first token must be there.
         key: the caller's own idempotency key, or "".
         delegated: handed over by a peer, which remains the home.
+        weight: of the organisation, when capacity is shared.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     first_token_deadline: float
     key: str = ""
     delegated: bool = False
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -88,6 +90,8 @@
         waiting: requests queued.
         worst_rank: rank of the lowest tier that waits, or -1.
         wait_seconds: expected wait of a new request of the highest tier.
+        waits: the same for each rank from 0 on; the last holds for all lower.
+        rate: slot seconds of work that it gets done in a second.
     """
 
     target: str
@@ -95,6 +99,8 @@
     waiting: int
     worst_rank: int
     wait_seconds: float
+    waits: tuple[float, ...] = ()
+    rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -1,24 +1,47 @@
 """Where and when requests run: admission, order, dispatch, hand-off."""
 
+import dataclasses
+
 from cranberryglade import verdicts
 from cranberryglade.scheduling import admission
 from cranberryglade.scheduling import claims
 from cranberryglade.scheduling import decisions
 from cranberryglade.scheduling import estimates
 from cranberryglade.scheduling import fleet
+from cranberryglade.scheduling import handoffs
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import queues
 from cranberryglade.scheduling import routing
+from cranberryglade.scheduling import speeds
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
-SHED_RETRY_SECONDS = 1.0
+HANDOFF_GAIN_SECONDS = 0.1
+PASSING_SLACK_SECONDS = 5.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Running:
+    member: pools.Member
+    lane: queues.Lane
+    prefill_tokens: float
+    pending_tokens: float
+    first_at: float | None = None
 
 
 class Placement:
     """Decides for each waiting request whether, where and when it runs."""
 
-    __slots__ = ("_decisions", "_estimates", "_fleet", "_lives")
+    __slots__ = (
+        "_decisions",
+        "_estimates",
+        "_fleet",
+        "_handoffs",
+        "_lives",
+        "_router",
+        "_running",
+    )
 
     def __init__(
         self,
@@ -30,13 +53,13 @@
         self._fleet = known
         self._lives = living
         self._estimates = estimates.Estimates()
+        self._router = routing.Router(self._estimates, speeds.Speeds())
+        self._handoffs = handoffs.Handoffs(known)
+        self._running: dict[str, _Running] = {}
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
         """What peers are told about the load of this instance."""
-        return tuple(
-            pool.digest(estimates.SERVICE_SECONDS)
-            for pool in self._fleet.all_pools()
-        )
+        return tuple(pool.digest() for pool in self._fleet.all_pools())
 
     def next_wake(self) -> float | None:
         """When something is due without an event, in seconds."""
@@ -50,38 +73,43 @@
         if not pool.serving:
             self._delegate_or_refuse(record)
             return
-        expected = admission.forecast(
-            pool, request, self._estimates, self._decisions.now
-        )
-        measures = (
-            messages.Measure("wait_seconds", expected.wait_seconds),
-            messages.Measure("run_seconds", expected.run_seconds),
-        )
+        run = self._router.run_seconds(pool, request)
+        expected = admission.forecast(pool, request, run, self._decisions.now)
+        if self._hand_over(record, expected):
+            return
         if expected.late_seconds > 0:
-            self._lives.refuse(
-                record,
-                verdicts.Reason.DEADLINE,
-                expected.late_seconds,
-                measures,
-            )
+            self._shed_or_queue(record, pool, expected)
             return
-        self._decisions.note(
-            request.request_id, "queued", "admitted", measures=measures
-        )
-        self.wait(record)
+        self._note(record, "queued", "admitted", expected)
+        self._queue(pool, request, run)
 
-    def wait(self, record: claims.Record) -> None:
-        """Puts a request into its queue."""
+    def readmit(self, record: claims.Record) -> None:
+        """Queues a request whose attempt did not run or may be repeated."""
         request = record.request
-        latest = request.deadline - self._estimates.seconds(request)
-        queue = self._fleet.pool(request.target).queue
-        queue.push(request, self._decisions.now, latest)
+        pool = self._fleet.pool(request.target)
+        if not pool.serving:
+            self._delegate_or_refuse(record)
+            return
+        self._queue(pool, request, self._router.run_seconds(pool, request))
 
     def withdraw(self, request: messages.Request) -> bool:
         """Takes a request out of its queue; False if it is not there."""
         queue = self._fleet.pool(request.target).queue
         return queue.remove(request.request_id) is not None
 
+    def first_token(self, record: claims.Record) -> None:
+        """Learns how fast an endpoint computes prompts."""
+        running = self._running.get(record.request.request_id)
+        if running is None or running.first_at is not None:
+            return
+        running.first_at = self._decisions.now
+        self._end_prefill(running)
+        running.member.hold(record.request.prefix, True)
+        seconds = self._decisions.now - record.dispatched_at
+        tokens = running.pending_tokens
+        self._router.speed(running.member).learn_prefill(tokens, seconds)
+        self._router.generation(running.member).learn_prefill(tokens, seconds)
+
     def ended(self, record: claims.Record, output_tokens: int | None) -> None:
         """Gives back the slot of an attempt.
 
@@ -89,27 +117,28 @@
             record: the request, before its state changes.
             output_tokens: length of a whole answer; None if it failed.
         """
-        if record.endpoint is None:
+        request = record.request
+        if output_tokens:
+            self._estimates.learn(request, output_tokens)
+        running = self._running.pop(request.request_id, None)
+        if running is None:
             return
-        member = self._fleet.member(record.endpoint.name)
-        if member and member.endpoint == record.endpoint:
-            member.outstanding -= 1
+        member = running.member
+        member.outstanding -= 1
+        member.long_outstanding -= running.lane is queues.Lane.LONG
+        if running.first_at is None:
+            self._end_prefill(running)
         if output_tokens is not None:
-            seconds = self._decisions.now - record.dispatched_at
-            self._estimates.learn(record.request, seconds, output_tokens)
-
-    def readmit(self, record: claims.Record) -> None:
-        """Queues a request whose attempt did not run or may be repeated."""
-        self.wait(record)
-
-    def first_token(self, record: claims.Record) -> None:
-        """Does nothing."""
+            self._learn(record, running, output_tokens)
 
     def load(self, event: messages.LoadReported) -> None:
         """Does nothing."""
 
     def cache(self, event: messages.CacheReported) -> None:
-        """Does nothing."""
+        """Takes in what an engine says of its cache."""
+        member = self._fleet.member(event.name)
+        if member is not None:
+            member.hold(event.prefix, event.held)
 
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
@@ -118,12 +147,106 @@
             while self._dispatch_one(pool):
                 pass
 
+    def _learn(
+        self, record: claims.Record, running: _Running, output_tokens: int
+    ) -> None:
+        now = self._decisions.now
+        seconds = now - record.dispatched_at
+        learners = (
+            self._router.speed(running.member),
+            self._router.generation(running.member),
+        )
+        for speed in learners:
+            if record.request.output_tokens == 0:
+                speed.learn_call(seconds)
+            elif running.first_at is not None:
+                speed.learn_tokens(output_tokens, now - running.first_at)
+        self._fleet.pool(record.request.target).learn_run(seconds)
+
+    def _end_prefill(self, running: _Running) -> None:
+        member = running.member
+        member.pending_prefill -= running.prefill_tokens
+        member.long_prefills -= running.lane is queues.Lane.LONG
+
+    def _hand_over(
+        self, record: claims.Record, expected: admission.Forecast
+    ) -> bool:
+        request = record.request
+        if request.delegated or not expected.wait_seconds:
+            return False
+        best = self._handoffs.best(request)
+        if best is None:
+            return False
+        gain = expected.wait_seconds - best.wait_seconds
+        late = expected.late_seconds - gain
+        if expected.late_seconds > 0 and (late <= 0 or best.displaces):
+            reason = "deadline met there"
+        elif gain > HANDOFF_GAIN_SECONDS:
+            reason = "starts sooner there"
+        else:
+            return False
+        self._note(record, "delegated", reason, expected, best.peer.name)
+        self._handoffs.sent(request, best.peer, expected.run_seconds)
+        self._lives.delegate(record, best.peer)
+        return True
+
+    def _shed_or_queue(
+        self,
+        record: claims.Record,
+        pool: pools.Pool,
+        expected: admission.Forecast,
+    ) -> None:
+        request = record.request
+        now = self._decisions.now
+        hopeless = now + expected.run_seconds > request.deadline
+        if not hopeless and pool.queue.worst_rank > request.rank:
+            self._note(record, "queued", "lower tiers wait", expected)
+            self._queue(pool, request, expected.run_seconds)
+            return
+        self._refuse(record, pool, verdicts.Reason.DEADLINE, expected)
+
+    def _queue(
+        self, pool: pools.Pool, request: messages.Request, run: float
+    ) -> None:
+        lane = self._router.lane(request, run)
+        now = self._decisions.now
+        entry = queues.Entry(request, now, request.deadline - run, lane, run)
+        pool.queue.push(entry)
+        self._displace(pool)
+
+    def _displace(self, pool: pools.Pool) -> None:
+        worst = pool.queue.worst_rank
+        entry = pool.queue.newest(worst)
+        wait = pool.wait_seconds(pool.queue.work_before(entry.request))
+        now = self._decisions.now
+        if worst == 0 or now + wait <= entry.latest_start:
+            return
+        pool.queue.remove(entry.request.request_id)
+        record = self._lives.get(entry.request.request_id)
+        expected = admission.Forecast(
+            wait, entry.work, now + wait - entry.latest_start
+        )
+        self._refuse(record, pool, verdicts.Reason.SHED, expected)
+
+    def _refuse(
+        self,
+        record: claims.Record,
+        pool: pools.Pool,
+        reason: verdicts.Reason,
+        expected: admission.Forecast,
+    ) -> None:
+        retry = admission.book_return(
+            pool,
+            record.request.rank,
+            expected.run_seconds,
+            self._decisions.now,
+        )
+        self._lives.refuse(record, reason, retry, _measures(expected))
+
     def _delegate_or_refuse(self, record: claims.Record) -> None:
         request = record.request
-        peer = None
-        if not request.delegated:
-            peer = routing.choose_peer(self._fleet.offers(request.target))
-        if peer is None:
+        best = None if request.delegated else self._handoffs.best(request)
+        if best is None:
             self._lives.refuse(
                 record,
                 verdicts.Reason.NO_ENDPOINT,
@@ -131,31 +254,96 @@
             )
             return
         self._decisions.note(
-            request.request_id, "delegated", "no own endpoint", peer.name
+            request.request_id, "delegated", "no own endpoint", best.peer.name
         )
-        self._lives.delegate(record, peer)
+        self._handoffs.sent(request, best.peer, 0.0)
+        self._lives.delegate(record, best.peer)
 
     def _expire(self, pool: pools.Pool) -> None:
         while entry := pool.queue.pop_expired(self._decisions.now):
             record = self._lives.get(entry.request.request_id)
-            self._lives.refuse(record, verdicts.Reason.SHED, SHED_RETRY_SECONDS)
+            late = self._decisions.now - entry.latest_start
+            expected = admission.Forecast(0.0, entry.work, late)
+            self._refuse(record, pool, verdicts.Reason.SHED, expected)
 
     def _dispatch_one(self, pool: pools.Pool) -> bool:
-        request = pool.queue.peek()
-        if request is None:
+        if not pool.free_slots:
             return False
-        member = routing.choose_member(pool, request)
-        if member is None:
+        found = self._next(pool)
+        if found is None:
             return False
-        pool.queue.remove(request.request_id)
+        entry, choice = found
+        request = entry.request
+        pool.queue.take(entry)
         self._decisions.note(
             request.request_id,
             "dispatched",
-            "most free slots",
-            member.endpoint.name,
-            (messages.Measure("free_slots", member.free_slots),),
+            "earliest predicted finish",
+            choice.member.endpoint.name,
+            (
+                messages.Measure("first_token_seconds", choice.first_seconds),
+                messages.Measure("finish_seconds", choice.finish_seconds),
+            ),
         )
+        self._start(entry, choice)
+        return True
+
+    def _next(self, pool: pools.Pool):
+        now = self._decisions.now
+        passing = False
+        for rank in pool.queue.ranks:
+            short = pool.queue.head(rank, queues.Lane.SHORT)
+            if short is not None:
+                choice = self._router.choose(pool, short, now)
+                return (short, choice) if choice else None
+            long = pool.queue.head(rank, queues.Lane.LONG)
+            if long is None or passing:
+                continue
+            choice = self._router.choose(pool, long, now)
+            if choice is not None:
+                return long, choice
+            if long.latest_start - now < PASSING_SLACK_SECONDS:
+                return None
+            passing = True
+        return None
+
+    def _start(self, entry: queues.Entry, choice: routing.Choice) -> None:
+        member = choice.member
+        request = entry.request
         member.outstanding += 1
+        member.pending_prefill += choice.prefill_tokens
+        if entry.lane is queues.Lane.LONG:
+            member.long_prefills += 1
+            member.long_outstanding += 1
+        self._running[request.request_id] = _Running(
+            member,
+            entry.lane,
+            choice.prefill_tokens,
+            member.pending_prefill,
+        )
         record = self._lives.get(request.request_id)
         self._lives.dispatch(record, member.endpoint)
-        return True
+
+    def _note(
+        self,
+        record: claims.Record,
+        decision: str,
+        reason: str,
+        expected: admission.Forecast,
+        subject: str = "",
+    ) -> None:
+        self._decisions.note(
+            record.request.request_id,
+            decision,
+            reason,
+            subject,
+            _measures(expected),
+        )
+
+
+def _measures(expected: admission.Forecast) -> tuple[messages.Measure, ...]:
+    return (
+        messages.Measure("wait_seconds", expected.wait_seconds),
+        messages.Measure("run_seconds", expected.run_seconds),
+        messages.Measure("late_seconds", expected.late_seconds),
+    )
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -1,9 +1,15 @@
 """One target as an instance sees it: its endpoints and what waits for them."""
 
+import collections
 import dataclasses
 
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import queues
+from cranberryglade.scheduling import speeds
+
+KEPT_PREFIXES = 512
+FIRST_RUN_SECONDS = 1.0
+LEARNING_RATE = 0.05
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -15,30 +21,59 @@
         outstanding: requests sent by this instance and not ended.
         owned: whether this instance feeds it.
         leaving: whether it must get no new work.
+        speed: what has been learnt of it; None before it is first used.
+        pending_prefill: prompt tokens sent whose first token is not there.
+        long_prefills: long requests among them.
+        long_outstanding: long requests sent and not ended.
+        prefixes: those it is believed to hold, the latest last.
     """
 
     endpoint: messages.Endpoint
     outstanding: int = 0
     owned: bool = False
     leaving: bool = False
+    speed: speeds.Speed | None = None
+    pending_prefill: float = 0.0
+    long_prefills: int = 0
+    long_outstanding: int = 0
+    prefixes: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    @property
+    def limit(self) -> int:
+        """Requests it should run at once."""
+        return self.endpoint.slots
 
     @property
     def free_slots(self) -> int:
         """Dispatches it can take now."""
         if self.leaving or not self.owned:
             return 0
-        return max(0, self.endpoint.slots - self.outstanding)
+        return max(0, self.limit - self.outstanding)
+
+    def hold(self, prefix: str, held: bool) -> None:
+        """Notes that it holds a prefix, or no longer does."""
+        if not prefix:
+            return
+        self.prefixes.pop(prefix, None)
+        if held:
+            self.prefixes[prefix] = None
+        if len(self.prefixes) > KEPT_PREFIXES:
+            self.prefixes.popitem(last=False)
 
 
 class Pool:
     """The endpoints of one target and the queue before them."""
 
-    __slots__ = ("members", "queue", "target")
+    __slots__ = ("booked_until", "members", "queue", "run_seconds", "target")
 
     def __init__(self, target: str, queue: queues.Queue):
         self.target = target
         self.members: dict[str, Member] = {}
         self.queue = queue
+        self.run_seconds = FIRST_RUN_SECONDS
+        self.booked_until = 0.0
 
     @property
     def serving(self) -> list[Member]:
@@ -54,14 +89,34 @@
         """Dispatches the pool can take now."""
         return sum(member.free_slots for member in self.members.values())
 
-    def digest(self, seconds_per_request: float) -> messages.TargetDigest:
+    @property
+    def slots(self) -> int:
+        """Requests that its serving endpoints run at once."""
+        return sum(member.limit for member in self.serving)
+
+    def learn_run(self, seconds: float) -> None:
+        """Takes in the time that an attempt took."""
+        self.run_seconds += LEARNING_RATE * (seconds - self.run_seconds)
+
+    def wait_seconds(self, work: float) -> float:
+        """Expected wait of a request behind that many slot seconds."""
+        if self.free_slots > len(self.queue):
+            return 0.0
+        return (work + self.run_seconds) / max(1, self.slots)
+
+    def digest(self) -> messages.TargetDigest:
         """What peers are told of this pool."""
-        slots = sum(member.endpoint.slots for member in self.serving)
-        wait = len(self.queue) * seconds_per_request / slots if slots else 0.0
+        worst = self.queue.worst_rank
+        waits = tuple(
+            round(self.wait_seconds(self.queue.work_up_to(rank)), 3)
+            for rank in range(worst + 2)
+        )
         return messages.TargetDigest(
             self.target,
             self.free_slots,
             len(self.queue),
-            self.queue.worst_rank,
-            wait,
+            worst,
+            waits[0],
+            waits,
+            self.slots,
         )
