Send a request only where a rather long answer is in time

Cause: late answers stood on slow endpoints (28 and 22 of 62 late counter answers on the two slowest) because the choice compared mean finishes only, and a late long answer throws its whole prefill away. Now the length one standard deviation above the mean must fit, and for the choice the longest allowed one is preferred to fit. Ruled out: waits in the engines (first tokens within 0.2 s).

--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -210,7 +210,9 @@
     ) -> None:
         lane = self._router.lane(request, run)
         now = self._decisions.now
-        entry = queues.Entry(request, now, request.deadline - run, lane, run)
+        quickest = self._router.quickest_seconds(pool, request)
+        latest = request.deadline - quickest
+        entry = queues.Entry(request, now, latest, lane, run)
         pool.queue.push(entry)
         self._displace(pool)
 
@@ -290,21 +292,20 @@
 
     def _next(self, pool: pools.Pool):
         now = self._decisions.now
-        passing = False
         for rank in pool.queue.ranks:
             short = pool.queue.head(rank, queues.Lane.SHORT)
             if short is not None:
                 choice = self._router.choose(pool, short, now)
-                return (short, choice) if choice else None
+                if choice is not None:
+                    return short, choice
             long = pool.queue.head(rank, queues.Lane.LONG)
-            if long is None or passing:
+            if long is None:
                 continue
             choice = self._router.choose(pool, long, now)
             if choice is not None:
                 return long, choice
             if long.latest_start - now < PASSING_SLACK_SECONDS:
                 return None
-            passing = True
         return None
 
     def _start(self, entry: queues.Entry, choice: routing.Choice) -> None:
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -15,6 +15,7 @@
 LONG_PREFILL_SHARE = 0.5
 SLOTS_PER_RESERVED = 8
 URGENT_SECONDS = 3.0
+SAFE_DEVIATIONS = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,12 +27,16 @@
         prefill_tokens: prompt tokens it would have to compute.
         first_seconds: time to the first token.
         finish_seconds: time to the whole answer.
+        safe_seconds: time to an answer one standard deviation longer.
+        longest_seconds: time to the longest answer allowed.
     """
 
     member: pools.Member
     prefill_tokens: float
     first_seconds: float
     finish_seconds: float
+    safe_seconds: float
+    longest_seconds: float
 
 
 class Router:
@@ -76,10 +81,22 @@
         )
         return queues.Lane.LONG if long else queues.Lane.SHORT
 
+    def quickest_seconds(
+        self, pool: pools.Pool, request: messages.Request
+    ) -> float:
+        """Time to a rather long answer on the fastest endpoint if idle."""
+        return min(
+            self._alone_seconds(member, request, SAFE_DEVIATIONS)
+            for member in pool.serving
+        )
+
     def choose(
         self, pool: pools.Pool, entry: queues.Entry, now: float
     ) -> Choice | None:
-        """The endpoint that would finish first; None if none has room."""
+        """The endpoint that would finish first, if it does in time.
+
+        Those on which even the longest answer would be in time go first.
+        """
         urgent = entry.latest_start - now < URGENT_SECONDS
         if entry.lane is queues.Lane.SHORT or urgent:
             open_to = pool.members.values()
@@ -90,9 +107,14 @@
             for member in open_to
             if member.free_slots > 0
         ]
+        left = entry.request.deadline - now
         return min(
-            choices,
-            key=lambda c: (c.finish_seconds, c.member.endpoint.name),
+            (choice for choice in choices if choice.safe_seconds <= left),
+            key=lambda c: (
+                c.longest_seconds > left,
+                c.finish_seconds,
+                c.member.endpoint.name,
+            ),
             default=None,
         )
 
@@ -103,22 +125,33 @@
         speed = self.speed(member)
         if request.output_tokens == 0:
             seconds = speed.call_seconds * (1 + member.outstanding)
-            return Choice(member, 0.0, seconds, seconds)
+            return Choice(member, 0.0, seconds, seconds, seconds, seconds)
         prefill = float(request.prompt_tokens)
         if request.prefix in member.prefixes:
             prefill *= 1 - CACHED_SHARE
         pending = member.pending_prefill + prefill
         first = pending * speed.prefill_seconds + speed.token_seconds
-        decode = self._estimates.length(request) * speed.token_seconds
-        return Choice(member, prefill, first, first + decode)
+        each = speed.token_seconds
+        safe = self._estimates.length(request, SAFE_DEVIATIONS)
+        return Choice(
+            member,
+            prefill,
+            first,
+            first + self._estimates.length(request) * each,
+            first + safe * each,
+            first + request.output_tokens * each,
+        )
 
     def _alone_seconds(
-        self, member: pools.Member, request: messages.Request
+        self,
+        member: pools.Member,
+        request: messages.Request,
+        deviations: float = 0.0,
     ) -> float:
         speed = self.speed(member)
         if request.output_tokens == 0:
             return speed.call_seconds
-        length = self._estimates.length(request)
+        length = self._estimates.length(request, deviations)
         return (
             request.prompt_tokens * speed.prefill_seconds
             + length * speed.token_seconds
