Keep room for bursts of higher tiers; leave slack for slow endpoints

Cause: in bursts the highest tier waited up to 2.5 s and was refused, because lower tiers held all slots for 20 to 30 s and nothing started is dropped. Now a decaying peak of each tier's waiting and running requests is left free by the tiers below. Latest starts count on a speed half way between the fastest and the slowest endpoint, for slow ones were useless to requests that had waited.

--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -94,8 +94,11 @@
 
     def withdraw(self, request: messages.Request) -> bool:
         """Takes a request out of its queue; False if it is not there."""
-        queue = self._fleet.pool(request.target).queue
-        return queue.remove(request.request_id) is not None
+        pool = self._fleet.pool(request.target)
+        if pool.queue.remove(request.request_id) is None:
+            return False
+        pool.room.leave(request.rank, self._decisions.now, running=False)
+        return True
 
     def first_token(self, record: claims.Record) -> None:
         """Learns how fast an endpoint computes prompts."""
@@ -124,6 +127,8 @@
         if running is None:
             return
         member = running.member
+        pool = self._fleet.pool(request.target)
+        pool.room.leave(request.rank, self._decisions.now, running=True)
         member.outstanding -= 1
         member.long_outstanding -= running.lane is queues.Lane.LONG
         if running.first_at is None:
@@ -210,10 +215,10 @@
     ) -> None:
         lane = self._router.lane(request, run)
         now = self._decisions.now
-        quickest = self._router.quickest_seconds(pool, request)
-        latest = request.deadline - quickest
+        latest = request.deadline - self._router.safe_seconds(pool, request)
         entry = queues.Entry(request, now, latest, lane, run)
         pool.queue.push(entry)
+        pool.room.enter(request.rank, now)
         self._displace(pool)
 
     def _displace(self, pool: pools.Pool) -> None:
@@ -223,7 +228,7 @@
         now = self._decisions.now
         if worst == 0 or now + wait <= entry.latest_start:
             return
-        pool.queue.remove(entry.request.request_id)
+        self.withdraw(entry.request)
         record = self._lives.get(entry.request.request_id)
         expected = admission.Forecast(
             wait, entry.work, now + wait - entry.latest_start
@@ -263,6 +268,7 @@
 
     def _expire(self, pool: pools.Pool) -> None:
         while entry := pool.queue.pop_expired(self._decisions.now):
+            pool.room.leave(entry.request.rank, self._decisions.now, False)
             record = self._lives.get(entry.request.request_id)
             late = self._decisions.now - entry.latest_start
             expected = admission.Forecast(0.0, entry.work, late)
@@ -287,12 +293,15 @@
                 messages.Measure("finish_seconds", choice.finish_seconds),
             ),
         )
+        pool.room.start(request.rank)
         self._start(entry, choice)
         return True
 
     def _next(self, pool: pools.Pool):
         now = self._decisions.now
         for rank in pool.queue.ranks:
+            if pool.room.for_tier(rank, pool.slots, now) < 1:
+                return None
             short = pool.queue.head(rank, queues.Lane.SHORT)
             if short is not None:
                 choice = self._router.choose(pool, short, now)
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -5,6 +5,7 @@
 
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import queues
+from cranberryglade.scheduling import room
 from cranberryglade.scheduling import speeds
 
 KEPT_PREFIXES = 512
@@ -66,12 +67,20 @@
 class Pool:
     """The endpoints of one target and the queue before them."""
 
-    __slots__ = ("booked_until", "members", "queue", "run_seconds", "target")
+    __slots__ = (
+        "booked_until",
+        "members",
+        "queue",
+        "room",
+        "run_seconds",
+        "target",
+    )
 
     def __init__(self, target: str, queue: queues.Queue):
         self.target = target
         self.members: dict[str, Member] = {}
         self.queue = queue
+        self.room = room.Room()
         self.run_seconds = FIRST_RUN_SECONDS
         self.booked_until = 0.0
 
--- a/cranberryglade/scheduling/queues.py
+++ b/cranberryglade/scheduling/queues.py
@@ -180,6 +180,11 @@
         """Rank of the lowest tier that waits, or -1 when nothing does."""
         return max(self.ranks, default=-1)
 
+    def count(self, rank: int) -> int:
+        """Number of requests that wait in that tier."""
+        backlog = self._backlogs.get(rank)
+        return backlog.count if backlog else 0
+
     def work_up_to(self, rank: int) -> float:
         """Slot seconds that wait in that tier and the higher ones."""
         return sum(b.work for r, b in self._backlogs.items() if r <= rank)
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -16,6 +16,8 @@
 SLOTS_PER_RESERVED = 8
 URGENT_SECONDS = 3.0
 SAFE_DEVIATIONS = 1.0
+SLOWNESS_SHARE = 0.5
+MARGIN = 1.25
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -81,14 +83,15 @@
         )
         return queues.Lane.LONG if long else queues.Lane.SHORT
 
-    def quickest_seconds(
+    def safe_seconds(
         self, pool: pools.Pool, request: messages.Request
     ) -> float:
-        """Time to a rather long answer on the fastest endpoint if idle."""
-        return min(
+        """Time to a rather long answer, between the fastest and slowest."""
+        each = [
             self._alone_seconds(member, request, SAFE_DEVIATIONS)
             for member in pool.serving
-        )
+        ]
+        return min(each) + SLOWNESS_SHARE * (max(each) - min(each))
 
     def choose(
         self, pool: pools.Pool, entry: queues.Entry, now: float
@@ -139,7 +142,7 @@
             first,
             first + self._estimates.length(request) * each,
             first + safe * each,
-            first + request.output_tokens * each,
+            first + request.output_tokens * each * MARGIN,
         )
 
     def _alone_seconds(
