Put slow and failing endpoints on probation

Now an endpoint is suspected after two first tokens four times as late as expected, an answer at 2.5 times the pace of its generation, an answer overdue, or a failed attempt; it pauses, then gets one request on trial, and each good sign doubles that. Forecasts leave suspects out. Attempts that did not run no longer use up the retry budget (three requests had been refused because the budget was empty).

--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -1,7 +1,5 @@
 """Where and when requests run: admission, order, dispatch, hand-off."""
 
-import dataclasses
-
 from cranberryglade import verdicts
 from cranberryglade.scheduling import admission
 from cranberryglade.scheduling import claims
@@ -12,6 +10,7 @@
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import probation
 from cranberryglade.scheduling import queues
 from cranberryglade.scheduling import routing
 from cranberryglade.scheduling import speeds
@@ -21,15 +20,6 @@
 PASSING_SLACK_SECONDS = 5.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Running:
-    member: pools.Member
-    lane: queues.Lane
-    prefill_tokens: float
-    pending_tokens: float
-    first_at: float | None = None
-
-
 class Placement:
     """Decides for each waiting request whether, where and when it runs."""
 
@@ -39,6 +29,7 @@
         "_fleet",
         "_handoffs",
         "_lives",
+        "_probation",
         "_router",
         "_running",
     )
@@ -55,7 +46,8 @@
         self._estimates = estimates.Estimates()
         self._router = routing.Router(self._estimates, speeds.Speeds())
         self._handoffs = handoffs.Handoffs(known)
-        self._running: dict[str, _Running] = {}
+        self._probation = probation.Probation()
+        self._running: dict[str, pools.Attempt] = {}
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
         """What peers are told about the load of this instance."""
@@ -64,7 +56,8 @@
     def next_wake(self) -> float | None:
         """When something is due without an event, in seconds."""
         expiries = [p.queue.next_expiry() for p in self._fleet.all_pools()]
-        return min((e for e in expiries if e is not None), default=None)
+        due = [self._probation.next_wake(), *expiries]
+        return min((at for at in due if at is not None), default=None)
 
     def admit(self, record: claims.Record) -> None:
         """Queues, hands over or refuses a request that is new here."""
@@ -112,6 +105,11 @@
         tokens = running.pending_tokens
         self._router.speed(running.member).learn_prefill(tokens, seconds)
         self._router.generation(running.member).learn_prefill(tokens, seconds)
+        now = self._decisions.now
+        if self._probation.first_token(
+            running, running.first_seconds, seconds, now
+        ):
+            self._note_suspected(running.member, "late first tokens")
 
     def ended(self, record: claims.Record, output_tokens: int | None) -> None:
         """Gives back the slot of an attempt.
@@ -126,6 +124,7 @@
         running = self._running.pop(request.request_id, None)
         if running is None:
             return
+        running.ended = True
         member = running.member
         pool = self._fleet.pool(request.target)
         pool.room.leave(request.rank, self._decisions.now, running=True)
@@ -133,7 +132,10 @@
         member.long_outstanding -= running.lane is queues.Lane.LONG
         if running.first_at is None:
             self._end_prefill(running)
-        if output_tokens is not None:
+        if output_tokens is None:
+            self._probation.suspect(member, self._decisions.now)
+            self._note_suspected(member, "failed attempt")
+        else:
             self._learn(record, running, output_tokens)
 
     def load(self, event: messages.LoadReported) -> None:
@@ -147,28 +149,38 @@
 
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
+        for member in self._probation.wake(self._decisions.now):
+            self._note_suspected(member, "overdue answer")
         for pool in self._fleet.all_pools():
             self._expire(pool)
             while self._dispatch_one(pool):
                 pass
 
     def _learn(
-        self, record: claims.Record, running: _Running, output_tokens: int
+        self, record: claims.Record, running: pools.Attempt, output_tokens: int
     ) -> None:
         now = self._decisions.now
         seconds = now - record.dispatched_at
-        learners = (
-            self._router.speed(running.member),
-            self._router.generation(running.member),
-        )
-        for speed in learners:
-            if record.request.output_tokens == 0:
-                speed.learn_call(seconds)
-            elif running.first_at is not None:
-                speed.learn_tokens(output_tokens, now - running.first_at)
         self._fleet.pool(record.request.target).learn_run(seconds)
+        own = self._router.speed(running.member)
+        usual = self._router.generation(running.member)
+        if record.request.output_tokens == 0:
+            own.learn_call(seconds)
+            usual.learn_call(seconds)
+        elif running.first_at is not None and output_tokens > 1:
+            each = (now - running.first_at) / (output_tokens - 1)
+            own.learn_tokens(each)
+            if self._probation.answered(running, usual, each, now):
+                self._note_suspected(running.member, "slower than its like")
+            elif running.member.trial is None:
+                usual.learn_tokens(each)
+
+    def _note_suspected(self, member: pools.Member, reason: str) -> None:
+        self._decisions.note(
+            "", "endpoint suspected", reason, member.endpoint.name
+        )
 
-    def _end_prefill(self, running: _Running) -> None:
+    def _end_prefill(self, running: pools.Attempt) -> None:
         member = running.member
         member.pending_prefill -= running.prefill_tokens
         member.long_prefills -= running.lane is queues.Lane.LONG
@@ -325,11 +337,17 @@
         if entry.lane is queues.Lane.LONG:
             member.long_prefills += 1
             member.long_outstanding += 1
-        self._running[request.request_id] = _Running(
+        self._running[request.request_id] = pools.Attempt(
             member,
             entry.lane,
             choice.prefill_tokens,
             member.pending_prefill,
+            choice.first_seconds,
+        )
+        self._probation.watch(
+            self._running[request.request_id],
+            choice.longest_seconds,
+            self._decisions.now,
         )
         record = self._lives.get(request.request_id)
         self._lives.dispatch(record, member.endpoint)
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -27,6 +27,9 @@
         long_prefills: long requests among them.
         long_outstanding: long requests sent and not ended.
         prefixes: those it is believed to hold, the latest last.
+        trial: requests it may run while it is on probation; None if trusted.
+        strikes: how often it was suspected since it was last trusted.
+        slow_firsts: first tokens in a row that came much too late.
     """
 
     endpoint: messages.Endpoint
@@ -37,6 +40,9 @@
     pending_prefill: float = 0.0
     long_prefills: int = 0
     long_outstanding: int = 0
+    trial: int | None = None
+    strikes: int = 0
+    slow_firsts: int = 0
     prefixes: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -44,7 +50,9 @@
     @property
     def limit(self) -> int:
         """Requests it should run at once."""
-        return self.endpoint.slots
+        if self.trial is None:
+            return self.endpoint.slots
+        return min(self.trial, self.endpoint.slots)
 
     @property
     def free_slots(self) -> int:
@@ -64,6 +72,29 @@
             self.prefixes.popitem(last=False)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One dispatch that has not ended.
+
+    Attributes:
+        member: where it runs.
+        lane: of the request.
+        prefill_tokens: prompt tokens it is expected to compute.
+        pending_tokens: the same with all that was pending before it.
+        first_seconds: expected time to the first token.
+        first_at: when that came, in seconds.
+        ended: whether it is over.
+    """
+
+    member: Member
+    lane: queues.Lane
+    prefill_tokens: float
+    pending_tokens: float
+    first_seconds: float
+    first_at: float | None = None
+    ended: bool = False
+
+
 class Pool:
     """The endpoints of one target and the queue before them."""
 
@@ -93,6 +124,12 @@
             if member.owned and not member.leaving
         ]
 
+    @property
+    def trusted(self) -> list[Member]:
+        """Those of them that are not on probation; all if none is."""
+        serving = self.serving
+        return [m for m in serving if m.trial is None] or serving
+
     @property
     def free_slots(self) -> int:
         """Dispatches the pool can take now."""
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -69,7 +69,7 @@
 
     def run_seconds(self, pool: pools.Pool, request: messages.Request) -> float:
         """Expected time from dispatch to the whole answer, on average."""
-        serving = pool.serving
+        serving = pool.trusted
         if not serving:
             return 0.0
         total = sum(self._alone_seconds(m, request) for m in serving)
@@ -89,7 +89,7 @@
         """Time to a rather long answer, between the fastest and slowest."""
         each = [
             self._alone_seconds(member, request, SAFE_DEVIATIONS)
-            for member in pool.serving
+            for member in pool.trusted
         ]
         return min(each) + SLOWNESS_SHARE * (max(each) - min(each))
 
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -159,7 +159,7 @@
         if record is None:
             return
         self._placement.ended(record, None)
-        if self._may_repeat(record, event.verdict) and self._retries.take():
+        if self._may_repeat(record, event.verdict):
             self._lives.give_back(record, event.verdict.reason)
             self._placement.readmit(record)
             return
@@ -174,7 +174,9 @@
     ) -> bool:
         if record.endpoint is None:
             return False
-        return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
+        if isinstance(verdict, verdicts.NotRun):
+            return True
+        return record.request.idempotent and self._retries.take()
 
     def _cancel(self, request_id: str) -> None:
         record = self._lives.get(request_id)
--- a/cranberryglade/scheduling/speeds.py
+++ b/cranberryglade/scheduling/speeds.py
@@ -32,12 +32,10 @@
                 self.prefill_seconds, seconds / tokens, LEARNING_RATE
             )
 
-    def learn_tokens(self, tokens: int, seconds: float) -> None:
-        """Takes in the time from the first token to the last."""
-        if tokens > 1:
-            each = seconds / (tokens - 1)
-            self.token_seconds = _mixed(self.token_seconds, each, self._rate())
-            self.samples += 1
+    def learn_tokens(self, seconds: float) -> None:
+        """Takes in the mean time between the tokens of one answer."""
+        self.token_seconds = _mixed(self.token_seconds, seconds, self._rate())
+        self.samples += 1
 
     def learn_call(self, seconds: float) -> None:
         """Takes in a call that streamed nothing."""
