--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -129,7 +129,6 @@
         pool = self._fleet.pool(request.target)
         pool.room.leave(request.rank, self._decisions.now, running=True)
         member.outstanding -= 1
-        member.long_outstanding -= running.lane is queues.Lane.LONG
         if running.first_at is None:
             self._end_prefill(running)
         if output_tokens is None:
@@ -336,7 +335,6 @@
         member.pending_prefill += choice.prefill_tokens
         if entry.lane is queues.Lane.LONG:
             member.long_prefills += 1
-            member.long_outstanding += 1
         self._running[request.request_id] = pools.Attempt(
             member,
             entry.lane,
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -25,7 +25,6 @@
         speed: what has been learnt of it; None before it is first used.
         pending_prefill: prompt tokens sent whose first token is not there.
         long_prefills: long requests among them.
-        long_outstanding: long requests sent and not ended.
         prefixes: those it is believed to hold, the latest last.
         trial: requests it may run while it is on probation; None if trusted.
         strikes: how often it was suspected since it was last trusted.
@@ -39,7 +38,6 @@
     speed: speeds.Speed | None = None
     pending_prefill: float = 0.0
     long_prefills: int = 0
-    long_outstanding: int = 0
     trial: int | None = None
     strikes: int = 0
     slow_firsts: int = 0
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -13,11 +13,11 @@
 LONG_PROMPT_TOKENS = 2_000
 LONG_RUN_SECONDS = 5.0
 LONG_PREFILL_SHARE = 0.5
-SLOTS_PER_RESERVED = 8
 URGENT_SECONDS = 3.0
 SAFE_DEVIATIONS = 1.0
 SLOWNESS_SHARE = 0.5
 MARGIN = 1.25
+PREFIX_SECONDS = 5.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,6 +31,7 @@
         finish_seconds: time to the whole answer.
         safe_seconds: time to an answer one standard deviation longer.
         longest_seconds: time to the longest answer allowed.
+        holds_prefix: whether the endpoint has the shared part cached.
     """
 
     member: pools.Member
@@ -39,6 +40,7 @@
     finish_seconds: float
     safe_seconds: float
     longest_seconds: float
+    holds_prefix: bool = False
 
 
 class Router:
@@ -115,7 +117,7 @@
             (choice for choice in choices if choice.safe_seconds <= left),
             key=lambda c: (
                 c.longest_seconds > left,
-                c.finish_seconds,
+                c.finish_seconds - PREFIX_SECONDS * c.holds_prefix,
                 c.member.endpoint.name,
             ),
             default=None,
@@ -130,7 +132,8 @@
             seconds = speed.call_seconds * (1 + member.outstanding)
             return Choice(member, 0.0, seconds, seconds, seconds, seconds)
         prefill = float(request.prompt_tokens)
-        if request.prefix in member.prefixes:
+        holds = request.prefix in member.prefixes
+        if holds:
             prefill *= 1 - CACHED_SHARE
         pending = member.pending_prefill + prefill
         first = pending * speed.prefill_seconds + speed.token_seconds
@@ -143,6 +146,7 @@
             first + self._estimates.length(request) * each,
             first + safe * each,
             first + request.output_tokens * each * MARGIN,
+            holds,
         )
 
     def _alone_seconds(
@@ -168,7 +172,5 @@
     if prefilling >= may_prefill:
         return
     for member in serving:
-        reserved = member.limit // SLOTS_PER_RESERVED
-        room = member.limit - reserved - member.long_outstanding
-        if room > 0 and not member.long_prefills:
+        if not member.long_prefills:
             yield member
