--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -18,48 +18,112 @@
 MILLISECONDS = "a whole number of milliseconds from 1 to 3600000"
 MAXIMUM_MILLISECONDS = 3_600_000
 
-DEPLOYMENT = (options.Option("name", options.parse_name, NAME),)
+PRIORITIES = ("goodput", "prefill")
+TARGET_KINDS = ("model", "service")
+
+DEPLOYMENT = (
+    options.Option(
+        "name", options.parse_name, NAME, about="name of the deployment"
+    ),
+    options.Option(
+        "weighs",
+        options.choice(PRIORITIES),
+        "one of " + ", ".join(PRIORITIES),
+        PRIORITIES[0],
+        about="what weighs more: answers in time, or little wasted prefill",
+    ),
+)
+TARGET = (
+    options.Option(
+        "kind",
+        options.choice(TARGET_KINDS),
+        "one of " + ", ".join(TARGET_KINDS),
+        TARGET_KINDS[0],
+        about="a model behind engines, or a plain service",
+    ),
+    options.Option(
+        "fenced",
+        options.parse_flag,
+        "yes or no",
+        False,
+        about="whether its endpoints refuse orders with an old fencing number",
+    ),
+)
 TIER = (
     options.Option(
         "rank",
         options.number(0, 15),
         "a whole number from 0 (highest) to 15",
+        about="order in which load is shed: the highest number first",
     ),
     options.Option(
         "first_token_ms",
         options.number(1, MAXIMUM_MILLISECONDS),
         MILLISECONDS,
         510,
+        about="time within which the first token is due",
     ),
 )
 ORGANISATION = (
-    options.Option("token_sha256", options.parse_digest, DIGEST),
+    options.Option(
+        "token_sha256",
+        options.parse_digest,
+        DIGEST,
+        about="digest of the token with which it is recognised",
+    ),
     options.Option(
         "weight",
         options.number(0.01, 1000.0, float),
         "a number from 0.01 to 1000",
         1.0,
+        about="its share of capacity, relative to the others",
+    ),
+)
+OPERATOR = (
+    options.Option(
+        "token_sha256",
+        options.parse_digest,
+        DIGEST,
+        about="digest of the token with which it is recognised",
     ),
 )
-OPERATOR = (options.Option("token_sha256", options.parse_digest, DIGEST),)
 RULE = (
-    options.Option("target", options.parse_name, NAME),
-    options.Option("tier", options.parse_name, "the name of a tier section"),
-    options.Option("idempotent", options.parse_flag, "yes or no", False),
+    options.Option(
+        "target",
+        options.parse_name,
+        NAME,
+        about="model or service that serves such requests",
+    ),
+    options.Option(
+        "tier",
+        options.parse_name,
+        "the name of a tier section",
+        about="their tier",
+    ),
+    options.Option(
+        "idempotent",
+        options.parse_flag,
+        "yes or no",
+        False,
+        about="whether such a request may be dispatched more than once",
+    ),
     options.Option(
         "deadline_ms",
         options.number(1, MAXIMUM_MILLISECONDS),
         MILLISECONDS,
         30_000,
+        about="time for the whole answer when the caller gives none",
     ),
     options.Option(
         "max_tokens",
         options.number(0, 1_000_000),
         "a whole number from 0 (a plain service) to 1000000",
         1024,
+        about="longest answer; 0 for a plain service",
     ),
 )
 KINDS = {
+    "target": TARGET,
     "tier": TIER,
     "organisation": ORGANISATION,
     "operator": OPERATOR,
@@ -67,6 +131,21 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Target:
+    """A model or a plain service.
+
+    Attributes:
+        name: what rules call it.
+        kind: "model" or "service".
+        fenced: whether its endpoints refuse orders with an old fencing number.
+    """
+
+    name: str
+    kind: str
+    fenced: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tier:
     """How urgent requests are; rank 0 is shed last."""
@@ -116,10 +195,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Configuration:
-    """One checked version of the shared configuration."""
+    """One checked version of the shared configuration.
+
+    Attributes:
+        version: number that only grows.
+        deployment: name of the deployment.
+        weighs: what counts more there, "goodput" or "prefill" (less waste).
+        targets: models and services by name.
+        tiers: tiers by name.
+        organisations: organisations by name.
+        operators: operators by name.
+        rules: rules by kind of request.
+        text: the INI text.
+    """
 
     version: int
     deployment: str
+    weighs: str
+    targets: dict[str, Target]
     tiers: dict[str, Tier]
     organisations: dict[str, Organisation]
     operators: dict[str, Operator]
@@ -139,13 +232,13 @@
         return Failure([options.Problem(source, "-", "", line, "INI text")])
     problems = []
     found = {kind: {} for kind in KINDS}
-    deployment = ""
+    deployment = {}
     for section in parser.sections():
         kind, _, name = section.partition(" ")
         values = dict(parser[section])
         if section == "deployment":
             result = options.read_section(source, section, values, DEPLOYMENT)
-            deployment = result.map(lambda v: v["name"]).value_or("")
+            deployment = result.value_or(values)
         elif kind in KINDS and options.NAME_PATTERN.fullmatch(name):
             result = options.read_section(source, section, values, KINDS[kind])
             found[kind][name] = result.value_or(None)
@@ -182,7 +275,9 @@
 def _build(version, deployment, found, text) -> Configuration:
     return Configuration(
         version,
-        deployment,
+        deployment["name"],
+        deployment["weighs"],
+        {n: Target(n, **v) for n, v in found["target"].items()},
         {n: Tier(n, **v) for n, v in found["tier"].items()},
         {n: Organisation(n, **v) for n, v in found["organisation"].items()},
         {n: Operator(n, **v) for n, v in found["operator"].items()},
