Shed no tier while a lower one waits, at a peer either

Cause: a refusal for load looked only at the own queue: a request displaced, or refused by the peer it had been handed to, was refused while lower tiers waited here or there. Now it goes to a peer whose digest shows lower tiers waiting, and a peer's refusal brings it back to its home, which queues it if lower tiers wait.

--- a/cranberryglade/replay/generator.py
+++ b/cranberryglade/replay/generator.py
@@ -248,7 +248,8 @@
         rate /= _mean_work(kind, engines[0].speed)
         requests += _requests(rng, kind, chosen, rate, seconds, bursts)
     requests.sort(key=lambda request: request.at)
-    return traces.Trace(header, endpoints, requests, _faults(chosen, seconds))
+    faults = sorted(_faults(chosen, seconds), key=lambda fault: fault.at)
+    return traces.Trace(header, endpoints, requests, faults)
 
 
 def _endpoints(deployment: Deployment) -> list[traces.Endpoint]:
--- a/cranberryglade/replay/instances.py
+++ b/cranberryglade/replay/instances.py
@@ -55,6 +55,7 @@
         "_calls",
         "_core",
         "_finished",
+        "_verdicts",
         "_wake_at",
         "alive",
         "peer",
@@ -67,6 +68,7 @@
         self._around = around
         self._calls: dict[str, calls.Call] = {}
         self._finished: dict[str, Callable[[verdicts.Verdict], None]] = {}
+        self._verdicts: dict[str, verdicts.Verdict] = {}
         self._wake_at: float | None = None
 
     def submit(
@@ -80,6 +82,10 @@
             refused = verdicts.Reason.CONNECTION_REFUSED
             finished(verdicts.NotRun(refused, None))
             return
+        ended = self._verdicts.get(request.request_id)
+        if ended is not None:
+            finished(ended)
+            return
         self._calls[request.request_id] = call
         self._finished[request.request_id] = finished
         self.post(messages.Submitted(request))
@@ -134,6 +140,7 @@
                     engine.cancel(name)
             case messages.Finish(request_id=request_id, verdict=verdict):
                 self._calls.pop(request_id)
+                self._verdicts[request_id] = verdict
                 self._finished.pop(request_id)(verdict)
             case _:
                 pass
--- a/cranberryglade/replay/runs.py
+++ b/cranberryglade/replay/runs.py
@@ -80,12 +80,11 @@
         for request in self._trace.requests:
             self._clock.at(request.at, self._offer, request)
         now = 0.0
-        while now < self._trace.seconds or self._open:
+        end = self._trace.seconds
+        while now <= end or (self._open and now < end + SETTLING_SECONDS):
             now += PROGRESS_SECONDS
             self._clock.run_until(now)
             progress(now)
-            if now > self._trace.seconds + SETTLING_SECONDS:
-                break
         return Result(
             self._policy,
             self._trace,
--- a/cranberryglade/scheduling/handoffs.py
+++ b/cranberryglade/scheduling/handoffs.py
@@ -42,16 +42,19 @@
 
     def best(self, request: messages.Request) -> Candidate | None:
         """The peer that could start the request soonest."""
-        candidates = [
+        return _soonest(self._candidates(request))
+
+    def displacing(self, request: messages.Request) -> Candidate | None:
+        """The same among the peers where lower tiers wait."""
+        found = self._candidates(request)
+        return _soonest([c for c in found if c.displaces])
+
+    def _candidates(self, request: messages.Request) -> list[Candidate]:
+        return [
             self._candidate(offer, request)
             for offer in self._fleet.offers(request.target)
             if offer.digest.rate > 0
         ]
-        return min(
-            candidates,
-            key=lambda c: (c.wait_seconds, not c.displaces, c.peer.name),
-            default=None,
-        )
 
     def sent(
         self, request: messages.Request, peer: messages.Peer, work: float
@@ -76,3 +79,11 @@
             ahead = digest.waits[rank] if digest.waits else digest.wait_seconds
             wait += ahead + sent.work / digest.rate
         return Candidate(offer.peer, wait, digest.worst_rank > request.rank)
+
+
+def _soonest(candidates: list[Candidate]) -> Candidate | None:
+    return min(
+        candidates,
+        key=lambda c: (c.wait_seconds, c.peer.name),
+        default=None,
+    )
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -17,6 +17,7 @@
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 HANDOFF_GAIN_SECONDS = 0.1
+MOST_HANDOFFS = 3
 PASSING_SLACK_SECONDS = 5.0
 
 
@@ -77,13 +78,18 @@
         self._queue(pool, request, run)
 
     def readmit(self, record: claims.Record) -> None:
-        """Queues a request whose attempt did not run or may be repeated."""
+        """Queues or refuses a request whose attempt is to be repeated."""
         request = record.request
         pool = self._fleet.pool(request.target)
         if not pool.serving:
             self._delegate_or_refuse(record)
             return
-        self._queue(pool, request, self._router.run_seconds(pool, request))
+        run = self._router.run_seconds(pool, request)
+        expected = admission.forecast(pool, request, run, self._decisions.now)
+        if expected.late_seconds > 0:
+            self._shed_or_queue(record, pool, expected)
+            return
+        self._queue(pool, request, run)
 
     def withdraw(self, request: messages.Request) -> bool:
         """Takes a request out of its queue; False if it is not there."""
@@ -188,24 +194,42 @@
         self, record: claims.Record, expected: admission.Forecast
     ) -> bool:
         request = record.request
-        if request.delegated or not expected.wait_seconds:
+        if request.delegated:
             return False
-        best = self._handoffs.best(request)
-        if best is None:
-            return False
-        gain = expected.wait_seconds - best.wait_seconds
-        late = expected.late_seconds - gain
-        if expected.late_seconds > 0 and (late <= 0 or best.displaces):
-            reason = "deadline met there"
-        elif gain > HANDOFF_GAIN_SECONDS:
-            reason = "starts sooner there"
-        else:
+        chosen, reason = self._better_peer(request, expected)
+        if chosen is None:
             return False
-        self._note(record, "delegated", reason, expected, best.peer.name)
-        self._handoffs.sent(request, best.peer, expected.run_seconds)
-        self._lives.delegate(record, best.peer)
+        self._delegate(record, chosen, reason, expected)
         return True
 
+    def _better_peer(
+        self, request: messages.Request, expected: admission.Forecast
+    ) -> tuple[handoffs.Candidate | None, str]:
+        best = None
+        if expected.wait_seconds or expected.late_seconds:
+            best = self._handoffs.best(request)
+        if best is None:
+            return None, ""
+        gain = expected.wait_seconds - best.wait_seconds
+        if 0 < expected.late_seconds <= gain:
+            return best, "deadline met there"
+        if expected.late_seconds > 0:
+            return self._handoffs.displacing(request), "lower tiers wait there"
+        if gain > HANDOFF_GAIN_SECONDS:
+            return best, "starts sooner there"
+        return None, ""
+
+    def _delegate(
+        self,
+        record: claims.Record,
+        chosen: handoffs.Candidate,
+        reason: str,
+        expected: admission.Forecast,
+    ) -> None:
+        self._note(record, "delegated", reason, expected, chosen.peer.name)
+        self._handoffs.sent(record.request, chosen.peer, expected.run_seconds)
+        self._lives.delegate(record, chosen.peer)
+
     def _shed_or_queue(
         self,
         record: claims.Record,
@@ -244,6 +268,13 @@
         expected = admission.Forecast(
             wait, entry.work, now + wait - entry.latest_start
         )
+        peer = None
+        if not record.request.delegated and not record.attempt:
+            peer = self._handoffs.displacing(record.request)
+        if peer is not None:
+            reason = "lower tiers wait there"
+            self._delegate(record, peer, reason, expected)
+            return
         self._refuse(record, pool, verdicts.Reason.SHED, expected)
 
     def _refuse(
@@ -263,7 +294,9 @@
 
     def _delegate_or_refuse(self, record: claims.Record) -> None:
         request = record.request
-        best = None if request.delegated else self._handoffs.best(request)
+        best = None
+        if not request.delegated and record.attempt < MOST_HANDOFFS:
+            best = self._handoffs.best(request)
         if best is None:
             self._lives.refuse(
                 record,
@@ -271,11 +304,8 @@
                 NO_ENDPOINT_RETRY_SECONDS,
             )
             return
-        self._decisions.note(
-            request.request_id, "delegated", "no own endpoint", best.peer.name
-        )
-        self._handoffs.sent(request, best.peer, 0.0)
-        self._lives.delegate(record, best.peer)
+        expected = admission.Forecast(best.wait_seconds, 0.0, 0.0)
+        self._delegate(record, best, "no own endpoint", expected)
 
     def _expire(self, pool: pools.Pool) -> None:
         while entry := pool.queue.pop_expired(self._decisions.now):
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -172,7 +172,7 @@
     def _may_repeat(
         self, record: claims.Record, verdict: verdicts.Verdict
     ) -> bool:
-        if record.endpoint is None:
+        if record.endpoint is None and record.peer is None:
             return False
         if isinstance(verdict, verdicts.NotRun):
             return True
--- a/cranberryglade/tools/replay.py
+++ b/cranberryglade/tools/replay.py
@@ -42,7 +42,14 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="One JSON line each.")
 def replay(path, chosen, seed, scenes, instances, report, as_json) -> None:
-    """Replays the trace at PATH under one policy or all, in virtual time."""
+    r"""Replays the trace at PATH under one policy or all, in virtual time.
+
+    \b
+    Examples:
+      cranberryglade replay samples/traces/werkliste-overload.jsonl
+      cranberryglade replay samples/traces/tulikalpa-steady.jsonl \
+        --policy predictive --scene straggler --report straggler.png
+    """
     try:
         trace = traces.read(path)
     except ValueError as error:
@@ -87,13 +94,19 @@
     "--deployment",
     type=click.Choice(sorted(generator.DEPLOYMENTS)),
     required=True,
+    help="Whose requests, organisations and endpoints.",
 )
 @click.option("--load", default=0.7, show_default=True, help="Of capacity.")
-@click.option("--seconds", default=120.0, show_default=True)
-@click.option("--seed", default=1, show_default=True)
-@click.option("--instances", default=2, show_default=True)
+@click.option("--seconds", default=120.0, help="How long requests arrive.")
+@click.option("--seed", default=1, help="Of the random numbers.")
+@click.option("--instances", default=2, help="Entry instances.")
 def make(path, deployment, load, seconds, seed, instances) -> None:
-    """Writes a generated trace to PATH."""
+    r"""Writes a generated trace to PATH.
+
+    \b
+    Example:
+      cranberryglade trace make new.jsonl --deployment werkliste --load 1.5
+    """
     trace = generator.make(deployment, load, seconds, seed, instances)
     traces.write(path, trace)
     click.echo(f"{len(trace.requests)} requests")
