--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -11,6 +11,7 @@
 from cranberryglade import facts
 from cranberryglade import forwarding
 from cranberryglade import intake
+from cranberryglade import peers
 from cranberryglade import responses
 from cranberryglade import submissions
 from cranberryglade import subscriptions
@@ -56,6 +57,7 @@
         """Adds the routes."""
         app.router.add_post("/v1/requests", self._post_request)
         app.router.add_get("/v1/requests/{id}", self._get_request)
+        app.router.add_delete("/v1/requests/{id}", self._delete_request)
         app.router.add_post("/v1/tickets", self._post_tickets)
 
     async def _post_request(self, http_request: web.Request):
@@ -90,11 +92,13 @@
         problem = _problem(document, key)
         if problem:
             return responses.refusal(verdicts.Reason.MALFORMED, problem)
-        request_id = document.ticket or self._office.issue()
-        if self._office.read(request_id) is None:
+        request_id = document.ticket or self._office.issue(organisation)
+        if self._office.parse(request_id) is None:
             return responses.refusal(
                 verdicts.Reason.MALFORMED, "ticket: not issued here"
             )
+        if self._office.read(request_id, organisation) is None:
+            return responses.refusal(verdicts.Reason.FORBIDDEN)
         span = self._tracing.start(
             "receive",
             self._tracing.extract(http_request.headers),
@@ -130,7 +134,7 @@
         return self._forwarder.forward(submission)
 
     def _note_forwarding(self, request_id: str) -> None:
-        home = self._office.read(request_id)
+        home = self._office.parse(request_id)
         self._facts.add(
             messages.Fact(
                 self._executor.now,
@@ -142,22 +146,12 @@
         )
 
     async def _get_request(self, http_request: web.Request):
-        found = self._own_exchange(http_request)
-        if isinstance(found, web.Response):
-            return found
-        if found.verdict is None:
-            return web.Response(
-                body=wire.encode(
-                    wire.VerdictDocument(
-                        verdict="pending", request_id=found.request_id
-                    )
-                ),
-                status=202,
-                content_type=responses.JSON,
-            )
-        return await responses.whole(found)
+        return await self._look_up(http_request, cancel=False)
+
+    async def _delete_request(self, http_request: web.Request):
+        return await self._look_up(http_request, cancel=True)
 
-    def _own_exchange(self, http_request: web.Request):
+    async def _look_up(self, http_request: web.Request, cancel: bool):
         current = self._subscription.current
         if current is None:
             return _no_configuration()
@@ -165,23 +159,34 @@
         if organisation is None:
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         request_id = http_request.match_info["id"]
-        exchange = self._executor.exchanges.get(request_id)
-        if exchange is None or exchange.organisation != organisation.name:
+        if self._office.read(request_id, organisation.name) is None:
             return responses.refusal(
                 verdicts.Reason.UNKNOWN_REQUEST, request_id=request_id
             )
-        return exchange
+        if not self._office.is_home(request_id):
+            found = await self._forwarder.look_up(
+                request_id, organisation.name, cancel
+            )
+            return _relayed(request_id, found)
+        if cancel:
+            self._executor.cancel(request_id)
+        exchange = self._executor.look_up(request_id, organisation.name)
+        return await responses.current(request_id, exchange)
 
     async def _post_tickets(self, http_request: web.Request):
         current = self._subscription.current
         if current is None:
             return _no_configuration()
-        if access.organisation(http_request, current) is None:
+        organisation = access.organisation(http_request, current)
+        if organisation is None:
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         body = await http_request.read()
         match wire.decode(body or b"{}", wire.TicketsRequest):
             case Success(wanted) if 1 <= wanted.count <= MAXIMUM_TICKETS:
-                issued = [self._office.issue() for _ in range(wanted.count)]
+                issued = [
+                    self._office.issue(organisation.name)
+                    for _ in range(wanted.count)
+                ]
                 return web.Response(
                     body=wire.encode(wire.TicketsDocument(tickets=issued)),
                     content_type=responses.JSON,
@@ -194,6 +199,18 @@
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
 
+def _relayed(
+    request_id: str, found: peers.Found | verdicts.Verdict
+) -> web.Response:
+    match found:
+        case peers.Found(status=status, body=body):
+            return web.Response(
+                body=body, status=status, content_type=responses.JSON
+            )
+        case _:
+            return responses.of_verdict(request_id, found)
+
+
 def _problem(document: wire.RequestDocument, key: str) -> str:
     if key and document.ticket:
         return "a ticket and an idempotency key exclude each other"
--- a/cranberryglade/scheduling/baselines/thin.py
+++ b/cranberryglade/scheduling/baselines/thin.py
@@ -11,6 +11,7 @@
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import routing
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 SHED_RETRY_SECONDS = 1.0
@@ -122,7 +123,7 @@
         request = record.request
         peer = None
         if not request.delegated:
-            peer = _choose_peer(self._fleet.offers(request.target))
+            peer = routing.choose_peer(self._fleet.offers(request.target))
         if peer is None:
             self._lives.refuse(
                 record,
@@ -168,16 +169,6 @@
     )
 
 
-def _choose_peer(offers) -> messages.Peer | None:
-    best = min(offers, key=_preference, default=None)
-    return best.peer if best else None
-
-
-def _preference(offer: fleet.Offer):
-    digest = offer.digest
-    return (-digest.free_slots, digest.wait_seconds, offer.peer.name)
-
-
 def _digest(pool: pools.Pool) -> messages.TargetDigest:
     slots = sum(member.endpoint.slots for member in pool.serving)
     wait = len(pool.queue) * SERVICE_SECONDS / slots if slots else 0.0
--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -6,6 +6,8 @@
 from cranberryglade.scheduling import decisions
 from cranberryglade.scheduling import messages
 
+UNDER_WAY = ("running", "relaying")
+
 
 class Lives:
     """Steps requests through their chart; no other module changes a state."""
@@ -22,10 +24,14 @@
         """Requests that have no final verdict yet."""
         return len(self._claims)
 
-    def find(self, request: messages.Request) -> str | None:
-        """The id under which the same request is already known."""
+    def find(self, request: messages.Request) -> claims.Known | None:
+        """The same request, if it was seen before."""
         return self._claims.find(request)
 
+    def look_up(self, request_id: str) -> claims.Known | None:
+        """What is known under an id."""
+        return self._claims.look_up(request_id)
+
     def open(self, request: messages.Request) -> claims.Record:
         """Starts the life of a request that is new here."""
         return self._claims.open(request, self._chart.initial)
@@ -42,18 +48,48 @@
         return record
 
     def current(self, request_id: str, attempt: int) -> claims.Record | None:
-        """The record, unless the attempt is no longer its latest."""
+        """The record, unless the attempt is not under way any more."""
         record = self._claims.get(request_id)
         if record is None or record.attempt != attempt:
             return None
-        return record
+        return record if record.state in UNDER_WAY else None
+
+    def waiting(self) -> list[claims.Record]:
+        """The records of the requests that wait to be placed."""
+        return [r for r in self._claims.live() if r.state == "waiting"]
+
+    def live(self) -> list[claims.Record]:
+        """The records of all requests that are not final."""
+        return self._claims.live()
+
+    def floor(self, home: str) -> int:
+        """Highest sequence number of a home that has been forgotten."""
+        return self._claims.floor(home)
+
+    def tombstones(self, home: str) -> dict[int, verdicts.Verdict]:
+        """Verdicts by sequence number of the ids of one home."""
+        return self._claims.tombstones(home)
 
-    def claim(self, record: claims.Record) -> None:
-        """Asks the platform for the caller's key."""
+    def deliver(self, record: claims.Record) -> None:
+        """The first token of the current attempt has arrived."""
+        record.delivered = True
+
+    def claim(self, record: claims.Record, expected_version: int = 0) -> None:
+        """Asks the platform for the caller's key.
+
+        Args:
+            record: the request.
+            expected_version: version of the row of a holder that has not run
+                and never will; 0 if the key is thought to be free.
+        """
         request = record.request
         self._decisions.act(
             messages.Claim(
-                request.request_id, request.organisation, request.key
+                request.request_id,
+                request.organisation,
+                request.key,
+                request.fingerprint,
+                expected_version,
             )
         )
 
@@ -61,23 +97,31 @@
         """The request belongs here and may be placed."""
         record.state = self._chart.step(record.state, "claimed")
 
-    def relay(self, record: claims.Record, holder: str) -> None:
-        """Has the holder of the key answer."""
+    def relay(self, record: claims.Record, holder: str, version: int) -> None:
+        """Has the holder of the key answer; `version` is that of its row."""
         request_id = record.request.request_id
         record.state = self._chart.step(record.state, "relayed")
-        record.attempt += 1
+        record.holder_version = version
+        self._begin(record)
         self._decisions.note(request_id, "relayed", "key held", holder)
         self._decisions.act(messages.Relay(request_id, record.attempt, holder))
 
+    def take_over(self, record: claims.Record) -> None:
+        """The holder of the key has not run and never will: claim again."""
+        record.state = self._chart.step(record.state, "released")
+        self._decisions.note(
+            record.request.request_id, "claimed again", "holder has not run"
+        )
+        self.claim(record, record.holder_version)
+
     def dispatch(
         self, record: claims.Record, endpoint: messages.Endpoint
     ) -> None:
         """Sends the request to an endpoint."""
         record.state = self._chart.step(record.state, "dispatched")
-        record.attempt += 1
+        self._begin(record)
         record.endpoint = endpoint
         record.peer = None
-        record.dispatched_at = self._decisions.now
         self._decisions.act(
             messages.Dispatch(
                 record.request.request_id, record.attempt, endpoint
@@ -87,20 +131,36 @@
     def delegate(self, record: claims.Record, peer: messages.Peer) -> None:
         """Hands the request over to a peer."""
         record.state = self._chart.step(record.state, "delegated")
-        record.attempt += 1
+        self._begin(record)
         record.endpoint = None
         record.peer = peer
-        record.dispatched_at = self._decisions.now
         self._decisions.act(
             messages.Delegate(record.request.request_id, record.attempt, peer)
         )
 
-    def give_back(self, record: claims.Record, reason: verdicts.Reason) -> None:
+    def give_back(
+        self, record: claims.Record, verdict: verdicts.Verdict
+    ) -> None:
         """The attempt did not run, or may be repeated: wait again."""
         record.state = self._chart.step(record.state, "returned")
         record.endpoint = None
         record.peer = None
-        self._decisions.note(record.request.request_id, "retried", reason.value)
+        if isinstance(verdict, verdicts.MayHaveRun):
+            record.lost = verdict.reason
+        self._decisions.note(
+            record.request.request_id, "retried", verdict.reason.value
+        )
+
+    def stop_attempt(self, record: claims.Record) -> None:
+        """Asks whoever runs the current attempt to stop it."""
+        self._decisions.act(
+            messages.CancelAttempt(
+                record.request.request_id,
+                record.attempt,
+                record.endpoint,
+                record.peer,
+            )
+        )
 
     def answer(self, record: claims.Record) -> None:
         """The whole answer has arrived."""
@@ -125,7 +185,13 @@
         retry_after_seconds: float | None,
         measures: tuple[messages.Measure, ...] = (),
     ) -> None:
-        """It has not run and will not; the caller is told at once."""
+        """It gets no further attempt; the caller is told at once.
+
+        The verdict is NotRun unless an earlier attempt may have run.
+        """
+        if record.lost is not None:
+            self.uncertain(record, verdicts.MayHaveRun(record.lost))
+            return
         self._decisions.note(
             record.request.request_id,
             "refused",
@@ -135,10 +201,15 @@
         verdict = verdicts.NotRun(reason, retry_after_seconds)
         self._finish(record, "refused", verdict)
 
+    def _begin(self, record: claims.Record) -> None:
+        record.attempt += 1
+        record.delivered = False
+        record.dispatched_at = self._decisions.now
+
     def _finish(
         self, record: claims.Record, event: str, verdict: verdicts.Verdict
     ) -> None:
         record.state = self._chart.step(record.state, event)
         request_id = record.request.request_id
-        self._claims.close(request_id, verdict)
+        self._claims.close(request_id, verdict, self._decisions.now)
         self._decisions.act(messages.Finish(request_id, verdict))
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -18,6 +18,7 @@
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 HANDOFF_GAIN_SECONDS = 0.1
 MOST_HANDOFFS = 3
+ENDPOINT_WAIT_SECONDS = 1.0
 PASSING_SLACK_SECONDS = 5.0
 
 
@@ -65,7 +66,7 @@
         request = record.request
         pool = self._fleet.pool(request.target)
         if not pool.serving:
-            self._delegate_or_refuse(record)
+            self._delegate_for_want(record)
             return
         run = self._router.run_seconds(pool, request)
         expected = admission.forecast(pool, request, run, self._decisions.now)
@@ -82,7 +83,10 @@
         request = record.request
         pool = self._fleet.pool(request.target)
         if not pool.serving:
-            self._delegate_or_refuse(record)
+            if record.lost is not None:
+                self._await_endpoint(pool, request)
+            else:
+                self._delegate_for_want(record)
             return
         run = self._router.run_seconds(pool, request)
         expected = admission.forecast(pool, request, run, self._decisions.now)
@@ -111,11 +115,8 @@
         tokens = running.pending_tokens
         self._router.speed(running.member).learn_prefill(tokens, seconds)
         self._router.generation(running.member).learn_prefill(tokens, seconds)
-        now = self._decisions.now
-        if self._probation.first_token(
-            running, running.first_seconds, seconds, now
-        ):
-            self._note_suspected(running.member, "late first tokens")
+        if self._probation.first_token(running, seconds):
+            self._suspect(running.member, "late first tokens")
 
     def ended(self, record: claims.Record, output_tokens: int | None) -> None:
         """Gives back the slot of an attempt.
@@ -138,8 +139,7 @@
         if running.first_at is None:
             self._end_prefill(running)
         if output_tokens is None:
-            self._probation.suspect(member, self._decisions.now)
-            self._note_suspected(member, "failed attempt")
+            self._suspect(member, "failed attempt")
         else:
             self._learn(record, running, output_tokens)
 
@@ -155,7 +155,7 @@
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
         for member in self._probation.wake(self._decisions.now):
-            self._note_suspected(member, "overdue answer")
+            self._suspect(member, "overdue answer")
         for pool in self._fleet.all_pools():
             self._expire(pool)
             while self._dispatch_one(pool):
@@ -175,12 +175,16 @@
         elif running.first_at is not None and output_tokens > 1:
             each = (now - running.first_at) / (output_tokens - 1)
             own.learn_tokens(each)
-            if self._probation.answered(running, usual, each, now):
-                self._note_suspected(running.member, "slower than its like")
+            if self._probation.answered(running, usual, each):
+                self._suspect(running.member, "slower than its like")
             elif running.member.trial is None:
                 usual.learn_tokens(each)
 
-    def _note_suspected(self, member: pools.Member, reason: str) -> None:
+    def _suspect(self, member: pools.Member, reason: str) -> None:
+        trusted = self._fleet.pool(member.endpoint.target).trusted
+        if member.trial == 0 or trusted == [member]:
+            return
+        self._probation.suspect(member, self._decisions.now)
         self._decisions.note(
             "", "endpoint suspected", reason, member.endpoint.name
         )
@@ -292,7 +296,7 @@
         )
         self._lives.refuse(record, reason, retry, _measures(expected))
 
-    def _delegate_or_refuse(self, record: claims.Record) -> None:
+    def _delegate_for_want(self, record: claims.Record) -> None:
         request = record.request
         best = None
         if not request.delegated and record.attempt < MOST_HANDOFFS:
@@ -307,13 +311,24 @@
         expected = admission.Forecast(best.wait_seconds, 0.0, 0.0)
         self._delegate(record, best, "no own endpoint", expected)
 
+    def _await_endpoint(
+        self, pool: pools.Pool, request: messages.Request
+    ) -> None:
+        now = self._decisions.now
+        latest = min(request.deadline, now + ENDPOINT_WAIT_SECONDS)
+        pool.queue.push(queues.Entry(request, now, latest))
+        pool.room.enter(request.rank, now)
+
     def _expire(self, pool: pools.Pool) -> None:
         while entry := pool.queue.pop_expired(self._decisions.now):
             pool.room.leave(entry.request.rank, self._decisions.now, False)
             record = self._lives.get(entry.request.request_id)
             late = self._decisions.now - entry.latest_start
             expected = admission.Forecast(0.0, entry.work, late)
-            self._refuse(record, pool, verdicts.Reason.SHED, expected)
+            reason = verdicts.Reason.NO_ENDPOINT
+            if pool.serving:
+                reason = verdicts.Reason.SHED
+            self._refuse(record, pool, reason, expected)
 
     def _dispatch_one(self, pool: pools.Pool) -> bool:
         if not pool.free_slots:
--- a/cranberryglade/scheduling/probation.py
+++ b/cranberryglade/scheduling/probation.py
@@ -43,17 +43,16 @@
         self._push(self._overdue, due, attempt)
 
     def wake(self, now: float) -> list[pools.Member]:
-        """Lets endpoints out of their pause; returns those newly suspected."""
+        """Lets endpoints out of their pause; returns those overdue."""
         while self._pauses and self._pauses[0][0] <= now:
             member = heapq.heappop(self._pauses)[2]
             member.trial = max(1, member.trial or 0)
-        suspected = []
+        late = []
         while self._overdue and self._overdue[0][0] <= now:
             attempt = heapq.heappop(self._overdue)[2]
             if not attempt.ended and attempt.member.trial is None:
-                self.suspect(attempt.member, now)
-                suspected.append(attempt.member)
-        return suspected
+                late.append(attempt.member)
+        return late
 
     def suspect(self, member: pools.Member, now: float) -> None:
         """Gives an endpoint nothing for a while."""
@@ -65,38 +64,24 @@
         until = now + min(LONGEST_PAUSE_SECONDS, pause)
         self._push(self._pauses, until, member)
 
-    def first_token(
-        self,
-        attempt: pools.Attempt,
-        expected_seconds: float,
-        seconds: float,
-        now: float,
-    ) -> bool:
-        """Compares a first token with what was expected; True if suspected."""
+    def first_token(self, attempt: pools.Attempt, seconds: float) -> bool:
+        """Tells from a first token whether to suspect the endpoint."""
+        member = attempt.member
         slow = seconds > max(
-            LEAST_FIRST_SECONDS, expected_seconds * SLOW_FIRST_RATIO
-        )
-        attempt.member.slow_firsts = (
-            attempt.member.slow_firsts + 1 if slow else 0
+            LEAST_FIRST_SECONDS, attempt.first_seconds * SLOW_FIRST_RATIO
         )
-        if attempt.member.slow_firsts < 2 or attempt.member.trial == 0:
-            return False
-        self.suspect(attempt.member, now)
-        return True
+        member.slow_firsts = member.slow_firsts + 1 if slow else 0
+        return member.slow_firsts > 1
 
     def answered(
         self,
         attempt: pools.Attempt,
         usual: speeds.Speed,
         token_seconds: float,
-        now: float,
     ) -> bool:
-        """Compares the pace with that of its like; True if suspected."""
+        """Tells from the pace of an answer whether to suspect the endpoint."""
         member = attempt.member
         if token_seconds > usual.token_seconds * SLOW_RATIO:
-            if member.trial == 0:
-                return False
-            self.suspect(member, now)
             return True
         if member.trial and token_seconds < usual.token_seconds * STEADY_RATIO:
             self._trust(member)
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -1,9 +1,11 @@
 """Which endpoint gets a request."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
 from cranberryglade.scheduling import estimates
+from cranberryglade.scheduling import fleet
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
 from cranberryglade.scheduling import queues
@@ -174,3 +176,14 @@
     for member in serving:
         if not member.long_prefills:
             yield member
+
+
+def choose_peer(offers: Iterable[fleet.Offer]) -> messages.Peer | None:
+    """The peer that could start a request soonest; None if there is none."""
+    best = min(offers, key=_preference, default=None)
+    return best.peer if best else None
+
+
+def _preference(offer: fleet.Offer):
+    digest = offer.digest
+    return (-digest.free_slots, digest.wait_seconds, offer.peer.name)
--- a/cranberryglade/verdicts.py
+++ b/cranberryglade/verdicts.py
@@ -16,19 +16,23 @@
         WRONG_METHOD: the path takes the methods named in "Allow" alone.
         UNKNOWN_REQUEST: no request of the organisation is kept by that id.
         TOO_LARGE: the body is longer than the instance takes.
+        KEY_REUSED: its key or ticket belongs to a request that asks otherwise.
         SHED: load left no room for it before its deadline.
         DEADLINE: it could not be answered by its deadline.
         DEADLINE_PASSED: its deadline passed before it ran.
         NO_ENDPOINT: no live endpoint offers its model or service.
         STOPPING: the instance is stopping; another one takes it.
-        CANCELLED: the caller withdrew it before it ran.
+        CANCELLED: the caller withdrew it.
         PLATFORM_UNAVAILABLE: its key cannot be claimed at the platform now.
         CONNECTION_REFUSED: no connection was made, so nothing was sent.
         ENDPOINT_REFUSED: the endpoint said that it did not start it.
         ANSWER_LOST: it was sent, and the answer did not arrive.
         ANSWER_NOT_WHOLE: the answer had gaps or belonged to another request.
+        ENDPOINT_SILENT: it was sent, and nothing came for too long.
+        PEER_LOST: a peer has it, and nothing came from there for too long.
         HOME_UNREACHABLE: the instance that knows its fate does not answer.
         RETENTION_PASSED: it was known once, and its fate is no longer kept.
+        INSTANCE_CUT: an operator's second signal cut it.
         INTERNAL_ERROR: a fault of the instance itself, which it has logged.
     """
 
@@ -40,6 +44,7 @@
     WRONG_METHOD = "wrong_method"
     UNKNOWN_REQUEST = "unknown_request"
     TOO_LARGE = "too_large"
+    KEY_REUSED = "key_reused"
     SHED = "shed"
     DEADLINE = "deadline_cannot_be_met"
     DEADLINE_PASSED = "deadline_passed"
@@ -51,8 +56,11 @@
     ENDPOINT_REFUSED = "endpoint_refused"
     ANSWER_LOST = "answer_lost"
     ANSWER_NOT_WHOLE = "answer_not_whole"
+    ENDPOINT_SILENT = "endpoint_silent"
+    PEER_LOST = "peer_lost"
     HOME_UNREACHABLE = "home_unreachable"
     RETENTION_PASSED = "retention_passed"
+    INSTANCE_CUT = "instance_cut"
     INTERNAL_ERROR = "internal_error"
 
 
