--- a/cranberryglade/__init__.py
+++ b/cranberryglade/__init__.py
@@ -1,6 +1,7 @@
 """Cranberryglade schedules requests over engines that are not alike."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -9,6 +10,7 @@
 from cranberryglade import callers
 from cranberryglade import claimants
 from cranberryglade import delegations
+from cranberryglade import editing
 from cranberryglade import endpoints
 from cranberryglade import executors
 from cranberryglade import explanations
@@ -22,8 +24,11 @@
 from cranberryglade import membership
 from cranberryglade import metrics
 from cranberryglade import operators
+from cranberryglade import orders
 from cranberryglade import peers
 from cranberryglade import platform
+from cranberryglade import proposals
+from cranberryglade import reports
 from cranberryglade import settings
 from cranberryglade import snapshots
 from cranberryglade import subscriptions
@@ -109,7 +114,8 @@
             self._settings.platform_address,
             self._settings.platform_timeout_seconds,
         )
-        subscription = subscriptions.Subscription(self._platform)
+        generator = random.Random(own.incarnation)
+        subscription = subscriptions.Subscription(self._platform, generator)
         members = membership.Membership(
             own,
             self._settings,
@@ -117,6 +123,7 @@
             self._platform,
             subscription,
             core,
+            generator,
         )
         self._home = own.home
         self._archive = snapshots.Archive(self._platform)
@@ -139,7 +146,13 @@
             tally,
             self._tracing,
         )
+        self._members = members
         members.stream.subscribe(self._executor.post)
+        self._reports = reports.Reports(core, members)
+        self._reports.stream.subscribe(self._executor.post)
+        self._orders = orders.Orders(
+            orders.Leases(self._platform, own.incarnation)
+        )
         callers.CallerInterface(
             self._executor,
             forwarder,
@@ -153,10 +166,13 @@
             self._executor,
             members,
             subscription,
-            self._platform,
+            self._orders,
             self._lifecycle,
             tally,
         ).register(caller_app)
+        editing.ConfigurationInterface(
+            subscription, proposals.Proposals(self._platform)
+        ).register(caller_app)
         watching.WatchInterface(
             self._executor, subscription, fact_log
         ).register(caller_app)
@@ -171,7 +187,13 @@
             self._peer_client,
         ).register(caller_app, peer_app)
         delegations.PeerInterface(
-            self._executor, members, subscription, office, key, self._tracing
+            self._executor,
+            members,
+            subscription,
+            office,
+            key,
+            own.incarnation,
+            self._tracing,
         ).register(peer_app)
         self._spawn(
             gauges.Gauges(
@@ -180,6 +202,7 @@
         )
         self._spawn(subscription.run(self._settings.poll_seconds))
         self._spawn(members.run_list(self._settings.poll_seconds))
+        self._spawn(self._reports.run())
         self._spawn(members.run_probes(self._settings.probe_seconds))
 
     def _spawn(self, coroutine) -> None:
@@ -215,6 +238,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        self._members.close()
+        await self._reports.close()
+        await self._orders.close()
         await self._endpoint_client.close()
         await self._peer_client.close()
         await self._platform.close()
--- a/cranberryglade/operators.py
+++ b/cranberryglade/operators.py
@@ -1,15 +1,18 @@
 """The interface for operators and for the platform's balancer."""
 
+from typing import Literal
+
 from aiohttp import web
 from returns.result import Failure
 from returns.result import Success
 
 from cranberryglade import access
 from cranberryglade import configuration
+from cranberryglade import editing
 from cranberryglade import executors
 from cranberryglade import lifecycle
 from cranberryglade import membership
-from cranberryglade import platform
+from cranberryglade import orders
 from cranberryglade import responses
 from cranberryglade import subscriptions
 from cranberryglade import tallies
@@ -40,6 +43,18 @@
     leaving: bool
 
 
+class PeerVersion(wire.Document):
+    """The newest version that a peer says it knows.
+
+    Attributes:
+        instance: its name.
+        version: newest version known there.
+    """
+
+    instance: str
+    version: int
+
+
 class StatusDocument(wire.Document):
     """How an instance is.
 
@@ -47,20 +62,26 @@
         instance: its name.
         state: state of the instance chart.
         version: version of the configuration in force; 0 for none.
+        accepted_version: newest version known, in force or not.
+        problems: why that version is not in force here.
         confirmed_seconds_ago: since the platform last confirmed it.
         unfinished: requests without a verdict.
         uncertain: requests that may have run, by cause.
         peers: names of the peers that answer.
+        peer_versions: versions that the peers know.
         targets: load by target.
     """
 
     instance: str
     state: str
     version: int
+    accepted_version: int
+    problems: list[str]
     confirmed_seconds_ago: float | None
     unfinished: int
     uncertain: dict[str, int]
     peers: list[str]
+    peer_versions: list[PeerVersion]
     targets: list[messages.TargetDigest]
 
 
@@ -74,26 +95,42 @@
     endpoint: str
 
 
-class ProposalDocument(wire.Document):
-    """A configuration to put in force.
+class OrderRequest(wire.Document):
+    """An order for an endpoint.
 
     Attributes:
-        expected_version: the version it was derived from; 0 for none.
-        text: INI text.
+        endpoint: the platform's name of it.
+        kind: what to do.
+        value: what to load, or the role; "" for a drain.
     """
 
-    expected_version: int
-    text: str
+    endpoint: str
+    kind: Literal["load", "role", "drain"]
+    value: str = ""
 
 
-class ProblemsDocument(wire.Document):
-    """Why a configuration was not accepted.
+class OrderOutcome(wire.Document):
+    """The endpoint has carried out an order.
 
     Attributes:
-        problems: one text for each.
+        done: always true.
+        fencing_number: number of the lease it was given under.
     """
 
-    problems: list[str]
+    done: bool
+    fencing_number: int
+
+
+class DrainDocument(wire.Document):
+    """The endpoint process that gets no new work from now on.
+
+    Attributes:
+        endpoint: the platform's name of it.
+        incarnation: which process of that name.
+    """
+
+    endpoint: str
+    incarnation: str
 
 
 class OperatorInterface:
@@ -104,7 +141,7 @@
         "_instance",
         "_lifecycle",
         "_membership",
-        "_platform",
+        "_orders",
         "_subscription",
         "_tally",
     )
@@ -115,7 +152,7 @@
         executor: executors.Executor,
         members: membership.Membership,
         subscription: subscriptions.Subscription,
-        platform_client: platform.PlatformClient,
+        given: orders.Orders,
         life: lifecycle.Lifecycle,
         tally: tallies.Tally,
     ):
@@ -123,7 +160,7 @@
         self._executor = executor
         self._membership = members
         self._subscription = subscription
-        self._platform = platform_client
+        self._orders = given
         self._lifecycle = life
         self._tally = tally
 
@@ -135,35 +172,43 @@
         app.router.add_get(f"{prefix}/status", self._get_status)
         app.router.add_get(f"{prefix}/endpoints", self._get_endpoints)
         app.router.add_post(f"{prefix}/drain", self._post_drain)
-        app.router.add_get(f"{prefix}/configuration", self._get_configuration)
-        app.router.add_put(f"{prefix}/configuration", self._put_configuration)
+        app.router.add_post(f"{prefix}/orders", self._post_order)
 
     async def _get_health(self, _: web.Request):
         return web.Response(text="ok\n")
 
     async def _get_ready(self, _: web.Request):
-        ready = self._lifecycle.ready and self._subscription.current
+        ready = (
+            self._lifecycle.ready
+            and self._subscription.current is not None
+            and self._membership.is_introduced
+        )
         return web.Response(
             text="ready\n" if ready else "not ready\n",
             status=200 if ready else 503,
         )
 
     def _authorised(self, http_request: web.Request) -> bool:
+        return self._operator(http_request) is not None
+
+    def _operator(
+        self, http_request: web.Request
+    ) -> configuration.Operator | None:
         current = self._subscription.current
-        if current is None:
-            return False
-        return access.operator(http_request, current) is not None
+        return access.operator(http_request, current) if current else None
 
     async def _get_status(self, http_request: web.Request):
         if not self._authorised(http_request):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         confirmed = self._subscription.confirmed_at
         core = self._executor.scheduler
-        return _document(
+        return responses.document(
             StatusDocument(
                 instance=self._instance,
                 state=self._lifecycle.state,
                 version=self._subscription.version,
+                accepted_version=self._subscription.accepted.version,
+                problems=self._subscription.problems,
                 confirmed_seconds_ago=(
                     None
                     if confirmed is None
@@ -172,6 +217,10 @@
                 unfinished=core.unfinished,
                 uncertain=self._tally.uncertain,
                 peers=sorted(peer.name for peer in self._membership.peers),
+                peer_versions=[
+                    PeerVersion(instance=e.peer.name, version=e.version)
+                    for e in self._membership.entries
+                ],
                 targets=list(core.digests()),
             )
         )
@@ -192,75 +241,65 @@
             for pool in self._executor.scheduler.all_pools()
             for member in pool.members.values()
         ]
-        return _document(rows)
+        return responses.document(rows)
 
     async def _post_drain(self, http_request: web.Request):
         if not self._authorised(http_request):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         match wire.decode(await http_request.read(), DrainRequest):
             case Success(order):
-                self._executor.post(
-                    messages.EndpointLeaving(order.endpoint, "", "operator")
-                )
-                return _document(order)
+                return self._drain(order.endpoint)
             case Failure(detail):
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
-    async def _get_configuration(self, http_request: web.Request):
-        if not self._authorised(http_request):
-            return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        current = self._subscription.current
-        return _document(
-            wire.RowDocument(value=current.text, version=current.version)
+    def _drain(self, name: str) -> web.Response:
+        endpoint = self._find(name)
+        if endpoint is None:
+            return _unknown(name)
+        incarnation = endpoint.incarnation
+        self._membership.announce(
+            messages.EndpointLeaving(name, incarnation, "operator")
         )
+        return responses.document(
+            DrainDocument(endpoint=name, incarnation=incarnation)
+        )
+
+    def _find(self, name: str) -> messages.Endpoint | None:
+        for pool in self._executor.scheduler.all_pools():
+            member = pool.members.get(name)
+            if member is not None:
+                return member.endpoint
+        return None
 
-    async def _put_configuration(self, http_request: web.Request):
+    async def _post_order(self, http_request: web.Request):
         if not self._authorised(http_request):
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
-        match wire.decode(await http_request.read(), ProposalDocument):
-            case Success(proposal):
-                return await self._propose(proposal)
+        match wire.decode(await http_request.read(), OrderRequest):
+            case Success(order):
+                return await self._order(order)
             case Failure(detail):
                 return responses.refusal(verdicts.Reason.MALFORMED, detail)
 
-    async def _propose(self, proposal: ProposalDocument):
-        checked = configuration.parse(
-            proposal.text, proposal.expected_version + 1
-        )
-        if isinstance(checked, Failure):
-            problems = [str(problem) for problem in checked.failure()]
-            return _document(ProblemsDocument(problems=problems), 422)
-        outcome = await self._platform.transact(
-            [
-                wire.WriteDocument(
-                    table=subscriptions.TABLE,
-                    key=subscriptions.KEY,
-                    expected_version=proposal.expected_version,
-                    value=proposal.text,
+    async def _order(self, order: OrderRequest) -> web.Response:
+        endpoint = self._find(order.endpoint)
+        if endpoint is None:
+            return _unknown(order.endpoint)
+        match await self._orders.give(endpoint, order.kind, order.value):
+            case orders.Done(fencing_number=number):
+                return responses.document(
+                    OrderOutcome(done=True, fencing_number=number)
                 )
-            ]
-        )
-        await self._subscription.poll()
-        match outcome:
-            case Success(done) if done.committed:
-                return _document(
-                    wire.RowDocument(
-                        value=proposal.text,
-                        version=proposal.expected_version + 1,
-                    )
+            case orders.NotDone(reason=reason):
+                return responses.document(
+                    editing.ProblemsDocument(problems=[reason]), 409
                 )
-            case Success(_):
-                problem = f"version {self._subscription.version} is in force"
-                return _document(ProblemsDocument(problems=[problem]), 409)
-            case Failure(error):
-                return _document(
-                    ProblemsDocument(problems=[f"platform: {error}"]), 503
+            case orders.MayBeDone(reason=reason):
+                problem = f"the endpoint did not answer: {reason}"
+                return responses.document(
+                    editing.ProblemsDocument(problems=[problem]), 504
                 )
 
 
-def _document(document, status: int = 200) -> web.Response:
-    return web.Response(
-        body=wire.encode(document),
-        status=status,
-        content_type=responses.JSON,
-    )
+def _unknown(endpoint: str) -> web.Response:
+    problem = f"no endpoint {endpoint} in this failure domain"
+    return responses.document(editing.ProblemsDocument(problems=[problem]), 404)
--- a/cranberryglade/replay/instances.py
+++ b/cranberryglade/replay/instances.py
@@ -100,18 +100,9 @@
 
     def digest(self) -> messages.PeerReported:
         """What the peers are told."""
-        digests = self._core.digests()
-        self._around.count_message(
-            wire.DigestDocument(
-                instance=self.peer.name,
-                incarnation=self.peer.incarnation,
-                address=self.peer.address,
-                failure_domain=self.peer.failure_domain,
-                version=1,
-                targets=list(digests),
-            )
-        )
-        return messages.PeerReported(self.peer, digests)
+        event = messages.PeerReported(self.peer, self._core.digests())
+        self._around.count_message(event)
+        return event
 
     def die(self) -> None:
         """Loses everything; engines and peers see broken connections."""
--- a/cranberryglade/tests/worlds.py
+++ b/cranberryglade/tests/worlds.py
@@ -145,7 +145,7 @@
 
     def submit(self, home, key="", idempotent=False, streamed=False):
         request_id = home.issue()
-        later_is_more_urgent = 30 / home.sequence
+        later_is_more_urgent = 30 - home.sequence
         request = builders.request(
             request_id,
             key=key,
--- a/cranberryglade/tools/observe.py
+++ b/cranberryglade/tools/observe.py
@@ -63,7 +63,7 @@
         "/v1/operators/drain",
         operators.DrainRequest(endpoint=endpoint),
     )
-    ordered = output.decode(reply, operators.DrainRequest)
+    ordered = output.decode(reply, operators.DrainDocument)
     if connection.as_json:
         output.print_json(ordered)
     else:
