--- a/cranberryglade/daemon.py
+++ b/cranberryglade/daemon.py
@@ -1,6 +1,7 @@
 """The program cranberrygladed."""
 
 import asyncio
+import gc
 import sys
 
 import click
@@ -14,6 +15,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 1
+COLLECTOR_THRESHOLDS = (50_000, 20, 100)
 
 
 @click.command()
@@ -37,6 +39,7 @@
 
 def _run(configured: settings.Settings) -> None:
     log.configure(configured.log_level, configured.instance)
+    _tune_collector()
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_serve(configured))
@@ -47,3 +50,10 @@
 
 async def _serve(configured: settings.Settings) -> None:
     await cranberryglade.Cranberryglade(configured).run()
+
+
+def _tune_collector() -> None:
+    # A full collection stops every stream, so it must be rare and small.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -71,7 +71,17 @@
         Raises:
             BrokenAnswerError: an offset is missing or the end disagrees.
         """
-        data = self._partial + data
+        if (
+            data.startswith(b"id: %d\n" % self._next_offset)
+            and data.find(SEPARATOR) == len(data) - len(SEPARATOR)
+            and not self._partial
+            and not self._complete
+        ):
+            self._next_offset += 1
+            return data
+        return self._feed_run(self._partial + data)
+
+    def _feed_run(self, data: bytes) -> bytes:
         end = data.rfind(SEPARATOR)
         if end < 0:
             self._partial = data
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -3,6 +3,7 @@
 import click
 
 from cranberryglade import configuration
+from cranberryglade.tools import bench
 from cranberryglade.tools import changes
 from cranberryglade.tools import configure
 from cranberryglade.tools import demo
@@ -30,11 +31,13 @@
 
 
 for command in (
+    bench.bench,
     configure.config,
     *(changes.group(kind) for kind in configuration.KINDS),
     demo.demo,
     observe.drain,
     observe.endpoints,
+    observe.order,
     observe.status,
     observe.watch,
     questionnaire.questionnaire,
