Do not charge the retry budget for what a peer hands back

Cause: a peer's refusal used up the budget for repeated dispatches; when that was empty, the home refused a request while lower tiers waited there. The test of the shedding order failed on it (request of tier 0 refused 2 ms after its arrival, tiers 1 and 2 waiting) and passes now.

--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -228,7 +228,12 @@
             return
         self._placement.ended(record, None)
         verdict = _believed(record, event.verdict)
-        if self._may_repeat(record, verdict) and self._retries.take():
+        handed_back = record.endpoint is None and isinstance(
+            verdict, verdicts.NotRun
+        )
+        if self._may_repeat(record, verdict) and (
+            handed_back or self._retries.take()
+        ):
             self._repeat(record, verdict)
             return
         self._end(record, verdict)
