--- a/cranberryglade/scheduling/lives.py
+++ b/cranberryglade/scheduling/lives.py
@@ -24,6 +24,11 @@
         """Requests that have no final verdict yet."""
         return len(self._claims)
 
+    @property
+    def forgotten(self) -> int:
+        """How many final requests have been forgotten."""
+        return self._claims.dropped
+
     def find(self, request: messages.Request) -> claims.Known | None:
         """The same request, if it was seen before."""
         return self._claims.find(request)
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -52,6 +52,11 @@
         """Requests that have no final verdict yet."""
         return self._lives.unfinished
 
+    @property
+    def forgotten(self) -> int:
+        """How many final requests have been forgotten."""
+        return self._lives.forgotten
+
     @property
     def floor(self) -> int:
         """Highest sequence number of this home that has been forgotten."""
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -1,7 +1,10 @@
 """Contract with endpoints: what each of their replies is taken for."""
 
+import asyncio
 import contextlib
 import socket
+import threading
+import time
 
 import pytest
 
@@ -175,3 +178,25 @@
         ending, _ = await run(client, address)
         await client.close()
     assert ending == verdicts.NotRun(R.CONNECTION_REFUSED, 0.1)
+
+
+def answer_once(listening, delay_seconds):
+    connection, _ = listening.accept()
+    with connection:
+        connection.recv(65536)
+        time.sleep(delay_seconds)
+        connection.sendall(kept_alive(WHOLE))
+        connection.recv(1)
+
+
+async def test_an_answer_that_came_during_a_freeze_is_read(client):
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        serving = threading.Thread(target=answer_once, args=(listening, 0.2))
+        serving.start()
+        freeze = 2 * max(endpoints.SILENCE_SECONDS)
+        asyncio.get_running_loop().call_later(0.1, time.sleep, freeze)
+        ending, _ = await run(client, address)
+        assert ending == streams.Whole(2)
+        await client.close()
+        serving.join()
--- a/cranberryglade/tests/test_interleavings.py
+++ b/cranberryglade/tests/test_interleavings.py
@@ -134,6 +134,23 @@
     explore()
 
 
+@pytest.mark.parametrize("stops", [False, True])
+def test_the_properties_hold_in_a_burst(stops):
+    world = worlds.World()
+    for number in range(600):
+        home = world.homes[number % 2]
+        key = "" if number % 3 else f"k{number % 50}"
+        world.submit(home, key, idempotent=number % 5 == 1)
+        if number % 4 == 0 and world.ready():
+            world.step(world.ready()[0], number)
+        if stops and number == 300:
+            world.stop(world.homes[0])
+    assert world.settle() == []
+    world.ledger.check()
+    ran = sum(verdicts.Ran() in said for said in world.ledger.told.values())
+    assert ran > 0
+
+
 def _repeat_always(core, record, verdict):
     del core, record, verdict
     return True
--- a/cranberryglade/tests/test_processes.py
+++ b/cranberryglade/tests/test_processes.py
@@ -71,7 +71,7 @@
 def programs(tmp_path_factory):
     with (
         support.deployment(tmp_path_factory.mktemp("pair")) as deployment,
-        futures.ThreadPoolExecutor(4) as pool,
+        futures.ThreadPoolExecutor(40) as pool,
     ):
         yield Pair(deployment, pool)
 
@@ -188,6 +188,21 @@
     assert said(answer) == ("not_run", "stopping")
 
 
+def test_a_planned_stop_in_a_burst_tells_everyone_the_truth(pair):
+    pair.deployment.faults(pair.service, {"delay_seconds": 0.3})
+    bodies = [{**RESERVATION, "payload": {"item": i}} for i in range(40)]
+    calls = [
+        pair.later((pair.first, pair.second)[i % 2], body)
+        for i, body in enumerate(bodies)
+    ]
+    support.eventually(lambda: pair.runs() >= pair.runs_before + 4)
+    pair.first.send(signal.SIGTERM)
+    found = [call.result()[1]["verdict"] for call in calls]
+    assert pair.first.wait() == 0
+    assert set(found) <= {"ran", "not_run"}
+    assert pair.runs() == pair.runs_before + found.count("ran")
+
+
 def test_a_second_signal_cuts_and_says_so_without_the_platform(pair):
     long = {**QUESTION, "max_tokens": 1000, "stream": True}
     call = pair.later(pair.first, long, raw=True)
--- a/cranberryglade/verdicts.py
+++ b/cranberryglade/verdicts.py
@@ -23,7 +23,8 @@
         NO_ENDPOINT: no live endpoint offers its model or service.
         STOPPING: the instance is stopping; another one takes it.
         CANCELLED: the caller withdrew it.
-        PLATFORM_UNAVAILABLE: its key cannot be claimed at the platform now.
+        PLATFORM_UNAVAILABLE: its key cannot be claimed at the platform now;
+            what became of earlier requests with that key is not known.
         CONNECTION_REFUSED: no connection was made, so nothing was sent.
         ENDPOINT_REFUSED: the endpoint said that it did not start it.
         ANSWER_LOST: it was sent, and the answer did not arrive.
