Never send a once-only request again after an endpoint has refused it

The state machine with an endpoint that runs a request and denies it failed: a once-only request ran twice, because an explicit refusal was followed by another dispatch. Only a connection that was never made, or a peer that did not send it either, is followed by one now. What an endpoint gives as the reason is no longer taken over, so that it cannot pass for a connection that was not made. Cost: the caller of a once-only request is refused where another endpoint might have taken it, and may ask again under a new ticket.

--- a/cranberryglade/endpoints.py
+++ b/cranberryglade/endpoints.py
@@ -88,9 +88,7 @@
             if not _interrupted(ending):
                 break
             ending = await self._resume(url, request, check, sink)
-        if isinstance(ending, streams.Cut):
-            return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
-        return ending
+        return _of_dispatch(ending)
 
     async def cancel(
         self, endpoint: messages.Endpoint, request_id: str
@@ -148,6 +146,18 @@
             return verdicts.MayHaveRun(verdicts.Reason.ENDPOINT_SILENT)
 
 
+def _of_dispatch(ending: streams.Ending) -> streams.Ending:
+    match ending:
+        case streams.Cut():
+            return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+        case verdicts.NotRun(retry_after_seconds=retry) if (
+            ending is not streams.NOT_CONNECTED
+        ):
+            return verdicts.NotRun(verdicts.Reason.ENDPOINT_REFUSED, retry)
+        case _:
+            return ending
+
+
 def _interrupted(ending: streams.Ending) -> bool:
     match ending:
         case streams.Cut():
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -254,7 +254,7 @@
             return False
         if record.attempt >= MAXIMUM_ATTEMPTS:
             return False
-        return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
+        return record.request.idempotent or _never_sent(verdict)
 
     def _repeat(self, record: claims.Record, verdict: verdicts.Verdict) -> None:
         delegated = record.endpoint is None
@@ -316,6 +316,16 @@
                 self._abandon(record, verdicts.Reason.INSTANCE_CUT)
 
 
+def _never_sent(verdict: verdicts.Verdict) -> bool:
+    match verdict:
+        case verdicts.NotRun(reason=verdicts.Reason.ENDPOINT_REFUSED):
+            return False
+        case verdicts.NotRun():
+            return True
+        case _:
+            return False
+
+
 def _believed(
     record: claims.Record, verdict: verdicts.Verdict
 ) -> verdicts.Verdict:
--- a/cranberryglade/streams.py
+++ b/cranberryglade/streams.py
@@ -29,6 +29,8 @@
     """The connection ended before the answer did."""
 
 
+NOT_CONNECTED = verdicts.NotRun(verdicts.Reason.CONNECTION_REFUSED, 0.1)
+
 Ending = Whole | Cut | verdicts.NotRun | verdicts.MayHaveRun
 
 
@@ -64,7 +66,7 @@
                 return await _refusal(response, check.request_id)
             await _pass_on(response, check, sink)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        return verdicts.NotRun(verdicts.Reason.CONNECTION_REFUSED, 0.1)
+        return NOT_CONNECTED
     except answers.BrokenAnswerError:
         return verdicts.MayHaveRun(verdicts.Reason.ANSWER_NOT_WHOLE)
     except (aiohttp.ClientError, TimeoutError, OSError):
--- a/cranberryglade/tests/test_claims.py
+++ b/cranberryglade/tests/test_claims.py
@@ -141,6 +141,25 @@
     assert finished(core.handle(event, now)) == LOST
 
 
+@pytest.mark.parametrize(
+    ("reason", "idempotent", "repeated"),
+    [
+        (verdicts.Reason.CONNECTION_REFUSED, False, True),
+        (verdicts.Reason.ENDPOINT_REFUSED, False, False),
+        (verdicts.Reason.ENDPOINT_REFUSED, True, True),
+    ],
+)
+def test_what_was_sent_once_is_sent_again_only_if_idempotent(
+    reason, idempotent, repeated
+):
+    core = started()
+    submitted(core, idempotent=idempotent)
+    failed = messages.AttemptFailed("r1", 1, verdicts.NotRun(reason))
+    actions = core.handle(failed, 0.1)
+    assert bool(of_type(actions, messages.Dispatch)) == repeated
+    assert (finished(actions) is None) == repeated
+
+
 def test_a_refusal_after_the_first_token_is_not_believed():
     core = started()
     submitted(core)
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -101,6 +101,19 @@
         [refusal(b"429 No", NOT_RUN % b',"request_id":"r1"')],
         verdicts.NotRun(R.ENDPOINT_REFUSED),
     ),
+    "refused in another's words": (
+        [refusal(b"503 No", b'{"verdict":"not_run","reason":"shed"}')],
+        verdicts.NotRun(R.ENDPOINT_REFUSED),
+    ),
+    "refused as if it had not been sent": (
+        [
+            refusal(
+                b"503 No",
+                b'{"verdict":"not_run","reason":"connection_refused"}',
+            )
+        ],
+        verdicts.NotRun(R.ENDPOINT_REFUSED),
+    ),
     "another refused": (
         [refusal(b"503 No", NOT_RUN % b',"request_id":"r2"')],
         LOST,
