--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -56,6 +56,11 @@
         """Requests that have no final verdict yet."""
         return self._lives.unfinished
 
+    @property
+    def forgotten(self) -> int:
+        """How many final requests have been forgotten."""
+        return self._lives.forgotten
+
     @property
     def floor(self) -> int:
         """Highest sequence number of this home that has been forgotten."""
@@ -263,7 +268,7 @@
             return False
         if record.attempt >= MAXIMUM_ATTEMPTS:
             return False
-        return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
+        return record.request.idempotent or _never_sent(verdict)
 
     def _repeat(self, record: claims.Record, verdict: verdicts.Verdict) -> None:
         self._lives.give_back(record, verdict)
@@ -322,6 +327,16 @@
                 self._abandon(record, verdicts.Reason.INSTANCE_CUT)
 
 
+def _never_sent(verdict: verdicts.Verdict) -> bool:
+    match verdict:
+        case verdicts.NotRun(reason=verdicts.Reason.ENDPOINT_REFUSED):
+            return False
+        case verdicts.NotRun():
+            return True
+        case _:
+            return False
+
+
 def _believed(
     record: claims.Record, verdict: verdicts.Verdict
 ) -> verdicts.Verdict:
