--- a/cranberryglade/tests/test_outage.py
+++ b/cranberryglade/tests/test_outage.py
@@ -84,13 +84,16 @@
 
 
 def test_a_version_comes_into_force_on_both_sides_of_an_outage(deployment):
+    deployment.endpoint("engine", "engine-0", "assistant")
     near = deployment.daemon("entry-0", **DEFAULT_PERIODS)
     support.eventually(lambda: support.status(near)["version"] == 1)
+    support.eventually(lambda: slots_seen(near) > 0)
     contacts = near.listening["peer_address"]
     cut = deployment.daemon(
         "entry-1", platform=NOWHERE, contacts=contacts, **DEFAULT_PERIODS
     )
     support.eventually(lambda: support.status(cut)["version"] == 1)
+    support.eventually(lambda: support.submit(cut, QUESTION)[0] == 200)
     deployment.faults(deployment.platform, {"lose_answers": 1})
     text = support.CONFIGURATION.replace("rank = 1", "rank = 2")
     proposal = {"expected_version": 1, "text": text, "nonce": "n1"}
@@ -113,6 +116,7 @@
     assert time.monotonic() - began < APPLIED_SECONDS
     newcomer = deployment.daemon("entry-2", contacts=contacts)
     support.eventually(lambda: support.status(newcomer)["version"] == 2)
+    support.eventually(lambda: support.submit(newcomer, QUESTION)[0] == 200)
 
 
 def test_a_frozen_instance_loses_its_endpoints_and_gets_them_back(deployment):
