Do not take a replaced peer's refusal for the home's word

Cause: a call is bound to the incarnation of the receiver since signatures are; a new process at the same address answers 401, which a look-up would have passed on to the caller as not_run, and a delegation as a wrong token. A look-up is now without answer (the archive is asked, or the verdict is may_have_run), and a delegation is tried again elsewhere. Two of the three new tests fail without the change. Forwarded requests were already told apart.

--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -24,6 +24,8 @@
 LOOKUP_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 SILENCE_MARGIN_SECONDS = 10.0
 SIGNATURE_HEADER = "X-Peer-Signature"
+STATUS_OTHER_PROCESS = 401
+REPLACED = verdicts.NotRun(verdicts.Reason.CONNECTION_REFUSED, 0.1)
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
@@ -164,9 +166,12 @@
                 headers=self._headers(path, body, peer.incarnation),
                 timeout=LOOKUP_TIMEOUT,
             ) as response:
-                return Success(Found(response.status, await response.read()))
+                data = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(type(error).__name__)
+        if response.status == STATUS_OTHER_PROCESS:
+            return Failure("another process")
+        return Success(Found(response.status, data))
 
     async def delegate(
         self,
@@ -176,9 +181,14 @@
         sink: streams.Sink,
     ) -> streams.Ending:
         """Has a peer run a request of which this instance is the home."""
-        return await self._send(
+        ending = await self._send(
             peer, "/v1/peer/requests", request, headers, sink
         )
+        match ending:
+            case verdicts.NotRun(reason=verdicts.Reason.UNAUTHENTICATED):
+                return REPLACED
+            case _:
+                return ending
 
     async def forward(
         self,
--- /dev/null
+++ b/cranberryglade/tests/test_peers.py
@@ -0,0 +1,66 @@
+"""What is made of a peer whose process has been replaced."""
+
+import contextlib
+
+from aiohttp import web
+import pytest
+from returns.result import Failure
+
+from cranberryglade import listeners
+from cranberryglade import peers
+from cranberryglade import responses
+from cranberryglade import verdicts
+from cranberryglade import wire
+from cranberryglade.tests import builders
+
+KEY = peers.PeerKey(b"0" * 16)
+PRESENT = "i2"
+
+
+async def refuse_others(http_request):
+    body = await http_request.read()
+    signature = http_request.headers[peers.SIGNATURE_HEADER]
+    assert not KEY.check(signature, http_request.path, body, PRESENT)
+    return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
+
+
+@contextlib.asynccontextmanager
+async def replaced_peer():
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", refuse_others)
+    listener = listeners.Listener.open("127.0.0.1:0")
+    runner = await listener.serve(app)
+    client = peers.PeerClient(KEY, 1.0)
+    try:
+        yield client, builders.peer(address=listener.address, incarnation="i1")
+    finally:
+        await client.close()
+        await runner.cleanup()
+
+
+async def test_a_look_up_at_a_replaced_home_is_no_answer():
+    asked = wire.LookupDocument(request_id="r1", organisation="o", cancel=False)
+    async with replaced_peer() as (client, peer):
+        found = await client.look_up(peer, asked)
+    assert found == Failure("another process")
+
+
+@pytest.mark.parametrize(
+    ("way", "reason"),
+    [
+        ("delegate", verdicts.Reason.CONNECTION_REFUSED),
+        ("forward", verdicts.Reason.UNAUTHENTICATED),
+    ],
+)
+async def test_what_becomes_of_a_request_sent_to_a_replaced_peer(way, reason):
+    request = wire.DelegatedRequest(
+        request=wire.RequestDocument(kind="k"),
+        request_id="r1",
+        organisation="o",
+        remaining_ms=1000,
+        first_token_ms=1000,
+    )
+    async with replaced_peer() as (client, peer):
+        send = getattr(client, way)
+        ending = await send(peer, request, {}, lambda events: None)
+    assert (type(ending), ending.reason) == (verdicts.NotRun, reason)
