--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -7,7 +7,7 @@
 from cranberryglade.scheduling import fleet
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
-from cranberryglade.scheduling import placement
+from cranberryglade.scheduling import policies
 from cranberryglade.scheduling import pools
 from cranberryglade.scheduling import retries
 from cranberryglade.scheduling import routing
@@ -35,11 +35,15 @@
         "_stopping",
     )
 
-    def __init__(self, instance: messages.Peer):
+    def __init__(
+        self,
+        instance: messages.Peer,
+        policy: policies.Policy = policies.PREDICTIVE,
+    ):
         self._decisions = decisions.Decisions()
-        self._fleet = fleet.Fleet(instance, self._decisions)
+        self._fleet = fleet.Fleet(instance, self._decisions, policy.queue)
         self._lives = lives.Lives(self._decisions)
-        self._placement = placement.Placement(
+        self._placement = policy.placement(
             self._decisions, self._fleet, self._lives
         )
         self._retries = retries.RetryBudget()
@@ -52,6 +56,11 @@
         """Requests that have no final verdict yet."""
         return self._lives.unfinished
 
+    @property
+    def forgotten(self) -> int:
+        """How many final requests have been forgotten."""
+        return self._lives.forgotten
+
     @property
     def floor(self) -> int:
         """Highest sequence number of this home that has been forgotten."""
@@ -110,6 +119,10 @@
                 self._cancel(request_id)
             case messages.FirstToken():
                 self._first_token(event)
+            case messages.LoadReported():
+                self._placement.load(event)
+            case messages.CacheReported():
+                self._placement.cache(event)
             case messages.Answered():
                 self._answered(event)
             case messages.AttemptFailed():
@@ -202,6 +215,7 @@
         record = self._lives.current(event.request_id, event.attempt)
         if record is not None:
             self._lives.deliver(record)
+            self._placement.first_token(record)
 
     def _answered(self, event: messages.Answered) -> None:
         record = self._lives.current(event.request_id, event.attempt)
@@ -219,7 +233,12 @@
             return
         self._placement.ended(record, None)
         verdict = _believed(record, event.verdict)
-        if self._may_repeat(record, verdict) and self._retries.take():
+        handed_back = record.endpoint is None and isinstance(
+            verdict, verdicts.NotRun
+        )
+        if self._may_repeat(record, verdict) and (
+            handed_back or self._retries.take()
+        ):
             self._repeat(record, verdict)
             return
         self._end(record, verdict)
@@ -249,17 +268,14 @@
             return False
         if record.attempt >= MAXIMUM_ATTEMPTS:
             return False
-        return record.request.idempotent or isinstance(verdict, verdicts.NotRun)
+        return record.request.idempotent or _never_sent(verdict)
 
     def _repeat(self, record: claims.Record, verdict: verdicts.Verdict) -> None:
-        delegated = record.endpoint is None
         self._lives.give_back(record, verdict)
         if self._stopping:
             self._hand_over(record)
-        elif delegated:
-            self._placement.admit(record)
         else:
-            self._placement.wait(record)
+            self._placement.readmit(record)
 
     def _cancel(self, request_id: str) -> None:
         record = self._lives.get(request_id)
@@ -311,6 +327,16 @@
                 self._abandon(record, verdicts.Reason.INSTANCE_CUT)
 
 
+def _never_sent(verdict: verdicts.Verdict) -> bool:
+    match verdict:
+        case verdicts.NotRun(reason=verdicts.Reason.ENDPOINT_REFUSED):
+            return False
+        case verdicts.NotRun():
+            return True
+        case _:
+            return False
+
+
 def _believed(
     record: claims.Record, verdict: verdicts.Verdict
 ) -> verdicts.Verdict:
--- a/cranberryglade/tools/describing.py
+++ b/cranberryglade/tools/describing.py
@@ -9,6 +9,7 @@
     "delegated": "handed to a peer that can start it; this stays its home",
     "forwarded": "brought to its home, the one instance that may dispatch it",
     "relayed": "its key belongs to an earlier request, whose home answers",
+    "claimed again": "the earlier request of its key has not run",
     "retried": "the attempt ended without harm, so it waits again",
     "resumed": "its stream was cut and goes on where it stopped",
     "answered": "the whole answer has arrived",
