--- /dev/null
+++ b/cranberryglade/tests/test_bench.py
@@ -0,0 +1,36 @@
+"""The measuring programs measure what they say."""
+
+import os
+
+from click import testing
+
+from cranberryglade.tools import benchslopes
+from cranberryglade.tools import commands
+from cranberryglade.tools import processes
+
+
+def test_a_slope_is_the_line_through_its_sizes():
+    found = benchslopes.measure(
+        "n", "us", "item", (1, 2, 4), lambda size: 3.0 + 2.0 * size
+    )
+    assert (found.slope, found.base) == (2.0, 3.0)
+    assert found.values == [5.0, 7.0, 11.0]
+
+
+def test_usage_is_read_of_a_running_process():
+    first = processes.usage(os.getpid())
+    assert sum(range(5_000_000))
+    second = processes.usage(os.getpid())
+    assert second.cpu_seconds > first.cpu_seconds
+    assert second.peak_bytes >= second.resident_bytes > 1_000_000
+    spent = processes.spending([first], [second], 2.0)
+    used = second.cpu_seconds - first.cpu_seconds
+    assert abs(spent.cores - used / 2.0) < 1e-4
+
+
+def test_rest_prints_what_a_process_spends():
+    result = testing.CliRunner().invoke(
+        commands.main, ["bench", "rest", "--seconds=0.1", str(os.getpid())]
+    )
+    assert result.exit_code == 0
+    assert '"processes":1' in result.output
--- a/cranberryglade/tools/benchslopes.py
+++ b/cranberryglade/tools/benchslopes.py
@@ -16,6 +16,8 @@
 
 from cranberryglade import configuration
 from cranberryglade import exchanges
+from cranberryglade import facts
+from cranberryglade import metrics
 from cranberryglade import verdicts
 from cranberryglade.scheduling import answers
 from cranberryglade.scheduling import messages
@@ -172,11 +174,18 @@
             lambda n: _bytes(lambda: _kept(n)),
         ),
         measure(
-            "kept refusals",
+            "tombstones",
             "bytes",
-            "refusal",
+            "request ended",
             (1_000, 4_000, 16_000),
-            lambda n: _bytes(lambda: _refused(n)),
+            lambda n: _bytes(lambda: _ended(n, None)),
+        ),
+        measure(
+            "tombstones and kept facts",
+            "bytes",
+            "request ended",
+            (1_000, 4_000, 8_000),
+            lambda n: _bytes(lambda: _ended(n, facts.FactLog(_metrics()))),
         ),
     ]
 
@@ -345,11 +354,24 @@
     return kept
 
 
-def _refused(count: int) -> scheduler.Scheduler:
-    core = scheduler.Scheduler(_instance(0))
+def _ended(count: int, log: facts.FactLog | None):
+    core = _core(8)
     for number in range(count):
-        core.handle(messages.Submitted(_request(number, 1)), 0.0)
-    return core
+        submitted = messages.Submitted(_request(number, ORGANISATIONS))
+        actions = core.handle(submitted, number * 0.001)
+        for sent in _dispatches(actions):
+            answered = messages.Answered(
+                sent.request_id, sent.attempt, ANSWER_TOKENS
+            )
+            actions += core.handle(answered, number * 0.001)
+        for fact in actions if log else ():
+            if isinstance(fact, messages.Fact):
+                log.add(fact)
+    return core, log
+
+
+def _metrics() -> metrics.Metrics:
+    return metrics.Metrics("")
 
 
 def _bytes(build: Callable[[], object]) -> float:
--- a/tools/bench_programs.sh
+++ b/tools/bench_programs.sh
@@ -57,8 +57,21 @@
 [operator ops]\ntoken_sha256 = $(digest operator-token)\n\
 [rule counter-question]\ntarget = assistant\ntier = counter\n"
   put PUT /standin/faults '{"lag_seconds":0.0}'
+  TEXT=$text
+  write_configuration 0
+}
+
+# write_configuration VERSION: replaces that version of the configuration.
+write_configuration() {
   put POST /v1/transactions "{\"writes\":[{\"table\":\"configuration\",
-    \"key\":\"current\",\"expected_version\":0,\"value\":\"$text\"}]}"
+    \"key\":\"current\",\"expected_version\":$1,\"value\":\"$TEXT\"}]}"
+}
+
+# in_force NAME VERSION: whether a daemon has that version in force.
+in_force() {
+  curl -sSf -H "Authorization: Bearer operator-token" \
+    "http://$(address "$1" caller_address)/v1/operators/status" |
+    grep -q "\"version\":$2[,}]"
 }
 
 # start_daemon NAME: starts a daemon; its process id is PIDS[-1].
--- a/tools/bench_rest.sh
+++ b/tools/bench_rest.sh
@@ -17,3 +17,10 @@
 cranberryglade bench rest --seconds "${2:-10}" "${DAEMONS[@]}"
 counts
 echo
+write_configuration 1
+STARTED=$(date +%s.%N)
+for number in $(seq "$1"); do
+  until in_force "entry-$number" 2; do sleep 0.05; done
+done
+echo "in force on all after $(awk \
+  "BEGIN { printf \"%.2f\", $(date +%s.%N) - $STARTED }") s"
