--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -7,6 +7,7 @@
 from cranberryglade import configuration
 from cranberryglade import digests
 from cranberryglade import executors
+from cranberryglade import forwarding
 from cranberryglade import intake
 from cranberryglade import membership
 from cranberryglade import peers
@@ -19,12 +20,15 @@
 from cranberryglade import verdicts
 from cranberryglade import wire
 
+SPARED_HEADERS = ("Content-Type", "Date", "Server")
+
 
 class PeerInterface:
     """Handles what other instances send over HTTP."""
 
     __slots__ = (
         "_executor",
+        "_forwarder",
         "_incarnation",
         "_key",
         "_membership",
@@ -36,6 +40,7 @@
     def __init__(
         self,
         executor: executors.Executor,
+        forwarder: forwarding.Forwarder,
         members: membership.Membership,
         subscription: subscriptions.Subscription,
         office: tickets.TicketOffice,
@@ -44,6 +49,7 @@
         tracer: tracing.Tracing,
     ):
         self._executor = executor
+        self._forwarder = forwarder
         self._membership = members
         self._subscription = subscription
         self._office = office
@@ -53,6 +59,7 @@
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
+        app.on_response_prepare.append(_spare_headers)
         app.router.add_post(membership.DIGEST_PATH, self._post_digest)
         app.router.add_post(
             membership.CONFIGURATION_PATH, self._post_configuration
@@ -90,7 +97,7 @@
 
     async def _post_submission(self, http_request: web.Request):
         match await self._read(http_request, wire.DelegatedRequest):
-            case Success(brought) if self._office.is_home(brought.request_id):
+            case Success(brought) if self._office.is_near(brought.request_id):
                 return await self._serve(http_request, brought, False)
             case Success(brought):
                 verdict = verdicts.MayHaveRun(verdicts.Reason.HOME_UNREACHABLE)
@@ -106,10 +113,22 @@
                 found = self._executor.look_up(
                     asked.request_id, asked.organisation
                 )
+                if found is None and self._is_passed_on(asked.request_id):
+                    return await self._look_up_further(asked)
                 return await responses.current(asked.request_id, found)
             case Failure(refused):
                 return refused
 
+    async def _look_up_further(self, asked: wire.LookupDocument):
+        found = await self._forwarder.look_up(
+            asked.request_id, asked.organisation, asked.cancel
+        )
+        return responses.relayed(asked.request_id, found)
+
+    def _is_passed_on(self, request_id: str) -> bool:
+        office = self._office
+        return office.is_near(request_id) and not office.is_home(request_id)
+
     async def _serve(self, http_request, brought, delegated):
         current = self._subscription.current
         rule = current.rules.get(brought.request.kind) if current else None
@@ -121,9 +140,13 @@
             request_id=brought.request_id,
         )
         try:
-            exchange = self._executor.submit(
-                self._submission(current, rule, brought, delegated, span)
+            submission = self._submission(
+                current, rule, brought, delegated, span
             )
+            if delegated or self._office.is_home(brought.request_id):
+                exchange = self._executor.submit(submission)
+            else:
+                exchange = self._forwarder.forward(submission)
             if exchange.organisation != brought.organisation:
                 return responses.refusal(verdicts.Reason.FORBIDDEN)
             return await responses.streamed(http_request, exchange)
@@ -167,3 +190,11 @@
         return wire.decode(body, kind).alt(
             lambda detail: responses.refusal(verdicts.Reason.MALFORMED, detail)
         )
+
+
+async def _spare_headers(
+    http_request: web.Request, response: web.StreamResponse
+) -> None:
+    if http_request.path == membership.DIGEST_PATH:
+        for name in SPARED_HEADERS:
+            response.headers.popall(name, None)
