Let two demonstrations run side by side

Cause: the demonstration took fixed ports, and a second one on the machine ended in a traceback of the stand-in. It takes the first free range, and a stand-in that cannot listen says so in one line.

--- a/cranberryglade/standins/serving.py
+++ b/cranberryglade/standins/serving.py
@@ -20,7 +20,10 @@
 
 def serve(name: str, address: str, app: web.Application) -> None:
     """Serves until SIGTERM or SIGINT."""
-    asyncio.run(_serve(name, address, app))
+    try:
+        asyncio.run(_serve(name, address, app))
+    except OSError as error:
+        sys.exit(f"{name}: cannot listen at {address}: {error.strerror}")
 
 
 async def _serve(name: str, address: str, app: web.Application) -> None:
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -2,15 +2,22 @@
 # Starts both sample deployments on loopback, drives a mixed load against them,
 # kills an endpoint and an instance of each on the way, and stops everything.
 #
-# DEMO_PORTS: first two digits of the ports used (default 21, the samples' own
-#   ports 21000 to 21199).
+# DEMO_PORTS: first two digits of the ports used (default: the first of 21 to 26
+#   that is free; 21 gives the samples' own ports 21000 to 21199).
 # DEMO_SECONDS: seconds of load (default 15).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-ports=${DEMO_PORTS:-21}
 seconds=${DEMO_SECONDS:-15}
 work=$(mktemp -d)
+
+in_use() {
+  (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null
+}
+
+for ports in ${DEMO_PORTS:-21 22 23 24 25 26}; do
+  in_use "${ports}000" || in_use "${ports}100" || break
+done
 declare -A pids
 
 stop() {
