--- a/cranberryglade/tools/bench.py
+++ b/cranberryglade/tools/bench.py
@@ -59,6 +59,9 @@
 @click.option(
     "--keyed", is_flag=True, help="Give each request a key of its own."
 )
+@click.option(
+    "--seed", default=1, show_default=True, help="Of the sending times."
+)
 def send_load(**options) -> None:
     """Sends streamed requests and prints what was measured as JSON."""
     report = _run(benchload.run(benchload.Plan(**options)))
--- a/cranberryglade/tools/benchload.py
+++ b/cranberryglade/tools/benchload.py
@@ -17,7 +17,6 @@
 
 MILLISECONDS_PER_NANOSECOND = 1e-6
 BYTES_PER_MEGABYTE = 1_000_000
-SEED = 1
 END = b"event: end\n"
 LAST_CHUNK = b"0\r\n\r\n"
 OK = b"HTTP/1.1 200 "
@@ -38,6 +37,7 @@
         seconds: time that is measured.
         pid: process whose usage is measured; 0 for none.
         keyed: whether each request has an idempotency key of its own.
+        seed: of the times at which requests are sent.
     """
 
     address: str
@@ -49,6 +49,7 @@
     seconds: float
     pid: int
     keyed: bool = False
+    seed: int = 1
 
 
 class Percentiles(msgspec.Struct):
@@ -203,7 +204,7 @@
     loop = asyncio.get_running_loop()
     host, _, port = plan.address.rpartition(":")
     requests = _requests(plan)
-    chance = random.Random(SEED)
+    chance = random.Random(plan.seed)
     due = loop.time()
     while True:
         due += chance.expovariate(plan.rate)
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -19,7 +19,7 @@
 for number in $(seq "$CALLERS"); do
   cranberryglade bench load --address "$(address entry-1 caller_address)" \
     --token store-token --kind counter-question --pid "$PID" \
-    --tokens "$TOKENS" ${KEYED:-} \
+    --tokens "$TOKENS" --seed "$number" ${KEYED:-} \
     --rate "$(awk "BEGIN { print $RATE / $CALLERS }")" \
     --ramp-seconds "${RAMP_SECONDS:-14}" \
     --seconds "${SECONDS_MEASURED:-10}" &
