--- a/cranberryglade/scheduling/fleet.py
+++ b/cranberryglade/scheduling/fleet.py
@@ -1,5 +1,6 @@
 """The endpoints and peers that this instance knows of."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -9,6 +10,7 @@
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import ownership
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import queues
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,6 +39,7 @@
         "_decisions",
         "_departures",
         "_instance",
+        "_make_queue",
         "_owners",
         "_peers",
         "_pools",
@@ -44,8 +47,14 @@
         "_targets",
     )
 
-    def __init__(self, instance: messages.Peer, collected: decisions.Decisions):
+    def __init__(
+        self,
+        instance: messages.Peer,
+        collected: decisions.Decisions,
+        make_queue: Callable[[], queues.Queue] = queues.Queue,
+    ):
         self._instance = instance
+        self._make_queue = make_queue
         self._decisions = collected
         self._chart = charts.load("endpoint")
         self._departures = departures.Departures()
@@ -64,7 +73,7 @@
         """The pool of a target, empty if nothing is known of it."""
         pool = self._pools.get(target)
         if pool is None:
-            pool = self._pools[target] = pools.Pool(target)
+            pool = self._pools[target] = pools.Pool(target, self._make_queue())
         return pool
 
     def all_pools(self) -> list[pools.Pool]:
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -9,6 +9,7 @@
 from cranberryglade.tools import demo
 from cranberryglade.tools import observe
 from cranberryglade.tools import questionnaire
+from cranberryglade.tools import replay
 from cranberryglade.tools import standins
 from cranberryglade.tools import submit
 
@@ -40,7 +41,10 @@
     observe.status,
     observe.watch,
     questionnaire.questionnaire,
+    replay.replay,
+    replay.trace_group,
     standins.standin,
+    submit.cancel,
     submit.explain,
     submit.submit,
     submit.tickets,
