--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -44,6 +44,7 @@
     replay.replay,
     replay.trace_group,
     standins.standin,
+    submit.cancel,
     submit.explain,
     submit.submit,
     submit.tickets,
