--- a/cranberryglade/tests/test_interleavings.py
+++ b/cranberryglade/tests/test_interleavings.py
@@ -10,6 +10,7 @@
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import ledgers
 from cranberryglade.tests import worlds
 
 NUMBER = strategies.integers(0, 63)
@@ -215,5 +216,5 @@
 def test_a_violation_is_caught(owner, name, mutant, caught, monkeypatch):
     monkeypatch.setattr(claims, "KEPT_TOMBSTONES", 2)
     monkeypatch.setattr(owner, name, mutant)
-    with pytest.raises(worlds.ViolationError, match=caught):
+    with pytest.raises(ledgers.ViolationError, match=caught):
         explore(examples=1000)
