--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -6,19 +6,35 @@
 from cranberryglade.scheduling import decisions
 from cranberryglade.scheduling import estimates
 from cranberryglade.scheduling import fleet
+from cranberryglade.scheduling import handoffs
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling import probation
+from cranberryglade.scheduling import queues
 from cranberryglade.scheduling import routing
+from cranberryglade.scheduling import speeds
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
-SHED_RETRY_SECONDS = 1.0
+HANDOFF_GAIN_SECONDS = 0.1
+MOST_HANDOFFS = 3
+ENDPOINT_WAIT_SECONDS = 1.0
+PASSING_SLACK_SECONDS = 5.0
 
 
 class Placement:
     """Decides for each waiting request whether, where and when it runs."""
 
-    __slots__ = ("_decisions", "_estimates", "_fleet", "_lives")
+    __slots__ = (
+        "_decisions",
+        "_estimates",
+        "_fleet",
+        "_handoffs",
+        "_lives",
+        "_probation",
+        "_router",
+        "_running",
+    )
 
     def __init__(
         self,
@@ -30,57 +46,77 @@
         self._fleet = known
         self._lives = living
         self._estimates = estimates.Estimates()
+        self._router = routing.Router(self._estimates, speeds.Speeds())
+        self._handoffs = handoffs.Handoffs(known)
+        self._probation = probation.Probation()
+        self._running: dict[str, pools.Attempt] = {}
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
         """What peers are told about the load of this instance."""
-        return tuple(
-            pool.digest(estimates.SERVICE_SECONDS)
-            for pool in self._fleet.all_pools()
-        )
+        return tuple(pool.digest() for pool in self._fleet.all_pools())
 
     def next_wake(self) -> float | None:
         """When something is due without an event, in seconds."""
         expiries = [p.queue.next_expiry() for p in self._fleet.all_pools()]
-        return min((e for e in expiries if e is not None), default=None)
+        due = [self._probation.next_wake(), *expiries]
+        return min((at for at in due if at is not None), default=None)
 
     def admit(self, record: claims.Record) -> None:
         """Queues, hands over or refuses a request that is new here."""
         request = record.request
         pool = self._fleet.pool(request.target)
         if not pool.serving:
-            self._delegate_or_refuse(record)
+            self._delegate_for_want(record)
+            return
+        run = self._router.run_seconds(pool, request)
+        expected = admission.forecast(pool, request, run, self._decisions.now)
+        if self._hand_over(record, expected):
             return
-        expected = admission.forecast(
-            pool, request, self._estimates, self._decisions.now
-        )
-        measures = (
-            messages.Measure("wait_seconds", expected.wait_seconds),
-            messages.Measure("run_seconds", expected.run_seconds),
-        )
         if expected.late_seconds > 0:
-            self._lives.refuse(
-                record,
-                verdicts.Reason.DEADLINE,
-                expected.late_seconds,
-                measures,
-            )
+            self._shed_or_queue(record, pool, expected)
             return
-        self._decisions.note(
-            request.request_id, "queued", "admitted", measures=measures
-        )
-        self.wait(record)
+        self._note(record, "queued", "admitted", expected)
+        self._queue(pool, request, run)
 
-    def wait(self, record: claims.Record) -> None:
-        """Puts a request into its queue."""
+    def readmit(self, record: claims.Record) -> None:
+        """Queues or refuses a request whose attempt is to be repeated."""
         request = record.request
-        latest = request.deadline - self._estimates.seconds(request)
-        queue = self._fleet.pool(request.target).queue
-        queue.push(request, self._decisions.now, latest)
+        pool = self._fleet.pool(request.target)
+        if not pool.serving:
+            if record.lost is not None:
+                self._await_endpoint(pool, request)
+            else:
+                self._delegate_for_want(record)
+            return
+        run = self._router.run_seconds(pool, request)
+        expected = admission.forecast(pool, request, run, self._decisions.now)
+        if expected.late_seconds > 0:
+            self._shed_or_queue(record, pool, expected)
+            return
+        self._queue(pool, request, run)
 
     def withdraw(self, request: messages.Request) -> bool:
         """Takes a request out of its queue; False if it is not there."""
-        queue = self._fleet.pool(request.target).queue
-        return queue.remove(request.request_id) is not None
+        pool = self._fleet.pool(request.target)
+        if pool.queue.remove(request.request_id) is None:
+            return False
+        pool.room.leave(request.rank, self._decisions.now, running=False)
+        return True
+
+    def first_token(self, record: claims.Record) -> None:
+        """Learns how fast an endpoint computes prompts."""
+        running = self._running.get(record.request.request_id)
+        if running is None or running.first_at is not None:
+            return
+        running.first_at = self._decisions.now
+        self._end_prefill(running)
+        running.member.hold(record.request.prefix, True)
+        seconds = self._decisions.now - record.dispatched_at
+        tokens = running.pending_tokens
+        self._router.speed(running.member).learn_prefill(tokens, seconds)
+        self._router.generation(running.member).learn_prefill(tokens, seconds)
+        if self._probation.first_token(running, seconds):
+            self._suspect(running.member, "late first tokens")
 
     def ended(self, record: claims.Record, output_tokens: int | None) -> None:
         """Gives back the slot of an attempt.
@@ -89,60 +125,296 @@
             record: the request, before its state changes.
             output_tokens: length of a whole answer; None if it failed.
         """
-        if record.endpoint is None:
+        request = record.request
+        if output_tokens:
+            self._estimates.learn(request, output_tokens)
+        running = self._running.pop(request.request_id, None)
+        if running is None:
             return
-        member = self._fleet.member(record.endpoint.name)
-        if member and member.endpoint == record.endpoint:
-            member.outstanding -= 1
-        if output_tokens is not None:
-            seconds = self._decisions.now - record.dispatched_at
-            self._estimates.learn(record.request, seconds, output_tokens)
+        running.ended = True
+        member = running.member
+        pool = self._fleet.pool(request.target)
+        pool.room.leave(request.rank, self._decisions.now, running=True)
+        member.outstanding -= 1
+        if running.first_at is None:
+            self._end_prefill(running)
+        if output_tokens is None:
+            self._suspect(member, "failed attempt")
+        else:
+            self._learn(record, running, output_tokens)
+
+    def load(self, event: messages.LoadReported) -> None:
+        """Does nothing."""
+
+    def cache(self, event: messages.CacheReported) -> None:
+        """Takes in what an engine says of its cache."""
+        member = self._fleet.member(event.name)
+        if member is not None:
+            member.hold(event.prefix, event.held)
 
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
+        for member in self._probation.wake(self._decisions.now):
+            self._suspect(member, "overdue answer")
         for pool in self._fleet.all_pools():
             self._expire(pool)
             while self._dispatch_one(pool):
                 pass
 
-    def _delegate_or_refuse(self, record: claims.Record) -> None:
+    def _learn(
+        self, record: claims.Record, running: pools.Attempt, output_tokens: int
+    ) -> None:
+        now = self._decisions.now
+        seconds = now - record.dispatched_at
+        self._fleet.pool(record.request.target).learn_run(seconds)
+        own = self._router.speed(running.member)
+        usual = self._router.generation(running.member)
+        if record.request.output_tokens == 0:
+            own.learn_call(seconds)
+            usual.learn_call(seconds)
+        elif running.first_at is not None and output_tokens > 1:
+            each = (now - running.first_at) / (output_tokens - 1)
+            own.learn_tokens(each)
+            if self._probation.answered(running, usual, each):
+                self._suspect(running.member, "slower than its like")
+            elif running.member.trial is None:
+                usual.learn_tokens(each)
+
+    def _suspect(self, member: pools.Member, reason: str) -> None:
+        trusted = self._fleet.pool(member.endpoint.target).trusted
+        if member.trial == 0 or trusted == [member]:
+            return
+        self._probation.suspect(member, self._decisions.now)
+        self._decisions.note(
+            "", "endpoint suspected", reason, member.endpoint.name
+        )
+
+    def _end_prefill(self, running: pools.Attempt) -> None:
+        member = running.member
+        member.pending_prefill -= running.prefill_tokens
+        member.long_prefills -= running.lane is queues.Lane.LONG
+
+    def _hand_over(
+        self, record: claims.Record, expected: admission.Forecast
+    ) -> bool:
         request = record.request
+        if request.delegated:
+            return False
+        chosen, reason = self._better_peer(request, expected)
+        if chosen is None:
+            return False
+        self._delegate(record, chosen, reason, expected)
+        return True
+
+    def _better_peer(
+        self, request: messages.Request, expected: admission.Forecast
+    ) -> tuple[handoffs.Candidate | None, str]:
+        best = None
+        if expected.wait_seconds or expected.late_seconds:
+            best = self._handoffs.best(request)
+        if best is None:
+            return None, ""
+        gain = expected.wait_seconds - best.wait_seconds
+        if 0 < expected.late_seconds <= gain:
+            return best, "deadline met there"
+        if expected.late_seconds > 0:
+            return self._handoffs.displacing(request), "lower tiers wait there"
+        if gain > HANDOFF_GAIN_SECONDS:
+            return best, "starts sooner there"
+        return None, ""
+
+    def _delegate(
+        self,
+        record: claims.Record,
+        chosen: handoffs.Candidate,
+        reason: str,
+        expected: admission.Forecast,
+    ) -> None:
+        self._note(record, "delegated", reason, expected, chosen.peer.name)
+        self._handoffs.sent(record.request, chosen.peer, expected.run_seconds)
+        self._lives.delegate(record, chosen.peer)
+
+    def _shed_or_queue(
+        self,
+        record: claims.Record,
+        pool: pools.Pool,
+        expected: admission.Forecast,
+    ) -> None:
+        request = record.request
+        now = self._decisions.now
+        hopeless = now + expected.run_seconds > request.deadline
+        if not hopeless and pool.queue.worst_rank > request.rank:
+            self._note(record, "queued", "lower tiers wait", expected)
+            self._queue(pool, request, expected.run_seconds)
+            return
+        self._refuse(record, pool, verdicts.Reason.DEADLINE, expected)
+
+    def _queue(
+        self, pool: pools.Pool, request: messages.Request, run: float
+    ) -> None:
+        lane = self._router.lane(request, run)
+        now = self._decisions.now
+        latest = request.deadline - self._router.safe_seconds(pool, request)
+        entry = queues.Entry(request, now, latest, lane, run)
+        pool.queue.push(entry)
+        pool.room.enter(request.rank, now)
+        self._displace(pool)
+
+    def _displace(self, pool: pools.Pool) -> None:
+        worst = pool.queue.worst_rank
+        entry = pool.queue.newest(worst)
+        wait = pool.wait_seconds(pool.queue.work_before(entry.request))
+        now = self._decisions.now
+        if worst == 0 or now + wait <= entry.latest_start:
+            return
+        self.withdraw(entry.request)
+        record = self._lives.get(entry.request.request_id)
+        expected = admission.Forecast(
+            wait, entry.work, now + wait - entry.latest_start
+        )
         peer = None
-        if not request.delegated:
-            peer = routing.choose_peer(self._fleet.offers(request.target))
-        if peer is None:
+        if not record.request.delegated and not record.attempt:
+            peer = self._handoffs.displacing(record.request)
+        if peer is not None:
+            reason = "lower tiers wait there"
+            self._delegate(record, peer, reason, expected)
+            return
+        self._refuse(record, pool, verdicts.Reason.SHED, expected)
+
+    def _refuse(
+        self,
+        record: claims.Record,
+        pool: pools.Pool,
+        reason: verdicts.Reason,
+        expected: admission.Forecast,
+    ) -> None:
+        retry = admission.book_return(
+            pool,
+            record.request.rank,
+            expected.run_seconds,
+            self._decisions.now,
+        )
+        self._lives.refuse(record, reason, retry, _measures(expected))
+
+    def _delegate_for_want(self, record: claims.Record) -> None:
+        request = record.request
+        best = None
+        if not request.delegated and record.attempt < MOST_HANDOFFS:
+            best = self._handoffs.best(request)
+        if best is None:
             self._lives.refuse(
                 record,
                 verdicts.Reason.NO_ENDPOINT,
                 NO_ENDPOINT_RETRY_SECONDS,
             )
             return
-        self._decisions.note(
-            request.request_id, "delegated", "no own endpoint", peer.name
-        )
-        self._lives.delegate(record, peer)
+        expected = admission.Forecast(best.wait_seconds, 0.0, 0.0)
+        self._delegate(record, best, "no own endpoint", expected)
+
+    def _await_endpoint(
+        self, pool: pools.Pool, request: messages.Request
+    ) -> None:
+        now = self._decisions.now
+        latest = min(request.deadline, now + ENDPOINT_WAIT_SECONDS)
+        pool.queue.push(queues.Entry(request, now, latest))
+        pool.room.enter(request.rank, now)
 
     def _expire(self, pool: pools.Pool) -> None:
         while entry := pool.queue.pop_expired(self._decisions.now):
+            pool.room.leave(entry.request.rank, self._decisions.now, False)
             record = self._lives.get(entry.request.request_id)
-            self._lives.refuse(record, verdicts.Reason.SHED, SHED_RETRY_SECONDS)
+            late = self._decisions.now - entry.latest_start
+            expected = admission.Forecast(0.0, entry.work, late)
+            reason = verdicts.Reason.NO_ENDPOINT
+            if pool.serving:
+                reason = verdicts.Reason.SHED
+            self._refuse(record, pool, reason, expected)
 
     def _dispatch_one(self, pool: pools.Pool) -> bool:
-        request = pool.queue.peek()
-        if request is None:
+        if not pool.free_slots:
             return False
-        member = routing.choose_member(pool, request)
-        if member is None:
+        found = self._next(pool)
+        if found is None:
             return False
-        pool.queue.remove(request.request_id)
+        entry, choice = found
+        request = entry.request
+        pool.queue.take(entry)
         self._decisions.note(
             request.request_id,
             "dispatched",
-            "most free slots",
-            member.endpoint.name,
-            (messages.Measure("free_slots", member.free_slots),),
+            "earliest predicted finish",
+            choice.member.endpoint.name,
+            (
+                messages.Measure("first_token_seconds", choice.first_seconds),
+                messages.Measure("finish_seconds", choice.finish_seconds),
+            ),
         )
+        pool.room.start(request.rank)
+        self._start(entry, choice)
+        return True
+
+    def _next(self, pool: pools.Pool):
+        now = self._decisions.now
+        for rank in pool.queue.ranks:
+            if pool.room.for_tier(rank, pool.slots, now) < 1:
+                return None
+            short = pool.queue.head(rank, queues.Lane.SHORT)
+            if short is not None:
+                choice = self._router.choose(pool, short, now)
+                if choice is not None:
+                    return short, choice
+            long = pool.queue.head(rank, queues.Lane.LONG)
+            if long is None:
+                continue
+            choice = self._router.choose(pool, long, now)
+            if choice is not None:
+                return long, choice
+            if long.latest_start - now < PASSING_SLACK_SECONDS:
+                return None
+        return None
+
+    def _start(self, entry: queues.Entry, choice: routing.Choice) -> None:
+        member = choice.member
+        request = entry.request
         member.outstanding += 1
+        member.pending_prefill += choice.prefill_tokens
+        if entry.lane is queues.Lane.LONG:
+            member.long_prefills += 1
+        self._running[request.request_id] = pools.Attempt(
+            member,
+            entry.lane,
+            choice.prefill_tokens,
+            member.pending_prefill,
+            choice.first_seconds,
+        )
+        self._probation.watch(
+            self._running[request.request_id],
+            choice.longest_seconds,
+            self._decisions.now,
+        )
         record = self._lives.get(request.request_id)
         self._lives.dispatch(record, member.endpoint)
-        return True
+
+    def _note(
+        self,
+        record: claims.Record,
+        decision: str,
+        reason: str,
+        expected: admission.Forecast,
+        subject: str = "",
+    ) -> None:
+        self._decisions.note(
+            record.request.request_id,
+            decision,
+            reason,
+            subject,
+            _measures(expected),
+        )
+
+
+def _measures(expected: admission.Forecast) -> tuple[messages.Measure, ...]:
+    return (
+        messages.Measure("wait_seconds", expected.wait_seconds),
+        messages.Measure("run_seconds", expected.run_seconds),
+        messages.Measure("late_seconds", expected.late_seconds),
+    )
