Keep control within its bytes with the longer digests

The digest of a target has got a wait for each rank and a rate: with six entries passed on, a message of 43 instances grew from 443 to 743 bytes, and the sum of control over 4,096 bytes a second. Numbers are rounded to two digits also inside tuples.

--- a/cranberryglade/digests.py
+++ b/cranberryglade/digests.py
@@ -13,6 +13,7 @@
 from cranberryglade.scheduling import news
 
 MESSAGE_BYTES = 262_144
+DIGITS = 2
 DIGEST_FIELDS = [
     field.name for field in dataclasses.fields(messages.TargetDigest)
 ]
@@ -100,8 +101,17 @@
 
 
 def _values(digest: messages.TargetDigest) -> list[Any]:
-    values = [getattr(digest, name) for name in DIGEST_FIELDS]
-    return [round(v, 3) if isinstance(v, float) else v for v in values]
+    return [_rounded(getattr(digest, name)) for name in DIGEST_FIELDS]
+
+
+def _rounded(value: Any) -> Any:
+    match value:
+        case float():
+            return round(value, DIGITS)
+        case tuple():
+            return [_rounded(item) for item in value]
+        case _:
+            return value
 
 
 def _entry(row: EntryRow) -> news.Entry:
--- a/cranberryglade/scheduling/gossip.py
+++ b/cranberryglade/scheduling/gossip.py
@@ -14,7 +14,7 @@
 from cranberryglade.scheduling import news
 from cranberryglade.scheduling import views
 
-RELAYED_ENTRIES = 6
+RELAYED_ENTRIES = 4
 RELAYED_FOREIGN_ENTRIES = 1
 RELAYED_MARKS = 32
 REPEATED_MARKS = 2
--- a/cranberryglade/tests/gossiping.py
+++ b/cranberryglade/tests/gossiping.py
@@ -49,6 +49,8 @@
                 self.random.randrange(300),
                 self.random.randrange(-1, 3),
                 self.random.random() * 3,
+                tuple(self.random.random() * 3 * n for n in range(1, 4)),
+                self.random.random() * 30,
             )
             for n in range(4)
         )
