--- a/cranberryglade/callers.py
+++ b/cranberryglade/callers.py
@@ -114,6 +114,7 @@
                 self._executor.now,
                 key,
                 span,
+                current.weight(organisation),
             )
             exchange = self._exchange(submission)
             if exchange.organisation != organisation:
--- a/cranberryglade/configuration.py
+++ b/cranberryglade/configuration.py
@@ -224,6 +224,11 @@
         declared = self.targets.get(target)
         return declared is not None and declared.fenced
 
+    def weight(self, organisation: str) -> float:
+        """Weight of an organisation; 1 for one that is not in this version."""
+        declared = self.organisations.get(organisation)
+        return declared.weight if declared else 1.0
+
 
 def parse(
     text: str, version: int, source: str = "configuration"
--- a/cranberryglade/delegations.py
+++ b/cranberryglade/delegations.py
@@ -168,6 +168,7 @@
             self._executor.now,
             delegated,
             span,
+            current.weight(brought.organisation),
         )
 
     def _is_signed(
--- a/cranberryglade/intake.py
+++ b/cranberryglade/intake.py
@@ -23,6 +23,7 @@
     now: float,
     key: str = "",
     span: object = None,
+    weight: float = 1.0,
 ) -> submissions.Submission:
     """Builds the submission of a caller's request; `now` in seconds."""
     deadline_ms = document.deadline_ms or rule.deadline_ms
@@ -42,6 +43,7 @@
             deadline=now + deadline_ms / 1000,
             first_token_deadline=now + tier.first_token_ms / 1000,
             key=key,
+            weight=weight,
             streamed=document.stream,
             fingerprint=fingerprint(document),
         ),
@@ -57,6 +59,7 @@
     now: float,
     delegated: bool,
     span: object,
+    weight: float = 1.0,
 ) -> submissions.Submission:
     """Builds the submission of a request that a peer brought."""
     built = submission(
@@ -68,6 +71,7 @@
         now,
         document.key,
         span,
+        weight,
     )
     request = dataclasses.replace(
         built.request,
