--- a/cranberryglade/tests/test_forwarding.py
+++ b/cranberryglade/tests/test_forwarding.py
@@ -211,7 +211,9 @@
         None,
         types.SimpleNamespace(
             current=types.SimpleNamespace(
-                rules={"reservation": rule}, tiers={"a": tier}
+                rules={"reservation": rule},
+                tiers={"a": tier},
+                weight=lambda organisation: 1.0,
             )
         ),
         OFFICE_OF_CONTACT,
