Leave out a peer that could not serve until its next digest

Cause: a home without endpoints of its own handed requests to a peer whose digest was older than the loss of its endpoint, three times to the same one; and a peer's refused connection read as an endpoint's refusal, which ends a request that was sent to nobody. Now the peer is left out until its next digest, and the refused connection reads as the want of an endpoint there. Ruled out: that the peer's digest keeps a rate for an empty pool (it does not).

--- a/cranberryglade/scheduling/handoffs.py
+++ b/cranberryglade/scheduling/handoffs.py
@@ -14,6 +14,7 @@
     digest: messages.TargetDigest
     count: int = 0
     work: float = 0.0
+    denied: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -53,9 +54,15 @@
         return [
             self._candidate(offer, request)
             for offer in self._fleet.offers(request.target)
-            if offer.digest.rate > 0
+            if offer.digest.rate > 0 and not self._since(offer).denied
         ]
 
+    def denied(self, target: str, peer: messages.Peer) -> None:
+        """Leaves out a peer that cannot serve a target until its next digest."""
+        sent = self._sent.get((peer.name, target))
+        if sent is not None:
+            sent.denied = True
+
     def sent(
         self, request: messages.Request, peer: messages.Peer, work: float
     ) -> None:
@@ -69,10 +76,7 @@
         self, offer: fleet.Offer, request: messages.Request
     ) -> Candidate:
         digest = offer.digest
-        key = (offer.peer.name, request.target)
-        sent = self._sent.get(key)
-        if sent is None or sent.digest is not digest:
-            sent = self._sent[key] = _Sent(digest)
+        sent = self._since(offer)
         wait = HOP_SECONDS
         if digest.free_slots <= sent.count:
             rank = min(request.rank, len(digest.waits) - 1)
@@ -80,6 +84,13 @@
             wait += ahead + sent.work / digest.rate
         return Candidate(offer.peer, wait, digest.worst_rank > request.rank)
 
+    def _since(self, offer: fleet.Offer) -> _Sent:
+        key = (offer.peer.name, offer.digest.target)
+        sent = self._sent.get(key)
+        if sent is None or sent.digest is not offer.digest:
+            sent = self._sent[key] = _Sent(offer.digest)
+        return sent
+
 
 def _soonest(candidates: list[Candidate]) -> Candidate | None:
     return min(
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -20,6 +20,11 @@
 MOST_HANDOFFS = 3
 ENDPOINT_WAIT_SECONDS = 1.0
 PASSING_SLACK_SECONDS = 5.0
+UNABLE = (
+    verdicts.Reason.NO_ENDPOINT,
+    verdicts.Reason.STOPPING,
+    verdicts.Reason.CONNECTION_REFUSED,
+)
 
 
 class Placement:
@@ -78,6 +83,13 @@
         self._note(record, "queued", "admitted", expected)
         self._queue(pool, request, run)
 
+    def handed_back(
+        self, record: claims.Record, verdict: verdicts.NotRun
+    ) -> None:
+        """Takes in that a peer, or the way to it, could not run a request."""
+        if record.peer is not None and verdict.reason in UNABLE:
+            self._handoffs.denied(record.request.target, record.peer)
+
     def readmit(self, record: claims.Record) -> None:
         """Queues or refuses a request whose attempt is to be repeated."""
         request = record.request
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -236,6 +236,8 @@
         handed_back = record.endpoint is None and isinstance(
             verdict, verdicts.NotRun
         )
+        if handed_back:
+            self._placement.handed_back(record, verdict)
         if self._may_repeat(record, verdict) and (
             handed_back or self._retries.take()
         ):
--- /dev/null
+++ b/cranberryglade/tests/test_handoffs.py
@@ -0,0 +1,55 @@
+"""Which peer gets a request after another could not serve it."""
+
+import pytest
+
+from cranberryglade import verdicts
+from cranberryglade import wire
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+from cranberryglade.tests import builders
+
+
+def reported(name, free_slots):
+    digest = messages.TargetDigest(
+        "assistant", free_slots, 0, -1, 0.0, (0.0,), rate=8.0
+    )
+    return messages.PeerReported(builders.peer(name), (digest,))
+
+
+def delegated(actions):
+    return [a.peer.name for a in actions if isinstance(a, messages.Delegate)]
+
+
+@pytest.fixture
+def core():
+    built = scheduler.Scheduler(builders.peer())
+    built.handle(reported("entry-2", 8), 0.0)
+    built.handle(reported("entry-3", 8), 0.0)
+    return built
+
+
+def submit(core, name):
+    return core.handle(messages.Submitted(builders.request(name)), 0.0)
+
+
+@pytest.mark.parametrize("said", ["no_endpoint", "connection_refused"])
+def test_a_peer_that_cannot_serve_is_left_out_until_its_next_digest(core, said):
+    assert delegated(submit(core, "r1")) == ["entry-2"]
+    refusal = wire.read_verdict(
+        wire.VerdictDocument(verdict="not_run", reason=said)
+    )
+    failed = messages.AttemptFailed("r1", 1, refusal)
+    assert delegated(core.handle(failed, 0.1)) == ["entry-3"]
+    assert delegated(submit(core, "r2")) == ["entry-3"]
+    core.handle(reported("entry-2", 8), 0.2)
+    assert delegated(submit(core, "r3")) == ["entry-2"]
+
+
+def test_when_no_peer_can_serve_the_request_is_refused_at_once(core):
+    submit(core, "r1")
+    refusal = verdicts.NotRun(verdicts.Reason.NO_ENDPOINT, 1.0)
+    core.handle(messages.AttemptFailed("r1", 1, refusal), 0.1)
+    actions = core.handle(messages.AttemptFailed("r1", 2, refusal), 0.2)
+    finished = [a for a in actions if isinstance(a, messages.Finish)]
+    assert finished[0].verdict.reason is verdicts.Reason.NO_ENDPOINT
+    assert finished[0].verdict.retry_after_seconds is not None
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -297,14 +297,15 @@
     """Reads the verdict of another process.
 
     One that cannot be understood may have run. A connection that was refused
-    there was not refused here, so it reads as the refusal of an endpoint.
+    there was not refused here: it reads as the want of an endpoint there, for
+    nothing was sent to any.
     """
     try:
         reason = verdicts.Reason(document.reason)
     except ValueError:
         reason = verdicts.Reason.ANSWER_LOST
     if reason is verdicts.Reason.CONNECTION_REFUSED:
-        reason = verdicts.Reason.ENDPOINT_REFUSED
+        reason = verdicts.Reason.NO_ENDPOINT
     match document.verdict:
         case "not_run":
             retry = document.retry_after_ms
