Give no work to an endpoint that refuses connections

Cause: an endpoint that was killed kept getting work until it had been silent for 5 s, though each connection to it was refused at once. The follower of its reports now takes a refused connection as silence; what it says later revives it.

--- a/cranberryglade/reports.py
+++ b/cranberryglade/reports.py
@@ -159,6 +159,8 @@
             try:
                 async for line in self._lines(endpoint):
                     self._take(followed, line)
+            except aiohttp.ClientConnectorError:
+                self._heard(followed, False)
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
                 logger.debug(
                     "endpoint not heard",
--- a/cranberryglade/tests/test_reports.py
+++ b/cranberryglade/tests/test_reports.py
@@ -1,6 +1,7 @@
 """What endpoints report: signs of leaving, silence, cache events with gaps."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -152,3 +153,20 @@
         assert not found._core.owns("engine-1")
     member = pools.Member(ENDPOINT)
     assert found._is_wanted(member) == wanted
+
+
+async def test_an_endpoint_that_refuses_connections_gets_no_work_at_once():
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+    found = reports.Reports(scheduler.Scheduler(builders.peer()), None)
+    events = []
+    found.stream.subscribe(events.append)
+    task = asyncio.create_task(
+        found._follow(builders.endpoint(address=address))
+    )
+    async with asyncio.timeout(reports.SILENT_SECONDS / 2):
+        while not events:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    await found.close()
+    assert events == [messages.EndpointHeard("engine-1", "i1", False)]
