--- a/cranberryglade/scheduling/handoffs.py
+++ b/cranberryglade/scheduling/handoffs.py
@@ -58,7 +58,7 @@
         ]
 
     def denied(self, target: str, peer: messages.Peer) -> None:
-        """Leaves out a peer that cannot serve a target until its next digest."""
+        """Leaves a peer out for a target until its next digest."""
         sent = self._sent.get((peer.name, target))
         if sent is not None:
             sent.denied = True
