Go through no endpoints that other instances feed

Cause: each decision went through all endpoints of a target in the failure domain, though an instance feeds 2.3 of 100 at the target's size. The pool now keeps its serving endpoints apart, renewed when ownership or a state changes.

--- a/cranberryglade/scheduling/fleet.py
+++ b/cranberryglade/scheduling/fleet.py
@@ -177,7 +177,9 @@
     def _forget(self, name: str, event: str) -> None:
         self._step(name, event)
         del self._states[name]
-        del self._pools[self._targets.pop(name)].members[name]
+        pool = self._pools[self._targets.pop(name)]
+        del pool.members[name]
+        pool.refresh()
         self._owners.remove_endpoint(name)
 
     def _step(self, name: str, event: str, reason: str = "") -> None:
@@ -193,3 +195,5 @@
             self.member(name).owned = (
                 self.owns(name) and self._states[name] != "silent"
             )
+        for target in {self._targets[name] for name in names}:
+            self._pools[target].refresh()
--- a/cranberryglade/scheduling/pools.py
+++ b/cranberryglade/scheduling/pools.py
@@ -94,9 +94,14 @@
 
 
 class Pool:
-    """The endpoints of one target and the queue before them."""
+    """The endpoints of one target and the queue before them.
+
+    Most endpoints of a failure domain are fed by other instances, so that those
+    fed by this one are kept apart: decisions go through no others.
+    """
 
     __slots__ = (
+        "_serving",
         "booked_until",
         "members",
         "queue",
@@ -108,6 +113,7 @@
     def __init__(self, target: str, queue: queues.Queue):
         self.target = target
         self.members: dict[str, Member] = {}
+        self._serving: list[Member] = []
         self.queue = queue
         self.room = room.Room()
         self.run_seconds = FIRST_RUN_SECONDS
@@ -116,11 +122,7 @@
     @property
     def serving(self) -> list[Member]:
         """The endpoints that this instance may send to."""
-        return [
-            member
-            for member in self.members.values()
-            if member.owned and not member.leaving
-        ]
+        return self._serving
 
     @property
     def trusted(self) -> list[Member]:
@@ -131,13 +133,21 @@
     @property
     def free_slots(self) -> int:
         """Dispatches the pool can take now."""
-        return sum(member.free_slots for member in self.members.values())
+        return sum(member.free_slots for member in self._serving)
 
     @property
     def slots(self) -> int:
         """Requests that its serving endpoints run at once."""
         return sum(member.limit for member in self.serving)
 
+    def refresh(self) -> None:
+        """Takes in that members have come, gone or changed their state."""
+        self._serving = [
+            member
+            for member in self.members.values()
+            if member.owned and not member.leaving
+        ]
+
     def learn_run(self, seconds: float) -> None:
         """Takes in the time that an attempt took."""
         self.run_seconds += LEARNING_RATE * (seconds - self.run_seconds)
--- a/cranberryglade/scheduling/routing.py
+++ b/cranberryglade/scheduling/routing.py
@@ -106,7 +106,7 @@
         """
         urgent = entry.latest_start - now < URGENT_SECONDS
         if entry.lane is queues.Lane.SHORT or urgent:
-            open_to = pool.members.values()
+            open_to = pool.serving
         else:
             open_to = _open_to_long(pool)
         choices = [
--- a/cranberryglade/tools/benchslopes.py
+++ b/cranberryglade/tools/benchslopes.py
@@ -35,6 +35,7 @@
 RANKS = 3
 TIERS = 3
 ORGANISATIONS = 250
+DOMAIN_DAEMONS = 43
 
 
 class Slope(msgspec.Struct):
@@ -96,6 +97,13 @@
         (25, 100, 400),
         _decision_by_endpoints,
     )
+    yield measure(
+        "decision, by endpoints of a target that 43 instances share",
+        "us per event",
+        "endpoint",
+        (100, 200, 400),
+        _decision_by_shared_endpoints,
+    )
     yield measure(
         "decision, by peers",
         "us per event",
@@ -292,6 +300,13 @@
     return _turnover(_core(count), 4_000, ORGANISATIONS)
 
 
+def _decision_by_shared_endpoints(count: int) -> float:
+    core = _core(count)
+    for number in range(1, DOMAIN_DAEMONS):
+        core.handle(_report(number), 0.0)
+    return _turnover(core, 1_000, ORGANISATIONS)
+
+
 def _decision_by_peers(count: int) -> float:
     core = _with_peers(count)
     return _turnover(core, 1_000, ORGANISATIONS)
