Let hand-offs choose the better peer

Read through: placement.py chose peers for three reasons beside everything else and returned a bare pair; the choice stands in handoffs.py now, with a type of its own. FIRST_RATE was used nowhere. Behaviour is the same.

--- a/cranberryglade/scheduling/handoffs.py
+++ b/cranberryglade/scheduling/handoffs.py
@@ -2,11 +2,19 @@
 
 import dataclasses
 
+from cranberryglade import verdicts
+from cranberryglade.scheduling import admission
 from cranberryglade.scheduling import fleet
 from cranberryglade.scheduling import messages
 
 HOP_SECONDS = 0.01
-FIRST_RATE = 8.0
+GAIN_SECONDS = 0.1
+LOWER_TIERS_WAIT = "lower tiers wait there"
+UNABLE = (
+    verdicts.Reason.NO_ENDPOINT,
+    verdicts.Reason.STOPPING,
+    verdicts.Reason.CONNECTION_REFUSED,
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -32,6 +40,14 @@
     displaces: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Proposal:
+    """A peer that should take a request over, and why."""
+
+    candidate: Candidate
+    reason: str
+
+
 class Handoffs:
     """Reads digests, and adds what was sent since each of them was made."""
 
@@ -50,6 +66,30 @@
         found = self._candidates(request)
         return _soonest([c for c in found if c.displaces])
 
+    def better(
+        self, request: messages.Request, expected: admission.Forecast
+    ) -> Proposal | None:
+        """The peer that serves a request better than this instance would.
+
+        Args:
+            request: what is to be placed.
+            expected: what this instance would make of it.
+        """
+        best = None
+        if expected.wait_seconds or expected.late_seconds:
+            best = self.best(request)
+        if best is None:
+            return None
+        gain = expected.wait_seconds - best.wait_seconds
+        if 0 < expected.late_seconds <= gain:
+            return Proposal(best, "deadline met there")
+        if expected.late_seconds > 0:
+            displacing = self.displacing(request)
+            return displacing and Proposal(displacing, LOWER_TIERS_WAIT)
+        if gain > GAIN_SECONDS:
+            return Proposal(best, "starts sooner there")
+        return None
+
     def _candidates(self, request: messages.Request) -> list[Candidate]:
         return [
             self._candidate(offer, request)
@@ -57,10 +97,12 @@
             if offer.digest.rate > 0 and not self._since(offer).denied
         ]
 
-    def denied(self, target: str, peer: messages.Peer) -> None:
-        """Leaves a peer out for a target until its next digest."""
+    def handed_back(
+        self, target: str, peer: messages.Peer, reason: verdicts.Reason
+    ) -> None:
+        """Leaves a peer that could not serve out until its next digest."""
         sent = self._sent.get((peer.name, target))
-        if sent is not None:
+        if sent is not None and reason in UNABLE:
             sent.denied = True
 
     def sent(
--- a/cranberryglade/scheduling/placement.py
+++ b/cranberryglade/scheduling/placement.py
@@ -16,15 +16,9 @@
 from cranberryglade.scheduling import speeds
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
-HANDOFF_GAIN_SECONDS = 0.1
 MOST_HANDOFFS = 3
 ENDPOINT_WAIT_SECONDS = 1.0
 PASSING_SLACK_SECONDS = 5.0
-UNABLE = (
-    verdicts.Reason.NO_ENDPOINT,
-    verdicts.Reason.STOPPING,
-    verdicts.Reason.CONNECTION_REFUSED,
-)
 
 
 class Placement:
@@ -87,8 +81,9 @@
         self, record: claims.Record, verdict: verdicts.NotRun
     ) -> None:
         """Takes in that a peer, or the way to it, could not run a request."""
-        if record.peer is not None and verdict.reason in UNABLE:
-            self._handoffs.denied(record.request.target, record.peer)
+        if record.peer is not None:
+            target = record.request.target
+            self._handoffs.handed_back(target, record.peer, verdict.reason)
 
     def readmit(self, record: claims.Record) -> None:
         """Queues or refuses a request whose attempt is to be repeated."""
@@ -212,29 +207,12 @@
         request = record.request
         if request.delegated:
             return False
-        chosen, reason = self._better_peer(request, expected)
-        if chosen is None:
+        better = self._handoffs.better(request, expected)
+        if better is None:
             return False
-        self._delegate(record, chosen, reason, expected)
+        self._delegate(record, better.candidate, better.reason, expected)
         return True
 
-    def _better_peer(
-        self, request: messages.Request, expected: admission.Forecast
-    ) -> tuple[handoffs.Candidate | None, str]:
-        best = None
-        if expected.wait_seconds or expected.late_seconds:
-            best = self._handoffs.best(request)
-        if best is None:
-            return None, ""
-        gain = expected.wait_seconds - best.wait_seconds
-        if 0 < expected.late_seconds <= gain:
-            return best, "deadline met there"
-        if expected.late_seconds > 0:
-            return self._handoffs.displacing(request), "lower tiers wait there"
-        if gain > HANDOFF_GAIN_SECONDS:
-            return best, "starts sooner there"
-        return None, ""
-
     def _delegate(
         self,
         record: claims.Record,
@@ -288,7 +266,7 @@
         if not record.request.delegated and not record.attempt:
             peer = self._handoffs.displacing(record.request)
         if peer is not None:
-            reason = "lower tiers wait there"
+            reason = handoffs.LOWER_TIERS_WAIT
             self._delegate(record, peer, reason, expected)
             return
         self._refuse(record, pool, verdicts.Reason.SHED, expected)
