--- a/cranberryglade/scheduling/baselines/spread.py
+++ b/cranberryglade/scheduling/baselines/spread.py
@@ -9,14 +9,15 @@
 from cranberryglade.scheduling import lives
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
+from cranberryglade.scheduling.baselines import base
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 
 
-class _SpreadPlacement:
+class _SpreadPlacement(base.BaselinePlacement):
     """Dispatches on arrival; the queue of the engine does the rest."""
 
-    __slots__ = ("_decisions", "_fleet", "_lives", "_turns")
+    __slots__ = ("_turns",)
 
     def __init__(
         self,
@@ -24,9 +25,7 @@
         known: fleet.Fleet,
         living: lives.Lives,
     ):
-        self._decisions = collected
-        self._fleet = known
-        self._lives = living
+        super().__init__(collected, known, living)
         self._turns = itertools.count()
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
@@ -58,24 +57,6 @@
         del request
         return False
 
-    def ended(self, record: claims.Record, output_tokens: int | None) -> None:
-        """Counts the end of an attempt."""
-        del output_tokens
-        if record.endpoint is None:
-            return
-        member = self._fleet.member(record.endpoint.name)
-        if member and member.endpoint == record.endpoint:
-            member.outstanding -= 1
-
-    def first_token(self, record: claims.Record) -> None:
-        """Does nothing."""
-
-    def load(self, event: messages.LoadReported) -> None:
-        """Does nothing."""
-
-    def cache(self, event: messages.CacheReported) -> None:
-        """Does nothing."""
-
     def run(self) -> None:
         """Does nothing."""
 
--- a/cranberryglade/scheduling/baselines/thin.py
+++ b/cranberryglade/scheduling/baselines/thin.py
@@ -12,6 +12,7 @@
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
 from cranberryglade.scheduling import routing
+from cranberryglade.scheduling.baselines import base
 
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 SHED_RETRY_SECONDS = 1.0
@@ -21,10 +22,10 @@
 LEARNING_RATE = 0.1
 
 
-class ThinPlacement:
+class ThinPlacement(base.BaselinePlacement):
     """Decides for each waiting request whether, where and when it runs."""
 
-    __slots__ = ("_decisions", "_estimates", "_fleet", "_lives")
+    __slots__ = ("_estimates",)
 
     def __init__(
         self,
@@ -32,9 +33,7 @@
         known: fleet.Fleet,
         living: lives.Lives,
     ):
-        self._decisions = collected
-        self._fleet = known
-        self._lives = living
+        super().__init__(collected, known, living)
         self._estimates = Averages()
 
     def digests(self) -> tuple[messages.TargetDigest, ...]:
@@ -73,18 +72,9 @@
         return queue.remove(request.request_id) is not None
 
     def ended(self, record: claims.Record, output_tokens: int | None) -> None:
-        """Gives back the slot of an attempt.
-
-        Args:
-            record: the request, before its state changes.
-            output_tokens: length of a whole answer; None if it failed.
-        """
-        if record.endpoint is None:
-            return
-        member = self._fleet.member(record.endpoint.name)
-        if member and member.endpoint == record.endpoint:
-            member.outstanding -= 1
-        if output_tokens is not None:
+        """Gives back the slot of an attempt and learns its time."""
+        super().ended(record, output_tokens)
+        if record.endpoint is not None and output_tokens is not None:
             seconds = self._decisions.now - record.dispatched_at
             self._estimates.learn(record.request, seconds, output_tokens)
 
@@ -92,15 +82,6 @@
         """Queues a request whose attempt did not run or may be repeated."""
         self.wait(record)
 
-    def first_token(self, record: claims.Record) -> None:
-        """Does nothing."""
-
-    def load(self, event: messages.LoadReported) -> None:
-        """Does nothing."""
-
-    def cache(self, event: messages.CacheReported) -> None:
-        """Does nothing."""
-
     def run(self) -> None:
         """Refuses what is hopeless, then dispatches what can start."""
         for pool in self._fleet.all_pools():
--- a/cranberryglade/tests/test_handoffs.py
+++ b/cranberryglade/tests/test_handoffs.py
@@ -5,6 +5,7 @@
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import policies
 from cranberryglade.scheduling import scheduler
 from cranberryglade.tests import builders
 
@@ -79,3 +80,17 @@
     for action in refused:
         assert action.verdict.reason is verdicts.Reason.NO_ENDPOINT
         assert action.verdict.retry_after_seconds is not None
+
+
+@pytest.mark.parametrize("policy", policies.POLICIES, ids=lambda p: p.name)
+def test_every_policy_takes_back_what_a_peer_could_not_serve(policy):
+    core = scheduler.Scheduler(builders.peer(), policy)
+    core.handle(messages.EndpointJoined(builders.endpoint("engine-3")), 0.0)
+    core.handle(reported("entry-2", 8), 0.0)
+    core.handle(messages.EndpointLeaving("engine-3", "i1", "operator"), 0.0)
+    actions = submit(core, "r1")
+    if delegated(actions):
+        refusal = verdicts.NotRun(verdicts.Reason.STOPPING, 0.1)
+        core.handle(messages.AttemptFailed("r1", 1, refusal), 0.1)
+    core.handle(messages.Tick(), 60.0)
+    assert core.unfinished == 0
