Free the names that the platform's adapter takes

The package's own module imported every stage, so that a program which needs one of them paid for all in memory. Its class moves to instance.py; the client of the table service moves from platform.py to tables.py, as the folder platform/ takes that name.

--- a/cranberryglade/claimants.py
+++ b/cranberryglade/claimants.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Success
 
-from cranberryglade import platform
+from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 
@@ -85,7 +85,7 @@
         "_timer",
     )
 
-    def __init__(self, client: platform.PlatformClient):
+    def __init__(self, client: tables.PlatformClient):
         self._platform = client
         self._group: dict[str, _Pending] = {}
         self._timer: asyncio.TimerHandle | None = None
--- a/cranberryglade/daemon.py
+++ b/cranberryglade/daemon.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 import uvloop
 
-import cranberryglade
+from cranberryglade import instance
 from cranberryglade import log
 from cranberryglade import settings
 
@@ -49,7 +49,7 @@
 
 
 async def _serve(configured: settings.Settings) -> None:
-    await cranberryglade.Cranberryglade(configured).run()
+    await instance.Cranberryglade(configured).run()
 
 
 def _tune_collector() -> None:
--- /dev/null
+++ b/cranberryglade/instance.py
@@ -0,0 +1,256 @@
+"""One instance of the scheduler: wires the stages and runs them."""
+
+import asyncio
+import random
+import secrets
+import signal
+
+from aiohttp import web
+
+from cranberryglade import callers
+from cranberryglade import claimants
+from cranberryglade import delegations
+from cranberryglade import editing
+from cranberryglade import endpoints
+from cranberryglade import executors
+from cranberryglade import explanations
+from cranberryglade import facts
+from cranberryglade import forwarding
+from cranberryglade import gauges
+from cranberryglade import guards
+from cranberryglade import lifecycle
+from cranberryglade import listeners
+from cranberryglade import log
+from cranberryglade import membership
+from cranberryglade import metrics
+from cranberryglade import operators
+from cranberryglade import orders
+from cranberryglade import peers
+from cranberryglade import proposals
+from cranberryglade import reports
+from cranberryglade import settings
+from cranberryglade import snapshots
+from cranberryglade import subscriptions
+from cranberryglade import tables
+from cranberryglade import tallies
+from cranberryglade import tickets
+from cranberryglade import tracing
+from cranberryglade import watching
+from cranberryglade.scheduling import messages
+from cranberryglade.scheduling import scheduler
+
+INCARNATION_BYTES = 6
+CUT_SECONDS = 2.0
+
+logger = log.get_logger(__name__)
+
+
+class Cranberryglade:
+    """One instance of the system: wires the stages and runs them."""
+
+    def __init__(self, configured: settings.Settings):
+        self._settings = configured
+        self._lifecycle = lifecycle.Lifecycle()
+        self._tracing = tracing.Tracing(
+            configured.instance, configured.spans_file
+        )
+        self._metrics = metrics.Metrics(configured.statsd_address)
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self) -> None:
+        """Serves until a graceful stop is complete."""
+        self._on_signals()
+        caller_app = web.Application(
+            client_max_size=self._settings.request_bytes,
+            middlewares=[self._lifecycle.count, guards.guard],
+        )
+        peer_app = web.Application(
+            client_max_size=2 * self._settings.request_bytes,
+            middlewares=[self._lifecycle.count, guards.guard],
+        )
+        peer_address = listeners.Listener.open(self._settings.peer_address)
+        own = messages.Peer(
+            self._settings.instance,
+            self._incarnation,
+            peer_address.address,
+            self._settings.failure_domain,
+        )
+        self._wire(own, caller_app, peer_app)
+        self._runners.append(await peer_address.serve(peer_app))
+        caller_address = listeners.Listener.open(self._settings.caller_address)
+        self._runners.append(await caller_address.serve(caller_app))
+        self._lifecycle.step("started")
+        logger.info(
+            "listening",
+            caller_address=caller_address.address,
+            peer_address=peer_address.address,
+            incarnation=self._incarnation,
+        )
+        await self._lifecycle.stop_requested()
+        await self._stop()
+
+    def _on_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._lifecycle.request_stop)
+
+    def _wire(self, own, caller_app, peer_app) -> None:
+        key = peers.PeerKey(self._settings.peer_key)
+        office = tickets.TicketOffice(
+            own.failure_domain,
+            own.name,
+            own.incarnation,
+            self._settings.ticket_key,
+        )
+        core = scheduler.Scheduler(own)
+        fact_log = facts.FactLog(self._metrics)
+        self._endpoint_client = endpoints.EndpointClient()
+        self._peer_client = peers.PeerClient(
+            key, self._settings.probe_timeout_seconds
+        )
+        self._platform = tables.PlatformClient(
+            self._settings.platform_address,
+            self._settings.platform_timeout_seconds,
+        )
+        generator = random.Random(own.incarnation)
+        subscription = subscriptions.Subscription(self._platform, generator)
+        members = membership.Membership(
+            own,
+            self._settings,
+            self._peer_client,
+            self._platform,
+            subscription,
+            core,
+            generator,
+        )
+        self._home = own.home
+        self._archive = snapshots.Archive(self._platform)
+        tally = tallies.Tally(self._metrics)
+        forwarder = forwarding.Forwarder(
+            self._peer_client,
+            members,
+            office,
+            self._archive,
+            tally,
+            self._tracing,
+        )
+        self._executor = executors.Executor(
+            core,
+            self._endpoint_client,
+            self._peer_client,
+            claimants.Claimant(self._platform),
+            forwarder,
+            fact_log,
+            tally,
+            self._tracing,
+        )
+        self._members = members
+        members.stream.subscribe(self._executor.post)
+        self._reports = reports.Reports(core, members)
+        self._reports.stream.subscribe(self._executor.post)
+        self._orders = orders.Orders(
+            orders.Leases(self._platform, own.incarnation)
+        )
+        callers.CallerInterface(
+            self._executor,
+            forwarder,
+            subscription,
+            office,
+            fact_log,
+            self._tracing,
+        ).register(caller_app)
+        operators.OperatorInterface(
+            own.name,
+            self._executor,
+            members,
+            subscription,
+            self._orders,
+            self._lifecycle,
+            tally,
+        ).register(caller_app)
+        editing.ConfigurationInterface(
+            subscription, proposals.Proposals(self._platform)
+        ).register(caller_app)
+        watching.WatchInterface(
+            self._executor, subscription, fact_log
+        ).register(caller_app)
+        explanations.Explainer(
+            own,
+            self._executor,
+            members,
+            subscription,
+            office,
+            fact_log,
+            key,
+            self._peer_client,
+        ).register(caller_app, peer_app)
+        delegations.PeerInterface(
+            self._executor,
+            forwarder,
+            members,
+            subscription,
+            office,
+            key,
+            own.incarnation,
+            self._tracing,
+        ).register(peer_app)
+        self._spawn(
+            gauges.Gauges(
+                self._metrics, self._executor, subscription, fact_log
+            ).run()
+        )
+        self._spawn(subscription.run(self._settings.poll_seconds))
+        self._spawn(members.run_list(self._settings.poll_seconds))
+        self._spawn(self._reports.run())
+        self._spawn(members.run_probes(self._settings.probe_seconds))
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_failure)
+        self._tasks.append(task)
+
+    async def _stop(self) -> None:
+        self._members.stop()
+        self._executor.post(messages.StopRequested())
+        draining = asyncio.create_task(self._drain())
+        cutting = asyncio.create_task(self._lifecycle.cut_requested())
+        await asyncio.wait(
+            {draining, cutting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not draining.done():
+            self._executor.post(messages.CutRequested())
+            await asyncio.wait({draining}, timeout=CUT_SECONDS)
+        cutting.cancel()
+        draining.cancel()
+        await self._archive.store(
+            snapshots.take(
+                self._executor.scheduler, self._home, self._executor.exchanges
+            )
+        )
+        await self._close()
+        self._lifecycle.step("drained")
+
+    async def _drain(self) -> None:
+        await self._executor.drained()
+        await self._lifecycle.idle()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for runner in self._runners:
+            await runner.cleanup()
+        self._members.close()
+        await self._reports.close()
+        await self._orders.close()
+        await self._endpoint_client.close()
+        await self._peer_client.close()
+        await self._platform.close()
+        self._tracing.close()
+
+
+def _report_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("task failed", exc_info=task.exception())
--- a/cranberryglade/membership.py
+++ b/cranberryglade/membership.py
@@ -20,10 +20,10 @@
 from cranberryglade import digests
 from cranberryglade import log
 from cranberryglade import peers
-from cranberryglade import platform
 from cranberryglade import revisions
 from cranberryglade import settings
 from cranberryglade import subscriptions
+from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.scheduling import gossip
 from cranberryglade.scheduling import messages
@@ -72,7 +72,7 @@
         own: messages.Peer,
         configured: settings.Settings,
         client: peers.PeerClient,
-        platform_client: platform.PlatformClient,
+        platform_client: tables.PlatformClient,
         subscription: subscriptions.Subscription,
         core: scheduler.Scheduler,
         generator: random.Random,
--- a/cranberryglade/orders.py
+++ b/cranberryglade/orders.py
@@ -17,7 +17,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from cranberryglade import platform
+from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 
@@ -108,7 +108,7 @@
 
     __slots__ = ("_incarnation", "_platform")
 
-    def __init__(self, client: platform.PlatformClient, incarnation: str):
+    def __init__(self, client: tables.PlatformClient, incarnation: str):
         self._platform = client
         self._incarnation = incarnation
 
@@ -170,7 +170,7 @@
 
     async def _has_written(
         self,
-        written: Result[wire.TransactionOutcome, platform.PlatformError],
+        written: Result[wire.TransactionOutcome, tables.PlatformError],
         key: str,
         version: int,
         row: LeaseRow,
--- a/cranberryglade/proposals.py
+++ b/cranberryglade/proposals.py
@@ -16,8 +16,8 @@
 from returns.result import Success
 
 from cranberryglade import configuration
-from cranberryglade import platform
 from cranberryglade import revisions
+from cranberryglade import tables
 from cranberryglade import wire
 
 NONCE_BYTES = 8
@@ -68,7 +68,7 @@
 
     __slots__ = ("_platform",)
 
-    def __init__(self, client: platform.PlatformClient):
+    def __init__(self, client: tables.PlatformClient):
         self._platform = client
 
     async def propose(
@@ -108,7 +108,7 @@
 
     async def revision(
         self, version: int
-    ) -> Result[revisions.Revision | None, platform.PlatformError]:
+    ) -> Result[revisions.Revision | None, tables.PlatformError]:
         """Reads one version; None if its text is not kept."""
         match await self._read(revisions.text_key(version)):
             case Success(row):
@@ -118,7 +118,7 @@
 
     async def history(
         self, newest: int, count: int
-    ) -> Result[list[revisions.Revision], platform.PlatformError]:
+    ) -> Result[list[revisions.Revision], tables.PlatformError]:
         """Reads the last versions, newest first."""
         oldest = max(1, newest - min(count, revisions.KEPT_TEXTS) + 1)
         found = []
@@ -134,7 +134,7 @@
 
     async def _attempt(
         self, revision: revisions.Revision
-    ) -> Result[Outcome, platform.PlatformError]:
+    ) -> Result[Outcome, tables.PlatformError]:
         key = revisions.text_key(revision.version)
         current = await self._read(revisions.CURRENT)
         slot = await self._read(key)
@@ -144,7 +144,7 @@
             return slot
         if current.unwrap().version < revision.version - 1:
             shown = f"shows version {current.unwrap().version}"
-            return Failure(platform.PlatformError(shown))
+            return Failure(tables.PlatformError(shown))
         if current.unwrap().version >= revision.version:
             return Success(_settled(revision, current.unwrap(), slot.unwrap()))
         former = await self._text(current.unwrap())
@@ -170,13 +170,13 @@
             case Success(done) if done.committed:
                 return Success(Accepted(revision))
             case Success(_):
-                return Failure(platform.PlatformError("write conflict"))
+                return Failure(tables.PlatformError("write conflict"))
             case Failure(error):
                 return Failure(error)
 
     async def _text(
         self, row: wire.RowDocument
-    ) -> Result[str, platform.PlatformError]:
+    ) -> Result[str, tables.PlatformError]:
         if isinstance(revisions.read_head(row), Failure):
             return Success(row.value)
         read = await self.revision(row.version)
--- a/cranberryglade/snapshots.py
+++ b/cranberryglade/snapshots.py
@@ -10,7 +10,7 @@
 
 from cranberryglade import exchanges
 from cranberryglade import log
-from cranberryglade import platform
+from cranberryglade import tables
 from cranberryglade import verdicts
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
@@ -152,7 +152,7 @@
 
     __slots__ = ("_absent", "_cached", "_platform")
 
-    def __init__(self, client: platform.PlatformClient):
+    def __init__(self, client: tables.PlatformClient):
         self._platform = client
         self._cached: collections.OrderedDict[str, Snapshot] = (
             collections.OrderedDict()
--- a/cranberryglade/subscriptions.py
+++ b/cranberryglade/subscriptions.py
@@ -13,8 +13,8 @@
 from cranberryglade import charts
 from cranberryglade import configuration
 from cranberryglade import log
-from cranberryglade import platform
 from cranberryglade import revisions
+from cranberryglade import tables
 from cranberryglade import wire
 
 KEPT_CHANGES = 64
@@ -45,9 +45,7 @@
         "_subject",
     )
 
-    def __init__(
-        self, client: platform.PlatformClient, generator: random.Random
-    ):
+    def __init__(self, client: tables.PlatformClient, generator: random.Random):
         self._platform = client
         self._random = generator
         self._chart = charts.load("configuration")
--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -5,10 +5,10 @@
 from returns.result import Failure
 from returns.result import Success
 
-from cranberryglade import platform
+from cranberryglade import tables
 from cranberryglade import wire
 
-LOST = Failure(platform.PlatformError("TimeoutError"))
+LOST = Failure(tables.PlatformError("TimeoutError"))
 
 
 class FakePlatform:
--- a/cranberryglade/tests/test_claimants.py
+++ b/cranberryglade/tests/test_claimants.py
@@ -8,7 +8,7 @@
 
 from cranberryglade import claimants
 from cranberryglade import listeners
-from cranberryglade import platform
+from cranberryglade import tables
 from cranberryglade.scheduling import messages
 from cranberryglade.standins import platform as standin
 
@@ -21,7 +21,7 @@
 
     def __init__(self, address):
         self._address = address
-        self._client = platform.PlatformClient(address, 10 * BOUND_SECONDS)
+        self._client = tables.PlatformClient(address, 10 * BOUND_SECONDS)
         self.first = claimants.Claimant(self._client)
         self.second = claimants.Claimant(self._client)
 
--- a/cranberryglade/tests/test_membership.py
+++ b/cranberryglade/tests/test_membership.py
@@ -9,10 +9,10 @@
 
 from cranberryglade import digests
 from cranberryglade import membership
-from cranberryglade import platform
 from cranberryglade import revisions
 from cranberryglade import settings
 from cranberryglade import subscriptions
+from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
@@ -36,8 +36,8 @@
     async def instances(self, tag, **wanted):
         del tag, wanted
         if self.down:
-            return Failure(platform.PlatformError("down"))
-        return Success(platform.TaggedList("", list(self.listed)))
+            return Failure(tables.PlatformError("down"))
+        return Success(tables.TaggedList("", list(self.listed)))
 
     async def row(self, table, key):
         return fakes.LOST if self.down else await super().row(table, key)
--- a/cranberryglade/tools/configure.py
+++ b/cranberryglade/tools/configure.py
@@ -10,9 +10,9 @@
 
 from cranberryglade import configuration
 from cranberryglade import editing
-from cranberryglade import platform
 from cranberryglade import proposals
 from cranberryglade import revisions
+from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.tools import client
 from cranberryglade.tools import output
@@ -178,7 +178,7 @@
     if isinstance(parsed, Failure):
         problems = [str(problem) for problem in parsed.failure()]
         raise output.CommandError("\n".join(problems), output.EXIT_INVALID)
-    store = platform.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
+    store = tables.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
     try:
         outcome = await store.transact(
             [
