Serve the users' platform through a gateway and an adapter

cranberryglade/gateway is the product: routes by host and prefix, keys, quotas, deadlines, retries within a budget, streams by whole events, resumption, one allocator of slots for all instances that any of them can do without. cranberryglade/platform translates settings, rows and headers.

--- /dev/null
+++ b/cranberryglade/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Passes requests of callers on to endpoints and their answers back."""
--- /dev/null
+++ b/cranberryglade/gateway/fetching.py
@@ -0,0 +1,101 @@
+"""Small calls over kept connections, to the platform and to peers."""
+
+import asyncio
+import dataclasses
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade.gateway import dialect
+from cranberryglade.gateway import outbound
+
+CONNECT_SECONDS = 1.0
+LONGEST_IDLE_SECONDS = 5.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Call:
+    """A call.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query.
+        body: JSON body; empty for none.
+        timeout_seconds: time until a whole answer.
+    """
+
+    method: str
+    target: str
+    body: bytes = b""
+    timeout_seconds: float = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class Fetcher:
+    """Makes calls to one address."""
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, address: str):
+        self._address = address
+        self._pool = outbound.Pool(address)
+
+    def close(self) -> None:
+        """Drops the kept connections."""
+        self._pool.close()
+
+    async def fetch(self, call: Call) -> Result[Reply, str]:
+        """Makes a call; the failure says in words what went wrong."""
+        channel = self._pool.kept(LONGEST_IDLE_SECONDS)
+        try:
+            async with asyncio.timeout(call.timeout_seconds):
+                if channel is None:
+                    channel = await self._pool.connect(CONNECT_SECONDS)
+                result = await self._exchange(channel, call)
+        except TimeoutError:
+            result = Failure("timeout")
+        except OSError as error:
+            return Failure(type(error).__name__)
+        except asyncio.CancelledError:
+            if channel is not None:
+                channel.abort()
+            raise
+        match result:
+            case Success(_):
+                self._pool.keep(channel)
+            case Failure(_) if channel is not None:
+                channel.abort()
+        return result
+
+    async def _exchange(
+        self, channel: outbound.Channel, call: Call
+    ) -> Result[Reply, str]:
+        head = (
+            f"{call.method} {call.target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        )
+        if call.body:
+            head += (
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(call.body)}\r\n"
+            )
+        channel.send(f"{head}\r\n".encode(), call.body)
+        status = 0
+        parts = []
+        while True:
+            match await channel.next():
+                case dialect.AnswerHead(status=status):
+                    pass
+                case outbound.Data(data):
+                    parts.append(data)
+                case outbound.End():
+                    return Success(Reply(status, b"".join(parts)))
+                case outbound.Lost(reason):
+                    return Failure(reason)
--- /dev/null
+++ b/cranberryglade/gateway/ports.py
@@ -0,0 +1,91 @@
+"""What the gateway needs of the platform that it runs on."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from returns.result import Result
+
+from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import messages
+
+
+class Table(enum.Enum):
+    """The tables of the platform's store that an instance follows.
+
+    Attributes:
+        CONFIGURATION: holds the catalogue.
+        ENDPOINTS: the endpoints' own entries.
+        MEMBERS: the instances' entries.
+    """
+
+    CONFIGURATION = "configuration"
+    ENDPOINTS = "endpoints"
+    MEMBERS = "members"
+
+
+class StoreError(enum.Enum):
+    """Why the store gave no rows.
+
+    Attributes:
+        UNREACHABLE: no connection, or no answer in time.
+        REFUSED: it answered that it will not do this now.
+        HISTORY_LOST: the changes asked for are no longer known.
+        UNREADABLE: its answer could not be decoded.
+        CONFLICT: a row was not in the expected version.
+    """
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    HISTORY_LOST = "history_lost"
+    UNREADABLE = "unreadable"
+    CONFLICT = "conflict"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """A row of a table; `value` is None once it is removed."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rows:
+    """What a read gave.
+
+    Attributes:
+        version: newest version of the store at that moment.
+        rows: the rows, or those that changed.
+    """
+
+    version: int
+    rows: list[Row]
+
+
+class Store(Protocol):
+    """The platform's store."""
+
+    async def read(self, table: Table) -> Result[Rows, StoreError]:
+        """Reads a whole table."""
+
+    async def changes(
+        self, table: Table, after: int, wait_seconds: float
+    ) -> Result[Rows, StoreError]:
+        """Waits for rows that changed after a version."""
+
+    async def write(
+        self, table: Table, key: str, value: bytes | None, expected: int | None
+    ) -> Result[int, StoreError]:
+        """Writes a row, or removes it; returns the new version."""
+
+
+class Decoder(Protocol):
+    """Decodes rows of the platform into the gateway's types."""
+
+    def catalogue(self, row: Row) -> Result[catalogue.Catalogue, str] | None:
+        """Reads a row as the configuration; None if it is another row."""
+
+    def endpoint(self, row: Row) -> Result[messages.Endpoint, str]:
+        """Reads a row as an endpoint."""
--- /dev/null
+++ b/cranberryglade/gateway/slots.py
@@ -0,0 +1,371 @@
+"""Grants slots of endpoints to requests that wait in one queue.
+
+Load pattern: more requests than slots for seconds, on endpoints whose speeds
+differ by several times. Requests wait here, in order of rank and arrival,
+instead of in the endpoints' own queues, so that each runs where a slot comes
+free first and none is stuck behind a slow endpoint.
+"""
+
+import dataclasses
+
+from cranberryglade.gateway import messages
+
+DECODE_COST = 150.0
+"""Time of one output token, in prompt tokens."""
+
+PLAIN_WORK = 1.0
+LEARNING_RATE = 0.2
+CROWDING = 0.3
+"""How much each request that runs beside slows an endpoint down."""
+
+UNREACHABLE_PAUSE_SECONDS = 1.0
+FIRST_PAUSE_SECONDS = 0.4
+LONGEST_PAUSE_SECONDS = 4.0
+REFUSED_PAUSE_SECONDS = 0.1
+BARRED_FOR_ALL = 2
+"""An endpoint that so many instances cannot reach is taken as down."""
+
+LEAST_RETRY_SECONDS = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """A slot in use.
+
+    Attributes:
+        holder: the instance that sends the request.
+        need: what was granted; None if another instance granted it.
+        endpoint: where it runs.
+        since: when it was granted.
+    """
+
+    holder: str
+    need: messages.Need | None
+    endpoint: str
+    since: float
+
+    @property
+    def work(self) -> float:
+        """Size of its request; 0 if only its place is known."""
+        return work(self.need) if self.need is not None else 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Place:
+    """What is known of one endpoint.
+
+    Attributes:
+        endpoint: its entry.
+        leases: ids of the requests that it runs.
+        pace: seconds for each unit of work, a running average.
+        samples: answers that the pace was learnt from.
+        strikes: failures in a row.
+        paused_until: no grants before this time.
+        barred: instances that cannot reach it, with the end of their pause.
+    """
+
+    endpoint: messages.Endpoint
+    leases: set[str] = dataclasses.field(default_factory=set)
+    pace: float = 0.0
+    samples: int = 0
+    strikes: int = 0
+    paused_until: float = 0.0
+    barred: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def open_to(self, holder: str, now: float) -> bool:
+        """Whether an instance may be sent there."""
+        if self.paused_until > now:
+            return False
+        if not self.barred:
+            return True
+        barred = [name for name, until in self.barred.items() if until > now]
+        return holder not in barred and len(barred) < BARRED_FOR_ALL
+
+    @property
+    def free(self) -> int:
+        """Slots that are not in use."""
+        return self.endpoint.slots - len(self.leases)
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A request that waits for a slot."""
+
+    holder: str
+    need: messages.Need
+    since: float
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """The smallest is served first."""
+        return (self.need.rank, self.since)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ruling:
+    """A decision and the instance that it is for."""
+
+    holder: str
+    decision: messages.Decision
+
+
+def work(need: messages.Need) -> float:
+    """Size of a request, in prompt tokens; 1 for a plain call."""
+    size = need.prompt_tokens + DECODE_COST * need.output_tokens
+    return size or PLAIN_WORK
+
+
+class Slots:
+    """The allocator: sans I/O, events and `now` in, rulings out."""
+
+    __slots__ = ("_leases", "_places", "_waiting")
+
+    def __init__(self):
+        self._places: dict[str, Place] = {}
+        self._leases: dict[str, Lease] = {}
+        self._waiting: dict[str, Waiting] = {}
+
+    @property
+    def leases(self) -> int:
+        """Slots in use."""
+        return len(self._leases)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    def endpoints(
+        self, listed: dict[str, messages.Endpoint], now: float
+    ) -> list[Ruling]:
+        """Takes in the present list of endpoints."""
+        for gone in self._places.keys() - listed.keys():
+            del self._places[gone]
+        for name, entry in listed.items():
+            place = self._places.get(name)
+            if place is None:
+                place = self._places[name] = Place(entry)
+                for id_, lease in self._leases.items():
+                    if lease.endpoint == name:
+                        place.leases.add(id_)
+            elif place.endpoint.born != entry.born:
+                self._places[name] = Place(entry, leases=place.leases)
+            else:
+                place.endpoint = entry
+        return self._serve(now)
+
+    def ask(self, holder: str, need: messages.Need, now: float) -> list[Ruling]:
+        """Grants a slot, puts the request in the queue, or denies it."""
+        held = self._leases.get(need.id)
+        if held is not None:
+            granted = messages.Granted(need.id, held.endpoint)
+            return [Ruling(holder, granted)]
+        if need.id in self._waiting:
+            return []
+        usable = [
+            place
+            for place in self._of(need.service)
+            if place.endpoint.id not in need.avoid
+        ]
+        if not usable:
+            return [Ruling(holder, self._denied(need, "no_endpoint", 1.0))]
+        self._waiting[need.id] = Waiting(holder, need, now)
+        rulings = self._serve(now)
+        if need.id in self._waiting:
+            wait = self._expected_wait(need, usable, now)
+            if now + wait > need.until:
+                del self._waiting[need.id]
+                denied = self._denied(need, "hopeless", wait)
+                rulings.append(Ruling(holder, denied))
+        return rulings
+
+    def withdraw(self, id_: str) -> None:
+        """Forgets a request that waits."""
+        self._waiting.pop(id_, None)
+
+    def release(
+        self,
+        id_: str,
+        outcome: messages.Outcome,
+        now: float,
+    ) -> list[Ruling]:
+        """Frees a slot and learns from how the attempt went."""
+        lease = self._leases.pop(id_, None)
+        if lease is None:
+            return []
+        place = self._places.get(lease.endpoint)
+        if place is not None:
+            place.leases.discard(id_)
+            self._learn(place, lease, outcome, now)
+        return self._serve(now)
+
+    def adopt(
+        self, holder: str, needs: list[messages.Granted], now: float
+    ) -> list[Ruling]:
+        """Takes in the attempts that an instance has under way.
+
+        Leases of that holder which it no longer lists are freed, but for
+        those granted too recently to be in its list.
+        """
+        listed = {each.id: each.endpoint for each in needs}
+        for id_, lease in list(self._leases.items()):
+            stale = lease.holder == holder and id_ not in listed
+            if stale and now - lease.since > LEAST_RETRY_SECONDS:
+                self._drop(id_)
+        for id_, endpoint in listed.items():
+            if id_ not in self._leases:
+                self.hold(holder, id_, None, endpoint, now)
+        return self._serve(now)
+
+    def hold(
+        self,
+        holder: str,
+        id_: str,
+        need: messages.Need | None,
+        endpoint: str,
+        now: float,
+    ) -> None:
+        """Takes in a lease that another instance has granted."""
+        self._leases[id_] = Lease(holder, need, endpoint, now)
+        if endpoint in self._places:
+            self._places[endpoint].leases.add(id_)
+
+    def knows(self, id_: str) -> bool:
+        """Whether a request waits or has a slot."""
+        return id_ in self._leases or id_ in self._waiting
+
+    def held_by(self, holder: str) -> list[messages.Granted]:
+        """The leases of one instance."""
+        return [
+            messages.Granted(id_, lease.endpoint)
+            for id_, lease in self._leases.items()
+            if lease.holder == holder
+        ]
+
+    def forget(self, holder: str, now: float) -> list[Ruling]:
+        """Frees all that an instance held, which is no longer heard of."""
+        for id_, lease in list(self._leases.items()):
+            if lease.holder == holder:
+                self._drop(id_)
+        for id_, waiting in list(self._waiting.items()):
+            if waiting.holder == holder:
+                del self._waiting[id_]
+        return self._serve(now)
+
+    def tick(self, now: float) -> list[Ruling]:
+        """Ends waits that are over, and grants what has come free."""
+        rulings = []
+        for id_, waiting in list(self._waiting.items()):
+            if now >= waiting.need.until:
+                del self._waiting[id_]
+                denied = self._denied(waiting.need, "waited", 0.5)
+                rulings.append(Ruling(waiting.holder, denied))
+        return rulings + self._serve(now)
+
+    def _drop(self, id_: str) -> None:
+        lease = self._leases.pop(id_)
+        place = self._places.get(lease.endpoint)
+        if place is not None:
+            place.leases.discard(id_)
+
+    def _of(self, service: str) -> list[Place]:
+        return [
+            place
+            for place in self._places.values()
+            if place.endpoint.service == service and not place.endpoint.leaving
+        ]
+
+    def _serve(self, now: float) -> list[Ruling]:
+        rulings = []
+        for waiting in sorted(self._waiting.values(), key=lambda w: w.order):
+            place = self._best(waiting.holder, waiting.need, now)
+            if place is None:
+                continue
+            need = waiting.need
+            del self._waiting[need.id]
+            name = place.endpoint.id
+            self._leases[need.id] = Lease(waiting.holder, need, name, now)
+            place.leases.add(need.id)
+            rulings.append(
+                Ruling(waiting.holder, messages.Granted(need.id, name))
+            )
+        return rulings
+
+    def _best(
+        self, holder: str, need: messages.Need, now: float
+    ) -> Place | None:
+        free = [
+            place
+            for place in self._of(need.service)
+            if place.free > 0
+            and place.endpoint.id not in need.avoid
+            and place.open_to(holder, now)
+        ]
+        typical = self._typical_pace(need.service)
+        return min(free, key=lambda p: _cost(p, typical), default=None)
+
+    def _typical_pace(self, service: str) -> float:
+        paces = sorted(p.pace for p in self._of(service) if p.samples)
+        return paces[len(paces) // 2] if paces else 1.0
+
+    def _expected_wait(
+        self, need: messages.Need, usable: list[Place], now: float
+    ) -> float:
+        slots = sum(place.endpoint.slots for place in usable)
+        typical = self._typical_pace(need.service)
+        if typical == 1.0:
+            return 0.0
+        ahead = [
+            other.need
+            for other in self._waiting.values()
+            if other.need.service == need.service
+            and other.order < (need.rank, now)
+        ]
+        running = [
+            self._leases[id_].work
+            for place in usable
+            for id_ in place.leases
+            if id_ in self._leases
+        ]
+        load = sum(map(work, ahead)) + 0.5 * sum(running)
+        return load * typical / max(1, slots)
+
+    def _learn(
+        self,
+        place: Place,
+        lease: Lease,
+        outcome: messages.Outcome,
+        now: float,
+    ) -> None:
+        match outcome:
+            case messages.Outcome.SERVED:
+                place.strikes = 0
+                place.barred.pop(lease.holder, None)
+                if lease.work:
+                    _learn_pace(place, (now - lease.since) / lease.work)
+            case messages.Outcome.FAILED | messages.Outcome.ABANDONED:
+                pass
+            case messages.Outcome.UNREACHABLE:
+                place.barred[lease.holder] = now + UNREACHABLE_PAUSE_SECONDS
+            case messages.Outcome.REFUSED:
+                place.paused_until = now + REFUSED_PAUSE_SECONDS
+            case messages.Outcome.MISDIRECTED | messages.Outcome.LOST:
+                place.strikes += 1
+                pause = FIRST_PAUSE_SECONDS * 2 ** (place.strikes - 1)
+                place.paused_until = now + min(LONGEST_PAUSE_SECONDS, pause)
+
+    def _denied(
+        self, need: messages.Need, reason: str, wait: float
+    ) -> messages.Denied:
+        return messages.Denied(need.id, reason, max(LEAST_RETRY_SECONDS, wait))
+
+
+def _learn_pace(place: Place, pace: float) -> None:
+    rate = max(LEARNING_RATE, 1 / (place.samples + 1))
+    place.pace += rate * (pace - place.pace)
+    place.samples += 1
+
+
+def _cost(place: Place, typical: float) -> float:
+    pace = place.pace if place.samples else typical
+    return pace * (1 + CROWDING * len(place.leases))
--- /dev/null
+++ b/cranberryglade/gateway/telemetry.py
@@ -0,0 +1,52 @@
+"""Counters and histograms, served as text."""
+
+import prometheus_client
+
+BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class Telemetry:
+    """Metrics of one instance."""
+
+    __slots__ = ("_ended", "_registry", "_seconds", "counts", "gauges")
+
+    def __init__(self):
+        self._registry = prometheus_client.CollectorRegistry()
+        self._ended = prometheus_client.Counter(
+            "cranberryglade_requests",
+            "Requests of callers by how they ended.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self._seconds = prometheus_client.Histogram(
+            "cranberryglade_request_seconds",
+            "Time from a whole request to the end of its answer.",
+            buckets=BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.counts = prometheus_client.Counter(
+            "cranberryglade_events",
+            "What happened to the instance and its dependencies.",
+            ["event"],
+            registry=self._registry,
+        )
+        self.gauges = prometheus_client.Gauge(
+            "cranberryglade_state",
+            "Present state.",
+            ["what"],
+            registry=self._registry,
+        )
+
+    def ended(self, reason: str, seconds: float) -> None:
+        """Counts the end of a request; 0 seconds if it was not served."""
+        self._ended.labels(reason).inc()
+        if seconds:
+            self._seconds.observe(seconds)
+
+    def event(self, name: str) -> None:
+        """Counts an event."""
+        self.counts.labels(name).inc()
+
+    def text(self) -> bytes:
+        """All metrics in the text format."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/cranberryglade/platform/__main__.py
@@ -0,0 +1,42 @@
+"""The program that the platform starts on each machine."""
+
+import asyncio
+import sys
+
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import log
+from cranberryglade.gateway import process
+from cranberryglade.platform import boot
+from cranberryglade.platform import documents
+from cranberryglade.platform import headers
+from cranberryglade.platform import store
+
+EXIT_SETTINGS = 2
+METRICS_PORT = 9464
+
+
+def main() -> None:
+    """Runs one gateway until SIGTERM."""
+    match boot.read():
+        case Failure(problem):
+            sys.stderr.write(f"{problem}\n")
+            sys.exit(EXIT_SETTINGS)
+        case Success(configured):
+            log.configure("info", configured.instance)
+            asyncio.run(_serve(configured))
+
+
+async def _serve(configured) -> None:
+    await process.Gateway(
+        configured,
+        store.StoreClient(configured.store_address),
+        documents.Decoder(),
+        headers.Headers(),
+        METRICS_PORT,
+    ).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cranberryglade/platform/documents.py
@@ -0,0 +1,217 @@
+"""Decodes the operator's configuration and the endpoints' entries."""
+
+from typing import Literal
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import ports
+
+CONFIGURATION_KEY = "config"
+UNLIMITED_CONNECTIONS = 1000
+
+
+class WireSplit(msgspec.Struct):
+    """A service's part of a route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct):
+    """A route.
+
+    Attributes:
+        target_latency_ms: the aim; for streams it ends at the first event.
+        priority: rank, 0 is the most urgent.
+        gap_aim_ms: longest pause between events that is on time.
+        stream_resume: whether a stream may go on at another endpoint.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[WireSplit] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 500.0
+
+
+class WireEngine(msgspec.Struct):
+    """What the endpoints of a service are, if they are engines."""
+
+    slots: int = 0
+    kv_cache_tokens: int = 0
+
+
+class WireService(msgspec.Struct):
+    """A service; `max_connections` holds for one endpoint and all callers."""
+
+    name: str
+    max_connections: int = UNLIMITED_CONNECTIONS
+    engine: WireEngine | None = None
+
+
+class WireLimits(msgspec.Struct):
+    """Bounds on what callers send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class WireTenant(msgspec.Struct):
+    """An organisation.
+
+    Attributes:
+        priority: rank of its requests, before that of the route.
+        unit: what `rate_per_s` and `burst` count: "token_count" or requests.
+        plain_tokens: cost of a request that gives no token counts.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class WireConfig(msgspec.Struct):
+    """The operator's configuration, in full."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] = []
+
+
+class WireServer(msgspec.Struct):
+    """An endpoint's entry; `sequence` counts its heartbeats."""
+
+    service: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    slots: int = 1
+    born: int = 0
+
+
+class Decoder:
+    """Decodes rows of the store."""
+
+    def catalogue(
+        self, row: ports.Row
+    ) -> Result[catalogue.Catalogue, str] | None:
+        """Reads a row as the configuration; None if it is another row."""
+        if row.key != CONFIGURATION_KEY or row.value is None:
+            return None
+        try:
+            wire = msgspec.json.decode(row.value, type=WireConfig)
+            return Success(_catalogue(wire))
+        except (msgspec.DecodeError, ValueError) as error:
+            return Failure(str(error))
+
+    def endpoint(self, row: ports.Row) -> Result[messages.Endpoint, str]:
+        """Reads a row as an endpoint."""
+        try:
+            wire = msgspec.json.decode(row.value or b"", type=WireServer)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Failure(str(error))
+        host, _, port = wire.address.rpartition(":")
+        if not host or not port.isdigit() or wire.slots < 1:
+            return Failure("no usable address or slots")
+        return Success(
+            messages.Endpoint(
+                id=row.key,
+                service=wire.service,
+                address=wire.address,
+                domain=wire.zone,
+                slots=wire.slots,
+                leaving=wire.state == "draining",
+                born=wire.born,
+            )
+        )
+
+
+def _kind(route: WireRoute) -> catalogue.Kind:
+    match route.kind:
+        case "idempotent":
+            return catalogue.Kind.IDEMPOTENT
+        case "streaming" if route.stream_resume:
+            return catalogue.Kind.RESUMABLE
+        case "streaming":
+            return catalogue.Kind.STREAM
+        case _:
+            return catalogue.Kind.ONCE
+
+
+def _route(wire: WireRoute) -> catalogue.Route:
+    shares = tuple(
+        catalogue.Share(split.service, split.weight)
+        for split in wire.traffic_split
+    )
+    return catalogue.Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.path_prefix,
+        kind=_kind(wire),
+        timeout_seconds=wire.timeout_ms / 1000,
+        aim_seconds=wire.target_latency_ms / 1000,
+        rank=wire.priority,
+        shares=shares or (catalogue.Share(wire.service, 1.0),),
+        attempts=max(1, wire.max_attempts),
+        anonymous=wire.allow_anonymous,
+        pause_seconds=wire.gap_aim_ms / 1000,
+    )
+
+
+def _service(wire: WireService) -> catalogue.Service:
+    engine = wire.engine or WireEngine()
+    return catalogue.Service(
+        name=wire.name,
+        slots=engine.slots,
+        connections=wire.max_connections,
+        memory_tokens=engine.kv_cache_tokens,
+    )
+
+
+def _organisation(wire: WireTenant) -> catalogue.Organisation:
+    return catalogue.Organisation(
+        name=wire.name,
+        keys=tuple(wire.api_keys),
+        rank=wire.priority,
+        counts_tokens=wire.unit == "token_count",
+        plain_tokens=wire.plain_tokens,
+        rate=wire.rate_per_s,
+        burst=wire.burst,
+    )
+
+
+def _catalogue(wire: WireConfig) -> catalogue.Catalogue:
+    limits = catalogue.Limits(
+        header_bytes=wire.limits.max_header_bytes,
+        body_bytes=wire.limits.max_body_bytes,
+        header_seconds=wire.limits.header_timeout_ms / 1000,
+        idle_seconds=wire.limits.idle_timeout_ms / 1000,
+    )
+    return catalogue.Catalogue(
+        version=wire.version,
+        routes=[_route(each) for each in wire.routes],
+        services=[_service(each) for each in wire.services],
+        limits=limits,
+        organisations=[_organisation(each) for each in wire.tenants],
+    )
