Serve what can still be in time before what is late, ranks within ranks

Ruled out: quotas (refused equally before and after), endpoints.

Now the organisation's rank goes before the route's instead of replacing it, and of one rank those that can still be in time go first.

--- a/cranberryglade/gateway/admission.py
+++ b/cranberryglade/gateway/admission.py
@@ -8,6 +8,9 @@
 from cranberryglade.gateway import messages
 
 SOON_SECONDS = 0.4
+RANKS = 100
+"""Ranks of routes; those of organisations go before them."""
+
 WAIT_AIMS = 2.5
 WAIT_SHARE = 0.7
 
@@ -102,7 +105,7 @@
             seconds = min(seconds, facts.patience_seconds)
         rank = route.rank
         if holder is not None and holder.rank is not None:
-            rank = holder.rank
+            rank += holder.rank * RANKS
         return Admitted(
             route=route,
             service=self._service(route),
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -14,6 +14,14 @@
 """Time of one output token, in prompt tokens."""
 
 PLAIN_WORK = 1.0
+PLAIN_CROWDING = 1.2
+"""How much slower a plain call may be than usual."""
+
+FIRST_OVERHEAD_SECONDS = 0.02
+FIRST_CROWDING = 1.5
+"""How much the prompts beside it delay a first answer."""
+
+UNKNOWN_PACE = 0.0
 LEARNING_RATE = 0.2
 CROWDING = 0.3
 """How much each request that runs beside slows an endpoint down."""
@@ -95,10 +103,15 @@
     need: messages.Need
     since: float
 
-    @property
-    def order(self) -> tuple[int, float]:
-        """The smallest is served first."""
-        return (self.need.rank, self.since)
+    def order(self, pace: float, now: float) -> tuple[int, bool, float]:
+        """The smallest is served first.
+
+        Of one rank, those that can still have their first answer in time go
+        before those that are late anyway: when there are too many, serving
+        the oldest first would make all of them late.
+        """
+        late = now + first_seconds(self.need, pace) > self.need.aim
+        return (self.need.rank, late, self.since)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -115,6 +128,13 @@
     return size or PLAIN_WORK
 
 
+def first_seconds(need: messages.Need, pace: float) -> float:
+    """Time to the first answer once a request has its slot."""
+    if not need.prompt_tokens:
+        return PLAIN_CROWDING * pace * PLAIN_WORK
+    return FIRST_OVERHEAD_SECONDS + FIRST_CROWDING * pace * need.prompt_tokens
+
+
 class Slots:
     """The allocator: sans I/O, events and `now` in, rulings out."""
 
@@ -277,7 +297,17 @@
 
     def _serve(self, now: float) -> list[Ruling]:
         rulings = []
-        for waiting in sorted(self._waiting.values(), key=lambda w: w.order):
+        if not self._waiting:
+            return rulings
+        paces = {
+            service: self._typical_pace(service)
+            for service in {w.need.service for w in self._waiting.values()}
+        }
+        queue = sorted(
+            self._waiting.values(),
+            key=lambda each: each.order(paces[each.need.service], now),
+        )
+        for waiting in queue:
             place = self._best(waiting.holder, waiting.need, now)
             if place is None:
                 continue
@@ -306,20 +336,18 @@
 
     def _typical_pace(self, service: str) -> float:
         paces = sorted(p.pace for p in self._of(service) if p.samples)
-        return paces[len(paces) // 2] if paces else 1.0
+        return paces[len(paces) // 2] if paces else UNKNOWN_PACE
 
     def _expected_wait(
         self, need: messages.Need, usable: list[Place], now: float
     ) -> float:
         slots = sum(place.endpoint.slots for place in usable)
         typical = self._typical_pace(need.service)
-        if typical == 1.0:
-            return 0.0
         ahead = [
             other.need
             for other in self._waiting.values()
             if other.need.service == need.service
-            and other.order < (need.rank, now)
+            and other.need.rank <= need.rank
         ]
         running = [
             self._leases[id_].work
--- /dev/null
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -0,0 +1,251 @@
+"""Freshness, directory, budgets, quotas, members: what is believed when."""
+
+import pytest
+
+from cranberryglade.gateway import admission
+from cranberryglade.gateway import budgets
+from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import directory
+from cranberryglade.gateway import freshness
+from cranberryglade.gateway import members
+from cranberryglade.gateway import quotas
+from cranberryglade.tests import gateway_builders as builders
+
+
+class Always:
+    """Chooses the first of what it is given."""
+
+    def choices(self, options, weights):
+        return [options[0]]
+
+
+def decide(facts, known, fresh, now):
+    return admission.Admission(fresh, Always()).decide(facts, known, now)
+
+
+def fresh_at(now, revoke_seconds=5.0):
+    made = freshness.Freshness(revoke_seconds)
+    made.confirm(now)
+    return made
+
+
+def test_keys_are_admitted_until_shortly_before_the_bound():
+    fresh = fresh_at(10.0)
+    known = builders.a_catalogue()
+    admitted = decide(builders.the_facts(), known, fresh, 14.4)
+    assert isinstance(admitted, admission.Admitted)
+    refused = decide(builders.the_facts(), known, fresh, 14.6)
+    assert refused.status == 503
+    assert refused.retry_after_seconds
+
+
+def test_a_late_confirmation_does_not_take_back_a_newer_one():
+    fresh = fresh_at(10.0)
+    fresh.confirm(8.0)
+    assert fresh.age(11.0) == 1.0
+
+
+def test_what_is_not_listed_is_unknown_only_while_the_list_is_fresh():
+    known = builders.a_catalogue()
+    nowhere = builders.the_facts(path="/other/")
+    stranger = builders.the_facts(key="nobody")
+    assert decide(nowhere, known, fresh_at(10.0), 10.5).status == 404
+    assert decide(stranger, known, fresh_at(10.0), 10.5).status == 401
+    assert decide(nowhere, known, fresh_at(10.0), 13.0).status == 503
+    assert decide(stranger, known, fresh_at(10.0), 13.0).status == 503
+
+
+def test_without_a_configuration_nothing_is_told_to_be_unknown():
+    fresh = freshness.Freshness(5.0)
+    refused = decide(builders.the_facts(), None, fresh, 1.0)
+    assert refused.status == 503
+
+
+def test_the_rank_of_the_organisation_goes_before_that_of_the_route():
+    routes = [builders.a_route(rank=2)]
+    known = builders.a_catalogue(routes=routes)
+    low = decide(builders.the_facts(), known, fresh_at(0.0), 0.0).rank
+    urgent = [builders.an_organisation(rank=0)]
+    known = builders.a_catalogue(routes=routes, organisations=urgent)
+    high = decide(builders.the_facts(), known, fresh_at(0.0), 0.0).rank
+    known = builders.a_catalogue(routes=[builders.a_route(rank=1)])
+    between = decide(builders.the_facts(), known, fresh_at(0.0), 0.0).rank
+    assert high < between < low
+
+
+def test_the_longest_prefix_wins():
+    routes = [
+        builders.a_route(name="short", prefix="/brief/"),
+        builders.a_route(name="long", prefix="/brief/new/"),
+    ]
+    known = builders.a_catalogue(routes=routes)
+    assert known.route("Example.Test", "/brief/new/1").name == "long"
+    assert known.route(builders.HOST, "/brief/newer").name == "short"
+    assert known.route("elsewhere.test", "/brief/") is None
+
+
+def test_time_left_is_the_shorter_of_patience_and_timeout():
+    known = builders.a_catalogue()
+    hasty = builders.the_facts(patience_seconds=0.7)
+    assert decide(hasty, known, fresh_at(0.0), 0.0).seconds == 0.7
+    patient = builders.the_facts(patience_seconds=None)
+    assert decide(patient, known, fresh_at(0.0), 0.0).seconds == 2.0
+
+
+def listed(book):
+    return sorted(book.listed)
+
+
+def test_a_removed_endpoint_is_out_of_use_at_once():
+    book = directory.Directory()
+    book.put(builders.an_endpoint("e-1"), 3)
+    assert book.remove("e-1", 4, 10.0)
+    assert listed(book) == []
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back():
+    book = directory.Directory()
+    book.put(builders.an_endpoint("e-1"), 3)
+    book.put(builders.an_endpoint("e-2"), 4)
+    book.store_lost()
+    book.store_back(20.0)
+    assert not book.keep_only(set(), 9, 20.0)
+    assert listed(book) == ["e-1", "e-2"]
+    book.put(builders.an_endpoint("e-1"), 11)
+    assert book.next_wake == pytest.approx(20.0 + directory.RETURN_SECONDS)
+    assert book.expire(23.0)
+    assert listed(book) == ["e-1"]
+
+
+def test_a_stale_reading_takes_nothing_back():
+    book = directory.Directory()
+    book.put(builders.an_endpoint("e-1"), 8)
+    assert not book.put(builders.an_endpoint("e-1", leaving=True), 6)
+    assert not book.remove("e-1", 7, 10.0)
+    assert not book.keep_only(set(), 7, 10.0)
+    assert listed(book) == ["e-1"]
+
+
+def test_repeats_stay_within_the_budget_in_any_window():
+    budget = budgets.RetryBudget(0.2, 40.0, 10.0, -100.0)
+    spent = []
+    for tick in range(400):
+        now = tick * 0.1
+        budget.first("s", now)
+        while budget.spend("s", 0.5, now):
+            spent.append(now)
+    for start in spent:
+        window = sum(start <= at < start + 10.0 for at in spent)
+        assert window <= 0.2 * 100 + 40.0 * 0.5
+
+
+def test_the_budget_is_smaller_right_after_a_start():
+    young = budgets.RetryBudget(0.2, 40.0, 10.0, 0.0)
+    old = budgets.RetryBudget(0.2, 40.0, 10.0, -100.0)
+    assert sum(young.spend("s", 1.0, 0.0) for _ in range(60)) == 12
+    assert sum(old.spend("s", 1.0, 0.0) for _ in range(60)) == 24
+
+
+def make_quotas(holder, slack=0.0, ratio=0.0):
+    tolerance = quotas.Tolerance(8.0, ratio, slack)
+    return quotas.Quotas(lambda name: holder, tolerance, 0.0)
+
+
+def spend(counted, cost, share, times):
+    total = 0.0
+    for now in times:
+        if counted.take("studio", cost, share, now) == 0.0:
+            total += cost
+    return total
+
+
+def test_a_quota_holds_in_any_window():
+    counted = make_quotas(builders.an_organisation())
+    times = [n / 100 for n in range(4000)]
+    total = spend(counted, 50.0, 1.0, times)
+    assert total <= 1000.0 * 40 + 500.0
+    assert total >= 1000.0 * 39
+
+
+def test_the_tolerance_is_used_in_part():
+    strict = make_quotas(builders.an_organisation())
+    lenient = make_quotas(builders.an_organisation(), slack=4000.0)
+    burst = [5.0] * 200
+    extra = spend(lenient, 50.0, 1.0, burst) - spend(strict, 50.0, 1.0, burst)
+    assert extra == 4000.0 * quotas.TOLERANCE_USED
+
+
+def test_a_refusal_tells_when_the_request_would_fit():
+    counted = make_quotas(builders.an_organisation())
+    spend(counted, 50.0, 1.0, [5.0] * 100)
+    wait = counted.take("studio", 100.0, 1.0, 5.0)
+    assert wait == pytest.approx(0.1)
+    assert counted.take("studio", 100.0, 1.0, 5.001 + wait) == 0.0
+
+
+def test_a_new_count_begins_empty():
+    counted = make_quotas(builders.an_organisation())
+    counted.restart(50.0)
+    assert counted.take("studio", 400.0, 1.0, 50.0) > 0.0
+    assert counted.take("studio", 400.0, 1.0, 50.5) == 0.0
+
+
+def test_a_lower_quota_holds_from_then_on():
+    holder = builders.an_organisation()
+    counted = quotas.Quotas(
+        lambda name: holder, quotas.Tolerance(8.0, 0.0, 0.0), 0.0
+    )
+    assert counted.take("studio", 500.0, 1.0, 5.0) == 0.0
+    holder = builders.an_organisation(rate=10.0, burst=20.0)
+    assert spend(counted, 10.0, 1.0, [5.0 + n for n in range(10)]) <= 110.0
+
+
+def heard(view, *names, now):
+    for name in names:
+        view.learn(name, f"{name}:1", "north", now)
+        view.hear(name, "life-1", now)
+
+
+def test_all_who_hear_each_other_agree_on_the_allocator():
+    names = ["a", "b", "c", "d"]
+    chosen = set()
+    for own in names:
+        view = members.Members(own)
+        heard(view, *(n for n in names if n != own), now=0.0)
+        chosen.add(view.allocator(0.1))
+    assert len(chosen) == 1
+
+
+def test_a_silent_or_stopping_instance_does_not_allocate():
+    view = members.Members("b")
+    heard(view, "a", "c", "d", "e", "f", now=0.0)
+    first = view.allocator(0.1)
+    assert first != "b"
+    view.stopping(first, "life-1")
+    assert view.allocator(0.1) != first
+    view.hear(first, "life-2", 0.2)
+    assert view.allocator(0.2) == first
+    view.suspect(first, 0.6)
+    assert view.allocator(0.3) != first
+    assert view.allocator(10.0) == "b"
+
+
+def test_an_instance_that_is_gone_gives_its_share_back():
+    view = members.Members("a")
+    heard(view, "b", "c", now=0.0)
+    assert view.known(1.0) == 3
+    assert view.present(1.5) == 1
+    assert view.known(members.KNOWN_SECONDS + 1) == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "repeatable"),
+    [
+        (catalogue.Kind.IDEMPOTENT, True),
+        (catalogue.Kind.RESUMABLE, True),
+        (catalogue.Kind.ONCE, False),
+        (catalogue.Kind.STREAM, False),
+    ],
+)
+def test_only_these_kinds_may_be_repeated(kind, repeatable):
+    assert kind.repeatable is repeatable
