Take no answer without an id on a used connection; test the whole path

An answer that bears no id passed as one's own on any connection. Now it does so only on a new one, and a connection with unread parts of an answer is not used again.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -12,7 +12,6 @@
 from cranberryglade.gateway import catalogue
 from cranberryglade.gateway import messages
 
-LONGEST_TARGET_BYTES = 8192
 LONGEST_QUEUE = 8
 """Requests that a caller may send ahead on one connection."""
 
@@ -204,7 +203,7 @@
     @property
     def stays_open(self) -> bool:
         """Whether the caller may go on using the connection."""
-        return not self._listener.stopping and self._flaw is None
+        return not self._listener.stopping
 
     def connection_made(self, transport) -> None:
         """Begins to wait for a first request."""
@@ -286,7 +285,6 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
-        self._reset()
         self._reading = True
 
     def on_url(self, url: bytes) -> None:
@@ -358,7 +356,7 @@
         self._chunked = False
 
     def _check_sizes(self) -> None:
-        longest = self._listener.limits.header_bytes + LONGEST_TARGET_BYTES
+        longest = self._listener.limits.header_bytes
         waiting = self._flaw is None and not self._headers_done
         if waiting and self._header_bytes > longest:
             self._fail(Flaw(431, "headers too large"))
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -116,6 +116,11 @@
         for member in self.members.all:
             self.send(member, farewell)
 
+    def close(self) -> None:
+        """Reads and sends no more datagrams."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport) -> None:
         """Keeps the transport."""
         self._transport = transport
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -72,7 +72,8 @@
     @property
     def usable(self) -> bool:
         """Whether another request can be sent."""
-        return not self._dead and not self._transport.is_closing()
+        clean = not self._dead and not self._events
+        return clean and not self._transport.is_closing()
 
     def connection_made(self, transport) -> None:
         """Keeps the transport."""
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -100,6 +100,8 @@
         self._plain = inbound.Listener(self._answer, self._flawed)
         self._peers = inbound.Listener(self._handouts.answer, self._flawed)
         self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task] = []
         self._stopping = asyncio.Event()
         self._logger = log.get_logger(__name__)
 
@@ -110,25 +112,67 @@
     async def run(self) -> None:
         """Serves until SIGTERM, then finishes what is under way."""
         self._handle_signals()
+        await self.start()
+        await self._stopping.wait()
+        await self.finish()
+
+    async def start(self) -> None:
+        """Begins to serve."""
         await self._listen()
         await self._mesh.open()
-        tasks = [
-            asyncio.create_task(each)
-            for each in (
-                self._follower.follow(ports.Table.CONFIGURATION),
-                self._follower.follow(ports.Table.ENDPOINTS),
-                self._follower.probe(),
-                self._mesh.run(),
-                self._register(),
-                self._tick(),
-            )
-        ]
+        for each in (
+            self._follower.follow(ports.Table.CONFIGURATION),
+            self._follower.follow(ports.Table.ENDPOINTS),
+            self._follower.probe(),
+            self._mesh.run(),
+            self._register(),
+            self._tick(),
+        ):
+            self._tasks.append(asyncio.create_task(each))
         self._logger.info("started", incarnation=self._state.incarnation)
-        await self._stopping.wait()
-        await self._finish()
-        for task in tasks:
+
+    def stop(self) -> None:
+        """Asks callers and balancer to go elsewhere."""
+        if not self._stopping.is_set():
+            self._logger.info("stopping", busy=self._front.busy)
+        self._front.stopping = True
+        self._mesh.leave()
+        self._stopping.set()
+
+    async def finish(self) -> None:
+        """Lets what is under way end, within the time for it."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        last = begun + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        # Until the balancer has noticed, new connections still arrive.
+        await asyncio.sleep(LEAST_STOP_SECONDS)
+        self._server.close()
+        while self._front.connections and loop.time() < last:
+            for connection in list(self._front.connections):
+                connection.close_if_idle()
+            await asyncio.sleep(TICK_SECONDS)
+        self.close()
+        self._logger.info("stopped", busy=self._front.busy)
+
+    def close(self) -> None:
+        """Drops everything at once."""
+        for task in self._tasks:
             task.cancel()
-        self._logger.info("stopped")
+        for server in self._servers:
+            server.close()
+        for listener in (self._front, self._plain, self._peers):
+            for connection in list(listener.connections):
+                connection.break_off()
+        self._mesh.close()
+
+    def serves(self, endpoints: int, peers: int) -> bool:
+        """Whether it is ready, with so many endpoints and peers at least."""
+        now = asyncio.get_running_loop().time()
+        return (
+            self._ready()
+            and len(self._state.endpoints) >= endpoints
+            and self._mesh.members.present(now) > peers
+        )
 
     async def _listen(self) -> None:
         for listener, address in (
@@ -139,35 +183,17 @@
         ):
             host, _, port = address.rpartition(":")
             self._server = await listener.serve(host, int(port))
+            self._servers.append(self._server)
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(name, self._stop)
+            loop.add_signal_handler(name, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
-    def _stop(self) -> None:
-        if not self._stopping.is_set():
-            self._logger.info("stopping", busy=self._front.busy)
-        self._front.stopping = True
-        self._mesh.leave()
-        self._stopping.set()
-
     def _reload(self) -> None:
         self._logger.info("reload")
 
-    async def _finish(self) -> None:
-        loop = asyncio.get_running_loop()
-        begun = loop.time()
-        last = begun + self._settings.grace_seconds - STOP_MARGIN_SECONDS
-        # Until the balancer has noticed, new connections still arrive.
-        await asyncio.sleep(LEAST_STOP_SECONDS)
-        self._server.close()
-        while self._front.connections and loop.time() < last:
-            for connection in list(self._front.connections):
-                connection.close_if_idle()
-            await asyncio.sleep(TICK_SECONDS)
-
     async def _answer(
         self, request: messages.Request, responder: inbound.Responder
     ) -> None:
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -119,6 +119,10 @@
                     if told.id and told.id != facts.id:
                         await self._skip(channel)
                         continue
+                    if not told.id and channel.used > 1:
+                        # It may belong to an earlier request.
+                        channel.abort()
+                        return Missed(messages.Outcome.LOST, "no id")
                     return await self._judge(
                         channel, endpoint, head, told, streams
                     )
--- /dev/null
+++ b/cranberryglade/tests/gateway_worlds.py
@@ -0,0 +1,272 @@
+"""Gateways with stand-ins of the store and of endpoints, in one process."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+
+from aiohttp import web
+
+from cranberryglade.gateway import process
+from cranberryglade.gateway import settings
+from cranberryglade.platform import documents
+from cranberryglade.platform import headers
+from cranberryglade.platform import store
+from cranberryglade.standins import runner
+from cranberryglade.standins import store as store_standin
+from cranberryglade.tests import gateway_builders as builders
+
+SERVICE = builders.SERVICE
+HOST = builders.HOST
+KEY = "key-1"
+SETTLE_SECONDS = 5.0
+
+
+def free_port() -> int:
+    """A port that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def a_route(name, kind, **changes) -> dict:
+    """A route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 500,
+        "priority": 0,
+        "service": SERVICE,
+        "max_attempts": 2,
+        "allow_anonymous": False,
+        "stream_resume": False,
+        "gap_aim_ms": 500,
+    } | changes
+
+
+def a_config(version=1, **changes) -> dict:
+    """A configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            a_route("look", "idempotent"),
+            a_route("pay", "non_idempotent"),
+            a_route("write", "streaming", stream_resume=True),
+            a_route("note", "streaming"),
+        ],
+        "services": [{"name": SERVICE, "max_connections": 100}],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 300,
+            "idle_timeout_ms": 1000,
+        },
+        "tenants": [
+            {
+                "name": "studio",
+                "api_keys": [KEY],
+                "priority": 1,
+                "unit": "token_count",
+                "plain_tokens": 10,
+                "rate_per_s": 100000,
+                "burst": 100000,
+            }
+        ],
+    } | changes
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got; `status` is 0 if the connection just ended."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Caller:
+    """A connection to a gateway, byte by byte."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, data: bytes) -> None:
+        """Writes bytes."""
+        self.writer.write(data)
+
+    def request(self, target="/look/1", method="GET", body=b"", **fields):
+        """Writes a request."""
+        given = {
+            "Host": HOST,
+            "X-Attempt-Id": "a-1",
+            "X-Deadline-Ms": "5000",
+            "Authorization": f"Bearer {KEY}",
+        } | {name.replace("_", "-"): value for name, value in fields.items()}
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {v}" for name, v in given.items() if v is not None]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def answer(self) -> Answer:
+        """Reads an answer."""
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Answer(0, {}, b"", False)
+        lines = head.decode("latin-1").split("\r\n")
+        fields = {}
+        for line in filter(None, lines[1:]):
+            name, _, value = line.partition(":")
+            fields[name.lower()] = value.strip()
+        body, whole = await self._body(fields)
+        return Answer(int(lines[0].split()[1]), fields, body, whole)
+
+    async def _body(self, fields):
+        if "content-length" in fields:
+            length = int(fields["content-length"])
+            try:
+                return await self.reader.readexactly(length), True
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return b"", False
+        body = b""
+        try:
+            while True:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                body += (await self.reader.readexactly(size + 2))[:-2]
+                if size == 0:
+                    return body, True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.writer.close()
+
+
+class World:
+    """A store, endpoints and gateways; use as an async context manager."""
+
+    def __init__(self, gateways=1, runners=1, config=None, **changes):
+        self.store = store_standin.StoreStandin()
+        self.runners = [
+            runner.RunnerStandin(f"i-{number}") for number in range(runners)
+        ]
+        self.gateways: list[process.Gateway] = []
+        self.settings: list[settings.Settings] = []
+        self._count = gateways
+        self._config = a_config() if config is None else config
+        self._changes = changes
+        self._callers: list[Caller] = []
+        self._web = None
+
+    async def __aenter__(self):
+        self.store_address = await self._serve_store()
+        for each in self.runners:
+            await each.start()
+            self.list_runner(each)
+        if self._config:
+            self.configure(self._config)
+        for number in range(self._count):
+            await self.add_gateway(f"gate-{number}")
+        if self._config:
+            await self.settled()
+        return self
+
+    async def __aexit__(self, *_):
+        for caller in self._callers:
+            caller.close()
+        for gateway in self.gateways:
+            gateway.close()
+        for each in self.runners:
+            await each.stop()
+        await self._web.cleanup()
+        await asyncio.sleep(0)
+
+    async def add_gateway(self, name: str) -> process.Gateway:
+        """Starts one more gateway."""
+        fields = {
+            "instance": name,
+            "failure_domain": "north",
+            "host": "127.0.0.1",
+            "front_address": f"127.0.0.1:{free_port()}",
+            "ready_address": f"127.0.0.1:{free_port()}",
+            "peer_port": free_port(),
+            "store_address": self.store_address,
+            "revoke_seconds": 5.0,
+            "grace_seconds": 6.0,
+            "retry_ratio": 0.2,
+            "retry_slack": 100.0,
+            "retry_window_seconds": 10.0,
+            "quota_window_seconds": 8.0,
+            "quota_ratio": 0.1,
+            "quota_slack": 0.0,
+        }
+        configured = settings.Settings(**(fields | self._changes))
+        gateway = process.Gateway(
+            configured,
+            store.StoreClient(self.store_address),
+            documents.Decoder(),
+            headers.Headers(),
+            free_port(),
+        )
+        self.settings.append(configured)
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
+    def configure(self, config: dict) -> None:
+        """Writes a configuration as the operator."""
+        self.store.put("op", "config", json.dumps(config).encode())
+
+    def list_runner(self, listed: runner.RunnerStandin, **changes) -> None:
+        """Writes an endpoint's entry."""
+        entry = listed.entry(SERVICE, **changes)
+        self.store.put("servers", listed.id, json.dumps(entry).encode())
+
+    async def call(self, gateway=0) -> Caller:
+        """Opens a connection to a gateway."""
+        host, _, port = self.settings[gateway].front_address.rpartition(":")
+        opened = await asyncio.open_connection(host, int(port))
+        caller = Caller(*opened)
+        self._callers.append(caller)
+        return caller
+
+    async def ask(self, gateway=0, **fields) -> Answer:
+        """Sends one request on a connection of its own."""
+        caller = await self.call(gateway)
+        caller.request(**fields)
+        return await asyncio.wait_for(caller.answer(), SETTLE_SECONDS)
+
+    async def settled(self) -> None:
+        """Waits until all gateways serve and hear each other."""
+        others = self._count - 1
+        await eventually(
+            lambda: all(
+                gateway.serves(len(self.runners), others)
+                for gateway in self.gateways
+            )
+        )
+
+    async def _serve_store(self) -> str:
+        self._web = web.AppRunner(
+            self.store.application(), access_log=None, shutdown_timeout=0.05
+        )
+        await self._web.setup()
+        port = free_port()
+        await web.TCPSite(self._web, "127.0.0.1", port).start()
+        return f"127.0.0.1:{port}"
+
+
+async def eventually(check, seconds: float = SETTLE_SECONDS) -> None:
+    """Waits until a check holds."""
+    loop = asyncio.get_running_loop()
+    due = loop.time() + seconds
+    while not check():
+        assert loop.time() < due, "did not come true in time"
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/cranberryglade/tests/test_gateway_input.py
@@ -0,0 +1,156 @@
+"""Bad input of callers and of the store: clear answers, nothing runs."""
+
+import asyncio
+import json
+
+import pytest
+
+from cranberryglade.tests import gateway_worlds as worlds
+
+World = worlds.World
+HEAD = f"Host: {worlds.HOST}\r\nAuthorization: Bearer {worlds.KEY}\r\n".encode()
+
+
+async def sent(world, data: bytes) -> worlds.Answer:
+    caller = await world.call()
+    caller.send(data)
+    return await asyncio.wait_for(caller.answer(), 3.0)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /look/1 HTTP/1.1\r\n" + HEAD + b"A: " + b"x" * 5000, 431),
+        (b"GET /look/" + b"x" * 20_000 + b" HTTP/1.1\r\n" + HEAD, 431),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n"
+            + HEAD
+            + b"Content-Length: 20000\r\n\r\n",
+            413,
+        ),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"2ee0\r\n"
+            + b"x" * 12_000,
+            413,
+        ),
+        (b"GET /look/1 HTTP/1.1\r\n" + HEAD, 408),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n" + HEAD + b"Content-Length: 9\r\n\r\nx",
+            408,
+        ),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n"
+            + HEAD
+            + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"0\r\n\r\nGET /look/smuggled HTTP/1.1\r\n"
+            + HEAD
+            + b"\r\n",
+            400,
+        ),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n"
+            + HEAD
+            + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+            400,
+        ),
+        (
+            b"POST /pay/1 HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+        ),
+    ],
+    ids=[
+        "long header",
+        "long target",
+        "long body",
+        "long chunks",
+        "late header",
+        "late body",
+        "nonsense",
+        "two framings",
+        "two lengths",
+        "torn chunk",
+    ],
+)
+async def test_flawed_requests_get_a_clear_answer_and_run_nothing(data, status):
+    async with World() as world:
+        answer = await sent(world, data)
+        assert answer.status == status
+        assert answer.headers["connection"] == "close"
+        assert world.runners[0].received == []
+        assert (await world.ask()).status == 200
+
+
+async def test_a_flawed_request_behind_a_good_one_spoils_only_itself():
+    async with World() as world:
+        caller = await world.call()
+        caller.request()
+        caller.send(b"nonsense\r\n\r\n")
+        assert (await caller.answer()).status == 200
+        assert (await caller.answer()).status == 400
+        assert len(world.runners[0].received) == 1
+
+
+async def test_an_idle_connection_is_closed():
+    async with World() as world:
+        caller = await world.call()
+        caller.request()
+        await caller.answer()
+        assert await asyncio.wait_for(caller.reader.read(), 3.0) == b""
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"\xff\xfe",
+        b"[]",
+        json.dumps({"service": worlds.SERVICE}).encode(),
+        json.dumps(
+            {
+                "service": worlds.SERVICE,
+                "address": "10.0.0.1:80",
+                "zone": "north",
+                "state": "dancing",
+            }
+        ).encode(),
+        json.dumps(
+            {
+                "service": 7,
+                "address": "10.0.0.1:80",
+                "zone": "north",
+                "state": "ready",
+            }
+        ).encode(),
+        json.dumps(
+            {
+                "service": worlds.SERVICE,
+                "address": "nowhere",
+                "zone": "north",
+                "state": "ready",
+            }
+        ).encode(),
+    ],
+)
+async def test_rows_of_another_writer_name_no_endpoint(row):
+    async with World() as world:
+        world.store.put("servers", "i-odd", row)
+        world.list_runner(world.runners[0], slots=3)
+        (gateway,) = world.gateways
+        known = gateway._state.endpoints
+        await worlds.eventually(
+            lambda: gateway._state.endpoints["i-0"].slots == 3
+        )
+        assert "i-odd" not in known | gateway._state.endpoints
+        assert (await world.ask()).status == 200
+
+
+async def test_an_unreadable_configuration_leaves_the_old_one_in_force():
+    async with World() as world:
+        world.store.put("op", "config", b"{}")
+        await asyncio.sleep(0.2)
+        assert (await world.ask()).status == 200
--- /dev/null
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -0,0 +1,156 @@
+"""Gateways while the platform's store misbehaves."""
+
+import asyncio
+
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade.gateway import ports
+from cranberryglade.platform import store
+from cranberryglade.standins import runner
+from cranberryglade.tests import gateway_worlds as worlds
+
+World = worlds.World
+
+
+def versions(world):
+    return [gateway._state.version for gateway in world.gateways]
+
+
+async def test_a_change_is_in_force_at_once():
+    async with World(gateways=2) as world:
+        world.configure(worlds.a_config(5, routes=[]))
+        await worlds.eventually(lambda: versions(world) == [5, 5], 1.0)
+        assert (await world.ask()).status == 404
+
+
+async def test_an_older_configuration_never_returns():
+    async with World() as world:
+        world.configure(worlds.a_config(5))
+        await worlds.eventually(lambda: versions(world) == [5])
+        world.configure(worlds.a_config(4, routes=[]))
+        await asyncio.sleep(0.2)
+        assert versions(world) == [5]
+        assert (await world.ask()).status == 200
+
+
+async def test_a_key_taken_away_is_refused():
+    async with World() as world:
+        tenants = worlds.a_config()["tenants"]
+        tenants[0]["api_keys"] = ["key-2"]
+        world.configure(worlds.a_config(2, tenants=tenants))
+        await worlds.eventually(lambda: versions(world) == [2], 1.0)
+        assert (await world.ask()).status == 401
+
+
+async def test_without_a_configuration_the_answer_is_not_yet():
+    async with World(config={}) as world:
+        answer = await world.ask()
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+
+
+async def test_a_feed_that_lost_its_history_is_read_anew():
+    async with World() as world:
+        world.store.faults.deaf = True
+        world.configure(worlds.a_config(7))
+        world.store.forget_history()
+        world.store.faults.deaf = False
+        await worlds.eventually(lambda: versions(world) == [7], 3.0)
+
+
+async def test_a_deaf_feed_is_made_up_for_by_asking():
+    async with World() as world:
+        world.store.faults.deaf = True
+        world.configure(worlds.a_config(7))
+        await worlds.eventually(lambda: versions(world) == [7], 3.0)
+
+
+async def test_keys_are_not_admitted_when_the_store_was_away_too_long():
+    async with World(revoke_seconds=1.5) as world:
+        world.store.faults.refuse = True
+        assert (await world.ask()).status == 200
+        await asyncio.sleep(1.3)
+        answer = await world.ask()
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        world.store.faults.refuse = False
+        await worlds.eventually(lambda: world.gateways[0]._ready(), 3.0)
+        assert (await world.ask()).status == 200
+
+
+async def test_an_instance_that_the_store_turns_away_learns_from_peers():
+    async with World(gateways=2, revoke_seconds=2.0) as world:
+        cut = store.StoreClient("127.0.0.1:1")
+        world.gateways[1]._follower._store = cut
+        world.store.put("op", "other", b"wakes the feeds")
+        added = runner.RunnerStandin("i-new")
+        await added.start()
+        world.runners.append(added)
+        world.list_runner(added)
+        world.configure(worlds.a_config(9))
+        await worlds.eventually(lambda: versions(world) == [9, 9], 2.0)
+        await worlds.eventually(
+            lambda: "i-new" in world.gateways[1]._state.endpoints, 2.0
+        )
+        await asyncio.sleep(2.2)
+        assert (await world.ask(gateway=1)).status == 200
+
+
+async def test_endpoints_stay_in_use_while_the_store_is_away():
+    async with World() as world:
+        world.store.faults.refuse = True
+        await asyncio.sleep(0.3)
+        assert (await world.ask()).status == 200
+
+
+async def test_a_newcomer_finds_the_others():
+    async with World(gateways=2) as world:
+        await world.add_gateway("gate-new")
+        await worlds.eventually(
+            lambda: all(g.serves(1, 2) for g in world.gateways)
+        )
+        assert len({g._mesh.allocator for g in world.gateways}) == 1
+
+
+async def test_a_quiet_store_is_asked_seldom():
+    async with World(gateways=2) as world:
+        before = world.store.calls
+        await asyncio.sleep(2.0)
+        assert world.store.calls - before <= 4
+
+
+async def client_of(world) -> store.StoreClient:
+    return store.StoreClient(world.store_address)
+
+
+async def test_the_client_reads_all_pages():
+    async with World() as world:
+        for number in range(1003):
+            world.store.put("cranberryglade-members", f"m-{number:04}", b"x")
+        client = await client_of(world)
+        match await client.read(ports.Table.MEMBERS):
+            case Success(rows):
+                names = [row.key for row in rows.rows]
+        assert len(names) == len(set(names)) == 1004
+
+
+async def test_the_client_tells_what_went_wrong():
+    async with World() as world:
+        client = await client_of(world)
+        table = ports.Table.MEMBERS
+        conflict = await client.write(table, "m", b"x", 17)
+        assert conflict == Failure(ports.StoreError.CONFLICT)
+        world.store.faults.lose_answers = 1
+        lost = await client.write(table, "m", b"x", None)
+        assert lost == Failure(ports.StoreError.UNREACHABLE)
+        assert world.store.row("cranberryglade-members", "m") == b"x"
+        world.store.faults.refused_writes = 1
+        busy = await client.write(table, "m", b"y", None)
+        assert busy == Failure(ports.StoreError.REFUSED)
+        world.store.forget_history()
+        gone = await client.changes(table, 0, 0.1)
+        assert gone == Failure(ports.StoreError.HISTORY_LOST)
+        removed = await client.write(table, "m", None, None)
+        assert isinstance(removed, Success)
+        assert world.store.row("cranberryglade-members", "m") is None
--- /dev/null
+++ b/cranberryglade/tests/test_platform_boot.py
@@ -0,0 +1,69 @@
+"""The platform's settings file and what is versioned for its build."""
+
+import pathlib
+
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade.platform import boot
+
+ROOT = pathlib.Path(__file__).parents[2]
+FILE = """
+node = "front-1"
+role = "gateway"
+ip = "10.1.0.25"
+zone = "north"
+internal_port_range = [7600, 7615]
+something_new = { a = 1 }
+[listen]
+front = "10.1.0.25:8221"
+ready = "10.1.0.25:8224"
+[bounds]
+enforce_revocation = true
+revoke_ms = 5000
+grace_s = 8
+quota_slack = 190000
+[platform]
+address = "10.200.1.7:8225"
+"""
+
+
+def read(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text, encoding="utf-8")
+    return boot.read(str(path))
+
+
+def test_settings_become_those_of_the_gateway(tmp_path):
+    match read(tmp_path, FILE):
+        case Success(configured):
+            pass
+    assert configured.instance == "front-1"
+    assert configured.failure_domain == "north"
+    assert configured.peer_port == 7600
+    assert configured.revoke_seconds == 5.0
+    assert configured.grace_seconds == 8.0
+    assert configured.quota_slack == 190000.0
+
+
+def test_no_bound_on_keys_unless_it_is_enforced(tmp_path):
+    text = FILE.replace("enforce_revocation = true", "")
+    match read(tmp_path, text):
+        case Success(configured):
+            assert configured.revoke_seconds is None
+
+
+def test_a_wrong_or_missing_setting_is_named(tmp_path):
+    match read(tmp_path, FILE.replace('node = "front-1"', "node = 7")):
+        case Failure(problem):
+            assert "node" in problem and "boot.toml" in problem
+    match read(tmp_path, FILE.replace('zone = "north"', "")):
+        case Failure(problem):
+            assert "zone" in problem
+    assert isinstance(boot.read(str(tmp_path / "none")), Failure)
+
+
+def test_the_build_takes_the_versions_that_the_project_pins():
+    pinned = (ROOT / "constraints.txt").read_text(encoding="utf-8")
+    wanted = (ROOT / "deploy" / "requirements.txt").read_text(encoding="utf-8")
+    assert set(wanted.splitlines()) <= set(pinned.splitlines())
--- /dev/null
+++ b/cranberryglade/tests/test_platform_words.py
@@ -0,0 +1,47 @@
+"""The platform's words stay in its folder."""
+
+import pathlib
+import re
+
+import pytest
+
+PACKAGE = pathlib.Path(__file__).parents[1]
+AWAY = ("platform", "standins", "tests")
+WORDS = re.compile(
+    r"X-(Attempt|Response-Seal|Not-Executed|Deadline-Ms|Expect-|Token-Counts"
+    r"|Prompt-Prefix|Length-Hint|Tenant|Hold|Pin-Ms|Kv)|Kv-(From|Fetch)"
+    r"|rows-(get|tx|feed|parts)|blob-(put|get|drop|list)|expected_revision"
+    r"|CRANBERRYGLADE_BOOT|traffic_split|path_prefix|api_keys"
+    r"|stream_resume|gap_aim_ms|internal_port_range|quota_overage"
+    r"|seed_addrs|op/config|servers/",
+    re.IGNORECASE,
+)
+
+
+def sources():
+    return [
+        path
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).parts[0] not in AWAY
+    ]
+
+
+@pytest.mark.parametrize(
+    "path", sources(), ids=lambda path: str(path.relative_to(PACKAGE))
+)
+def test_no_word_of_the_platform_outside_its_folder(path):
+    found = WORDS.findall(path.read_text(encoding="utf-8"))
+    assert not found, path
+
+
+def test_the_check_sees_a_word():
+    text = (PACKAGE / "platform" / "headers.py").read_text(encoding="utf-8")
+    assert WORDS.search(text)
+
+
+def test_the_folder_stays_small():
+    lines = sum(
+        len(path.read_text(encoding="utf-8").splitlines())
+        for path in (PACKAGE / "platform").glob("*.py")
+    )
+    assert lines < 1000
