Learn the pace of an endpoint from runs under way, and spread at the start

A run under way now shows its endpoint's pace before it ends, equal places are taken by the fewest runs, and instances learn from what others granted them.

Tests: two in test_gateway_slots, which failed before.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -47,10 +47,12 @@
     """A request that waits for a decision.
 
     Attributes:
+        need: what was asked.
         future: gets the decision.
         acknowledged: whether the allocator has answered since the last ask.
     """
 
+    need: messages.Need
     future: asyncio.Future
     acknowledged: bool = False
 
@@ -101,7 +103,7 @@
 
     async def acquire(self, need: messages.Need) -> messages.Decision:
         """Waits for a slot."""
-        pending = Pending(asyncio.get_running_loop().create_future())
+        pending = Pending(need, asyncio.get_running_loop().create_future())
         self._pending[need.id] = pending
         asked = ""
         try:
@@ -260,7 +262,9 @@
             return
         now = asyncio.get_running_loop().time()
         self._granted_by[granted.id] = sender
-        self._slots.hold(self._name, granted.id, None, granted.endpoint, now)
+        self._slots.hold(
+            self._name, granted.id, pending.need, granted.endpoint, now
+        )
         self._decided(granted)
 
     def _decided(self, decision: messages.Decision) -> None:
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -114,6 +114,19 @@
         return (self.need.rank, late, self.since)
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Cost:
+    """What a place costs a request; the smallest is best.
+
+    Attributes:
+        seconds: time for each unit of work.
+        running: requests that run there; decides between equals.
+    """
+
+    seconds: float
+    running: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ruling:
     """A decision and the instance that it is for."""
@@ -332,7 +345,23 @@
             and place.open_to(holder, now)
         ]
         typical = self._typical_pace(need.service)
-        return min(free, key=lambda p: _cost(p, typical), default=None)
+        return min(
+            free,
+            key=lambda place: self._cost(place, typical, now),
+            default=None,
+        )
+
+    def _cost(self, place: Place, typical: float, now: float) -> Cost:
+        """How long a request would take there, relative to other places."""
+        running = [
+            self._leases[id_] for id_ in place.leases if id_ in self._leases
+        ]
+        # A run that takes long already tells of a slow endpoint before it
+        # ends, which matters most when nothing is known yet.
+        shown = [(now - r.since) / r.work for r in running if r.work]
+        pace = place.pace if place.samples else typical
+        pace = max([pace, *shown])
+        return Cost(pace * (1 + CROWDING * len(running)), len(running))
 
     def _typical_pace(self, service: str) -> float:
         paces = sorted(p.pace for p in self._of(service) if p.samples)
@@ -392,8 +421,3 @@
     rate = max(LEARNING_RATE, 1 / (place.samples + 1))
     place.pace += rate * (pace - place.pace)
     place.samples += 1
-
-
-def _cost(place: Place, typical: float) -> float:
-    pace = place.pace if place.samples else typical
-    return pace * (1 + CROWDING * len(place.leases))
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -146,6 +146,25 @@
     }
 
 
+def test_at_the_start_requests_are_spread():
+    made = allocator(builders.an_endpoint("e-1"), builders.an_endpoint("e-2"))
+    given = {}
+    for number in range(2):
+        need = builders.a_need(f"r-{number}")
+        given |= granted(made.ask("a", need, 0.0))
+    assert sorted(given.values()) == ["e-1", "e-2"]
+
+
+def test_a_slow_run_tells_before_it_ends():
+    made = allocator(builders.an_endpoint("e-1"), builders.an_endpoint("e-2"))
+    first = granted(made.ask("a", builders.a_need("r-1"), 0.0))["r-1"]
+    made.ask("a", builders.a_need("r-2"), 0.0)
+    made.release("r-1", Outcome.SERVED, 0.2)
+    made.ask("a", builders.a_need("r-3"), 0.7)
+    # One runs on each; the other one runs for 0.8 s already.
+    assert granted(made.ask("a", builders.a_need("r-4"), 0.8))["r-4"] == first
+
+
 def test_an_endpoint_that_one_instance_cannot_reach_serves_the_others():
     made = allocator(builders.an_endpoint("e-1"))
     made.ask("a", builders.a_need("r-1"), 0.0)
