--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -84,10 +84,12 @@
         """Whether an instance may be sent there."""
         if self.paused_until > now:
             return False
-        if not self.barred:
-            return True
+        return not self.bars(holder, now)
+
+    def bars(self, holder: str, now: float) -> bool:
+        """Whether an instance cannot reach it."""
         barred = [name for name, until in self.barred.items() if until > now]
-        return holder not in barred and len(barred) < BARRED_FOR_ALL
+        return holder in barred or len(barred) >= BARRED_FOR_ALL
 
     @property
     def free(self) -> int:
@@ -202,6 +204,9 @@
         ]
         if not usable:
             return [Ruling(holder, self._denied(need, "no_endpoint", 1.0))]
+        if all(place.bars(holder, now) for place in usable):
+            wait = UNREACHABLE_PAUSE_SECONDS
+            return [Ruling(holder, self._denied(need, "unreachable", wait))]
         self._waiting[need.id] = Waiting(holder, need, now)
         rulings = self._serve(now)
         if need.id in self._waiting:
