--- a/cranberryglade/gateway/following.py
+++ b/cranberryglade/gateway/following.py
@@ -20,6 +20,8 @@
 """How long a feed may keep quiet about a change."""
 
 PROBE_TICK_SECONDS = 0.25
+STARTING_SECONDS = 10.0
+GATHER_SECONDS = 1.0
 
 logger = log.get_logger(__name__)
 
@@ -33,6 +35,7 @@
         "_on_catalogue",
         "_on_endpoints",
         "_random",
+        "_starting_until",
         "_state",
         "_store",
         "patience",
@@ -54,6 +57,8 @@
         self._on_catalogue = on_catalogue
         self._on_endpoints = on_endpoints
         self._lost = False
+        now = asyncio.get_running_loop().time()
+        self._starting_until = now + STARTING_SECONDS
         self.patience = 0.0
 
     async def follow(self, table: ports.Table) -> None:
@@ -69,6 +74,7 @@
                 case Success(ports.Rows(version=version)):
                     pause = FIRST_PAUSE_SECONDS
                     self._answered()
+                    await self._gather(table)
                 case Failure(ports.StoreError.HISTORY_LOST):
                     logger.warning("store.history_lost", table=table.value)
                     version = None
@@ -77,6 +83,13 @@
                     await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                     pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
 
+    async def _gather(self, table: ports.Table) -> None:
+        # At the start of a whole system the endpoints list themselves one
+        # after the other, and each would cost every instance a call.
+        starting = asyncio.get_running_loop().time() < self._starting_until
+        if table is ports.Table.ENDPOINTS and starting:
+            await asyncio.sleep(GATHER_SECONDS)
+
     async def probe(self) -> None:
         """Asks the store whenever nothing else confirms the configuration."""
         while True:
