--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -29,6 +29,15 @@
 
 LONGEST_QUOTA_RETRY_SECONDS = 2.0
 
+DOUBTS = frozenset(
+    (
+        messages.Outcome.REFUSED,
+        messages.Outcome.UNREACHABLE,
+        messages.Outcome.MISDIRECTED,
+        messages.Outcome.LOST,
+    )
+)
+
 logger = log.get_logger(__name__)
 
 
@@ -126,7 +135,7 @@
         granter = self._granted_by.pop(id_, self._name)
         if granter != self._name:
             self._mesh.send_to(granter, datagrams.Release(id_, outcome.value))
-        self.settle(self._slots.release(id_, outcome, now))
+        self._released(self._name, id_, outcome, now)
 
     def held(self) -> list[datagrams.Held]:
         """The attempts of this instance, for the allocator."""
@@ -170,14 +179,14 @@
             case datagrams.Release(id=id_, outcome=outcome):
                 self._slots.withdraw(id_)
                 ended = messages.Outcome(outcome)
-                self.settle(self._slots.release(id_, ended, now))
+                self._released(sender, id_, ended, now)
             case datagrams.Queued(id=id_):
                 if id_ in self._pending:
                     self._pending[id_].acknowledged = True
             case datagrams.Grant(id=id_, endpoint=endpoint):
                 self._granted(sender, messages.Granted(id_, endpoint))
-            case datagrams.Deny(id=id_, reason=reason, retry_after_ms=after):
-                self._decided(messages.Denied(id_, reason, after / 1000))
+            case datagrams.Deny():
+                self._decided(_heard(message))
 
     async def _ask(
         self, allocator: str, need: messages.Need, pending: Pending
@@ -198,7 +207,7 @@
             else:
                 silent += 1
         self._mesh.members.suspect(allocator, loop.time() + SUSPECT_SECONDS)
-        logger.warning("allocator.silent", allocator=allocator, id=need.id)
+        logger.warning("allocator.silent", allocator=allocator, need=need.id)
         return None
 
     async def _decide_here(
@@ -251,6 +260,19 @@
         if not any(ruling.decision.id == need.id for ruling in rulings):
             self._mesh.send_to(ask.name, datagrams.Queued(need.id))
 
+    def _released(
+        self, holder: str, id_: str, outcome: messages.Outcome, now: float
+    ) -> None:
+        endpoint = self._slots.place_of(id_)
+        if endpoint and outcome in DOUBTS and self._leading:
+            logger.info(
+                "endpoint.doubted",
+                endpoint=endpoint,
+                outcome=outcome.value,
+                holder=holder,
+            )
+        self.settle(self._slots.release(id_, outcome, now))
+
     def _granted(self, sender: str, granted: messages.Granted) -> None:
         pending = self._pending.get(granted.id)
         if granted.id in self._granted_by:
@@ -283,7 +305,13 @@
         case messages.Granted(id=id_, endpoint=endpoint):
             return datagrams.Grant(id_, endpoint)
         case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
-            return datagrams.Deny(id_, reason, round(after * 1000))
+            waiting = decision.waiting
+            return datagrams.Deny(id_, reason, round(after * 1000), waiting)
+
+
+def _heard(deny: datagrams.Deny) -> messages.Denied:
+    after = deny.retry_after_ms / 1000
+    return messages.Denied(deny.id, deny.reason, after, deny.waiting)
 
 
 def _ask_of(name: str, need: messages.Need, now: float) -> datagrams.Ask:
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -113,6 +113,7 @@
     id: str
     reason: str
     retry_after_ms: int
+    waiting: int
 
 
 class Release(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -180,17 +180,27 @@
             decision = await self._allocator.acquire(need)
             exchange.waited += asyncio.get_running_loop().time() - started
             match decision:
-                case messages.Denied(
-                    reason=messages.OVER_QUOTA, retry_after_seconds=after
-                ):
-                    return self._give_up(exchange, 429, "over_quota", after)
-                case messages.Denied(reason=reason, retry_after_seconds=after):
-                    return self._give_up(exchange, 502, reason, after)
+                case messages.Denied():
+                    return self._denied(exchange, decision)
                 case messages.Granted(endpoint=name):
                     ended = await self._attempt(exchange, need, name)
             if ended is not None:
                 return ended
 
+    def _denied(self, exchange: Exchange, denied: messages.Denied) -> Ended:
+        after = denied.retry_after_seconds
+        logger.info(
+            "request.denied",
+            id=exchange.facts.id,
+            reason=denied.reason,
+            retry_after_ms=round(after * 1000),
+            waiting=denied.waiting,
+            rank=exchange.admitted.rank,
+            cost=exchange.admitted.cost,
+        )
+        status = 429 if denied.reason == messages.OVER_QUOTA else 502
+        return self._give_up(exchange, status, denied.reason, after)
+
     async def _attempt(
         self, exchange: Exchange, need: messages.Need, name: str
     ) -> Ended | None:
@@ -205,6 +215,14 @@
             return ended
         finally:
             self._allocator.release(need.id, outcome)
+            if outcome is not messages.Outcome.SERVED:
+                logger.info(
+                    "attempt.ended",
+                    id=exchange.facts.id,
+                    endpoint=name,
+                    outcome=outcome.value,
+                    left_ms=round(exchange.left * 1000),
+                )
 
     async def _send(
         self, exchange: Exchange, endpoint: messages.Endpoint
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -7,6 +7,10 @@
 HEARD_SECONDS = 0.9
 """An instance that was silent for longer does not allocate."""
 
+SETTLED_SECONDS = 3.0
+"""A life that began later allocates only if there is no older one: it does
+not know yet what is under way and how fast the endpoints are."""
+
 KNOWN_SECONDS = 20.0
 """An instance that was silent for longer has no share of what all may use."""
 
@@ -21,6 +25,7 @@
         domain: its failure domain.
         incarnation: its present life; "" until it is heard.
         listed: when it was first known, seconds of the loop's clock.
+        begun: when its present life was first heard.
         heard: when it last answered; None if never.
         stopping: whether it said that it stops.
     """
@@ -30,6 +35,7 @@
     domain: str
     listed: float
     incarnation: str = ""
+    begun: float = 0.0
     heard: float | None = None
     stopping: bool = False
 
@@ -37,10 +43,11 @@
 class Members:
     """The other instances, as one instance sees them; sans I/O."""
 
-    __slots__ = ("_members", "_own", "_suspects")
+    __slots__ = ("_begun", "_members", "_own", "_suspects")
 
-    def __init__(self, own: str):
+    def __init__(self, own: str, now: float):
         self._own = own
+        self._begun = now
         self._members: dict[str, Member] = {}
         self._suspects: dict[str, float] = {}
 
@@ -74,6 +81,7 @@
         fresh = member.incarnation != incarnation
         if fresh:
             member.incarnation = incarnation
+            member.begun = now
             member.stopping = False
         member.heard = now
         self._suspects.pop(name, None)
@@ -99,15 +107,20 @@
 
     def allocator(self, now: float, own_stopping: bool = False) -> str:
         """The instance that grants slots: the first in rendezvous order."""
-        names = [
-            member.name
+        lives = {
+            member.name: member.begun
             for member in self.heard(now)
             if not member.stopping
             and self._suspects.get(member.name, 0.0) <= now
+        }
+        if not own_stopping or not lives:
+            lives[self._own] = self._begun
+        settled = [
+            name
+            for name, begun in lives.items()
+            if now - begun >= SETTLED_SECONDS
         ]
-        if not own_stopping or not names:
-            names.append(self._own)
-        return max(names, key=_weight)
+        return max(settled or lives, key=_weight)
 
     def order(self, now: float) -> int:
         """This instance's place among those heard, in rendezvous order."""
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -41,7 +41,7 @@
         on_standing: Callable[[members.Member, datagrams.Standing], None],
         held: Callable[[], list[datagrams.Held]],
     ):
-        self.members = members.Members(name)
+        self.members = members.Members(name, asyncio.get_running_loop().time())
         self.stopping = False
         self._name = name
         self._domain = domain
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -174,11 +174,13 @@
         id: the request.
         reason: why, for logs.
         retry_after_seconds: when it is worth coming back.
+        waiting: requests that waited when it was decided, for logs.
     """
 
     id: str
     reason: str
     retry_after_seconds: float
+    waiting: int = 0
 
 
 Decision = Granted | Denied
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -272,6 +272,11 @@
         """Whether a request waits or has a slot."""
         return id_ in self._leases or id_ in self._waiting
 
+    def place_of(self, id_: str) -> str:
+        """The endpoint that a request runs at; "" if it has no slot."""
+        lease = self._leases.get(id_)
+        return lease.endpoint if lease is not None else ""
+
     def held_by(self, holder: str) -> list[messages.Granted]:
         """The leases of one instance."""
         return [
@@ -419,7 +424,8 @@
     def _denied(
         self, need: messages.Need, reason: str, wait: float
     ) -> messages.Denied:
-        return messages.Denied(need.id, reason, max(LEAST_RETRY_SECONDS, wait))
+        after = max(LEAST_RETRY_SECONDS, wait)
+        return messages.Denied(need.id, reason, after, len(self._waiting))
 
 
 def _learn_pace(place: Place, pace: float) -> None:
--- a/cranberryglade/log.py
+++ b/cranberryglade/log.py
@@ -2,17 +2,20 @@
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
 
-def configure(level: str, instance: str) -> None:
+def configure(level: str, instance: str, output: TextIO | None = None) -> None:
     """Sends every logger's lines to standard output as JSON.
 
     Args:
         level: least level that is written, such as "info".
         instance: name that each line carries.
+        output: where they go instead.
     """
+    output = output or sys.stdout
     structlog.contextvars.bind_contextvars(instance=instance)
     shared = [
         structlog.contextvars.merge_contextvars,
@@ -25,10 +28,10 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=structlog.PrintLoggerFactory(output),
         cache_logger_on_first_use=True,
     )
-    handler = logging.StreamHandler(sys.stdout)
+    handler = logging.StreamHandler(output)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=shared,
--- a/cranberryglade/platform/__main__.py
+++ b/cranberryglade/platform/__main__.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade import logoutput
 from cranberryglade.gateway import process
 from cranberryglade.platform import boot
 from cranberryglade.platform import documents
@@ -24,7 +25,8 @@
             sys.stderr.write(f"{problem}\n")
             sys.exit(EXIT_SETTINGS)
         case Success(configured):
-            log.configure("info", configured.instance)
+            output = logoutput.LogOutput(sys.stdout.fileno())
+            log.configure("info", configured.instance, output)
             asyncio.run(_serve(configured))
 
 
--- a/cranberryglade/tests/test_gateway_beliefs.py
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -210,14 +210,14 @@
     names = ["a", "b", "c", "d"]
     chosen = set()
     for own in names:
-        view = members.Members(own)
+        view = members.Members(own, 0.0)
         heard(view, *(n for n in names if n != own), now=0.0)
         chosen.add(view.allocator(0.1))
     assert len(chosen) == 1
 
 
 def test_a_silent_or_stopping_instance_does_not_allocate():
-    view = members.Members("b")
+    view = members.Members("b", 0.0)
     heard(view, "a", "c", "d", "e", "f", now=0.0)
     first = view.allocator(0.1)
     assert first != "b"
@@ -230,8 +230,21 @@
     assert view.allocator(10.0) == "b"
 
 
+def test_a_new_life_does_not_allocate_while_there_are_older_ones():
+    view = members.Members("b", 0.0)
+    names = ["a", "c", "d", "e", "f"]
+    for now in (0.0, 10.0):
+        heard(view, *names, now=now)
+    first = view.allocator(10.0)
+    view.hear(first, "life-2", 10.0)
+    assert view.allocator(10.0) != first
+    heard(view, *(n for n in names if n != first), now=13.5)
+    view.hear(first, "life-2", 13.5)
+    assert view.allocator(13.5) == first
+
+
 def test_an_instance_that_is_gone_gives_its_share_back():
-    view = members.Members("a")
+    view = members.Members("a", 0.0)
     heard(view, "b", "c", now=0.0)
     assert view.known(1.0) == 3
     assert view.present(1.5) == 1
--- /dev/null
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -0,0 +1,70 @@
+"""Every ending of a request writes its line; no key is ever logged."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from cranberryglade.tests import gateway_worlds as worlds
+
+World = worlds.World
+ENDINGS = [
+    ({}, "whole", "served"),
+    ({"target": "/pay/1"}, "lose", "closed"),
+    ({"target": "/pay/1"}, "full", "no_endpoint"),
+    ({"target": "/pay/1"}, "fail", "failed"),
+    ({"target": "/pay/1"}, "unsealed", "no stamp, 200"),
+    ({"target": "/nowhere/"}, "whole", "no_route"),
+    ({"Authorization": "Bearer secret-stranger"}, "whole", "unknown_key"),
+]
+
+
+@pytest.mark.parametrize(("fields", "fault", "reason"), ENDINGS)
+async def test_each_ending_writes_one_deciding_line(fields, fault, reason):
+    with structlog.testing.capture_logs() as lines:
+        async with World() as world:
+            (endpoint,) = world.runners
+            endpoint.usual = getattr(endpoint, fault)
+            answer = await world.ask(**fields)
+    ends = [
+        line
+        for line in lines
+        if line["event"] in ("request.ended", "request.rejected")
+    ]
+    (end,) = ends
+    assert end["id"] == "a-1"
+    assert end["status"] == answer.status
+    assert end["reason"] == reason
+    assert end["version"] == 1
+    assert "age_s" in end
+    assert worlds.KEY not in str(lines)
+    assert "secret-stranger" not in str(lines)
+
+
+async def test_a_caller_that_leaves_and_a_timeout_write_theirs():
+    config = worlds.a_config()
+    config["routes"][1]["timeout_ms"] = 300
+    with structlog.testing.capture_logs() as lines:
+        async with World(config=config) as world:
+            (endpoint,) = world.runners
+            endpoint.usual = endpoint.hang
+            await world.ask(target="/pay/1")
+            caller = await world.call()
+            caller.request(X_Attempt_Id="a-2")
+            await worlds.eventually(lambda: "a-2" in endpoint.ran)
+            caller.close()
+            await asyncio.sleep(0.1)
+    reasons = {
+        line["id"]: line["reason"]
+        for line in lines
+        if line["event"] == "request.ended"
+    }
+    assert reasons == {"a-1": "timeout", "a-2": "caller_gone"}
+
+
+async def test_metrics_count_endings():
+    async with World() as world:
+        await world.ask()
+        text = world.gateways[0]._state.metrics.text().decode()
+        assert 'cranberryglade_requests_total{reason="served"} 1.0' in text
+        assert "cranberryglade_request_seconds_bucket" in text
--- /dev/null
+++ b/cranberryglade/tests/test_loglines.py
@@ -0,0 +1,59 @@
+"""One request's way is found in the logs of several instances."""
+
+import json
+
+from click import testing
+
+from cranberryglade.tools import commands
+from cranberryglade.tools import loglines
+
+
+def line(second, instance, event, **fields):
+    return json.dumps(
+        {
+            "timestamp": f"2026-12-04T10:00:{second:02}.000000Z",
+            "instance": instance,
+            "event": event,
+            "level": "info",
+        }
+        | fields
+    )
+
+
+LINES = [
+    line(1, "front-1", "store.lost", reason="unreachable"),
+    line(2, "front-2", "endpoint.doubted", endpoint="e-7", outcome="lost"),
+    line(3, "front-1", "attempt.ended", id="r-1", endpoint="e-7"),
+    line(4, "front-1", "request.ended", id="r-1", status=502),
+    line(4, "front-3", "request.ended", id="r-2", status=200),
+    line(9, "front-1", "store.regained"),
+    "not a log line",
+]
+
+
+def test_the_story_has_its_lines_and_what_explains_them():
+    story = loglines.way(loglines.read(LINES), "r-1")
+    assert [each.event for each in story] == [
+        "store.lost",
+        "endpoint.doubted",
+        "attempt.ended",
+        "request.ended",
+    ]
+
+
+def test_the_command_reads_files_and_standard_input(tmp_path):
+    path = tmp_path / "front.log"
+    path.write_text("\n".join(LINES), encoding="utf-8")
+    runner = testing.CliRunner()
+    words = ["explain", "r-1", "--logs"]
+    from_file = runner.invoke(commands.main, [*words, str(path)])
+    from_input = runner.invoke(
+        commands.main, [*words, "-"], input="\n".join(LINES)
+    )
+    assert from_file.exit_code == 0
+    assert from_file.output == from_input.output
+    assert "status=502" in from_file.output
+    unknown = runner.invoke(
+        commands.main, ["explain", "r-9", "--logs", str(path)]
+    )
+    assert unknown.exit_code == 1
--- a/cranberryglade/tools/submit.py
+++ b/cranberryglade/tools/submit.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+from typing import TextIO
 
 import click
 import msgspec
@@ -11,6 +12,7 @@
 from cranberryglade import wire
 from cranberryglade.tools import client
 from cranberryglade.tools import describing
+from cranberryglade.tools import loglines
 from cranberryglade.tools import output
 from cranberryglade.tools import sending
 
@@ -137,16 +139,30 @@
 
 @click.command()
 @click.argument("request_id")
+@click.option(
+    "--logs",
+    type=click.File(encoding="utf-8", errors="replace"),
+    multiple=True,
+    help='Logs of gateways to read instead; "-" is standard input.',
+)
 @output.connected
-def explain(connection: output.Connection, request_id: str) -> None:
+def explain(
+    connection: output.Connection,
+    request_id: str,
+    logs: tuple[TextIO, ...],
+) -> None:
     r"""Says hop by hop why a request waited, ran or was refused.
 
     An organisation may ask about its own requests, an operator about all.
 
     \b
-    Example:
+    Examples:
       cranberryglade explain wien-a.entry-1.c0ffee.7.2f1c...
+      cranberryglade explain 023eb90c4fc3c2b1 --logs front-1.log
     """
+    if logs:
+        _explain_from(logs, request_id)
+        return
     path = f"{sending.REQUESTS_PATH}/{request_id}/explanation"
     reply = connection.ask("GET", path)
     found = output.decode(reply, explanations.ExplanationDocument)
@@ -156,6 +172,15 @@
         click.echo(describing.describe(found))
 
 
+def _explain_from(logs: tuple[TextIO, ...], request_id: str) -> None:
+    lines = loglines.read(line for file in logs for line in file)
+    story = loglines.way(lines, request_id)
+    if not story:
+        raise output.CommandError(f"{request_id}: in none of these logs")
+    for line in story:
+        click.echo(str(line))
+
+
 def _payload(text: str | None) -> dict | None:
     if text is None:
         return None
