Read the settings again on SIGHUP and by time; guarantees of the gateways

Cause: settings may change with a signal or silently, and a gateway read them at its start only. Bounds are applied at once; names and addresses belong to a life. Test: test_settings_are_read_again (no such way existed before).

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -110,6 +110,11 @@
         """Begins to work with the other instances."""
         self._mesh = joined
 
+    def tolerate(self, tolerance: quotas.Tolerance) -> None:
+        """Takes in by how much quotas may be exceeded."""
+        self._quotas.tolerate(tolerance)
+        self._alone.tolerate(tolerance)
+
     async def acquire(self, need: messages.Need) -> messages.Decision:
         """Waits for a slot."""
         pending = Pending(need, asyncio.get_running_loop().create_future())
--- a/cranberryglade/gateway/budgets.py
+++ b/cranberryglade/gateway/budgets.py
@@ -67,6 +67,11 @@
         self._firsts: dict[str, Window] = {}
         self._repeats: dict[str, Window] = {}
 
+    def limit(self, ratio: float, slack: float) -> None:
+        """Takes in other limits; what was spent stays spent."""
+        self._ratio = ratio
+        self._slack = slack
+
     def first(self, service: str, now: float) -> None:
         """Counts a request of a caller."""
         self._of(self._firsts, service).add(1, now)
--- a/cranberryglade/gateway/freshness.py
+++ b/cranberryglade/gateway/freshness.py
@@ -27,6 +27,10 @@
         """When the configuration was last known to be the newest."""
         return self._confirmed
 
+    def bound(self, revoke_seconds: float | None) -> None:
+        """Takes in another bound for keys taken away; None if none."""
+        self._revoke_seconds = revoke_seconds
+
     def confirm(self, as_of: float) -> None:
         """Takes in that it was the newest at that time."""
         if self._confirmed is None or as_of > self._confirmed:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -1,11 +1,17 @@
 """One gateway: wires the stages and runs them until SIGTERM."""
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 import random
 import secrets
 import signal
 import time
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from cranberryglade import log
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
@@ -32,6 +38,7 @@
 TICK_SECONDS = 0.05
 LEAST_STOP_SECONDS = 2.9
 STOP_MARGIN_SECONDS = 0.8
+REREAD_SECONDS = 3.0
 PROBE_STEP_SECONDS = 0.4
 READY_PATH = b"/ready"
 
@@ -46,8 +53,20 @@
         decoder: ports.Decoder,
         words: dialect.Dialect,
         metrics_port: int,
+        reread: Callable[[], Result[settings.Settings, str]],
     ):
+        """Wires it.
+
+        Args:
+            configured: settings at the start.
+            store: the platform's store.
+            decoder: reads its rows.
+            words: reads and writes headers.
+            metrics_port: where the metrics are served.
+            reread: reads the settings again.
+        """
         self._settings = configured
+        self._reread = reread
         self._metrics_port = metrics_port
         randomness = random.Random(secrets.randbits(64))
         self._state = state.State(
@@ -83,17 +102,18 @@
             self._allocator.held,
         )
         self._allocator.join(self._mesh)
+        self._budget = budgets.RetryBudget(
+            configured.retry_ratio,
+            configured.retry_slack,
+            configured.retry_window_seconds,
+            time.monotonic(),
+        )
         forwarder = forwarding.Forwarder(
             self._state,
             words,
             admission.Admission(self._state.freshness, randomness),
             self._allocator,
-            budgets.RetryBudget(
-                configured.retry_ratio,
-                configured.retry_slack,
-                configured.retry_window_seconds,
-                time.monotonic(),
-            ),
+            self._budget,
             self._sender,
         )
         self._front = inbound.Listener(forwarder.handle, self._flawed)
@@ -127,6 +147,7 @@
             self._mesh.run(),
             self._register(),
             self._tick(),
+            self._watch_settings(),
         ):
             self._tasks.append(asyncio.create_task(each))
         self._logger.info("started", incarnation=self._state.incarnation)
@@ -192,7 +213,26 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
-        self._logger.info("reload")
+        match self._reread():
+            case Failure(problem):
+                self._logger.error("reload.unreadable", problem=problem)
+            case Success(read) if read != self._settings:
+                self._logger.info(
+                    "reload", changed=_differing(self._settings, read)
+                )
+                self._apply(read)
+
+    def _apply(self, read: settings.Settings) -> None:
+        # Addresses and names belong to a life; they are taken at its start.
+        self._settings = read
+        self._state.freshness.bound(read.revoke_seconds)
+        self._budget.limit(read.retry_ratio, read.retry_slack)
+        self._allocator.tolerate(self._tolerance(read))
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(REREAD_SECONDS)
+            self._reload()
 
     async def _answer(
         self, request: messages.Request, responder: inbound.Responder
@@ -230,12 +270,15 @@
             self._store, self._settings.instance, entry, self._mesh.members
         )
 
-    def _quotas(self, configured: settings.Settings) -> quotas.Quotas:
-        tolerance = quotas.Tolerance(
+    def _tolerance(self, configured: settings.Settings) -> quotas.Tolerance:
+        return quotas.Tolerance(
             configured.quota_window_seconds,
             configured.quota_ratio,
             configured.quota_slack,
         )
+
+    def _quotas(self, configured: settings.Settings) -> quotas.Quotas:
+        tolerance = self._tolerance(configured)
         return quotas.Quotas(self._organisation, tolerance, time.monotonic())
 
     def _organisation(self, name: str) -> catalogue.Organisation | None:
@@ -257,3 +300,13 @@
         self._logger.info(
             "request.flawed", status=flaw.status, reason=flaw.reason
         )
+
+
+def _differing(
+    before: settings.Settings, after: settings.Settings
+) -> list[str]:
+    return [
+        field.name
+        for field in dataclasses.fields(after)
+        if getattr(before, field.name) != getattr(after, field.name)
+    ]
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -49,6 +49,10 @@
         self._begun = now
         self._buckets: dict[str, budgets.Bucket] = {}
 
+    def tolerate(self, tolerance: Tolerance) -> None:
+        """Takes in another tolerance."""
+        self._tolerance = tolerance
+
     def restart(self, now: float) -> None:
         """Begins anew, after another instance has counted for a while."""
         self._begun = now
--- a/cranberryglade/platform/__main__.py
+++ b/cranberryglade/platform/__main__.py
@@ -37,6 +37,7 @@
         documents.Decoder(),
         headers.Headers(),
         METRICS_PORT,
+        boot.read,
     ).run()
 
 
--- a/cranberryglade/tests/gateway_worlds.py
+++ b/cranberryglade/tests/gateway_worlds.py
@@ -8,6 +8,7 @@
 import socket
 
 from aiohttp import web
+from returns.result import Success
 
 from cranberryglade.gateway import process
 from cranberryglade.gateway import settings
@@ -183,6 +184,7 @@
         self._changes = changes
         self._callers: list[Caller] = []
         self._web = None
+        self.reread = None
 
     async def __aenter__(self):
         self.store_address = await self._serve_store()
@@ -233,7 +235,9 @@
             documents.Decoder(),
             headers.Headers(),
             free_port(),
+            lambda: self.reread,
         )
+        self.reread = Success(configured)
         self.settings.append(configured)
         self.gateways.append(gateway)
         await gateway.start()
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -1,6 +1,7 @@
 """Gateways while the platform's store misbehaves."""
 
 import asyncio
+import dataclasses
 
 from returns.result import Failure
 from returns.result import Success
@@ -43,6 +44,20 @@
         assert (await world.ask()).status == 401
 
 
+async def test_settings_are_read_again():
+    async with World() as world:
+        (gateway,) = world.gateways
+        shorter = dataclasses.replace(world.settings[0], revoke_seconds=0.6)
+        world.reread = Failure("not readable")
+        gateway._reload()
+        assert (await world.ask()).status == 200
+        world.reread = Success(shorter)
+        gateway._reload()
+        world.store.faults.refuse = True
+        await asyncio.sleep(1.6)
+        assert (await world.ask()).status == 503
+
+
 async def test_without_a_configuration_the_answer_is_not_yet():
     async with World(config={}) as world:
         answer = await world.ask()
