Give up a silent endpoint where another may run the request

After twice the aim, or three longest pauses within a stream, another endpoint is tried if the route and the budget allow it.

Kept for the callers whom the test shows: before, the first request to a silent endpoint was answered at its time limit only.

--- a/cranberryglade/gateway/fetching.py
+++ b/cranberryglade/gateway/fetching.py
@@ -59,6 +59,7 @@
             async with asyncio.timeout(call.timeout_seconds):
                 if channel is None:
                     channel = await self._pool.connect(CONNECT_SECONDS)
+                    channel.probe()
                 result = await self._exchange(channel, call)
         except TimeoutError:
             result = Failure("timeout")
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -18,7 +18,12 @@
 
 ANSWER_MARGIN_SECONDS = 0.03
 LEAST_ATTEMPT_SECONDS = 0.05
-RESUME_AFTER_PAUSES = 3.0
+SILENT_AIMS = 2.0
+"""Silence before an answer, in aims, after which another endpoint is tried."""
+
+SILENT_PAUSES = 3.0
+"""Silence within a stream, in the longest pauses that are on time."""
+
 AGAIN_SECONDS = 0.4
 
 logger = log.get_logger(__name__)
@@ -246,6 +251,7 @@
             exchange.facts,
             kind.repeatable,
             kind.streams,
+            self._patience(exchange, SILENT_AIMS * admitted.route.aim_seconds),
         )
         exchange.sent = False
         return result
@@ -302,8 +308,15 @@
     ) -> str:
         """Passes events on; returns why the stream broke off, or ""."""
         cutter = exchange.cutter
+        pause = exchange.admitted.route.pause_seconds
+        patience = self._patience(exchange, SILENT_PAUSES * pause)
         while True:
-            match await channel.next():
+            try:
+                async with asyncio.timeout(patience):
+                    event = await channel.next()
+            except TimeoutError:
+                return "stream silent"
+            match event:
                 case outbound.Data(data):
                     await exchange.responder.send(cutter.feed(data))
                 case outbound.End():
@@ -314,6 +327,16 @@
                 case dialect.AnswerHead():
                     return "stream torn"
 
+    def _patience(self, exchange: Exchange, seconds: float) -> float | None:
+        """How long an endpoint may be silent while another one could run it.
+
+        Load pattern: endpoints that take requests and answer none of them,
+        although their health is good.
+        """
+        route = exchange.admitted.route
+        last = len(exchange.sends) >= route.attempts
+        return None if last or not route.kind.repeatable else seconds
+
     def _after(self, exchange: Exchange, reason: str) -> Ended | None:
         """Decides whether another attempt follows; None if so."""
         route = exchange.admitted.route
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -18,6 +18,8 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 SILENCE_MS = 3000
 LINGER_SECONDS = 0.5
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 2
 
 
 class CallerGoneError(Exception):
@@ -422,3 +424,18 @@
     if option is not None:
         connected.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def probe_silence(connected: socket.socket | None) -> None:
+    """Ends a connection that has gone silent while nothing is sent on it."""
+    if connected is None:
+        return
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
+        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
+        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
+    ):
+        option = getattr(socket, name, None)
+        if option is not None:
+            connected.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -63,13 +63,21 @@
 class Members:
     """The other instances, as one instance sees them; sans I/O."""
 
-    __slots__ = ("_begun", "_domain", "_members", "_own", "_suspects")
+    __slots__ = (
+        "_addresses",
+        "_begun",
+        "_domain",
+        "_members",
+        "_own",
+        "_suspects",
+    )
 
     def __init__(self, own: str, domain: str, now: float):
         self._own = own
         self._domain = domain
         self._begun = now
         self._members: dict[str, Member] = {}
+        self._addresses: dict[str, str] = {}
         self._suspects: dict[str, float] = {}
 
     @property
@@ -117,9 +125,15 @@
         if member is None:
             member = self._members[name] = Member(name, address, domain, now)
         elif member.address != address:
+            self._addresses.pop(member.address, None)
             member.address = address
+        self._addresses[address] = name
         return member
 
+    def at(self, address: str) -> str:
+        """The name of the instance at an address; "" if none is known."""
+        return self._addresses.get(address, "")
+
     def see(self, name: str, now: float) -> None:
         """Takes in a heartbeat."""
         member = self._members.get(name)
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -137,15 +137,8 @@
             case Success(datagrams.Leaving(name=name, incarnation=life)):
                 self.members.stopping(name, life)
             case Success(message):
-                member = next(
-                    (
-                        each.name
-                        for each in self.members.all
-                        if each.address == f"{addr[0]}:{addr[1]}"
-                    ),
-                    "",
-                )
-                self._on_message(member, message)
+                sender = self.members.at(f"{addr[0]}:{addr[1]}")
+                self._on_message(sender, message)
 
     def _take_ping(self, ping: datagrams.Ping) -> None:
         now = asyncio.get_running_loop().time()
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -80,6 +80,10 @@
         self._transport = transport
         inbound.bound_silence(transport.get_extra_info("socket"), SILENCE_MS)
 
+    def probe(self) -> None:
+        """Lets the system notice when the connection has gone silent."""
+        inbound.probe_silence(self._transport.get_extra_info("socket"))
+
     def send(self, head: bytes, body: bytes, bodiless: bool = False) -> None:
         """Sends a request.
 
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -60,6 +60,7 @@
         facts: messages.Facts,
         repeatable: bool,
         streams: bool,
+        silence_seconds: float | None,
     ) -> Result:
         """Sends a request.
 
@@ -70,6 +71,8 @@
             facts: what its headers say.
             repeatable: whether it may be sent again if the answer is lost.
             streams: whether a success is a series of events.
+            silence_seconds: time after which it is given up here, as another
+                endpoint may run it; None to wait as long as the caller does.
         """
         try:
             channel = await self._channel(endpoint, repeatable)
@@ -82,7 +85,11 @@
                 request.body,
                 request.method == HEAD,
             )
-            return await self._read(channel, endpoint, facts, streams)
+            async with asyncio.timeout(silence_seconds):
+                return await self._read(channel, endpoint, facts, streams)
+        except TimeoutError:
+            channel.abort()
+            return Missed(messages.Outcome.LOST, "silent")
         except BaseException:
             channel.abort()
             raise
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -172,6 +172,18 @@
         await worlds.eventually(lambda: endpoint.gone == ["a-1"])
 
 
+async def test_a_silent_endpoint_is_given_up_where_another_may_run_it():
+    config = worlds.a_config()
+    config["routes"][0]["target_latency_ms"] = 100
+    async with World(runners=2, config=config) as world:
+        silent, other = world.runners
+        silent.usual = silent.hang
+        for number in range(2):
+            answer = await world.ask(X_Attempt_Id=f"a-{number}")
+            assert answer.status == 200
+        assert len(other.ran) == 2
+
+
 async def test_nothing_that_listens_is_not_run_and_told_so_at_once():
     async with World() as world:
         (endpoint,) = world.runners
