--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -1,9 +1,9 @@
 """Grants slots of endpoints to requests that wait in one queue.
 
 Load pattern: more requests than slots for seconds, on endpoints whose speeds
-differ by several times. Requests wait here, in order of rank and arrival,
-instead of in the endpoints' own queues, so that each runs where a slot comes
-free first and none is stuck behind a slow endpoint.
+differ by several times. Requests wait here, by rank and by whether they can
+still be in time, instead of in the endpoints' own queues, so that each runs
+where a slot comes free first and none is stuck behind a slow endpoint.
 """
 
 import dataclasses
@@ -153,10 +153,12 @@
 class Slots:
     """The allocator: sans I/O, events and `now` in, rulings out."""
 
-    __slots__ = ("_leases", "_places", "_waiting")
+    __slots__ = ("_leases", "_paces", "_places", "_services", "_waiting")
 
     def __init__(self):
         self._places: dict[str, Place] = {}
+        self._services: dict[str, list[Place]] = {}
+        self._paces: dict[str, float] = {}
         self._leases: dict[str, Lease] = {}
         self._waiting: dict[str, Waiting] = {}
 
@@ -187,6 +189,7 @@
                 self._places[name] = Place(entry, leases=place.leases)
             else:
                 place.endpoint = entry
+        self._index()
         return self._serve(now)
 
     def ask(self, holder: str, need: messages.Need, now: float) -> list[Ruling]:
@@ -197,23 +200,12 @@
             return [Ruling(holder, granted)]
         if need.id in self._waiting:
             return []
-        usable = [
-            place
-            for place in self._of(need.service)
-            if place.endpoint.id not in need.avoid
-        ]
-        if not usable:
-            return [Ruling(holder, self._denied(need, "no_endpoint", 1.0))]
-        if all(place.bars(holder, now) for place in usable):
-            wait = UNREACHABLE_PAUSE_SECONDS
-            return [Ruling(holder, self._denied(need, "unreachable", wait))]
         self._waiting[need.id] = Waiting(holder, need, now)
         rulings = self._serve(now)
         if need.id in self._waiting:
-            wait = self._expected_wait(need, usable, now)
-            if now + wait > need.until:
+            denied = self._hopeless(holder, need, now)
+            if denied is not None:
                 del self._waiting[need.id]
-                denied = self._denied(need, "hopeless", wait)
                 rulings.append(Ruling(holder, denied))
         return rulings
 
@@ -311,12 +303,16 @@
         if place is not None:
             place.leases.discard(id_)
 
+    def _index(self) -> None:
+        self._services = {}
+        self._paces = {}
+        for place in self._places.values():
+            if not place.endpoint.leaving:
+                name = place.endpoint.service
+                self._services.setdefault(name, []).append(place)
+
     def _of(self, service: str) -> list[Place]:
-        return [
-            place
-            for place in self._places.values()
-            if place.endpoint.service == service and not place.endpoint.leaving
-        ]
+        return self._services.get(service, [])
 
     def _serve(self, now: float) -> list[Ruling]:
         rulings = []
@@ -379,8 +375,29 @@
         return Cost(pace * (1 + CROWDING * len(running)), len(running))
 
     def _typical_pace(self, service: str) -> float:
-        paces = sorted(p.pace for p in self._of(service) if p.samples)
-        return paces[len(paces) // 2] if paces else UNKNOWN_PACE
+        known = self._paces.get(service)
+        if known is None:
+            paces = sorted(p.pace for p in self._of(service) if p.samples)
+            known = paces[len(paces) // 2] if paces else UNKNOWN_PACE
+            self._paces[service] = known
+        return known
+
+    def _hopeless(
+        self, holder: str, need: messages.Need, now: float
+    ) -> messages.Denied | None:
+        usable = [
+            place
+            for place in self._of(need.service)
+            if place.endpoint.id not in need.avoid
+        ]
+        if not usable:
+            return self._denied(need, "no_endpoint", 1.0)
+        if all(place.bars(holder, now) for place in usable):
+            return self._denied(need, "unreachable", UNREACHABLE_PAUSE_SECONDS)
+        wait = self._expected_wait(need, usable, now)
+        if now + wait > need.until:
+            return self._denied(need, "hopeless", wait)
+        return None
 
     def _expected_wait(
         self, need: messages.Need, usable: list[Place], now: float
@@ -414,6 +431,7 @@
                 place.strikes = 0
                 place.barred.pop(lease.holder, None)
                 if lease.work:
+                    self._paces.pop(place.endpoint.service, None)
                     _learn_pace(place, (now - lease.since) / lease.work)
             case messages.Outcome.FAILED | messages.Outcome.ABANDONED:
                 pass
