--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -14,6 +14,7 @@
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import places
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import slots
 
@@ -129,7 +130,7 @@
                 decision = await self._decide_here(need, pending, asked)
             return decision
         except asyncio.CancelledError:
-            self._withdraw(need.id, asked, pending)
+            self._withdraw(need.id, asked)
             raise
         finally:
             self._pending.pop(need.id, None)
@@ -162,7 +163,7 @@
                 self.settle(self._slots.forget(holder, now))
         self.settle(self._slots.tick(now))
 
-    def settle(self, rulings: list[slots.Ruling]) -> None:
+    def settle(self, rulings: list[places.Ruling]) -> None:
         """Hands decisions to those who wait for them."""
         for ruling in rulings:
             if ruling.holder == self._name:
@@ -239,7 +240,7 @@
         share = min(1.0, (1 + len(self._holders)) / known)
         return self._quotas.take(need.organisation, need.cost, share, now)
 
-    def _withdraw(self, id_: str, asked: str, pending: Pending) -> None:
+    def _withdraw(self, id_: str, asked: str) -> None:
         self._slots.withdraw(id_)
         abandoned = messages.Outcome.ABANDONED
         if asked not in ("", self._name):
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -1,7 +1,6 @@
 """Brings each request of a caller to its one final answer."""
 
 import asyncio
-import dataclasses
 import itertools
 
 from cranberryglade import log
@@ -10,9 +9,10 @@
 from cranberryglade.gateway import budgets
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import events
-from cranberryglade.gateway import inbound
+from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import outbound
+from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
 
@@ -29,66 +29,6 @@
 logger = log.get_logger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One request on its way.
-
-    Attributes:
-        request: as it was read.
-        facts: what its headers say.
-        admitted: how it shall be served.
-        responder: where its answer goes.
-        deadline: when its final answer is due, seconds of the loop's clock.
-        arrived: when it was read, same clock.
-        cutter: cuts its stream.
-        sends: endpoints that it was sent to, in order.
-        tried: endpoints that it shall not be sent to again.
-        asked: whether its cost has been counted.
-        sent: whether it is on its way to an endpoint.
-        ran: whether an earlier attempt may have run.
-        spare: a failure answer to pass on if nothing better comes.
-        waited: seconds spent waiting for slots.
-    """
-
-    request: messages.Request
-    facts: messages.Facts
-    admitted: admission.Admitted
-    responder: inbound.Responder
-    deadline: float
-    arrived: float
-    cutter: events.EventCutter
-    sends: list[str] = dataclasses.field(default_factory=list)
-    tried: list[str] = dataclasses.field(default_factory=list)
-    asked: bool = False
-    sent: bool = False
-    ran: bool = False
-    spare: sending.Answer | None = None
-    waited: float = 0.0
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an endpoint may have started it, or may yet."""
-        return self.sent or self.ran
-
-    @property
-    def left(self) -> float:
-        """Seconds until the final answer is due."""
-        return self.deadline - asyncio.get_running_loop().time()
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Ended:
-    """How a request ended.
-
-    Attributes:
-        status: of the answer; 0 if the connection was broken.
-        reason: why, in one word.
-    """
-
-    status: int
-    reason: str
-
-
 class Forwarder:
     """Serves requests of callers."""
 
@@ -120,19 +60,19 @@
         self._numbers = itertools.count()
 
     async def handle(
-        self, request: messages.Request, responder: inbound.Responder
+        self, request: messages.Request, responder: responding.Responder
     ) -> None:
         """Serves one request; never raises but when it is cancelled."""
         try:
             await self._handle(request, responder)
-        except inbound.CallerGoneError:
+        except responding.CallerGoneError:
             self._state.metrics.ended("caller_gone", 0.0)
         except Exception:
             logger.exception("request.fault")
             responder.abort()
 
     async def _handle(
-        self, request: messages.Request, responder: inbound.Responder
+        self, request: messages.Request, responder: responding.Responder
     ) -> None:
         try:
             facts = self._dialect.facts(request)
@@ -154,10 +94,10 @@
         request: messages.Request,
         facts: messages.Facts,
         admitted: admission.Admitted,
-        responder: inbound.Responder,
+        responder: responding.Responder,
     ) -> None:
         self._budget.first(admitted.service, asyncio.get_running_loop().time())
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             request=request,
             facts=facts,
             admitted=admitted,
@@ -172,12 +112,12 @@
                 ended = await self._attempts(exchange)
         except TimeoutError:
             ended = self._give_up(exchange, 504, "timeout")
-        except (asyncio.CancelledError, inbound.CallerGoneError):
-            self._report(exchange, Ended(0, "caller_gone"))
+        except (asyncio.CancelledError, responding.CallerGoneError):
+            self._report(exchange, exchanges.Ended(0, "caller_gone"))
             raise
         self._report(exchange, ended)
 
-    async def _attempts(self, exchange: Exchange) -> Ended:
+    async def _attempts(self, exchange: exchanges.Exchange) -> exchanges.Ended:
         while True:
             need = self._need(exchange)
             exchange.asked = True
@@ -192,7 +132,9 @@
             if ended is not None:
                 return ended
 
-    def _denied(self, exchange: Exchange, denied: messages.Denied) -> Ended:
+    def _denied(
+        self, exchange: exchanges.Exchange, denied: messages.Denied
+    ) -> exchanges.Ended:
         after = denied.retry_after_seconds
         logger.info(
             "request.denied",
@@ -207,8 +149,8 @@
         return self._give_up(exchange, status, denied.reason, after)
 
     async def _attempt(
-        self, exchange: Exchange, need: messages.Need, name: str
-    ) -> Ended | None:
+        self, exchange: exchanges.Exchange, need: messages.Need, name: str
+    ) -> exchanges.Ended | None:
         outcome = messages.Outcome.ABANDONED
         try:
             endpoint = self._state.endpoints.get(name)
@@ -230,7 +172,7 @@
                 )
 
     async def _send(
-        self, exchange: Exchange, endpoint: messages.Endpoint
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> sending.Result:
         admitted = exchange.admitted
         kind = admitted.route.kind
@@ -258,10 +200,10 @@
 
     async def _judge(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         endpoint: messages.Endpoint,
         result: sending.Result,
-    ) -> tuple[messages.Outcome, Ended | None]:
+    ) -> tuple[messages.Outcome, exchanges.Ended | None]:
         match result:
             case sending.Opened():
                 return await self._relay(exchange, endpoint, result)
@@ -280,10 +222,10 @@
 
     async def _relay(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         endpoint: messages.Endpoint,
         opened: sending.Opened,
-    ) -> tuple[messages.Outcome, Ended | None]:
+    ) -> tuple[messages.Outcome, exchanges.Ended | None]:
         exchange.ran = True
         responder = exchange.responder
         try:
@@ -301,10 +243,12 @@
             return messages.Outcome.LOST, self._after(exchange, lost)
         self._sender.keep(endpoint, opened.channel)
         responder.finish()
-        return messages.Outcome.SERVED, Ended(opened.head.status, "served")
+        return messages.Outcome.SERVED, exchanges.Ended(
+            opened.head.status, "served"
+        )
 
     async def _events(
-        self, exchange: Exchange, channel: outbound.Channel
+        self, exchange: exchanges.Exchange, channel: outbound.Channel
     ) -> str:
         """Passes events on; returns why the stream broke off, or ""."""
         cutter = exchange.cutter
@@ -327,7 +271,9 @@
                 case dialect.AnswerHead():
                     return "stream torn"
 
-    def _patience(self, exchange: Exchange, seconds: float) -> float | None:
+    def _patience(
+        self, exchange: exchanges.Exchange, seconds: float
+    ) -> float | None:
         """How long an endpoint may be silent while another one could run it.
 
         Load pattern: endpoints that take requests and answer none of them,
@@ -337,7 +283,9 @@
         last = len(exchange.sends) >= route.attempts
         return None if last or not route.kind.repeatable else seconds
 
-    def _after(self, exchange: Exchange, reason: str) -> Ended | None:
+    def _after(
+        self, exchange: exchanges.Exchange, reason: str
+    ) -> exchanges.Ended | None:
         """Decides whether another attempt follows; None if so."""
         route = exchange.admitted.route
         repeatable = route.kind.repeatable or not exchange.may_have_run
@@ -352,7 +300,7 @@
             return None
         return self._give_up(exchange, 502, reason)
 
-    def _may_repeat(self, exchange: Exchange, now: float) -> bool:
+    def _may_repeat(self, exchange: exchanges.Exchange, now: float) -> bool:
         if not exchange.sends:
             return True
         share = self._state.share
@@ -360,15 +308,15 @@
 
     def _give_up(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         status: int,
         reason: str,
         retry_after: float = AGAIN_SECONDS,
-    ) -> Ended:
+    ) -> exchanges.Ended:
         responder = exchange.responder
         if responder.started:
             responder.abort()
-            return Ended(0, reason)
+            return exchanges.Ended(0, reason)
         if exchange.spare is not None:
             return self._pass_on(exchange, exchange.spare)
         headers = self._dialect.marks(exchange.facts)
@@ -376,16 +324,18 @@
             status = 429 if status == 429 else 503
             headers.append(retry_header(retry_after))
         responder.whole(status, headers, reason.encode())
-        return Ended(status, reason)
+        return exchanges.Ended(status, reason)
 
-    def _pass_on(self, exchange: Exchange, answer: sending.Answer) -> Ended:
+    def _pass_on(
+        self, exchange: exchanges.Exchange, answer: sending.Answer
+    ) -> exchanges.Ended:
         headers = self._dialect.passed_on(answer.head)
         exchange.responder.whole(
             answer.head.status, headers, answer.body, answer.head.reason
         )
-        return Ended(answer.head.status, answer.outcome.value)
+        return exchanges.Ended(answer.head.status, answer.outcome.value)
 
-    def _need(self, exchange: Exchange) -> messages.Need:
+    def _need(self, exchange: exchanges.Exchange) -> messages.Need:
         admitted = exchange.admitted
         facts = exchange.facts
         holder = admitted.organisation
@@ -407,7 +357,7 @@
     def _reject(
         self,
         facts: messages.Facts,
-        responder: inbound.Responder,
+        responder: responding.Responder,
         rejected: admission.Rejected,
     ) -> None:
         headers = self._dialect.marks(facts)
@@ -423,7 +373,9 @@
             **self._state.versions(),
         )
 
-    def _report(self, exchange: Exchange, ended: Ended) -> None:
+    def _report(
+        self, exchange: exchanges.Exchange, ended: exchanges.Ended
+    ) -> None:
         took = asyncio.get_running_loop().time() - exchange.arrived
         self._state.metrics.ended(ended.reason, took)
         holder = exchange.admitted.organisation
--- a/cranberryglade/gateway/handouts.py
+++ b/cranberryglade/gateway/handouts.py
@@ -15,10 +15,10 @@
 from cranberryglade.gateway import directory
 from cranberryglade.gateway import fetching
 from cranberryglade.gateway import following
-from cranberryglade.gateway import inbound
 from cranberryglade.gateway import members
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import responding
 from cranberryglade.gateway import state
 
 CONFIGURATION_PATH = "/configuration"
@@ -50,7 +50,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def answer(
-        self, request: messages.Request, responder: inbound.Responder
+        self, request: messages.Request, responder: responding.Responder
     ) -> None:
         """Serves a peer."""
         match request.target.decode("latin-1"):
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -4,13 +4,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import http
-import socket
 
 import httptools
 
 from cranberryglade.gateway import catalogue
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import responding
+from cranberryglade.gateway import sockets
 
 LONGEST_QUEUE = 8
 """Requests that a caller may send ahead on one connection."""
@@ -18,12 +18,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 SILENCE_MS = 3000
 LINGER_SECONDS = 0.5
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,87 +28,7 @@
     reason: str
 
 
-class Responder:
-    """Writes the answer to one request."""
-
-    __slots__ = ("_chunked", "_connection", "_keep_alive", "started", "status")
-
-    def __init__(self, connection: "Connection", keep_alive: bool):
-        self._connection = connection
-        self._keep_alive = keep_alive
-        self._chunked = False
-        self.started = False
-        self.status = 0
-
-    def start(
-        self,
-        status: int,
-        reason: bytes,
-        headers: list[messages.Header],
-        length: int | None,
-    ) -> None:
-        """Writes the head.
-
-        Args:
-            status: HTTP status.
-            reason: reason phrase; empty for the usual one.
-            headers: fields but for those on framing and connection.
-            length: bytes of the body; None for a body in chunks.
-        """
-        if self._connection.closing:
-            raise CallerGoneError
-        self._keep_alive = self._keep_alive and self._connection.stays_open
-        phrase = reason or usual_phrase(status)
-        lines = [b"HTTP/1.1 %d %s\r\n" % (status, phrase)]
-        lines += [b"%s: %s\r\n" % (h.name, h.value) for h in headers]
-        if length is None:
-            self._chunked = True
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        else:
-            lines.append(b"Content-Length: %d\r\n" % length)
-        if not self._keep_alive:
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        self.started = True
-        self.status = status
-        self._connection.write(b"".join(lines))
-
-    async def send(self, data: bytes) -> None:
-        """Writes a part of the body; waits while the caller reads slowly."""
-        if not data:
-            return
-        if self._connection.closing:
-            raise CallerGoneError
-        if self._chunked:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
-        self._connection.write(data)
-        await self._connection.drained()
-
-    def finish(self) -> None:
-        """Ends the answer."""
-        if self._chunked:
-            self._connection.write(b"0\r\n\r\n")
-        self._connection.answered(self._keep_alive)
-
-    def abort(self) -> None:
-        """Breaks the connection, so that the answer does not look whole."""
-        self._connection.break_off()
-
-    def whole(
-        self,
-        status: int,
-        headers: list[messages.Header],
-        body: bytes,
-        reason: bytes = b"",
-    ) -> None:
-        """Writes a whole answer."""
-        self.start(status, reason, headers, len(body))
-        if body:
-            self._connection.write(body)
-        self.finish()
-
-
-Handler = Callable[[messages.Request, Responder], Awaitable[None]]
+Handler = Callable[[messages.Request, responding.Responder], Awaitable[None]]
 
 
 class Listener:
@@ -211,7 +125,7 @@
         """Begins to wait for a first request."""
         self._transport = transport
         self._listener.connections.add(self)
-        bound_silence(transport.get_extra_info("socket"), SILENCE_MS)
+        sockets.bound_silence(transport.get_extra_info("socket"), SILENCE_MS)
         self._expect(self._listener.limits.idle_seconds, self._idle)
 
     def connection_lost(self, exc) -> None:
@@ -221,7 +135,7 @@
         if self._task is not None:
             self._task.cancel()
         if self._paused is not None and not self._paused.done():
-            self._paused.set_exception(CallerGoneError())
+            self._paused.set_exception(responding.CallerGoneError())
 
     def pause_writing(self) -> None:
         """Lets writers wait."""
@@ -365,7 +279,7 @@
 
     def _begin(self, request: messages.Request) -> None:
         self._stop_timer()
-        responder = Responder(self, request.keep_alive)
+        responder = responding.Responder(self, request.keep_alive)
         self._task = self._loop.create_task(
             self._listener.handler(request, responder)
         )
@@ -379,7 +293,7 @@
             self._refuse()
 
     def _refuse(self) -> None:
-        responder = Responder(self, False)
+        responder = responding.Responder(self, False)
         body = self._flaw.reason.encode()
         responder.whole(self._flaw.status, [], body)
 
@@ -406,36 +320,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def usual_phrase(status: int) -> bytes:
-    """The reason phrase of a status."""
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Status"
-
-
-def bound_silence(connected: socket.socket | None, milliseconds: int) -> None:
-    """Ends a connection whose peer acknowledges nothing for that long."""
-    if connected is None:
-        return
-    option = getattr(socket, "TCP_USER_TIMEOUT", None)
-    if option is not None:
-        connected.setsockopt(socket.IPPROTO_TCP, option, milliseconds)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
-def probe_silence(connected: socket.socket | None) -> None:
-    """Ends a connection that has gone silent while nothing is sent on it."""
-    if connected is None:
-        return
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for name, value in (
-        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
-        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
-        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-    ):
-        option = getattr(socket, name, None)
-        if option is not None:
-            connected.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -7,8 +7,8 @@
 import httptools
 
 from cranberryglade.gateway import dialect
-from cranberryglade.gateway import inbound
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import sockets
 
 HIGH_WATER_BYTES = 262_144
 SILENCE_MS = 2000
@@ -78,11 +78,11 @@
     def connection_made(self, transport) -> None:
         """Keeps the transport."""
         self._transport = transport
-        inbound.bound_silence(transport.get_extra_info("socket"), SILENCE_MS)
+        sockets.bound_silence(transport.get_extra_info("socket"), SILENCE_MS)
 
     def probe(self) -> None:
         """Lets the system notice when the connection has gone silent."""
-        inbound.probe_silence(self._transport.get_extra_info("socket"))
+        sockets.probe_silence(self._transport.get_extra_info("socket"))
 
     def send(self, head: bytes, body: bytes, bodiless: bool = False) -> None:
         """Sends a request.
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -28,6 +28,7 @@
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import registration
+from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import settings
 from cranberryglade.gateway import slots
@@ -235,7 +236,7 @@
             self._reload()
 
     async def _answer(
-        self, request: messages.Request, responder: inbound.Responder
+        self, request: messages.Request, responder: responding.Responder
     ) -> None:
         if request.target.startswith(READY_PATH):
             status = 200 if self._ready() else 503
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -6,20 +6,8 @@
 where a slot comes free first and none is stuck behind a slow endpoint.
 """
 
-import dataclasses
-
 from cranberryglade.gateway import messages
-
-DECODE_COST = 150.0
-"""Time of one output token, in prompt tokens."""
-
-PLAIN_WORK = 1.0
-PLAIN_CROWDING = 1.2
-"""How much slower a plain call may be than usual."""
-
-FIRST_OVERHEAD_SECONDS = 0.02
-FIRST_CROWDING = 1.5
-"""How much the prompts beside it delay a first answer."""
+from cranberryglade.gateway import places
 
 UNKNOWN_PACE = 0.0
 LEARNING_RATE = 0.2
@@ -30,137 +18,20 @@
 FIRST_PAUSE_SECONDS = 0.4
 LONGEST_PAUSE_SECONDS = 4.0
 REFUSED_PAUSE_SECONDS = 0.1
-BARRED_FOR_ALL = 2
-"""An endpoint that so many instances cannot reach is taken as down."""
-
 LEAST_RETRY_SECONDS = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """A slot in use.
-
-    Attributes:
-        holder: the instance that sends the request.
-        need: what was granted; None if another instance granted it.
-        endpoint: where it runs.
-        since: when it was granted.
-    """
-
-    holder: str
-    need: messages.Need | None
-    endpoint: str
-    since: float
-
-    @property
-    def work(self) -> float:
-        """Size of its request; 0 if only its place is known."""
-        return work(self.need) if self.need is not None else 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Place:
-    """What is known of one endpoint.
-
-    Attributes:
-        endpoint: its entry.
-        leases: ids of the requests that it runs.
-        pace: seconds for each unit of work, a running average.
-        samples: answers that the pace was learnt from.
-        strikes: failures in a row.
-        paused_until: no grants before this time.
-        barred: instances that cannot reach it, with the end of their pause.
-    """
-
-    endpoint: messages.Endpoint
-    leases: set[str] = dataclasses.field(default_factory=set)
-    pace: float = 0.0
-    samples: int = 0
-    strikes: int = 0
-    paused_until: float = 0.0
-    barred: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def open_to(self, holder: str, now: float) -> bool:
-        """Whether an instance may be sent there."""
-        if self.paused_until > now:
-            return False
-        return not self.bars(holder, now)
-
-    def bars(self, holder: str, now: float) -> bool:
-        """Whether an instance cannot reach it."""
-        barred = [name for name, until in self.barred.items() if until > now]
-        return holder in barred or len(barred) >= BARRED_FOR_ALL
-
-    @property
-    def free(self) -> int:
-        """Slots that are not in use."""
-        return self.endpoint.slots - len(self.leases)
-
-
-@dataclasses.dataclass(slots=True)
-class Waiting:
-    """A request that waits for a slot."""
-
-    holder: str
-    need: messages.Need
-    since: float
-
-    def order(self, pace: float, now: float) -> tuple[int, bool, float]:
-        """The smallest is served first.
-
-        Of one rank, those that can still have their first answer in time go
-        before those that are late anyway: when there are too many, serving
-        the oldest first would make all of them late.
-        """
-        late = now + first_seconds(self.need, pace) > self.need.aim
-        return (self.need.rank, late, self.since)
-
-
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
-class Cost:
-    """What a place costs a request; the smallest is best.
-
-    Attributes:
-        seconds: time for each unit of work.
-        running: requests that run there; decides between equals.
-    """
-
-    seconds: float
-    running: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Ruling:
-    """A decision and the instance that it is for."""
-
-    holder: str
-    decision: messages.Decision
-
-
-def work(need: messages.Need) -> float:
-    """Size of a request, in prompt tokens; 1 for a plain call."""
-    size = need.prompt_tokens + DECODE_COST * need.output_tokens
-    return size or PLAIN_WORK
-
-
-def first_seconds(need: messages.Need, pace: float) -> float:
-    """Time to the first answer once a request has its slot."""
-    if not need.prompt_tokens:
-        return PLAIN_CROWDING * pace * PLAIN_WORK
-    return FIRST_OVERHEAD_SECONDS + FIRST_CROWDING * pace * need.prompt_tokens
-
-
 class Slots:
     """The allocator: sans I/O, events and `now` in, rulings out."""
 
     __slots__ = ("_leases", "_paces", "_places", "_services", "_waiting")
 
     def __init__(self):
-        self._places: dict[str, Place] = {}
-        self._services: dict[str, list[Place]] = {}
+        self._places: dict[str, places.Place] = {}
+        self._services: dict[str, list[places.Place]] = {}
         self._paces: dict[str, float] = {}
-        self._leases: dict[str, Lease] = {}
-        self._waiting: dict[str, Waiting] = {}
+        self._leases: dict[str, places.Lease] = {}
+        self._waiting: dict[str, places.Waiting] = {}
 
     @property
     def leases(self) -> int:
@@ -174,39 +45,41 @@
 
     def endpoints(
         self, listed: dict[str, messages.Endpoint], now: float
-    ) -> list[Ruling]:
+    ) -> list[places.Ruling]:
         """Takes in the present list of endpoints."""
         for gone in self._places.keys() - listed.keys():
             del self._places[gone]
         for name, entry in listed.items():
             place = self._places.get(name)
             if place is None:
-                place = self._places[name] = Place(entry)
+                place = self._places[name] = places.Place(entry)
                 for id_, lease in self._leases.items():
                     if lease.endpoint == name:
                         place.leases.add(id_)
             elif place.endpoint.born != entry.born:
-                self._places[name] = Place(entry, leases=place.leases)
+                self._places[name] = places.Place(entry, leases=place.leases)
             else:
                 place.endpoint = entry
         self._index()
         return self._serve(now)
 
-    def ask(self, holder: str, need: messages.Need, now: float) -> list[Ruling]:
+    def ask(
+        self, holder: str, need: messages.Need, now: float
+    ) -> list[places.Ruling]:
         """Grants a slot, puts the request in the queue, or denies it."""
         held = self._leases.get(need.id)
         if held is not None:
             granted = messages.Granted(need.id, held.endpoint)
-            return [Ruling(holder, granted)]
+            return [places.Ruling(holder, granted)]
         if need.id in self._waiting:
             return []
-        self._waiting[need.id] = Waiting(holder, need, now)
+        self._waiting[need.id] = places.Waiting(holder, need, now)
         rulings = self._serve(now)
         if need.id in self._waiting:
             denied = self._hopeless(holder, need, now)
             if denied is not None:
                 del self._waiting[need.id]
-                rulings.append(Ruling(holder, denied))
+                rulings.append(places.Ruling(holder, denied))
         return rulings
 
     def withdraw(self, id_: str) -> None:
@@ -218,7 +91,7 @@
         id_: str,
         outcome: messages.Outcome,
         now: float,
-    ) -> list[Ruling]:
+    ) -> list[places.Ruling]:
         """Frees a slot and learns from how the attempt went."""
         lease = self._leases.pop(id_, None)
         if lease is None:
@@ -231,7 +104,7 @@
 
     def adopt(
         self, holder: str, needs: list[messages.Granted], now: float
-    ) -> list[Ruling]:
+    ) -> list[places.Ruling]:
         """Takes in the attempts that an instance has under way.
 
         Leases of that holder which it no longer lists are freed, but for
@@ -256,7 +129,7 @@
         now: float,
     ) -> None:
         """Takes in a lease that another instance has granted."""
-        self._leases[id_] = Lease(holder, need, endpoint, now)
+        self._leases[id_] = places.Lease(holder, need, endpoint, now)
         if endpoint in self._places:
             self._places[endpoint].leases.add(id_)
 
@@ -277,7 +150,7 @@
             if lease.holder == holder
         ]
 
-    def forget(self, holder: str, now: float) -> list[Ruling]:
+    def forget(self, holder: str, now: float) -> list[places.Ruling]:
         """Frees all that an instance held, which is no longer heard of."""
         for id_, lease in list(self._leases.items()):
             if lease.holder == holder:
@@ -287,14 +160,14 @@
                 del self._waiting[id_]
         return self._serve(now)
 
-    def tick(self, now: float) -> list[Ruling]:
+    def tick(self, now: float) -> list[places.Ruling]:
         """Ends waits that are over, and grants what has come free."""
         rulings = []
         for id_, waiting in list(self._waiting.items()):
             if now >= waiting.need.until:
                 del self._waiting[id_]
                 denied = self._denied(waiting.need, "waited", 0.5)
-                rulings.append(Ruling(waiting.holder, denied))
+                rulings.append(places.Ruling(waiting.holder, denied))
         return rulings + self._serve(now)
 
     def _drop(self, id_: str) -> None:
@@ -311,10 +184,10 @@
                 name = place.endpoint.service
                 self._services.setdefault(name, []).append(place)
 
-    def _of(self, service: str) -> list[Place]:
+    def _of(self, service: str) -> list[places.Place]:
         return self._services.get(service, [])
 
-    def _serve(self, now: float) -> list[Ruling]:
+    def _serve(self, now: float) -> list[places.Ruling]:
         rulings = []
         if not self._waiting:
             return rulings
@@ -336,18 +209,20 @@
             need = waiting.need
             del self._waiting[need.id]
             name = place.endpoint.id
-            self._leases[need.id] = Lease(waiting.holder, need, name, now)
+            self._leases[need.id] = places.Lease(
+                waiting.holder, need, name, now
+            )
             place.leases.add(need.id)
             if not any(p.free > 0 for p in self._of(need.service)):
                 spent.add(need.service)
             rulings.append(
-                Ruling(waiting.holder, messages.Granted(need.id, name))
+                places.Ruling(waiting.holder, messages.Granted(need.id, name))
             )
         return rulings
 
     def _best(
         self, holder: str, need: messages.Need, now: float
-    ) -> Place | None:
+    ) -> places.Place | None:
         free = [
             place
             for place in self._of(need.service)
@@ -362,7 +237,9 @@
             default=None,
         )
 
-    def _cost(self, place: Place, typical: float, now: float) -> Cost:
+    def _cost(
+        self, place: places.Place, typical: float, now: float
+    ) -> places.Cost:
         """How long a request would take there, relative to other places."""
         running = [
             self._leases[id_] for id_ in place.leases if id_ in self._leases
@@ -372,7 +249,7 @@
         shown = [(now - r.since) / r.work for r in running if r.work]
         pace = place.pace if place.samples else typical
         pace = max([pace, *shown])
-        return Cost(pace * (1 + CROWDING * len(running)), len(running))
+        return places.Cost(pace * (1 + CROWDING * len(running)), len(running))
 
     def _typical_pace(self, service: str) -> float:
         known = self._paces.get(service)
@@ -400,7 +277,7 @@
         return None
 
     def _expected_wait(
-        self, need: messages.Need, usable: list[Place], now: float
+        self, need: messages.Need, usable: list[places.Place], now: float
     ) -> float:
         slots = sum(place.endpoint.slots for place in usable)
         typical = self._typical_pace(need.service)
@@ -416,13 +293,13 @@
             for id_ in place.leases
             if id_ in self._leases
         ]
-        load = sum(map(work, ahead)) + 0.5 * sum(running)
+        load = sum(map(places.work, ahead)) + 0.5 * sum(running)
         return load * typical / max(1, slots)
 
     def _learn(
         self,
-        place: Place,
-        lease: Lease,
+        place: places.Place,
+        lease: places.Lease,
         outcome: messages.Outcome,
         now: float,
     ) -> None:
@@ -451,7 +328,7 @@
         return messages.Denied(need.id, reason, after, len(self._waiting))
 
 
-def _learn_pace(place: Place, pace: float) -> None:
+def _learn_pace(place: places.Place, pace: float) -> None:
     rate = max(LEARNING_RATE, 1 / (place.samples + 1))
     place.pace += rate * (pace - place.pace)
     place.samples += 1
