Read bodies in one place; drop what nothing reads

Sending and fetching each had a loop that reads a whole body; Channel.body serves both. A caller that left was counted twice in the metrics when writing to it failed; it is counted once.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -345,7 +345,6 @@
         kind=catalogue.Kind(ask.kind),
         prompt_tokens=ask.prompt_tokens,
         output_tokens=ask.output_tokens,
-        parts=(),
         until=now + ask.wait_ms / 1000,
         aim=now + ask.aim_ms / 1000,
         avoid=tuple(ask.avoid),
--- a/cranberryglade/gateway/fetching.py
+++ b/cranberryglade/gateway/fetching.py
@@ -7,11 +7,11 @@
 from returns.result import Result
 from returns.result import Success
 
-from cranberryglade.gateway import dialect
 from cranberryglade.gateway import outbound
 
 CONNECT_SECONDS = 1.0
 LONGEST_IDLE_SECONDS = 5.0
+LONGEST_REPLY_BYTES = 67_108_864
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,24 +79,20 @@
     async def _exchange(
         self, channel: outbound.Channel, call: Call
     ) -> Result[Reply, str]:
-        head = (
+        request = (
             f"{call.method} {call.target} HTTP/1.1\r\nHost: {self._address}\r\n"
         )
         if call.body:
-            head += (
+            request += (
                 "Content-Type: application/json\r\n"
                 f"Content-Length: {len(call.body)}\r\n"
             )
-        channel.send(f"{head}\r\n".encode(), call.body)
-        status = 0
-        parts = []
-        while True:
-            match await channel.next():
-                case dialect.AnswerHead(status=status):
-                    pass
-                case outbound.Data(data):
-                    parts.append(data)
-                case outbound.End():
-                    return Success(Reply(status, b"".join(parts)))
-                case outbound.Lost(reason):
-                    return Failure(reason)
+        channel.send(f"{request}\r\n".encode(), call.body)
+        head = await channel.next()
+        if isinstance(head, outbound.Lost):
+            return Failure(head.reason)
+        match await channel.body(LONGEST_REPLY_BYTES):
+            case outbound.Lost(reason):
+                return Failure(reason)
+            case body:
+                return Success(Reply(head.status, body))
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -112,7 +112,9 @@
                 ended = await self._attempts(exchange)
         except TimeoutError:
             ended = self._give_up(exchange, 504, "timeout")
-        except (asyncio.CancelledError, responding.CallerGoneError):
+        except responding.CallerGoneError:
+            ended = exchanges.Ended(0, "caller_gone")
+        except asyncio.CancelledError:
             self._report(exchange, exchanges.Ended(0, "caller_gone"))
             raise
         self._report(exchange, ended)
@@ -346,7 +348,6 @@
             kind=admitted.route.kind,
             prompt_tokens=facts.prompt_tokens,
             output_tokens=min(facts.expected_tokens, facts.output_tokens),
-            parts=tuple(name for name, _ in facts.parts),
             until=exchange.arrived + admitted.wait_seconds,
             aim=exchange.arrived + admitted.route.aim_seconds,
             avoid=tuple(exchange.tried),
--- a/cranberryglade/gateway/freshness.py
+++ b/cranberryglade/gateway/freshness.py
@@ -22,11 +22,6 @@
         self._revoke_seconds = revoke_seconds
         self._confirmed: float | None = None
 
-    @property
-    def confirmed(self) -> float | None:
-        """When the configuration was last known to be the newest."""
-        return self._confirmed
-
     def bound(self, revoke_seconds: float | None) -> None:
         """Takes in another bound for keys taken away; None if none."""
         self._revoke_seconds = revoke_seconds
--- a/cranberryglade/gateway/handouts.py
+++ b/cranberryglade/gateway/handouts.py
@@ -53,14 +53,14 @@
         self, request: messages.Request, responder: responding.Responder
     ) -> None:
         """Serves a peer."""
-        match request.target.decode("latin-1"):
-            case "/configuration" if self._state.raw_catalogue is not None:
-                body = msgspec.msgpack.encode(self._state.raw_catalogue)
-                responder.whole(200, [], body)
-            case "/endpoints":
-                responder.whole(200, [], msgspec.msgpack.encode(self._list()))
-            case _:
-                responder.whole(404, [], b"")
+        path = request.target.decode("latin-1")
+        configuration = self._state.raw_catalogue
+        if path == CONFIGURATION_PATH and configuration is not None:
+            responder.whole(200, [], msgspec.msgpack.encode(configuration))
+        elif path == ENDPOINTS_PATH:
+            responder.whole(200, [], msgspec.msgpack.encode(self._list()))
+        else:
+            responder.whole(404, [], b"")
 
     def compare(
         self, member: members.Member, standing: datagrams.Standing
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -222,17 +222,6 @@
         """How many are heard at present, this one included."""
         return 1 + len(self.heard(now))
 
-    def forgotten(self, now: float) -> list[Member]:
-        """Drops and returns those that were silent for very long."""
-        silent = [
-            member
-            for member in self._members.values()
-            if now - max(member.listed, member.heard or 0.0) > 2 * KNOWN_SECONDS
-        ]
-        for member in silent:
-            del self._members[member.name]
-        return silent
-
 
 def _weight(name: str) -> int:
     return xxhash.xxh64_intdigest(name.encode())
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -51,7 +51,6 @@
         output_tokens: most tokens of the answer; 0 if it did not say.
         sized: whether it gave token counts at all.
         expected_tokens: the caller's guess at the length of the answer.
-        parts: names of the shared parts of the prompt with their tokens.
         last_event: id of the last event that the caller has; "" if none.
     """
 
@@ -64,7 +63,6 @@
     output_tokens: int
     sized: bool
     expected_tokens: int
-    parts: tuple[tuple[str, int], ...]
     last_event: str
 
 
@@ -136,7 +134,6 @@
         kind: what of it may be repeated.
         prompt_tokens: length of the prompt; 0 for plain calls.
         output_tokens: expected length of the answer; 0 for plain calls.
-        parts: names of the shared parts of the prompt.
         until: when waiting is no longer of use, seconds of the clock.
         aim: when it should have its first answer, seconds of the clock.
         avoid: endpoints that it was sent to already.
@@ -150,7 +147,6 @@
     kind: catalogue.Kind
     prompt_tokens: int
     output_tokens: int
-    parts: tuple[str, ...]
     until: float
     aim: float
     avoid: tuple[str, ...] = ()
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -60,7 +60,6 @@
         self._busy = False
         self._bodiless = False
         self._until_close = False
-        self._answer_done = True
         self._headers: list[messages.Header] = []
         self._reason = b""
         self._dead = ""
@@ -116,6 +115,22 @@
                 self._transport.resume_reading()
         return event
 
+    async def body(self, longest_bytes: int) -> bytes | Lost:
+        """Reads the rest of an answer; Lost if it is not whole or too long."""
+        parts = []
+        size = 0
+        while True:
+            match await self.next():
+                case Data(data):
+                    parts.append(data)
+                    size += len(data)
+                    if size > longest_bytes:
+                        return Lost("answer too long")
+                case End():
+                    return b"".join(parts)
+                case Lost() as lost:
+                    return lost
+
     def finished(self) -> bool:
         """Ends an exchange; returns whether the connection can be kept."""
         self._busy = False
@@ -155,7 +170,6 @@
         """Starts an answer."""
         self._headers = []
         self._reason = b""
-        self._answer_done = False
 
     def on_status(self, reason: bytes) -> None:
         """Takes a part of the reason phrase."""
@@ -192,7 +206,6 @@
         """Hands the end on."""
         if self._parser.get_status_code() in SKIPPED_STATUSES:
             return
-        self._answer_done = True
         if not self._until_close and not self._bodiless:
             self._put(End())
 
@@ -210,17 +223,11 @@
 class Pool:
     """Kept connections to one endpoint address."""
 
-    __slots__ = ("_address", "_idle", "_opened")
+    __slots__ = ("_address", "_idle")
 
     def __init__(self, address: str):
         self._address = address
         self._idle: list[Channel] = []
-        self._opened = 0
-
-    @property
-    def opened(self) -> int:
-        """Connections made so far."""
-        return self._opened
 
     def kept(self, longest_idle_seconds: float) -> Channel | None:
         """The connection used last, if it has not idled too long."""
@@ -241,7 +248,6 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_seconds):
             _, channel = await loop.create_connection(Channel, host, int(port))
-        self._opened += 1
         return channel
 
     def keep(self, channel: Channel) -> None:
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -37,14 +37,13 @@
 class Responder:
     """Writes the answer to one request."""
 
-    __slots__ = ("_chunked", "_connection", "_keep_alive", "started", "status")
+    __slots__ = ("_chunked", "_connection", "_keep_alive", "started")
 
     def __init__(self, connection: Connection, keep_alive: bool):
         self._connection = connection
         self._keep_alive = keep_alive
         self._chunked = False
         self.started = False
-        self.status = 0
 
     def start(
         self,
@@ -76,7 +75,6 @@
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
         self.started = True
-        self.status = status
         self._connection.write(b"".join(lines))
 
     async def send(self, data: bytes) -> None:
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -161,8 +161,8 @@
         success = 200 <= head.status < 300
         if streams and success and told.stamped and not told.encoded:
             return Opened(head, channel)
-        body = await self._body(channel)
-        if body is None:
+        body = await channel.body(LONGEST_ANSWER_BYTES)
+        if isinstance(body, outbound.Lost):
             channel.abort()
             return Missed(messages.Outcome.LOST, "answer broke off")
         self.keep(endpoint, channel)
@@ -176,21 +176,6 @@
         outcome = served if success else messages.Outcome.FAILED
         return Answer(outcome, head, body)
 
-    async def _body(self, channel: outbound.Channel) -> bytes | None:
-        parts = []
-        size = 0
-        while True:
-            match await channel.next():
-                case outbound.Data(data):
-                    parts.append(data)
-                    size += len(data)
-                    if size > LONGEST_ANSWER_BYTES:
-                        return None
-                case outbound.End():
-                    return b"".join(parts)
-                case outbound.Lost(_):
-                    return None
-
 
 def render(request: messages.Request, headers: list[messages.Header]) -> bytes:
     """The head of a request as it goes to an endpoint."""
--- a/cranberryglade/gateway/telemetry.py
+++ b/cranberryglade/gateway/telemetry.py
@@ -8,7 +8,7 @@
 class Telemetry:
     """Metrics of one instance."""
 
-    __slots__ = ("_ended", "_registry", "_seconds", "counts", "gauges")
+    __slots__ = ("_ended", "_registry", "_seconds", "counts")
 
     def __init__(self):
         self._registry = prometheus_client.CollectorRegistry()
@@ -30,12 +30,6 @@
             ["event"],
             registry=self._registry,
         )
-        self.gauges = prometheus_client.Gauge(
-            "cranberryglade_state",
-            "Present state.",
-            ["what"],
-            registry=self._registry,
-        )
 
     def ended(self, reason: str, seconds: float) -> None:
         """Counts the end of a request; 0 seconds if it was not served."""
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -16,7 +16,6 @@
 
 COUNTS = b"x-token-counts"
 HINT = b"x-length-hint"
-PARTS = b"x-prompt-prefix"
 KEY = b"authorization"
 LAST_EVENT = b"last-event-id"
 TENANT = b"x-tenant"
@@ -85,7 +84,6 @@
             output_tokens=output,
             sized=COUNTS in fields,
             expected_tokens=_number(fields.get(HINT, "")) or output,
-            parts=_parts(fields.get(PARTS, "")),
             last_event=fields.get(LAST_EVENT, ""),
         )
 
@@ -177,14 +175,6 @@
     return _number(prompt.strip()), _number(output.strip())
 
 
-def _parts(text: str) -> tuple[tuple[str, int], ...]:
-    parts = []
-    for each in filter(None, text.split(",")):
-        name, _, tokens = each.strip().partition(":")
-        parts.append((name, _number(tokens)))
-    return tuple(parts)
-
-
 def _idle(value: bytes) -> float | None:
     match = re.search(rb"timeout=(\d+)", value)
     return float(match.group(1)) if match else None
--- a/cranberryglade/tests/gateway_builders.py
+++ b/cranberryglade/tests/gateway_builders.py
@@ -28,7 +28,6 @@
         "kind": catalogue.Kind.RESUMABLE,
         "prompt_tokens": 1000,
         "output_tokens": 100,
-        "parts": (),
         "until": 100.0,
         "aim": 100.0,
     }
@@ -86,7 +85,6 @@
         "output_tokens": 20,
         "sized": True,
         "expected_tokens": 20,
-        "parts": (),
         "last_event": "",
     }
     return messages.Facts(**(fields | changes))
