Count quotas by sliding window, and give back what did not run

The token bucket refuses for as long as a burst goes on what the window of the rule still allows, began empty after each change of the allocator, and kept the cost of requests that were denied for other reasons.

Ruled out: a share below 1 with all instances heard; too few slots (the refused ones had waited for nothing).

Change: one sliding window an organisation; the ledgers of the instances tell a new allocator what was spent; a denial refunds; when the allocator is silent its successor is asked before an instance decides alone.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -11,7 +11,9 @@
 
 from cranberryglade import log
 from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import charges
 from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import members
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import places
@@ -22,8 +24,8 @@
 QUEUED_ANSWER_SECONDS = 0.15
 SILENT_ASKS = 2
 SUSPECT_SECONDS = 0.5
-CAUTION_ALONE = 0.5
-"""Part of its share of a quota that an instance uses without an allocator."""
+ALLOCATORS_ASKED = 2
+"""So many are asked before an instance decides alone."""
 
 HOLDER_SECONDS = 1.5
 """Slots of an instance that was silent for longer are free."""
@@ -71,14 +73,14 @@
     """Asks the allocator, or is it."""
 
     __slots__ = (
-        "_alone",
+        "_charges",
         "_granted_by",
         "_holders",
-        "_leading",
+        "_leading_since",
+        "_ledger",
         "_mesh",
         "_name",
         "_pending",
-        "_quotas",
         "_slots",
     )
 
@@ -86,22 +88,20 @@
         self,
         name: str,
         own: slots.Slots,
-        counted: quotas.Quotas,
-        alone: quotas.Quotas,
+        charging: charges.Charges,
     ):
         """Sets it up.
 
         Args:
             name: this instance.
             own: the slots as they are known here.
-            counted: quotas while this instance counts for all.
-            alone: quotas while the allocator does not answer.
+            charging: counts against the quotas.
         """
         self._name = name
         self._slots = own
-        self._quotas = counted
-        self._alone = alone
-        self._leading = False
+        self._charges = charging
+        self._ledger = quotas.Ledger()
+        self._leading_since: float | None = None
         self._mesh: mesh.Mesh | None = None
         self._pending: dict[str, Pending] = {}
         self._granted_by: dict[str, str] = {}
@@ -113,21 +113,19 @@
 
     def tolerate(self, tolerance: quotas.Tolerance) -> None:
         """Takes in by how much quotas may be exceeded."""
-        self._quotas.tolerate(tolerance)
-        self._alone.tolerate(tolerance)
+        self._charges.tolerate(tolerance)
 
     async def acquire(self, need: messages.Need) -> messages.Decision:
         """Waits for a slot."""
         pending = Pending(need, asyncio.get_running_loop().create_future())
         self._pending[need.id] = pending
-        asked = ""
+        asked: list[str] = []
         try:
-            asked = self._mesh.allocator
-            decision = None
-            if asked != self._name:
-                decision = await self._ask(asked, need, pending)
+            decision = await self._ask_some(need, pending, asked)
             if decision is None:
-                decision = await self._decide_here(need, pending, asked)
+                decision = await self._decide_here(need, pending, bool(asked))
+            if isinstance(decision, messages.Granted):
+                self._note(need)
             return decision
         except asyncio.CancelledError:
             self._withdraw(need.id, asked)
@@ -143,29 +141,32 @@
             self._mesh.send_to(granter, datagrams.Release(id_, outcome.value))
         self._released(self._name, id_, outcome, now)
 
-    def held(self) -> list[datagrams.Held]:
-        """The attempts of this instance, for the allocator."""
-        return [
+    def report(self, allocator: members.Member) -> datagrams.Report:
+        """What the allocator must know of this instance's requests."""
+        held = [
             datagrams.Held(each.id, each.endpoint)
             for each in self._slots.held_by(self._name)
         ]
+        return datagrams.Report(held, self._unknown_to(allocator.incarnation))
 
     def tick(self, now: float) -> None:
         """Ends waits that are over and frees what silent instances held."""
-        leading = self._mesh.allocator == self._name
-        if leading and not self._leading:
-            logger.info("allocator.begun", held=self._slots.leases)
-            self._quotas.restart(now)
-        self._leading = leading
+        self._lead(self._mesh.allocator == self._name, now)
         for holder, heard in list(self._holders.items()):
             if now - heard > HOLDER_SECONDS:
                 del self._holders[holder]
                 self.settle(self._slots.forget(holder, now))
         self.settle(self._slots.tick(now))
+        self._charges.expire(now)
 
     def settle(self, rulings: list[places.Ruling]) -> None:
         """Hands decisions to those who wait for them."""
         for ruling in rulings:
+            match ruling.decision:
+                case messages.Granted(id=id_):
+                    self._charges.keep(id_)
+                case messages.Denied(id=id_):
+                    self._charges.refund(id_)
             if ruling.holder == self._name:
                 self._decided(ruling.decision)
             else:
@@ -175,15 +176,17 @@
         """Takes in a datagram of another instance."""
         now = asyncio.get_running_loop().time()
         match message:
-            case datagrams.Ping(name=name, held=held):
+            case datagrams.Ping(name=name, report=report):
                 self._holders[name] = now
-                listed = [messages.Granted(h.id, h.endpoint) for h in held]
-                self.settle(self._slots.adopt(name, listed, now))
+                held = [messages.Granted(h.id, h.endpoint) for h in report.held]
+                self._charges.report(name, quotas.spends(report.spent, now))
+                self.settle(self._slots.adopt(name, held, now))
             case datagrams.Ask():
                 self._holders.setdefault(message.name, now)
                 self._answer(message, now)
             case datagrams.Release(id=id_, outcome=outcome):
                 self._slots.withdraw(id_)
+                self._charges.refund(id_)
                 ended = messages.Outcome(outcome)
                 self._released(sender, id_, ended, now)
             case datagrams.Queued(id=id_):
@@ -194,6 +197,31 @@
             case datagrams.Deny():
                 self._decided(_heard(message))
 
+    async def _ask_some(
+        self, need: messages.Need, pending: Pending, asked: list[str]
+    ) -> messages.Decision | None:
+        """Asks the allocator, and its successor if it is silent.
+
+        Args:
+            need: what is asked.
+            pending: where the decision comes in.
+            asked: gets the names of those that were asked.
+
+        Returns:
+            The decision; None if this instance must decide.
+        """
+        while len(asked) < ALLOCATORS_ASKED:
+            allocator = self._mesh.allocator
+            if allocator == self._name or allocator in asked:
+                return None
+            asked.append(allocator)
+            decision = await self._ask(allocator, need, pending)
+            if decision is not None:
+                return decision
+            abandoned = messages.Outcome.ABANDONED.value
+            self._mesh.send_to(allocator, datagrams.Release(need.id, abandoned))
+        return None
+
     async def _ask(
         self, allocator: str, need: messages.Need, pending: Pending
     ) -> messages.Decision | None:
@@ -217,51 +245,79 @@
         return None
 
     async def _decide_here(
-        self, need: messages.Need, pending: Pending, asked: str
+        self, need: messages.Need, pending: Pending, alone: bool
     ) -> messages.Decision:
         now = asyncio.get_running_loop().time()
-        alone = asked != self._name
-        if alone:
-            self._mesh.send_to(asked, datagrams.Release(need.id, "abandoned"))
-        wait = self._charge(need, alone, now)
+        if alone and self._mesh.allocator != self._name:
+            known = self._mesh.members.known(now)
+            wait = self._charges.charge_alone(need, known, now)
+        else:
+            wait = self._charges.charge(need, self._standing(now), now)
         if wait > 0:
             return _over_quota(need.id, wait)
         self.settle(self._slots.ask(self._name, need, now))
-        decision = await pending.future
-        if isinstance(decision, messages.Denied) and not alone:
-            self._quotas.give_back(need.organisation, need.cost)
-        return decision
-
-    def _charge(self, need: messages.Need, alone: bool, now: float) -> float:
-        known = self._mesh.members.known(now)
-        if alone:
-            share = CAUTION_ALONE / known
-            return self._alone.take(need.organisation, need.cost, share, now)
-        share = min(1.0, (1 + len(self._holders)) / known)
-        return self._quotas.take(need.organisation, need.cost, share, now)
-
-    def _withdraw(self, id_: str, asked: str) -> None:
+        return await pending.future
+
+    def _standing(self, now: float) -> charges.Standing:
+        leading = None
+        if self._leading_since is not None:
+            leading = now - self._leading_since
+        return charges.Standing(
+            leading_seconds=leading,
+            known=self._mesh.members.known(now),
+            present=1 + len(self._holders),
+            remembering=self._mesh.members.older_than(
+                self._charges.window_seconds, {*self._holders}, now
+            ),
+        )
+
+    def _lead(self, leading: bool, now: float) -> None:
+        if not leading:
+            self._leading_since = None
+            return
+        if self._leading_since is None:
+            self._leading_since = now
+            logger.info("allocator.begun", held=self._slots.leases)
+        own = self._unknown_to(self._mesh.life)
+        self._charges.report(self._name, quotas.spends(own, now))
+
+    def _unknown_to(self, life: str) -> list[datagrams.Spent]:
+        now = asyncio.get_running_loop().time()
+        window = self._charges.window_seconds
+        return self._ledger.unknown_to(life, window, now)
+
+    def _note(self, need: messages.Need) -> None:
+        if not need.cost or not need.organisation:
+            return
+        granter = self._granted_by.get(need.id, "")
+        life = self._mesh.life
+        if granter:
+            member = self._mesh.members.get(granter)
+            life = member.incarnation if member is not None else ""
+        now = asyncio.get_running_loop().time()
+        self._ledger.add(quotas.Spend(need.organisation, need.cost, now, life))
+
+    def _withdraw(self, id_: str, asked: list[str]) -> None:
         self._slots.withdraw(id_)
+        self._charges.refund(id_)
         abandoned = messages.Outcome.ABANDONED
-        if asked not in ("", self._name):
-            self._granted_by.pop(id_, None)
-            self._mesh.send_to(asked, datagrams.Release(id_, "abandoned"))
+        self._granted_by.pop(id_, None)
+        for name in asked:
+            self._mesh.send_to(name, datagrams.Release(id_, abandoned.value))
         now = asyncio.get_running_loop().time()
         self.settle(self._slots.release(id_, abandoned, now))
 
     def _answer(self, ask: datagrams.Ask, now: float) -> None:
         need = _need_of(ask, now)
         known = self._slots.knows(need.id)
-        wait = 0.0 if known else self._charge(need, False, now)
+        wait = 0.0
+        if not known:
+            wait = self._charges.charge(need, self._standing(now), now)
         if wait > 0:
             denied = _over_quota(need.id, wait)
             self._mesh.send_to(ask.name, _spoken(denied))
             return
         rulings = self._slots.ask(ask.name, need, now)
-        for ruling in rulings:
-            own = ruling.decision.id == need.id
-            if own and isinstance(ruling.decision, messages.Denied):
-                self._quotas.give_back(need.organisation, need.cost)
         self.settle(rulings)
         if not any(ruling.decision.id == need.id for ruling in rulings):
             self._mesh.send_to(ask.name, datagrams.Queued(need.id))
@@ -270,7 +326,7 @@
         self, holder: str, id_: str, outcome: messages.Outcome, now: float
     ) -> None:
         endpoint = self._slots.place_of(id_)
-        if endpoint and outcome in DOUBTS and self._leading:
+        if endpoint and outcome in DOUBTS and self._leading_since is not None:
             logger.info(
                 "endpoint.doubted",
                 endpoint=endpoint,
--- a/cranberryglade/gateway/budgets.py
+++ b/cranberryglade/gateway/budgets.py
@@ -35,8 +35,29 @@
         self._trim(now)
         return math.fsum(amount for _, amount in self._buckets)
 
+    def take_back(self, amount: float, added: float) -> None:
+        """Undoes an `add` of that time, if it still counts."""
+        for bucket in reversed(self._buckets):
+            if bucket[0] <= added:
+                bucket[1] = max(0.0, bucket[1] - amount)
+                return
+
+    def seconds_until_less_by(self, amount: float, now: float) -> float:
+        """When so much of the present sum will have left the window."""
+        gone = 0.0
+        for begun, counted in self._buckets:
+            gone += counted
+            if gone >= amount:
+                return max(0.0, begun + self._kept_seconds - now)
+        return self._kept_seconds
+
+    @property
+    def _kept_seconds(self) -> float:
+        # A bucket counts until its newest addition has left the window.
+        return self._seconds * (1 + 1 / BUCKETS)
+
     def _trim(self, now: float) -> None:
-        oldest = now - self._seconds * (1 + 1 / BUCKETS)
+        oldest = now - self._kept_seconds
         while self._buckets and self._buckets[0][0] < oldest:
             self._buckets.popleft()
 
@@ -99,44 +120,3 @@
         if window is None:
             window = windows[service] = Window(self._window)
         return window
-
-
-class Bucket:
-    """A token bucket for the quota of one organisation."""
-
-    __slots__ = ("_burst", "_level", "_rate", "_since")
-
-    def __init__(self, rate: float, burst: float, now: float):
-        self._rate = rate
-        self._burst = burst
-        # What was spent before is not known here, so it starts empty.
-        self._level = 0.0
-        self._since = now
-
-    def resize(self, rate: float, burst: float, now: float) -> None:
-        """Goes on with another rate; what was spent stays spent."""
-        self._refill(now)
-        self._rate = rate
-        self._burst = burst
-        self._level = min(self._level, burst)
-
-    def take(self, cost: float, now: float) -> float:
-        """Takes a cost; returns 0, or the seconds until it would fit.
-
-        A cost above the whole burst fits when the bucket is full.
-        """
-        self._refill(now)
-        if self._level >= min(cost, self._burst):
-            self._level -= cost
-            return 0.0
-        missing = min(cost, self._burst) - self._level
-        return missing / self._rate if self._rate > 0 else math.inf
-
-    def give_back(self, cost: float) -> None:
-        """Undoes `take`."""
-        self._level = min(self._burst, self._level + cost)
-
-    def _refill(self, now: float) -> None:
-        gained = max(0.0, now - self._since) * self._rate
-        self._level = min(self._burst, self._level + gained)
-        self._since = now
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -16,6 +16,33 @@
     endpoint: str
 
 
+class Spent(msgspec.Struct, array_like=True, frozen=True):
+    """What requests of the sender counted against a quota.
+
+    Attributes:
+        organisation: whose quota.
+        cost: what they counted.
+        age_seconds: how long ago, at most a step longer.
+    """
+
+    organisation: str
+    cost: float
+    age_seconds: float
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """What the allocator must know of the sender's requests.
+
+    Attributes:
+        held: requests that it has at endpoints.
+        spent: what it spent in the present window of the quotas that the
+            receiver did not grant in its present life.
+    """
+
+    held: list[Held]
+    spent: list[Spent]
+
+
 class Standing(msgspec.Struct, array_like=True, frozen=True):
     """What an instance knows, so that others can tell who knows more.
 
@@ -45,7 +72,7 @@
         domain: its failure domain.
         sequence: is repeated in the answer.
         standing: what it knows.
-        held: its requests under way; None unless the receiver allocates.
+        report: on its requests; None unless the receiver allocates.
     """
 
     name: str
@@ -54,7 +81,7 @@
     domain: str
     sequence: int
     standing: Standing
-    held: list[Held] | None
+    report: Report | None
 
 
 class Introduction(msgspec.Struct, array_like=True, frozen=True):
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -218,6 +218,12 @@
             return own
         return max([own, *(member.told for member in self.heard(now))])
 
+    def older_than(self, seconds: float, names: set[str], now: float) -> int:
+        """How many of these, and this one, have lived for so long."""
+        lives = [self._begun]
+        lives += [m.begun for m in self._members.values() if m.name in names]
+        return sum(now - begun >= seconds for begun in lives)
+
     def present(self, now: float) -> int:
         """How many are heard at present, this one included."""
         return 1 + len(self.heard(now))
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -35,7 +35,7 @@
         known: state.State,
         on_message: Handler,
         on_standing: Callable[[members.Member, datagrams.Standing], None],
-        held: Callable[[], list[datagrams.Held]],
+        report: Callable[[members.Member], datagrams.Report],
     ):
         self.members = members.Members(
             name, domain, asyncio.get_running_loop().time()
@@ -47,12 +47,17 @@
         self._state = known
         self._on_message = on_message
         self._on_standing = on_standing
-        self._held = held
+        self._report = report
         self._transport = None
         self._sequence = 0
         self._sent: dict[int, float] = {}
         self._touch: set[str] = set()
 
+    @property
+    def life(self) -> str:
+        """The incarnation of this instance."""
+        return self._state.incarnation
+
     @property
     def allocator(self) -> str:
         """The instance that grants slots at present."""
@@ -80,7 +85,7 @@
         self._sequence += 1
         self._sent[self._sequence] = clock.steady_now()
         self._sent.pop(self._sequence - REMEMBERED_PINGS, None)
-        held = self._held() if member.name == self.allocator else None
+        allocates = member.name == self.allocator
         ping = datagrams.Ping(
             self._name,
             self._state.incarnation,
@@ -88,7 +93,7 @@
             self._domain,
             self._sequence,
             self._standing(),
-            held,
+            self._report(member) if allocates else None,
         )
         self.send(member, ping)
 
@@ -155,7 +160,7 @@
             self._introduction(now),
         )
         self.send(member, pong)
-        if ping.held is not None:
+        if ping.report is not None:
             self._on_message(ping.name, ping)
 
     def _take_pong(self, pong: datagrams.Pong) -> None:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -17,6 +17,7 @@
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import budgets
 from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import charges
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import following
 from cranberryglade.gateway import forwarding
@@ -80,8 +81,7 @@
         self._allocator = allocation.SharedAllocator(
             configured.instance,
             self._slots,
-            self._quotas(configured),
-            self._quotas(configured),
+            charges.Charges(self._quotas(configured), self._quotas(configured)),
         )
         self._sender = sending.Sender(words)
         self._follower = following.Follower(
@@ -100,7 +100,7 @@
             self._state,
             self._allocator.receive,
             self._handouts.compare,
-            self._allocator.held,
+            self._allocator.report,
         )
         self._allocator.join(self._mesh)
         self._budget = budgets.RetryBudget(
@@ -279,8 +279,7 @@
         )
 
     def _quotas(self, configured: settings.Settings) -> quotas.Quotas:
-        tolerance = self._tolerance(configured)
-        return quotas.Quotas(self._organisation, tolerance, time.monotonic())
+        return quotas.Quotas(self._organisation, self._tolerance(configured))
 
     def _organisation(self, name: str) -> catalogue.Organisation | None:
         known = self._state.catalogue
