Let contacts alone follow the store where instances are many

Change: an instance that hears two contacts with a fresh confirmation follows no feed; it reads a newer configuration from the store itself, as narrow links can not hand out large ones in time, and the endpoints from the contact that has them. Also: the sides of a cut have shares that make one quota together.

--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -33,19 +33,24 @@
         1.0
         >>> Standing(0.0, 6, 6, 3).share(8.0)
         0.5
-        >>> Standing(20.0, 6, 4, 4).share(8.0) < 1.0
-        True
+        >>> Standing(20.0, 6, 4, 4).share(8.0)
+        0.8333333333333333
+        >>> Standing(20.0, 6, 2, 2).share(8.0)
+        0.16666666666666666
         """
+        heard = min(1.0, self.present / self.known)
         if self.leading_seconds is None:
-            return min(1.0, self.present / self.known)
-        # Those that are not heard may grant their part of it to themselves.
-        lost = max(0, self.known - self.present) / self.known
+            return heard
+        # Where a cut divides the instances, each side has an allocator. The
+        # larger side leaves to the others what they may grant themselves.
+        if 2 * self.present > self.known:
+            reached = 1 - CAUTION_ALONE * (1 - heard)
+        else:
+            reached = CAUTION_ALONE * heard
         # What was granted before is known from those who remember it.
         settled = min(1.0, self.leading_seconds / window_seconds)
         remembered = min(1.0, self.remembering / self.known)
-        return min(
-            1 - CAUTION_ALONE * lost, settled + (1 - settled) * remembered
-        )
+        return min(reached, settled + (1 - settled) * remembered)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/following.py
+++ b/cranberryglade/gateway/following.py
@@ -22,12 +22,20 @@
 PROBE_TICK_SECONDS = 0.25
 STARTING_SECONDS = 10.0
 GATHER_SECONDS = 1.0
+INFORMED_TICK_SECONDS = 0.25
 
 logger = log.get_logger(__name__)
 
 
 class Follower:
-    """Keeps the state in step with the store."""
+    """Keeps the state in step with the store.
+
+    Attributes:
+        patience: seconds to wait longer than the first in order before the
+            store is asked whether the configuration is still the newest.
+        informed: whether peers tell what the store would tell, so that
+            reading it is needless.
+    """
 
     __slots__ = (
         "_decoder",
@@ -38,6 +46,7 @@
         "_starting_until",
         "_state",
         "_store",
+        "informed",
         "patience",
     )
 
@@ -60,12 +69,17 @@
         now = asyncio.get_running_loop().time()
         self._starting_until = now + STARTING_SECONDS
         self.patience = 0.0
+        self.informed = False
 
     async def follow(self, table: ports.Table) -> None:
         """Follows one table for ever."""
         pause = FIRST_PAUSE_SECONDS
         version = None
         while True:
+            if self._needless(table):
+                version = None
+                await asyncio.sleep(INFORMED_TICK_SECONDS)
+                continue
             if version is None:
                 result = await self._read(table)
             else:
@@ -83,6 +97,21 @@
                     await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                     pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
 
+    async def refresh(self) -> None:
+        """Reads the configuration once, as a peer has told of a newer one."""
+        match await self._read(ports.Table.CONFIGURATION):
+            case Success(_):
+                self._answered()
+            case Failure(error):
+                self._failed(ports.Table.CONFIGURATION, error)
+
+    def _needless(self, table: ports.Table) -> bool:
+        if not self.informed:
+            return False
+        if table is ports.Table.CONFIGURATION:
+            return self._state.version > 0
+        return self._state.directory.version > 0
+
     async def _gather(self, table: ports.Table) -> None:
         # At the start of a whole system the endpoints list themselves one
         # after the other, and each would cost every instance a call.
@@ -96,12 +125,7 @@
             await asyncio.sleep(PROBE_TICK_SECONDS)
             now = clock.steady_now()
             if self._state.freshness.probe_due(now, self.patience):
-                result = await self._read(ports.Table.CONFIGURATION)
-                match result:
-                    case Success(_):
-                        self._answered()
-                    case Failure(error):
-                        self._failed(ports.Table.CONFIGURATION, error)
+                await self.refresh()
 
     def take_catalogue(self, row: ports.Row) -> None:
         """Puts a configuration in force if it is newer."""
--- a/cranberryglade/gateway/handouts.py
+++ b/cranberryglade/gateway/handouts.py
@@ -25,7 +25,7 @@
 ENDPOINTS_PATH = "/endpoints"
 FETCH_SECONDS = 1.0
 PATIENCE_SECONDS = 0.35
-"""How long the store's own feed may take to bring what a peer has."""
+"""How long the store may take to bring what a peer has."""
 
 logger = log.get_logger(__name__)
 
@@ -83,7 +83,7 @@
         self, path: str, member: members.Member, version: int
     ) -> None:
         try:
-            await asyncio.sleep(PATIENCE_SECONDS)
+            await self._ask_store(path)
             if self._present(path) >= version:
                 return
             fetcher = self._fetchers.get(member.address)
@@ -105,6 +105,18 @@
         finally:
             self._busy.discard(path)
 
+    async def _ask_store(self, path: str) -> None:
+        if not self._follower.informed:
+            await asyncio.sleep(PATIENCE_SECONDS)
+        elif path == CONFIGURATION_PATH:
+            # A large configuration is read where the bandwidth is: on a
+            # narrow link few peers could hand it out in time.
+            try:
+                async with asyncio.timeout(PATIENCE_SECONDS):
+                    await self._follower.refresh()
+            except TimeoutError:
+                logger.warning("store.slow", what=path)
+
     def _present(self, path: str) -> int:
         if path == CONFIGURATION_PATH:
             return self._state.version
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -22,6 +22,13 @@
 """A life that began later allocates only if there is no older one: it does
 not know yet what is under way and how fast the endpoints are."""
 
+CURRENT_SECONDS = 2.5
+"""What an instance knows is taken as current if it was confirmed by the
+platform's store so lately."""
+
+CURRENT_CONTACTS = 2
+"""So many contacts with current knowledge make reading the store needless."""
+
 KNOWN_SECONDS = 20.0
 """An instance that was silent for longer has no share of what all may use."""
 
@@ -40,6 +47,8 @@
         heard: when it last answered; None if never.
         seen: when a heartbeat of it came in; None if never.
         told: how many instances it knows.
+        confirmed: when its configuration was last confirmed, by its account;
+            None if never.
         stopping: whether it said that it stops.
     """
 
@@ -52,6 +61,7 @@
     heard: float | None = None
     seen: float | None = None
     told: int = 0
+    confirmed: float | None = None
     stopping: bool = False
 
     @property
@@ -107,6 +117,31 @@
         chosen = {m.name: m for m in order[:CONTACTS] + near[:CONTACTS]}
         return list(chosen.values())
 
+    @property
+    def relays(self) -> bool:
+        """Whether others keep in touch with this instance."""
+        own = _weight(self._own)
+        first = [m for m in self._members.values() if _weight(m.name) > own]
+        near = [member for member in first if member.domain == self._domain]
+        return len(first) < CONTACTS or len(near) < CONTACTS
+
+    def informed(self, now: float) -> bool:
+        """Whether the contacts tell all that the store would tell.
+
+        Load pattern: a change of one row, which each of hundreds of
+        instances would fetch by a call of its own.
+        """
+        if self.few or self.relays:
+            return False
+        current = [
+            member
+            for member in self.heard(now)
+            if member.confirmed is not None
+            and now - member.confirmed < CURRENT_SECONDS
+            and not member.stopping
+        ]
+        return len(current) >= CURRENT_CONTACTS
+
     def age(self, now: float) -> float:
         """Seconds since this life began."""
         return now - self._begun
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -177,6 +177,8 @@
             self.members.learn(other.name, other.address, other.domain, now)
         standing = pong.standing
         member.told = standing.members
+        if standing.confirmed_ms >= 0:
+            member.confirmed = now - standing.confirmed_ms / 1000
         same = standing.configuration == self._state.version
         if same and standing.confirmed_ms >= 0 and self._state.version:
             as_of = sent - standing.confirmed_ms / 1000
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -262,6 +262,7 @@
             self._state.share = 1 / self._mesh.members.known(now)
             order = self._mesh.members.order(now)
             self._follower.patience = order * PROBE_STEP_SECONDS
+            self._follower.informed = self._mesh.members.informed(now)
 
     async def _register(self) -> None:
         entry = registration.Entry(
--- a/cranberryglade/tests/test_gateway_beliefs.py
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -239,10 +239,17 @@
     assert settled.share(8.0) == 1.0
 
 
-def test_those_who_are_cut_off_keep_their_part():
-    standing = charges.Standing(20.0, known=6, present=4, remembering=4)
-    alone = charges.CAUTION_ALONE * 2 / 6
-    assert standing.share(8.0) + alone <= 1.0
+@pytest.mark.parametrize(
+    "sides", [[6], [5, 1], [4, 2], [3, 3], [2, 2, 2], [3, 2, 1], [1] * 6]
+)
+def test_all_sides_of_a_cut_together_keep_the_quota(sides):
+    # Load: instances that are cut off from the others meet each other, and
+    # each side has an allocator of its own.
+    shares = [
+        charges.Standing(20.0, sum(sides), side, side).share(8.0)
+        for side in sides
+    ]
+    assert sum(shares) <= 1.0
 
 
 def test_a_request_that_is_denied_costs_nothing():
@@ -352,3 +359,25 @@
         for contact in view.contacts:
             view.hear(contact.name, "life-1", later, later)
         assert view.known(later) == 80
+
+
+def test_few_of_many_instances_are_contacts_of_others():
+    names = [f"gate-{number}" for number in range(300)]
+    views = []
+    for number, own in enumerate(names):
+        view = members.Members(own, ("north", "south")[number % 2], 0.0)
+        for place, other in enumerate(names):
+            domain = ("north", "south")[place % 2]
+            view.learn(other, f"{other}:1", domain, 0.0)
+        views.append(view)
+    assert sum(view.relays for view in views) <= 3 * members.CONTACTS
+    told = next(view for view in views if not view.relays)
+    assert not told.informed(1.0)
+    for contact in told.contacts:
+        told.hear(contact.name, "life-1", 4.0, 4.0)
+        contact.confirmed = 3.5
+    assert told.informed(4.1)
+    # All of them are cut off from the store.
+    for contact in told.contacts:
+        told.hear(contact.name, "life-1", 9.0, 9.0)
+    assert not told.informed(9.1)
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -6,6 +6,8 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade.gateway import following
+from cranberryglade.gateway import members
 from cranberryglade.gateway import ports
 from cranberryglade.platform import store
 from cranberryglade.standins import runner
@@ -179,3 +181,56 @@
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.2)
         assert world.store.calls - before <= 5
+
+
+async def take_for_many(world, monkeypatch):
+    """Lets six instances keep in touch as hundreds do."""
+    monkeypatch.setattr(members, "FEW", 2)
+    monkeypatch.setattr(members, "CONTACTS", 1)
+    monkeypatch.setattr(members, "CURRENT_CONTACTS", 1)
+    await worlds.eventually(
+        lambda: sum(g._follower.informed for g in world.gateways) >= 4, 5.0
+    )
+
+
+async def test_of_many_instances_only_the_contacts_follow_the_store(
+    monkeypatch,
+):
+    # Load: endpoints come one after the other, and every instance would
+    # fetch each of them by a call of its own.
+    monkeypatch.setattr(following, "GATHER_SECONDS", 0.05)
+    async with World(gateways=6) as world:
+        await take_for_many(world, monkeypatch)
+        world.store.put("servers", "i-wakes", b"{}")
+        await asyncio.sleep(0.5)
+        before = world.store.calls
+        for number in range(20):
+            world.store.put("servers", f"i-odd-{number}", b"{}")
+            await asyncio.sleep(0.1)
+        assert world.store.calls - before <= 2 * 20 + 10
+        added = runner.RunnerStandin("i-new")
+        await added.start()
+        world.runners.append(added)
+        world.list_runner(added)
+        world.configure(worlds.a_config(9))
+        await worlds.eventually(lambda: versions(world) == [9] * 6, 1.0)
+        await worlds.eventually(
+            lambda: all("i-new" in g._state.endpoints for g in world.gateways),
+            1.5,
+        )
+
+
+async def test_instances_follow_the_store_when_their_contacts_do_not(
+    monkeypatch,
+):
+    monkeypatch.setattr(members, "CURRENT_SECONDS", 1.0)
+    async with World(gateways=6, revoke_seconds=5.0) as world:
+        await take_for_many(world, monkeypatch)
+        for gateway in world.gateways:
+            if not gateway._follower.informed:
+                gateway._follower._store = store.StoreClient("127.0.0.1:1")
+        world.store.put("op", "other", b"wakes the feeds")
+        world.configure(worlds.a_config(9))
+        await worlds.eventually(lambda: versions(world) == [9] * 6, 4.0)
+        await asyncio.sleep(5.2)
+        assert all(g._ready() for g in world.gateways)
