--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -266,7 +266,7 @@
             leading_seconds=leading,
             known=self._mesh.members.known(now),
             present=1 + len(self._holders),
-            remembering=self._mesh.members.older_than(
+            remembering=self._mesh.members.remembering(
                 self._charges.window_seconds, {*self._holders}, now
             ),
         )
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -18,13 +18,14 @@
             not, but was asked by one that does not hear the allocator.
         known: instances that there are, this one included.
         present: those of them that are heard.
-        remembering: those present whose life is older than the window.
+        remembering: those present, each by the part of the window that its
+            present life remembers.
     """
 
     leading_seconds: float | None
     known: int
     present: int
-    remembering: int
+    remembering: float
 
     def share(self, window_seconds: float) -> float:
         """The part of a quota that may be granted.
--- a/cranberryglade/gateway/members.py
+++ b/cranberryglade/gateway/members.py
@@ -253,11 +253,14 @@
             return own
         return max([own, *(member.told for member in self.heard(now))])
 
-    def older_than(self, seconds: float, names: set[str], now: float) -> int:
-        """How many of these, and this one, have lived for so long."""
+    def remembering(self, seconds: float, names: set[str], now: float) -> float:
+        """How many of these, and this one, have lived for so long.
+
+        Those that have lived for a part of it count as that part.
+        """
         lives = [self._begun]
         lives += [m.begun for m in self._members.values() if m.name in names]
-        return sum(now - begun >= seconds for begun in lives)
+        return sum(min(1.0, (now - begun) / seconds) for begun in lives)
 
     def present(self, now: float) -> int:
         """How many are heard at present, this one included."""
--- a/cranberryglade/tests/test_gateway_beliefs.py
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -246,6 +246,22 @@
     assert new.share(8.0) == pytest.approx(5 / 6)
     after_all_died = charges.Standing(2.0, known=6, present=6, remembering=0)
     assert after_all_died.share(8.0) == 0.25
+
+
+def test_a_change_of_the_allocator_does_not_take_the_memory_back():
+    # Load: all were killed at once, and the first to come back allocate for
+    # a moment only.
+    view = members.Members("a", "north", 0.0)
+    for name in ("b", "c"):
+        view.learn(name, f"{name}:1", "north", 0.0)
+        view.hear(name, "life-1", 4.0, 4.0)
+    remembering = view.remembering(8.0, {"b", "c"}, 4.0)
+    assert remembering == pytest.approx(1.5)
+    new = charges.Standing(0.0, 3, 3, remembering)
+    assert new.share(8.0) == pytest.approx(0.5)
+
+
+def test_an_allocator_of_a_whole_window_knows_everything():
     settled = charges.Standing(9.0, known=6, present=6, remembering=0)
     assert settled.share(8.0) == 1.0
 
