Show present values among the metrics

On-call engineers saw counts only; now also endpoints, peers, age and version of the configuration, slots in use and requests that wait, read when fetched.

--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -125,6 +125,7 @@
         self._tasks: list[asyncio.Task] = []
         self._stopping = asyncio.Event()
         self._logger = log.get_logger(__name__)
+        self._watch_values()
 
     @property
     def _peer_address(self) -> str:
@@ -230,6 +231,38 @@
         self._budget.limit(read.retry_ratio, read.retry_slack)
         self._allocator.tolerate(self._tolerance(read))
 
+    def _watch_values(self) -> None:
+        state = self._state
+        members = self._mesh.members
+        watch = state.metrics.watch
+        watch(
+            "configuration_version",
+            "Version in force; 0 before the first.",
+            lambda: state.version,
+        )
+        watch(
+            "configuration_age_seconds",
+            "Since it was last confirmed to be the newest.",
+            lambda: state.freshness.age(state.steady_now()),
+        )
+        watch("endpoints", "Endpoints in use.", lambda: len(state.endpoints))
+        watch(
+            "peers_heard",
+            "Instances heard lately, this one included.",
+            lambda: members.present(asyncio.get_running_loop().time()),
+        )
+        watch(
+            "allocating",
+            "1 if this instance grants the slots.",
+            lambda: self._mesh.allocator == self._settings.instance,
+        )
+        watch("slots_used", "Slots in use.", lambda: self._slots.leases)
+        watch(
+            "requests_waiting",
+            "Requests in the allocator's queue.",
+            lambda: self._slots.waiting,
+        )
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(REREAD_SECONDS)
--- a/cranberryglade/gateway/telemetry.py
+++ b/cranberryglade/gateway/telemetry.py
@@ -1,5 +1,7 @@
 """Counters and histograms, served as text."""
 
+from collections.abc import Callable
+
 import prometheus_client
 
 BUCKETS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -41,6 +43,18 @@
         """Counts an event."""
         self.counts.labels(name).inc()
 
+    def watch(self, name: str, says: str, read: Callable[[], float]) -> None:
+        """Shows a present value.
+
+        Args:
+            name: without the project's name; ends with its unit, if any.
+            says: what the value is.
+            read: gives the value when the metrics are fetched.
+        """
+        prometheus_client.Gauge(
+            f"cranberryglade_{name}", says, registry=self._registry
+        ).set_function(read)
+
     def text(self) -> bytes:
         """All metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
