Use one client of the platform's store for daemons and gateways

The daemons spoke a protocol that was made up before the platform's was known, with a client and a stand-in of its own. `tables` now keeps the daemons' row numbers beside the values in the store's rows (its versions count transactions, not writes of a row), and the stand-in is the store's with paths for tests.

Tests keep their assertions; rows of tests are named by the new table names.

--- a/cranberryglade/claimants.py
+++ b/cranberryglade/claimants.py
@@ -9,9 +9,10 @@
 
 from cranberryglade import tables
 from cranberryglade import wire
+from cranberryglade.gateway import ports
 from cranberryglade.scheduling import messages
 
-TABLE = "claims"
+TABLE = ports.Table.CLAIMS
 NONCE_BYTES = 8
 GROUP_SECONDS = 0.003
 INTERVAL_SECONDS = 0.05
@@ -44,8 +45,8 @@
     def key(self) -> str:
         return f"{self.claim.organisation}:{self.claim.key}"
 
-    def write(self) -> wire.WriteDocument:
-        return wire.WriteDocument(
+    def write(self) -> tables.RowWrite:
+        return tables.RowWrite(
             table=TABLE,
             key=self.key,
             expected_version=self.claim.expected_version,
@@ -85,7 +86,7 @@
         "_timer",
     )
 
-    def __init__(self, client: tables.PlatformClient):
+    def __init__(self, client: tables.Tables):
         self._platform = client
         self._group: dict[str, _Pending] = {}
         self._timer: asyncio.TimerHandle | None = None
--- a/cranberryglade/editing.py
+++ b/cranberryglade/editing.py
@@ -10,6 +10,7 @@
 from cranberryglade import responses
 from cranberryglade import revisions
 from cranberryglade import subscriptions
+from cranberryglade import tables
 from cranberryglade import verdicts
 from cranberryglade import wire
 
@@ -94,7 +95,7 @@
             return responses.refusal(verdicts.Reason.UNAUTHENTICATED)
         accepted = self._subscription.accepted
         return responses.document(
-            wire.RowDocument(value=accepted.text, version=accepted.version)
+            tables.Row(value=accepted.text, version=accepted.version)
         )
 
     async def _get_history(self, http_request: web.Request):
@@ -139,9 +140,7 @@
         match outcome:
             case proposals.Accepted(revision=revision):
                 return responses.document(
-                    wire.RowDocument(
-                        value=revision.text, version=revision.version
-                    )
+                    tables.Row(value=revision.text, version=revision.version)
                 )
             case proposals.Refused(problems=problems):
                 return responses.document(
--- a/cranberryglade/instance.py
+++ b/cranberryglade/instance.py
@@ -36,6 +36,7 @@
 from cranberryglade import tickets
 from cranberryglade import tracing
 from cranberryglade import watching
+from cranberryglade.platform import store
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import scheduler
 
@@ -110,10 +111,11 @@
         self._peer_client = peers.PeerClient(
             key, self._settings.probe_timeout_seconds
         )
-        self._platform = tables.PlatformClient(
-            self._settings.platform_address,
-            self._settings.platform_timeout_seconds,
+        timeout = self._settings.platform_timeout_seconds
+        self._store = store.StoreClient(
+            self._settings.platform_address, timeout, timeout
         )
+        self._platform = tables.Tables(self._store)
         generator = random.Random(own.incarnation)
         subscription = subscriptions.Subscription(self._platform, generator)
         members = membership.Membership(
@@ -247,7 +249,7 @@
         await self._orders.close()
         await self._endpoint_client.close()
         await self._peer_client.close()
-        await self._platform.close()
+        self._store.close()
         self._tracing.close()
 
 
--- a/cranberryglade/membership.py
+++ b/cranberryglade/membership.py
@@ -72,7 +72,7 @@
         own: messages.Peer,
         configured: settings.Settings,
         client: peers.PeerClient,
-        platform_client: tables.PlatformClient,
+        platform_client: tables.Tables,
         subscription: subscriptions.Subscription,
         core: scheduler.Scheduler,
         generator: random.Random,
--- a/cranberryglade/orders.py
+++ b/cranberryglade/orders.py
@@ -19,9 +19,10 @@
 
 from cranberryglade import tables
 from cranberryglade import wire
+from cranberryglade.gateway import ports
 from cranberryglade.scheduling import messages
 
-TABLE = "leases"
+TABLE = ports.Table.LEASES
 ORDERS_PATH = "/v1/orders"
 STATUS_FENCED = 409
 LEASE_SECONDS = 10.0
@@ -108,7 +109,7 @@
 
     __slots__ = ("_incarnation", "_platform")
 
-    def __init__(self, client: tables.PlatformClient, incarnation: str):
+    def __init__(self, client: tables.Tables, incarnation: str):
         self._platform = client
         self._incarnation = incarnation
 
@@ -170,7 +171,7 @@
 
     async def _has_written(
         self,
-        written: Result[wire.TransactionOutcome, tables.PlatformError],
+        written: Result[tables.Outcome, tables.PlatformError],
         key: str,
         version: int,
         row: LeaseRow,
@@ -254,12 +255,12 @@
         return NotDone(f"status {status}")
 
 
-def _read_row(row: wire.RowDocument) -> LeaseRow | None:
+def _read_row(row: tables.Row) -> LeaseRow | None:
     return wire.decode(row.value.encode(), LeaseRow).value_or(None)
 
 
-def _write(key: str, version: int, row: LeaseRow) -> wire.WriteDocument:
-    return wire.WriteDocument(
+def _write(key: str, version: int, row: LeaseRow) -> tables.RowWrite:
+    return tables.RowWrite(
         table=TABLE,
         key=key,
         expected_version=version,
--- a/cranberryglade/proposals.py
+++ b/cranberryglade/proposals.py
@@ -68,7 +68,7 @@
 
     __slots__ = ("_platform",)
 
-    def __init__(self, client: tables.PlatformClient):
+    def __init__(self, client: tables.Tables):
         self._platform = client
 
     async def propose(
@@ -152,13 +152,13 @@
             return former
         outcome = await self._platform.transact(
             [
-                wire.WriteDocument(
+                tables.RowWrite(
                     table=revisions.TABLE,
                     key=revisions.CURRENT,
                     expected_version=revision.version - 1,
                     value=revisions.write_head(revision, former.unwrap()),
                 ),
-                wire.WriteDocument(
+                tables.RowWrite(
                     table=revisions.TABLE,
                     key=key,
                     expected_version=slot.unwrap().version,
@@ -174,9 +174,7 @@
             case Failure(error):
                 return Failure(error)
 
-    async def _text(
-        self, row: wire.RowDocument
-    ) -> Result[str, tables.PlatformError]:
+    async def _text(self, row: tables.Row) -> Result[str, tables.PlatformError]:
         if isinstance(revisions.read_head(row), Failure):
             return Success(row.value)
         read = await self.revision(row.version)
@@ -186,7 +184,7 @@
         return await self._platform.row(revisions.TABLE, key)
 
 
-def _kept(slot: wire.RowDocument, version: int) -> revisions.Revision | None:
+def _kept(slot: tables.Row, version: int) -> revisions.Revision | None:
     read = wire.decode(slot.value.encode(), revisions.Revision)
     kept = read.value_or(None)
     return kept if kept and kept.version == version else None
@@ -194,8 +192,8 @@
 
 def _settled(
     revision: revisions.Revision,
-    current: wire.RowDocument,
-    slot: wire.RowDocument,
+    current: tables.Row,
+    slot: tables.Row,
 ) -> Outcome:
     kept = _kept(slot, revision.version)
     if kept and kept.nonce == revision.nonce and kept.text == revision.text:
--- a/cranberryglade/revisions.py
+++ b/cranberryglade/revisions.py
@@ -11,9 +11,11 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import tables
 from cranberryglade import wire
+from cranberryglade.gateway import ports
 
-TABLE = "configuration"
+TABLE = ports.Table.REVISIONS
 CURRENT = "current"
 KEPT_TEXTS = 64
 
@@ -144,7 +146,7 @@
     return Success(changed)
 
 
-def read_head(row: wire.RowDocument) -> Result[Head, str]:
+def read_head(row: tables.Row) -> Result[Head, str]:
     """Reads the row `current`; fails for a text written by hand."""
     return wire.decode(row.value.encode(), Head)
 
--- a/cranberryglade/snapshots.py
+++ b/cranberryglade/snapshots.py
@@ -152,7 +152,7 @@
 
     __slots__ = ("_absent", "_cached", "_platform")
 
-    def __init__(self, client: tables.PlatformClient):
+    def __init__(self, client: tables.Tables):
         self._platform = client
         self._cached: collections.OrderedDict[str, Snapshot] = (
             collections.OrderedDict()
--- a/cranberryglade/standins/store.py
+++ b/cranberryglade/standins/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import time
 
@@ -87,13 +88,13 @@
         "_rows",
         "_shown",
         "_version",
-        "calls",
+        "counts",
         "faults",
     )
 
     def __init__(self):
         self.faults = Faults()
-        self.calls = 0
+        self.counts: collections.Counter[str] = collections.Counter()
         self._rows: dict[RowName, Change] = {}
         self._shown: dict[RowName, Change] = {}
         self._history: list[Change] = []
@@ -102,6 +103,11 @@
         self._version = 0
         self._changed = asyncio.Event()
 
+    @property
+    def calls(self) -> int:
+        """Calls of all kinds so far."""
+        return self.counts.total()
+
     @property
     def version(self) -> int:
         """Version of the newest transaction."""
@@ -163,8 +169,8 @@
         changed.set()
         return self._version
 
-    async def _fault(self) -> None:
-        self.calls += 1
+    async def _fault(self, operation: str) -> None:
+        self.counts[operation] += 1
         if self.faults.hang:
             await asyncio.sleep(3600)
         if self.faults.refuse:
@@ -173,7 +179,7 @@
             await asyncio.sleep(self.faults.delay_seconds)
 
     async def _get(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("reads")
         rows = self._shown if self.faults.stale else self._rows
         start = call.query.get("from", "")
         end = call.query.get("to")
@@ -195,7 +201,7 @@
         return self._answer(found[:limit], version, len(found) > limit)
 
     async def _feed(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("feeds")
         after = int(call.query["after"])
         if after < self._forgotten:
             raise web.HTTPGone()
@@ -221,25 +227,31 @@
         )
 
     async def _parts(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("reads")
         parts = sorted(
             {n.part for n in self._rows if n.table == call.query["table"]}
         )
         return web.json_response({"parts": parts, "has_more": False})
 
     async def _transact(self, call: web.Request) -> web.Response:
-        await self._fault()
+        body = await call.read()
+        await self._fault("writes")
         if self.faults.refused_writes > 0:
             self.faults.refused_writes -= 1
             raise web.HTTPTooManyRequests()
-        wanted = msgspec.json.decode(await call.read(), type=Transaction)
+        wanted = msgspec.json.decode(body, type=Transaction)
         wrong = [
             condition
             for condition in wanted.expected_revision
             if self._version_of(condition) != condition.ver
         ]
         if wrong:
-            return web.json_response({"rows": []}, status=412)
+            present = [
+                found
+                for condition in wanted.expected_revision
+                if (found := self._found(condition)) is not None
+            ]
+            return self._answer(present, self._version, False, 412)
         version = self._apply(wanted.puts, wanted.remove)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -247,12 +259,18 @@
         return web.json_response({"ver": version, "now_ms": _now_ms()})
 
     def _version_of(self, wanted: Condition) -> int:
-        name = RowName(wanted.table, wanted.part, wanted.key)
-        found = self._rows.get(name)
+        found = self._found(wanted)
         return found.version if found else 0
 
+    def _found(self, wanted: Condition) -> Change | None:
+        return self._rows.get(RowName(wanted.table, wanted.part, wanted.key))
+
     def _answer(
-        self, changes: list[Change], version: int, more: bool
+        self,
+        changes: list[Change],
+        version: int,
+        more: bool,
+        status: int = 200,
     ) -> web.Response:
         rows = [
             {
@@ -274,10 +292,10 @@
             "ver": version,
             "now_ms": _now_ms(),
         }
-        return web.json_response(body)
+        return web.json_response(body, status=status)
 
     async def _put_object(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("object_writes")
         name = call.match_info["id"]
         exclusive = call.headers.get("If-None-Match") == "*"
         if exclusive and name in self._objects:
@@ -286,19 +304,19 @@
         return web.Response()
 
     async def _get_object(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("object_reads")
         found = self._objects.get(call.match_info["id"])
         if found is None:
             raise web.HTTPNotFound()
         return web.Response(body=found)
 
     async def _drop_object(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("object_writes")
         self._objects.pop(call.match_info["id"], None)
         return web.Response()
 
     async def _list_objects(self, call: web.Request) -> web.Response:
-        await self._fault()
+        await self._fault("object_reads")
         prefix = call.query.get("path_prefix", "")
         names = sorted(n for n in self._objects if n.startswith(prefix))
         return web.json_response({"names": names, "has_more": False})
--- a/cranberryglade/subscriptions.py
+++ b/cranberryglade/subscriptions.py
@@ -45,7 +45,7 @@
         "_subject",
     )
 
-    def __init__(self, client: tables.PlatformClient, generator: random.Random):
+    def __init__(self, client: tables.Tables, generator: random.Random):
         self._platform = client
         self._random = generator
         self._chart = charts.load("configuration")
@@ -150,13 +150,13 @@
             return False
         return self._apply(update, update.changes)
 
-    async def _take_row(self, row: wire.RowDocument) -> None:
+    async def _take_row(self, row: tables.Row) -> None:
         if row.version > self._accepted.version:
             await self._take_newer(row)
         if 0 < row.version == self._accepted.version:
             self._confirmed_at = asyncio.get_running_loop().time()
 
-    async def _take_newer(self, row: wire.RowDocument) -> None:
+    async def _take_newer(self, row: tables.Row) -> None:
         match revisions.read_head(row):
             case Success(head):
                 update = revisions.Update(
--- a/cranberryglade/tables.py
+++ b/cranberryglade/tables.py
@@ -1,23 +1,80 @@
-"""Client of the platform: table service, object store, instance list."""
+"""Rows with numbers of their own, objects and the list of instances.
 
+The store's versions count its transactions. The daemons count the writes of
+each row, as their configuration's versions and their fencing numbers do; that
+number is kept beside the value.
+"""
+
+import asyncio
 import dataclasses
-import urllib.parse
 
-import aiohttp
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-import yarl
 
 from cranberryglade import wire
-
-SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+from cranberryglade.gateway import ports
 
 
 class PlatformError(Exception):
     """The platform did not answer; a write may have taken effect."""
 
 
+class NumberedRow(wire.Document):
+    """What a row of the store holds.
+
+    Attributes:
+        number: how many times it has been written.
+        value: the value itself.
+    """
+
+    number: int
+    value: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """One row; version 0 means that it is absent.
+
+    Attributes:
+        value: what is stored; "" if absent.
+        version: number that each write raises by one.
+    """
+
+    value: str
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RowWrite:
+    """One conditional write.
+
+    Attributes:
+        table: the table.
+        key: key of the row.
+        expected_version: version that the row must have; 0 for absent.
+        value: what to store.
+    """
+
+    table: ports.Table
+    key: str
+    expected_version: int
+    value: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """Answer to a transaction.
+
+    Attributes:
+        committed: whether the writes took effect.
+        conflicts: indices of the writes whose version did not match.
+    """
+
+    committed: bool
+    conflicts: list[int] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TaggedList:
     """What a conditional read of the list gave.
@@ -31,21 +88,13 @@
     instances: list[wire.InstanceDocument] | None
 
 
-class PlatformClient:
-    """Talks to the platform's services over HTTP."""
+class Tables:
+    """The daemons' tables in the platform's store."""
 
-    __slots__ = ("_base", "_session")
+    __slots__ = ("_store",)
 
-    def __init__(self, address: str, timeout_seconds: float):
-        self._base = f"http://{address}/v1"
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=timeout_seconds),
-            skip_auto_headers=SKIPPED_HEADERS,
-        )
-
-    async def close(self) -> None:
-        """Closes all connections."""
-        await self._session.close()
+    def __init__(self, store: ports.Store):
+        self._store = store
 
     async def instances(
         self, tag: str, **wanted: str
@@ -56,86 +105,125 @@
             tag: what the last read gave; "" for the first.
             **wanted: values that fields of the instances must have.
         """
-        url = self._url("instances").with_query(wanted)
-        headers = {"Accept-Encoding": "gzip"}
         if tag:
-            headers["If-None-Match"] = tag
-        try:
-            async with self._session.get(url, headers=headers) as response:
-                data = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Failure(PlatformError(type(error).__name__))
-        if response.status == 304:
-            return Success(TaggedList(tag=tag, instances=None))
-        if response.status != 200:
-            return Failure(PlatformError(f"status {response.status}"))
-        read = wire.decode(data, wire.InstanceList).alt(PlatformError)
-        return read.map(
-            lambda listed: TaggedList(
-                tag=response.headers.get("ETag", ""),
-                instances=listed.instances,
-            )
-        )
+            match await self._store.changes(
+                ports.Table.INSTANCES, int(tag), 0.0
+            ):
+                case Success(ports.Rows(rows=[])):
+                    return Success(TaggedList(tag, None))
+        match await self._store.read(ports.Table.INSTANCES):
+            case Failure(error):
+                return _failed(error)
+            case Success(read):
+                return _listed(read, wanted)
 
     async def row(
-        self, table: str, key: str
-    ) -> Result[wire.RowDocument, PlatformError]:
+        self, table: ports.Table, key: str
+    ) -> Result[Row, PlatformError]:
         """Reads a row; version 0 means that there is none."""
-        return await self._read(
-            f"tables/{_quote(table)}/{_quote(key)}", wire.RowDocument
-        )
+        match await self._store.row(table, key):
+            case Success(row):
+                return _numbered(row)
+            case Failure(error):
+                return _failed(error)
 
     async def transact(
-        self, writes: list[wire.WriteDocument]
-    ) -> Result[wire.TransactionOutcome, PlatformError]:
+        self, writes: list[RowWrite]
+    ) -> Result[Outcome, PlatformError]:
         """Makes conditional writes, all or none."""
-        return await self._call(
-            "POST",
-            "transactions",
-            wire.encode(wire.TransactionDocument(writes=writes)),
-            wire.TransactionOutcome,
+        conditions = await asyncio.gather(*map(self._condition, writes))
+        conflicts = []
+        for index, condition in enumerate(conditions):
+            match condition:
+                case Failure(_):
+                    return condition
+                case Success(None):
+                    conflicts.append(index)
+        if conflicts:
+            return Success(Outcome(False, conflicts))
+        made = await self._store.transact(
+            [
+                ports.Write(
+                    write.table, write.key, _value(write), condition.unwrap()
+                )
+                for write, condition in zip(writes, conditions, strict=True)
+            ]
         )
+        match made:
+            case Failure(error):
+                return _failed(error)
+            case Success(ports.Committed()):
+                return Success(Outcome(True))
+            case Success(ports.Conflicting(rows)):
+                present = {row.key: row.version for row in rows}
+                conflicts = [
+                    index
+                    for index, condition in enumerate(conditions)
+                    if present.get(writes[index].key, 0) != condition.unwrap()
+                ]
+                return Success(Outcome(False, conflicts))
 
     async def put_object(
         self, name: str, data: bytes
-    ) -> Result[bytes, PlatformError]:
+    ) -> Result[None, PlatformError]:
         """Stores an object."""
-        return await self._fetch("PUT", f"objects/{name}", data)
+        stored = await self._store.put_object(name, data)
+        return stored.alt(lambda error: PlatformError(error.value))
 
     async def get_object(self, name: str) -> Result[bytes, PlatformError]:
         """Reads an object; empty if it is absent."""
-        return await self._fetch("GET", f"objects/{name}", b"")
-
-    def _url(self, path: str) -> yarl.URL:
-        return yarl.URL(f"{self._base}/{path}", encoded=True)
-
-    async def _read(self, path, kind):
-        return await self._call("GET", path, b"", kind)
-
-    async def _call(self, method, path, body, kind):
-        fetched = await self._fetch(method, path, body)
-        return fetched.bind(
-            lambda data: wire.decode(data, kind).alt(PlatformError)
-        )
-
-    async def _fetch(
-        self, method: str, path: str, body: bytes
-    ) -> Result[bytes, PlatformError]:
-        try:
-            async with self._session.request(
-                method,
-                self._url(path),
-                data=body,
-            ) as response:
-                data = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Failure(PlatformError(type(error).__name__))
-        if response.status == 404 and method == "GET":
-            return Success(b"")
-        if response.status != 200:
-            return Failure(PlatformError(f"status {response.status}"))
-        return Success(data)
-
-
-def _quote(name: str) -> str:
-    return urllib.parse.quote(name, safe="")
+        match await self._store.get_object(name):
+            case Failure(ports.StoreError.ABSENT):
+                return Success(b"")
+            case read:
+                return read.alt(lambda error: PlatformError(error.value))
+
+    async def _condition(
+        self, write: RowWrite
+    ) -> Result[int | None, PlatformError]:
+        """The store's version of a row; None if its number is another one."""
+        if write.expected_version == 0:
+            return Success(0)
+        match await self._store.row(write.table, write.key):
+            case Failure(error):
+                return _failed(error)
+            case Success(row):
+                same = write.expected_version
+                return _numbered(row).map(
+                    lambda read: row.version if read.version == same else None
+                )
+
+
+def _value(write: RowWrite) -> bytes:
+    return wire.encode(
+        NumberedRow(number=write.expected_version + 1, value=write.value)
+    )
+
+
+def _numbered(row: ports.Row) -> Result[Row, PlatformError]:
+    if row.value is None:
+        return Success(Row("", 0))
+    read = wire.decode(row.value, NumberedRow).alt(PlatformError)
+    return read.map(lambda held: Row(held.value, held.number))
+
+
+def _listed(
+    read: ports.Rows, wanted: dict[str, str]
+) -> Result[TaggedList, PlatformError]:
+    found = []
+    for row in read.rows:
+        match wire.decode(row.value or b"", wire.InstanceDocument):
+            case Failure(problem):
+                return Failure(PlatformError(f"{row.key}: {problem}"))
+            case Success(instance):
+                found.append(instance)
+    matching = [
+        instance
+        for instance in found
+        if all(getattr(instance, name) == wanted[name] for name in wanted)
+    ]
+    return Success(TaggedList(str(read.version), matching))
+
+
+def _failed(error: ports.StoreError) -> Failure:
+    return Failure(PlatformError(error.value))
--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -6,7 +6,6 @@
 from returns.result import Success
 
 from cranberryglade import tables
-from cranberryglade import wire
 
 LOST = Failure(tables.PlatformError("TimeoutError"))
 
@@ -40,8 +39,8 @@
         if fault in ("down", "lost", "late"):
             return LOST
         rows = self.former if fault == "old" else self.rows
-        absent = wire.RowDocument(value="", version=0)
-        return Success(rows.get(f"{table}/{key}", absent))
+        absent = tables.Row(value="", version=0)
+        return Success(rows.get(f"{table.value}/{key}", absent))
 
     async def transact(self, writes):
         await asyncio.sleep(0)
@@ -56,12 +55,12 @@
 
     def commit(self, writes):
         for write in writes:
-            present = self.rows.get(f"{write.table}/{write.key}")
+            present = self.rows.get(f"{write.table.value}/{write.key}")
             if (present.version if present else 0) != write.expected_version:
-                return wire.TransactionOutcome(committed=False)
+                return tables.Outcome(committed=False)
         self.former = dict(self.rows)
         for write in writes:
-            self.rows[f"{write.table}/{write.key}"] = wire.RowDocument(
+            self.rows[f"{write.table.value}/{write.key}"] = tables.Row(
                 value=write.value, version=write.expected_version + 1
             )
-        return wire.TransactionOutcome(committed=True)
+        return tables.Outcome(committed=True)
--- a/cranberryglade/tests/support.py
+++ b/cranberryglade/tests/support.py
@@ -171,14 +171,14 @@
         return process
 
     def propose(self, text, version):
-        write = {
-            "table": "configuration",
+        written = {
+            "table": "revisions",
             "key": "current",
-            "expected_version": version,
+            "version": version,
             "value": text,
         }
-        url = f"http://{self.platform.address}/v1/transactions"
-        return call("POST", url, {"writes": [write]})
+        url = f"http://{self.platform.address}/standin/row"
+        return call("PUT", url, written)
 
     def faults(self, process, faults):
         call("PUT", f"http://{process.address}/standin/faults", faults)
--- a/cranberryglade/tests/test_claimants.py
+++ b/cranberryglade/tests/test_claimants.py
@@ -9,6 +9,7 @@
 from cranberryglade import claimants
 from cranberryglade import listeners
 from cranberryglade import tables
+from cranberryglade.platform import store
 from cranberryglade.scheduling import messages
 from cranberryglade.standins import platform as standin
 
@@ -21,9 +22,10 @@
 
     def __init__(self, address):
         self._address = address
-        self._client = tables.PlatformClient(address, 10 * BOUND_SECONDS)
-        self.first = claimants.Claimant(self._client)
-        self.second = claimants.Claimant(self._client)
+        patience = 10 * BOUND_SECONDS
+        self._client = store.StoreClient(address, patience, patience)
+        self.first = claimants.Claimant(tables.Tables(self._client))
+        self.second = claimants.Claimant(tables.Tables(self._client))
 
     async def faults(self, **faults):
         url = f"http://{self._address}/standin/faults"
@@ -36,7 +38,7 @@
             return (await response.json()).get("writes", 0)
 
     async def close(self):
-        await self._client.close()
+        self._client.close()
 
 
 @pytest.fixture
--- a/cranberryglade/tests/test_configuration.py
+++ b/cranberryglade/tests/test_configuration.py
@@ -15,6 +15,8 @@
 from cranberryglade import proposals
 from cranberryglade import revisions
 from cranberryglade import subscriptions
+from cranberryglade import tables
+from cranberryglade import wire
 from cranberryglade.tests import fakes
 from cranberryglade.tests import properties
 
@@ -75,7 +77,7 @@
     found = await cluster.proposals.propose(text("b"), 1, "ops", "n1")
     cluster.platform.faults = []
     assert isinstance(found, outcome), found
-    row = cluster.platform.rows["configuration/current"]
+    row = cluster.platform.rows["revisions/current"]
     assert row.version == version
     again = await cluster.proposals.propose(text("b"), 1, "ops", "n1")
     assert isinstance(again, proposals.Accepted)
@@ -137,7 +139,7 @@
 
 async def test_a_text_written_by_hand_is_followed_by_proposals():
     cluster = Cluster()
-    cluster.platform.rows["configuration/current"] = fakes.wire.RowDocument(
+    cluster.platform.rows["revisions/current"] = tables.Row(
         value=text("a"), version=1
     )
     first = cluster.instances[0]
@@ -188,7 +190,7 @@
         version=2, nonce="n", operator="newer", text=NEWER_OPTION
     )
     head = revisions.write_head(unreadable, text("a"))
-    cluster.platform.rows["configuration/current"] = fakes.wire.RowDocument(
+    cluster.platform.rows["revisions/current"] = tables.Row(
         value=head, version=2
     )
     await first.poll()
@@ -196,8 +198,8 @@
     assert (first.state, "colour" in first.problems[0]) == ("behind", True)
     cluster.pass_on(0, 1)
     assert cluster.instances[1].accepted.version == 2
-    cluster.platform.rows["configuration/text-2"] = fakes.wire.RowDocument(
-        value=fakes.wire.encode(unreadable).decode(), version=1
+    cluster.platform.rows["revisions/text-2"] = tables.Row(
+        value=wire.encode(unreadable).decode(), version=1
     )
     await cluster.proposals.propose(text("c"), 2, "ops")
     await first.poll()
@@ -302,7 +304,7 @@
         loop.close()
     for version, proposed in accepted.items():
         assert cluster.check.texts.get(version, proposed) == proposed
-    current = cluster.platform.rows.get("configuration/current")
+    current = cluster.platform.rows.get("revisions/current")
     newest = current.version if current else 0
     assert {i.version for i in cluster.instances.values()} == {newest}
 
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -69,3 +69,6 @@
         text = world.gateways[0]._state.metrics.text().decode()
         assert 'cranberryglade_requests_total{reason="served"} 1.0' in text
         assert "cranberryglade_request_seconds_bucket" in text
+        assert "cranberryglade_endpoints 1.0" in text
+        assert "cranberryglade_allocating 1.0" in text
+        assert "cranberryglade_configuration_version 1.0" in text
--- a/cranberryglade/tests/test_membership.py
+++ b/cranberryglade/tests/test_membership.py
@@ -265,14 +265,14 @@
 async def test_a_version_spreads_to_instances_without_platform(domain):
     for instance in domain[1:]:
         instance.platform.down = True
-    domain[0].platform.rows["configuration/current"] = wire.RowDocument(
+    domain[0].platform.rows["revisions/current"] = tables.Row(
         value=TEXT, version=1
     )
     for instance in domain:
         instance.start()
     for version in (1, 2):
         if version == 2:
-            domain[0].platform.rows["configuration/current"] = wire.RowDocument(
+            domain[0].platform.rows["revisions/current"] = tables.Row(
                 value=TEXT + "[tier a]\nrank = 0\n", version=2
             )
         await asyncio.sleep(12)
--- a/cranberryglade/tools/configure.py
+++ b/cranberryglade/tools/configure.py
@@ -13,7 +13,7 @@
 from cranberryglade import proposals
 from cranberryglade import revisions
 from cranberryglade import tables
-from cranberryglade import wire
+from cranberryglade.platform import store
 from cranberryglade.tools import client
 from cranberryglade.tools import output
 
@@ -128,9 +128,9 @@
     click.echo(output.table(("version", "operator", "accepted at"), rows))
 
 
-def show_current(connection: output.Connection) -> wire.RowDocument:
+def show_current(connection: output.Connection) -> tables.Row:
     """The configuration in force."""
-    return output.decode(connection.ask("GET", PATH), wire.RowDocument)
+    return output.decode(connection.ask("GET", PATH), tables.Row)
 
 
 def put(
@@ -160,7 +160,7 @@
     """Proposes a configuration; returns its version or exits."""
     reply = put(connection, text, expected_version)
     if reply.status == 200:
-        return output.decode(reply, wire.RowDocument).version
+        return output.decode(reply, tables.Row).version
     code = EXIT_CODES.get(reply.status, output.EXIT_FAILED)
     raise output.CommandError(output.explain_refusal(reply), code)
 
@@ -178,11 +178,13 @@
     if isinstance(parsed, Failure):
         problems = [str(problem) for problem in parsed.failure()]
         raise output.CommandError("\n".join(problems), output.EXIT_INVALID)
-    store = tables.PlatformClient(address, PLATFORM_TIMEOUT_SECONDS)
+    timeout = PLATFORM_TIMEOUT_SECONDS
+    client = store.StoreClient(address, timeout, timeout)
+    rows = tables.Tables(client)
     try:
-        outcome = await store.transact(
+        outcome = await rows.transact(
             [
-                wire.WriteDocument(
+                tables.RowWrite(
                     table=revisions.TABLE,
                     key=revisions.CURRENT,
                     expected_version=0,
@@ -190,9 +192,9 @@
                 )
             ]
         )
-        stored = await store.row(revisions.TABLE, revisions.CURRENT)
+        stored = await rows.row(revisions.TABLE, revisions.CURRENT)
     finally:
-        await store.close()
+        client.close()
     match outcome, stored:
         case Success(done), _ if done.committed:
             return FIRST_VERSION
--- a/cranberryglade/tools/soak.py
+++ b/cranberryglade/tools/soak.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import pathlib
+import secrets
 import sys
 import tempfile
-import time
 
 import click
 
 from cranberryglade.soak import run
 
 EXIT_BROKEN = 1
+FRESH_SEEDS = 1_000_000
 
 
 @click.command()
@@ -18,26 +19,35 @@
     "--seed",
     "first",
     type=int,
-    help="First seed; taken from the time of day when absent.",
+    help="First seed; drawn when absent.",
 )
 @click.option("--runs", default=1, show_default=True, help="Seeds in a row.")
 @click.option(
     "--seconds", default=12.0, show_default=True, help="Time with faults."
 )
-@click.option("--gateways", default=4, show_default=True)
-@click.option("--endpoints", default=3, show_default=True)
+@click.option(
+    "--gateways", default=4, show_default=True, help="Gateway processes."
+)
+@click.option(
+    "--endpoints", default=3, show_default=True, help="Stand-ins of endpoints."
+)
 @click.option(
     "--logs",
     type=click.Path(file_okay=False, path_type=pathlib.Path),
     help="Where the gateways' logs are kept; dropped when absent.",
 )
 def soak(first, runs, seconds, gateways, endpoints, logs) -> None:
-    """Runs real gateways under random faults and checks the promises.
+    r"""Runs real gateways under random faults and checks the promises.
 
     Exits with 1 if a promise was broken; the seed brings its faults about
     again.
+
+    \b
+    Examples:
+      cranberryglade soak --runs 20
+      cranberryglade soak --seed 4 --seconds 30 --logs soak-logs
     """
-    begun = int(time.time()) % 1_000_000 if first is None else first
+    begun = secrets.randbelow(FRESH_SEEDS) if first is None else first
     broken = 0
     for seed in range(begun, begun + runs):
         outcome = _play(seed, seconds, gateways, endpoints, logs)
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -206,56 +206,6 @@
     instances: list[InstanceDocument]
 
 
-class RowDocument(Document):
-    """One row of the table service; version 0 means that it is absent.
-
-    Attributes:
-        value: what is stored; "" if absent.
-        version: number that each write raises by one.
-    """
-
-    value: str
-    version: int
-
-
-class WriteDocument(Document):
-    """One conditional write.
-
-    Attributes:
-        table: name of the table.
-        key: key of the row.
-        expected_version: version that the row must have; 0 for absent.
-        value: what to store.
-    """
-
-    table: str
-    key: str
-    expected_version: int
-    value: str
-
-
-class TransactionDocument(Document):
-    """Writes that take effect all or none.
-
-    Attributes:
-        writes: the conditional writes.
-    """
-
-    writes: list[WriteDocument]
-
-
-class TransactionOutcome(Document):
-    """Answer to a transaction.
-
-    Attributes:
-        committed: whether the writes took effect.
-        conflicts: indices of the writes whose version did not match.
-    """
-
-    committed: bool
-    conflicts: list[int] = []
-
-
 def decode(data: bytes, kind: type[T]) -> Result[T, str]:
     """Reads a message; the failure says what is wrong with it."""
     try:
--- a/tools/bench_programs.sh
+++ b/tools/bench_programs.sh
@@ -63,8 +63,8 @@
 
 # write_configuration VERSION: replaces that version of the configuration.
 write_configuration() {
-  put POST /v1/transactions "{\"writes\":[{\"table\":\"configuration\",
-    \"key\":\"current\",\"expected_version\":$1,\"value\":\"$TEXT\"}]}"
+  put PUT /standin/row "{\"table\":\"revisions\",\"key\":\"current\",
+    \"version\":$1,\"value\":\"$TEXT\"}"
 }
 
 # in_force NAME VERSION: whether a daemon has that version in force.
