Tell every allocator what an instance granted to itself

Found by reading: what an instance granted alone was noted under its own life, so that it left it out when it became the allocator itself. It is noted under nobody's (the former interface could not run the test).

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 from cranberryglade import log
-from cranberryglade.gateway import catalogue
 from cranberryglade.gateway import charges
+from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import members
 from cranberryglade.gateway import mesh
@@ -77,7 +77,6 @@
         "_granted_by",
         "_holders",
         "_leading_since",
-        "_ledger",
         "_mesh",
         "_name",
         "_pending",
@@ -100,7 +99,6 @@
         self._name = name
         self._slots = own
         self._charges = charging
-        self._ledger = quotas.Ledger()
         self._leading_since: float | None = None
         self._mesh: mesh.Mesh | None = None
         self._pending: dict[str, Pending] = {}
@@ -122,10 +120,14 @@
         asked: list[str] = []
         try:
             decision = await self._ask_some(need, pending, asked)
+            granter = self._life_of(self._granted_by.get(need.id, ""))
             if decision is None:
-                decision = await self._decide_here(need, pending, bool(asked))
+                alone = self._decides_alone(bool(asked))
+                decision = await self._decide_here(need, pending, alone)
+                granter = charges.NOBODY if alone else self._mesh.life
             if isinstance(decision, messages.Granted):
-                self._note(need)
+                now = asyncio.get_running_loop().time()
+                self._charges.note(need, granter, now)
             return decision
         except asyncio.CancelledError:
             self._withdraw(need.id, asked)
@@ -147,7 +149,9 @@
             datagrams.Held(each.id, each.endpoint)
             for each in self._slots.held_by(self._name)
         ]
-        return datagrams.Report(held, self._unknown_to(allocator.incarnation))
+        now = asyncio.get_running_loop().time()
+        life = allocator.incarnation
+        return datagrams.Report(held, self._charges.unknown_to(life, now))
 
     def tick(self, now: float) -> None:
         """Ends waits that are over and frees what silent instances held."""
@@ -170,7 +174,9 @@
             if ruling.holder == self._name:
                 self._decided(ruling.decision)
             else:
-                self._mesh.send_to(ruling.holder, _spoken(ruling.decision))
+                self._mesh.send_to(
+                    ruling.holder, conversions.spoken(ruling.decision)
+                )
 
     def receive(self, sender: str, message: datagrams.Datagram) -> None:
         """Takes in a datagram of another instance."""
@@ -195,7 +201,7 @@
             case datagrams.Grant(id=id_, endpoint=endpoint):
                 self._granted(sender, messages.Granted(id_, endpoint))
             case datagrams.Deny():
-                self._decided(_heard(message))
+                self._decided(conversions.heard(message))
 
     async def _ask_some(
         self, need: messages.Need, pending: Pending, asked: list[str]
@@ -230,7 +236,7 @@
         patience = ANSWER_SECONDS
         while silent < SILENT_ASKS:
             pending.acknowledged = False
-            ask = _ask_of(self._name, need, loop.time())
+            ask = conversions.ask_of(self._name, need, loop.time())
             self._mesh.send_to(allocator, ask)
             await asyncio.wait([pending.future], timeout=patience)
             if pending.future.done():
@@ -248,7 +254,7 @@
         self, need: messages.Need, pending: Pending, alone: bool
     ) -> messages.Decision:
         now = asyncio.get_running_loop().time()
-        if alone and self._mesh.allocator != self._name:
+        if alone:
             known = self._mesh.members.known(now)
             wait = self._charges.charge_alone(need, known, now)
         else:
@@ -275,24 +281,15 @@
         if self._leading_since is None:
             self._leading_since = now
             logger.info("allocator.begun", held=self._slots.leases)
-        own = self._unknown_to(self._mesh.life)
+        own = self._charges.unknown_to(self._mesh.life, now)
         self._charges.report(self._name, quotas.spends(own, now))
 
-    def _unknown_to(self, life: str) -> list[datagrams.Spent]:
-        now = asyncio.get_running_loop().time()
-        window = self._charges.window_seconds
-        return self._ledger.unknown_to(life, window, now)
+    def _decides_alone(self, asked_in_vain: bool) -> bool:
+        return asked_in_vain and self._mesh.allocator != self._name
 
-    def _note(self, need: messages.Need) -> None:
-        if not need.cost or not need.organisation:
-            return
-        granter = self._granted_by.get(need.id, "")
-        life = self._mesh.life
-        if granter:
-            member = self._mesh.members.get(granter)
-            life = member.incarnation if member is not None else ""
-        now = asyncio.get_running_loop().time()
-        self._ledger.add(quotas.Spend(need.organisation, need.cost, now, life))
+    def _life_of(self, name: str) -> str:
+        member = self._mesh.members.get(name)
+        return member.incarnation if member is not None else charges.NOBODY
 
     def _withdraw(self, id_: str, asked: list[str]) -> None:
         self._slots.withdraw(id_)
@@ -305,14 +302,14 @@
         self.settle(self._slots.release(id_, abandoned, now))
 
     def _answer(self, ask: datagrams.Ask, now: float) -> None:
-        need = _need_of(ask, now)
+        need = conversions.need_of(ask, now)
         known = self._slots.knows(need.id)
         wait = 0.0
         if not known:
             wait = self._charges.charge(need, self._standing(now), now)
         if wait > 0:
             denied = _over_quota(need.id, wait)
-            self._mesh.send_to(ask.name, _spoken(denied))
+            self._mesh.send_to(ask.name, conversions.spoken(denied))
             return
         rulings = self._slots.ask(ask.name, need, now)
         self.settle(rulings)
@@ -357,50 +354,3 @@
 def _over_quota(id_: str, wait: float) -> messages.Denied:
     after = min(LONGEST_QUOTA_RETRY_SECONDS, wait)
     return messages.Denied(id_, messages.OVER_QUOTA, after)
-
-
-def _spoken(decision: messages.Decision) -> datagrams.Datagram:
-    match decision:
-        case messages.Granted(id=id_, endpoint=endpoint):
-            return datagrams.Grant(id_, endpoint)
-        case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
-            waiting = decision.waiting
-            return datagrams.Deny(id_, reason, round(after * 1000), waiting)
-
-
-def _heard(deny: datagrams.Deny) -> messages.Denied:
-    after = deny.retry_after_ms / 1000
-    return messages.Denied(deny.id, deny.reason, after, deny.waiting)
-
-
-def _ask_of(name: str, need: messages.Need, now: float) -> datagrams.Ask:
-    return datagrams.Ask(
-        name=name,
-        id=need.id,
-        service=need.service,
-        rank=need.rank,
-        kind=need.kind.value,
-        prompt_tokens=need.prompt_tokens,
-        output_tokens=need.output_tokens,
-        wait_ms=max(0, round((need.until - now) * 1000)),
-        aim_ms=round((need.aim - now) * 1000),
-        avoid=list(need.avoid),
-        organisation=need.organisation,
-        cost=need.cost,
-    )
-
-
-def _need_of(ask: datagrams.Ask, now: float) -> messages.Need:
-    return messages.Need(
-        id=ask.id,
-        service=ask.service,
-        rank=ask.rank,
-        kind=catalogue.Kind(ask.kind),
-        prompt_tokens=ask.prompt_tokens,
-        output_tokens=ask.output_tokens,
-        until=now + ask.wait_ms / 1000,
-        aim=now + ask.aim_ms / 1000,
-        avoid=tuple(ask.avoid),
-        organisation=ask.organisation,
-        cost=ask.cost,
-    )
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 
+from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import quotas
 
 CAUTION_ALONE = 0.5
 """Part of its share of a quota that an instance uses without an allocator."""
 
+NOBODY = ""
+"""Granter of what an instance has granted to itself alone."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Standing:
@@ -74,7 +78,7 @@
     what did not run must not use up the quota of its organisation.
     """
 
-    __slots__ = ("_alone", "_counted", "_open")
+    __slots__ = ("_alone", "_counted", "_ledger", "_open")
 
     def __init__(self, counted: quotas.Quotas, alone: quotas.Quotas):
         """Sets it up.
@@ -85,6 +89,7 @@
         """
         self._counted = counted
         self._alone = alone
+        self._ledger = quotas.Ledger()
         self._open: dict[str, Charge] = {}
 
     @property
@@ -126,6 +131,23 @@
                 charge.organisation, charge.cost, charge.at
             )
 
+    def note(self, need: messages.Need, granter: str, now: float) -> None:
+        """Keeps in mind what a request of this instance has spent.
+
+        Args:
+            need: the request, which has a slot now.
+            granter: the life that granted it; NOBODY if no allocator did.
+            now: seconds of the clock.
+        """
+        if need.cost and need.organisation:
+            self._ledger.add(
+                quotas.Spend(need.organisation, need.cost, now, granter)
+            )
+
+    def unknown_to(self, life: str, now: float) -> list[datagrams.Spent]:
+        """What requests of this instance spent that a life did not grant."""
+        return self._ledger.unknown_to(life, self.window_seconds, now)
+
     def expire(self, now: float) -> None:
         """Forgets requests of which nothing was heard for a window."""
         oldest = now - self.window_seconds
--- /dev/null
+++ b/cranberryglade/gateway/conversions.py
@@ -0,0 +1,56 @@
+"""Converts between decisions and the datagrams that carry them."""
+
+from cranberryglade.gateway import catalogue
+from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import messages
+
+
+def spoken(decision: messages.Decision) -> datagrams.Datagram:
+    """A decision as the allocator sends it."""
+    match decision:
+        case messages.Granted(id=id_, endpoint=endpoint):
+            return datagrams.Grant(id_, endpoint)
+        case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
+            waiting = decision.waiting
+            return datagrams.Deny(id_, reason, round(after * 1000), waiting)
+
+
+def heard(deny: datagrams.Deny) -> messages.Denied:
+    """A denial as it was received."""
+    after = deny.retry_after_ms / 1000
+    return messages.Denied(deny.id, deny.reason, after, deny.waiting)
+
+
+def ask_of(name: str, need: messages.Need, now: float) -> datagrams.Ask:
+    """What is asked of the allocator; times become durations."""
+    return datagrams.Ask(
+        name=name,
+        id=need.id,
+        service=need.service,
+        rank=need.rank,
+        kind=need.kind.value,
+        prompt_tokens=need.prompt_tokens,
+        output_tokens=need.output_tokens,
+        wait_ms=max(0, round((need.until - now) * 1000)),
+        aim_ms=round((need.aim - now) * 1000),
+        avoid=list(need.avoid),
+        organisation=need.organisation,
+        cost=need.cost,
+    )
+
+
+def need_of(ask: datagrams.Ask, now: float) -> messages.Need:
+    """What another instance asks, by the clock of this one."""
+    return messages.Need(
+        id=ask.id,
+        service=ask.service,
+        rank=ask.rank,
+        kind=catalogue.Kind(ask.kind),
+        prompt_tokens=ask.prompt_tokens,
+        output_tokens=ask.output_tokens,
+        until=now + ask.wait_ms / 1000,
+        aim=now + ask.aim_ms / 1000,
+        avoid=tuple(ask.avoid),
+        organisation=ask.organisation,
+        cost=ask.cost,
+    )
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -68,6 +68,24 @@
         return self.limit + old * max(0.0, self.former - self.limit)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Spend:
+    """A cost that an organisation has spent.
+
+    Attributes:
+        organisation: its name.
+        cost: what was counted.
+        at: when, seconds of the loop's clock.
+        granter: the life of the instance that granted it; "" if the own one
+            did so alone, or if it is not known.
+    """
+
+    organisation: str
+    cost: float
+    at: float
+    granter: str
+
+
 class Quotas:
     """The accounts of all organisations.
 
@@ -95,7 +113,7 @@
         """Takes in another tolerance."""
         self._tolerance = tolerance
 
-    def report(self, holder: str, spends: list["Spend"]) -> None:
+    def report(self, holder: str, spends: list[Spend]) -> None:
         """Takes in what an instance spent that was not granted here.
 
         Args:
@@ -161,23 +179,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Spend:
-    """A cost that an organisation has spent.
-
-    Attributes:
-        organisation: its name.
-        cost: what was counted.
-        at: when, seconds of the loop's clock.
-        granter: the life of the instance that granted it.
-    """
-
-    organisation: str
-    cost: float
-    at: float
-    granter: str
-
-
 class Ledger:
     """What the requests of one instance have spent, and who granted it.
 
--- a/cranberryglade/tests/test_gateway_beliefs.py
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -294,6 +294,16 @@
     assert charging.charge(need, standing, 5.2) > 0.0
 
 
+def test_what_was_granted_alone_is_told_to_every_allocator():
+    holder = builders.an_organisation()
+    charging = charges.Charges(make_quotas(holder), make_quotas(holder))
+    need = builders.a_need("a.1", organisation="studio", cost=80.0)
+    charging.note(need, charges.NOBODY, 5.0)
+    # Also to the own life, when it becomes the allocator.
+    assert [each.cost for each in charging.unknown_to("own", 6.0)] == [80.0]
+    assert charging.unknown_to("own", 14.0) == []
+
+
 def test_a_lower_quota_comes_into_force_over_one_window():
     holder = builders.an_organisation()
     counted = quotas.Quotas(
