Give each soak loopback addresses of its own, and end its gateways when asked

Cause: three soaks at once, with seeds 1000, 2000 and 3000, had thousands of broken promises: their seeds led to the same addresses, so that callers of one reached gateways of another ("success without a run", of the soak's own ledger). Each takes addresses that are free now. A soak that got SIGTERM left its gateways behind; it ends them.

Ruled out: a fault of the gateways (the same seeds by themselves: none broken).

--- a/cranberryglade/soak/world.py
+++ b/cranberryglade/soak/world.py
@@ -68,7 +68,7 @@
         self._folder = folder
         self._gateways = gateways
         self._random = random.Random(seed)
-        self._network = 1 + seed % 250
+        self._network = machine.Network()
         self._web: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -113,6 +113,7 @@
         for each in self.endpoints:
             await each.stop()
         await self._web.cleanup()
+        self._network.close()
 
     def configure(self, second_key: bool) -> None:
         """Writes a new version of the configuration."""
--- a/cranberryglade/standins/machine.py
+++ b/cranberryglade/standins/machine.py
@@ -4,9 +4,14 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
+import socket
 import sys
 
+LAST_NETWORK = 251
+CLAIM_PORT = 8219
+
 BOOT_FILE = """\
 node = "{name}"
 ip = "{host}"
@@ -44,6 +49,31 @@
     quota_slack: float
 
 
+class Network:
+    """Loopback addresses that no other run of this machine uses.
+
+    Attributes:
+        number: second byte of its addresses.
+    """
+
+    def __init__(self):
+        """Takes a free one and keeps it until `close`."""
+        numbers = random.sample(range(1, LAST_NETWORK), LAST_NETWORK - 1)
+        for self.number in numbers:
+            self._claim = socket.socket()
+            try:
+                self._claim.bind((f"127.{self.number}.0.250", CLAIM_PORT))
+            except OSError:
+                self._claim.close()
+                continue
+            return
+        raise OSError("no loopback addresses are free")
+
+    def close(self) -> None:
+        """Gives it back."""
+        self._claim.close()
+
+
 class Machine:
     """Runs one gateway at a loopback address of its own.
 
@@ -63,7 +93,7 @@
         folder: pathlib.Path,
         store: str,
         bounds: Bounds,
-        network: int,
+        network: Network,
     ):
         """Sets it up.
 
@@ -72,10 +102,10 @@
             folder: where its settings and logs lie.
             store: address of the platform's store, as seen from here.
             bounds: what its settings say.
-            network: second byte of its address, apart from other runs.
+            network: the addresses of this run.
         """
         self.name = f"gate-{number}"
-        self.host = f"127.{network}.0.{number + 1}"
+        self.host = f"127.{network.number}.0.{number + 1}"
         self.process: asyncio.subprocess.Process | None = None
         self._boot = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -9,6 +9,7 @@
 from cranberryglade.soak import promises
 from cranberryglade.soak import run
 from cranberryglade.soak import world
+from cranberryglade.standins import machine
 
 WHOLE = b"".join(
     b"id: %d\ndata: piece\n\n" % n for n in range(1, world.EVENTS + 1)
@@ -177,6 +178,14 @@
     server.close()
 
 
+def test_two_runs_at_once_have_addresses_of_their_own():
+    # Three soaks whose seeds led to the same addresses answered each other.
+    networks = [machine.Network() for _ in range(40)]
+    assert len({network.number for network in networks}) == 40
+    for network in networks:
+        network.close()
+
+
 @pytest.mark.parametrize(
     "seed",
     [
--- a/cranberryglade/tools/soak.py
+++ b/cranberryglade/tools/soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import secrets
+import signal
 import sys
 import tempfile
 
@@ -68,4 +69,11 @@
         folder = logs / f"seed-{seed}" if logs else pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         played = run.Soak(folder, seed, seconds, gateways, endpoints)
-        return asyncio.run(played.run())
+        return asyncio.run(_until_stopped(played))
+
+
+async def _until_stopped(played: run.Soak) -> run.Outcome:
+    # Being asked to stop must not leave the gateways behind.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await played.run()
