Count on reports alone when a new allocator grants quotas

An allocator that had just begun took the lives of all who asked it for memory, and granted the whole window before their first reports came (up to 0.5 s with 88 instances).

Change: only instances that have reported count; each reports before it asks an allocator for the first time. One that is asked without being the allocator goes by the same rule.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -80,6 +80,8 @@
         "_mesh",
         "_name",
         "_pending",
+        "_reported",
+        "_reported_to",
         "_slots",
     )
 
@@ -104,6 +106,8 @@
         self._pending: dict[str, Pending] = {}
         self._granted_by: dict[str, str] = {}
         self._holders: dict[str, float] = {}
+        self._reported: dict[str, float] = {}
+        self._reported_to = ""
 
     def join(self, joined: mesh.Mesh) -> None:
         """Begins to work with the other instances."""
@@ -159,6 +163,7 @@
         for holder, heard in list(self._holders.items()):
             if now - heard > HOLDER_SECONDS:
                 del self._holders[holder]
+                self._reported.pop(holder, None)
                 self.settle(self._slots.forget(holder, now))
         self.settle(self._slots.tick(now))
         self._charges.expire(now)
@@ -184,6 +189,7 @@
         match message:
             case datagrams.Ping(name=name, report=report):
                 self._holders[name] = now
+                self._reported[name] = now
                 held = [messages.Granted(h.id, h.endpoint) for h in report.held]
                 self._charges.report(name, quotas.spends(report.spent, now))
                 self.settle(self._slots.adopt(name, held, now))
@@ -234,6 +240,7 @@
         loop = asyncio.get_running_loop()
         silent = 0
         patience = ANSWER_SECONDS
+        self._introduce(allocator)
         while silent < SILENT_ASKS:
             pending.acknowledged = False
             ask = conversions.ask_of(self._name, need, loop.time())
@@ -250,6 +257,13 @@
         logger.warning("allocator.silent", allocator=allocator, need=need.id)
         return None
 
+    def _introduce(self, allocator: str) -> None:
+        """Reports to an allocator before it is asked for the first time."""
+        member = self._mesh.members.get(allocator)
+        if member is not None and allocator != self._reported_to:
+            self._reported_to = allocator
+            self._mesh.ping(member)
+
     async def _decide_here(
         self, need: messages.Need, pending: Pending, alone: bool
     ) -> messages.Decision:
@@ -265,13 +279,13 @@
         return await pending.future
 
     def _standing(self, now: float) -> charges.Standing:
-        leading = None
+        leading = 0.0
         if self._leading_since is not None:
             leading = now - self._leading_since
         return charges.Standing(
             leading_seconds=leading,
             known=self._mesh.members.known(now),
-            ages=self._mesh.members.ages({*self._holders}, now),
+            ages=self._mesh.members.ages({*self._reported}, now),
         )
 
     def _lead(self, leading: bool, now: float) -> None:
@@ -280,6 +294,7 @@
             return
         if self._leading_since is None:
             self._leading_since = now
+            self._reported.clear()
             logger.info("allocator.begun", held=self._slots.leases)
         own = self._charges.unknown_to(self._mesh.life, now)
         self._charges.report(self._name, quotas.spends(own, now))
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -18,14 +18,14 @@
     """How much of the quotas may be granted at this instance.
 
     Attributes:
-        leading_seconds: how long it has been the allocator; None if it is
-            not, but was asked by one that does not hear the allocator.
+        leading_seconds: how long it has been the allocator; 0 if it is not,
+            but was asked by one that does not hear the allocator.
         known: instances that there are, this one included.
-        ages: of the lives of those that are heard, this one included, in
-            seconds.
+        ages: of the lives of those that have reported what they spent, this
+            one included, in seconds.
     """
 
-    leading_seconds: float | None
+    leading_seconds: float
     known: int
     ages: tuple[float, ...]
 
@@ -41,8 +41,6 @@
         0.25
         """
         heard = min(1.0, len(self.ages) / self.known)
-        if self.leading_seconds is None:
-            return heard
         # Where a cut divides the instances, each side has an allocator. The
         # larger side leaves to the others what they may grant themselves.
         if 2 * len(self.ages) > self.known:
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -1,10 +1,17 @@
 """The allocator: who gets a slot, who waits, who is turned away."""
 
+import asyncio
 import random
 
 import pytest
 
+from cranberryglade.gateway import allocation
+from cranberryglade.gateway import charges
+from cranberryglade.gateway import conversions
+from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import members
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import quotas
 from cranberryglade.gateway import slots
 from cranberryglade.tests import gateway_builders as builders
 
@@ -219,3 +226,56 @@
     reborn = builders.an_endpoint("e-1", born=2)
     made.endpoints({"e-1": reborn}, 0.2)
     assert granted(made.ask("a", builders.a_need("r-2"), 0.2))
+
+
+class Alone:
+    """What an allocator sees of the others: it knows them by name."""
+
+    def __init__(self, now):
+        self.members = members.Members("a", "north", now - 60.0)
+        for name in ("b", "c", "d"):
+            self.members.learn(name, f"{name}:1", "north", now)
+            self.members.hear(name, "life-1", 60.0, now)
+        self.allocator = "a"
+        self.life = "life-a"
+        self.sent = []
+
+    def send_to(self, name, message):
+        self.sent.append(message)
+
+
+async def test_a_new_allocator_grants_no_quota_before_it_has_reports():
+    # Load: the allocator is lost while an organisation presses; its
+    # successor is asked before the others have told what was spent.
+    now = asyncio.get_running_loop().time()
+    holder = builders.an_organisation()
+    tolerance = quotas.Tolerance(8.0, 0.0, 0.0)
+
+    def counted():
+        return quotas.Quotas(lambda name: holder, tolerance)
+
+    seen = Alone(now)
+    made = allocator(builders.an_endpoint(slots=100))
+    shared = allocation.SharedAllocator(
+        "a", made, charges.Charges(counted(), counted())
+    )
+    shared.join(seen)
+    shared.tick(now)
+
+    def asked(first):
+        for number in range(first, first + 50):
+            need = builders.a_need(
+                f"{number}", organisation="studio", cost=500.0
+            )
+            ask = conversions.ask_of("bcd"[number % 3], need, now)
+            shared.receive(ask.name, ask)
+        return sum(isinstance(m, datagrams.Grant) for m in seen.sent)
+
+    # One of four lives, its own, remembers: a quarter of 8,500.
+    assert asked(0) <= 8500 / 4 / 500
+    for name in ("b", "c", "d"):
+        report = datagrams.Report([], [datagrams.Spent("studio", 1500.0, 1.0)])
+        standing = datagrams.Standing(1, 0, 1, 4, 60_000)
+        ping = datagrams.Ping(name, "l", f"{name}:1", "n", 1, standing, report)
+        shared.receive(name, ping)
+    assert asked(50) <= (8500 - 3 * 1500) / 500
