Gather what stood twice: addresses, the served store, one name a type

Addresses are split in one place; the store's stand-in serves itself and writes what operator and endpoints write, for the gateways' tests and the soak alike. A key that is taken away is kept as one period (it was kept once a gateway, and reported as often). What an allocator recalls of the quotas no longer shares its name with a datagram's part.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -106,7 +106,7 @@
         self._pending: dict[str, Pending] = {}
         self._granted_by: dict[str, str] = {}
         self._holders: dict[str, float] = {}
-        self._reported: dict[str, float] = {}
+        self._reported: set[str] = set()
         self._reported_to = ""
 
     def join(self, joined: mesh.Mesh) -> None:
@@ -163,7 +163,7 @@
         for holder, heard in list(self._holders.items()):
             if now - heard > HOLDER_SECONDS:
                 del self._holders[holder]
-                self._reported.pop(holder, None)
+                self._reported.discard(holder)
                 self.settle(self._slots.forget(holder, now))
         self.settle(self._slots.tick(now))
         self._charges.expire(now)
@@ -189,7 +189,7 @@
         match message:
             case datagrams.Ping(name=name, report=report):
                 self._holders[name] = now
-                self._reported[name] = now
+                self._reported.add(name)
                 held = [messages.Granted(h.id, h.endpoint) for h in report.held]
                 self._charges.report(name, quotas.spends(report.spent, now))
                 self.settle(self._slots.adopt(name, held, now))
@@ -272,20 +272,20 @@
             known = self._mesh.members.known(now)
             wait = self._charges.charge_alone(need, known, now)
         else:
-            wait = self._charges.charge(need, self._standing(now), now)
+            wait = self._charges.charge(need, self._recalled(now), now)
         if wait > 0:
             return _over_quota(need.id, wait)
         self.settle(self._slots.ask(self._name, need, now))
         return await pending.future
 
-    def _standing(self, now: float) -> charges.Standing:
+    def _recalled(self, now: float) -> charges.Recollection:
         leading = 0.0
         if self._leading_since is not None:
             leading = now - self._leading_since
-        return charges.Standing(
+        return charges.Recollection(
             leading_seconds=leading,
             known=self._mesh.members.known(now),
-            ages=self._mesh.members.ages({*self._reported}, now),
+            ages=self._mesh.members.ages(self._reported, now),
         )
 
     def _lead(self, leading: bool, now: float) -> None:
@@ -321,7 +321,7 @@
         known = self._slots.knows(need.id)
         wait = 0.0
         if not known:
-            wait = self._charges.charge(need, self._standing(now), now)
+            wait = self._charges.charge(need, self._recalled(now), now)
         if wait > 0:
             denied = _over_quota(need.id, wait)
             self._mesh.send_to(ask.name, conversions.spoken(denied))
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -14,8 +14,8 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Standing:
-    """How much of the quotas may be granted at this instance.
+class Recollection:
+    """What is known at this instance of what the quotas have spent.
 
     Attributes:
         leading_seconds: how long it has been the allocator; 0 if it is not,
@@ -33,11 +33,11 @@
         """The part of a quota that may be granted.
 
         >>> old = 60.0
-        >>> Standing(20.0, 2, (old, old)).share(8.0)
+        >>> Recollection(20.0, 2, (old, old)).share(8.0)
         1.0
-        >>> Standing(0.0, 2, (old, 0.0)).share(8.0)
+        >>> Recollection(0.0, 2, (old, 0.0)).share(8.0)
         0.5
-        >>> Standing(2.0, 2, (2.0, 2.0)).share(8.0)
+        >>> Recollection(2.0, 2, (2.0, 2.0)).share(8.0)
         0.25
         """
         heard = min(1.0, len(self.ages) / self.known)
@@ -105,10 +105,10 @@
         self._counted.report(holder, spends)
 
     def charge(
-        self, need: messages.Need, standing: Standing, now: float
+        self, need: messages.Need, recalled: Recollection, now: float
     ) -> float:
         """Counts a request; returns 0, or the seconds until it would fit."""
-        share = standing.share(self.window_seconds)
+        share = recalled.share(self.window_seconds)
         return self._take(self._counted, need, share, now)
 
     def charge_alone(
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import clock
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import members
+from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
 
 REMEMBERED_PINGS = 1024
@@ -72,9 +73,8 @@
     async def open(self) -> None:
         """Begins to read datagrams."""
         loop = asyncio.get_running_loop()
-        host, _, port = self._address.rpartition(":")
         await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
+            lambda: self, local_addr=sockets.split(self._address)
         )
 
     async def run(self) -> None:
@@ -121,8 +121,8 @@
         """Sends a datagram, which may be lost."""
         if self._transport is None or self._transport.is_closing():
             return
-        host, _, port = member.address.rpartition(":")
-        self._transport.sendto(datagrams.encode(message), (host, int(port)))
+        address = sockets.split(member.address)
+        self._transport.sendto(datagrams.encode(message), address)
 
     def send_to(self, name: str, message: datagrams.Datagram) -> None:
         """Sends a datagram to an instance by its name."""
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -244,10 +244,10 @@
 
     async def connect(self, timeout_seconds: float) -> Channel:
         """Opens a connection; raises OSError or TimeoutError."""
-        host, _, port = self._address.rpartition(":")
+        host, port = sockets.split(self._address)
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_seconds):
-            _, channel = await loop.create_connection(Channel, host, int(port))
+            _, channel = await loop.create_connection(Channel, host, port)
         return channel
 
     def keep(self, channel: Channel) -> None:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -33,6 +33,7 @@
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import settings
 from cranberryglade.gateway import slots
+from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
 from cranberryglade.gateway import telemetry
 
@@ -204,8 +205,7 @@
             (self._peers, self._peer_address),
             (self._front, self._settings.front_address),
         ):
-            host, _, port = address.rpartition(":")
-            self._server = await listener.serve(host, int(port))
+            self._server = await listener.serve(*sockets.split(address))
             self._servers.append(self._server)
 
     def _handle_signals(self) -> None:
--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -1,4 +1,4 @@
-"""Lets the system notice connections whose other side is gone."""
+"""Addresses, and connections whose other side is gone."""
 
 import socket
 
@@ -6,6 +6,16 @@
 KEEPALIVE_PROBES = 2
 
 
+def split(address: str) -> tuple[str, int]:
+    """The host and the port of an address, as sockets take them.
+
+    >>> split("127.0.0.1:8221")
+    ('127.0.0.1', 8221)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def bound_silence(connected: socket.socket | None, milliseconds: int) -> None:
     """Ends a connection whose peer acknowledges nothing for that long."""
     if connected is None:
--- a/cranberryglade/soak/links.py
+++ b/cranberryglade/soak/links.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+from cranberryglade.gateway import sockets
+
 CHUNK_BYTES = 65_536
 HOLD_TICK_SECONDS = 0.02
 
@@ -69,9 +71,8 @@
         if self.weather.refuses:
             writer.transport.abort()
             return
-        host, _, port = self._target.rpartition(":")
         try:
-            onward = await asyncio.open_connection(host, int(port))
+            onward = await asyncio.open_connection(*sockets.split(self._target))
         except OSError:
             writer.transport.abort()
             return
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -99,15 +99,16 @@
         )
         each.abandoned = self._random.random() < LEAVES
         patience = 0.02 if each.abandoned else PATIENCE_SECONDS
+        answer = None
         try:
             async with asyncio.timeout(patience):
                 answer = await caller.answer()
         except TimeoutError:
-            each.ended = loop.time()
-            each.lag_seconds = self._clock.lag(each.sent)
-            return False
+            pass  # The caller leaves, on purpose or out of patience.
         each.ended = loop.time()
         each.lag_seconds = self._clock.lag(each.sent)
+        if answer is None:
+            return False
         each.status = answer.status
         each.whole = answer.whole
         each.stamped = answer.stamped
--- a/cranberryglade/soak/promises.py
+++ b/cranberryglade/soak/promises.py
@@ -53,6 +53,14 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Period:
+    """A time in which something held everywhere."""
+
+    begun: float
+    ended: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Span:
     """A time in which something held for one gateway."""
@@ -114,7 +122,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     disturbed: list[Span] = dataclasses.field(default_factory=list)
     stops: list[Span] = dataclasses.field(default_factory=list)
-    keyless: list[Span] = dataclasses.field(default_factory=list)
+    keyless: list[Period] = dataclasses.field(default_factory=list)
     overstays: list[str] = dataclasses.field(default_factory=list)
     calm_from: float = float("inf")
 
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -52,7 +52,6 @@
         endpoints: int,
     ):
         self._seed = seed
-        self._seconds = seconds
         self._world = world.World(folder, gateways, endpoints, seed)
         self._plan = faults.plan(seed, seconds, gateways, endpoints)
         self._busy: set[int] = set()
@@ -207,9 +206,8 @@
         await asyncio.sleep(world.BOUNDS.revoke_seconds + seconds)
         self._keys_away -= 1
         if not self._keys_away:
-            for number in range(len(self._world.machines)):
-                gone = promises.Span(number, begun, self._now())
-                self._world.ledger.keyless.append(gone)
+            gone = promises.Period(begun, self._now())
+            self._world.ledger.keyless.append(gone)
             self._world.configure(second_key=True)
 
     def _claim(self, number: int) -> bool:
--- a/cranberryglade/soak/world.py
+++ b/cranberryglade/soak/world.py
@@ -1,12 +1,9 @@
 """The processes, links and stand-ins of a soak."""
 
 import asyncio
-import json
 import pathlib
 import random
 
-from aiohttp import web
-
 from cranberryglade.soak import links
 from cranberryglade.soak import promises
 from cranberryglade.standins import machine
@@ -17,6 +14,8 @@
 EVENTS = 4
 WORK_SECONDS = (0.002, 0.04)
 HEALTH_SECONDS = 10.0
+NOT_RUN = ("full", "unsealed")
+"""Faults with which an endpoint answers without running the request."""
 
 QUOTA_RATE = 30.0
 QUOTA_BURST = 10.0
@@ -69,11 +68,10 @@
         self._gateways = gateways
         self._random = random.Random(seed)
         self._network = machine.Network()
-        self._web: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Starts everything and waits until the gateways serve."""
-        target = await self._serve_store()
+        target = await self.store.serve()
         for each in self.endpoints:
             each.usual = self.behaviour(each)
             await each.start()
@@ -112,21 +110,20 @@
             await link.stop()
         for each in self.endpoints:
             await each.stop()
-        await self._web.cleanup()
+        await self.store.close()
         self._network.close()
 
     def configure(self, second_key: bool) -> None:
         """Writes a new version of the configuration."""
         self.version += 1
-        written = configuration(self.version, second_key)
-        self.store.put("op", "config", json.dumps(written).encode())
+        self.store.configure(configuration(self.version, second_key))
 
     def list_endpoint(self, number: int, state: str = "ready") -> None:
         """Writes an endpoint's entry."""
         each = self.endpoints[number]
         address = self.endpoint_links[number].address
         entry = each.entry(routes.SERVICE, address=address, state=state)
-        self.store.put("servers", each.id, json.dumps(entry).encode())
+        self.store.list_endpoint(each.id, entry)
 
     async def ready(self, of: machine.Machine) -> bool:
         """Waits until a gateway says that it is ready."""
@@ -138,23 +135,22 @@
             await asyncio.sleep(0.05)
         return False
 
-    def behaviour(self, of: runner.RunnerStandin, how: str = "") -> object:
-        """How an endpoint treats requests: usually, or with a fault."""
+    def behaviour(
+        self, of: runner.RunnerStandin, how: str = ""
+    ) -> runner.Behaviour:
+        """How an endpoint treats requests: usually, or half with a fault."""
 
         async def behave(received, reader, writer):
-            now = asyncio.get_running_loop().time()
-            if how not in ("full", "unsealed"):
-                self.ledger.runs.append(promises.Run(received.attempt, now))
-            await asyncio.sleep(self._random.uniform(*WORK_SECONDS))
             faulty = how and self._random.random() < 0.5
-            treat = self._usual(of, received)
-            if faulty and how != "twice":
-                treat = getattr(of, how)
-            if not faulty and how in ("full", "unsealed"):
+            if not faulty or how not in NOT_RUN:
+                now = asyncio.get_running_loop().time()
                 self.ledger.runs.append(promises.Run(received.attempt, now))
-            await treat(received, reader, writer)
+            await asyncio.sleep(self._random.uniform(*WORK_SECONDS))
+            usual = self._usual(of, received)
             if faulty and how == "twice":
-                await treat(received, reader, writer)
+                await usual(received, reader, writer)
+            treat = usual if not faulty or how == "twice" else getattr(of, how)
+            await treat(received, reader, writer)
 
         return behave
 
@@ -169,16 +165,6 @@
 
         return answer
 
-    async def _serve_store(self) -> str:
-        self._web = web.AppRunner(
-            self.store.application(), access_log=None, shutdown_timeout=0.05
-        )
-        await self._web.setup()
-        site = web.TCPSite(self._web, "127.0.0.1", 0)
-        await site.start()
-        host, port = self._web.addresses[0][:2]
-        return f"{host}:{port}"
-
 
 async def _says_ready(of: machine.Machine) -> bool:
     try:
--- a/cranberryglade/standins/store.py
+++ b/cranberryglade/standins/store.py
@@ -4,6 +4,7 @@
 import base64
 import collections
 import dataclasses
+import json
 import time
 
 from aiohttp import web
@@ -86,6 +87,7 @@
         "_history",
         "_objects",
         "_rows",
+        "_server",
         "_shown",
         "_version",
         "counts",
@@ -102,6 +104,7 @@
         self._objects: dict[str, bytes] = {}
         self._version = 0
         self._changed = asyncio.Event()
+        self._server: web.AppRunner | None = None
 
     @property
     def calls(self) -> int:
@@ -126,6 +129,28 @@
         app.router.add_get("/blob-list", self._list_objects)
         return app
 
+    async def serve(self, port: int = 0) -> str:
+        """Begins to listen on loopback; returns its address."""
+        self._server = web.AppRunner(
+            self.application(), access_log=None, shutdown_timeout=0.05
+        )
+        await self._server.setup()
+        await web.TCPSite(self._server, "127.0.0.1", port).start()
+        host, bound = self._server.addresses[0][:2]
+        return f"{host}:{bound}"
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.cleanup()
+
+    def configure(self, config: dict) -> None:
+        """Writes a configuration as the operator does."""
+        self.put("op", "config", json.dumps(config).encode())
+
+    def list_endpoint(self, id_: str, entry: dict) -> None:
+        """Writes an endpoint's entry as the endpoint does."""
+        self.put("servers", id_, json.dumps(entry).encode())
+
     def put(self, table: str, key: str, value: bytes) -> int:
         """Writes a row as the operator or an endpoint does."""
         text = base64.b64encode(value).decode()
--- a/cranberryglade/tests/gateway_worlds.py
+++ b/cranberryglade/tests/gateway_worlds.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import itertools
-import json
 import random
 import socket
 
-from aiohttp import web
 from returns.result import Success
 
 from cranberryglade.gateway import process
 from cranberryglade.gateway import settings
+from cranberryglade.gateway import sockets
 from cranberryglade.platform import documents
 from cranberryglade.platform import headers
 from cranberryglade.platform import store
@@ -60,11 +59,10 @@
         self._config = routes.a_config() if config is None else config
         self._changes = changes
         self._callers: list[callers.Caller] = []
-        self._web = None
         self.reread = None
 
     async def __aenter__(self):
-        self.store_address = await self._serve_store()
+        self.store_address = await self.store.serve(free_port())
         for each in self.runners:
             await each.start()
             self.list_runner(each)
@@ -83,7 +81,7 @@
             gateway.close()
         for each in self.runners:
             await each.stop()
-        await self._web.cleanup()
+        await self.store.close()
         await asyncio.sleep(0)
 
     async def add_gateway(self, name: str) -> process.Gateway:
@@ -122,17 +120,17 @@
 
     def configure(self, config: dict) -> None:
         """Writes a configuration as the operator."""
-        self.store.put("op", "config", json.dumps(config).encode())
+        self.store.configure(config)
 
     def list_runner(self, listed: runner.RunnerStandin, **changes) -> None:
         """Writes an endpoint's entry."""
         entry = listed.entry(routes.SERVICE, **changes)
-        self.store.put("servers", listed.id, json.dumps(entry).encode())
+        self.store.list_endpoint(listed.id, entry)
 
     async def call(self, gateway=0) -> callers.Caller:
         """Opens a connection to a gateway."""
-        host, _, port = self.settings[gateway].front_address.rpartition(":")
-        opened = await asyncio.open_connection(host, int(port))
+        address = sockets.split(self.settings[gateway].front_address)
+        opened = await asyncio.open_connection(*address)
         caller = callers.Caller(*opened)
         self._callers.append(caller)
         return caller
@@ -153,15 +151,6 @@
             )
         )
 
-    async def _serve_store(self) -> str:
-        self._web = web.AppRunner(
-            self.store.application(), access_log=None, shutdown_timeout=0.05
-        )
-        await self._web.setup()
-        port = free_port()
-        await web.TCPSite(self._web, "127.0.0.1", port).start()
-        return f"127.0.0.1:{port}"
-
 
 async def eventually(check, seconds: float = SETTLE_SECONDS) -> None:
     """Waits until a check holds."""
--- a/cranberryglade/tests/test_gateway_beliefs.py
+++ b/cranberryglade/tests/test_gateway_beliefs.py
@@ -245,9 +245,9 @@
 
 
 def test_a_new_allocator_trusts_those_who_remember():
-    new = charges.Standing(0.0, 6, (OLD,) * 5 + (0.0,))
+    new = charges.Recollection(0.0, 6, (OLD,) * 5 + (0.0,))
     assert new.share(8.0) == pytest.approx(5 / 6)
-    after_all_died = charges.Standing(2.0, 6, (2.0,) * 6)
+    after_all_died = charges.Recollection(2.0, 6, (2.0,) * 6)
     assert after_all_died.share(8.0) == 0.25
 
 
@@ -258,12 +258,12 @@
     for name in ("b", "c"):
         view.learn(name, f"{name}:1", "north", 0.0)
         view.hear(name, "life-1", 4.0, 4.0)
-    new = charges.Standing(0.0, 3, view.ages({"b", "c"}, 4.0))
+    new = charges.Recollection(0.0, 3, view.ages({"b", "c"}, 4.0))
     assert new.share(8.0) == pytest.approx(0.5)
 
 
 def test_an_allocator_of_a_whole_window_knows_everything():
-    settled = charges.Standing(9.0, 6, (9.0,) + (0.0,) * 5)
+    settled = charges.Recollection(9.0, 6, (9.0,) + (0.0,) * 5)
     assert settled.share(8.0) == 1.0
 
 
@@ -274,7 +274,7 @@
     # Load: instances that are cut off from the others meet each other, and
     # each side has an allocator of its own.
     shares = [
-        charges.Standing(20.0, sum(sides), (OLD,) * side).share(8.0)
+        charges.Recollection(20.0, sum(sides), (OLD,) * side).share(8.0)
         for side in sides
     ]
     assert sum(shares) <= 1.0
@@ -284,14 +284,14 @@
     holder = builders.an_organisation()
     counted = make_quotas(holder)
     charging = charges.Charges(counted, make_quotas(holder))
-    standing = charges.Standing(20.0, 1, (OLD,))
+    recalled = charges.Recollection(20.0, 1, (OLD,))
     need = builders.a_need("a.1", organisation="studio", cost=8500.0)
-    assert charging.charge(need, standing, 5.0) == 0.0
+    assert charging.charge(need, recalled, 5.0) == 0.0
     charging.refund("a.1")
-    assert charging.charge(need, standing, 5.1) == 0.0
+    assert charging.charge(need, recalled, 5.1) == 0.0
     charging.keep("a.1")
     charging.refund("a.1")
-    assert charging.charge(need, standing, 5.2) > 0.0
+    assert charging.charge(need, recalled, 5.2) > 0.0
 
 
 def test_what_was_granted_alone_is_told_to_every_allocator():
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -114,9 +114,9 @@
 def test_a_key_that_was_taken_away_is_caught():
     late = a_submission(second_key=True)
     ledger = a_ledger(late)
-    ledger.keyless.append(promises.Span(0, 7.9, 12.0))
+    ledger.keyless.append(promises.Period(7.9, 12.0))
     assert broken(ledger) == {"key"}
-    ledger.keyless = [promises.Span(0, 8.1, 12.0)]
+    ledger.keyless = [promises.Period(8.1, 12.0)]
     assert broken(ledger) == set()
 
 
