Log how the end of an answer is marked and what follows its last event

The output of the instances could not separate the hypotheses on broken streams that were delivered as complete: request.ended said served, and neither the framing of the answer nor an incomplete event at its end. Both are now fields of attempt.ended and request.ended.

--- a/cranberryglade/gateway/dialect.py
+++ b/cranberryglade/gateway/dialect.py
@@ -1,6 +1,7 @@
 """Interface of the adapter that translates HTTP headers of a platform."""
 
 import dataclasses
+import enum
 from typing import Protocol
 
 from cranberryglade.gateway import messages
@@ -25,6 +26,22 @@
     last_event_id: str
 
 
+class Framing(enum.Enum):
+    """How the end of an answer's body is marked.
+
+    Attributes:
+        NO_BODY: there is no body.
+        LENGTH: by its length.
+        CHUNKED: by the last chunk.
+        CONNECTION_CLOSE: by the end of the connection.
+    """
+
+    NO_BODY = "no_body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_CLOSE = "connection_close"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AnswerHead:
     """Status and headers of an endpoint's answer.
@@ -33,11 +50,13 @@
         status: HTTP status.
         reason: reason phrase.
         headers: all fields in order.
+        framing: how the end of the body is marked.
     """
 
     status: int
     reason: bytes
     headers: list[messages.Header]
+    framing: Framing
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cranberryglade.gateway import admission
+from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
@@ -31,6 +32,10 @@
         fallback_answer: the last failure answer, relayed if no later attempt
             succeeds.
         waited_seconds: seconds spent waiting for slots.
+        answer_framing: how the end of the last attempt's answer is marked;
+            None if the attempt had no answer that can be relayed.
+        incomplete_event_bytes: size of the incomplete event at the end of the
+            last attempt's stream.
     """
 
     request: messages.Request
@@ -47,6 +52,8 @@
     earlier_attempt_may_have_run: bool = False
     fallback_answer: sending.Answer | None = None
     waited_seconds: float = 0.0
+    answer_framing: dialect.Framing | None = None
+    incomplete_event_bytes: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -58,6 +65,16 @@
         """Seconds until the final answer is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    def answer_log_fields(self) -> dict[str, str | int]:
+        """Returns log fields: how the answer of the last attempt ended."""
+        if self.answer_framing is None:
+            return {}
+        return {
+            "framing": self.answer_framing.value,
+            "last_event": self.splitter.last_id,
+            "incomplete_event_bytes": self.incomplete_event_bytes,
+        }
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestResult:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -198,6 +198,7 @@
                     endpoint=endpoint_id,
                     outcome=outcome.value,
                     left_ms=round(exchange.remaining_seconds * 1000),
+                    **exchange.answer_log_fields(),
                 )
 
     async def _send(
@@ -215,6 +216,8 @@
             last_event_id=exchange.splitter.last_id,
         )
         exchange.attempt_in_progress = True
+        exchange.answer_framing = None
+        exchange.incomplete_event_bytes = 0
         result = await self._sender.send(
             exchange.request,
             endpoint,
@@ -238,8 +241,10 @@
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
         match result:
             case sending.StreamStarted():
+                exchange.answer_framing = result.head.framing
                 return await self._relay_stream(exchange, endpoint, result)
             case sending.Answer(outcome=messages.Outcome.SERVED):
+                exchange.answer_framing = result.head.framing
                 return result.outcome, self._relay_answer(exchange, result)
             case sending.Answer():
                 exchange.earlier_attempt_may_have_run = True
@@ -271,6 +276,7 @@
         except BaseException:
             opened.channel.abort()
             raise
+        exchange.incomplete_event_bytes = len(exchange.splitter.pending)
         if lost:
             opened.channel.abort()
             exchange.splitter.discard_pending()
@@ -443,6 +449,7 @@
             endpoints=exchange.attempted_endpoints,
             waited_ms=round(exchange.waited_seconds * 1000),
             took_ms=round(took_seconds * 1000),
+            **exchange.answer_log_fields(),
             **self._state.log_fields(),
         )
 
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -214,13 +214,14 @@
         if status in INTERIM_STATUSES:
             return
         self.reusable = self._parser.should_keep_alive()
-        self._emit(dialect.AnswerHead(status, self._reason, self._headers))
-        names = {header.name.lower() for header in self._headers}
-        framed = names & {b"content-length", b"transfer-encoding"}
+        framing = self._framing(status)
+        self._emit(
+            dialect.AnswerHead(status, self._reason, self._headers, framing)
+        )
         if self._bodiless:
             self.reusable = False
             self._emit(End())
-        elif not framed and status not in BODILESS_STATUSES:
+        elif framing is dialect.Framing.CONNECTION_CLOSE:
             self._ends_at_close = True
             self.reusable = False
 
@@ -241,6 +242,16 @@
         if not self._ends_at_close and not self._bodiless:
             self._emit(End())
 
+    def _framing(self, status: int) -> dialect.Framing:
+        if self._bodiless or status in BODILESS_STATUSES:
+            return dialect.Framing.NO_BODY
+        names = {header.name.lower() for header in self._headers}
+        if b"transfer-encoding" in names:
+            return dialect.Framing.CHUNKED
+        if b"content-length" in names:
+            return dialect.Framing.LENGTH
+        return dialect.Framing.CONNECTION_CLOSE
+
     def _emit(self, event: Event) -> None:
         self._events.append(event)
         if self._event_ready is not None and not self._event_ready.done():
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -63,6 +63,31 @@
     assert reasons == {"a-1": "timeout", "a-2": "caller_gone"}
 
 
+async def test_the_end_of_a_stream_logs_its_framing_and_incomplete_event():
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster() as cluster:
+            (endpoint,) = cluster.runners
+            endpoint.script.append(endpoint.events(1, 2, whole=False))
+            endpoint.script.append(endpoint.events(1, 3))
+            await cluster.send_request(target="/note/1", X_Attempt_Id="a-1")
+            await cluster.send_request(target="/note/1", X_Attempt_Id="a-2")
+    logged = {
+        (line["event"], line["id"]): line for line in lines if "framing" in line
+    }
+    assert logged.keys() == {
+        ("attempt.ended", "a-1"),
+        ("request.ended", "a-1"),
+        ("request.ended", "a-2"),
+    }
+    assert {line["framing"] for line in logged.values()} == {"chunked"}
+    broken = logged["attempt.ended", "a-1"]
+    assert broken["last_event"] == "2"
+    assert broken["incomplete_event_bytes"] == 5
+    whole = logged["request.ended", "a-2"]
+    assert whole["last_event"] == "3"
+    assert whole["incomplete_event_bytes"] == 0
+
+
 async def test_metrics_count_finished_requests():
     async with Cluster() as cluster:
         await cluster.send_request()
