--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -4,9 +4,22 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import socket
+import struct
+
+from cranberryglade.gateway import dialect
 
 SEAL = "seal-of-{}"
 
+LAST_CHUNK = b"0\r\n\r\n"
+"""End of a body in chunks."""
+
+INCOMPLETE_EVENT_BYTES = 5
+"""Bytes of an event that are sent before a stream breaks off within it."""
+
+DELIVERY_SECONDS = 0.05
+"""Time for sent data to arrive before a reset, which could discard it."""
+
 
 @dataclasses.dataclass(slots=True)
 class Received:
@@ -173,55 +186,121 @@
 
         return behave
 
-    def resuming(self, breaks_at: int, last: int) -> Behaviour:
+    def resuming(
+        self,
+        breaks_at: int,
+        last: int,
+        framing: dialect.Framing = dialect.Framing.CHUNKED,
+    ) -> Behaviour:
         """Returns a behaviour that breaks a stream once and resumes it.
 
         Args:
             breaks_at: number of the last whole event before the break, which
                 happens if the request has no Last-Event-ID.
             last: number of the last event of the stream.
+            framing: as for `events`.
         """
 
         async def behave(received, reader, writer):
             seen = received.headers.get("last-event-id")
             if seen is None:
-                await self.events(1, breaks_at, False)(received, reader, writer)
+                stream = self.events(1, breaks_at, False, framing)
             else:
-                await self.events(int(seen) + 1, last)(received, reader, writer)
+                stream = self.events(int(seen) + 1, last, True, framing)
+            await stream(received, reader, writer)
 
         return behave
 
-    def events(self, first: int, last: int, whole: bool = True) -> Behaviour:
+    def events(
+        self,
+        first: int,
+        last: int,
+        whole: bool = True,
+        framing: dialect.Framing = dialect.Framing.CHUNKED,
+    ) -> Behaviour:
         """Returns a behaviour that streams a range of events.
 
         Args:
             first: number of the first event.
-            last: number of the last event.
+            last: number of the last event of the stream.
             whole: whether the stream ends properly; if not, the connection
                 is closed within the next event.
+            framing: how the end of the stream is marked: CHUNKED or
+                CONNECTION_CLOSE.
         """
 
         async def behave(received, reader, writer):
             self.ran.append(received.request_id)
-            lines = [
-                "X-Response-Seal: " + SEAL.format(self.id),
-                "Content-Type: text/event-stream",
-                "Transfer-Encoding: chunked",
-            ]
-            writer.write(self._head(received, 200, lines, None))
+            encode = self._start_stream(received, writer, framing)
             for number in range(first, last + 1):
-                writer.write(_chunk(event(number)))
-                await writer.drain()
-            if whole:
-                writer.write(b"0\r\n\r\n")
-                await writer.drain()
-            else:
-                writer.write(_chunk(event(last + 1)[:5]))
+                writer.write(encode(event(number)))
                 await writer.drain()
+            if not whole:
+                writer.write(encode(event(last + 1)[:INCOMPLETE_EVENT_BYTES]))
+            elif framing is dialect.Framing.CHUNKED:
+                writer.write(LAST_CHUNK)
+            await writer.drain()
+            if not whole or framing is dialect.Framing.CONNECTION_CLOSE:
                 writer.close()
 
         return behave
 
+    def ended_within_event(self, last: int) -> Behaviour:
+        """Returns a behaviour that ends a stream properly, but in an event.
+
+        Args:
+            last: number of the last whole event, which the beginning of the
+                next one and the last chunk follow.
+        """
+
+        async def behave(received, reader, writer):
+            self.ran.append(received.request_id)
+            encode = self._start_stream(
+                received, writer, dialect.Framing.CHUNKED
+            )
+            for number in range(1, last + 1):
+                writer.write(encode(event(number)))
+            writer.write(encode(event(last + 1)[:INCOMPLETE_EVENT_BYTES]))
+            writer.write(LAST_CHUNK)
+            await writer.drain()
+
+        return behave
+
+    def reset_stream(self, last: int) -> Behaviour:
+        """Returns a behaviour that resets a stream without framing.
+
+        Args:
+            last: number of the last whole event.
+        """
+
+        async def behave(received, reader, writer):
+            self.ran.append(received.request_id)
+            encode = self._start_stream(
+                received, writer, dialect.Framing.CONNECTION_CLOSE
+            )
+            for number in range(1, last + 1):
+                writer.write(encode(event(number)))
+            await writer.drain()
+            await asyncio.sleep(DELIVERY_SECONDS)
+            _reset_connection(writer)
+
+        return behave
+
+    def _start_stream(
+        self,
+        received: Received,
+        writer: asyncio.StreamWriter,
+        framing: dialect.Framing,
+    ) -> Callable[[bytes], bytes]:
+        lines = [
+            "X-Response-Seal: " + SEAL.format(self.id),
+            "Content-Type: text/event-stream",
+        ]
+        if framing is dialect.Framing.CHUNKED:
+            lines.append("Transfer-Encoding: chunked")
+        writer.write(self._head(received, 200, lines, None))
+        return _chunk if framing is dialect.Framing.CHUNKED else bytes
+
     def answer(
         self, received: Received, body: bytes, status: int = 200
     ) -> bytes:
@@ -266,6 +345,14 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
+def _reset_connection(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -4,11 +4,18 @@
 
 import pytest
 
+from cranberryglade.gateway import dialect
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_cluster
 
 Cluster = gateway_cluster.Cluster
+Framing = dialect.Framing
+
+
+def make_events(first: int, last: int) -> bytes:
+    numbers = range(first, last + 1)
+    return b"".join(endpoint_standin.event(number) for number in numbers)
 
 
 async def test_a_request_and_its_answer_pass_unchanged():
@@ -256,9 +263,7 @@
         (endpoint,) = cluster.runners
         endpoint.script.append(endpoint.events(1, 5))
         answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.body == b"".join(
-            endpoint_standin.event(n) for n in range(1, 6)
-        )
+        assert answer.body == make_events(1, 5)
         assert answer.whole
 
 
@@ -268,9 +273,7 @@
             endpoint.default_behaviour = endpoint.resuming(3, 6)
         answer = await cluster.send_request(target="/write/1", method="POST")
         assert answer.whole
-        assert answer.body == b"".join(
-            endpoint_standin.event(n) for n in range(1, 7)
-        )
+        assert answer.body == make_events(1, 6)
         sent = [r for e in cluster.runners for r in e.received]
         resumed = [r.headers.get("last-event-id") for r in sent]
         assert sorted(resumed, key=str) == ["3", None]
@@ -286,6 +289,63 @@
         assert sum(len(e.received) for e in cluster.runners) == 1
 
 
+async def test_a_stream_may_end_with_its_connection():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(
+            endpoint.events(1, 5, framing=Framing.CONNECTION_CLOSE)
+        )
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.whole
+        assert answer.body == make_events(1, 5)
+
+
+async def test_stream_that_ends_inside_an_event_is_not_framed_as_complete():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(
+            endpoint.events(1, 3, False, Framing.CONNECTION_CLOSE)
+        )
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.status == 200
+        assert not answer.whole
+        assert answer.body == make_events(1, 3)
+
+
+async def test_chunked_stream_that_ends_inside_an_event_is_not_complete():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(endpoint.ended_within_event(3))
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.status == 200
+        assert not answer.whole
+        assert answer.body == make_events(1, 3)
+
+
+async def test_reset_stream_without_framing_is_not_framed_as_complete():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(endpoint.reset_stream(3))
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.status == 200
+        assert not answer.whole
+        assert answer.body == make_events(1, 3)
+
+
+async def test_stream_without_framing_that_breaks_off_is_resumed_elsewhere():
+    async with Cluster(runners=2) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.resuming(
+                3, 6, Framing.CONNECTION_CLOSE
+            )
+        answer = await cluster.send_request(target="/write/1", method="POST")
+        assert answer.whole
+        assert answer.body == make_events(1, 6)
+        sent = [r for e in cluster.runners for r in e.received]
+        resumed = [r.headers.get("last-event-id") for r in sent]
+        assert sorted(resumed, key=str) == ["3", None]
+
+
 async def test_attempt_is_cancelled_when_the_caller_disconnects():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
