Treat a stream that ends inside an event as broken off

Callers saw status 200, an endpoint's stamp and the framing of a complete answer around a stream that its endpoint had broken off (ORDER).

Cause: the end of the body was taken for the end of the answer. A body that is delimited by the end of its connection has no other mark, so an endpoint that closes it within an event looked like one that had finished; the incomplete event was even passed on. Evidence: three tests that failed before with framing=connection_close (or chunked) incomplete_event_bytes=5 reason=served, the same status and reason as in the output of the incident. Ruled out: a reset that is read as an ordinary end (its test passed before).

The events themselves say whether the stream is whole: if an incomplete event is left, the attempt is lost. It is resumed elsewhere if its kind allows that; otherwise the caller's connection is closed within the answer, as for any other broken stream. This holds for every framing.

--- a/cranberryglade/gateway/event_streams.py
+++ b/cranberryglade/gateway/event_streams.py
@@ -30,6 +30,14 @@
         """The incomplete event at the end of the stream so far."""
         return self._pending
 
+    @property
+    def within_event(self) -> bool:
+        """Whether the stream so far ends inside an event.
+
+        Blank lines after the last event do not begin another one.
+        """
+        return bool(self._pending.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> bytes:
         r"""Returns the events that the data completes, unchanged.
 
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -309,6 +309,8 @@
             match event:
                 case outbound.Data(data):
                     await exchange.responder.send(splitter.feed(data))
+                case outbound.End() if splitter.within_event:
+                    return "stream ended inside an event"
                 case outbound.End():
                     await exchange.responder.send(splitter.pending)
                     return ""
