Split events at a blank line whatever the line ends are

A stream that mixes line ends, as the format allows, was held back until its end, and since a stream must end between two events it would have been given up. Found by a test of what may follow the last event. The tests of mixed and CR line ends failed before.

--- a/cranberryglade/gateway/event_streams.py
+++ b/cranberryglade/gateway/event_streams.py
@@ -1,7 +1,10 @@
 """Splits a stream of server-sent events into whole events."""
 
-EVENT_SEPARATOR = b"\n\n"
-"""Separator of events in streams with LF line ends."""
+BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
+"""Ends of the last line of an event and of the blank line after it.
+
+LF, CRLF and CR all end a line, and a stream may mix them.
+"""
 
 MAX_EVENT_BYTES = 1_048_576
 """Largest incomplete event that is buffered."""
@@ -54,10 +57,7 @@
         ('7', b'id: 8')
         """
         data = self._pending + data
-        end = b"\r\n\r\n" if b"\r\n" in data else EVENT_SEPARATOR
-        whole_bytes = data.rfind(end) + len(end)
-        if whole_bytes < len(end):
-            whole_bytes = 0
+        whole_bytes = _whole_bytes(data)
         whole, self._pending = data[:whole_bytes], data[whole_bytes:]
         self._update_last_id(whole)
         if len(self._pending) > MAX_EVENT_BYTES:
@@ -73,3 +73,13 @@
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
                 return
+
+
+def _whole_bytes(data: bytes) -> int:
+    """Returns the number of bytes up to the end of the last whole event."""
+    ends = [
+        start + len(blank)
+        for blank in BLANK_LINES
+        if (start := data.rfind(blank)) >= 0
+    ]
+    return max(ends, default=0)
