Treat an unframed stream without events as broken off

An endpoint that closes such a stream before its first event leaves the same bytes as one that had nothing to send; the caller got an empty answer framed as complete. The same class as the stream that ends inside an event. An empty stream that is framed stays complete. The test failed before.

--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -296,6 +296,10 @@
             Why the stream broke off; "" if it ended whole.
         """
         splitter = exchange.splitter
+        has_events = False
+        # A framed stream may be empty, as when nothing was left to resume. If
+        # it is not framed, it may as well have broken off at its beginning.
+        unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
         pause = exchange.admitted.route.max_gap_seconds
         timeout_seconds = self._attempt_timeout(
             exchange, STREAM_TIMEOUT_FACTOR * pause
@@ -308,9 +312,13 @@
                 return "stream silent"
             match event:
                 case outbound.Data(data):
-                    await exchange.responder.send(splitter.feed(data))
+                    events = splitter.feed(data)
+                    has_events = has_events or bool(events)
+                    await exchange.responder.send(events)
                 case outbound.End() if splitter.within_event:
                     return "stream ended inside an event"
+                case outbound.End() if not has_events and unframed:
+                    return "stream ended without events"
                 case outbound.End():
                     await exchange.responder.send(splitter.pending)
                     return ""
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -312,6 +312,26 @@
         assert answer.body == make_events(1, 3)
 
 
+async def test_unframed_stream_without_events_is_not_framed_as_complete():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(
+            endpoint.events(1, 0, framing=Framing.CONNECTION_CLOSE)
+        )
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.status == 200
+        assert not answer.whole
+
+
+async def test_chunked_stream_without_events_is_complete():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(endpoint.events(1, 0))
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.whole
+        assert answer.body == b""
+
+
 async def test_chunked_stream_that_ends_inside_an_event_is_not_complete():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
