Test that an unframed answer that is reset is not relayed

Elsewhere the class does not occur: the project's own interface needs the end event with its count ("cut for good" and others in test_endpoints.py), and replies of the store and of peers are JSON objects, which cannot be decoded when they are cut.

--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -266,8 +266,8 @@
 
         return behave
 
-    def reset_stream(self, last: int) -> Behaviour:
-        """Returns a behaviour that resets a stream without framing.
+    def reset_unframed(self, last: int) -> Behaviour:
+        """Returns a behaviour that resets an answer without framing.
 
         Args:
             last: number of the last whole event.
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -248,6 +248,20 @@
         assert answer.whole
 
 
+async def test_unframed_answer_that_is_reset_is_not_relayed():
+    async with Cluster(runners=2) as cluster:
+        broken, sound = cluster.runners
+        broken.default_behaviour = broken.reset_unframed(3)
+        sound.default_behaviour = sound.refuse
+        answer = await cluster.send_request(target="/pay/1", method="POST")
+        assert answer.status in (502, 503)
+        assert (answer.status == 502) == bool(broken.ran)
+        sound.default_behaviour = sound.succeed
+        for number in range(4):
+            answer = await cluster.send_request(X_Attempt_Id=f"a-{number}")
+            assert answer.body == b"body of "
+
+
 async def test_error_answer_of_an_endpoint_is_relayed_unchanged():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
@@ -345,7 +359,7 @@
 async def test_reset_stream_without_framing_is_not_framed_as_complete():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
-        endpoint.script.append(endpoint.reset_stream(3))
+        endpoint.script.append(endpoint.reset_unframed(3))
         answer = await cluster.send_request(target="/note/1", method="POST")
         assert answer.status == 200
         assert not answer.whole
