Read the software versions of endpoints and the attempt that a caller resumes

The output could not separate the hypotheses on streams of mixed software versions. The adapter now decodes both, and endpoint.listed and request.ended state them. Nothing is decided by them yet.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -24,6 +24,7 @@
         arrived: when its last byte was read, seconds of the loop's clock.
         splitter: splits its stream into whole events.
         attempted_endpoints: ids of the endpoints that it was sent to, in order.
+        attempted_versions: software versions of those endpoints, in order.
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
         cost_submitted: whether its cost was part of an earlier slot request.
@@ -46,6 +47,7 @@
     arrived: float
     splitter: event_streams.EventSplitter
     attempted_endpoints: list[str] = dataclasses.field(default_factory=list)
+    attempted_versions: list[str] = dataclasses.field(default_factory=list)
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
     attempt_in_progress: bool = False
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -208,6 +208,7 @@
         kind = admitted.route.kind
         organisation = admitted.organisation
         exchange.attempted_endpoints.append(endpoint.id)
+        exchange.attempted_versions.append(endpoint.software_version)
         exchange.excluded_endpoints.append(endpoint.id)
         added = dialect.AddedHeaders(
             endpoint=endpoint.id,
@@ -255,6 +256,7 @@
             case sending.AttemptFailure(outcome, reason):
                 if outcome is messages.Outcome.UNREACHABLE:
                     exchange.attempted_endpoints.pop()
+                    exchange.attempted_versions.pop()
                 elif not outcome.not_run:
                     exchange.earlier_attempt_may_have_run = True
                 return outcome, self._retry_or_give_up(exchange, reason)
@@ -457,6 +459,9 @@
             status=ended.status,
             reason=ended.reason,
             endpoints=exchange.attempted_endpoints,
+            software_versions=exchange.attempted_versions,
+            resumed_attempt=exchange.facts.resumed_attempt,
+            resumed_after=exchange.facts.last_event_id,
             waited_ms=round(exchange.waited_seconds * 1000),
             took_ms=round(took_seconds * 1000),
             **exchange.answer_log_fields(),
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -53,6 +53,8 @@
         expected_tokens: the caller's estimate of the length of the answer.
         last_event_id: id of the last event that the caller received; "" if
             none.
+        resumed_attempt: id of the earlier attempt that brought the first event
+            of the stream that the caller resumes; "" if none.
     """
 
     id: str
@@ -65,6 +67,7 @@
     has_token_counts: bool
     expected_tokens: int
     last_event_id: str
+    resumed_attempt: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,6 +82,8 @@
         slots: number of requests that it runs at once.
         leaving: whether it accepts no new requests.
         started_ms: when its current process started, milliseconds of Unix time.
+        software_version: version of its software; "" if it states none.
+            Versions have no order.
     """
 
     id: str
@@ -88,6 +93,7 @@
     slots: int
     leaving: bool
     started_ms: int
+    software_version: str
 
 
 OVER_QUOTA = "over_quota"
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -222,6 +222,7 @@
                         "endpoint.listed",
                         endpoint=endpoint.id,
                         leaving=endpoint.leaving,
+                        software_version=endpoint.software_version,
                         row_version=row.version,
                     )
                 return changed
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -108,6 +108,7 @@
         zone: its failure domain.
         slots: requests that it runs at once.
         born: start of its present incarnation, milliseconds of Unix time.
+        version: version of its software, not of the model's weights.
     """
 
     service: str
@@ -116,6 +117,7 @@
     state: Literal["ready", "draining"]
     slots: int = 1
     born: int = 0
+    version: str = ""
 
 
 class Decoder:
@@ -151,6 +153,7 @@
                 slots=wire.slots,
                 leaving=wire.state == "draining",
                 started_ms=wire.born,
+                software_version=wire.version,
             )
         )
 
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -19,6 +19,11 @@
 AUTHORIZATION = b"authorization"
 LAST_EVENT = b"last-event-id"
 TENANT = b"x-tenant"
+
+RESUMES = b"resumes"
+"""Id of the submission that brought a resumed stream's first event, not of the
+last one."""
+
 RESPONSE_SEAL = b"x-response-seal"
 NOT_RUN = b"x-not-executed"
 
@@ -91,6 +96,7 @@
             has_token_counts=TOKEN_COUNTS in fields,
             expected_tokens=_parse_count(fields.get(LENGTH_HINT, "")) or output,
             last_event_id=fields.get(LAST_EVENT, ""),
+            resumed_attempt=fields.get(RESUMES, ""),
         )
 
     def request_headers(
--- a/cranberryglade/tests/gateway_builders.py
+++ b/cranberryglade/tests/gateway_builders.py
@@ -17,6 +17,7 @@
         "slots": 2,
         "leaving": False,
         "started_ms": 1,
+        "software_version": "v1",
     }
     return messages.Endpoint(**(fields | changes))
 
@@ -87,5 +88,6 @@
         "has_token_counts": True,
         "expected_tokens": 20,
         "last_event_id": "",
+        "resumed_attempt": "",
     }
     return messages.RequestMetadata(**(fields | changes))
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -88,6 +88,22 @@
     assert whole["incomplete_event_bytes"] == 0
 
 
+async def test_lines_name_software_versions_and_the_resumed_attempt():
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster() as cluster:
+            (endpoint,) = cluster.runners
+            endpoint.script.append(endpoint.events(3, 4))
+            await cluster.send_request(
+                target="/write/1", Last_Event_Id="2", Resumes="a-0"
+            )
+    (listed,) = [e for e in lines if e["event"] == "endpoint.listed"]
+    assert listed["software_version"] == "v1"
+    (end,) = [line for line in lines if line["event"] == "request.ended"]
+    assert end["software_versions"] == ["v1"]
+    assert end["resumed_attempt"] == "a-0"
+    assert end["resumed_after"] == "2"
+
+
 async def test_metrics_count_finished_requests():
     async with Cluster() as cluster:
         await cluster.send_request()
