Show that streams go on at another software version

Both hypotheses hold: within one answer the next endpoint is chosen without regard to its version, and a caller that takes a stream up again is served as if its request were new, at any version and any service of the route, also when its version is gone or nobody knows it. Two tests that pass say what must stay: a stream without events may begin anywhere, and one of unknown origin is resumed while there is only one version.

--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -54,17 +54,21 @@
     Attributes:
         store: stand-in of the store.
         runners: stand-ins of the endpoints.
+        versions: software version of each of them.
         gateways: the gateways in the order of their start.
         settings: settings of each gateway.
         reload_result: result of reading the settings again, for all gateways.
     """
 
-    def __init__(self, gateways=1, runners=1, config=None, **changes):
+    def __init__(
+        self, gateways=1, runners=1, config=None, versions=None, **changes
+    ):
         self.store = store_standin.StoreStandin()
         self.runners = [
             endpoint_standin.EndpointStandin(f"i-{number}")
             for number in range(runners)
         ]
+        self.versions: list[str] = versions or ["v1"] * runners
         self.gateways: list[process.Gateway] = []
         self.settings: list[settings.Settings] = []
         self._gateway_count = gateways
@@ -77,9 +81,9 @@
 
     async def __aenter__(self):
         self.store_address = await self.store.serve(free_port())
-        for each in self.runners:
+        for each, version in zip(self.runners, self.versions, strict=True):
             await each.start()
-            self.register_runner(each)
+            self.register_runner(each, version=version)
         if self._config:
             self.configure(self._config)
         for number in range(self._gateway_count):
@@ -144,9 +148,31 @@
         self, listed: endpoint_standin.EndpointStandin, **changes
     ) -> None:
         """Writes an endpoint's row to the store."""
-        entry = listed.entry(operator_configuration.SERVICE, **changes)
+        fields = {"service": operator_configuration.SERVICE} | changes
+        entry = listed.entry(**fields)
         self.store.list_endpoint(listed.id, entry)
 
+    async def add_runner(
+        self, added: endpoint_standin.EndpointStandin, version="v1", **changes
+    ) -> None:
+        """Starts an endpoint and writes its row to the store."""
+        await added.start()
+        self.runners.append(added)
+        self.versions.append(version)
+        self.register_runner(added, version=version, **changes)
+
+    async def wait_for_endpoints(self, check) -> None:
+        """Waits until the endpoints of each gateway satisfy a check.
+
+        Args:
+            check: receives the endpoints in use by id.
+        """
+        await wait_until(
+            lambda: all(
+                check(gateway._state.endpoints) for gateway in self.gateways
+            )
+        )
+
     async def connect(self, gateway=0) -> callers.Caller:
         """Opens a connection to a gateway, by its index."""
         address = sockets.split_address(self.settings[gateway].front_address)
--- /dev/null
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -0,0 +1,228 @@
+"""Resumed streams: each goes on only at the software version that began it."""
+
+import asyncio
+
+from cranberryglade.standins import endpoint_standin
+from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_cluster
+
+Cluster = gateway_cluster.Cluster
+RESUMES = 8
+
+SHARING_SECONDS = 0.1
+"""Time in which the instances tell each other which streams they began."""
+
+
+def make_events(first: int, last: int) -> bytes:
+    numbers = range(first, last + 1)
+    return b"".join(endpoint_standin.event(number) for number in numbers)
+
+
+async def begin_stream(cluster, attempt="a-1", gateway=0):
+    """Sends a request whose stream breaks off after its third event."""
+    answer = await cluster.send_request(
+        gateway, target="/write/1", method="POST", X_Attempt_Id=attempt
+    )
+    assert answer.body == make_events(1, 3)
+    assert not answer.whole
+
+
+async def resume_stream(cluster, attempt="a-2", gateway=0, resumes="a-1"):
+    """Resumes that stream as a caller does, in a new attempt."""
+    return await cluster.send_request(
+        gateway,
+        target="/write/1",
+        method="POST",
+        X_Attempt_Id=attempt,
+        Last_Event_Id="3",
+        Resumes=resumes,
+    )
+
+
+def sent_to(endpoint) -> list[str]:
+    return [received.request_id for received in endpoint.received]
+
+
+async def occupy(cluster, endpoint) -> None:
+    """Sends a request that stays at an endpoint, so that others have less."""
+    endpoint.script.append(endpoint.hang)
+    caller = await cluster.connect(1)
+    caller.request(target="/pay/1", X_Attempt_Id="occupying")
+    await gateway_cluster.wait_until(lambda: "occupying" in endpoint.ran)
+
+
+async def set_state(cluster, endpoints, state) -> None:
+    """Lists endpoints of version v2 as ready or as draining."""
+    for endpoint in endpoints:
+        cluster.register_runner(endpoint, version="v2", state=state)
+    leaving = state == "draining"
+    await cluster.wait_for_endpoints(
+        lambda listed: all(
+            listed[endpoint.id].leaving == leaving for endpoint in endpoints
+        )
+    )
+
+
+async def list_another_version(cluster) -> None:
+    """Lists three more endpoints of the service, of another version."""
+    for number in range(3):
+        added = endpoint_standin.EndpointStandin(f"j-{number}")
+        added.default_behaviour = added.resuming(3, 6)
+        await cluster.add_runner(added, version="v2")
+    count = len(cluster.runners)
+    await cluster.wait_for_endpoints(lambda listed: len(listed) == count)
+
+
+async def test_stream_goes_on_within_its_answer_at_the_version_that_began_it():
+    async with Cluster(runners=2, versions=["v1", "v2"]) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        await begin_stream(cluster)
+        assert sum(map(len, map(sent_to, cluster.runners))) == 1
+
+
+async def test_stream_goes_on_within_its_answer_at_an_endpoint_of_its_version():
+    async with Cluster(runners=4, versions=["v1", "v2"] * 2) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        for number in range(RESUMES):
+            answer = await cluster.send_request(
+                target="/write/1", method="POST", X_Attempt_Id=f"a-{number}"
+            )
+            assert answer.whole
+            assert answer.body == make_events(1, 6)
+            versions = [
+                version
+                for endpoint, version in zip(
+                    cluster.runners, cluster.versions, strict=True
+                )
+                if f"a-{number}" in sent_to(endpoint)
+            ]
+            assert len(versions) == 2
+            assert len(set(versions)) == 1
+
+
+async def test_stream_that_had_no_event_yet_may_begin_at_any_version():
+    async with Cluster(runners=2, versions=["v1", "v2"]) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.events(1, 6)
+            endpoint.script.append(endpoint.events(1, 0, whole=False))
+        cluster.runners[1].script.clear()
+        for number in range(4):
+            answer = await cluster.send_request(
+                target="/write/1", method="POST", X_Attempt_Id=f"a-{number}"
+            )
+            assert answer.whole
+            assert answer.body == make_events(1, 6)
+
+
+async def test_caller_resumes_at_the_version_that_began_the_stream():
+    async with Cluster(gateways=2) as cluster:
+        (first,) = cluster.runners
+        first.default_behaviour = first.resuming(3, 6)
+        await begin_stream(cluster)
+        await occupy(cluster, first)
+        await list_another_version(cluster)
+        for number in range(RESUMES):
+            answer = await resume_stream(
+                cluster, f"b-{number}", gateway=number % 2
+            )
+            assert answer.whole
+            assert answer.body == make_events(4, 6)
+        for other in cluster.runners[1:]:
+            assert sent_to(other) == []
+
+
+async def test_caller_resumes_after_the_instance_of_its_stream_was_killed():
+    versions = ["v2"] * 3 + ["v1"]
+    async with Cluster(gateways=3, runners=4, versions=versions) as cluster:
+        *others, first = cluster.runners
+        first.default_behaviour = first.resuming(3, 6)
+        await set_state(cluster, others, "draining")
+        await begin_stream(cluster)
+        await set_state(cluster, others, "ready")
+        cluster.gateways[0].close()
+        answers = [
+            await resume_stream(cluster, f"b-{number}", gateway=1 + number % 2)
+            for number in range(RESUMES)
+        ]
+        assert [answer.status for answer in answers] == [200] * RESUMES
+        for other in others:
+            assert sent_to(other) == []
+
+
+async def test_caller_resumes_although_a_version_was_listed_after_it_began():
+    async with Cluster(gateways=3) as cluster:
+        (first,) = cluster.runners
+        first.default_behaviour = first.resuming(3, 6)
+        await begin_stream(cluster)
+        await occupy(cluster, first)
+        await list_another_version(cluster)
+        await asyncio.sleep(SHARING_SECONDS)
+        cluster.gateways[0].close()
+        answer = await resume_stream(cluster, gateway=1)
+        assert answer.whole
+        for other in cluster.runners[1:]:
+            assert sent_to(other) == []
+
+
+async def test_stream_of_unknown_origin_is_not_resumed_among_several_versions():
+    async with Cluster(gateways=2, runners=2, versions=["v1", "v2"]) as cluster:
+        for attempt in ("a-unknown", None):
+            answer = await resume_stream(cluster, resumes=attempt)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+        for endpoint in cluster.runners:
+            assert sent_to(endpoint) == []
+
+
+async def test_stream_of_unknown_origin_is_resumed_at_the_only_version():
+    async with Cluster(gateways=2, runners=2) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        for attempt in ("a-unknown", None):
+            answer = await resume_stream(cluster, resumes=attempt)
+            assert answer.whole
+            assert answer.body == make_events(4, 6)
+
+
+async def test_stream_whose_version_is_gone_is_refused_at_once():
+    async with Cluster(gateways=2) as cluster:
+        (first,) = cluster.runners
+        first.default_behaviour = first.resuming(3, 6)
+        await begin_stream(cluster)
+        await list_another_version(cluster)
+        cluster.store.remove("servers", first.id)
+        await cluster.wait_for_endpoints(lambda listed: len(listed) == 3)
+        started = asyncio.get_running_loop().time()
+        answer = await resume_stream(cluster, gateway=1)
+        assert answer.status == 503
+        assert asyncio.get_running_loop().time() - started < 0.5
+        for other in cluster.runners[1:]:
+            assert sent_to(other) == []
+
+
+async def test_stream_goes_on_at_the_service_that_began_it():
+    async with Cluster() as cluster:
+        (first,) = cluster.runners
+        first.default_behaviour = first.resuming(3, 6)
+        await begin_stream(cluster)
+        other = endpoint_standin.EndpointStandin("j-0")
+        other.default_behaviour = other.resuming(3, 6)
+        await cluster.add_runner(other, service="other")
+        await cluster.wait_for_endpoints(lambda listed: len(listed) == 2)
+        config = operator_configuration.a_config(2)
+        config["routes"][2] |= {
+            "traffic_split": [
+                {"service": operator_configuration.SERVICE, "weight": 1},
+                {"service": "other", "weight": 99},
+            ]
+        }
+        cluster.configure(config)
+        await gateway_cluster.wait_until(
+            lambda: cluster.gateways[0]._state.version == 2
+        )
+        for number in range(RESUMES):
+            answer = await resume_stream(cluster, f"b-{number}")
+            assert answer.whole
+        assert sent_to(other) == []
