Continue a stream within its answer only at the version that began it

Cause: an endpoint was any free one of the service, and its version was not read. A stream now has an origin, the service and version that its first event came from; the slot request of each further attempt names the version, and both the allocator and the instance itself refuse other endpoints. If no other endpoint of the version is left, the answer breaks off and the caller may resume it. A stream without events has no origin yet and may begin anywhere.

--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -38,6 +38,7 @@
         avoid=list(request.excluded_endpoints),
         organisation=request.organisation,
         cost=request.cost,
+        software_version=request.software_version,
     )
 
 
@@ -57,4 +58,5 @@
         excluded_endpoints=tuple(ask.avoid),
         organisation=ask.organisation,
         cost=ask.cost,
+        software_version=ask.software_version,
     )
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -136,6 +136,7 @@
         avoid: endpoints that it was sent to already.
         organisation: whose quota it is charged to; "" if none.
         cost: the charge; 0 if it was charged before.
+        software_version: the only version that may run it; None for any.
     """
 
     name: str
@@ -150,6 +151,7 @@
     avoid: list[str]
     organisation: str
     cost: float
+    software_version: str | None = None
 
 
 class Queued(msgspec.Struct, array_like=True, tag=4, frozen=True):
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -28,6 +28,7 @@
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
         cost_submitted: whether its cost was part of an earlier slot request.
+        origin: what began its stream; None before the first event.
         attempt_in_progress: whether an attempt is in progress.
         earlier_attempt_may_have_run: whether an earlier attempt may have run.
         fallback_answer: the last failure answer, relayed if no later attempt
@@ -50,6 +51,7 @@
     attempted_versions: list[str] = dataclasses.field(default_factory=list)
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
+    origin: messages.StreamOrigin | None = None
     attempt_in_progress: bool = False
     earlier_attempt_may_have_run: bool = False
     fallback_answer: sending.Answer | None = None
@@ -67,6 +69,12 @@
         """Seconds until the final answer is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    def may_be_sent_to(self, endpoint: messages.Endpoint) -> bool:
+        """Returns whether an endpoint that was granted may still run it."""
+        if endpoint.leaving:
+            return False
+        return self.origin is None or self.origin.admits(endpoint)
+
     def answer_log_fields(self) -> dict[str, str | int]:
         """Returns log fields: how the answer of the last attempt ended."""
         if self.answer_framing is None:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -181,7 +181,7 @@
         outcome = messages.Outcome.ABANDONED
         try:
             endpoint = self._state.endpoints.get(endpoint_id)
-            if endpoint is None or endpoint.leaving:
+            if endpoint is None or not exchange.may_be_sent_to(endpoint):
                 exchange.excluded_endpoints.append(endpoint_id)
                 return None
             result = await self._send(exchange, endpoint)
@@ -274,7 +274,7 @@
                 headers = self._dialect.relayed_headers(opened.head)
                 head = opened.head
                 responder.start(head.status, head.reason, headers, None)
-            lost = await self._relay_events(exchange, opened.channel)
+            lost = await self._relay_events(exchange, endpoint, opened.channel)
         except BaseException:
             opened.channel.abort()
             raise
@@ -290,7 +290,10 @@
         )
 
     async def _relay_events(
-        self, exchange: exchanges.Exchange, channel: outbound.Channel
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: messages.Endpoint,
+        channel: outbound.Channel,
     ) -> str:
         """Relays the events of a stream.
 
@@ -315,7 +318,9 @@
             match event:
                 case outbound.Data(data):
                     events = splitter.feed(data)
-                    has_events = has_events or bool(events)
+                    if events and not has_events:
+                        has_events = True
+                        self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End() if splitter.within_event:
                     return "stream ended inside an event"
@@ -329,6 +334,14 @@
                 case dialect.AnswerHead():
                     return "stream torn"
 
+    def _record_origin(
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
+    ) -> None:
+        if exchange.origin is None:
+            exchange.origin = messages.StreamOrigin(
+                endpoint.service, endpoint.software_version
+            )
+
     def _attempt_timeout(
         self, exchange: exchanges.Exchange, seconds: float
     ) -> float | None:
@@ -424,6 +437,9 @@
             excluded_endpoints=tuple(exchange.excluded_endpoints),
             organisation=organisation.name if organisation else "",
             cost=0.0 if exchange.cost_submitted else admitted.cost,
+            software_version=(
+                exchange.origin.software_version if exchange.origin else None
+            ),
         )
 
     def _reject(
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -96,6 +96,29 @@
     software_version: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamOrigin:
+    """What began a stream; only endpoints of the same kind may continue it.
+
+    The events of different services, or of different software versions of one
+    service, do not fit together.
+
+    Attributes:
+        service: the service that the stream's first event came from.
+        software_version: software version of the endpoint that sent it.
+    """
+
+    service: str
+    software_version: str
+
+    def admits(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint may continue the stream."""
+        return (
+            endpoint.service == self.service
+            and endpoint.software_version == self.software_version
+        )
+
+
 OVER_QUOTA = "over_quota"
 
 
@@ -148,6 +171,8 @@
         excluded_endpoints: endpoints that it was already sent to.
         organisation: organisation whose quota is charged; "" if none.
         cost: charge to the quota; 0 if it was charged before.
+        software_version: the only version that may run it, as it resumes a
+            stream; None for any.
     """
 
     id: str
@@ -161,6 +186,13 @@
     excluded_endpoints: tuple[str, ...] = ()
     organisation: str = ""
     cost: float = 0.0
+    software_version: str | None = None
+
+    def may_run_at(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint of its service may run it."""
+        return endpoint.id not in self.excluded_endpoints and (
+            self.software_version in (None, endpoint.software_version)
+        )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -288,7 +288,7 @@
             state
             for state in self._states_of(request.service)
             if state.free_slots > 0
-            and state.endpoint.id not in request.excluded_endpoints
+            and request.may_run_at(state.endpoint)
             and state.available_to(holder, now)
         ]
         default_pace = self._median_pace(request.service)
@@ -337,10 +337,12 @@
         usable = [
             state
             for state in self._states_of(request.service)
-            if state.endpoint.id not in request.excluded_endpoints
+            if request.may_run_at(state.endpoint)
         ]
         if not usable:
-            return self._make_denial(request, "no_endpoint", 1.0)
+            any_version = request.software_version is None
+            reason = "no_endpoint" if any_version else "no_endpoint_of_version"
+            return self._make_denial(request, reason, 1.0)
         if all(state.is_unreachable_from(holder, now) for state in usable):
             return self._make_denial(
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -225,6 +225,30 @@
     )
 
 
+def test_a_request_for_one_version_runs_or_waits_only_there():
+    old = builders.make_endpoint("e-1", slots=1, software_version="v1")
+    new = builders.make_endpoint("e-2", slots=4, software_version="v2")
+    allocator = make_allocator(old, new)
+    requests = [
+        builders.make_slot_request(f"r-{number}", software_version=version)
+        for number, version in enumerate(["v1", "v1", "v2", "v3"])
+    ]
+    decisions = []
+    for request in requests:
+        decisions += allocator.request_slot("a", request, 0.0)
+    assert granted(decisions) == {"r-0": "e-1", "r-2": "e-2"}
+    assert denied(decisions) == {"r-3": "no_endpoint_of_version"}
+    freed = allocator.release("r-0", Outcome.SERVED, 0.1)
+    assert granted(freed) == {"r-1": "e-1"}
+
+
+def test_a_slot_request_keeps_its_version_between_instances():
+    request = builders.make_slot_request(software_version="v1")
+    sent = datagrams.encode(conversions.encode_slot_request("a", request, 0.0))
+    received = datagrams.decode(sent).unwrap()
+    assert conversions.decode_slot_request(received, 0.0) == request
+
+
 def test_an_endpoint_that_lost_a_request_backs_off():
     allocator = make_allocator(builders.make_endpoint("e-1"))
     allocator.request_slot("a", builders.make_slot_request("r-1"), 0.0)
