Resume a stream only at the version and service that began it

Cause: each attempt of a caller was served as if it were new. What began the stream was known to no one, and the attempt reaches another instance than the first one, which may have been killed.

The instance that relays a stream's first event records its origin under the attempt's id before the event leaves, and sends it to three instances that are chosen by that id. An instance that gets the resumption asks those; the first that knows decides. While all know a single version of the service, lately and now, nothing is sent and an unknown stream began at that version. Otherwise, and if no peer replies, the request is refused with 503, which is true as it has not run, and a time to come back.

Ruled out: a row in the store for each stream (calls are limited and an outage would stop all resumption), and asking all instances (messages grow with the square of the deployment).

A seeded test loses a tenth of the datagrams and two instances of seven: no origin that is found is wrong, and nine in ten at least are found.

--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -202,7 +202,70 @@
     incarnation: str
 
 
-Datagram = Ping | Pong | SlotRequest | Queued | Grant | Deny | Release | Leaving
+class OriginRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What began a stream.
+
+    Attributes:
+        attempt: id of the caller's attempt that brought its first event.
+        service: the service that it came from.
+        software_version: software version of the endpoint that sent it.
+    """
+
+    attempt: str
+    service: str
+    software_version: str
+
+
+class Origins(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """Origins of streams of the sender, which the receiver keeps."""
+
+    records: list[OriginRecord]
+
+
+class OriginQuery(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """Asks for the origin of a stream that a caller resumes.
+
+    Attributes:
+        name: the sender.
+        number: repeated in the reply.
+        attempt: id of the attempt that brought its first event; "" if unknown.
+        service: the service that runs it; "" if there are several.
+    """
+
+    name: str
+    number: int
+    attempt: str
+    service: str
+
+
+class OriginReply(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """The reply to an OriginQuery.
+
+    Attributes:
+        number: number of the query.
+        origin: the origin; None if the sender does not know it.
+        software_versions: versions that the sender knows endpoints of the
+            service to have or to have had lately.
+    """
+
+    number: int
+    origin: OriginRecord | None
+    software_versions: list[str]
+
+
+OriginMessage = Origins | OriginQuery | OriginReply
+
+Datagram = (
+    Ping
+    | Pong
+    | SlotRequest
+    | Queued
+    | Grant
+    | Deny
+    | Release
+    | Leaving
+    | OriginMessage
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -1,16 +1,19 @@
 """Forwards requests to endpoints, retries them, and answers the callers."""
 
 import asyncio
+import dataclasses
 import itertools
 
 from cranberryglade import log
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import budgets
+from cranberryglade.gateway import configuration
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
@@ -43,6 +46,7 @@
         "_allocator",
         "_budget",
         "_dialect",
+        "_origins",
         "_request_numbers",
         "_sender",
         "_state",
@@ -56,6 +60,7 @@
         allocator: allocation.Allocator,
         budget: budgets.RetryBudget,
         sender: sending.Sender,
+        origins: origin_sharing.OriginSharing,
     ):
         self._state = shared
         self._dialect = translator
@@ -63,6 +68,7 @@
         self._allocator = allocator
         self._budget = budget
         self._sender = sender
+        self._origins = origins
         self._request_numbers = itertools.count()
 
     async def handle(
@@ -125,7 +131,9 @@
         try:
             latest = exchange.deadline - ANSWER_MARGIN_SECONDS
             async with asyncio.timeout_at(latest):
-                ended = await self._run_attempts(exchange)
+                ended = await self._find_origin(exchange)
+                if ended is None:
+                    ended = await self._run_attempts(exchange)
         except TimeoutError:
             ended = self._give_up(exchange, 504, "timeout")
         except responding.CallerGoneError:
@@ -135,6 +143,38 @@
             raise
         self._log_end(exchange, ended)
 
+    async def _find_origin(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.RequestResult | None:
+        """Finds what began the stream that the caller resumes, if it does.
+
+        Returns:
+            None if the request may be sent; else how it ended.
+        """
+        facts = exchange.facts
+        route = exchange.admitted.route
+        resumes = facts.last_event_id or facts.resumed_attempt
+        if not resumes or route.kind is not configuration.Kind.RESUMABLE:
+            return None
+        services = [each.service for each in route.service_weights]
+        origin = await self._origins.find(facts.resumed_attempt, services)
+        if origin is None:
+            return self._give_up(exchange, 503, "origin_unknown")
+        logger.info(
+            "stream.resumed",
+            id=facts.id,
+            attempt=facts.resumed_attempt,
+            service=origin.service,
+            software_version=origin.software_version,
+        )
+        if origin.service not in services:
+            return self._give_up(exchange, 503, "origin_not_on_route")
+        exchange.origin = origin
+        exchange.admitted = dataclasses.replace(
+            exchange.admitted, service=origin.service
+        )
+        return None
+
     async def _run_attempts(
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult:
@@ -337,10 +377,13 @@
     def _record_origin(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> None:
-        if exchange.origin is None:
-            exchange.origin = messages.StreamOrigin(
-                endpoint.service, endpoint.software_version
-            )
+        if exchange.origin is not None:
+            return
+        exchange.origin = messages.StreamOrigin(
+            endpoint.service, endpoint.software_version
+        )
+        if exchange.admitted.route.kind is configuration.Kind.RESUMABLE:
+            self._origins.record(exchange.facts.id, exchange.origin)
 
     def _attempt_timeout(
         self, exchange: exchanges.Exchange, seconds: float
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -260,6 +260,25 @@
             and now - member.answered_at < timeout
         ]
 
+    def closest(self, key: str, count: int, now: float) -> list[Member]:
+        """Returns the members that come first in the rendezvous order of a key.
+
+        All instances compute nearly the same order. Where each sends
+        heartbeats to all others, unreachable members are left out.
+
+        Args:
+            key: what the order is computed for.
+            count: number of members to return, if there are as many.
+            now: seconds of the loop's clock.
+        """
+        candidates = self.reachable(now) if self.full_mesh else self.all
+        order = sorted(
+            (member for member in candidates if not member.stopping),
+            key=lambda member: _rendezvous_weight(f"{key} {member.name}"),
+            reverse=True,
+        )
+        return order[:count]
+
     def allocator(self, now: float, own_stopping: bool = False) -> str:
         """Returns the name of the instance that grants slots.
 
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -19,11 +19,13 @@
 from cranberryglade.gateway import charges
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import configuration_age
+from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import forwarding
 from cranberryglade.gateway import inbound
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import peer_sync
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import quotas
@@ -100,6 +102,7 @@
                 self._create_quotas(initial_settings),
             ),
         )
+        self._origins = origin_sharing.OriginSharing(initial_settings.instance)
         self._sender = sending.Sender(header_dialect)
         self._store_watcher = store_watch.StoreWatcher(
             store,
@@ -115,11 +118,12 @@
             initial_settings.failure_domain,
             self._peer_address,
             self._state,
-            self._allocator.receive,
+            self._receive_datagram,
             self._peer_sync.fetch_newer,
             self._allocator.report,
         )
         self._allocator.set_mesh(self._mesh)
+        self._origins.set_mesh(self._mesh)
         self._budget = budgets.RetryBudget(
             initial_settings.retry_ratio,
             initial_settings.retry_slack,
@@ -133,6 +137,7 @@
             self._allocator,
             self._budget,
             self._sender,
+            self._origins,
         )
         self._caller_listener = inbound.Listener(
             forwarder.handle, self._report_invalid_request
@@ -307,12 +312,25 @@
             lambda: self._mesh.allocator == self._settings.instance,
         )
         watch("slots_used", "Slots in use.", lambda: self._slots.lease_count)
+        watch(
+            "stream_origins",
+            "Streams whose first software version is kept.",
+            lambda: self._origins.count,
+        )
         watch(
             "requests_waiting",
             "Requests in the allocator's queue.",
             lambda: self._slots.queue_length,
         )
 
+    def _receive_datagram(
+        self, sender: str, message: datagrams.Datagram
+    ) -> None:
+        if isinstance(message, datagrams.OriginMessage):
+            self._origins.receive(sender, message)
+        else:
+            self._allocator.receive(sender, message)
+
     async def _reread_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_REREAD_SECONDS)
@@ -385,6 +403,7 @@
     def _endpoints_changed(self) -> None:
         listed = self._state.directory.endpoints
         self._state.endpoints = listed
+        self._origins.observe_endpoints(listed)
         self._sender.pools.close_others({e.address for e in listed.values()})
         now = asyncio.get_running_loop().time()
         self._allocator.deliver_decisions(
--- /dev/null
+++ b/cranberryglade/gateway/software_versions.py
@@ -0,0 +1,56 @@
+"""Software versions that the endpoints of each service have had lately."""
+
+from collections.abc import Iterable
+
+from cranberryglade.gateway import messages
+
+RETENTION_SECONDS = 60.0
+"""How long a version counts after its last endpoint; longer than a stream and
+its resumptions last."""
+
+
+class SoftwareVersions:
+    """Versions of endpoints that are listed, or were lately; performs no I/O.
+
+    Times are seconds of the loop's clock.
+    """
+
+    __slots__ = ("_listed", "_removed_at")
+
+    def __init__(self):
+        self._listed: dict[str, set[str]] = {}
+        self._removed_at: dict[str, dict[str, float]] = {}
+
+    def versions(self, service: str, now: float) -> set[str]:
+        """Returns the versions that the endpoints of a service have or had."""
+        removed = self._removed_at.get(service, {})
+        lately = {
+            version
+            for version, since in removed.items()
+            if now - since < RETENTION_SECONDS
+        }
+        return lately | self._listed.get(service, set())
+
+    def observe(
+        self, endpoints: Iterable[messages.Endpoint], now: float
+    ) -> set[str]:
+        """Applies the current list of endpoints.
+
+        Returns:
+            The services that a version was added to.
+        """
+        listed: dict[str, set[str]] = {}
+        for endpoint in endpoints:
+            versions = listed.setdefault(endpoint.service, set())
+            versions.add(endpoint.software_version)
+        for service, versions in self._listed.items():
+            for version in versions - listed.get(service, set()):
+                removed = self._removed_at.setdefault(service, {})
+                removed[version] = now
+        grown = {
+            service
+            for service, versions in listed.items()
+            if versions - self._listed.get(service, set())
+        }
+        self._listed = listed
+        return grown
--- /dev/null
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -0,0 +1,175 @@
+"""Which software version began a stream, as the instances tell each other."""
+
+import asyncio
+import random
+
+import pytest
+
+from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import membership
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import software_versions
+from cranberryglade.gateway import stream_origins
+from cranberryglade.tests import gateway_builders as builders
+
+SERVICE = builders.SERVICE
+RETENTION = software_versions.RETENTION_SECONDS
+OLD = messages.StreamOrigin(SERVICE, "v1")
+NEW = messages.StreamOrigin(SERVICE, "v2")
+
+
+def make_listing(*versions):
+    endpoints = [
+        builders.make_endpoint(f"e-{version}", software_version=version)
+        for version in versions
+    ]
+    return {endpoint.id: endpoint for endpoint in endpoints}
+
+
+class Network:
+    """Instances that exchange origins by datagrams, some of which are lost."""
+
+    def __init__(self, count, loss=0.0, seed=0):
+        self.instances: dict[str, origin_sharing.OriginSharing] = {}
+        self.sent: list[datagrams.OriginMessage] = []
+        self._random = random.Random(seed)
+        self._loss = loss
+        names = [f"i-{number}" for number in range(count)]
+        now = asyncio.get_running_loop().time()
+        for name in names:
+            sharing = origin_sharing.OriginSharing(name)
+            members = membership.Membership(name, "north", now)
+            for other in names:
+                members.register(other, f"{other}:1", "north", now)
+                members.record_answer(other, "1", 0.0, now)
+            sharing.set_mesh(NetworkMesh(self, name, members))
+            self.instances[name] = sharing
+
+    def list_versions(self, *versions):
+        for sharing in self.instances.values():
+            sharing.observe_endpoints(make_listing(*versions))
+
+    def kill(self, name):
+        del self.instances[name]
+
+    def deliver(self, sender, receiver, message):
+        self.sent.append(message)
+        lost = self._random.random() < self._loss
+        if receiver in self.instances and not lost:
+            decoded = datagrams.decode(datagrams.encode(message)).unwrap()
+            self.instances[receiver].receive(sender, decoded)
+
+
+class NetworkMesh:
+    """The part of Mesh that OriginSharing uses."""
+
+    def __init__(self, network, name, members):
+        self._network = network
+        self._name = name
+        self.members = members
+
+    def send(self, member, message):
+        self._network.deliver(self._name, member.name, message)
+
+    def send_to(self, name, message):
+        self._network.deliver(self._name, name, message)
+
+
+def test_a_version_counts_for_a_while_after_its_last_endpoint():
+    versions = software_versions.SoftwareVersions()
+    assert versions.observe(make_listing("v1").values(), 0.0) == {SERVICE}
+    assert versions.observe(make_listing("v1", "v2").values(), 1.0) == {SERVICE}
+    assert versions.observe(make_listing("v2").values(), 2.0) == set()
+    assert versions.versions(SERVICE, 2.0 + RETENTION - 1) == {"v1", "v2"}
+    assert versions.versions(SERVICE, 2.0 + RETENTION) == {"v2"}
+    assert versions.versions("another", 2.0) == set()
+
+
+def test_origins_are_dropped_when_they_are_old_or_too_many(monkeypatch):
+    monkeypatch.setattr(stream_origins, "MAX_ORIGINS", 3)
+    origins = stream_origins.StreamOrigins()
+    for number in range(5):
+        origins.record(f"a-{number}", OLD, float(number))
+    assert len(origins) == 3
+    assert origins.find("a-1", 4.0) is None
+    assert origins.find("a-4", 4.0) == OLD
+    assert origins.find("a-4", 4.0 + stream_origins.RETENTION_SECONDS) is None
+    assert len(origins) == 0
+
+
+async def test_any_instance_finds_the_origin_when_that_of_the_stream_is_gone():
+    network = Network(7)
+    network.list_versions("v1", "v2")
+    network.instances["i-0"].record("a-1", NEW)
+    network.kill("i-0")
+    for sharing in network.instances.values():
+        assert await sharing.find("a-1", [SERVICE]) == NEW
+
+
+async def test_origins_are_sent_once_a_service_gets_a_second_version():
+    network = Network(7)
+    network.list_versions("v1")
+    sharing = network.instances["i-0"]
+    for number in range(50):
+        sharing.record(f"a-{number}", OLD)
+    assert network.sent == []
+    network.list_versions("v1", "v2")
+    network.kill("i-0")
+    for number in range(50):
+        found = await network.instances["i-1"].find(f"a-{number}", [SERVICE])
+        assert found == OLD
+
+
+async def test_an_unknown_stream_began_at_the_only_version():
+    network = Network(3)
+    network.list_versions("v1")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) == OLD
+    assert await network.instances["i-0"].find("", [SERVICE]) == OLD
+    assert await network.instances["i-0"].find("a-1", [SERVICE, "x"]) is None
+
+
+async def test_a_peer_that_knows_another_version_prevents_a_wrong_guess():
+    network = Network(3)
+    network.list_versions("v2")
+    network.instances["i-1"].observe_endpoints(make_listing("v1", "v2"))
+    network.instances["i-1"].observe_endpoints(make_listing("v2"))
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_an_instance_whose_peers_are_silent_does_not_guess():
+    network = Network(3)
+    network.list_versions("v1")
+    network.kill("i-1")
+    network.kill("i-2")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_an_instance_without_peers_knows_its_own_versions():
+    network = Network(1)
+    network.list_versions("v1")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) == OLD
+
+
+@pytest.mark.parametrize("seed", range(20))
+async def test_a_found_origin_is_right_whatever_is_lost(seed):
+    randomness = random.Random(seed)
+    network = Network(7, loss=0.1, seed=seed)
+    listings = [("v1",), ("v1", "v2"), ("v2",), ("v2", "v3"), ("v3",)]
+    began = {}
+    found = 0
+    for number in range(60):
+        versions = listings[number * len(listings) // 60]
+        network.list_versions(*versions)
+        sharing = randomness.choice(list(network.instances.values()))
+        origin = messages.StreamOrigin(SERVICE, randomness.choice(versions))
+        sharing.record(f"a-{number}", origin)
+        began[f"a-{number}"] = origin
+    for name in randomness.sample(sorted(network.instances), 2):
+        network.kill(name)
+    for attempt, origin in began.items():
+        sharing = randomness.choice(list(network.instances.values()))
+        answer = await sharing.find(attempt, [SERVICE])
+        assert answer in (origin, None)
+        found += answer == origin
+    assert found >= 0.9 * len(began)
