--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -69,6 +69,23 @@
         """Seconds until the final answer is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    def attempt_timeout(self, seconds: float) -> float | None:
+        """Returns the timeout of the current attempt.
+
+        Guards against endpoints that accept requests and answer none of them
+        although their health checks succeed.
+
+        Args:
+            seconds: the timeout if another attempt may follow.
+
+        Returns:
+            Seconds; None if the request may not be repeated or this is its
+            last attempt, as only its deadline applies then.
+        """
+        route = self.admitted.route
+        is_last = len(self.attempted_endpoints) >= route.max_attempts
+        return None if is_last or not route.kind.retryable else seconds
+
     def may_be_sent_to(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint that was granted may still run it."""
         if endpoint.leaving:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -14,10 +14,10 @@
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
-from cranberryglade.gateway import outbound
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
+from cranberryglade.gateway import stream_relaying
 
 ANSWER_MARGIN_SECONDS = 0.03
 """Time before a request's deadline at which a timeout is answered."""
@@ -28,10 +28,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 2.0
 """Timeout of an attempt that can be retried, in target latencies."""
 
-STREAM_TIMEOUT_FACTOR = 3.0
-"""Timeout between the parts of a stream that can be resumed elsewhere, in
-longest pauses that are on time."""
-
 DEFAULT_RETRY_AFTER_SECONDS = 0.4
 """Default of the Retry-After header."""
 
@@ -47,6 +43,7 @@
         "_budget",
         "_dialect",
         "_origins",
+        "_relay",
         "_request_numbers",
         "_sender",
         "_state",
@@ -69,6 +66,7 @@
         self._budget = budget
         self._sender = sender
         self._origins = origins
+        self._relay = stream_relaying.StreamRelay(origins)
         self._request_numbers = itertools.count()
 
     async def handle(
@@ -266,9 +264,8 @@
             exchange.facts,
             kind.retryable,
             kind.streams,
-            self._attempt_timeout(
-                exchange,
-                ATTEMPT_TIMEOUT_FACTOR * admitted.route.target_latency_seconds,
+            exchange.attempt_timeout(
+                ATTEMPT_TIMEOUT_FACTOR * admitted.route.target_latency_seconds
             ),
         )
         exchange.attempt_in_progress = False
@@ -314,7 +311,7 @@
                 headers = self._dialect.relayed_headers(opened.head)
                 head = opened.head
                 responder.start(head.status, head.reason, headers, None)
-            lost = await self._relay_events(exchange, endpoint, opened.channel)
+            lost = await self._relay.relay(exchange, endpoint, opened.channel)
         except BaseException:
             opened.channel.abort()
             raise
@@ -329,82 +326,6 @@
             opened.head.status, "served"
         )
 
-    async def _relay_events(
-        self,
-        exchange: exchanges.Exchange,
-        endpoint: messages.Endpoint,
-        channel: outbound.Channel,
-    ) -> str:
-        """Relays the events of a stream.
-
-        Returns:
-            Why the stream broke off; "" if it ended whole.
-        """
-        splitter = exchange.splitter
-        has_events = False
-        # A framed stream may be empty, as when nothing was left to resume. If
-        # it is not framed, it may as well have broken off at its beginning.
-        unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
-        pause = exchange.admitted.route.max_gap_seconds
-        timeout_seconds = self._attempt_timeout(
-            exchange, STREAM_TIMEOUT_FACTOR * pause
-        )
-        while True:
-            try:
-                async with asyncio.timeout(timeout_seconds):
-                    event = await channel.next_event()
-            except TimeoutError:
-                return "stream silent"
-            match event:
-                case outbound.Data(data):
-                    events = splitter.feed(data)
-                    if events and not has_events:
-                        has_events = True
-                        self._record_origin(exchange, endpoint)
-                    await exchange.responder.send(events)
-                case outbound.End() if splitter.within_event:
-                    return "stream ended inside an event"
-                case outbound.End() if not has_events and unframed:
-                    return "stream ended without events"
-                case outbound.End():
-                    await exchange.responder.send(splitter.pending)
-                    return ""
-                case outbound.AnswerLost(reason):
-                    return f"stream {reason}"
-                case dialect.AnswerHead():
-                    return "stream torn"
-
-    def _record_origin(
-        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
-    ) -> None:
-        if exchange.origin is not None:
-            return
-        exchange.origin = messages.StreamOrigin(
-            endpoint.service, endpoint.software_version
-        )
-        if exchange.admitted.route.kind is configuration.Kind.RESUMABLE:
-            self._origins.record(exchange.facts.id, exchange.origin)
-
-    def _attempt_timeout(
-        self, exchange: exchanges.Exchange, seconds: float
-    ) -> float | None:
-        """Returns the timeout of the current attempt.
-
-        Guards against endpoints that accept requests and answer none of them
-        although their health checks succeed.
-
-        Args:
-            exchange: the request.
-            seconds: the timeout if another attempt may follow.
-
-        Returns:
-            Seconds; None if the request may not be repeated or this is its
-            last attempt, as only its deadline applies then.
-        """
-        route = exchange.admitted.route
-        is_last = len(exchange.attempted_endpoints) >= route.max_attempts
-        return None if is_last or not route.kind.retryable else seconds
-
     def _retry_or_give_up(
         self, exchange: exchanges.Exchange, reason: str
     ) -> exchanges.RequestResult | None:
--- /dev/null
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -0,0 +1,87 @@
+"""Relays the events of a stream to its caller, whole events only."""
+
+import asyncio
+
+from cranberryglade.gateway import configuration
+from cranberryglade.gateway import dialect
+from cranberryglade.gateway import exchanges
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import outbound
+
+STREAM_TIMEOUT_FACTOR = 3.0
+"""Timeout between the parts of a stream that can be resumed elsewhere, in
+longest pauses that are on time."""
+
+
+class StreamRelay:
+    """Relays streams and records what began them."""
+
+    __slots__ = ("_origins",)
+
+    def __init__(self, origins: origin_sharing.OriginSharing):
+        self._origins = origins
+
+    async def relay(
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: messages.Endpoint,
+        channel: outbound.Channel,
+    ) -> str:
+        """Relays the events of one attempt.
+
+        Args:
+            exchange: the request.
+            endpoint: the endpoint that sends the stream.
+            channel: the connection that the events follow on.
+
+        Returns:
+            Why the stream broke off; "" if it ended whole.
+
+        Raises:
+            CallerGoneError: if the caller's connection is closed.
+            EventTooLongError: if an event is too large.
+        """
+        splitter = exchange.splitter
+        has_events = False
+        # A framed stream may be empty, as when nothing was left to resume. If
+        # it is not framed, it may as well have broken off at its beginning.
+        unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
+        timeout_seconds = exchange.attempt_timeout(
+            STREAM_TIMEOUT_FACTOR * exchange.admitted.route.max_gap_seconds
+        )
+        while True:
+            try:
+                async with asyncio.timeout(timeout_seconds):
+                    event = await channel.next_event()
+            except TimeoutError:
+                return "stream silent"
+            match event:
+                case outbound.Data(data):
+                    events = splitter.feed(data)
+                    if events and not has_events:
+                        has_events = True
+                        self._record_origin(exchange, endpoint)
+                    await exchange.responder.send(events)
+                case outbound.End() if splitter.within_event:
+                    return "stream ended inside an event"
+                case outbound.End() if not has_events and unframed:
+                    return "stream ended without events"
+                case outbound.End():
+                    await exchange.responder.send(splitter.pending)
+                    return ""
+                case outbound.AnswerLost(reason):
+                    return f"stream {reason}"
+                case dialect.AnswerHead():
+                    return "stream torn"
+
+    def _record_origin(
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
+    ) -> None:
+        if exchange.origin is not None:
+            return
+        exchange.origin = messages.StreamOrigin(
+            endpoint.service, endpoint.software_version
+        )
+        if exchange.admitted.route.kind is configuration.Kind.RESUMABLE:
+            self._origins.record(exchange.facts.id, exchange.origin)
