Restore the logging defaults after the test that configures it

Loggers that were first used after it kept its captured output, which is closed by then: the tests of resumption, which run later than all users of their loggers so far, failed in the whole run with 'I/O operation on closed file', not by themselves.

--- a/cranberryglade/tests/test_observation.py
+++ b/cranberryglade/tests/test_observation.py
@@ -4,6 +4,8 @@
 import logging
 import socket
 
+import structlog
+
 from cranberryglade import facts
 from cranberryglade import log
 from cranberryglade import metrics
@@ -111,6 +113,10 @@
         logging.getLogger("aiohttp.server").warning("odd %s", "line")
         line = json.loads(capsys.readouterr().out)
     finally:
+        # Loggers that are first used later would keep the captured output,
+        # which is closed by then.
+        structlog.reset_defaults()
+        structlog.contextvars.clear_contextvars()
         logging.root.handlers[:] = original_handlers
     assert (line["event"], line["level"]) == ("odd line", "warning")
     assert line["instance"] == "entry-1"
