Keep what is known when the store comes back from an old copy

A gateway compared versions by their number: reports of endpoints with a recurring number were ignored, a lost member row stayed lost (two instances could then never learn of each other), and an older configuration confirmed the one in force.

A version is now the pair of era and number, made by the store client from one reply; heartbeats carry the era. An old copy of an endpoint's row is told by its own start and report number; a removed endpoint that is shown again is withheld for five seconds; rows that are missing have the time of an outage. Reads of another era than their cursor's read the table anew, spread over 0.3 s. Member rows are written again within about a second. An older configuration confirms nothing.

--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -54,6 +54,7 @@
         endpoints: newest version among the rows of endpoints.
         members: number of instances that it knows, itself included.
         age_ms: milliseconds since its present incarnation began.
+        era: era of the store that the version of endpoints belongs to.
     """
 
     configuration: int
@@ -61,6 +62,7 @@
     endpoints: int
     members: int
     age_ms: int
+    era: int = 0
 
 
 class Ping(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -8,16 +8,34 @@
 import dataclasses
 
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import ports
 
 RECOVERY_GRACE_SECONDS = 2.3
 
+REMOVAL_MEMORY_SECONDS = 60.0
+"""How long a removed entry is remembered; older than any copy that the store
+comes back from."""
+
+WITHHOLDING_SECONDS = 5.0
+"""Time after the store came back from an old copy in which an entry that had
+been removed is not used. If its endpoint is gone, it is removed again by then.
+"""
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
     """An endpoint and the version of its row in the store."""
 
     endpoint: messages.Endpoint
-    version: int
+    version: ports.Version
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Removal:
+    """An entry that was removed, and when, in seconds of the loop's clock."""
+
+    entry: Entry
+    removed_at: float
 
 
 class EndpointDirectory:
@@ -27,19 +45,25 @@
         "_store_unreachable",
         "_store_back_at",
         "_removals",
+        "_removed",
         "_entries",
         "_version",
+        "_withheld",
+        "_withheld_until",
     )
 
     def __init__(self):
         self._entries: dict[str, Entry] = {}
         self._removals: dict[str, float] = {}
+        self._removed: dict[str, Removal] = {}
+        self._withheld: dict[str, Entry] = {}
+        self._withheld_until: float | None = None
         self._store_unreachable = False
         self._store_back_at = float("-inf")
-        self._version = 0
+        self._version = ports.NO_VERSION
 
     @property
-    def version(self) -> int:
+    def version(self) -> ports.Version:
         """The newest version among the rows that were applied."""
         return self._version
 
@@ -68,23 +92,40 @@
             self._store_unreachable = False
             self._store_back_at = now
 
-    def put(self, endpoint: messages.Endpoint, version: int) -> bool:
+    def store_restored(self, now: float) -> None:
+        """Records that the store has come back from an old copy.
+
+        Endpoints whose rows it lost write them again soon, and rows that were
+        removed are back although their endpoints may be gone.
+        """
+        self._store_back_at = now
+        self._withheld_until = now + WITHHOLDING_SECONDS
+
+    def put(self, endpoint: messages.Endpoint, version: ports.Version) -> bool:
         """Applies a row unless it is stale; returns whether it took effect."""
         self._version = max(self._version, version)
         known = self._entries.get(endpoint.id)
         if known is not None and known.version >= version:
             return False
+        entry = Entry(endpoint, version)
+        if known is not None and _is_old_copy(entry, known):
+            return False
+        if self._must_withhold(entry):
+            self._withheld[endpoint.id] = entry
+            return False
+        self._removed.pop(endpoint.id, None)
         self._removals.pop(endpoint.id, None)
-        self._entries[endpoint.id] = Entry(endpoint, version)
+        self._entries[endpoint.id] = entry
         return known is None or known.endpoint != endpoint
 
-    def remove(self, id_: str, version: int, now: float) -> bool:
+    def remove(self, id_: str, version: ports.Version, now: float) -> bool:
         """Removes an entry, with a delay during and right after an outage.
 
         Returns:
             Whether the endpoint was removed at once.
         """
         self._version = max(self._version, version)
+        self._withheld.pop(id_, None)
         known = self._entries.get(id_)
         if known is None or known.version > version:
             return False
@@ -92,27 +133,76 @@
         if now < until or self._store_unreachable:
             self._removals.setdefault(id_, max(until, now))
             return False
-        del self._entries[id_]
-        self._removals.pop(id_, None)
+        self._drop(id_, now)
         return True
 
-    def keep_only(self, ids: set[str], version: int, now: float) -> bool:
+    def keep_only(
+        self, ids: set[str], version: ports.Version, now: float
+    ) -> bool:
         """Removes the entries that a complete read of the store lacks.
 
         Returns:
             Whether an endpoint was removed at once.
         """
-        missing = self._entries.keys() - ids
+        missing = (self._entries.keys() | self._withheld.keys()) - ids
         return any([self.remove(id_, version, now) for id_ in missing])
 
-    def set_applied_version(self, version: int) -> None:
+    def set_applied_version(self, version: ports.Version) -> None:
         """Records that all rows up to a version have been applied."""
         self._version = max(self._version, version)
 
     def expire(self, now: float) -> bool:
-        """Removes entries that are due; returns whether there were any."""
+        """Removes and restores entries that are due.
+
+        Returns:
+            Whether there were any.
+        """
+        restored = self._restore_withheld(now)
         due = [id_ for id_, at in self._removals.items() if at <= now]
         for id_ in due:
-            del self._removals[id_]
-            self._entries.pop(id_, None)
-        return bool(due)
+            self._drop(id_, now)
+        return restored or bool(due)
+
+    def _must_withhold(self, entry: Entry) -> bool:
+        if self._withheld_until is None:
+            return False
+        removal = self._removed.get(entry.endpoint.id)
+        return (
+            removal is not None
+            and removal.entry.version.era != entry.version.era
+            and removal.entry.endpoint.started_ms == entry.endpoint.started_ms
+        )
+
+    def _restore_withheld(self, now: float) -> bool:
+        if self._withheld_until is None or now < self._withheld_until:
+            return False
+        self._withheld_until = None
+        withheld, self._withheld = self._withheld, {}
+        for id_, entry in withheld.items():
+            self._removed.pop(id_, None)
+            self._entries[id_] = entry
+        return bool(withheld)
+
+    def _drop(self, id_: str, now: float) -> None:
+        self._removals.pop(id_, None)
+        entry = self._entries.pop(id_, None)
+        if entry is not None:
+            self._removed[id_] = Removal(entry, now)
+        for old, removal in list(self._removed.items()):
+            if now - removal.removed_at >= REMOVAL_MEMORY_SECONDS:
+                del self._removed[old]
+
+
+def _is_old_copy(entry: Entry, known: Entry) -> bool:
+    """Returns whether a row of another era is older than a known entry.
+
+    A store that came back from an old copy shows rows as they were. The
+    endpoint's own start and report number tell how old they are.
+    """
+    if entry.version.era == known.version.era:
+        return False
+    return _report_order(entry.endpoint) <= _report_order(known.endpoint)
+
+
+def _report_order(endpoint: messages.Endpoint) -> tuple[int, int]:
+    return endpoint.started_ms, endpoint.report_number
--- a/cranberryglade/gateway/fetching.py
+++ b/cranberryglade/gateway/fetching.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade.gateway import messages
 from cranberryglade.gateway import outbound
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -38,10 +39,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reply:
-    """A whole HTTP response."""
+    """A whole HTTP response.
+
+    Attributes:
+        status: HTTP status.
+        body: the whole body.
+        headers: all fields in order.
+    """
 
     status: int
     body: bytes
+    headers: list[messages.Header] = dataclasses.field(default_factory=list)
 
 
 class Fetcher:
@@ -108,4 +116,4 @@
             case outbound.AnswerLost(reason):
                 return Failure(reason)
             case body:
-                return Success(Reply(head.status, body))
+                return Success(Reply(head.status, body, head.headers))
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -245,9 +245,10 @@
         return datagrams.Status(
             self._state.version,
             int(age * 1000) if age != float("inf") else -1,
-            self._state.directory.version,
+            self._state.directory.version.number,
             self.members.instance_count(now),
             int(self.members.uptime(now) * 1000),
+            self._state.directory.version.era,
         )
 
     def _choose_introduction(self, now: float) -> datagrams.MemberInfo | None:
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -84,6 +84,8 @@
         started_ms: when its current process started, milliseconds of Unix time.
         software_version: version of its software; "" if it states none.
             Versions have no order.
+        report_number: number of its report in the list of endpoints; starts
+            anew with its process.
     """
 
     id: str
@@ -94,6 +96,7 @@
     leaving: bool
     started_ms: int
     software_version: str
+    report_number: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -39,7 +39,7 @@
         entries: the endpoints with the versions of their rows.
     """
 
-    version: int
+    version: ports.Version
     entries: list[endpoint_directory.Entry]
 
 
@@ -94,11 +94,15 @@
         """
         if status.configuration > self._state.version:
             self._start_fetch(CONFIGURATION_PATH, member, status.configuration)
-        if status.endpoints > self._state.directory.version:
-            self._start_fetch(ENDPOINTS_PATH, member, status.endpoints)
+        endpoints = ports.Version(status.era, status.endpoints)
+        if endpoints > self._state.directory.version:
+            self._start_fetch(ENDPOINTS_PATH, member, endpoints)
 
     def _start_fetch(
-        self, path: str, member: membership.Member, version: int
+        self,
+        path: str,
+        member: membership.Member,
+        version: int | ports.Version,
     ) -> None:
         if path in self._pending_paths:
             return
@@ -108,7 +112,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _fetch(
-        self, path: str, member: membership.Member, version: int
+        self,
+        path: str,
+        member: membership.Member,
+        version: int | ports.Version,
     ) -> None:
         try:
             await self._try_store_first(path)
@@ -145,7 +152,7 @@
             except TimeoutError:
                 logger.warning("store.slow", what=path)
 
-    def _known_version(self, path: str) -> int:
+    def _known_version(self, path: str) -> int | ports.Version:
         if path == CONFIGURATION_PATH:
             return self._state.version
         return self._state.directory.version
--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -39,7 +39,8 @@
         UNREACHABLE: no connection, or no answer in time.
         REFUSED: it answered with an error status that has no other meaning
             here.
-        HISTORY_LOST: it no longer has the changes after the given version.
+        HISTORY_LOST: it no longer has the changes after the given version, or
+            has come back from an old copy since.
         UNREADABLE: its answer could not be decoded.
         CONFLICT: a row did not have the expected version.
         ABSENT: there is no object of that name.
@@ -53,12 +54,30 @@
     ABSENT = "absent"
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Version:
+    """Version of a row or of the whole store, ordered.
+
+    Attributes:
+        era: how often the store has come back from an old copy. Numbers of an
+            earlier era may be given out again.
+        number: the store's counter of transactions.
+    """
+
+    era: int
+    number: int
+
+
+NO_VERSION = Version(0, 0)
+"""Version of an absent row; older than all others."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Row:
     """A row of a table; `value` is None if it is removed or absent."""
 
     key: str
-    version: int
+    version: Version
     value: bytes | None
 
 
@@ -71,7 +90,7 @@
         rows: all rows of the table, or those that changed.
     """
 
-    version: int
+    version: Version
     rows: list[Row]
 
 
@@ -83,21 +102,21 @@
         table: table of the row.
         key: key of the row.
         value: new value; None removes the row.
-        expected: version that the row must have before, 0 for an absent row;
-            None for any.
+        expected: version that the row must have before, NO_VERSION for an
+            absent row; None for any. Its era is not part of the condition.
     """
 
     table: Table
     key: str
     value: bytes | None
-    expected: int | None = None
+    expected: Version | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Committed:
     """All writes were applied; `version` is the store's new version."""
 
-    version: int
+    version: Version
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -134,13 +153,17 @@
         """Returns all rows of a table."""
 
     async def changes(
-        self, table: Table, after: int, wait_seconds: float
+        self, table: Table, after: Version, wait_seconds: float
     ) -> Result[Rows, StoreError]:
         """Waits for rows that changed after a version, up to a time."""
 
     async def write(
-        self, table: Table, key: str, value: bytes | None, expected: int | None
-    ) -> Result[int, StoreError]:
+        self,
+        table: Table,
+        key: str,
+        value: bytes | None,
+        expected: Version | None,
+    ) -> Result[Version, StoreError]:
         """Writes a row, or removes it; returns the store's new version."""
 
 
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -373,8 +373,12 @@
         entry = registration.MemberRow(
             self._peer_address, self._settings.failure_domain
         )
-        await registration.register(
-            self._store, self._settings.instance, entry, self._mesh.members
+        await registration.keep_registered(
+            self._store,
+            self._settings.instance,
+            entry,
+            self._mesh.members,
+            self._state.store_restored,
         )
 
     def _quota_tolerance(
--- a/cranberryglade/gateway/registration.py
+++ b/cranberryglade/gateway/registration.py
@@ -1,6 +1,7 @@
 """Registers an instance in the platform's store and finds the others there."""
 
 import asyncio
+import random
 
 import msgspec
 from returns.result import Failure
@@ -12,6 +13,10 @@
 
 RETRY_SECONDS = 1.0
 
+RESTORE_SPREAD_SECONDS = 0.8
+"""Time over which the instances write their rows again when the store came back
+from an old copy."""
+
 logger = log.get_logger(__name__)
 
 
@@ -28,6 +33,32 @@
     domain: str
 
 
+async def keep_registered(
+    store: ports.Store,
+    name: str,
+    entry: MemberRow,
+    own_membership: membership.Membership,
+    store_restored: asyncio.Event,
+) -> None:
+    """Registers, and again each time the store came back from an old copy.
+
+    Runs until cancelled.
+
+    Args:
+        store: client of the platform's store.
+        name: this instance.
+        entry: its row.
+        own_membership: gets the other instances.
+        store_restored: is set when the store came back; cleared here.
+    """
+    while True:
+        await register(store, name, entry, own_membership)
+        await store_restored.wait()
+        store_restored.clear()
+        # All instances learn of it at about the same time.
+        await asyncio.sleep(random.uniform(0.0, RESTORE_SPREAD_SECONDS))
+
+
 async def register(
     store: ports.Store,
     name: str,
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -1,5 +1,7 @@
 """State of one instance that the stages of request handling share."""
 
+import asyncio
+
 from cranberryglade.gateway import clock
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import configuration_age
@@ -18,6 +20,9 @@
         directory: entries of the endpoints, retained through outages.
         endpoints: endpoints in use, by id.
         configuration_age: when the configuration was last confirmed.
+        store_era: newest era of the store that is known; None before the first
+            answer.
+        store_restored: is set when the store has come back from an old copy.
         limit_share: this instance's fraction of common limits.
         metrics: counters and histograms.
     """
@@ -33,6 +38,8 @@
         self.configuration_row = None
         self.directory = endpoint_directory.EndpointDirectory()
         self.endpoints: dict[str, messages.Endpoint] = {}
+        self.store_era: int | None = None
+        self.store_restored = asyncio.Event()
         self.configuration_age = config_age
         self.limit_share = 1.0
         self.metrics = metrics
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -18,6 +18,10 @@
 
 INITIAL_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0
+RELIST_SPREAD_SECONDS = 0.3
+"""Time over which the instances read a table anew when the store has lost the
+history of its changes for all of them."""
+
 FEED_LAG_SECONDS = 1.2
 """Longest delay between a change and its report by the feed. An answer of the
 feed confirms the configuration as of that much earlier."""
@@ -52,6 +56,7 @@
         "_startup_end",
         "_state",
         "_store",
+        "_shows_current",
         "_store_lost",
         "relies_on_peers",
         "probe_delay_seconds",
@@ -72,6 +77,7 @@
         self._random = randomness
         self._on_configuration = on_configuration
         self._on_endpoints = on_endpoints
+        self._shows_current = True
         self._store_lost = False
         now = asyncio.get_running_loop().time()
         self._startup_end = now + STARTUP_SECONDS
@@ -105,6 +111,8 @@
                 case Failure(ports.StoreError.HISTORY_LOST):
                     logger.warning("store.history_lost", table=table.value)
                     version = None
+                    pause = self._random.uniform(0.0, RELIST_SPREAD_SECONDS)
+                    await asyncio.sleep(pause)
                 case Failure(error):
                     self._record_store_failure(table, error)
                     await asyncio.sleep(
@@ -129,7 +137,7 @@
             return False
         if table is ports.Table.CONFIGURATION:
             return self._state.version > 0
-        return self._state.directory.version > 0
+        return self._state.directory.version > ports.NO_VERSION
 
     async def _delay_at_startup(self, table: ports.Table) -> None:
         # When a whole deployment starts, the endpoints register one after the
@@ -162,11 +170,18 @@
                 pass
             case Failure(problem):
                 logger.error("configuration.unreadable", problem=problem)
+            case Success(decoded) if decoded.version < self._state.version:
+                # The store may have come back from an old copy.
+                self._shows_current = False
+                logger.info("configuration.older", version=decoded.version)
             case Success(decoded) if decoded.version > self._state.version:
+                self._shows_current = True
                 self._state.configuration = decoded
                 self._state.configuration_row = row
                 logger.info("configuration.in_force", version=decoded.version)
                 self._on_configuration()
+            case Success(_):
+                self._shows_current = True
 
     async def _read_table(self, table: ports.Table):
         sent_at = clock.boottime_now()
@@ -174,23 +189,42 @@
         match result:
             case Success(rows):
                 self._apply_rows(table, rows)
-                if table is ports.Table.CONFIGURATION and self._state.version:
-                    self._state.configuration_age.confirm(sent_at)
+                if table is ports.Table.CONFIGURATION:
+                    self._confirm_configuration(sent_at)
                 if table is ports.Table.ENDPOINTS:
                     self._remove_unlisted(rows)
         return result
 
-    async def _read_changes(self, table: ports.Table, version: int):
+    async def _read_changes(self, table: ports.Table, version: ports.Version):
         result = await self._store.changes(table, version, LONG_POLL_SECONDS)
         match result:
             case Success(rows):
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
                     as_of = clock.boottime_now() - FEED_LAG_SECONDS
-                    self._state.configuration_age.confirm(as_of)
+                    self._confirm_configuration(as_of)
         return result
 
+    def _confirm_configuration(self, as_of: float) -> None:
+        """Confirms the configuration in force, if the store shows it."""
+        if self._state.version and self._shows_current:
+            self._state.configuration_age.confirm(as_of)
+
+    def _observe_era(self, era: int) -> None:
+        known = self._state.store_era
+        if known is not None and era <= known:
+            return
+        self._state.store_era = era
+        if known is None:
+            return
+        logger.warning("store.restored", era=era)
+        self._state.metrics.count_event("store_restored")
+        now = asyncio.get_running_loop().time()
+        self._state.directory.store_restored(now)
+        self._state.store_restored.set()
+
     def _apply_rows(self, table: ports.Table, rows: ports.Rows) -> None:
+        self._observe_era(rows.version.era)
         if table is ports.Table.CONFIGURATION:
             for row in rows.rows:
                 self.apply_configuration(row)
@@ -223,12 +257,13 @@
                         endpoint=endpoint.id,
                         leaving=endpoint.leaving,
                         software_version=endpoint.software_version,
-                        row_version=row.version,
+                        row_version=row.version.number,
+                        era=row.version.era,
                     )
                 return changed
 
     def apply_listing(
-        self, listed: list[endpoint_directory.Entry], version: int
+        self, listed: list[endpoint_directory.Entry], version: ports.Version
     ) -> None:
         """Applies a peer's complete list of endpoints.
 
@@ -237,6 +272,7 @@
             version: newest row version that the peer has applied; endpoints
                 missing from the list are removed unless their rows are newer.
         """
+        self._observe_era(version.era)
         endpoints = self._state.directory
         now = asyncio.get_running_loop().time()
         changed = [
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -109,6 +109,7 @@
         slots: requests that it runs at once.
         born: start of its present incarnation, milliseconds of Unix time.
         version: version of its software, not of the model's weights.
+        sequence: number of this report, not of orders as elsewhere.
     """
 
     service: str
@@ -118,6 +119,7 @@
     slots: int = 1
     born: int = 0
     version: str = ""
+    sequence: int = 0
 
 
 class Decoder:
@@ -154,6 +156,7 @@
                 leaving=wire.state == "draining",
                 started_ms=wire.born,
                 software_version=wire.version,
+                report_number=wire.sequence,
             )
         )
 
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import dataclasses
 import urllib.parse
 
 import msgspec
@@ -24,6 +25,9 @@
 READ_TIMEOUT_SECONDS = 2.0
 WRITE_TIMEOUT_SECONDS = 3.0
 
+ERA_HEADER = b"store-era"
+"""How often the store has come back from an old copy."""
+
 STATUS_ERRORS = {
     404: ports.StoreError.ABSENT,
     410: ports.StoreError.HISTORY_LOST,
@@ -49,6 +53,15 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Page:
+    """One page of rows; `has_more` says whether further ones follow."""
+
+    version: ports.Version
+    rows: list[ports.Row]
+    has_more: bool
+
+
 class Written(msgspec.Struct):
     """Reply to an applied transaction; `ver` is the version it created."""
 
@@ -137,10 +150,8 @@
             "limit": 1,
         }
         page = await self._fetch_rows("/rows-get", query, self._read_seconds)
-        absent = ports.Row(key, 0, None)
-        return page.map(
-            lambda wire: _row(wire.rows[0]) if wire.rows else absent
-        )
+        absent = ports.Row(key, ports.NO_VERSION, None)
+        return page.map(lambda read: read.rows[0] if read.rows else absent)
 
     async def read_table(
         self, table: ports.Table
@@ -148,6 +159,7 @@
         """Returns all rows of a table, read in pages."""
         rows: list[ports.Row] = []
         start = ""
+        era = None
         while True:
             query = {"table": TABLES[table], "part": "", "limit": PAGE_ROWS}
             if start:
@@ -156,16 +168,19 @@
                 "/rows-get", query, self._read_seconds
             )
             match page:
-                case Success(wire):
-                    rows += [_row(each) for each in wire.rows]
-                    if not wire.has_more or not wire.rows:
-                        return Success(ports.Rows(wire.ver, rows))
-                    start = wire.rows[-1].key + "\0"
+                case Success(read) if era not in (None, read.version.era):
+                    return Failure(ports.StoreError.HISTORY_LOST)
+                case Success(read):
+                    era = read.version.era
+                    rows += read.rows
+                    if not read.has_more or not read.rows:
+                        return Success(ports.Rows(read.version, rows))
+                    start = read.rows[-1].key + "\0"
                 case Failure(_):
                     return page
 
     async def changes(
-        self, table: ports.Table, after: int, wait_seconds: float
+        self, table: ports.Table, after: ports.Version, wait_seconds: float
     ) -> Result[ports.Rows, ports.StoreError]:
         """Waits for rows that changed after a version, by a long poll.
 
@@ -176,22 +191,26 @@
         """
         query = {
             "table": TABLES[table],
-            "after": after,
+            "after": after.number,
             "wait_ms": int(wait_seconds * 1000),
         }
         timeout = wait_seconds + self._read_seconds
         page = await self._fetch_rows("/rows-feed", query, timeout)
-        return page.map(
-            lambda wire: ports.Rows(wire.ver, [_row(r) for r in wire.rows])
-        )
+        match page:
+            case Success(read) if read.version.era != after.era:
+                return Failure(ports.StoreError.HISTORY_LOST)
+            case _:
+                return page.map(
+                    lambda read: ports.Rows(read.version, read.rows)
+                )
 
     async def write(
         self,
         table: ports.Table,
         key: str,
         value: bytes | None,
-        expected: int | None = None,
-    ) -> Result[int, ports.StoreError]:
+        expected: ports.Version | None = None,
+    ) -> Result[ports.Version, ports.StoreError]:
         """Writes a row, or removes it; returns the store's new version."""
         result = await self.transact([ports.Write(table, key, value, expected)])
         match result:
@@ -209,14 +228,20 @@
         body = msgspec.json.encode(_transaction(writes))
         call = fetching.Call("POST", "/rows-tx", body, self._write_seconds)
         match await self._fetcher.fetch(call):
-            case Success(fetching.Reply(status=412, body=body)):
-                return _decode(body, Refused).map(
-                    lambda wire: ports.Conflicting([_row(r) for r in wire.rows])
+            case Success(fetching.Reply(status=412) as reply):
+                era = _era(reply)
+                return _decode(reply.body, Refused).map(
+                    lambda wire: ports.Conflicting(
+                        [_row(each, era) for each in wire.rows]
+                    )
                 )
-            case reply:
-                return _decode_reply(reply, Written).map(
-                    lambda wire: ports.Committed(wire.ver)
+            case Success(reply):
+                era = _era(reply)
+                return _decode_reply(Success(reply), Written).map(
+                    lambda wire: ports.Committed(ports.Version(era, wire.ver))
                 )
+            case failure:
+                return _body(failure)
 
     async def put_object(
         self, name: str, data: bytes
@@ -236,7 +261,22 @@
     async def _fetch_rows(self, path: str, query: dict, timeout: float):
         target = f"{path}?{urllib.parse.urlencode(query)}"
         call = fetching.Call("GET", target, b"", timeout)
-        return _decode_reply(await self._fetcher.fetch(call), WireRows)
+        reply = await self._fetcher.fetch(call)
+        era = _era(reply.unwrap()) if isinstance(reply, Success) else 0
+        return _decode_reply(reply, WireRows).map(
+            lambda wire: Page(
+                ports.Version(era, wire.ver),
+                [_row(each, era) for each in wire.rows],
+                wire.has_more,
+            )
+        )
+
+
+def _era(reply: fetching.Reply) -> int:
+    for header in reply.headers:
+        if header.name.lower() == ERA_HEADER:
+            return int(header.value) if header.value.isdigit() else 0
+    return 0
 
 
 def _body(
@@ -269,7 +309,7 @@
         table = TABLES[write.table]
         if write.expected is not None:
             transaction.expected_revision.append(
-                Condition(table, write.key, ver=write.expected)
+                Condition(table, write.key, ver=write.expected.number)
             )
         if write.value is None:
             transaction.remove.append(RowName(table, write.key))
@@ -279,9 +319,10 @@
     return transaction
 
 
-def _row(wire: WireRow) -> ports.Row:
+def _row(wire: WireRow, era: int) -> ports.Row:
     try:
         value = base64.b64decode(wire.value, validate=True)
     except ValueError:
         value = b""
-    return ports.Row(wire.key, wire.ver, None if wire.deleted else value)
+    version = ports.Version(era, wire.ver)
+    return ports.Row(wire.key, version, None if wire.deleted else value)
--- a/cranberryglade/standins/store.py
+++ b/cranberryglade/standins/store.py
@@ -79,6 +79,15 @@
     remove: list[Put] = []
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Copy:
+    """The rows and objects at a version."""
+
+    rows: dict[RowName, Change]
+    objects: dict[str, bytes]
+    version: int
+
+
 class StoreStandin:
     """Keeps rows and objects in memory; tests may call its methods directly.
 
@@ -89,6 +98,8 @@
 
     __slots__ = (
         "_changed",
+        "_copy",
+        "_era",
         "_history",
         "_history_start",
         "_objects",
@@ -109,6 +120,8 @@
         self._history_start = 0
         self._objects: dict[str, bytes] = {}
         self._version = 0
+        self._era = 0
+        self._copy = Copy({}, {}, 0)
         self._changed = asyncio.Event()
         self._server: web.AppRunner | None = None
 
@@ -125,6 +138,7 @@
     def application(self) -> web.Application:
         """Returns the HTTP interface."""
         app = web.Application(client_max_size=16_777_216)
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/rows-get", self._get)
         app.router.add_get("/rows-feed", self._feed)
         app.router.add_get("/rows-parts", self._parts)
@@ -183,6 +197,24 @@
         self._history.clear()
         self._history_start = self._version
 
+    def take_copy(self) -> None:
+        """Copies all rows and objects, for `restore_copy`."""
+        self._copy = Copy(dict(self._rows), dict(self._objects), self._version)
+
+    def restore_copy(self) -> None:
+        """Goes back to the copy and begins a new era.
+
+        What was written since the copy is lost, and its versions will be given
+        out again. Feeds that wait are cut off.
+        """
+        self._rows = dict(self._copy.rows)
+        self._objects = dict(self._copy.objects)
+        self._version = self._copy.version
+        self._history.clear()
+        self._history_start = self._version
+        self._era += 1
+        self._wake_feeds()
+
     def clear_faults(self) -> None:
         """Clears all faults."""
         self.faults = Faults()
@@ -203,9 +235,12 @@
             name = RowName(removal.table, removal.part, removal.key)
             self._rows.pop(name, None)
             self._history.append(Change(name, None, self._version))
+        self._wake_feeds()
+        return self._version
+
+    def _wake_feeds(self) -> None:
         notified, self._changed = self._changed, asyncio.Event()
         notified.set()
-        return self._version
 
     async def _apply_faults(self, operation: str) -> None:
         self.counts[operation] += 1
@@ -216,6 +251,9 @@
         if self.faults.delay_seconds:
             await asyncio.sleep(self.faults.delay_seconds)
 
+    async def _add_era(self, _, response: web.StreamResponse) -> None:
+        response.headers["Store-Era"] = str(self._era)
+
     async def _get(self, http_request: web.Request) -> web.Response:
         await self._apply_faults("reads")
         rows = self._stale_rows if self.faults.stale else self._rows
@@ -241,8 +279,9 @@
     async def _feed(self, http_request: web.Request) -> web.Response:
         await self._apply_faults("feeds")
         after = int(http_request.query["after"])
-        if after < self._history_start:
+        if not self._history_start <= after <= self._version:
             raise web.HTTPGone()
+        era = self._era
         deadline = time.monotonic() + int(http_request.query["wait_ms"]) / 1000
         while True:
             changes = [
@@ -258,7 +297,7 @@
                 [asyncio.ensure_future(self._changed.wait())],
                 timeout=min(remaining, 0.05),
             )
-        if self.faults.refuse:
+        if self.faults.refuse or era != self._era:
             raise web.HTTPServiceUnavailable()
         return self._answer(
             [] if self.faults.mute_feeds else changes, self._version, False
--- a/cranberryglade/tables.py
+++ b/cranberryglade/tables.py
@@ -108,7 +108,7 @@
         """
         if tag:
             match await self._store.changes(
-                ports.Table.INSTANCES, int(tag), 0.0
+                ports.Table.INSTANCES, _decode_tag(tag), 0.0
             ):
                 case Success(ports.Rows(rows=[])):
                     return Success(InstanceListing(tag, None))
@@ -163,7 +163,8 @@
                 conflicts = [
                     index
                     for index, condition in enumerate(conditions)
-                    if present.get(writes[index].key, 0) != condition.unwrap()
+                    if present.get(writes[index].key, ports.NO_VERSION)
+                    != condition.unwrap()
                 ]
                 return Success(TransactionOutcome(False, conflicts))
 
@@ -184,10 +185,10 @@
 
     async def _store_version(
         self, write: RowWrite
-    ) -> Result[int | None, PlatformError]:
+    ) -> Result[ports.Version | None, PlatformError]:
         """Reads the store's version of a row; None on a version conflict."""
         if write.expected_version == 0:
-            return Success(0)
+            return Success(ports.NO_VERSION)
         match await self._store.read_row(write.table, write.key):
             case Failure(error):
                 return _platform_failure(error)
@@ -228,7 +229,16 @@
         for instance in instances
         if all(getattr(instance, name) == filters[name] for name in filters)
     ]
-    return Success(InstanceListing(str(read.version), matching))
+    return Success(InstanceListing(_encode_tag(read.version), matching))
+
+
+def _encode_tag(version: ports.Version) -> str:
+    return f"{version.era}.{version.number}"
+
+
+def _decode_tag(tag: str) -> ports.Version:
+    era, _, number = tag.partition(".")
+    return ports.Version(int(era), int(number))
 
 
 def _platform_failure(error: ports.StoreError) -> Failure:
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -9,6 +9,7 @@
 from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import membership
+from cranberryglade.gateway import ports
 from cranberryglade.gateway import quotas
 from cranberryglade.tests import gateway_builders as builders
 
@@ -116,22 +117,26 @@
     return sorted(entries.endpoints)
 
 
+def version(number, era=0):
+    return ports.Version(era, number)
+
+
 def test_a_removed_endpoint_is_out_of_use_at_once():
     entries = endpoint_directory.EndpointDirectory()
-    entries.put(builders.make_endpoint("e-1"), 3)
-    assert entries.remove("e-1", 4, 10.0)
+    entries.put(builders.make_endpoint("e-1"), version(3))
+    assert entries.remove("e-1", version(4), 10.0)
     assert listed_ids(entries) == []
 
 
 def test_entries_that_expired_in_an_outage_are_retained_for_a_while():
     entries = endpoint_directory.EndpointDirectory()
-    entries.put(builders.make_endpoint("e-1"), 3)
-    entries.put(builders.make_endpoint("e-2"), 4)
+    entries.put(builders.make_endpoint("e-1"), version(3))
+    entries.put(builders.make_endpoint("e-2"), version(4))
     entries.store_lost()
     entries.store_regained(20.0)
-    assert not entries.keep_only(set(), 9, 20.0)
+    assert not entries.keep_only(set(), version(9), 20.0)
     assert listed_ids(entries) == ["e-1", "e-2"]
-    entries.put(builders.make_endpoint("e-1"), 11)
+    entries.put(builders.make_endpoint("e-1"), version(11))
     assert entries.next_expiry == pytest.approx(
         20.0 + endpoint_directory.RECOVERY_GRACE_SECONDS
     )
@@ -141,13 +146,79 @@
 
 def test_a_stale_read_changes_nothing():
     entries = endpoint_directory.EndpointDirectory()
-    entries.put(builders.make_endpoint("e-1"), 8)
-    assert not entries.put(builders.make_endpoint("e-1", leaving=True), 6)
-    assert not entries.remove("e-1", 7, 10.0)
-    assert not entries.keep_only(set(), 7, 10.0)
+    entries.put(builders.make_endpoint("e-1"), version(8))
+    assert not entries.put(
+        builders.make_endpoint("e-1", leaving=True), version(6)
+    )
+    assert not entries.remove("e-1", version(7), 10.0)
+    assert not entries.keep_only(set(), version(7), 10.0)
+    assert listed_ids(entries) == ["e-1"]
+
+
+def make_report(number, **changes):
+    return builders.make_endpoint("e-1", report_number=number, **changes)
+
+
+def test_an_old_copy_does_not_make_a_leaving_endpoint_ready():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(8))
+    entries.put(make_report(6, leaving=True), version(9))
+    entries.store_restored(10.0)
+    assert not entries.put(make_report(4), version(8, era=1))
+    assert entries.endpoints["e-1"].leaving
+    assert entries.put(make_report(7), version(9, era=1))
+    assert not entries.endpoints["e-1"].leaving
+
+
+def test_a_report_of_a_new_era_counts_although_its_number_is_lower():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(500))
+    entries.store_restored(10.0)
+    assert entries.put(make_report(6, leaving=True), version(450, era=1))
+    assert not entries.put(make_report(4), version(501))
+    assert entries.endpoints["e-1"].leaving
+
+
+def test_a_restarted_endpoint_counts_although_its_reports_start_anew():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(90), version(500))
+    entries.store_restored(10.0)
+    restarted = make_report(1, started_ms=2)
+    assert entries.put(restarted, version(450, era=1))
+
+
+def test_a_removed_endpoint_that_an_old_copy_shows_is_not_used():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(8))
+    entries.remove("e-1", version(9), 9.0)
+    entries.store_restored(10.0)
+    assert not entries.put(make_report(5), version(8, era=1))
+    assert listed_ids(entries) == []
+    entries.remove("e-1", version(9, era=1), 12.0)
+    assert not entries.expire(10.0 + endpoint_directory.WITHHOLDING_SECONDS)
+    assert listed_ids(entries) == []
+
+
+def test_an_endpoint_that_stays_listed_after_a_restore_is_used_again():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(8))
+    entries.remove("e-1", version(9), 9.0)
+    entries.store_restored(10.0)
+    entries.put(make_report(5), version(8, era=1))
+    assert entries.expire(10.0 + endpoint_directory.WITHHOLDING_SECONDS)
     assert listed_ids(entries) == ["e-1"]
 
 
+def test_entries_that_a_restored_store_lacks_are_retained_for_a_while():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(8))
+    entries.store_restored(10.0)
+    assert not entries.keep_only(set(), version(5, era=1), 10.0)
+    assert listed_ids(entries) == ["e-1"]
+    assert entries.expire(10.0 + endpoint_directory.RECOVERY_GRACE_SECONDS)
+    assert listed_ids(entries) == []
+
+
 def test_retries_stay_within_the_budget_in_any_window():
     budget = budgets.RetryBudget(0.2, 40.0, 10.0, -100.0)
     spent = []
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -164,7 +164,7 @@
     async with Cluster() as cluster:
         client = await store_client(cluster)
         table = ports.Table.MEMBERS
-        conflict = await client.write(table, "m", b"x", 17)
+        conflict = await client.write(table, "m", b"x", ports.Version(0, 17))
         assert conflict == Failure(ports.StoreError.CONFLICT)
         cluster.store.faults.lose_answers = 1
         lost = await client.write(table, "m", b"x", None)
@@ -174,7 +174,7 @@
         busy = await client.write(table, "m", b"y", None)
         assert busy == Failure(ports.StoreError.REFUSED)
         cluster.store.discard_history()
-        gone = await client.changes(table, 0, 0.1)
+        gone = await client.changes(table, ports.NO_VERSION, 0.1)
         assert gone == Failure(ports.StoreError.HISTORY_LOST)
         removed = await client.write(table, "m", None, None)
         assert isinstance(removed, Success)
