Begin nothing at an endpoint whose answers say that it leaves

Only its row was read, which may come late or never. The header is decoded with every answer's head (successes, failures, refusals, streams; not 421, which another endpoint sends). The directory shows the endpoint as leaving from then on, whatever its row says, until its process or its row is gone; what runs there ends undisturbed. Heartbeats tell the other instances, and the slot requests of this one leave it out until the allocator knows.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -205,6 +205,8 @@
         """Handles a datagram from another instance."""
         now = asyncio.get_running_loop().time()
         match message:
+            case datagrams.Ping(report=None):
+                pass
             case datagrams.Ping(name=name, report=report):
                 self._holders_seen[name] = now
                 self._reporters.add(name)
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -65,6 +65,18 @@
     era: int = 0
 
 
+class LeavingEndpoint(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint that announced to the sender that it leaves.
+
+    Attributes:
+        id: its id.
+        started_ms: when its process started, milliseconds of Unix time.
+    """
+
+    id: str
+    started_ms: int
+
+
 class Ping(msgspec.Struct, array_like=True, tag=1, frozen=True):
     """A heartbeat that asks for a Pong.
 
@@ -78,6 +90,7 @@
         status: the sender's status.
         report: the sender's requests; None unless the receiver is the
             allocator.
+        leaving: endpoints that leave although their entries do not show it.
     """
 
     name: str
@@ -87,6 +100,7 @@
     sequence: int
     status: Status
     report: Report | None
+    leaving: list[LeavingEndpoint] = []
 
 
 class MemberInfo(msgspec.Struct, array_like=True, frozen=True):
--- a/cranberryglade/gateway/dialect.py
+++ b/cranberryglade/gateway/dialect.py
@@ -72,6 +72,7 @@
             host other than the endpoint changed it.
         idle_seconds: idle timeout of the endpoint's connections; None if
             absent.
+        leaving: whether the endpoint states that it is about to stop.
     """
 
     id: str
@@ -79,6 +80,7 @@
     not_run: bool
     encoded: bool
     idle_seconds: float | None
+    leaving: bool
 
 
 class UnreadableRequestError(Exception):
--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -47,6 +47,7 @@
         "_removals",
         "_removed",
         "_entries",
+        "_leaving",
         "_version",
         "_withheld",
         "_withheld_until",
@@ -56,6 +57,7 @@
         self._entries: dict[str, Entry] = {}
         self._removals: dict[str, float] = {}
         self._removed: dict[str, Removal] = {}
+        self._leaving: dict[str, int] = {}
         self._withheld: dict[str, Entry] = {}
         self._withheld_until: float | None = None
         self._store_unreachable = False
@@ -75,7 +77,18 @@
     @property
     def endpoints(self) -> dict[str, messages.Endpoint]:
         """The endpoints by id."""
-        return {name: entry.endpoint for name, entry in self._entries.items()}
+        return {
+            name: self._with_announcement(entry.endpoint)
+            for name, entry in self._entries.items()
+        }
+
+    @property
+    def announced(self) -> dict[str, int]:
+        """Starts of the endpoints that announced that they leave, by id.
+
+        Without those whose entries show it; milliseconds of Unix time.
+        """
+        return dict(self._leaving)
 
     @property
     def next_expiry(self) -> float | None:
@@ -116,6 +129,9 @@
         self._removed.pop(endpoint.id, None)
         self._removals.pop(endpoint.id, None)
         self._entries[endpoint.id] = entry
+        announced = self._leaving.get(endpoint.id)
+        if endpoint.leaving or announced != endpoint.started_ms:
+            self._leaving.pop(endpoint.id, None)
         return known is None or known.endpoint != endpoint
 
     def remove(self, id_: str, version: ports.Version, now: float) -> bool:
@@ -147,6 +163,31 @@
         missing = (self._entries.keys() | self._withheld.keys()) - ids
         return any([self.remove(id_, version, now) for id_ in missing])
 
+    def announce_leaving(self, id_: str, started_ms: int) -> bool:
+        """Records that the process of an endpoint is about to stop.
+
+        Args:
+            id_: its id.
+            started_ms: when that process started.
+
+        Returns:
+            Whether this was not known.
+        """
+        known = self._entries.get(id_)
+        if known is None or known.endpoint.started_ms != started_ms:
+            return False
+        if known.endpoint.leaving or self._leaving.get(id_) == started_ms:
+            return False
+        self._leaving[id_] = started_ms
+        return True
+
+    def _with_announcement(
+        self, endpoint: messages.Endpoint
+    ) -> messages.Endpoint:
+        if self._leaving.get(endpoint.id) != endpoint.started_ms:
+            return endpoint
+        return dataclasses.replace(endpoint, leaving=True)
+
     def set_applied_version(self, version: ports.Version) -> None:
         """Records that all rows up to a version have been applied."""
         self._version = max(self._version, version)
@@ -185,6 +226,7 @@
 
     def _drop(self, id_: str, now: float) -> None:
         self._removals.pop(id_, None)
+        self._leaving.pop(id_, None)
         entry = self._entries.pop(id_, None)
         if entry is not None:
             self._removed[id_] = Removal(entry, now)
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -398,7 +398,10 @@
             wait_until=exchange.arrived + admitted.max_wait_seconds,
             first_answer_due=exchange.arrived
             + admitted.route.target_latency_seconds,
-            excluded_endpoints=tuple(exchange.excluded_endpoints),
+            excluded_endpoints=(
+                *exchange.excluded_endpoints,
+                *self._state.directory.announced,
+            ),
             organisation=organisation.name if organisation else "",
             cost=0.0 if exchange.cost_submitted else admitted.cost,
             software_version=(
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -129,6 +129,10 @@
             self._sequence,
             self._status(),
             self._report(member) if is_allocator else None,
+            [
+                datagrams.LeavingEndpoint(id_, started_ms)
+                for id_, started_ms in self._state.directory.announced.items()
+            ],
         )
         self.send(member, ping)
 
@@ -204,7 +208,7 @@
             self._choose_introduction(now),
         )
         self.send(member, pong)
-        if ping.report is not None:
+        if ping.report is not None or ping.leaving:
             self._on_message(ping.name, ping)
 
     def _receive_pong(self, pong: datagrams.Pong) -> None:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -103,7 +103,7 @@
             ),
         )
         self._origins = origin_sharing.OriginSharing(initial_settings.instance)
-        self._sender = sending.Sender(header_dialect)
+        self._sender = sending.Sender(header_dialect, self._endpoint_leaves)
         self._store_watcher = store_watch.StoreWatcher(
             store,
             decoder,
@@ -326,11 +326,30 @@
     def _receive_datagram(
         self, sender: str, message: datagrams.Datagram
     ) -> None:
+        if isinstance(message, datagrams.Ping):
+            for leaving in message.leaving:
+                self._announce_leaving(leaving.id, leaving.started_ms, sender)
         if isinstance(message, datagrams.OriginMessage):
             self._origins.receive(sender, message)
         else:
             self._allocator.receive(sender, message)
 
+    def _endpoint_leaves(self, endpoint: messages.Endpoint) -> None:
+        self._announce_leaving(
+            endpoint.id, endpoint.started_ms, self._settings.instance
+        )
+
+    def _announce_leaving(
+        self, id_: str, started_ms: int, reported_by: str
+    ) -> None:
+        if not self._state.directory.announce_leaving(id_, started_ms):
+            return
+        self._logger.info(
+            "endpoint.leaving", endpoint=id_, reported_by=reported_by
+        )
+        self._state.metrics.count_event("endpoint_leaving")
+        self._endpoints_changed()
+
     async def _reread_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_REREAD_SECONDS)
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -1,6 +1,7 @@
 """Sends a request to an endpoint and classifies its answer."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from cranberryglade.gateway import dialect
@@ -24,6 +25,8 @@
 MAX_ANSWER_BYTES = 16_777_216
 """Largest body of an answer that is not relayed as a stream."""
 
+MISDIRECTED_STATUS = 421
+
 HEAD = b"HEAD"
 """The method whose answers have no body."""
 
@@ -79,10 +82,22 @@
         pools: connections by the address of the endpoint.
     """
 
-    __slots__ = ("_dialect", "pools")
+    __slots__ = ("_dialect", "_on_leaving", "pools")
+
+    def __init__(
+        self,
+        translator: dialect.Dialect,
+        on_leaving: Callable[[messages.Endpoint], None],
+    ):
+        """Creates a sender without connections.
 
-    def __init__(self, translator: dialect.Dialect):
+        Args:
+            translator: translates headers.
+            on_leaving: called with each endpoint that states in an answer that
+                it is about to stop.
+        """
         self._dialect = translator
+        self._on_leaving = on_leaving
         self.pools = outbound.Pools()
 
     async def send(
@@ -153,6 +168,19 @@
                 return channel
         return await pool.connect(CONNECT_TIMEOUT_SECONDS)
 
+    def _observe(
+        self,
+        endpoint: messages.Endpoint,
+        head: dialect.AnswerHead,
+        answer_facts: dialect.AnswerFacts,
+    ) -> None:
+        """Reports what an answer says of its endpoint."""
+        # Another endpoint has the address and speaks of itself.
+        if head.status == MISDIRECTED_STATUS:
+            return
+        if answer_facts.leaving:
+            self._on_leaving(endpoint)
+
     async def _read_answer(
         self,
         channel: outbound.Channel,
@@ -164,6 +192,7 @@
             match await channel.next_event():
                 case dialect.AnswerHead() as head:
                     answer_facts = self._dialect.decode_answer(head)
+                    self._observe(endpoint, head, answer_facts)
                     if answer_facts.id and answer_facts.id != facts.id:
                         await self._skip_answer(channel)
                         continue
@@ -212,7 +241,7 @@
             channel.abort()
             return AttemptFailure(messages.Outcome.LOST, "answer broke off")
         self.put_back(endpoint, channel)
-        if head.status == 421:
+        if head.status == MISDIRECTED_STATUS:
             return AttemptFailure(messages.Outcome.MISDIRECTED, "421")
         if answer_facts.not_run:
             return AttemptFailure(messages.Outcome.REFUSED, f"{head.status}")
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -27,6 +27,9 @@
 RESPONSE_SEAL = b"x-response-seal"
 NOT_RUN = b"x-not-executed"
 
+SERVER_LEAVING = b"server-leaving"
+"""Sent by an endpoint, although the name refers to a server."""
+
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -137,6 +140,7 @@
             not_run=NOT_RUN in fields,
             encoded=encoding.strip().lower() not in (b"", b"identity"),
             idle_seconds=_keep_alive_timeout(fields.get(b"keep-alive", b"")),
+            leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
         )
 
     def relayed_headers(
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -59,6 +59,7 @@
             `hang`.
         script: behaviours for the next requests, one for each.
         default_behaviour: behaviour once the script is empty.
+        leaving: whether its answers state that it is about to stop.
         connections: number of connections accepted so far.
     """
 
@@ -69,6 +70,7 @@
         self.disconnected: list[str] = []
         self.script: list[Behaviour] = []
         self.default_behaviour = usual or self.succeed
+        self.leaving = False
         self.connections = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -311,6 +313,8 @@
     def _head(self, received, status, header_lines, length) -> bytes:
         head = [f"HTTP/1.1 {status} Status", *header_lines]
         head.append(f"X-Attempt-Id: {received.request_id}")
+        if self.leaving:
+            head.append("Server-Leaving: 1")
         if length is not None:
             head.append(f"Content-Length: {length}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
