Send nothing to an endpoint that asked for a pause

Slot requests leave paused endpoints out, and each send looks again, as a grant may be older than the pause.

--- a/cranberryglade/gateway/dialect.py
+++ b/cranberryglade/gateway/dialect.py
@@ -73,6 +73,8 @@
         idle_seconds: idle timeout of the endpoint's connections; None if
             absent.
         leaving: whether the endpoint states that it is about to stop.
+        retry_after_seconds: time for which the endpoint wants no requests;
+            None if it states none.
     """
 
     id: str
@@ -81,6 +83,7 @@
     encoded: bool
     idle_seconds: float | None
     leaving: bool
+    retry_after_seconds: float | None
 
 
 class UnreadableRequestError(Exception):
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import budgets
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import dialect
+from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
@@ -43,6 +44,7 @@
         "_budget",
         "_dialect",
         "_origins",
+        "_pauses",
         "_relay",
         "_request_numbers",
         "_sender",
@@ -58,6 +60,7 @@
         budget: budgets.RetryBudget,
         sender: sending.Sender,
         origins: origin_sharing.OriginSharing,
+        pauses: endpoint_pauses.EndpointPauses,
     ):
         self._state = shared
         self._dialect = translator
@@ -66,6 +69,7 @@
         self._budget = budget
         self._sender = sender
         self._origins = origins
+        self._pauses = pauses
         self._relay = stream_relaying.StreamRelay(origins)
         self._request_numbers = itertools.count()
 
@@ -197,7 +201,7 @@
     def _answer_denied(
         self, exchange: exchanges.Exchange, denied: messages.Denied
     ) -> exchanges.RequestResult:
-        retry_after = denied.retry_after_seconds
+        retry_after = self._retry_after(exchange, denied)
         logger.info(
             "request.denied",
             id=exchange.facts.id,
@@ -210,6 +214,27 @@
         status = 429 if denied.reason == messages.OVER_QUOTA else 502
         return self._give_up(exchange, status, denied.reason, retry_after)
 
+    def _retry_after(
+        self, exchange: exchanges.Exchange, denied: messages.Denied
+    ) -> float:
+        """Returns the time after which there may be room, in seconds."""
+        usable = [
+            endpoint
+            for endpoint in self._state.endpoints.values()
+            if endpoint.service == exchange.admitted.service
+            and exchange.may_be_sent_to(endpoint)
+        ]
+        now = asyncio.get_running_loop().time()
+        paused = self._pauses.seconds_left(usable, now)
+        return denied.retry_after_seconds if paused is None else paused
+
+    def _may_send(
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
+    ) -> bool:
+        now = asyncio.get_running_loop().time()
+        paused = self._pauses.is_paused(endpoint, now)
+        return not paused and exchange.may_be_sent_to(endpoint)
+
     async def _run_attempt(
         self,
         exchange: exchanges.Exchange,
@@ -219,7 +244,7 @@
         outcome = messages.Outcome.ABANDONED
         try:
             endpoint = self._state.endpoints.get(endpoint_id)
-            if endpoint is None or not exchange.may_be_sent_to(endpoint):
+            if endpoint is None or not self._may_send(exchange, endpoint):
                 exchange.excluded_endpoints.append(endpoint_id)
                 return None
             result = await self._send(exchange, endpoint)
@@ -401,6 +426,7 @@
             excluded_endpoints=(
                 *exchange.excluded_endpoints,
                 *self._state.directory.announced,
+                *self._pauses.paused_ids(asyncio.get_running_loop().time()),
             ),
             organisation=organisation.name if organisation else "",
             cost=0.0 if exchange.cost_submitted else admitted.cost,
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -21,6 +21,7 @@
 from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import dialect
+from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import forwarding
 from cranberryglade.gateway import inbound
 from cranberryglade.gateway import mesh
@@ -102,8 +103,11 @@
                 self._create_quotas(initial_settings),
             ),
         )
+        self._pauses = endpoint_pauses.EndpointPauses(randomness)
         self._origins = origin_sharing.OriginSharing(initial_settings.instance)
-        self._sender = sending.Sender(header_dialect, self._endpoint_leaves)
+        self._sender = sending.Sender(
+            header_dialect, self._endpoint_leaves, self._pauses
+        )
         self._store_watcher = store_watch.StoreWatcher(
             store,
             decoder,
@@ -138,6 +142,7 @@
             self._budget,
             self._sender,
             self._origins,
+            self._pauses,
         )
         self._caller_listener = inbound.Listener(
             forwarder.handle, self._report_invalid_request
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from cranberryglade.gateway import dialect
+from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import outbound
 
@@ -26,6 +27,7 @@
 """Largest body of an answer that is not relayed as a stream."""
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 HEAD = b"HEAD"
 """The method whose answers have no body."""
@@ -82,12 +84,13 @@
         pools: connections by the address of the endpoint.
     """
 
-    __slots__ = ("_dialect", "_on_leaving", "pools")
+    __slots__ = ("_dialect", "_on_leaving", "_pauses", "pools")
 
     def __init__(
         self,
         translator: dialect.Dialect,
         on_leaving: Callable[[messages.Endpoint], None],
+        pauses: endpoint_pauses.EndpointPauses,
     ):
         """Creates a sender without connections.
 
@@ -95,8 +98,10 @@
             translator: translates headers.
             on_leaving: called with each endpoint that states in an answer that
                 it is about to stop.
+            pauses: records the pauses that endpoints ask for.
         """
         self._dialect = translator
+        self._pauses = pauses
         self._on_leaving = on_leaving
         self.pools = outbound.Pools()
 
@@ -180,6 +185,10 @@
             return
         if answer_facts.leaving:
             self._on_leaving(endpoint)
+        pause = answer_facts.retry_after_seconds
+        if head.status == UNAVAILABLE_STATUS and pause is not None:
+            now = asyncio.get_running_loop().time()
+            self._pauses.record(endpoint, pause, now)
 
     async def _read_answer(
         self,
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -2,6 +2,7 @@
 
 import re
 
+from cranberryglade import log
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import messages
 
@@ -63,6 +64,11 @@
 )
 """Reserved for the gateway; the values that a caller sends are dropped."""
 
+LOGGED_CHARACTERS = 40
+"""Length of an unreadable value in the log."""
+
+logger = log.get_logger(__name__)
+
 BEARER = re.compile(r"bearer +(\S+)", re.IGNORECASE)
 MIN_DEADLINE_MS = 1
 
@@ -140,6 +146,9 @@
             not_run=NOT_RUN in fields,
             encoded=encoding.strip().lower() not in (b"", b"identity"),
             idle_seconds=_keep_alive_timeout(fields.get(b"keep-alive", b"")),
+            retry_after_seconds=_parse_retry_after(
+                fields.get(b"retry-after", b"").decode("latin-1")
+            ),
             leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
         )
 
@@ -202,6 +211,19 @@
     return _parse_count(prompt.strip()), _parse_count(output.strip())
 
 
+def _parse_retry_after(text: str) -> float | None:
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < float("inf"):
+        logger.warning("retry_after.unreadable", value=text[:LOGGED_CHARACTERS])
+        return None
+    return value
+
+
 def _keep_alive_timeout(value: bytes) -> float | None:
     match = re.search(rb"timeout=(\d+)", value)
     return float(match.group(1)) if match else None
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -118,6 +118,20 @@
         writer.write(self._head(received, 503, ["X-Not-Executed: 1"], 0))
         await writer.drain()
 
+    def ask_for_pause(self, retry_after: str) -> Behaviour:
+        """Returns a behaviour that refuses a request and asks for a pause.
+
+        Args:
+            retry_after: value of the Retry-After header.
+        """
+
+        async def behave(received, reader, writer):
+            lines = ["X-Not-Executed: 1", f"Retry-After: {retry_after}"]
+            writer.write(self._head(received, 503, lines, 0))
+            await writer.drain()
+
+        return behave
+
     async def fail(self, received, reader, writer) -> None:
         """Runs a request and answers with status 500."""
         self.ran.append(received.request_id)
