Confirm the configuration only by a store that has it

A full read without any configuration, and a configuration that came from a peer, counted as confirmed by the store. The version that the store showed last is now kept and compared. Found by reading; the new test of a store that lost every configuration failed before.

--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -9,6 +9,7 @@
 
 from cranberryglade import log
 from cranberryglade.gateway import clock
+from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import state
@@ -56,8 +57,8 @@
         "_startup_end",
         "_state",
         "_store",
-        "_shows_current",
         "_store_lost",
+        "_stored_version",
         "relies_on_peers",
         "probe_delay_seconds",
     )
@@ -77,8 +78,8 @@
         self._random = randomness
         self._on_configuration = on_configuration
         self._on_endpoints = on_endpoints
-        self._shows_current = True
         self._store_lost = False
+        self._stored_version = 0
         now = asyncio.get_running_loop().time()
         self._startup_end = now + STARTUP_SECONDS
         self.probe_delay_seconds = 0.0
@@ -159,35 +160,39 @@
             ):
                 await self.refresh()
 
-    def apply_configuration(self, row: ports.Row) -> None:
+    def apply_configuration(self, row: ports.Row) -> int | None:
         """Puts a configuration in force if it is newer than the present one.
 
         Rows that hold no configuration are ignored; one that cannot be decoded
         is logged and ignored.
+
+        Returns:
+            The version of the configuration in the row; None if it holds none.
         """
         match self._decoder.decode_configuration(row):
-            case None:
-                pass
+            case Success(decoded):
+                if decoded.version > self._state.version:
+                    self._put_in_force(decoded, row)
+                return decoded.version
             case Failure(problem):
                 logger.error("configuration.unreadable", problem=problem)
-            case Success(decoded) if decoded.version < self._state.version:
-                # The store may have come back from an old copy.
-                self._shows_current = False
-                logger.info("configuration.older", version=decoded.version)
-            case Success(decoded) if decoded.version > self._state.version:
-                self._shows_current = True
-                self._state.configuration = decoded
-                self._state.configuration_row = row
-                logger.info("configuration.in_force", version=decoded.version)
-                self._on_configuration()
-            case Success(_):
-                self._shows_current = True
+        return None
+
+    def _put_in_force(
+        self, decoded: configuration.Configuration, row: ports.Row
+    ) -> None:
+        self._state.configuration = decoded
+        self._state.configuration_row = row
+        logger.info("configuration.in_force", version=decoded.version)
+        self._on_configuration()
 
     async def _read_table(self, table: ports.Table):
         sent_at = clock.boottime_now()
         result = await self._store.read_table(table)
         match result:
             case Success(rows):
+                if table is ports.Table.CONFIGURATION:
+                    self._stored_version = 0
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
                     self._confirm_configuration(sent_at)
@@ -206,9 +211,16 @@
         return result
 
     def _confirm_configuration(self, as_of: float) -> None:
-        """Confirms the configuration in force, if the store shows it."""
-        if self._state.version and self._shows_current:
+        """Confirms the configuration in force, if the store has it.
+
+        A store that came back from an old copy may have an older one.
+        """
+        if not self._state.version:
+            return
+        if self._stored_version >= self._state.version:
             self._state.configuration_age.confirm(as_of)
+        else:
+            logger.info("configuration.older", version=self._stored_version)
 
     def _observe_era(self, era: int) -> None:
         known = self._state.store_era
@@ -227,7 +239,9 @@
         self._observe_era(rows.version.era)
         if table is ports.Table.CONFIGURATION:
             for row in rows.rows:
-                self.apply_configuration(row)
+                stored = self.apply_configuration(row)
+                if stored is not None:
+                    self._stored_version = stored
         elif table is ports.Table.ENDPOINTS:
             changed = [self.apply_endpoint(row) for row in rows.rows]
             if any(changed):
--- a/cranberryglade/tests/test_store_restore.py
+++ b/cranberryglade/tests/test_store_restore.py
@@ -67,6 +67,18 @@
         await gateway_cluster.wait_until(cluster.gateways[0]._ready, 3.0)
 
 
+async def test_a_store_that_lost_every_configuration_confirms_nothing():
+    async with Cluster(revoke_seconds=1.5, config={}) as cluster:
+        cluster.store.take_copy()
+        cluster.configure(operator_configuration.a_config(2))
+        await gateway_cluster.wait_until(cluster.gateways[0]._ready)
+        await restore(cluster)
+        await gateway_cluster.wait_until(
+            lambda: not cluster.gateways[0]._ready(), 3.0
+        )
+        assert versions(cluster) == [2]
+
+
 async def test_changes_after_a_restore_are_seen_although_numbers_recur():
     async with Cluster(gateways=2, runners=2) as cluster:
         cluster.store.take_copy()
