Keep an endpoint that a restored store shows unchanged

Its row of the new era was ignored as an old copy, so that a removal from before stayed pending and took it out of use although it was listed. The known entry now takes over the version of the new era. Found by reading; the test failed before.

--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -122,6 +122,8 @@
             return False
         entry = Entry(endpoint, version)
         if known is not None and _is_old_copy(entry, known):
+            self._removals.pop(endpoint.id, None)
+            self._entries[endpoint.id] = Entry(known.endpoint, version)
             return False
         if self._must_withhold(entry):
             self._withheld[endpoint.id] = entry
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -209,6 +209,18 @@
     assert listed_ids(entries) == ["e-1"]
 
 
+def test_an_endpoint_that_a_restored_store_shows_unchanged_stays_in_use():
+    entries = endpoint_directory.EndpointDirectory()
+    entries.put(make_report(4), version(8))
+    entries.store_lost()
+    entries.remove("e-1", version(9), 9.0)
+    entries.store_regained(10.0)
+    entries.store_restored(10.0)
+    entries.put(make_report(4), version(8, era=1))
+    assert not entries.expire(13.0)
+    assert listed_ids(entries) == ["e-1"]
+
+
 def test_entries_that_a_restored_store_lacks_are_retained_for_a_while():
     entries = endpoint_directory.EndpointDirectory()
     entries.put(make_report(4), version(8))
