End an endpoint's pause with its process in slot requests too

The ids of paused endpoints were left out whatever process is behind them, and the time to come back of a caller over its quota was replaced by the end of a pause.

--- a/cranberryglade/gateway/endpoint_pauses.py
+++ b/cranberryglade/gateway/endpoint_pauses.py
@@ -59,12 +59,18 @@
         """Returns whether nothing may be sent to an endpoint now."""
         return self._pauses.get(_key(endpoint), now) > now
 
-    def paused_ids(self, now: float) -> list[str]:
-        """Returns the ids of the endpoints that are paused now."""
+    def paused_ids(
+        self, listed: dict[str, messages.Endpoint], now: float
+    ) -> list[str]:
+        """Returns the ids of the listed endpoints that are paused now."""
         for key, until in list(self._pauses.items()):
             if until <= now:
                 del self._pauses[key]
-        return [id_ for id_, _ in self._pauses]
+        return [
+            id_
+            for id_, started_ms in self._pauses
+            if id_ in listed and listed[id_].started_ms == started_ms
+        ]
 
     def seconds_left(
         self, endpoints: Iterable[messages.Endpoint], now: float
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -226,7 +226,7 @@
         ]
         now = asyncio.get_running_loop().time()
         paused = self._pauses.seconds_left(usable, now)
-        return denied.retry_after_seconds if paused is None else paused
+        return max(denied.retry_after_seconds, paused or 0.0)
 
     def _may_send(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
@@ -426,7 +426,9 @@
             excluded_endpoints=(
                 *exchange.excluded_endpoints,
                 *self._state.directory.announced,
-                *self._pauses.paused_ids(asyncio.get_running_loop().time()),
+                *self._pauses.paused_ids(
+                    self._state.endpoints, asyncio.get_running_loop().time()
+                ),
             ),
             organisation=organisation.name if organisation else "",
             cost=0.0 if exchange.cost_submitted else admitted.cost,
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -131,9 +131,7 @@
             The origin; None if it is unknown and cannot be inferred.
         """
         now = _now()
-        known = self._own.find(attempt, now) or self._received.find(
-            attempt, now
-        )
+        known = self._lookup(attempt, now)
         if known is not None:
             return known
         service = services[0] if len(services) == 1 else ""
@@ -161,6 +159,10 @@
             case datagrams.OriginReply():
                 self._receive_reply(sender, message)
 
+    def _lookup(self, attempt: str, now: float) -> messages.StreamOrigin | None:
+        own = self._own.find(attempt, now)
+        return own or self._received.find(attempt, now)
+
     def _infer(
         self, service: str, replies: list[datagrams.OriginReply]
     ) -> messages.StreamOrigin | None:
@@ -226,9 +228,7 @@
         return list(pending.replies.values())
 
     def _reply(self, query: datagrams.OriginQuery, now: float) -> None:
-        origin = self._own.find(query.attempt, now) or self._received.find(
-            query.attempt, now
-        )
+        origin = self._lookup(query.attempt, now)
         record = None
         if origin is not None:
             record = datagrams.OriginRecord(
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -333,7 +333,9 @@
     ) -> None:
         if isinstance(message, datagrams.Ping):
             for leaving in message.leaving:
-                self._announce_leaving(leaving.id, leaving.started_ms, sender)
+                self._announce_leaving(
+                    leaving.id, leaving.started_ms, message.name
+                )
         if isinstance(message, datagrams.OriginMessage):
             self._origins.receive(sender, message)
         else:
--- a/cranberryglade/tests/test_endpoint_pauses.py
+++ b/cranberryglade/tests/test_endpoint_pauses.py
@@ -12,6 +12,7 @@
 
 Cluster = gateway_cluster.Cluster
 ENDPOINT = builders.make_endpoint("e-1")
+LISTED = {"e-1": ENDPOINT}
 
 
 def make_pauses(seed=0):
@@ -22,9 +23,9 @@
     pauses = make_pauses()
     pauses.record(ENDPOINT, 2.0, 10.0)
     assert pauses.is_paused(ENDPOINT, 11.999)
-    assert pauses.paused_ids(11.999) == ["e-1"]
+    assert pauses.paused_ids(LISTED, 11.999) == ["e-1"]
     assert not pauses.is_paused(ENDPOINT, 12.0 + 0.5)
-    assert pauses.paused_ids(12.5) == []
+    assert pauses.paused_ids(LISTED, 12.5) == []
 
 
 def test_a_shorter_pause_does_not_end_a_longer_one():
@@ -37,7 +38,9 @@
 def test_a_new_process_of_an_endpoint_is_not_paused():
     pauses = make_pauses()
     pauses.record(ENDPOINT, 5.0, 10.0)
-    assert not pauses.is_paused(builders.make_endpoint("e-1", started_ms=2), 11)
+    restarted = builders.make_endpoint("e-1", started_ms=2)
+    assert not pauses.is_paused(restarted, 11.0)
+    assert pauses.paused_ids({"e-1": restarted}, 11.0) == []
 
 
 def test_instances_return_one_after_the_other():
