Do not guess the version of a stream at an instance that is cut off

With no reachable peer nobody was asked, and the instance's own list, which may be old, decided at which version an unknown stream goes on.

--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -142,7 +142,7 @@
                 origin = _decode(reply.origin)
                 self._received.record(attempt, origin, _now())
                 return origin
-        if targets and not replies:
+        if not replies and self._mesh.members.instance_count(now) > 1:
             logger.warning("origin.unanswered", attempt=attempt)
             return None
         return self._infer(service, replies)
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -145,6 +145,13 @@
     assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
 
 
+async def test_an_instance_that_is_cut_off_does_not_guess(monkeypatch):
+    monkeypatch.setattr(membership, "MAX_MISSED_HEARTBEATS", 0)
+    network = Network(3)
+    network.list_versions("v1")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
 async def test_an_instance_without_peers_knows_its_own_versions():
     network = Network(1)
     network.list_versions("v1")
