--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -1,5 +1,6 @@
 """Membership: known and reachable instances, and which one allocates."""
 
+import bisect
 import dataclasses
 
 import xxhash
@@ -84,6 +85,7 @@
         "_domain",
         "_members",
         "_own",
+        "_ring",
         "_suspects",
     )
 
@@ -92,6 +94,7 @@
         self._domain = domain
         self._started = now
         self._members: dict[str, Member] = {}
+        self._ring: list[tuple[int, str]] = []
         self._names_by_address: dict[str, str] = {}
         self._suspects: dict[str, float] = {}
 
@@ -189,6 +192,7 @@
         member = self._members.get(name)
         if member is None:
             member = self._members[name] = Member(name, address, domain, now)
+            bisect.insort(self._ring, (_rendezvous_weight(name), name))
         elif member.address != address:
             self._names_by_address.pop(member.address, None)
             member.address = address
@@ -260,24 +264,30 @@
             and now - member.answered_at < timeout
         ]
 
-    def closest(self, key: str, count: int, now: float) -> list[Member]:
-        """Returns the members that come first in the rendezvous order of a key.
+    def keepers(self, key: str, count: int, now: float) -> list[Member]:
+        """Returns the members that keep what is stored under a key.
 
-        All instances compute nearly the same order. Where each sends
-        heartbeats to all others, unreachable members are left out.
+        They follow the key on a consistent-hashing ring of all names, which is
+        nearly the same at all instances. Where each sends heartbeats to all
+        others, unreachable members are left out.
 
         Args:
-            key: what the order is computed for.
+            key: what is looked up.
             count: number of members to return, if there are as many.
             now: seconds of the loop's clock.
         """
-        candidates = self.reachable(now) if self.full_mesh else self.all
-        order = sorted(
-            (member for member in candidates if not member.stopping),
-            key=lambda member: _rendezvous_weight(f"{key} {member.name}"),
-            reverse=True,
-        )
-        return order[:count]
+        usable = self._members.keys()
+        if self.full_mesh:
+            usable = {member.name for member in self.reachable(now)}
+        start = bisect.bisect(self._ring, (_rendezvous_weight(key), ""))
+        chosen = []
+        for position in range(len(self._ring)):
+            _, name = self._ring[(start + position) % len(self._ring)]
+            if name in usable and not self._members[name].stopping:
+                chosen.append(self._members[name])
+            if len(chosen) == count:
+                break
+        return chosen
 
     def allocator(self, now: float, own_stopping: bool = False) -> str:
         """Returns the name of the instance that grants slots.
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -135,7 +135,7 @@
         if known is not None:
             return known
         service = services[0] if len(services) == 1 else ""
-        targets = self._keepers(attempt, ASKED_KEEPERS, now)
+        targets = self._mesh.members.keepers(attempt, ASKED_KEEPERS, now)
         replies = await self._ask(targets, attempt, service)
         for reply in replies:
             if reply.origin is not None:
@@ -180,11 +180,6 @@
     def _has_single_version(self, service: str, now: float) -> bool:
         return len(self._versions.versions(service, now)) == 1
 
-    def _keepers(
-        self, attempt: str, count: int, now: float
-    ) -> list[membership.Member]:
-        return self._mesh.members.closest(attempt, count, now)
-
     def _send(
         self, origins: dict[str, messages.StreamOrigin], now: float
     ) -> None:
@@ -195,7 +190,7 @@
             record = datagrams.OriginRecord(
                 attempt, origin.service, origin.software_version
             )
-            for member in self._keepers(attempt, KEEPERS, now):
+            for member in self._mesh.members.keepers(attempt, KEEPERS, now):
                 batches[member.name].append(record)
         for name, records in batches.items():
             for start in range(0, len(records), RECORDS_PER_DATAGRAM):
