Play restores of the store, broken streams and pauses in the soak

The kinds that were added later have random numbers of their own, so that a seed that failed before keeps its faults. The store goes back to a copy of some seconds and the operator and endpoints write again; endpoints end streams inside an event, with and without chunks, reset unframed answers, and ask for pauses.

Links and stand-ins closed connections properly where they said reset: an abort alone sends no reset. They reset them now. Not played: software versions, endpoints that announce that they leave.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -1,9 +1,11 @@
 """The gateway processes, links and stand-ins of a soak."""
 
 import asyncio
+import itertools
 import pathlib
 import random
 
+from cranberryglade.gateway import dialect
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.standins import endpoint_standin
@@ -14,9 +16,17 @@
 EVENTS_PER_STREAM = 4
 WORK_SECONDS = (0.002, 0.04)
 READY_TIMEOUT_SECONDS = 10.0
-NOT_RUN_MODES = ("refuse", "unsealed")
+NOT_RUN_MODES = ("refuse", "unsealed", "pause")
 """Faults in which an endpoint answers without running the request."""
 
+PAUSE = "0.3"
+"""Value of the Retry-After header of endpoints that ask for a pause."""
+
+BREAKABLE_FRAMINGS = (
+    dialect.Framing.CHUNKED,
+    dialect.Framing.CONNECTION_CLOSE,
+)
+
 QUOTA_RATE = 30.0
 QUOTA_BURST = 10.0
 QUOTA_RATIO = 0.1
@@ -85,6 +95,9 @@
         self.store_links: list[links.Link] = []
         self.endpoint_links: list[links.Link] = []
         self.version = 0
+        self._second_key = True
+        self._listed_states: dict[int, str] = {}
+        self._reports = itertools.count(1)
         self._folder = folder
         self._gateways = gateways
         self._random = random.Random(seed)
@@ -137,14 +150,24 @@
     def configure(self, second_key: bool) -> None:
         """Writes a new version of the configuration."""
         self.version += 1
+        self._second_key = second_key
         self.store.configure(configuration(self.version, second_key))
 
+    def write_again(self) -> None:
+        """Writes what the operator and the endpoints wrote last once more."""
+        self.store.configure(configuration(self.version, self._second_key))
+        for number, state in self._listed_states.items():
+            self.list_endpoint(number, state)
+
     def list_endpoint(self, number: int, state: str = "ready") -> None:
         """Writes an endpoint's row, with the address of its link."""
         each = self.endpoints[number]
-        address = self.endpoint_links[number].address
+        self._listed_states[number] = state
         entry = each.entry(
-            operator_configuration.SERVICE, address=address, state=state
+            operator_configuration.SERVICE,
+            address=self.endpoint_links[number].address,
+            state=state,
+            sequence=next(self._reports),
         )
         self.store.list_endpoint(each.id, entry)
 
@@ -184,19 +207,36 @@
             normal = self._normal(endpoint, received)
             if is_faulty and mode == "duplicate":
                 await normal(received, reader, writer)
-            respond = (
-                normal
-                if not is_faulty or mode == "duplicate"
-                else getattr(endpoint, mode)
-            )
+            respond = normal
+            if is_faulty and mode != "duplicate":
+                respond = self._faulty(endpoint, received, mode)
             await respond(received, reader, writer)
 
         return behave
 
+    def _faulty(
+        self, endpoint: endpoint_standin.EndpointStandin, received, mode: str
+    ) -> endpoint_standin.Behaviour:
+        seen = int(received.headers.get("last-event-id") or 0)
+        match mode:
+            case "break_off" if not _is_stream(received):
+                # Without framing nobody could tell that it is incomplete.
+                return endpoint.truncate
+            case "break_off":
+                last = self._random.randint(seen, EVENTS_PER_STREAM - 1)
+                framing = self._random.choice(BREAKABLE_FRAMINGS)
+                return endpoint.events(seen + 1, last, False, framing)
+            case "reset_unframed":
+                return endpoint.reset_unframed(EVENTS_PER_STREAM - 1)
+            case "pause":
+                return endpoint.ask_for_pause(PAUSE)
+            case _:
+                return getattr(endpoint, mode)
+
     def _normal(
         self, endpoint: endpoint_standin.EndpointStandin, received
     ) -> endpoint_standin.Behaviour:
-        if received.target.startswith(("/write/", "/note/")):
+        if _is_stream(received):
             seen = int(received.headers.get("last-event-id") or 0)
             return endpoint.events(seen + 1, EVENTS_PER_STREAM)
 
@@ -209,6 +249,10 @@
         return answer
 
 
+def _is_stream(received: endpoint_standin.Received) -> bool:
+    return received.target.startswith(("/write/", "/note/"))
+
+
 async def _is_ready(gateway: machine.Machine) -> bool:
     try:
         async with asyncio.timeout(1.0):
--- a/cranberryglade/soak/faults.py
+++ b/cranberryglade/soak/faults.py
@@ -7,6 +7,7 @@
 MAX_GAP_SECONDS = 1.2
 MAX_DURATION_SECONDS = 4.0
 MAX_REPETITIONS = 3
+MAX_LATER_GAP_SECONDS = 4.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -98,6 +99,21 @@
     """A new version of the configuration without other changes."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RestoreStore:
+    """The store comes back from a copy that is some seconds old.
+
+    Attributes:
+        copy_seconds: age of the copy.
+        down_seconds: time for which the store refuses all calls before.
+        rewrite_seconds: time until the operator and the endpoints write again.
+    """
+
+    copy_seconds: float
+    down_seconds: float
+    rewrite_seconds: float
+
+
 Fault = (
     Kill
     | Stop
@@ -110,6 +126,7 @@
     | Leave
     | RevokeKey
     | Configure
+    | RestoreStore
 )
 
 LINK_MODES = ("slow", "reset", "requests", "answers", "silent", "refuse")
@@ -131,6 +148,10 @@
 )
 """Names of behaviours of endpoint_standin.EndpointStandin."""
 
+LATER_ENDPOINT_MODES = ("break_off", "reset_unframed", "pause")
+"""Ends streams inside an event, without framing; resets answers without
+framing; refuses requests and asks for a pause."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ScheduledFault:
@@ -170,9 +191,36 @@
             for n in range(count)
         ]
         at += rng.uniform(MIN_GAP_SECONDS, MAX_GAP_SECONDS)
+    planned += _schedule_later_kinds(seed, seconds, endpoints)
     return sorted(planned, key=lambda each: each.at)
 
 
+def _schedule_later_kinds(
+    seed: int, seconds: float, endpoints: int
+) -> list[ScheduledFault]:
+    """Draws the kinds of faults that were added later.
+
+    They have random numbers of their own, so that a seed that failed before
+    keeps its faults.
+    """
+    rng = random.Random(f"later kinds {seed}")
+    planned = []
+    at = rng.uniform(0.2, MAX_LATER_GAP_SECONDS)
+    while at < seconds:
+        duration = round(rng.uniform(0.2, MAX_DURATION_SECONDS), 2)
+        restore = RestoreStore(
+            copy_seconds=duration,
+            down_seconds=round(rng.uniform(0.0, 0.8), 2),
+            rewrite_seconds=round(rng.uniform(0.0, 0.8), 2),
+        )
+        endpoint = rng.randrange(endpoints)
+        mode = rng.choice(LATER_ENDPOINT_MODES)
+        faulty = Endpoint(endpoint, mode, duration)
+        planned.append(ScheduledFault(at, rng.choice((restore, faulty))))
+        at += rng.uniform(MIN_GAP_SECONDS, MAX_LATER_GAP_SECONDS)
+    return planned
+
+
 def _draw_fault(rng: random.Random, gateways: int, endpoints: int) -> Fault:
     seconds = round(rng.uniform(0.2, MAX_DURATION_SECONDS), 2)
     gateway = rng.randrange(gateways)
--- a/cranberryglade/soak/links.py
+++ b/cranberryglade/soak/links.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cranberryglade.gateway import sockets
+from cranberryglade.standins import connections
 
 CHUNK_BYTES = 65_536
 HOLD_TICK_SECONDS = 0.02
@@ -60,7 +61,7 @@
     def reset(self) -> None:
         """Resets all connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            connections.reset(writer)
 
     def clear(self) -> None:
         """Ends all impairments; data that was held back is delivered."""
@@ -69,14 +70,14 @@
     async def _accept(self, reader, writer) -> None:
         self._writers.add(writer)
         if self.impairments.refuses:
-            writer.transport.abort()
+            connections.reset(writer)
             return
         try:
             upstream = await asyncio.open_connection(
                 *sockets.split_address(self._target)
             )
         except OSError:
-            writer.transport.abort()
+            connections.reset(writer)
             return
         self._writers.add(upstream[1])
         self._start_task(self._copy(reader, upstream[1], "holds_requests"))
@@ -98,6 +99,6 @@
             writer.close()
         except OSError:
             # Passes a reset of one side on to the other side.
-            writer.transport.abort()
+            connections.reset(writer)
         finally:
             self._writers.discard(writer)
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -145,6 +145,8 @@
                 )
             case faults.Store(mode, seconds):
                 await self._store(mode, seconds)
+            case faults.RestoreStore():
+                await self._restore_store(fault)
             case faults.Endpoint(endpoint, mode, seconds):
                 standin = self._deployment.endpoints[endpoint]
                 standin.default_behaviour = self._deployment.behaviour(
@@ -214,6 +216,17 @@
         await asyncio.sleep(seconds)
         store.clear_faults()
 
+    async def _restore_store(self, fault: faults.RestoreStore) -> None:
+        store = self._deployment.store
+        store.take_copy()
+        await asyncio.sleep(fault.copy_seconds)
+        store.faults.refuse = True
+        await asyncio.sleep(fault.down_seconds)
+        store.restore_copy()
+        store.faults.refuse = False
+        await asyncio.sleep(fault.rewrite_seconds)
+        self._deployment.write_again()
+
     async def _leave(self, number: int, seconds: float) -> None:
         self._drains[number] += 1
         self._deployment.list_endpoint(number, "draining")
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -4,10 +4,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import socket
-import struct
 
 from cranberryglade.gateway import dialect
+from cranberryglade.standins import connections
 
 SEAL = "seal-of-{}"
 
@@ -298,7 +297,7 @@
                 writer.write(encode(event(number)))
             await writer.drain()
             await asyncio.sleep(DELIVERY_SECONDS)
-            _reset_connection(writer)
+            connections.reset(writer)
 
         return behave
 
@@ -363,14 +362,6 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-def _reset_connection(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    writer.transport.abort()
-
-
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
