Check software versions of streams in the soak

Endpoints are of two versions and say so in their events, which come 30 ms apart, and callers resume broken streams at a random gateway in a new attempt. A stream with events of two versions, also over a resumption, is a violation.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -14,6 +14,7 @@
 from cranberryglade.standins import store
 
 EVENTS_PER_STREAM = 4
+EVENT_GAP_SECONDS = 0.03
 WORK_SECONDS = (0.002, 0.04)
 READY_TIMEOUT_SECONDS = 10.0
 NOT_RUN_MODES = ("refuse", "unsealed", "pause")
@@ -22,6 +23,8 @@
 PAUSE = "0.3"
 """Value of the Retry-After header of endpoints that ask for a pause."""
 
+SOFTWARE_VERSIONS = ("v1", "v2")
+
 BREAKABLE_FRAMINGS = (
     dialect.Framing.CHUNKED,
     dialect.Framing.CONNECTION_CLOSE,
@@ -106,7 +109,10 @@
     async def start(self) -> None:
         """Starts everything and waits until all gateways are ready."""
         target = await self.store.serve()
+        versions = itertools.cycle(SOFTWARE_VERSIONS)
         for each in self.endpoints:
+            each.software_version = next(versions)
+            each.event_gap_seconds = EVENT_GAP_SECONDS
             each.default_behaviour = self.behaviour(each)
             await each.start()
             link = links.Link(each.address)
@@ -227,7 +233,7 @@
                 framing = self._random.choice(BREAKABLE_FRAMINGS)
                 return endpoint.events(seen + 1, last, False, framing)
             case "reset_unframed":
-                return endpoint.reset_unframed(EVENTS_PER_STREAM - 1)
+                return endpoint.reset_unframed(EVENTS_PER_STREAM - 1, seen + 1)
             case "pause":
                 return endpoint.ask_for_pause(PAUSE)
             case _:
--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -31,6 +31,8 @@
         abandoned: whether the caller gave up deliberately, or the run ended
             first.
         lag_seconds: total delay of the soak's own event loop since `sent`.
+        resumes: request whose broken stream it resumes; "" if none.
+        resumed_after: number of the last event of that stream.
     """
 
     id: str
@@ -45,6 +47,29 @@
     body: bytes = b""
     abandoned: bool = False
     lag_seconds: float = 0.0
+    resumes: str = ""
+    resumed_after: int = 0
+
+    @property
+    def resumable(self) -> bool:
+        """Whether a caller may resume its broken stream."""
+        broken = self.status == 200 and not self.whole
+        first = self.route == "write" and not self.resumes
+        return broken and first and self.last_event > 0
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last whole event that its caller received."""
+        whole = self.body.rpartition(b"\n\n")[0]
+        ids = [n for n in whole.split(b"\n") if n.startswith(b"id: ")]
+        return int(ids[-1][4:]) if ids else 0
+
+    @property
+    def versions(self) -> set[bytes]:
+        """Software versions that its events came from."""
+        whole = self.body.rpartition(b"\n\n")[0]
+        texts = [n for n in whole.split(b"\n") if n.startswith(b"data: ")]
+        return {text.rpartition(b" ")[0] for text in texts}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -163,6 +188,7 @@
             _check_refusals,
             _check_responses,
             _check_streams,
+            _check_versions,
             _check_timeouts,
             _check_planned_stops,
             _check_stop_durations,
@@ -219,7 +245,8 @@
             continue
         lines = each.body.decode().splitlines()
         ids = [line[4:] for line in lines if line.startswith("id: ")]
-        wanted = [str(number) for number in range(1, bounds.events + 1)]
+        first = each.resumed_after + 1
+        wanted = [str(number) for number in range(first, bounds.events + 1)]
         if each.whole and ids != wanted:
             yield Violation("stream", each.id, f"complete, with events {ids}")
         elif ids[:-1] != wanted[: len(ids[:-1])]:
@@ -227,6 +254,17 @@
             yield Violation("stream", each.id, f"incomplete, with events {ids}")
 
 
+def _check_versions(history: History, bounds: Bounds) -> Iterator[Violation]:
+    for each in history.submissions.values():
+        if each.route not in ("write", "note") or each.status != 200:
+            continue
+        versions = each.versions
+        if each.resumes:
+            versions = versions | history.submissions[each.resumes].versions
+        if len(versions) > 1:
+            yield Violation("version", each.id, f"events of {versions}")
+
+
 def _check_timeouts(history: History, bounds: Bounds) -> Iterator[Violation]:
     for each in history.submissions.values():
         allowed = bounds.timeout_seconds + TIMEOUT_SLACK_SECONDS
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -69,6 +69,7 @@
         self._random = random.Random(seed)
         self._clock = clock
         self._numbers = itertools.count()
+        self._broken: list[guarantees.Submission] = []
 
     async def run(self) -> None:
         """Sends requests as one caller until cancelled.
@@ -97,12 +98,17 @@
 
     async def _request(self, caller, number: int, loop) -> bool:
         """Sends a request; returns whether the connection can be reused."""
+        broken = self._broken.pop() if self._broken else None
         submission = guarantees.Submission(
             id=f"s-{next(self._numbers)}",
-            route=self._random.choice(ROUTES),
+            route=broken.route if broken else self._random.choice(ROUTES),
             gateway=number,
-            second_key=self._random.random() < 0.3,
+            second_key=broken.second_key
+            if broken
+            else self._random.random() < 0.3,
             sent=loop.time(),
+            resumes=broken.id if broken else "",
+            resumed_after=broken.last_event if broken else 0,
         )
         self._history.submissions[submission.id] = submission
         key = (
@@ -117,6 +123,8 @@
             b"payload" if is_post else b"",
             X_Attempt_Id=submission.id,
             Authorization=f"Bearer {key}",
+            Last_Event_Id=str(broken.last_event) if broken else None,
+            Resumes=broken.id if broken else None,
         )
         submission.abandoned = self._random.random() < ABANDONED_SHARE
         timeout = 0.02 if submission.abandoned else CALLER_TIMEOUT_SECONDS
@@ -134,5 +142,7 @@
         submission.whole = answer.whole
         submission.sealed = answer.sealed
         submission.body = answer.body
+        if submission.resumable:
+            self._broken.append(submission)
         closing = answer.headers.get("connection", "").lower() == "close"
         return answer.whole and not closing
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -10,6 +10,8 @@
 
 SEAL = "seal-of-{}"
 
+USUAL_VERSION = "v1"
+
 LAST_CHUNK = b"0\r\n\r\n"
 """End of a body in chunks."""
 
@@ -59,6 +61,9 @@
         script: behaviours for the next requests, one for each.
         default_behaviour: behaviour once the script is empty.
         leaving: whether its answers state that it is about to stop.
+        event_gap_seconds: time between two events of a stream.
+        software_version: version in its row and, if it is not the usual one,
+            in the data of its events.
         connections: number of connections accepted so far.
     """
 
@@ -70,6 +75,8 @@
         self.script: list[Behaviour] = []
         self.default_behaviour = usual or self.succeed
         self.leaving = False
+        self.event_gap_seconds = 0.0
+        self.software_version = USUAL_VERSION
         self.connections = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -98,7 +105,7 @@
             "service": service,
             "address": self.address,
             "zone": "north",
-            "version": "v1",
+            "version": self.software_version,
             "slots": 4,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -248,10 +255,12 @@
             self.ran.append(received.request_id)
             encode = self._start_stream(received, writer, framing)
             for number in range(first, last + 1):
-                writer.write(encode(event(number)))
+                writer.write(encode(self._event(number)))
                 await writer.drain()
+                await asyncio.sleep(self.event_gap_seconds)
             if not whole:
-                writer.write(encode(event(last + 1)[:INCOMPLETE_EVENT_BYTES]))
+                begun = self._event(last + 1)[:INCOMPLETE_EVENT_BYTES]
+                writer.write(encode(begun))
             elif framing is dialect.Framing.CHUNKED:
                 writer.write(LAST_CHUNK)
             await writer.drain()
@@ -260,6 +269,11 @@
 
         return behave
 
+    def _event(self, number: int) -> bytes:
+        if self.software_version == USUAL_VERSION:
+            return event(number)
+        return event(number, f"piece of {self.software_version}")
+
     def ended_within_event(self, last: int) -> Behaviour:
         """Returns a behaviour that ends a stream properly, but in an event.
 
@@ -281,11 +295,12 @@
 
         return behave
 
-    def reset_unframed(self, last: int) -> Behaviour:
+    def reset_unframed(self, last: int, first: int = 1) -> Behaviour:
         """Returns a behaviour that resets an answer without framing.
 
         Args:
             last: number of the last whole event.
+            first: number of the first event.
         """
 
         async def behave(received, reader, writer):
@@ -293,8 +308,8 @@
             encode = self._start_stream(
                 received, writer, dialect.Framing.CONNECTION_CLOSE
             )
-            for number in range(1, last + 1):
-                writer.write(encode(event(number)))
+            for number in range(first, last + 1):
+                writer.write(encode(self._event(number)))
             await writer.drain()
             await asyncio.sleep(DELIVERY_SECONDS)
             connections.reset(writer)
@@ -357,9 +372,9 @@
         await behaviour(received, reader, writer)
 
 
-def event(number: int) -> bytes:
+def event(number: int, text: str = "piece") -> bytes:
     """Returns the server-sent event with that number as its id."""
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+    return f"id: {number}\ndata: {text} {number}\n\n".encode()
 
 
 def _chunk(data: bytes) -> bytes:
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -93,6 +93,26 @@
     }
 
 
+def test_a_stream_of_two_software_versions_is_caught():
+    body = STREAM_BODY.replace(b"piece", b"piece of v1 1", 1)
+    mixed = a_submission(route="write", body=body)
+    assert violated(a_history(mixed)) == {"version"}
+
+
+def test_a_resumed_stream_of_another_software_version_is_caught():
+    ends = STREAM_BODY.index(b"id: 3")
+    begun = a_submission(route="write", whole=False, body=STREAM_BODY[:ends])
+    assert begun.resumable
+    assert begun.last_event == 2
+    rest = STREAM_BODY[ends:]
+    resumed = a_submission(
+        "s-2", "write", body=rest, resumes="s-1", resumed_after=2
+    )
+    assert violated(a_history(begun, resumed)) == set()
+    resumed.body = rest.replace(b"piece", b"other 3")
+    assert violated(a_history(begun, resumed)) == {"version"}
+
+
 def test_truncated_stream_is_no_violation():
     torn = a_submission(route="write", whole=False, body=STREAM_BODY[:30])
     assert violated(a_history(torn)) == set()
