--- a/cranberryglade/tests/gateway_builders.py
+++ b/cranberryglade/tests/gateway_builders.py
@@ -2,6 +2,7 @@
 
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
+from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 
 SERVICE = operator_configuration.SERVICE
@@ -91,3 +92,9 @@
         "resumed_attempt": "",
     }
     return messages.RequestMetadata(**(fields | changes))
+
+
+def make_events(first: int, last: int) -> bytes:
+    """Returns the events of an endpoint stand-in with these numbers."""
+    numbers = range(first, last + 1)
+    return b"".join(endpoint_standin.event(number) for number in numbers)
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -5,19 +5,14 @@
 import pytest
 
 from cranberryglade.gateway import dialect
-from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
 Cluster = gateway_cluster.Cluster
 Framing = dialect.Framing
 
 
-def make_events(first: int, last: int) -> bytes:
-    numbers = range(first, last + 1)
-    return b"".join(endpoint_standin.event(number) for number in numbers)
-
-
 async def test_a_request_and_its_answer_pass_unchanged():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
@@ -277,7 +272,7 @@
         (endpoint,) = cluster.runners
         endpoint.script.append(endpoint.events(1, 5))
         answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.body == make_events(1, 5)
+        assert answer.body == builders.make_events(1, 5)
         assert answer.whole
 
 
@@ -287,7 +282,7 @@
             endpoint.default_behaviour = endpoint.resuming(3, 6)
         answer = await cluster.send_request(target="/write/1", method="POST")
         assert answer.whole
-        assert answer.body == make_events(1, 6)
+        assert answer.body == builders.make_events(1, 6)
         sent = [r for e in cluster.runners for r in e.received]
         resumed = [r.headers.get("last-event-id") for r in sent]
         assert sorted(resumed, key=str) == ["3", None]
@@ -311,7 +306,7 @@
         )
         answer = await cluster.send_request(target="/note/1", method="POST")
         assert answer.whole
-        assert answer.body == make_events(1, 5)
+        assert answer.body == builders.make_events(1, 5)
 
 
 async def test_stream_that_ends_inside_an_event_is_not_framed_as_complete():
@@ -323,7 +318,7 @@
         answer = await cluster.send_request(target="/note/1", method="POST")
         assert answer.status == 200
         assert not answer.whole
-        assert answer.body == make_events(1, 3)
+        assert answer.body == builders.make_events(1, 3)
 
 
 async def test_unframed_stream_without_events_is_not_framed_as_complete():
@@ -353,7 +348,7 @@
         answer = await cluster.send_request(target="/note/1", method="POST")
         assert answer.status == 200
         assert not answer.whole
-        assert answer.body == make_events(1, 3)
+        assert answer.body == builders.make_events(1, 3)
 
 
 async def test_reset_stream_without_framing_is_not_framed_as_complete():
@@ -363,7 +358,7 @@
         answer = await cluster.send_request(target="/note/1", method="POST")
         assert answer.status == 200
         assert not answer.whole
-        assert answer.body == make_events(1, 3)
+        assert answer.body == builders.make_events(1, 3)
 
 
 async def test_stream_without_framing_that_breaks_off_is_resumed_elsewhere():
@@ -374,7 +369,7 @@
             )
         answer = await cluster.send_request(target="/write/1", method="POST")
         assert answer.whole
-        assert answer.body == make_events(1, 6)
+        assert answer.body == builders.make_events(1, 6)
         sent = [r for e in cluster.runners for r in e.received]
         resumed = [r.headers.get("last-event-id") for r in sent]
         assert sorted(resumed, key=str) == ["3", None]
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -4,6 +4,7 @@
 
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
 Cluster = gateway_cluster.Cluster
@@ -13,17 +14,12 @@
 """Time in which the instances tell each other which streams they began."""
 
 
-def make_events(first: int, last: int) -> bytes:
-    numbers = range(first, last + 1)
-    return b"".join(endpoint_standin.event(number) for number in numbers)
-
-
 async def begin_stream(cluster, attempt="a-1", gateway=0):
     """Sends a request whose stream breaks off after its third event."""
     answer = await cluster.send_request(
         gateway, target="/write/1", method="POST", X_Attempt_Id=attempt
     )
-    assert answer.body == make_events(1, 3)
+    assert answer.body == builders.make_events(1, 3)
     assert not answer.whole
 
 
@@ -90,7 +86,7 @@
                 target="/write/1", method="POST", X_Attempt_Id=f"a-{number}"
             )
             assert answer.whole
-            assert answer.body == make_events(1, 6)
+            assert answer.body == builders.make_events(1, 6)
             versions = [
                 version
                 for endpoint, version in zip(
@@ -113,7 +109,7 @@
                 target="/write/1", method="POST", X_Attempt_Id=f"a-{number}"
             )
             assert answer.whole
-            assert answer.body == make_events(1, 6)
+            assert answer.body == builders.make_events(1, 6)
 
 
 async def test_caller_resumes_at_the_version_that_began_the_stream():
@@ -128,7 +124,7 @@
                 cluster, f"b-{number}", gateway=number % 2
             )
             assert answer.whole
-            assert answer.body == make_events(4, 6)
+            assert answer.body == builders.make_events(4, 6)
         for other in cluster.runners[1:]:
             assert sent_to(other) == []
 
@@ -183,7 +179,7 @@
         for attempt in ("a-unknown", None):
             answer = await resume_stream(cluster, resumes=attempt)
             assert answer.whole
-            assert answer.body == make_events(4, 6)
+            assert answer.body == builders.make_events(4, 6)
 
 
 async def test_stream_whose_version_is_gone_is_refused_at_once():
