--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -222,3 +222,22 @@
             answer = await resume_stream(cluster, f"b-{number}")
             assert answer.whole
         assert sent_to(other) == []
+
+
+async def test_stream_of_an_endpoint_that_restarted_unseen_is_not_mixed():
+    # The endpoint runs v2 already, but its row still says v1.
+    async with Cluster(runners=2) as cluster:
+        other, restarted = cluster.runners
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        cluster.register_runner(other, state="draining")
+        await cluster.wait_for_endpoints(lambda listed: listed["i-0"].leaving)
+        await begin_stream(cluster)
+        assert sent_to(restarted) == ["a-1"]
+        cluster.register_runner(restarted, version="v2", born=2)
+        cluster.register_runner(other)
+        await cluster.wait_for_endpoints(
+            lambda listed: not listed["i-0"].leaving
+        )
+        await resume_stream(cluster)
+        assert sent_to(other) == []
