--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -264,8 +264,8 @@
             and now - member.answered_at < timeout
         ]
 
-    def keepers(self, key: str, count: int, now: float) -> list[Member]:
-        """Returns the members that keep what is stored under a key.
+    def replicas(self, key: str, count: int, now: float) -> list[Member]:
+        """Returns the members that have copies of what is stored under a key.
 
         They follow the key on a consistent-hashing ring of all names, which is
         nearly the same at all instances. Where each sends heartbeats to all
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -22,11 +22,11 @@
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
 
-KEEPERS = 3
-"""Other instances that keep an origin."""
+REPLICAS = 3
+"""Other instances that have a copy of an origin."""
 
-ASKED_KEEPERS = 4
-"""Instances that are asked; more than keep it, as one may have failed since."""
+QUERIED_REPLICAS = 4
+"""Instances that are asked; more than have a copy, as one may have failed."""
 
 REPLY_TIMEOUT_SECONDS = 0.04
 QUERY_ROUNDS = 2
@@ -135,7 +135,7 @@
         if known is not None:
             return known
         service = services[0] if len(services) == 1 else ""
-        targets = self._mesh.members.keepers(attempt, ASKED_KEEPERS, now)
+        targets = self._mesh.members.replicas(attempt, QUERIED_REPLICAS, now)
         replies = await self._ask(targets, attempt, service)
         for reply in replies:
             if reply.origin is not None:
@@ -190,7 +190,7 @@
             record = datagrams.OriginRecord(
                 attempt, origin.service, origin.software_version
             )
-            for member in self._mesh.members.keepers(attempt, KEEPERS, now):
+            for member in self._mesh.members.replicas(attempt, REPLICAS, now):
                 batches[member.name].append(record)
         for name, records in batches.items():
             for start in range(0, len(records), RECORDS_PER_DATAGRAM):
--- a/cranberryglade/tests/test_leaving_endpoints.py
+++ b/cranberryglade/tests/test_leaving_endpoints.py
@@ -77,7 +77,7 @@
         assert len(leaving.received) == 1
 
 
-async def test_a_stream_that_runs_at_a_leaving_endpoint_ends_in_peace():
+async def test_a_stream_at_a_leaving_endpoint_is_not_interrupted():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
         endpoint.leaving = True
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -98,7 +98,7 @@
     assert len(origins) == 0
 
 
-def test_all_instances_agree_on_the_keepers_of_a_key():
+def test_all_instances_agree_on_the_replicas_of_a_key():
     names = [f"i-{number}" for number in range(40)]
     chosen = []
     for own in names[:5]:
@@ -107,7 +107,7 @@
             members.register(name, f"{name}:1", "north", 0.0)
         keys = [f"a-{number}" for number in range(200)]
         chosen.append(
-            [[m.name for m in members.keepers(key, 3, 0.0)] for key in keys]
+            [[m.name for m in members.replicas(key, 3, 0.0)] for key in keys]
         )
     assert all(each == chosen[0] for each in chosen)
     assert all(len(set(names)) == 3 for names in chosen[0])
