--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -64,6 +64,7 @@
             folder, gateways, endpoints, seed
         )
         self._schedule = faults.schedule(seed, seconds, gateways, endpoints)
+        self._clock = load.LagMonitor()
         self._faulted: set[int] = set()
         self._revocations = 0
         self._drains = [0] * endpoints
@@ -81,7 +82,7 @@
     async def _run_phases(self) -> None:
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        clock = load.LagMonitor()
+        clock = self._clock
         callers = load.LoadGenerator(
             self._deployment.machines,
             self._deployment.history,
@@ -192,7 +193,11 @@
             guarantees.GatewayPeriod(number, begun, stopped)
         )
         if not ended:
-            detail = f"gate-{number} exceeded its grace period"
+            lag = self._clock.lag(begun)
+            detail = (
+                f"gate-{number} exceeded its grace period; "
+                f"the soak itself lagged by {lag:.2f} s"
+            )
             self._deployment.history.late_stops.append(detail)
         await self._restart(number, stopped)
 
