Keep the attempted endpoints once, and derive what is logged of them

Their ids and versions were two lists that had to be changed together, and the size of the incomplete event was copied from the splitter. The exchange now keeps the endpoints, and the splitter keeps an incomplete event until the next attempt begins. One log value becomes right with it: a stream that is abandoned inside an event said incomplete_event_bytes=0.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -23,8 +23,7 @@
         deadline: when its final answer is due, seconds of the loop's clock.
         arrived: when its last byte was read, seconds of the loop's clock.
         splitter: splits its stream into whole events.
-        attempted_endpoints: ids of the endpoints that it was sent to, in order.
-        attempted_versions: software versions of those endpoints, in order.
+        attempted_endpoints: the endpoints that it was sent to, in order.
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
         cost_submitted: whether its cost was part of an earlier slot request.
@@ -36,8 +35,6 @@
         waited_seconds: seconds spent waiting for slots.
         answer_framing: how the end of the last attempt's answer is marked;
             None if the attempt had no answer that can be relayed.
-        incomplete_event_bytes: size of the incomplete event at the end of the
-            last attempt's stream.
     """
 
     request: messages.Request
@@ -47,8 +44,9 @@
     deadline: float
     arrived: float
     splitter: event_streams.EventSplitter
-    attempted_endpoints: list[str] = dataclasses.field(default_factory=list)
-    attempted_versions: list[str] = dataclasses.field(default_factory=list)
+    attempted_endpoints: list[messages.Endpoint] = dataclasses.field(
+        default_factory=list
+    )
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
     origin: messages.StreamOrigin | None = None
@@ -57,7 +55,6 @@
     fallback_answer: sending.Answer | None = None
     waited_seconds: float = 0.0
     answer_framing: dialect.Framing | None = None
-    incomplete_event_bytes: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -99,7 +96,7 @@
         return {
             "framing": self.answer_framing.value,
             "last_event": self.splitter.last_id,
-            "incomplete_event_bytes": self.incomplete_event_bytes,
+            "incomplete_event_bytes": len(self.splitter.pending),
         }
 
 
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -270,8 +270,7 @@
         admitted = exchange.admitted
         kind = admitted.route.kind
         organisation = admitted.organisation
-        exchange.attempted_endpoints.append(endpoint.id)
-        exchange.attempted_versions.append(endpoint.software_version)
+        exchange.attempted_endpoints.append(endpoint)
         exchange.excluded_endpoints.append(endpoint.id)
         added = dialect.AddedHeaders(
             endpoint=endpoint.id,
@@ -281,7 +280,7 @@
         )
         exchange.attempt_in_progress = True
         exchange.answer_framing = None
-        exchange.incomplete_event_bytes = 0
+        exchange.splitter.discard_pending()
         result = await self._sender.send(
             exchange.request,
             endpoint,
@@ -318,7 +317,6 @@
             case sending.AttemptFailure(outcome, reason):
                 if outcome is messages.Outcome.UNREACHABLE:
                     exchange.attempted_endpoints.pop()
-                    exchange.attempted_versions.pop()
                 elif not outcome.not_run:
                     exchange.earlier_attempt_may_have_run = True
                 return outcome, self._retry_or_give_up(exchange, reason)
@@ -340,10 +338,8 @@
         except BaseException:
             opened.channel.abort()
             raise
-        exchange.incomplete_event_bytes = len(exchange.splitter.pending)
         if lost:
             opened.channel.abort()
-            exchange.splitter.discard_pending()
             return messages.Outcome.LOST, self._retry_or_give_up(exchange, lost)
         self._sender.put_back(endpoint, opened.channel)
         responder.finish()
@@ -462,6 +458,7 @@
         took_seconds = asyncio.get_running_loop().time() - exchange.arrived
         self._state.metrics.count_request(ended.reason, took_seconds)
         organisation = exchange.admitted.organisation
+        attempted = exchange.attempted_endpoints
         logger.info(
             "request.ended",
             id=exchange.facts.id,
@@ -469,8 +466,8 @@
             organisation=organisation.name if organisation else "",
             status=ended.status,
             reason=ended.reason,
-            endpoints=exchange.attempted_endpoints,
-            software_versions=exchange.attempted_versions,
+            endpoints=[each.id for each in attempted],
+            software_versions=[each.software_version for each in attempted],
             resumed_attempt=exchange.facts.resumed_attempt,
             resumed_after=exchange.facts.last_event_id,
             waited_ms=round(exchange.waited_seconds * 1000),
