--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -187,9 +187,7 @@
             collections.defaultdict(list)
         )
         for attempt, origin in origins.items():
-            record = datagrams.OriginRecord(
-                attempt, origin.service, origin.software_version
-            )
+            record = _encode(attempt, origin)
             for member in self._mesh.members.replicas(attempt, REPLICAS, now):
                 batches[member.name].append(record)
         for name, records in batches.items():
@@ -224,11 +222,7 @@
 
     def _reply(self, query: datagrams.OriginQuery, now: float) -> None:
         origin = self._lookup(query.attempt, now)
-        record = None
-        if origin is not None:
-            record = datagrams.OriginRecord(
-                query.attempt, origin.service, origin.software_version
-            )
+        record = _encode(query.attempt, origin) if origin else None
         versions = sorted(self._versions.versions(query.service, now))
         reply = datagrams.OriginReply(query.number, record, versions)
         self._mesh.send_to(query.name, reply)
@@ -243,6 +237,14 @@
             pending.complete.set_result(None)
 
 
+def _encode(
+    attempt: str, origin: messages.StreamOrigin
+) -> datagrams.OriginRecord:
+    return datagrams.OriginRecord(
+        attempt, origin.service, origin.software_version
+    )
+
+
 def _decode(record: datagrams.OriginRecord) -> messages.StreamOrigin:
     return messages.StreamOrigin(record.service, record.software_version)
 
--- a/cranberryglade/gateway/software_versions.py
+++ b/cranberryglade/gateway/software_versions.py
@@ -3,15 +3,13 @@
 from collections.abc import Iterable
 
 from cranberryglade.gateway import messages
-
-RETENTION_SECONDS = 60.0
-"""How long a version counts after its last endpoint; longer than a stream and
-its resumptions last."""
+from cranberryglade.gateway import stream_origins
 
 
 class SoftwareVersions:
     """Versions of endpoints that are listed, or were lately; performs no I/O.
 
+    A version counts for as long after its last endpoint as origins are kept.
     Times are seconds of the loop's clock.
     """
 
@@ -27,7 +25,7 @@
         lately = {
             version
             for version, since in removed.items()
-            if now - since < RETENTION_SECONDS
+            if now - since < stream_origins.RETENTION_SECONDS
         }
         return lately | self._listed.get(service, set())
 
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -14,7 +14,7 @@
 from cranberryglade.tests import gateway_builders as builders
 
 SERVICE = builders.SERVICE
-RETENTION = software_versions.RETENTION_SECONDS
+RETENTION = stream_origins.RETENTION_SECONDS
 OLD = messages.StreamOrigin(SERVICE, "v1")
 NEW = messages.StreamOrigin(SERVICE, "v2")
 
