--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -208,8 +208,7 @@
             self._choose_introduction(now),
         )
         self.send(member, pong)
-        if ping.report is not None or ping.leaving:
-            self._on_message(ping.name, ping)
+        self._on_message(ping.name, ping)
 
     def _receive_pong(self, pong: datagrams.Pong) -> None:
         sent_at = self._ping_times.get(pong.sequence)
