--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -55,10 +55,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Page:
-    """One page of rows; `has_more` says whether further ones follow."""
+    """One page of a read; `has_more` says whether further ones follow."""
 
-    version: ports.Version
-    rows: list[ports.Row]
+    read: ports.Rows
     has_more: bool
 
 
@@ -151,7 +150,9 @@
         }
         page = await self._fetch_rows("/rows-get", query, self._read_seconds)
         absent = ports.Row(key, ports.NO_VERSION, None)
-        return page.map(lambda read: read.rows[0] if read.rows else absent)
+        return page.map(
+            lambda found: found.read.rows[0] if found.read.rows else absent
+        )
 
     async def read_table(
         self, table: ports.Table
@@ -168,12 +169,15 @@
                 "/rows-get", query, self._read_seconds
             )
             match page:
-                case Success(read) if era not in (None, read.version.era):
+                case Success(Page(read)) if era not in (
+                    None,
+                    read.version.era,
+                ):
                     return Failure(ports.StoreError.HISTORY_LOST)
-                case Success(read):
+                case Success(Page(read, has_more)):
                     era = read.version.era
                     rows += read.rows
-                    if not read.has_more or not read.rows:
+                    if not has_more or not read.rows:
                         return Success(ports.Rows(read.version, rows))
                     start = read.rows[-1].key + "\0"
                 case Failure(_):
@@ -197,12 +201,10 @@
         timeout = wait_seconds + self._read_seconds
         page = await self._fetch_rows("/rows-feed", query, timeout)
         match page:
-            case Success(read) if read.version.era != after.era:
+            case Success(Page(read)) if read.version.era != after.era:
                 return Failure(ports.StoreError.HISTORY_LOST)
             case _:
-                return page.map(
-                    lambda read: ports.Rows(read.version, read.rows)
-                )
+                return page.map(lambda found: found.read)
 
     async def write(
         self,
@@ -261,15 +263,14 @@
     async def _fetch_rows(self, path: str, query: dict, timeout: float):
         target = f"{path}?{urllib.parse.urlencode(query)}"
         call = fetching.Call("GET", target, b"", timeout)
-        reply = await self._fetcher.fetch(call)
-        era = _era(reply.unwrap()) if isinstance(reply, Success) else 0
-        return _decode_reply(reply, WireRows).map(
-            lambda wire: Page(
-                ports.Version(era, wire.ver),
-                [_row(each, era) for each in wire.rows],
-                wire.has_more,
-            )
-        )
+        match await self._fetcher.fetch(call):
+            case Success(reply):
+                era = _era(reply)
+                return _decode_reply(Success(reply), WireRows).map(
+                    lambda wire: _page(wire, era)
+                )
+            case failure:
+                return _body(failure)
 
 
 def _era(reply: fetching.Reply) -> int:
@@ -319,6 +320,11 @@
     return transaction
 
 
+def _page(wire: WireRows, era: int) -> Page:
+    rows = [_row(each, era) for each in wire.rows]
+    return Page(ports.Rows(ports.Version(era, wire.ver), rows), wire.has_more)
+
+
 def _row(wire: WireRow, era: int) -> ports.Row:
     try:
         value = base64.b64decode(wire.value, validate=True)
