--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Removal:
+class RemovedEntry:
     """An entry that was removed, and when, in seconds of the loop's clock."""
 
     entry: Entry
@@ -44,7 +44,7 @@
     __slots__ = (
         "_store_unreachable",
         "_store_back_at",
-        "_removals",
+        "_pending_removals",
         "_removed",
         "_entries",
         "_leaving",
@@ -55,8 +55,8 @@
 
     def __init__(self):
         self._entries: dict[str, Entry] = {}
-        self._removals: dict[str, float] = {}
-        self._removed: dict[str, Removal] = {}
+        self._pending_removals: dict[str, float] = {}
+        self._removed: dict[str, RemovedEntry] = {}
         self._leaving: dict[str, int] = {}
         self._withheld: dict[str, Entry] = {}
         self._withheld_until: float | None = None
@@ -92,8 +92,8 @@
 
     @property
     def next_expiry(self) -> float | None:
-        """Time at which `expire` is next due; None if nothing expires."""
-        return min(self._removals.values(), default=None)
+        """Time at which a removal is next due; None if there is none."""
+        return min(self._pending_removals.values(), default=None)
 
     def store_lost(self) -> None:
         """Records that the store is unreachable."""
@@ -122,14 +122,14 @@
             return False
         entry = Entry(endpoint, version)
         if known is not None and _is_old_copy(entry, known):
-            self._removals.pop(endpoint.id, None)
+            self._pending_removals.pop(endpoint.id, None)
             self._entries[endpoint.id] = Entry(known.endpoint, version)
             return False
         if self._must_withhold(entry):
             self._withheld[endpoint.id] = entry
             return False
         self._removed.pop(endpoint.id, None)
-        self._removals.pop(endpoint.id, None)
+        self._pending_removals.pop(endpoint.id, None)
         self._entries[endpoint.id] = entry
         announced = self._leaving.get(endpoint.id)
         if endpoint.leaving or announced != endpoint.started_ms:
@@ -149,7 +149,7 @@
             return False
         until = self._store_back_at + RECOVERY_GRACE_SECONDS
         if now < until or self._store_unreachable:
-            self._removals.setdefault(id_, max(until, now))
+            self._pending_removals.setdefault(id_, max(until, now))
             return False
         self._drop(id_, now)
         return True
@@ -201,7 +201,7 @@
             Whether there were any.
         """
         restored = self._restore_withheld(now)
-        due = [id_ for id_, at in self._removals.items() if at <= now]
+        due = [id_ for id_, at in self._pending_removals.items() if at <= now]
         for id_ in due:
             self._drop(id_, now)
         return restored or bool(due)
@@ -209,11 +209,11 @@
     def _must_withhold(self, entry: Entry) -> bool:
         if self._withheld_until is None:
             return False
-        removal = self._removed.get(entry.endpoint.id)
+        removed = self._removed.get(entry.endpoint.id)
         return (
-            removal is not None
-            and removal.entry.version.era != entry.version.era
-            and removal.entry.endpoint.started_ms == entry.endpoint.started_ms
+            removed is not None
+            and removed.entry.version.era != entry.version.era
+            and removed.entry.endpoint.started_ms == entry.endpoint.started_ms
         )
 
     def _restore_withheld(self, now: float) -> bool:
@@ -227,13 +227,13 @@
         return bool(withheld)
 
     def _drop(self, id_: str, now: float) -> None:
-        self._removals.pop(id_, None)
+        self._pending_removals.pop(id_, None)
         self._leaving.pop(id_, None)
         entry = self._entries.pop(id_, None)
         if entry is not None:
-            self._removed[id_] = Removal(entry, now)
-        for old, removal in list(self._removed.items()):
-            if now - removal.removed_at >= REMOVAL_MEMORY_SECONDS:
+            self._removed[id_] = RemovedEntry(entry, now)
+        for old, removed in list(self._removed.items()):
+            if now - removed.removed_at >= REMOVAL_MEMORY_SECONDS:
                 del self._removed[old]
 
 
