Send the events of the endpoint stand-in in one place

Three behaviours had the same loop, two the same refusal, and the text of an event depended on whether the software version was the usual one. The soak now sets the text that it checks.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -112,6 +112,7 @@
         versions = itertools.cycle(SOFTWARE_VERSIONS)
         for each in self.endpoints:
             each.software_version = next(versions)
+            each.event_text = f"piece of {each.software_version}"
             each.event_gap_seconds = EVENT_GAP_SECONDS
             each.default_behaviour = self.behaviour(each)
             await each.start()
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -10,7 +10,7 @@
 
 SEAL = "seal-of-{}"
 
-USUAL_VERSION = "v1"
+EVENT_TEXT = "piece"
 
 LAST_CHUNK = b"0\r\n\r\n"
 """End of a body in chunks."""
@@ -62,8 +62,8 @@
         default_behaviour: behaviour once the script is empty.
         leaving: whether its answers state that it is about to stop.
         event_gap_seconds: time between two events of a stream.
-        software_version: version in its row and, if it is not the usual one,
-            in the data of its events.
+        event_text: text in the data of its events.
+        software_version: version in its row.
         connections: number of connections accepted so far.
     """
 
@@ -76,7 +76,8 @@
         self.default_behaviour = usual or self.succeed
         self.leaving = False
         self.event_gap_seconds = 0.0
-        self.software_version = USUAL_VERSION
+        self.event_text = EVENT_TEXT
+        self.software_version = "v1"
         self.connections = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -121,8 +122,7 @@
 
     async def refuse(self, received, reader, writer) -> None:
         """Refuses a request with 503 and X-Not-Executed."""
-        writer.write(self._head(received, 503, ["X-Not-Executed: 1"], 0))
-        await writer.drain()
+        await self._refuse(received, writer, [])
 
     def ask_for_pause(self, retry_after: str) -> Behaviour:
         """Returns a behaviour that refuses a request and asks for a pause.
@@ -132,12 +132,16 @@
         """
 
         async def behave(received, reader, writer):
-            lines = ["X-Not-Executed: 1", f"Retry-After: {retry_after}"]
-            writer.write(self._head(received, 503, lines, 0))
-            await writer.drain()
+            lines = [f"Retry-After: {retry_after}"]
+            await self._refuse(received, writer, lines)
 
         return behave
 
+    async def _refuse(self, received, writer, header_lines) -> None:
+        lines = ["X-Not-Executed: 1", *header_lines]
+        writer.write(self._head(received, 503, lines, 0))
+        await writer.drain()
+
     async def fail(self, received, reader, writer) -> None:
         """Runs a request and answers with status 500."""
         self.ran.append(received.request_id)
@@ -252,15 +256,11 @@
         """
 
         async def behave(received, reader, writer):
-            self.ran.append(received.request_id)
-            encode = self._start_stream(received, writer, framing)
-            for number in range(first, last + 1):
-                writer.write(encode(self._event(number)))
-                await writer.drain()
-                await asyncio.sleep(self.event_gap_seconds)
+            encode = await self._send_events(
+                received, writer, framing, range(first, last + 1)
+            )
             if not whole:
-                begun = self._event(last + 1)[:INCOMPLETE_EVENT_BYTES]
-                writer.write(encode(begun))
+                writer.write(encode(self._incomplete_event(last + 1)))
             elif framing is dialect.Framing.CHUNKED:
                 writer.write(LAST_CHUNK)
             await writer.drain()
@@ -269,11 +269,6 @@
 
         return behave
 
-    def _event(self, number: int) -> bytes:
-        if self.software_version == USUAL_VERSION:
-            return event(number)
-        return event(number, f"piece of {self.software_version}")
-
     def ended_within_event(self, last: int) -> Behaviour:
         """Returns a behaviour that ends a stream properly, but in an event.
 
@@ -283,13 +278,10 @@
         """
 
         async def behave(received, reader, writer):
-            self.ran.append(received.request_id)
-            encode = self._start_stream(
-                received, writer, dialect.Framing.CHUNKED
+            encode = await self._send_events(
+                received, writer, dialect.Framing.CHUNKED, range(1, last + 1)
             )
-            for number in range(1, last + 1):
-                writer.write(encode(event(number)))
-            writer.write(encode(event(last + 1)[:INCOMPLETE_EVENT_BYTES]))
+            writer.write(encode(self._incomplete_event(last + 1)))
             writer.write(LAST_CHUNK)
             await writer.drain()
 
@@ -304,32 +296,47 @@
         """
 
         async def behave(received, reader, writer):
-            self.ran.append(received.request_id)
-            encode = self._start_stream(
-                received, writer, dialect.Framing.CONNECTION_CLOSE
+            await self._send_events(
+                received,
+                writer,
+                dialect.Framing.CONNECTION_CLOSE,
+                range(first, last + 1),
             )
-            for number in range(first, last + 1):
-                writer.write(encode(self._event(number)))
-            await writer.drain()
             await asyncio.sleep(DELIVERY_SECONDS)
             connections.reset(writer)
 
         return behave
 
-    def _start_stream(
+    async def _send_events(
         self,
         received: Received,
         writer: asyncio.StreamWriter,
         framing: dialect.Framing,
+        numbers: range,
     ) -> Callable[[bytes], bytes]:
+        """Runs a request and sends the head and whole events of its stream.
+
+        Returns:
+            Encodes further bytes of the body as the framing demands.
+        """
+        self.ran.append(received.request_id)
         lines = [
             "X-Response-Seal: " + SEAL.format(self.id),
             "Content-Type: text/event-stream",
         ]
-        if framing is dialect.Framing.CHUNKED:
+        is_chunked = framing is dialect.Framing.CHUNKED
+        if is_chunked:
             lines.append("Transfer-Encoding: chunked")
+        encode = _chunk if is_chunked else bytes
         writer.write(self._head(received, 200, lines, None))
-        return _chunk if framing is dialect.Framing.CHUNKED else bytes
+        for number in numbers:
+            writer.write(encode(event(number, self.event_text)))
+            await writer.drain()
+            await asyncio.sleep(self.event_gap_seconds)
+        return encode
+
+    def _incomplete_event(self, number: int) -> bytes:
+        return event(number, self.event_text)[:INCOMPLETE_EVENT_BYTES]
 
     def answer(
         self, received: Received, body: bytes, status: int = 200
@@ -372,7 +379,7 @@
         await behaviour(received, reader, writer)
 
 
-def event(number: int, text: str = "piece") -> bytes:
+def event(number: int, text: str = EVENT_TEXT) -> bytes:
     """Returns the server-sent event with that number as its id."""
     return f"id: {number}\ndata: {text} {number}\n\n".encode()
 
