Let tests of streams share what they set up

The cluster kept the endpoints' versions beside the endpoints, each test of resumption set the same behaviours, and seven tests of one stream had the same four lines around their one difference. All assertions stay.

--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -54,7 +54,6 @@
     Attributes:
         store: stand-in of the store.
         runners: stand-ins of the endpoints.
-        versions: software version of each of them.
         gateways: the gateways in the order of their start.
         settings: settings of each gateway.
         reload_result: result of reading the settings again, for all gateways.
@@ -68,7 +67,10 @@
             endpoint_standin.EndpointStandin(f"i-{number}")
             for number in range(runners)
         ]
-        self.versions: list[str] = versions or ["v1"] * runners
+        for runner, version in zip(
+            self.runners, versions or (), strict=versions is not None
+        ):
+            runner.software_version = version
         self.gateways: list[process.Gateway] = []
         self.settings: list[settings.Settings] = []
         self._gateway_count = gateways
@@ -81,9 +83,9 @@
 
     async def __aenter__(self):
         self.store_address = await self.store.serve(free_port())
-        for each, version in zip(self.runners, self.versions, strict=True):
+        for each in self.runners:
             await each.start()
-            self.register_runner(each, version=version)
+            self.register_runner(each)
         if self._config:
             self.configure(self._config)
         for number in range(self._gateway_count):
@@ -153,13 +155,12 @@
         self.store.list_endpoint(listed.id, entry)
 
     async def add_runner(
-        self, added: endpoint_standin.EndpointStandin, version="v1", **changes
+        self, added: endpoint_standin.EndpointStandin, **changes
     ) -> None:
         """Starts an endpoint and writes its row to the store."""
         await added.start()
         self.runners.append(added)
-        self.versions.append(version)
-        self.register_runner(added, version=version, **changes)
+        self.register_runner(added, **changes)
 
     async def wait_for_endpoints(self, check) -> None:
         """Waits until the endpoints of each gateway satisfy a check.
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -267,13 +267,22 @@
         assert answer.headers["x-response-seal"] == "seal-of-i-0"
 
 
-async def test_stream_is_relayed_completely():
+async def receive_stream(behaviour):
+    """Returns the answer to a request whose stream cannot be resumed.
+
+    Args:
+        behaviour: returns the behaviour of the only endpoint, given that.
+    """
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
-        endpoint.script.append(endpoint.events(1, 5))
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.body == builders.make_events(1, 5)
-        assert answer.whole
+        endpoint.script.append(behaviour(endpoint))
+        return await cluster.send_request(target="/note/1", method="POST")
+
+
+async def test_stream_is_relayed_completely():
+    answer = await receive_stream(lambda each: each.events(1, 5))
+    assert answer.body == builders.make_events(1, 5)
+    assert answer.whole
 
 
 async def test_broken_stream_is_resumed_at_another_endpoint():
@@ -299,66 +308,48 @@
 
 
 async def test_a_stream_may_end_with_its_connection():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(
-            endpoint.events(1, 5, framing=Framing.CONNECTION_CLOSE)
-        )
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.whole
-        assert answer.body == builders.make_events(1, 5)
+    answer = await receive_stream(
+        lambda each: each.events(1, 5, framing=Framing.CONNECTION_CLOSE)
+    )
+    assert answer.whole
+    assert answer.body == builders.make_events(1, 5)
 
 
 async def test_stream_that_ends_inside_an_event_is_not_framed_as_complete():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(
-            endpoint.events(1, 3, False, Framing.CONNECTION_CLOSE)
-        )
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.status == 200
-        assert not answer.whole
-        assert answer.body == builders.make_events(1, 3)
+    answer = await receive_stream(
+        lambda each: each.events(1, 3, False, Framing.CONNECTION_CLOSE)
+    )
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body == builders.make_events(1, 3)
 
 
 async def test_unframed_stream_without_events_is_not_framed_as_complete():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(
-            endpoint.events(1, 0, framing=Framing.CONNECTION_CLOSE)
-        )
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.status == 200
-        assert not answer.whole
+    answer = await receive_stream(
+        lambda each: each.events(1, 0, framing=Framing.CONNECTION_CLOSE)
+    )
+    assert answer.status == 200
+    assert not answer.whole
 
 
 async def test_chunked_stream_without_events_is_complete():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(endpoint.events(1, 0))
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.whole
-        assert answer.body == b""
+    answer = await receive_stream(lambda each: each.events(1, 0))
+    assert answer.whole
+    assert answer.body == b""
 
 
 async def test_chunked_stream_that_ends_inside_an_event_is_not_complete():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(endpoint.ended_within_event(3))
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.status == 200
-        assert not answer.whole
-        assert answer.body == builders.make_events(1, 3)
+    answer = await receive_stream(lambda each: each.ended_within_event(3))
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body == builders.make_events(1, 3)
 
 
 async def test_reset_stream_without_framing_is_not_framed_as_complete():
-    async with Cluster() as cluster:
-        (endpoint,) = cluster.runners
-        endpoint.script.append(endpoint.reset_unframed(3))
-        answer = await cluster.send_request(target="/note/1", method="POST")
-        assert answer.status == 200
-        assert not answer.whole
-        assert answer.body == builders.make_events(1, 3)
+    answer = await receive_stream(lambda each: each.reset_unframed(3))
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body == builders.make_events(1, 3)
 
 
 async def test_stream_without_framing_that_breaks_off_is_resumed_elsewhere():
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -14,11 +14,16 @@
 """Time in which the instances tell each other which streams they began."""
 
 
-async def begin_stream(cluster, attempt="a-1", gateway=0):
+def make_resumable(cluster) -> None:
+    """Lets all endpoints break streams after the third of six events."""
+    for endpoint in cluster.runners:
+        endpoint.default_behaviour = endpoint.resuming(3, 6)
+
+
+async def begin_stream(cluster) -> None:
     """Sends a request whose stream breaks off after its third event."""
-    answer = await cluster.send_request(
-        gateway, target="/write/1", method="POST", X_Attempt_Id=attempt
-    )
+    make_resumable(cluster)
+    answer = await cluster.send_request(target="/write/1", method="POST")
     assert answer.body == builders.make_events(1, 3)
     assert not answer.whole
 
@@ -48,9 +53,9 @@
 
 
 async def set_state(cluster, endpoints, state) -> None:
-    """Lists endpoints of version v2 as ready or as draining."""
+    """Lists endpoints as ready or as draining."""
     for endpoint in endpoints:
-        cluster.register_runner(endpoint, version="v2", state=state)
+        cluster.register_runner(endpoint, state=state)
     leaving = state == "draining"
     await cluster.wait_for_endpoints(
         lambda listed: all(
@@ -63,24 +68,22 @@
     """Lists three more endpoints of the service, of another version."""
     for number in range(3):
         added = endpoint_standin.EndpointStandin(f"j-{number}")
-        added.default_behaviour = added.resuming(3, 6)
-        await cluster.add_runner(added, version="v2")
+        added.software_version = "v2"
+        await cluster.add_runner(added)
+    make_resumable(cluster)
     count = len(cluster.runners)
     await cluster.wait_for_endpoints(lambda listed: len(listed) == count)
 
 
 async def test_stream_goes_on_within_its_answer_at_the_version_that_began_it():
     async with Cluster(runners=2, versions=["v1", "v2"]) as cluster:
-        for endpoint in cluster.runners:
-            endpoint.default_behaviour = endpoint.resuming(3, 6)
         await begin_stream(cluster)
         assert sum(map(len, map(sent_to, cluster.runners))) == 1
 
 
 async def test_stream_goes_on_within_its_answer_at_an_endpoint_of_its_version():
     async with Cluster(runners=4, versions=["v1", "v2"] * 2) as cluster:
-        for endpoint in cluster.runners:
-            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        make_resumable(cluster)
         for number in range(RESUMES):
             answer = await cluster.send_request(
                 target="/write/1", method="POST", X_Attempt_Id=f"a-{number}"
@@ -88,10 +91,8 @@
             assert answer.whole
             assert answer.body == builders.make_events(1, 6)
             versions = [
-                version
-                for endpoint, version in zip(
-                    cluster.runners, cluster.versions, strict=True
-                )
+                endpoint.software_version
+                for endpoint in cluster.runners
                 if f"a-{number}" in sent_to(endpoint)
             ]
             assert len(versions) == 2
@@ -115,7 +116,6 @@
 async def test_caller_resumes_at_the_version_that_began_the_stream():
     async with Cluster(gateways=2) as cluster:
         (first,) = cluster.runners
-        first.default_behaviour = first.resuming(3, 6)
         await begin_stream(cluster)
         await occupy(cluster, first)
         await list_another_version(cluster)
@@ -133,7 +133,6 @@
     versions = ["v2"] * 3 + ["v1"]
     async with Cluster(gateways=3, runners=4, versions=versions) as cluster:
         *others, first = cluster.runners
-        first.default_behaviour = first.resuming(3, 6)
         await set_state(cluster, others, "draining")
         await begin_stream(cluster)
         await set_state(cluster, others, "ready")
@@ -150,7 +149,6 @@
 async def test_caller_resumes_although_a_version_was_listed_after_it_began():
     async with Cluster(gateways=3) as cluster:
         (first,) = cluster.runners
-        first.default_behaviour = first.resuming(3, 6)
         await begin_stream(cluster)
         await occupy(cluster, first)
         await list_another_version(cluster)
@@ -174,8 +172,7 @@
 
 async def test_stream_of_unknown_origin_is_resumed_at_the_only_version():
     async with Cluster(gateways=2, runners=2) as cluster:
-        for endpoint in cluster.runners:
-            endpoint.default_behaviour = endpoint.resuming(3, 6)
+        make_resumable(cluster)
         for attempt in ("a-unknown", None):
             answer = await resume_stream(cluster, resumes=attempt)
             assert answer.whole
@@ -185,7 +182,6 @@
 async def test_stream_whose_version_is_gone_is_refused_at_once():
     async with Cluster(gateways=2) as cluster:
         (first,) = cluster.runners
-        first.default_behaviour = first.resuming(3, 6)
         await begin_stream(cluster)
         await list_another_version(cluster)
         cluster.store.remove("servers", first.id)
@@ -201,7 +197,6 @@
 async def test_stream_goes_on_at_the_service_that_began_it():
     async with Cluster() as cluster:
         (first,) = cluster.runners
-        first.default_behaviour = first.resuming(3, 6)
         await begin_stream(cluster)
         other = endpoint_standin.EndpointStandin("j-0")
         other.default_behaviour = other.resuming(3, 6)
@@ -228,16 +223,10 @@
     # The endpoint runs v2 already, but its row still says v1.
     async with Cluster(runners=2) as cluster:
         other, restarted = cluster.runners
-        for endpoint in cluster.runners:
-            endpoint.default_behaviour = endpoint.resuming(3, 6)
-        cluster.register_runner(other, state="draining")
-        await cluster.wait_for_endpoints(lambda listed: listed["i-0"].leaving)
+        await set_state(cluster, [other], "draining")
         await begin_stream(cluster)
         assert sent_to(restarted) == ["a-1"]
         cluster.register_runner(restarted, version="v2", born=2)
-        cluster.register_runner(other)
-        await cluster.wait_for_endpoints(
-            lambda listed: not listed["i-0"].leaving
-        )
+        await set_state(cluster, [other], "ready")
         await resume_stream(cluster)
         assert sent_to(other) == []
