--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -60,16 +60,22 @@
     @property
     def last_event(self) -> int:
         """Number of the last whole event that its caller received."""
-        whole = self.body.rpartition(b"\n\n")[0]
-        ids = [n for n in whole.split(b"\n") if n.startswith(b"id: ")]
-        return int(ids[-1][4:]) if ids else 0
+        ids = self._fields(b"id: ")
+        return int(ids[-1]) if ids else 0
 
     @property
     def versions(self) -> set[bytes]:
         """Software versions that its events came from."""
+        return {text.rpartition(b" ")[0] for text in self._fields(b"data: ")}
+
+    def _fields(self, name: bytes) -> list[bytes]:
+        """Returns the values of a field in the whole events of the body."""
         whole = self.body.rpartition(b"\n\n")[0]
-        texts = [n for n in whole.split(b"\n") if n.startswith(b"data: ")]
-        return {text.rpartition(b" ")[0] for text in texts}
+        return [
+            line.removeprefix(name)
+            for line in whole.split(b"\n")
+            if line.startswith(name)
+        ]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -98,18 +98,7 @@
 
     async def _request(self, caller, number: int, loop) -> bool:
         """Sends a request; returns whether the connection can be reused."""
-        broken = self._broken.pop() if self._broken else None
-        submission = guarantees.Submission(
-            id=f"s-{next(self._numbers)}",
-            route=broken.route if broken else self._random.choice(ROUTES),
-            gateway=number,
-            second_key=broken.second_key
-            if broken
-            else self._random.random() < 0.3,
-            sent=loop.time(),
-            resumes=broken.id if broken else "",
-            resumed_after=broken.last_event if broken else 0,
-        )
+        submission = self._draw(number, loop.time())
         self._history.submissions[submission.id] = submission
         key = (
             operator_configuration.SECOND_KEY
@@ -123,8 +112,8 @@
             b"payload" if is_post else b"",
             X_Attempt_Id=submission.id,
             Authorization=f"Bearer {key}",
-            Last_Event_Id=str(broken.last_event) if broken else None,
-            Resumes=broken.id if broken else None,
+            Last_Event_Id=submission.resumed_after or None,
+            Resumes=submission.resumes or None,
         )
         submission.abandoned = self._random.random() < ABANDONED_SHARE
         timeout = 0.02 if submission.abandoned else CALLER_TIMEOUT_SECONDS
@@ -146,3 +135,25 @@
             self._broken.append(submission)
         closing = answer.headers.get("connection", "").lower() == "close"
         return answer.whole and not closing
+
+    def _draw(self, gateway: int, now: float) -> guarantees.Submission:
+        """Returns a new request; it resumes a broken stream if there is one."""
+        id_ = f"s-{next(self._numbers)}"
+        if self._broken:
+            broken = self._broken.pop()
+            return guarantees.Submission(
+                id=id_,
+                route=broken.route,
+                gateway=gateway,
+                second_key=broken.second_key,
+                sent=now,
+                resumes=broken.id,
+                resumed_after=broken.last_event,
+            )
+        return guarantees.Submission(
+            id=id_,
+            route=self._random.choice(ROUTES),
+            gateway=gateway,
+            second_key=self._random.random() < 0.3,
+            sent=now,
+        )
