Log a digest of what each request asks for

The digest covers host, path, query in any order, method, body and organisation; no headers, which a caller may change with each attempt. No logic changes.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -19,6 +19,7 @@
         request: the request as it was read.
         facts: its decoded headers.
         admitted: its route, organisation, rank and cost.
+        digest: names what it asks for, as `request_digests` does.
         responder: writes its answer.
         deadline: when its final answer is due, seconds of the loop's clock.
         arrived: when its last byte was read, seconds of the loop's clock.
@@ -43,6 +44,7 @@
     request: messages.Request
     facts: messages.RequestMetadata
     admitted: admission.Admitted
+    digest: str
     responder: responding.Responder
     deadline: float
     arrived: float
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import request_digests
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
@@ -128,6 +129,9 @@
             request=request,
             facts=facts,
             admitted=admitted,
+            digest=request_digests.compute_digest(
+                request, facts.host, _organisation_name(admitted)
+            ),
             responder=responder,
             deadline=request.arrived + admitted.timeout_seconds,
             arrived=request.arrived,
@@ -295,6 +299,7 @@
                     reason=exchange.failure,
                     left_ms=round(exchange.remaining_seconds * 1000),
                     prompt_parts=exchange.facts.prompt_parts,
+                    digest=exchange.digest,
                     **exchange.answer_log_fields(),
                 )
 
@@ -303,12 +308,11 @@
     ) -> sending.Result:
         admitted = exchange.admitted
         kind = admitted.route.kind
-        organisation = admitted.organisation
         exchange.attempted_endpoints.append(endpoint)
         exchange.excluded_endpoints.append(endpoint.id)
         added = dialect.AddedHeaders(
             endpoint=endpoint.id,
-            organisation=organisation.name if organisation else "",
+            organisation=_organisation_name(admitted),
             remaining_seconds=exchange.remaining_seconds,
             last_event_id=exchange.splitter.last_id,
         )
@@ -462,7 +466,6 @@
     ) -> messages.SlotRequest:
         admitted = exchange.admitted
         facts = exchange.facts
-        organisation = admitted.organisation
         return messages.SlotRequest(
             id=f"{self._state.incarnation}.{next(self._request_numbers)}",
             service=admitted.service,
@@ -480,7 +483,7 @@
                     self._state.endpoints, asyncio.get_running_loop().time()
                 ),
             ),
-            organisation=organisation.name if organisation else "",
+            organisation=_organisation_name(admitted),
             cost=0.0 if exchange.cost_submitted else admitted.cost,
             software_version=(
                 exchange.origin.software_version if exchange.origin else None
@@ -512,13 +515,13 @@
     ) -> None:
         took_seconds = asyncio.get_running_loop().time() - exchange.arrived
         self._state.metrics.count_request(ended.reason, took_seconds)
-        organisation = exchange.admitted.organisation
         attempted = exchange.attempted_endpoints
         logger.info(
             "request.ended",
             id=exchange.facts.id,
             route=exchange.admitted.route.name,
-            organisation=organisation.name if organisation else "",
+            organisation=_organisation_name(exchange.admitted),
+            digest=exchange.digest,
             status=ended.status,
             reason=ended.reason,
             endpoints=[each.id for each in attempted],
@@ -532,6 +535,10 @@
         )
 
 
+def _organisation_name(admitted: admission.Admitted) -> str:
+    return admitted.organisation.name if admitted.organisation else ""
+
+
 def retry_after_header(seconds: float) -> messages.Header:
     """Returns a Retry-After header, in seconds with two decimals."""
     return messages.Header(b"Retry-After", b"%.2f" % seconds)
