--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -145,6 +145,15 @@
         writer.write(self.answer(received, b"body of " + received.body))
         await writer.drain()
 
+    async def serve_by_target(self, received, reader, writer) -> None:
+        """Streams three events on routes for streams, and succeeds on others.
+
+        The routes are those of `operator_configuration`.
+        """
+        streams = received.target.startswith(("/write/", "/note/"))
+        behave = self.events(1, 3) if streams else self.succeed
+        await behave(received, reader, writer)
+
     async def refuse(self, received, reader, writer) -> None:
         """Refuses a request with 503 and X-Not-Executed."""
         await self._refuse(received, writer, [])
@@ -242,9 +251,22 @@
             part: id of the prompt part that the requests have in common.
             otherwise: behaviour for all other requests.
         """
+        return self.crashing_if(
+            lambda received: part in received.prompt_parts, otherwise
+        )
+
+    def crashing_if(
+        self, is_faulty: Callable[[Received], bool], otherwise: Behaviour
+    ) -> Behaviour:
+        """Returns a behaviour that crashes when it answers certain requests.
+
+        Args:
+            is_faulty: returns whether a request is one of them.
+            otherwise: behaviour for all other requests.
+        """
 
         async def behave(received, reader, writer):
-            if part not in received.prompt_parts:
+            if not is_faulty(received):
                 await otherwise(received, reader, writer)
                 return
             await self.in_chunks(b"")(received, reader, writer)
