Quarantine whole requests that crash endpoints, by their digests

Cause: the quarantine knew parts of prompts only. A lost answer of a request without any was not checked for a crash, and nothing connected its repeats.

Why this works: no second mechanism. The digest of a request is one more part beside those of its prompt, so that suspicion, running one at a time, quarantine, the store, successors and operators hold for it as they are. Answers to whole requests are kept apart from those to prompt parts, which a flood of distinct requests would displace; a part that a caller names cannot pass for a digest. Bodies are hashed, not kept. The probe of an endpoint's port is closed now, as all lost requests make one: kept, it would have stayed open at endpoints that flood connections.

--- a/cranberryglade/crash_evidence.py
+++ b/cranberryglade/crash_evidence.py
@@ -1,8 +1,11 @@
-"""Finds the prompt parts that crash endpoints, by the crashes that they ran in.
+"""Finds what crashes endpoints, by the crashes that it ran in.
 
-Load pattern: requests that share one part of their prompts arrive at any
-instance, no two alike. Each crashes the endpoint that runs it, and with it
-requests that are sound and share the other parts. A part is suspected by the
+A part is what requests have in common: a part of their prompts, or the whole
+request, by its digest, which its repeats share.
+
+Load pattern: requests that share one part arrive at any instance: no two alike,
+or one request again and again. Each crashes the endpoint that runs it, and with
+it requests that are sound and share the other parts. A part is suspected by the
 crashes that happened while it ran, one after the other; a whole answer on it
 clears it. Requests with a suspected part run one at a time, so that a crash has
 one possible cause and few are needed to find it.
@@ -19,6 +22,10 @@
 
 from cranberryglade import recent_map
 
+REQUEST_PREFIX = "-"
+"""First character of the digests of whole requests, which no id of a prompt
+part has; sorts before those."""
+
 SUSPECT_ENDPOINTS = 2
 """A part is suspected once this many endpoints crashed while it ran."""
 
@@ -44,8 +51,8 @@
 """How long a crash counts."""
 
 MAX_RECORDS = 4096
-"""Number of parts whose crashes, and of those whose answers are recorded; the
-oldest are dropped first."""
+"""Number of parts whose crashes are recorded, and of prompt parts and of whole
+requests whose answers are; the oldest are dropped first."""
 
 SHARED_SUSPICIONS = 8
 """Suspicions that a heartbeat holds; those with most crashes."""
@@ -56,11 +63,11 @@
     """An attempt that ran at an endpoint when it crashed.
 
     Attributes:
-        prompt_parts: parts of its prompt that other requests may share.
+        parts: what it has in common with other requests.
         began_at: when it got its slot, seconds of the loop's clock.
     """
 
-    prompt_parts: tuple[str, ...]
+    parts: tuple[str, ...]
     began_at: float
 
 
@@ -125,16 +132,27 @@
 
 
 class CrashEvidence:
-    """Crashes and whole answers by prompt part; performs no I/O.
+    """Crashes and whole answers by part; performs no I/O.
 
     Times are seconds of the loop's clock.
     """
 
-    __slots__ = ("_answered", "_crashed", "_crashes", "_records")
+    __slots__ = (
+        "_answered_prompt_parts",
+        "_answered_requests",
+        "_crashed",
+        "_crashes",
+        "_records",
+    )
 
     def __init__(self):
-        self._answered: recent_map.RecentMap[str, bool] = recent_map.RecentMap(
-            RECORD_SECONDS, MAX_RECORDS
+        # Many requests are unlike all others, and must not displace the parts
+        # of prompts.
+        self._answered_prompt_parts: recent_map.RecentMap[str, bool] = (
+            recent_map.RecentMap(RECORD_SECONDS, MAX_RECORDS)
+        )
+        self._answered_requests: recent_map.RecentMap[str, bool] = (
+            recent_map.RecentMap(RECORD_SECONDS, MAX_RECORDS)
         )
         self._crashed: recent_map.RecentMap[Hashable, bool] = (
             recent_map.RecentMap(RECORD_SECONDS, MAX_RECORDS)
@@ -149,18 +167,18 @@
         """Number of suspected parts."""
         return sum(map(self._is_suspect, self._records))
 
-    def suspected(self, prompt_parts: tuple[str, ...]) -> set[str]:
+    def suspected(self, parts: tuple[str, ...]) -> set[str]:
         """Returns those of some parts that are suspected.
 
         Only one request with such a part may run at a time.
         """
         if not self._records:
             return set()
-        return set(filter(self._is_suspect, prompt_parts))
+        return set(filter(self._is_suspect, parts))
 
     def was_answered(self, part: str) -> bool:
         """Returns whether a part had whole answers lately."""
-        return part in self._answered
+        return part in self._answered(part)
 
     def record_crash(
         self,
@@ -182,7 +200,7 @@
         """
         latest: dict[str, float] = {}
         for attempt in running:
-            for part in attempt.prompt_parts:
+            for part in attempt.parts:
                 known = latest.get(part, attempt.began_at)
                 latest[part] = max(known, attempt.began_at)
         if latest and process not in self._crashed:
@@ -194,11 +212,11 @@
             self._records.set(part, record, now)
         return self._judge([p for p in latest if p in self._records])
 
-    def record_served(self, prompt_parts: tuple[str, ...], now: float) -> None:
-        """Records a whole answer, which clears all parts of its prompt."""
-        self.clear(prompt_parts)
-        for part in prompt_parts:
-            self._answered.set(part, True, now)
+    def record_served(self, parts: tuple[str, ...], now: float) -> None:
+        """Records a whole answer, which clears all parts of its request."""
+        self.clear(parts)
+        for part in parts:
+            self._answered(part).set(part, True, now)
 
     def clear(self, parts: Iterable[str]) -> None:
         """Drops the suspicions against parts."""
@@ -232,10 +250,17 @@
 
     def expire(self, now: float) -> None:
         """Drops what is too old."""
-        self._answered.expire(now)
+        self._answered_prompt_parts.expire(now)
+        self._answered_requests.expire(now)
         self._crashed.expire(now)
         self._records.expire(now)
 
+    def _answered(self, part: str) -> recent_map.RecentMap[str, bool]:
+        """Returns the answered parts of the same kind."""
+        if part.startswith(REQUEST_PREFIX):
+            return self._answered_requests
+        return self._answered_prompt_parts
+
     def _judge(self, parts: list[str]) -> Finding | None:
         if not parts:
             return None
--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -178,7 +178,7 @@
     ) -> None:
         """Releases the slot of a request after an attempt."""
         now = asyncio.get_running_loop().time()
-        id_, parts = request.id, request.prompt_parts
+        id_, parts = request.id, request.parts
         granter = self._granted_by.pop(id_, self._name)
         if granter != self._name:
             told = list(parts) if self._tells_of_parts(parts, outcome) else []
@@ -265,7 +265,7 @@
                 self._slots.withdraw(id_)
                 self._charges.refund(id_)
                 ended = messages.Outcome(outcome)
-                parts = tuple(message.prompt_parts)
+                parts = tuple(message.parts)
                 self._slots.record_evidence(id_, parts, ended, now)
                 self._free_slot(sender, id_, ended, now)
             case datagrams.Queued(id=id_):
--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -42,7 +42,7 @@
         organisation=request.organisation,
         cost=request.cost,
         software_version=request.software_version,
-        prompt_parts=list(request.prompt_parts),
+        parts=list(request.parts),
     )
 
 
@@ -63,7 +63,7 @@
         organisation=ask.organisation,
         cost=ask.cost,
         software_version=ask.software_version,
-        prompt_parts=tuple(ask.prompt_parts),
+        parts=tuple(ask.parts),
     )
 
 
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -204,7 +204,8 @@
         organisation: whose quota it is charged to; "" if none.
         cost: the charge; 0 if it was charged before.
         software_version: the only version that may run it; None for any.
-        prompt_parts: parts of its prompt that other requests may share.
+        parts: what it has in common with other requests, as in
+            `crash_evidence`.
     """
 
     name: str
@@ -220,7 +221,7 @@
     organisation: str
     cost: float
     software_version: str | None = None
-    prompt_parts: list[str] = []
+    parts: list[str] = []
 
 
 class Queued(msgspec.Struct, array_like=True, tag=4, frozen=True):
@@ -258,12 +259,12 @@
     Attributes:
         id: id of the request.
         outcome: how it ended; a value of `messages.Outcome`.
-        prompt_parts: as in SlotRequest, if the outcome tells something of them.
+        parts: as in SlotRequest, if the outcome tells something of them.
     """
 
     id: str
     outcome: str
-    prompt_parts: list[str] = []
+    parts: list[str] = []
 
 
 class Leaving(msgspec.Struct, array_like=True, tag=8, frozen=True):
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from cranberryglade import crash_evidence
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
@@ -63,6 +64,14 @@
     crashes: int = 0
     answer_framing: dialect.Framing | None = None
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """What it has in common with others: prompt parts, and its digest."""
+        prefix = crash_evidence.REQUEST_PREFIX
+        prompt_parts = self.facts.prompt_parts
+        own = [part for part in prompt_parts if not part.startswith(prefix)]
+        return (*own, self.digest)
+
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have run it, or may still run it."""
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -130,7 +130,7 @@
             facts=facts,
             admitted=admitted,
             digest=request_digests.compute_digest(
-                request, facts.host, _organisation_name(admitted)
+                request, facts, _organisation_name(admitted)
             ),
             responder=responder,
             deadline=request.arrived + admitted.timeout_seconds,
@@ -211,13 +211,13 @@
     def _refuse_quarantined(
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult | None:
-        """Ends a request that has a quarantined prompt part.
+        """Ends a request that is quarantined, or that has such a part.
 
         Returns:
             How it ended; None if it may be sent.
         """
         now = asyncio.get_running_loop().time()
-        entry = self._state.quarantine.find(exchange.facts.prompt_parts, now)
+        entry = self._state.quarantine.find(exchange.parts, now)
         if entry is None:
             return None
         logger.info(
@@ -265,8 +265,7 @@
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> bool:
         now = asyncio.get_running_loop().time()
-        parts = exchange.facts.prompt_parts
-        if self._state.quarantine.find(parts, now) is not None:
+        if self._state.quarantine.find(exchange.parts, now) is not None:
             return False
         paused = self._pauses.is_paused(endpoint, now)
         return not paused and exchange.may_be_sent_to(endpoint)
@@ -391,13 +390,7 @@
     async def _explain_loss(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> messages.Outcome:
-        """Returns how an attempt ended whose answer was lost.
-
-        Whether the endpoint crashed only matters for a request that shares
-        parts of its prompt with others.
-        """
-        if not exchange.facts.prompt_parts:
-            return messages.Outcome.LOST
+        """Returns how an attempt ended whose answer was lost."""
         if not await self._sender.has_ended(endpoint):
             return messages.Outcome.LOST
         exchange.crashes += 1
@@ -488,7 +481,7 @@
             software_version=(
                 exchange.origin.software_version if exchange.origin else None
             ),
-            prompt_parts=facts.prompt_parts,
+            parts=exchange.parts,
         )
 
     def _reject(
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -57,6 +57,8 @@
             of the stream that the caller resumes; "" if none.
         prompt_parts: ids of the parts of the prompt that other requests may
             share, in order; without its last part.
+        own_prompt_part: id of the last part of the prompt, which belongs to
+            the request or its session; "" if there is none.
     """
 
     id: str
@@ -71,6 +73,7 @@
     last_event_id: str
     resumed_attempt: str
     prompt_parts: tuple[str, ...] = ()
+    own_prompt_part: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -200,7 +203,8 @@
         cost: charge to the quota; 0 if it was charged before.
         software_version: the only version that may run it, as it resumes a
             stream; None for any.
-        prompt_parts: parts of its prompt that other requests may share.
+        parts: what it has in common with other requests, as in
+            `crash_evidence`.
     """
 
     id: str
@@ -215,7 +219,7 @@
     organisation: str = ""
     cost: float = 0.0
     software_version: str | None = None
-    prompt_parts: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
 
     def may_run_at(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint of its service may run it."""
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -394,11 +394,6 @@
         else:
             channel.abort()
 
-    def add_unused(self, channel: Channel) -> None:
-        """Adds a connection on which nothing has been sent yet."""
-        channel.idle_since = asyncio.get_running_loop().time()
-        self._idle.append(channel)
-
     def close(self) -> None:
         """Closes the idle connections."""
         for channel in self._idle:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -362,12 +362,12 @@
         )
         watch(
             "prompt_parts_suspected",
-            "Prompt parts whose requests run one at a time.",
+            "Prompt parts and digests whose requests run one at a time.",
             lambda: state.quarantine.evidence.suspected_count,
         )
         watch(
             "quarantines",
-            "Quarantines of prompt parts, lifted ones included.",
+            "Quarantines, lifted ones included.",
             lambda: len(state.quarantine.entries),
         )
         watch(
--- a/cranberryglade/gateway/request_digests.py
+++ b/cranberryglade/gateway/request_digests.py
@@ -2,43 +2,49 @@
 
 import hashlib
 
+import xxhash
+
+from cranberryglade import crash_evidence
 from cranberryglade.gateway import messages
 
 DIGEST_BYTES = 16
 
-PREFIX = "="
-"""First character of each digest, which no id of a prompt part has."""
-
 
 def compute_digest(
-    request: messages.Request, host: str, organisation: str
+    request: messages.Request,
+    facts: messages.RequestMetadata,
+    organisation: str,
 ) -> str:
     """Returns the digest of a request.
 
     It is the same for each repeat of a request, whatever instance it arrives
     at. Headers and the order of the query's parameters do not count, as a
-    caller may change them with each attempt.
+    caller may change them with each attempt; only without a body, requests are
+    told apart by their prompts.
 
     Args:
         request: the request as it was read.
-        host: the host that it is for.
+        facts: its decoded headers.
         organisation: name of the caller's organisation; "" if none.
 
     Returns:
-        The digest, in hexadecimal after PREFIX.
+        The digest, in hexadecimal after crash_evidence.REQUEST_PREFIX.
     """
     path, _, query = request.target.partition(b"?")
+    # Fast for large bodies; whoever finds two with one hash only confuses
+    # requests of its own organisation.
+    prompt = (*facts.prompt_parts, facts.own_prompt_part)
     fields = (
-        host.lower().encode("latin-1"),
+        facts.host.lower().encode("latin-1"),
         organisation.encode(),
         request.method,
         path,
         b"&".join(sorted(query.split(b"&"))),
-        request.body,
+        xxhash.xxh3_128_digest(request.body or ",".join(prompt).encode()),
     )
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for field in fields:
         # With its length, no field can be taken for a part of another.
         digest.update(b"%d:" % len(field))
         digest.update(field)
-    return PREFIX + digest.hexdigest()
+    return crash_evidence.REQUEST_PREFIX + digest.hexdigest()
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -193,8 +193,7 @@
     async def has_ended(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint's process has ended.
 
-        Then nothing listens at its address. A connection that is made is kept
-        for another request.
+        Then nothing listens at its address.
         """
         pool = self.pools.for_address(endpoint.address)
         try:
@@ -208,7 +207,7 @@
                 reason=type(error).__name__,
             )
             return False
-        pool.add_unused(channel)
+        channel.abort()
         return False
 
     async def _take_channel(
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -59,7 +59,7 @@
         """Creates a scheduler without endpoints.
 
         Args:
-            crashing_parts: the prompt parts that crash endpoints; None for a
+            crashing_parts: what crashes endpoints; None for a
                 record of its own.
             limits: the limits that endpoints name; None for none.
         """
@@ -212,20 +212,20 @@
     def record_evidence(
         self,
         id_: str,
-        prompt_parts: tuple[str, ...],
+        parts: tuple[str, ...],
         outcome: messages.Outcome,
         now: float,
     ) -> None:
-        """Records what an attempt's end tells of the parts of its prompt.
+        """Records what an attempt's end tells of the parts of its request.
 
         To be called before its slot is released, as an endpoint's crash ends
         the other attempts there too.
         """
         lease = self._leases.get(id_)
-        if not prompt_parts and lease is not None and lease.request is not None:
-            prompt_parts = lease.request.prompt_parts
+        if not parts and lease is not None and lease.request is not None:
+            parts = lease.request.parts
         if outcome is messages.Outcome.SERVED:
-            self._quarantine.record_served(prompt_parts, now)
+            self._quarantine.record_served(parts, now)
         if outcome is not messages.Outcome.CRASHED or lease is None:
             return
         state = self._states.get(lease.endpoint)
@@ -233,23 +233,21 @@
         if state is not None:
             process = state.endpoint.process
         running = [
-            crash_evidence.RunningAttempt(prompt_parts, lease.granted_at),
+            crash_evidence.RunningAttempt(parts, lease.granted_at),
             *self._running_at(lease.endpoint),
         ]
         self._quarantine.record_crash(process, running, now)
 
     def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
         return [
-            crash_evidence.RunningAttempt(
-                lease.request.prompt_parts, lease.granted_at
-            )
+            crash_evidence.RunningAttempt(lease.request.parts, lease.granted_at)
             for lease in self._leases.values()
             if lease.endpoint == endpoint and lease.request is not None
         ]
 
-    def suspects(self, prompt_parts: tuple[str, ...]) -> bool:
-        """Returns whether a prompt has a part that may crash endpoints."""
-        return bool(self._quarantine.evidence.suspected(prompt_parts))
+    def suspects(self, parts: tuple[str, ...]) -> bool:
+        """Returns whether any of some parts may crash endpoints."""
+        return bool(self._quarantine.evidence.suspected(parts))
 
     def leases_of(self, holder: str) -> list[messages.Granted]:
         """Returns the leases of one instance."""
@@ -366,7 +364,7 @@
         if self._quarantine.is_empty:
             return decisions
         for id_, waiting in list(self._waiting.items()):
-            entry = self._quarantine.find(waiting.request.prompt_parts, now)
+            entry = self._quarantine.find(waiting.request.parts, now)
             if entry is not None:
                 del self._waiting[id_]
                 denied = self._make_denial(
@@ -378,14 +376,12 @@
         return decisions
 
     def _suspected_by_endpoint(self) -> dict[str, set[str]]:
-        """Returns the suspected prompt parts that run, by endpoint."""
+        """Returns the suspected parts that run, by endpoint."""
         running: dict[str, set[str]] = {}
         for lease in self._leases.values():
             if lease.request is None:
                 continue
-            suspected = self._quarantine.evidence.suspected(
-                lease.request.prompt_parts
-            )
+            suspected = self._quarantine.evidence.suspected(lease.request.parts)
             if suspected:
                 running.setdefault(lease.endpoint, set()).update(suspected)
         return running
@@ -393,7 +389,7 @@
     def _choose_endpoint(
         self, holder: str, request: messages.SlotRequest, now: float
     ) -> endpoint_states.EndpointState | None:
-        suspected = self._quarantine.evidence.suspected(request.prompt_parts)
+        suspected = self._quarantine.evidence.suspected(request.parts)
         occupied = self._suspected_by_endpoint() if suspected else {}
         if any(suspected & parts for parts in occupied.values()):
             return None
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -91,6 +91,7 @@
             if header.name.lower() == PROMPT_PREFIX
         ]
         target = request.target.decode("latin-1")
+        shared_parts, own_part = _parse_prompt_parts(",".join(prefixes))
         prompt, output = _parse_token_counts(fields.get(TOKEN_COUNTS, ""))
         return messages.RequestMetadata(
             id=fields.get(ATTEMPT_ID, ""),
@@ -104,7 +105,8 @@
             expected_tokens=_parse_count(fields.get(LENGTH_HINT, "")) or output,
             last_event_id=fields.get(LAST_EVENT, ""),
             resumed_attempt=fields.get(RESUMES, ""),
-            prompt_parts=_parse_prompt_parts(",".join(prefixes)),
+            prompt_parts=shared_parts,
+            own_prompt_part=own_part,
         )
 
     def request_headers(
@@ -204,13 +206,14 @@
     )
 
 
-def _parse_prompt_parts(text: str) -> tuple[str, ...]:
-    """Returns the ids of the parts that other requests may share.
+def _parse_prompt_parts(text: str) -> tuple[tuple[str, ...], str]:
+    """Returns the ids of the parts that other requests may share, and the last.
 
     >>> _parse_prompt_parts("5C1E07A2:800, 91bd3f06:410,e4402b7d:250")
-    ('5c1e07a2', '91bd3f06')
+    (('5c1e07a2', '91bd3f06'), 'e4402b7d')
     """
-    parts = text.lower().split(",")[:-1]
+    parts = text.lower().split(",")
     ids = [part.partition(":")[0].strip() for part in parts]
-    shared = [id_[:MAX_PART_ID_CHARACTERS] for id_ in ids if id_]
-    return tuple(dict.fromkeys(shared))[:MAX_PROMPT_PARTS]
+    *shared, own = [id_[:MAX_PART_ID_CHARACTERS] for id_ in ids]
+    distinct = dict.fromkeys(id_ for id_ in shared if id_)
+    return tuple(distinct)[:MAX_PROMPT_PARTS], own
--- a/cranberryglade/quarantine.py
+++ b/cranberryglade/quarantine.py
@@ -1,4 +1,4 @@
-"""Bars requests with prompt parts that crash endpoints.
+"""Bars requests that crash endpoints, or that have parts that do so.
 
 The instances tell each other of it, so that a request is refused wherever it
 arrives; `crash_evidence` finds the parts.
@@ -43,13 +43,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Entry:
-    """A quarantine of the requests whose prompts have all of some parts.
+    """A quarantine of the requests that have all of some parts.
 
     Mostly there is one part. There are several while the crashes cannot tell
     which of them is the cause.
 
     Attributes:
-        parts: ids of the parts, sorted.
+        parts: ids of the parts, as in `crash_evidence`, sorted.
         until: when it ends, seconds of the loop's clock.
         generation: rises each time the same parts are quarantined.
         lifted: whether it was ended early.
@@ -70,7 +70,7 @@
 
 
 class Quarantine:
-    """Quarantined prompt parts; performs no I/O.
+    """Quarantined parts; performs no I/O.
 
     Times are seconds of the loop's clock.
 
@@ -106,12 +106,12 @@
         """All quarantines, and for a while those that have ended."""
         return list(self._entries.values())
 
-    def find(self, prompt_parts: tuple[str, ...], now: float) -> Entry | None:
+    def find(self, parts: tuple[str, ...], now: float) -> Entry | None:
         """Returns the quarantine that bars a request, if there is one."""
-        if not self._entries or not prompt_parts:
+        if not self._entries or not parts:
             return None
-        present = set(prompt_parts)
-        for entry in self._entries_with(prompt_parts):
+        present = set(parts)
+        for entry in self._entries_with(parts):
             if entry.in_force(now) and present.issuperset(entry.parts):
                 return entry
         return None
@@ -143,13 +143,13 @@
             reason = f"{finding.crashes} crashes in a row"
             self._impose(finding.parts, now, reason)
 
-    def record_served(self, prompt_parts: tuple[str, ...], now: float) -> None:
-        """Records a whole answer, which clears all parts of its prompt."""
-        self.evidence.record_served(prompt_parts, now)
-        for entry in self._entries_with(prompt_parts):
+    def record_served(self, parts: tuple[str, ...], now: float) -> None:
+        """Records a whole answer, which clears all parts of its request."""
+        self.evidence.record_served(parts, now)
+        for entry in self._entries_with(parts):
             if not entry.in_force(now):
                 continue
-            cleared = set(prompt_parts).intersection(entry.parts)
+            cleared = set(parts).intersection(entry.parts)
             remaining = tuple(p for p in entry.parts if p not in cleared)
             self.lift(entry.parts, now, "answered")
             self.evidence.clear(cleared)
@@ -237,10 +237,10 @@
             self._end(entry, now, stores_ends)
             self._log.info("quarantine.ended", parts=entry.parts)
 
-    def _entries_with(self, prompt_parts: tuple[str, ...]) -> list[Entry]:
+    def _entries_with(self, parts: tuple[str, ...]) -> list[Entry]:
         """Returns the entries that have any of some parts."""
-        present = set(prompt_parts)
-        names = [(part,) for part in prompt_parts]
+        present = set(parts)
+        names = [(part,) for part in parts]
         names += [each for each in self._groups if not present.isdisjoint(each)]
         return [self._entries[name] for name in names if name in self._entries]
 
--- a/cranberryglade/scheduling/crashes.py
+++ b/cranberryglade/scheduling/crashes.py
@@ -123,7 +123,7 @@
                 process,
                 tuple(
                     messages.LostAttempt(
-                        attempt.prompt_parts[0], crash.at - attempt.began_at
+                        attempt.parts[0], crash.at - attempt.began_at
                     )
                     for attempt in crash.attempts[:MAX_REPORTED_ATTEMPTS]
                 ),
@@ -224,11 +224,11 @@
     ) -> bool:
         """Records what ran in a crash; returns whether any of it was news."""
         known = self._crashes.get(process) or _Crash(at, ())
-        known_parts = {attempt.prompt_parts for attempt in known.attempts}
+        known_parts = {attempt.parts for attempt in known.attempts}
         fresh = [
             attempt
             for attempt in running
-            if attempt.prompt_parts and attempt.prompt_parts not in known_parts
+            if attempt.parts and attempt.parts not in known_parts
         ]
         if not fresh:
             return False
--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -198,6 +198,15 @@
         caller.request(**fields)
         return await asyncio.wait_for(caller.answer(), WAIT_TIMEOUT_SECONDS)
 
+    async def ask_status(self, method: str, path: str) -> bytes:
+        """Calls the status pages of the first gateway; returns the body."""
+        address = sockets.split_address(self.settings[0].ready_address)
+        caller = callers.Caller(*await asyncio.open_connection(*address))
+        caller.request(target=path, method=method)
+        answer = await caller.answer()
+        caller.close()
+        return answer.body
+
     async def wait_until_ready(self) -> None:
         """Waits until the gateways are ready and receive each other's state.
 
--- a/cranberryglade/tests/test_crashing_prompt_part.py
+++ b/cranberryglade/tests/test_crashing_prompt_part.py
@@ -8,9 +8,7 @@
 
 from cranberryglade import quarantine
 from cranberryglade.gateway import messages
-from cranberryglade.gateway import sockets
 from cranberryglade.platform import headers
-from cranberryglade.standins import callers
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import crashing_endpoints
 from cranberryglade.tests import gateway_cluster
@@ -150,10 +148,10 @@
     async with crashing_endpoints.make_cluster() as cluster:
         await crash_until_quarantined(cluster)
         await wait_until_known(cluster)
-        (entry,) = json.loads(await ask_status(cluster, "GET", "/quarantine"))
+        (entry,) = json.loads(await cluster.ask_status("GET", "/quarantine"))
         assert entry["parts"] == [FAULTY_PART]
-        await ask_status(cluster, "DELETE", f"/quarantine/{FAULTY_PART}")
-        assert json.loads(await ask_status(cluster, "GET", "/quarantine")) == []
+        await cluster.ask_status("DELETE", f"/quarantine/{FAULTY_PART}")
+        assert json.loads(await cluster.ask_status("GET", "/quarantine")) == []
         await gateway_cluster.wait_until(
             lambda: not any(map(quarantined, cluster.gateways)), 2.0
         )
@@ -163,15 +161,6 @@
         assert answer.status == 200
 
 
-async def ask_status(cluster, method, path) -> bytes:
-    address = sockets.split_address(cluster.settings[0].ready_address)
-    caller = callers.Caller(*await asyncio.open_connection(*address))
-    caller.request(target=path, method=method)
-    answer = await caller.answer()
-    caller.close()
-    return answer.body
-
-
 def decode_parts(*prefixes: str) -> tuple[str, ...]:
     fields = [messages.Header(b"Host", b"example.test")]
     for prefix in prefixes:
--- a/cranberryglade/tests/test_quarantine.py
+++ b/cranberryglade/tests/test_quarantine.py
@@ -202,7 +202,10 @@
     assert len(record.evidence._records) <= crash_evidence.MAX_RECORDS
     for number in range(crash_evidence.MAX_RECORDS + 10):
         record.record_served((f"s{number}",), 1.0)
-    assert len(record.evidence._answered) <= crash_evidence.MAX_RECORDS
+    assert (
+        len(record.evidence._answered_prompt_parts)
+        <= crash_evidence.MAX_RECORDS
+    )
     for number in range(quarantine.MAX_ENTRIES + 10):
         record.merge(quarantine.Entry((f"p{number}",), 100.0), 1.0, "peer")
     assert len(record.entries) == quarantine.MAX_ENTRIES
@@ -242,11 +245,9 @@
     crash(record, 0, 0.0, "bad")
     crash(record, 1, 0.5, "bad")
     for number in range(3):
-        request = builders.make_slot_request(
-            f"r-{number}", prompt_parts=("bad",)
-        )
+        request = builders.make_slot_request(f"r-{number}", parts=("bad",))
         scheduler.request_slot("a", request, 1.0)
-    sound = builders.make_slot_request("sound", prompt_parts=("good",))
+    sound = builders.make_slot_request("sound", parts=("good",))
     scheduler.request_slot("a", sound, 1.0)
     assert scheduler.lease_count == 2
     assert scheduler.queue_length == 2
@@ -300,7 +301,7 @@
         parts = ("shared", own) if sound else ("shared", self.faulty, own)
         request = builders.make_slot_request(
             f"r-{self.arrived}",
-            prompt_parts=parts,
+            parts=parts,
             wait_until=now + 2.0,
             first_answer_due=now + 0.8,
         )
@@ -315,7 +316,7 @@
             if id_ not in self.ends or now < end:
                 continue
             lease = self.scheduler._leases[id_]
-            if self.faulty in lease.request.prompt_parts:
+            if self.faulty in lease.request.parts:
                 self._crash(lease.endpoint, now)
             else:
                 self.served += 1
@@ -350,7 +351,7 @@
         for decision in decisions:
             match decision.result:
                 case messages.Granted(id=id_):
-                    parts = self.scheduler._leases[id_].request.prompt_parts
+                    parts = self.scheduler._leases[id_].request.parts
                     bad = self.faulty in parts
                     wait = (
                         self.SECONDS_TO_CRASH if bad else self.SECONDS_TO_ANSWER
