Recognise a crash behind something that accepts connections

What callers saw (users' table): 43 sends of one request, 3 allowed, where something in front of the endpoint accepts connections and closes them.

Cause: an endpoint counted as crashed only if its port refused connections. Now also if a new connection is closed within 30 ms, in which nothing is sent. Ruled out as a mark: a reset of the request's own connection alone, which sound endpoints do too.

A lost request waits 30 ms longer for its repeat if its endpoint has not ended.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -183,6 +183,15 @@
             self._transport.resume_reading()
         return event
 
+    async def closes_within(self, seconds: float) -> bool:
+        """Returns whether the server closes the idle connection in a time."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.next_event()
+        except TimeoutError:
+            return False
+        return True
+
     async def read_body(
         self, max_bytes: int, memory: BodyMemory | None = None
     ) -> bytes | AnswerLost:
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -18,6 +18,10 @@
 """Timeout of the connection attempt that shows whether an endpoint has ended.
 """
 
+ACCEPTED_SECONDS = 0.03
+"""Time for which a new connection to an endpoint that has not ended stays open;
+a proxy in front of one that has ended closes it sooner."""
+
 ONCE_MAX_IDLE_SECONDS = 1.0
 """Longest idle time of a reused connection for a request that may not be
 repeated; shorter than the other one because the endpoint may close an idle
@@ -193,7 +197,8 @@
     async def has_ended(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint's process has ended.
 
-        Then nothing listens at its address.
+        Then nothing listens at its address, or what does closes the connection
+        at once.
         """
         pool = self.pools.for_address(endpoint.address)
         try:
@@ -207,8 +212,9 @@
                 reason=type(error).__name__,
             )
             return False
+        closed = await channel.closes_within(ACCEPTED_SECONDS)
         channel.abort()
-        return False
+        return closed
 
     async def _take_channel(
         self, endpoint: messages.Endpoint, repeatable: bool
