--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -387,10 +387,13 @@
             OSError: if the connection cannot be established.
             TimeoutError: if that takes longer than the timeout.
         """
+        async with asyncio.timeout(timeout_seconds):
+            return await self._open()
+
+    async def _open(self) -> Channel:
         host, port = sockets.split_address(self._address)
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_seconds):
-            _, channel = await loop.create_connection(Channel, host, port)
+        _, channel = await loop.create_connection(Channel, host, port)
         return channel
 
     def put_back(self, channel: Channel) -> None:
@@ -411,18 +414,23 @@
 
 
 class Pools:
-    """Connection pools by address."""
+    """Connection pools by address.
+
+    Attributes:
+        pool_type: class of the pools; tests replace it.
+    """
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_pools", "pool_type")
 
     def __init__(self):
         self._pools: dict[str, Pool] = {}
+        self.pool_type = Pool
 
     def for_address(self, address: str) -> Pool:
         """Returns the pool of an address; creates it if necessary."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(address)
+            pool = self._pools[address] = self.pool_type(address)
         return pool
 
     def close_others(self, addresses: set[str]) -> None:
