Serve through other instances while an instance reaches no endpoint

Cause: a failed connection was taken as a statement on the endpoint, and there was no second way. The class: one observer's failure is taken for the failure of what it observes.

What changed: a connection that is refused, or not open within 50 ms, is also tried through other instances (tunnels.py), which connect directly and pass bytes on. All decisions, headers, keys, deadlines and quotas stay where the caller is. Frames tell the end of an answer from a loss, so that an answer whose end is its connection's is not complete when the instance in between ends. Only listed endpoints can be reached. Two endpoints that only others reach make an instance count as cut off: its idle direct connections are closed, its heartbeats say so, and it is asked last. A tunnel is used for two seconds, then a direct connection is tried again. An unreachable endpoint is reported only if the other instances did not reach it either.

Ruled out: sending whole requests on to another instance, which would have to decide on keys, quotas and repeats a second time; taking callers' connections elsewhere, which an instance cannot.

Failed try: instances asked one after the other.

--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -55,6 +55,7 @@
         members: number of instances that it knows, itself included.
         age_ms: milliseconds since its present incarnation began.
         era: era of the store that the version of endpoints belongs to.
+        cut_off: whether it reaches endpoints only through other instances.
     """
 
     configuration: int
@@ -63,6 +64,7 @@
     members: int
     age_ms: int
     era: int = 0
+    cut_off: bool = False
 
 
 class LeavingEndpoint(msgspec.Struct, array_like=True, frozen=True):
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -216,6 +216,13 @@
         self._task = None
         self._transport.abort()
 
+    def detach(self) -> asyncio.Transport:
+        """Gives the connection up to another protocol; returns it."""
+        self._stop_timer()
+        self._task = None
+        self._listener.connections.discard(self)
+        return self._transport
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if not self.busy:
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import random
 
 import xxhash
 
@@ -54,6 +55,8 @@
         confirmed_at: when its configuration was last confirmed to be the
             newest, as it reports; None if never.
         stopping: whether it announced that it stops.
+        cut_off: whether it reports that it reaches endpoints only through
+            other instances.
     """
 
     name: str
@@ -68,6 +71,7 @@
     reported_instances: int = 0
     confirmed_at: float | None = None
     stopping: bool = False
+    cut_off: bool = False
 
     @property
     def last_contact_at(self) -> float:
@@ -282,6 +286,21 @@
             and now - member.answered_at < timeout
         ]
 
+    def helpers(self, now: float) -> list[Member]:
+        """Returns the members that may reach endpoints for this instance.
+
+        Those that are not cut off themselves come first, in random order but
+        for one of the same failure domain at the head: all instances of a
+        domain may be cut off together.
+        """
+        usable = [each for each in self.reachable(now) if not each.stopping]
+        random.shuffle(usable)
+        near = next((m for m in usable if m.domain == self._domain), None)
+        far = [m for m in usable if m.domain != self._domain]
+        rest = [m for m in usable if m.domain == self._domain and m is not near]
+        ordered = [near, *far, *rest] if near is not None else far
+        return sorted(ordered, key=lambda each: each.cut_off)
+
     def replicas(self, key: str, count: int, now: float) -> list[Member]:
         """Returns the members that have copies of what is stored under a key.
 
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -236,6 +236,7 @@
             self.members.register(other.name, other.address, other.domain, now)
         status = pong.status
         member.reported_instances = status.members
+        member.cut_off = status.cut_off
         if status.confirmed_ms >= 0:
             member.confirmed_at = now - status.confirmed_ms / 1000
         same_version = status.configuration == self._state.version
@@ -308,6 +309,7 @@
             self.members.instance_count(now),
             int(self.members.uptime(now) * 1000),
             self._state.directory.version.era,
+            self._state.reachability.is_cut_off,
         )
 
     def _choose_introduction(self, now: float) -> datagrams.MemberInfo | None:
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import dataclasses
+import math
+from typing import Protocol
 
 import httptools
 
@@ -104,6 +106,8 @@
         max_idle_seconds: longest idle time in seconds after which it may be
             used again; None if the server stated none.
         reusable: whether the last answer lets the connection stay open.
+        reuse_until: time after which it carries no further request, seconds of
+            the loop's clock; infinite for a direct connection.
     """
 
     def __init__(self):
@@ -127,6 +131,7 @@
         self.idle_since = 0.0
         self.max_idle_seconds: float | None = None
         self.reusable = False
+        self.reuse_until = math.inf
 
     @property
     def usable(self) -> bool:
@@ -344,17 +349,77 @@
             self._emit(AnswerLost(reason))
 
 
+async def first_opened(
+    attempts: list[asyncio.Task[Channel]], seconds: float | None
+) -> Channel | None:
+    """Waits for the first of several attempts to connect that succeeds.
+
+    Args:
+        attempts: the attempts; the first of them precedes the others.
+        seconds: timeout; None to wait until all have ended.
+
+    Returns:
+        Its connection; None if there is none in time.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = math.inf if seconds is None else loop.time() + seconds
+    while True:
+        opened = next(filter(_succeeded, attempts), None)
+        if opened is not None:
+            return opened.result()
+        waiting = [each for each in attempts if not each.done()]
+        left = deadline - loop.time()
+        if not waiting or left <= 0:
+            return None
+        await asyncio.wait(
+            waiting,
+            timeout=None if math.isinf(left) else left,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+
+def _succeeded(attempt: asyncio.Task[Channel]) -> bool:
+    return attempt.done() and attempt.exception() is None
+
+
+def discard(attempt: asyncio.Task[Channel], chosen: Channel | None) -> None:
+    """Ends an attempt to connect, unless its connection was chosen."""
+    if not attempt.done():
+        attempt.cancel()
+    elif _succeeded(attempt) and attempt.result() is not chosen:
+        attempt.result().abort()
+
+
 def _size(event: Event) -> int:
     return EVENT_BYTES + (len(event.data) if isinstance(event, Data) else 0)
 
 
+class Detour(Protocol):
+    """Another way to an address that cannot be reached directly."""
+
+    @property
+    def delay_seconds(self) -> float:
+        """Time after which it is tried beside the direct way."""
+
+    async def connect(self, address: str) -> Channel:
+        """Opens a connection.
+
+        Raises:
+            OSError: if that fails.
+        """
+
+    def report_used(self, address: str) -> None:
+        """Records that it led to an address, and the direct way did not."""
+
+
 class Pool:
     """Idle connections to one address."""
 
-    __slots__ = ("_address", "_idle")
+    __slots__ = ("_address", "_detour", "_idle")
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, detour: Detour | None = None):
         self._address = address
+        self._detour = detour
         self._idle: list[Channel] = []
 
     def take_idle(self, max_idle_seconds: float) -> Channel | None:
@@ -375,7 +440,8 @@
             limit = max_idle_seconds
             if channel.max_idle_seconds is not None:
                 limit = min(limit, channel.max_idle_seconds)
-            if channel.usable and now - channel.idle_since < limit:
+            fresh = now - channel.idle_since < limit
+            if channel.usable and fresh and now < channel.reuse_until:
                 return channel
             channel.abort()
         return None
@@ -388,7 +454,33 @@
             TimeoutError: if that takes longer than the timeout.
         """
         async with asyncio.timeout(timeout_seconds):
-            return await self._open()
+            if self._detour is None:
+                return await self._open()
+            return await self._open_either_way()
+
+    async def _open_either_way(self) -> Channel:
+        """Opens a connection directly, or by the detour if that is faster.
+
+        Raises:
+            OSError: if neither leads to the address.
+        """
+        direct = asyncio.create_task(self._open())
+        detour: asyncio.Task | None = None
+        chosen: Channel | None = None
+        try:
+            chosen = await first_opened([direct], self._detour.delay_seconds)
+            if chosen is not None:
+                return chosen
+            detour = asyncio.create_task(self._detour.connect(self._address))
+            chosen = await first_opened([direct, detour], None)
+            if chosen is None:
+                return direct.result()
+            if not _succeeded(direct):
+                self._detour.report_used(self._address)
+            return chosen
+        finally:
+            for attempt in filter(None, (direct, detour)):
+                discard(attempt, chosen)
 
     async def _open(self) -> Channel:
         host, port = sockets.split_address(self._address)
@@ -406,6 +498,14 @@
         else:
             channel.abort()
 
+    def close_direct(self) -> None:
+        """Closes the idle connections that lead to the address directly."""
+        kept = [each for each in self._idle if not math.isinf(each.reuse_until)]
+        for channel in self._idle:
+            if channel not in kept:
+                channel.abort()
+        self._idle = kept
+
     def close(self) -> None:
         """Closes the idle connections."""
         for channel in self._idle:
@@ -420,9 +520,10 @@
         pool_type: class of the pools; tests replace it.
     """
 
-    __slots__ = ("_pools", "pool_type")
+    __slots__ = ("_detour", "_pools", "pool_type")
 
-    def __init__(self):
+    def __init__(self, detour: Detour | None = None):
+        self._detour = detour
         self._pools: dict[str, Pool] = {}
         self.pool_type = Pool
 
@@ -430,9 +531,14 @@
         """Returns the pool of an address; creates it if necessary."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = self.pool_type(address)
+            pool = self._pools[address] = self.pool_type(address, self._detour)
         return pool
 
+    def close_direct(self) -> None:
+        """Closes all idle connections that do not lead through an instance."""
+        for pool in self._pools.values():
+            pool.close_direct()
+
     def close_others(self, addresses: set[str]) -> None:
         """Closes the pools of all other addresses."""
         for address in self._pools.keys() - addresses:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -34,6 +34,7 @@
 from cranberryglade.gateway import quarantine_sync
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import registration
+from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import settings
 from cranberryglade.gateway import slots
@@ -42,6 +43,7 @@
 from cranberryglade.gateway import status
 from cranberryglade.gateway import store_watch
 from cranberryglade.gateway import telemetry
+from cranberryglade.gateway import tunnels
 from cranberryglade.gateway import usage_sync
 
 INCARNATION_BYTES = 4
@@ -126,7 +128,11 @@
             self._pauses,
             self._state.endpoint_limits,
             self._endpoint_limit_changed,
+            tunnels.TunnelClient(
+                self._helpers, self._state.reachability, self._cut_off
+            ),
         )
+        self._tunnel_server = tunnels.TunnelServer(self._state)
         self._store_watcher = store_watch.StoreWatcher(
             store,
             decoder,
@@ -171,7 +177,7 @@
             self._report_invalid_request,
         )
         self._peer_listener = inbound.Listener(
-            self._peer_sync.handle, self._report_invalid_request
+            self._handle_peer, self._report_invalid_request
         )
         self._caller_server: asyncio.Server | None = None
         self._servers: list[asyncio.Server] = []
@@ -402,6 +408,22 @@
             self._mesh.allocator, conversions.encode_limit(limit, now)
         )
 
+    async def _handle_peer(
+        self, request: messages.Request, responder: responding.Responder
+    ) -> None:
+        if request.target.startswith(tunnels.PATH.encode()):
+            await self._tunnel_server.handle(request, responder)
+        else:
+            await self._peer_sync.handle(request, responder)
+
+    def _helpers(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        return [each.address for each in self._mesh.members.helpers(now)]
+
+    def _cut_off(self) -> None:
+        self._state.metrics.count_event("cut_off")
+        self._sender.pools.close_direct()
+
     def _announce_leaving(
         self, id_: str, started_ms: int, reported_by: str
     ) -> None:
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -1,5 +1,6 @@
 """Writes HTTP answers to callers."""
 
+import asyncio
 import http
 from typing import Protocol
 
@@ -41,6 +42,9 @@
     def abort(self) -> None:
         """Closes the connection at once; unsent data is discarded."""
 
+    def detach(self) -> asyncio.Transport:
+        """Gives the connection up to another protocol; returns it."""
+
 
 class Responder:
     """Writes the answer to one request.
@@ -57,6 +61,10 @@
         self._chunked = False
         self.started = False
 
+    def take_connection(self) -> asyncio.Transport:
+        """Returns the connection, to be used for something else."""
+        return self._connection.detach()
+
     def start(
         self,
         status: int,
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -119,6 +119,7 @@
         pauses: endpoint_pauses.EndpointPauses,
         limits: endpoint_limits.EndpointLimits,
         on_limit: Callable[[endpoint_limits.EndpointLimit], None],
+        detour: outbound.Detour | None = None,
     ):
         """Creates a sender without connections.
 
@@ -129,6 +130,7 @@
             pauses: records the pauses that endpoints ask for.
             limits: records the limits that endpoints name.
             on_limit: called with each limit that changes.
+            detour: leads to endpoints that cannot be reached directly.
         """
         self._body_memory = outbound.BodyMemory(MAX_ANSWERS_BYTES)
         self._dialect = translator
@@ -136,7 +138,7 @@
         self._limits = limits
         self._on_limit = on_limit
         self._on_leaving = on_leaving
-        self.pools = outbound.Pools()
+        self.pools = outbound.Pools(detour)
 
     async def send(
         self,
@@ -183,6 +185,8 @@
                 )
         except TimeoutError:
             channel.abort()
+            # Its other idle connections may hang as well.
+            self.pools.for_address(endpoint.address).close_direct()
             return AttemptFailure(messages.Outcome.LOST, "silent")
         except BaseException:
             channel.abort()
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -9,6 +9,7 @@
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import reachability
 from cranberryglade.gateway import telemetry
 
 
@@ -29,6 +30,7 @@
         metrics: counters and histograms.
         quarantine: prompt parts that crash endpoints.
         endpoint_limits: limits that endpoints name.
+        reachability: endpoints that only other instances reach.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self.metrics = metrics
         self.quarantine = quarantine.Quarantine()
         self.endpoint_limits = endpoint_limits.EndpointLimits()
+        self.reachability = reachability.Reachability()
 
     @property
     def version(self) -> int:
--- /dev/null
+++ b/cranberryglade/gateway/tunnels.py
@@ -0,0 +1,342 @@
+"""Connections to endpoints through another instance.
+
+Load pattern: an instance reaches no endpoint for seconds, while callers and the
+other instances reach it. It goes on to serve its callers: another instance
+passes the bytes of its connections on. All decisions stay with the first one.
+
+An instance that passes on connects to endpoints directly, never through a
+third one. Towards the first instance it sends frames, so that the end of an
+answer can be told from the loss of a connection.
+"""
+
+import asyncio
+from collections.abc import Callable
+import struct
+
+from cranberryglade import log
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import outbound
+from cranberryglade.gateway import reachability
+from cranberryglade.gateway import responding
+from cranberryglade.gateway import sockets
+from cranberryglade.gateway import state
+
+PATH = "/tunnel/"
+"""Path of a request for a tunnel; the endpoint's address follows."""
+
+CONNECT_TIMEOUT_SECONDS = 0.25
+"""Timeout of the connection to the endpoint."""
+
+DELAY_SECONDS = 0.05
+"""Time that a direct connection has before a tunnel is tried, too."""
+
+STAGGER_SECONDS = 0.03
+"""Time that an instance has to open a tunnel before the next one is asked, too;
+those of one failure domain may be cut off together."""
+
+MAX_TUNNELS = 512
+"""Number of tunnels that an instance passes on at the same time."""
+
+MAX_HELPERS = 3
+"""Number of instances that are asked for one tunnel."""
+
+REUSE_SECONDS = 2.0
+"""Age up to which a tunnel is used again; then a direct connection is tried."""
+
+MAX_FRAME_BYTES = 16_777_216
+OPENED = b"opened"
+FRAME_HEAD = struct.Struct("!I")
+END = FRAME_HEAD.pack(0)
+
+logger = log.get_logger(__name__)
+
+
+def encode_frame(data: bytes) -> bytes:
+    """Returns a frame: its length, then the data; without data, the end."""
+    return FRAME_HEAD.pack(len(data)) + data
+
+
+class TunnelServer:
+    """Passes connections of other instances on to endpoints.
+
+    Attributes:
+        open_transports: the connections of the instances that use it.
+    """
+
+    __slots__ = ("_state", "open_transports")
+
+    def __init__(self, instance_state: state.InstanceState):
+        self._state = instance_state
+        self.open_transports: set[asyncio.Transport] = set()
+
+    async def handle(
+        self, request: messages.Request, responder: responding.Responder
+    ) -> None:
+        """Opens a tunnel on the connection of a peer's request."""
+        address = request.target.decode("latin-1").removeprefix(PATH)
+        peer = _PeerSide(self.open_transports)
+        peer.attach(responder.take_connection())
+        refusal = self._find_refusal(address)
+        if refusal is None:
+            refusal = await self._open(address, peer)
+        if refusal is not None:
+            logger.info("tunnel.refused", endpoint=address, reason=refusal)
+            peer.transport.write(encode_frame(refusal.encode()))
+            peer.transport.close()
+
+    def _find_refusal(self, address: str) -> str | None:
+        listed = {each.address for each in self._state.endpoints.values()}
+        if address not in listed:
+            return "unknown endpoint"
+        if len(self.open_transports) > MAX_TUNNELS:
+            return "too many tunnels"
+        return None
+
+    async def _open(self, address: str, peer: "_PeerSide") -> str | None:
+        """Connects to the endpoint; returns why it failed, or None."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                await self._connect(address, peer)
+        except (OSError, TimeoutError) as error:
+            return type(error).__name__
+        self._state.metrics.count_event("tunnel_opened")
+        return None
+
+    async def _connect(self, address: str, peer: "_PeerSide") -> None:
+        await asyncio.get_running_loop().create_connection(
+            lambda: _EndpointSide(peer), *sockets.split_address(address)
+        )
+
+
+class _PeerSide(asyncio.Protocol):
+    """The connection from the instance that uses a tunnel.
+
+    Attributes:
+        transport: the connection.
+        endpoint: the connection to the endpoint; None before it is open.
+    """
+
+    def __init__(self, open_transports: set[asyncio.Transport]):
+        self._open_transports = open_transports
+        self.transport: asyncio.Transport | None = None
+        self.endpoint: asyncio.Transport | None = None
+
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Takes over an open connection."""
+        self.transport = transport
+        self._open_transports.add(transport)
+        transport.set_protocol(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.endpoint is not None:
+            self.endpoint.write(data)
+
+    def pause_writing(self) -> None:
+        if self.endpoint is not None:
+            self.endpoint.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.endpoint is not None:
+            self.endpoint.resume_reading()
+
+    def connection_lost(self, exc) -> None:
+        self._open_transports.discard(self.transport)
+        if self.endpoint is not None:
+            self.endpoint.abort()
+
+
+class _EndpointSide(asyncio.Protocol):
+    """The connection to the endpoint."""
+
+    def __init__(self, peer: _PeerSide):
+        self._peer = peer
+
+    def connection_made(self, transport) -> None:
+        sockets.set_connection_options(
+            transport.get_extra_info("socket"), outbound.TCP_USER_TIMEOUT_MS
+        )
+        if self._peer.transport.is_closing():
+            transport.abort()
+            return
+        self._peer.endpoint = transport
+        self._peer.transport.write(encode_frame(OPENED))
+
+    def data_received(self, data: bytes) -> None:
+        self._peer.transport.write(encode_frame(data))
+
+    def eof_received(self) -> bool:
+        self._peer.transport.write(END)
+        return False
+
+    def pause_writing(self) -> None:
+        self._peer.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self._peer.transport.resume_reading()
+
+    def connection_lost(self, exc) -> None:
+        self._peer.transport.close()
+
+
+class _Tunnel(asyncio.Protocol):
+    """The connection to the instance that passes on.
+
+    Attributes:
+        opened: is resolved once the endpoint is connected, or raises OSError.
+        channel: gets what the endpoint sends.
+    """
+
+    def __init__(self, address: str):
+        self._address = address
+        self._transport: asyncio.Transport | None = None
+        self._head = bytearray()
+        self._left = 0
+        self._answer = bytearray()
+        self._ended = False
+        self.opened = asyncio.get_running_loop().create_future()
+        self.channel: outbound.Channel | None = None
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+        host = self._address.encode()
+        transport.write(
+            b"POST %s%s HTTP/1.1\r\nHost: peer\r\n\r\n" % (PATH.encode(), host)
+        )
+
+    def data_received(self, data: bytes) -> None:
+        while data and not self._ended:
+            if self._left:
+                part, data = data[: self._left], data[self._left :]
+                self._left -= len(part)
+                self._receive(part)
+                continue
+            missing = FRAME_HEAD.size - len(self._head)
+            self._head += data[:missing]
+            data = data[missing:]
+            if len(self._head) == FRAME_HEAD.size:
+                self._begin_frame()
+
+    def connection_lost(self, exc) -> None:
+        if self.channel is not None:
+            whole = self._ended and exc is None
+            self.channel.connection_lost(
+                None if whole else exc or ConnectionResetError()
+            )
+        elif not self.opened.done():
+            self.opened.set_exception(ConnectionResetError())
+
+    def _begin_frame(self) -> None:
+        (self._left,) = FRAME_HEAD.unpack(self._head)
+        self._head.clear()
+        if self._left > MAX_FRAME_BYTES:
+            self._transport.abort()
+        elif not self._left and self.channel is not None:
+            self._ended = True
+            self.channel.eof_received()
+            self._transport.close()
+
+    def _receive(self, part: bytes) -> None:
+        if self.channel is not None:
+            self.channel.data_received(part)
+            return
+        self._answer += part
+        if self._left or self.opened.done():
+            return
+        if self._answer != OPENED:
+            reason = self._answer.decode("latin-1")
+            self.opened.set_exception(ConnectionRefusedError(reason))
+            return
+        self.channel = outbound.Channel()
+        self.channel.connection_made(self._transport)
+        self.opened.set_result(self.channel)
+
+
+class TunnelClient:
+    """Opens connections to endpoints through other instances.
+
+    It is a detour of `outbound.Pools`.
+    """
+
+    __slots__ = ("_helpers", "_on_cut_off", "_reachability")
+
+    def __init__(
+        self,
+        helpers: Callable[[], list[str]],
+        own_reachability: reachability.Reachability,
+        on_cut_off: Callable[[], None],
+    ):
+        """Creates a client.
+
+        Args:
+            helpers: returns the addresses of the instances to ask, the best
+                first.
+            own_reachability: records which endpoints are out of reach.
+            on_cut_off: called when this instance begins to be cut off.
+        """
+        self._helpers = helpers
+        self._reachability = own_reachability
+        self._on_cut_off = on_cut_off
+
+    @property
+    def delay_seconds(self) -> float:
+        """Time after which a tunnel is tried beside a direct connection."""
+        return 0.0 if self._reachability.is_cut_off else DELAY_SECONDS
+
+    def report_used(self, address: str) -> None:
+        """Records that an endpoint was reached by a tunnel only."""
+        if self._reachability.record_detour(address):
+            self._on_cut_off()
+
+    async def connect(self, address: str) -> outbound.Channel:
+        """Opens a connection to an endpoint through another instance.
+
+        Args:
+            address: the endpoint's.
+
+        Raises:
+            OSError: no instance that was asked reaches the endpoint.
+        """
+        chosen: outbound.Channel | None = None
+        attempts: list[asyncio.Task[outbound.Channel]] = []
+        try:
+            for helper in self._helpers()[:MAX_HELPERS]:
+                attempts.append(
+                    asyncio.create_task(self._try_helper(helper, address))
+                )
+                chosen = await outbound.first_opened(attempts, STAGGER_SECONDS)
+                if chosen is not None:
+                    break
+            chosen = chosen or await outbound.first_opened(attempts, None)
+        finally:
+            for attempt in attempts:
+                outbound.discard(attempt, chosen)
+        if chosen is None:
+            raise ConnectionRefusedError("no tunnel")
+        now = asyncio.get_running_loop().time()
+        chosen.reuse_until = now + REUSE_SECONDS
+        return chosen
+
+    async def _try_helper(self, helper: str, address: str) -> outbound.Channel:
+        try:
+            return await self._connect_through(helper, address)
+        except OSError as error:
+            logger.info(
+                "tunnel.failed",
+                peer=helper,
+                endpoint=address,
+                reason=str(error) or type(error).__name__,
+            )
+            raise
+
+    async def _connect_through(
+        self, helper: str, address: str
+    ) -> outbound.Channel:
+        loop = asyncio.get_running_loop()
+        transport, tunnel = await loop.create_connection(
+            lambda: _Tunnel(address), *sockets.split_address(helper)
+        )
+        try:
+            return await tunnel.opened
+        except BaseException:
+            transport.abort()
+            raise
--- a/cranberryglade/tests/cut_off_gateways.py
+++ b/cranberryglade/tests/cut_off_gateways.py
@@ -4,6 +4,7 @@
 import enum
 
 from cranberryglade.gateway import outbound
+from cranberryglade.gateway import tunnels
 
 
 class Cut(enum.Enum):
@@ -28,6 +29,24 @@
         raise AssertionError
 
 
+class RefusingTunnelServer(tunnels.TunnelServer):
+    """Passes on for others, but is refused by all endpoints itself."""
+
+    async def _connect(self, address, peer) -> None:
+        raise ConnectionRefusedError
+
+
+class HangingTunnelServer(tunnels.TunnelServer):
+    """Passes on for others, but gets no answer from endpoints itself."""
+
+    async def _connect(self, address, peer) -> None:
+        await asyncio.sleep(60.0)
+
+
+TUNNEL_SERVERS = {
+    Cut.REFUSED: RefusingTunnelServer,
+    Cut.HANGING: HangingTunnelServer,
+}
 POOLS = {Cut.REFUSED: RefusingPool, Cut.HANGING: HangingPool}
 
 
@@ -36,6 +55,7 @@
     pools = gateway._sender.pools
     pools.close_others(set())
     pools.pool_type = POOLS[cut]
+    gateway._tunnel_server = TUNNEL_SERVERS[cut](gateway._state)
 
 
 def reconnect(gateway) -> None:
@@ -43,3 +63,4 @@
     pools = gateway._sender.pools
     pools.close_others(set())
     pools.pool_type = outbound.Pool
+    gateway._tunnel_server = tunnels.TunnelServer(gateway._state)
--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -152,6 +152,10 @@
         await gateway.start()
         return gateway
 
+    def change_settings(self, **changes) -> None:
+        """Changes the settings of the gateways that are added from now on."""
+        self._changes |= changes
+
     def configure(self, config: dict) -> None:
         """Writes a configuration to the store, as the operator does."""
         self.store.configure(config)
