Quarantine whole requests under which engines crash, at daemons too

The digest of the content, which each request has already, is one more part beside its prefix; peers are told of each part of a lost attempt. A prefix that looks like a digest does not count.

--- a/cranberryglade/gossip_encoding.py
+++ b/cranberryglade/gossip_encoding.py
@@ -55,9 +55,9 @@
 
 
 class AttemptRow(msgspec.Struct, array_like=True):
-    """A prefix that ran in a crash, and for how long in milliseconds."""
+    """A part that ran in a crash, and for how long in milliseconds."""
 
-    prefix: str
+    part: str
     running_ms: int
 
 
@@ -198,7 +198,7 @@
         crash.process.incarnation,
         _milliseconds(crash.age_seconds),
         [
-            AttemptRow(attempt.prefix, _milliseconds(attempt.running_seconds))
+            AttemptRow(attempt.part, _milliseconds(attempt.running_seconds))
             for attempt in crash.attempts
         ],
     )
@@ -208,7 +208,7 @@
     return messages.CrashReported(
         messages.EndpointProcess(row.endpoint, row.incarnation),
         tuple(
-            messages.LostAttempt(attempt.prefix, attempt.running_ms / 1000)
+            messages.LostAttempt(attempt.part, attempt.running_ms / 1000)
             for attempt in row.attempts
         ),
         max(0, row.age_ms) / 1000,
--- a/cranberryglade/scheduling/crashes.py
+++ b/cranberryglade/scheduling/crashes.py
@@ -1,6 +1,7 @@
-"""Finds the prefixes under which endpoints crash.
+"""Finds the prefixes, and the requests, under which endpoints crash.
 
-Load pattern: requests that share a prefix arrive at any instance. Each crashes
+Load pattern: requests that share a prefix, or repeat one request, arrive at any
+instance. Each crashes
 the endpoint that runs it, and with it all others that run there; the endpoint
 is back after some seconds, as a new process.
 """
@@ -52,7 +53,7 @@
 
     Attributes:
         at: when it happened.
-        attempts: the attempts with a prefix that ran there.
+        attempts: the attempts that ran there.
     """
 
     at: float
@@ -96,10 +97,10 @@
         self._changed = False
         self._expires_at = 0.0
 
-    def quarantined_seconds(self, prefix: str) -> float | None:
-        """Returns how long requests with a prefix are refused, or None."""
+    def quarantined_seconds(self, request: messages.Request) -> float | None:
+        """Returns how long a request is refused, or None."""
         now = self._collector.now
-        entry = self._quarantine.find(_parts(prefix), now)
+        entry = self._quarantine.find(_parts(request), now)
         return None if entry is None else entry.until - now
 
     def take_change(self) -> bool:
@@ -122,10 +123,9 @@
             messages.CrashReported(
                 process,
                 tuple(
-                    messages.LostAttempt(
-                        attempt.parts[0], crash.at - attempt.began_at
-                    )
+                    messages.LostAttempt(part, crash.at - attempt.began_at)
                     for attempt in crash.attempts[:MAX_REPORTED_ATTEMPTS]
+                    for part in attempt.parts
                 ),
                 now - crash.at,
             )
@@ -151,7 +151,7 @@
         at = self._collector.now - report.age_seconds
         attempts = [
             crash_evidence.RunningAttempt(
-                _parts(attempt.prefix), at - attempt.running_seconds
+                (attempt.part,), at - attempt.running_seconds
             )
             for attempt in report.attempts
         ]
@@ -205,7 +205,7 @@
 
     def record_answer(self, record: request_records.RequestRecord) -> None:
         """Records a whole answer, which clears its prefix."""
-        parts = _parts(record.request.prefix)
+        parts = _parts(record.request)
         self._quarantine.record_served(parts, self._collector.now)
 
     def expire(self) -> None:
@@ -224,11 +224,11 @@
     ) -> bool:
         """Records what ran in a crash; returns whether any of it was news."""
         known = self._crashes.get(process) or _Crash(at, ())
-        known_parts = {attempt.parts for attempt in known.attempts}
+        known_parts = {p for attempt in known.attempts for p in attempt.parts}
         fresh = [
             attempt
             for attempt in running
-            if attempt.parts and attempt.parts not in known_parts
+            if not known_parts.issuperset(attempt.parts)
         ]
         if not fresh:
             return False
@@ -265,13 +265,20 @@
         self.info(event, **fields)
 
 
-def _parts(prefix: str) -> tuple[str, ...]:
-    return (prefix,) if prefix else ()
+def _parts(request: messages.Request) -> tuple[str, ...]:
+    """Returns what a request has in common with others."""
+    parts = []
+    digest_prefix = crash_evidence.REQUEST_PREFIX
+    if request.prefix and not request.prefix.startswith(digest_prefix):
+        parts.append(request.prefix)
+    if request.fingerprint:
+        parts.append(digest_prefix + request.fingerprint)
+    return tuple(parts)
 
 
 def _running(
     record: request_records.RequestRecord,
 ) -> crash_evidence.RunningAttempt:
     return crash_evidence.RunningAttempt(
-        _parts(record.request.prefix), record.dispatched_at
+        _parts(record.request), record.dispatched_at
     )
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -343,11 +343,12 @@
     """An attempt that ran at an endpoint when it crashed.
 
     Attributes:
-        prefix: as in Request.
+        part: what it has in common with others, as in `crash_evidence`; an
+            attempt with several parts is reported once for each.
         running_seconds: how long it had run.
     """
 
-    prefix: str
+    part: str
     running_seconds: float
 
 
@@ -357,7 +358,7 @@
 
     Attributes:
         process: the process that ended.
-        attempts: the attempts with a prefix that ran there.
+        attempts: the attempts that ran there.
         age_seconds: time since the crash.
     """
 
--- a/cranberryglade/scheduling/scheduler.py
+++ b/cranberryglade/scheduling/scheduler.py
@@ -368,7 +368,7 @@
     def _refuse_if_quarantined(
         self, record: request_records.RequestRecord
     ) -> bool:
-        seconds = self._crashes.quarantined_seconds(record.request.prefix)
+        seconds = self._crashes.quarantined_seconds(record.request)
         if seconds is None:
             return False
         self._request_table.refuse(record, verdicts.Reason.QUARANTINED, seconds)
--- a/cranberryglade/tests/test_crashing_prefix.py
+++ b/cranberryglade/tests/test_crashing_prefix.py
@@ -79,12 +79,21 @@
 
     def _submit(self):
         prefix = f"sound-{self.random.randrange(10)}"
-        if self.faulty and self.random.random() < 1 / 3:
+        if self.faulty == "faulty" and self.random.random() < 1 / 3:
             prefix = self.faulty
         name = f"r{next(self._numbers)}"
+        self._submit_request(name, prefix, f"content of {name}")
+
+    def submit_at(self, at, content):
+        """Submits a request without a prefix at a time."""
+        name = f"plain{next(self._numbers)}"
+        self._at(at, lambda: self._submit_request(name, "", content))
+
+    def _submit_request(self, name, prefix, content):
         request = builders.request(
             name,
             prefix=prefix,
+            fingerprint=content,
             idempotent=True,
             deadline=self.now + 5.0,
             first_token_deadline=self.now + 1.0,
@@ -118,7 +127,7 @@
             return
         self._running[action.request_id] = action
         request = self._requests[action.request_id]
-        if request.prefix == self.faulty:
+        if self.faulty in (request.prefix, request.fingerprint):
             self._at(
                 self.now + self.SECONDS_TO_CRASH,
                 lambda: self._crash_process(engine),
@@ -330,3 +339,14 @@
     assert [each.lifted for each in domain.cores[1].quarantines(1.0)] == [False]
     domain._handle(1, messages.Answered("first", 1, 20))
     assert [each.lifted for each in domain.cores[0].quarantines(1.0)] == [True]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_few_engines_crash_under_one_request_without_a_prefix(seed):
+    engines = Engines(seed, count=20)
+    engines.faulty = "faulty content"
+    for second in range(60):
+        engines.submit_at(second, "faulty content")
+    engines.play(60.0)
+    assert count_late(engines.crash_times) <= MAX_LATE_CRASHES
+    assert engines.served > 400
