--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -69,6 +69,8 @@
         leaving: whether its answers state that it is about to stop.
         limit: requests a second that its answers state as its limit; "" if
             none.
+        brittle: refusals a second that it withstands, as its answers state;
+            "" if they do not.
         event_gap_seconds: time between two events of a stream.
         event_text: text in the data of its events.
         software_version: version in its row.
@@ -87,6 +89,7 @@
         self.default_behaviour = usual or self.succeed
         self.leaving = False
         self.limit = ""
+        self.brittle = ""
         self.event_gap_seconds = 0.0
         self.event_text = EVENT_TEXT
         self.software_version = "v1"
@@ -432,6 +435,8 @@
             head.append("Server-Leaving: 1")
         if self.limit:
             head.append(f"Server-Limit: {self.limit}")
+        if self.brittle:
+            head.append(f"Server-Brittle: {self.brittle}")
         if length is not None:
             head.append(f"Content-Length: {length}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
