Retrieve the failure of a tunnel that nobody waits for any more

An attempt to open a tunnel is cancelled when another instance was faster; its connection is lost afterwards, and the failure was set on a future that nobody awaited. Callers saw nothing of it. test_refusal_after_another_gateway_was_faster_is_no_error fails without the change.

--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -194,6 +194,8 @@
         self._answer = bytearray()
         self._ended = False
         self.opened = asyncio.get_running_loop().create_future()
+        # Who waited may be gone, as another instance was faster.
+        self.opened.add_done_callback(_retrieve_failure)
         self.channel: outbound.Channel | None = None
 
     def connection_made(self, transport) -> None:
@@ -251,6 +253,11 @@
         self.opened.set_result(self.channel)
 
 
+def _retrieve_failure(opened: asyncio.Future) -> None:
+    if not opened.cancelled():
+        opened.exception()
+
+
 class TunnelClient:
     """Opens connections to endpoints through other instances.
 
--- a/cranberryglade/tests/test_cut_off_gateway.py
+++ b/cranberryglade/tests/test_cut_off_gateway.py
@@ -1,11 +1,13 @@
 """Gateways that reach no endpoint, while callers and peers reach them."""
 
 import asyncio
+import gc
 
 import pytest
 
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import reachability
+from cranberryglade.gateway import sockets
 from cranberryglade.gateway import tunnels
 from cranberryglade.tests import cut_off_gateways
 from cranberryglade.tests import gateway_cluster
@@ -152,6 +154,22 @@
         )
 
 
+async def test_refusal_after_another_gateway_was_faster_is_no_error():
+    async with make_cluster(gateways=1) as cluster:
+        address = sockets.split_address(cluster.settings[0].front_address)
+        loop = asyncio.get_running_loop()
+        transport, tunnel = await loop.create_connection(
+            lambda: tunnels._Tunnel("127.0.0.1:1"), *address
+        )
+        waiting = asyncio.create_task(asyncio.wait([tunnel.opened]))
+        await asyncio.sleep(0)
+        tunnel.data_received(tunnels.encode_frame(b"refused"))
+        waiting.cancel()
+        transport.abort()
+        del tunnel, waiting
+        gc.collect()
+
+
 async def test_tunnels_lead_to_listed_endpoints_only():
     async with make_cluster(gateways=1) as cluster:
         settings = cluster.settings[0]
