Open connections by one function, and name a request's parts once

Found while the change was read again; no behaviour changes.

* The direct connection with a tunnel beside it, and the instances that are asked for a tunnel one after the other, raced connections by the same steps written twice: opening.open_first does both, in a module of its own.
* That a prompt part cannot pass for a digest was checked at gateways and at daemons: crash_evidence.request_parts.
A gateway computes a request's parts once, not three times.
* Reachability gets the time like other classes without I/O.
* The test of a crash behind a proxy uses the soak's link, not a proxy of its own; it still fails (12 sends, 6 allowed) if a closed connection does not count as a crash.
* A comment of one constant of the process stood with another; comments that spoke of prompt parts only.

--- a/cranberryglade/crash_evidence.py
+++ b/cranberryglade/crash_evidence.py
@@ -131,6 +131,23 @@
             self.counted_at = now
 
 
+def request_parts(prompt_parts: Iterable[str], digest: str) -> tuple[str, ...]:
+    """Returns what a request has in common with others.
+
+    A prompt part that could be taken for a digest does not count.
+
+    Args:
+        prompt_parts: parts of its prompt that others may share.
+        digest: the digest of the whole request, after REQUEST_PREFIX; "" if it
+            has none.
+
+    >>> request_parts(["a0", "-f00d"], "-beef")
+    ('a0', '-beef')
+    """
+    shared = [p for p in prompt_parts if not p.startswith(REQUEST_PREFIX)]
+    return (*shared, digest) if digest else tuple(shared)
+
+
 class CrashEvidence:
     """Crashes and whole answers by part; performs no I/O.
 
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 
-from cranberryglade import crash_evidence
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
@@ -20,7 +19,8 @@
         request: the request as it was read.
         facts: its decoded headers.
         admitted: its route, organisation, rank and cost.
-        digest: names what it asks for, as `request_digests` does.
+        parts: what it has in common with others, as in `crash_evidence`; its
+            own digest is the last.
         responder: writes its answer.
         deadline: when its final answer is due, seconds of the loop's clock.
         arrived: when its last byte was read, seconds of the loop's clock.
@@ -45,7 +45,7 @@
     request: messages.Request
     facts: messages.RequestMetadata
     admitted: admission.Admitted
-    digest: str
+    parts: tuple[str, ...]
     responder: responding.Responder
     deadline: float
     arrived: float
@@ -65,12 +65,9 @@
     answer_framing: dialect.Framing | None = None
 
     @property
-    def parts(self) -> tuple[str, ...]:
-        """What it has in common with others: prompt parts, and its digest."""
-        prefix = crash_evidence.REQUEST_PREFIX
-        prompt_parts = self.facts.prompt_parts
-        own = [part for part in prompt_parts if not part.startswith(prefix)]
-        return (*own, self.digest)
+    def digest(self) -> str:
+        """Names what it asks for, as `request_digests` does."""
+        return self.parts[-1]
 
     @property
     def may_have_run(self) -> bool:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 
+from cranberryglade import crash_evidence
 from cranberryglade import log
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
@@ -129,8 +130,11 @@
             request=request,
             facts=facts,
             admitted=admitted,
-            digest=request_digests.compute_digest(
-                request, facts, _organisation_name(admitted)
+            parts=crash_evidence.request_parts(
+                facts.prompt_parts,
+                request_digests.compute_digest(
+                    request, facts, _organisation_name(admitted)
+                ),
             ),
             responder=responder,
             deadline=request.arrived + admitted.timeout_seconds,
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -295,11 +295,11 @@
         """
         usable = [each for each in self.reachable(now) if not each.stopping]
         random.shuffle(usable)
-        near = next((m for m in usable if m.domain == self._domain), None)
+        near = [m for m in usable if m.domain == self._domain]
         far = [m for m in usable if m.domain != self._domain]
-        rest = [m for m in usable if m.domain == self._domain and m is not near]
-        ordered = [near, *far, *rest] if near is not None else far
-        return sorted(ordered, key=lambda each: each.cut_off)
+        return sorted(
+            [*near[:1], *far, *near[1:]], key=lambda each: each.cut_off
+        )
 
     def replicas(self, key: str, count: int, now: float) -> list[Member]:
         """Returns the members that have copies of what is stored under a key.
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -309,7 +309,7 @@
             self.members.instance_count(now),
             int(self.members.uptime(now) * 1000),
             self._state.directory.version.era,
-            self._state.reachability.is_cut_off,
+            self._state.reachability.is_cut_off(now),
         )
 
     def _choose_introduction(self, now: float) -> datagrams.MemberInfo | None:
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -10,6 +10,7 @@
 
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import opening
 from cranberryglade.gateway import sockets
 
 HIGH_WATER_BYTES = 262_144
@@ -349,47 +350,6 @@
             self._emit(AnswerLost(reason))
 
 
-async def first_opened(
-    attempts: list[asyncio.Task[Channel]], seconds: float | None
-) -> Channel | None:
-    """Waits for the first of several attempts to connect that succeeds.
-
-    Args:
-        attempts: the attempts; the first of them precedes the others.
-        seconds: timeout; None to wait until all have ended.
-
-    Returns:
-        Its connection; None if there is none in time.
-    """
-    loop = asyncio.get_running_loop()
-    deadline = math.inf if seconds is None else loop.time() + seconds
-    while True:
-        opened = next(filter(_succeeded, attempts), None)
-        if opened is not None:
-            return opened.result()
-        waiting = [each for each in attempts if not each.done()]
-        left = deadline - loop.time()
-        if not waiting or left <= 0:
-            return None
-        await asyncio.wait(
-            waiting,
-            timeout=None if math.isinf(left) else left,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-
-
-def _succeeded(attempt: asyncio.Task[Channel]) -> bool:
-    return attempt.done() and attempt.exception() is None
-
-
-def discard(attempt: asyncio.Task[Channel], chosen: Channel | None) -> None:
-    """Ends an attempt to connect, unless its connection was chosen."""
-    if not attempt.done():
-        attempt.cancel()
-    elif _succeeded(attempt) and attempt.result() is not chosen:
-        attempt.result().abort()
-
-
 def _size(event: Event) -> int:
     return EVENT_BYTES + (len(event.data) if isinstance(event, Data) else 0)
 
@@ -464,23 +424,11 @@
         Raises:
             OSError: if neither leads to the address.
         """
-        direct = asyncio.create_task(self._open())
-        detour: asyncio.Task | None = None
-        chosen: Channel | None = None
-        try:
-            chosen = await first_opened([direct], self._detour.delay_seconds)
-            if chosen is not None:
-                return chosen
-            detour = asyncio.create_task(self._detour.connect(self._address))
-            chosen = await first_opened([direct, detour], None)
-            if chosen is None:
-                return direct.result()
-            if not _succeeded(direct):
-                self._detour.report_used(self._address)
-            return chosen
-        finally:
-            for attempt in filter(None, (direct, detour)):
-                discard(attempt, chosen)
+        ways = (self._open, lambda: self._detour.connect(self._address))
+        opened = await opening.open_first(ways, self._detour.delay_seconds)
+        if opened.position > 0:
+            self._detour.report_used(self._address)
+        return opened.connection
 
     async def _open(self) -> Channel:
         host, port = sockets.split_address(self._address)
--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -21,7 +21,7 @@
         CLAIMS: callers' keys that daemons have claimed.
         LEASES: leases of endpoints for operators' orders.
         INSTANCES: daemons and their endpoints.
-        QUARANTINE: prompt parts that crash endpoints.
+        QUARANTINE: prompt parts and requests that crash endpoints.
         USAGE: usage of quotas.
     """
 
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -57,12 +57,12 @@
 
 SETTINGS_REREAD_SECONDS = 3.0
 PROBE_STEP_SECONDS = 0.4
+"""Delay of the probe of the store for each instance that is earlier in
+rendezvous order, so that one probe usually serves all instances."""
 
 SETTLE_SECONDS = 1.0
 """How long requests that count against quotas wait after a start for what the
 store knows."""
-"""Delay of the probe of the store for each instance that is earlier in
-rendezvous order, so that one probe usually serves all instances."""
 
 
 class Gateway:
@@ -411,7 +411,7 @@
     async def _handle_peer(
         self, request: messages.Request, responder: responding.Responder
     ) -> None:
-        if request.target.startswith(tunnels.PATH.encode()):
+        if request.target.startswith(tunnels.PATH):
             await self._tunnel_server.handle(request, responder)
         else:
             await self._peer_sync.handle(request, responder)
--- a/cranberryglade/gateway/quarantine_sync.py
+++ b/cranberryglade/gateway/quarantine_sync.py
@@ -1,4 +1,4 @@
-"""Keeps the quarantine of prompt parts in the platform's store.
+"""Keeps the quarantine of parts of requests in the platform's store.
 
 Instances tell each other of it with their heartbeats; the store keeps it for
 those that start when no other is running.
@@ -28,7 +28,7 @@
     """A quarantine as it is stored.
 
     Attributes:
-        parts: ids of the prompt parts.
+        parts: ids of the parts, as in `crash_evidence`.
         seconds: how long it lasts, at the instance that reads it.
         generation: as in `quarantine.Entry`.
     """
--- a/cranberryglade/gateway/reachability.py
+++ b/cranberryglade/gateway/reachability.py
@@ -4,8 +4,6 @@
 makes to the same endpoint shows that the endpoint is sound.
 """
 
-import asyncio
-
 from cranberryglade import log
 
 CUT_OFF_SECONDS = 3.0
@@ -29,27 +27,24 @@
     def __init__(self):
         self._until: dict[str, float] = {}
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether several endpoints are out of reach at present."""
-        now = asyncio.get_running_loop().time()
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether several endpoints are out of reach."""
         return sum(until > now for until in self._until.values()) >= (
             MIN_ENDPOINTS
         )
 
-    def record_detour(self, address: str) -> bool:
+    def record_detour(self, address: str, now: float) -> bool:
         """Records that an endpoint was reached through another instance only.
 
         Returns:
             Whether this instance counts as cut off since.
         """
-        now = asyncio.get_running_loop().time()
-        before = self.is_cut_off
+        before = self.is_cut_off(now)
         self._until = {
             each: until for each, until in self._until.items() if until > now
         }
         self._until[address] = now + CUT_OFF_SECONDS
-        begins = self.is_cut_off and not before
+        begins = self.is_cut_off(now) and not before
         if begins:
             logger.warning("endpoints.cut_off", out_of_reach=len(self._until))
         return begins
--- a/cranberryglade/gateway/request_digests.py
+++ b/cranberryglade/gateway/request_digests.py
@@ -31,8 +31,6 @@
         The digest, in hexadecimal after crash_evidence.REQUEST_PREFIX.
     """
     path, _, query = request.target.partition(b"?")
-    # Fast for large bodies; whoever finds two with one hash only confuses
-    # requests of its own organisation.
     prompt = (*facts.prompt_parts, facts.own_prompt_part)
     fields = (
         facts.host.lower().encode("latin-1"),
@@ -40,6 +38,8 @@
         request.method,
         path,
         b"&".join(sorted(query.split(b"&"))),
+        # Fast for large bodies; whoever finds two with one hash only confuses
+        # requests of its own organisation.
         xxhash.xxh3_128_digest(request.body or ",".join(prompt).encode()),
     )
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -28,7 +28,7 @@
         store_restored: is set when the store has come back from an old copy.
         limit_share: this instance's fraction of common limits.
         metrics: counters and histograms.
-        quarantine: prompt parts that crash endpoints.
+        quarantine: prompt parts and requests that crash endpoints.
         endpoint_limits: limits that endpoints name.
         reachability: endpoints that only other instances reach.
     """
--- a/cranberryglade/gateway/status.py
+++ b/cranberryglade/gateway/status.py
@@ -16,14 +16,14 @@
 """The method that ends a quarantine."""
 
 PART_SEPARATOR = "+"
-"""Separates prompt parts in a path."""
+"""Separates parts in a path."""
 
 
 class QuarantineEntry(msgspec.Struct):
     """A quarantine, as operators read it.
 
     Attributes:
-        parts: prompt parts that a barred request has.
+        parts: parts that a barred request has.
         ends_in_s: seconds until it ends.
     """
 
@@ -32,7 +32,7 @@
 
 
 class StatusPages:
-    """Readiness, metrics and the quarantine of prompt parts."""
+    """Readiness, metrics and the quarantine."""
 
     __slots__ = ("_is_ready", "_state")
 
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -11,17 +11,19 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import struct
 
 from cranberryglade import log
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import opening
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import reachability
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
 
-PATH = "/tunnel/"
+PATH = b"/tunnel/"
 """Path of a request for a tunnel; the endpoint's address follows."""
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -73,7 +75,7 @@
         self, request: messages.Request, responder: responding.Responder
     ) -> None:
         """Opens a tunnel on the connection of a peer's request."""
-        address = request.target.decode("latin-1").removeprefix(PATH)
+        address = request.target.removeprefix(PATH).decode("latin-1")
         peer = _PeerSide(self.open_transports)
         peer.attach(responder.take_connection())
         refusal = self._find_refusal(address)
@@ -202,7 +204,7 @@
         self._transport = transport
         host = self._address.encode()
         transport.write(
-            b"POST %s%s HTTP/1.1\r\nHost: peer\r\n\r\n" % (PATH.encode(), host)
+            b"POST %s%s HTTP/1.1\r\nHost: peer\r\n\r\n" % (PATH, host)
         )
 
     def data_received(self, data: bytes) -> None:
@@ -287,11 +289,13 @@
     @property
     def delay_seconds(self) -> float:
         """Time after which a tunnel is tried beside a direct connection."""
-        return 0.0 if self._reachability.is_cut_off else DELAY_SECONDS
+        now = asyncio.get_running_loop().time()
+        return 0.0 if self._reachability.is_cut_off(now) else DELAY_SECONDS
 
     def report_used(self, address: str) -> None:
         """Records that an endpoint was reached by a tunnel only."""
-        if self._reachability.record_detour(address):
+        now = asyncio.get_running_loop().time()
+        if self._reachability.record_detour(address, now):
             self._on_cut_off()
 
     async def connect(self, address: str) -> outbound.Channel:
@@ -303,25 +307,19 @@
         Raises:
             OSError: no instance that was asked reaches the endpoint.
         """
-        chosen: outbound.Channel | None = None
-        attempts: list[asyncio.Task[outbound.Channel]] = []
-        try:
-            for helper in self._helpers()[:MAX_HELPERS]:
-                attempts.append(
-                    asyncio.create_task(self._try_helper(helper, address))
-                )
-                chosen = await outbound.first_opened(attempts, STAGGER_SECONDS)
-                if chosen is not None:
-                    break
-            chosen = chosen or await outbound.first_opened(attempts, None)
-        finally:
-            for attempt in attempts:
-                outbound.discard(attempt, chosen)
-        if chosen is None:
-            raise ConnectionRefusedError("no tunnel")
+        helpers = self._helpers()[:MAX_HELPERS]
+        if not helpers:
+            raise ConnectionRefusedError("no instance to ask")
+        opened = await opening.open_first(
+            [
+                functools.partial(self._try_helper, helper, address)
+                for helper in helpers
+            ],
+            STAGGER_SECONDS,
+        )
         now = asyncio.get_running_loop().time()
-        chosen.reuse_until = now + REUSE_SECONDS
-        return chosen
+        opened.connection.reuse_until = now + REUSE_SECONDS
+        return opened.connection
 
     async def _try_helper(self, helper: str, address: str) -> outbound.Channel:
         try:
--- a/cranberryglade/scheduling/crashes.py
+++ b/cranberryglade/scheduling/crashes.py
@@ -1,9 +1,8 @@
 """Finds the prefixes, and the requests, under which endpoints crash.
 
 Load pattern: requests that share a prefix, or repeat one request, arrive at any
-instance. Each crashes
-the endpoint that runs it, and with it all others that run there; the endpoint
-is back after some seconds, as a new process.
+instance. Each crashes the endpoint that runs it, and with it all others that
+run there; the endpoint is back after some seconds, as a new process.
 """
 
 import dataclasses
@@ -204,7 +203,7 @@
             self._collector.add_action(messages.NotifyPeers())
 
     def record_answer(self, record: request_records.RequestRecord) -> None:
-        """Records a whole answer, which clears its prefix."""
+        """Records a whole answer, which clears all parts of its request."""
         parts = _parts(record.request)
         self._quarantine.record_served(parts, self._collector.now)
 
@@ -267,13 +266,11 @@
 
 def _parts(request: messages.Request) -> tuple[str, ...]:
     """Returns what a request has in common with others."""
-    parts = []
-    digest_prefix = crash_evidence.REQUEST_PREFIX
-    if request.prefix and not request.prefix.startswith(digest_prefix):
-        parts.append(request.prefix)
-    if request.fingerprint:
-        parts.append(digest_prefix + request.fingerprint)
-    return tuple(parts)
+    prompt_parts = (request.prefix,) if request.prefix else ()
+    digest = request.fingerprint
+    return crash_evidence.request_parts(
+        prompt_parts, digest and crash_evidence.REQUEST_PREFIX + digest
+    )
 
 
 def _running(
--- a/cranberryglade/tests/test_crashing_plain_request.py
+++ b/cranberryglade/tests/test_crashing_plain_request.py
@@ -6,7 +6,7 @@
 
 from cranberryglade import quarantine
 from cranberryglade.gateway import messages
-from cranberryglade.gateway import sockets
+from cranberryglade.soak import links
 from cranberryglade.tests import gateway_cluster
 
 FAULTY_BODY = b"faulty"
@@ -133,45 +133,10 @@
         assert again.status == 503
 
 
-class Proxy:
-    """Accepts connections for an endpoint, and closes them if it has ended."""
-
-    def __init__(self, endpoint):
-        self._endpoint = endpoint
-        self._server: asyncio.Server | None = None
-        self.address = ""
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-
-    def close(self) -> None:
-        self._server.close()
-
-    async def _relay(self, reader, writer) -> None:
-        try:
-            address = sockets.split_address(self._endpoint.address)
-            onward = await asyncio.open_connection(*address)
-        except ConnectionRefusedError:
-            writer.close()
-            return
-        await asyncio.gather(
-            self._copy(reader, onward[1]), self._copy(onward[0], writer)
-        )
-
-    async def _copy(self, reader, writer) -> None:
-        try:
-            while data := await reader.read(65_536):
-                writer.write(data)
-        finally:
-            writer.close()
-
-
 @pytest.mark.parametrize("target", TARGETS)
 async def test_crash_behind_a_proxy_that_accepts_connections_counts(target):
     async with make_cluster() as cluster:
-        proxies = [Proxy(endpoint) for endpoint in cluster.runners]
+        proxies = [links.Link(each.address) for each in cluster.runners]
         for endpoint, proxy in zip(cluster.runners, proxies, strict=True):
             await proxy.start()
             cluster.register_runner(endpoint, address=proxy.address)
@@ -183,4 +148,4 @@
             await send(cluster, number, target=target)
         assert sends_of(cluster, is_faulty) <= MAX_SENDS
         for proxy in proxies:
-            proxy.close()
+            await proxy.stop()
--- a/cranberryglade/tests/test_cut_off_gateway.py
+++ b/cranberryglade/tests/test_cut_off_gateway.py
@@ -137,16 +137,21 @@
         )
 
 
+def is_cut_off(gateway) -> bool:
+    now = asyncio.get_running_loop().time()
+    return gateway._state.reachability.is_cut_off(now)
+
+
 async def test_gateway_connects_directly_again_after_the_cut():
     async with make_cluster(gateways=2) as cluster:
         await cut_off_first(cluster)
         await asyncio.gather(
             *(served_share(cluster, 0, "/look/1") for _ in range(6))
         )
-        assert cluster.gateways[0]._state.reachability.is_cut_off
+        assert is_cut_off(cluster.gateways[0])
         cut_off_gateways.reconnect(cluster.gateways[0])
         await gateway_cluster.wait_until(
-            lambda: not cluster.gateways[0]._state.reachability.is_cut_off
+            lambda: not is_cut_off(cluster.gateways[0])
         )
         assert await served_share(cluster, 0, "/look/1") == 1.0
         await gateway_cluster.wait_until(
