Count stored usage for one window, and store again what was only reported

Causes * Charges took what the store had at a start for known as long as the instance ran. A new allocator then granted half of a quota before any instance had reported to it, long after the window of the stored usage had passed. * Quotas.large_usage went through accounts only, which exist for organisations that asked this allocator. What others had reported, or the store had, was not stored again, and lost if all instances were killed twice in one window.

Changes: record_stored gets the time, and expire drops the stored usage a window later; large_usage goes through reported organisations too.

test_usage_in_the_store_counts_for_one_window_only passes the time of the read now (the interface had none) and also checks that the usage is still known just before the window ends; test_usage_that_was_only_reported_is_stored_again is unchanged.

--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -108,11 +108,11 @@
     """
 
     __slots__ = (
-        "_has_stored_usage",
         "_isolated",
         "_ledger",
         "_pending",
         "_shared",
+        "_stored_at",
     )
 
     def __init__(self, shared: quotas.Quotas, isolated: quotas.Quotas):
@@ -126,12 +126,12 @@
         self._isolated = isolated
         self._ledger = quotas.Ledger()
         self._pending: dict[str, Charge] = {}
-        self._has_stored_usage = False
+        self._stored_at: float | None = None
 
     @property
     def has_stored_usage(self) -> bool:
         """Whether it counts the usage that the store had at the start."""
-        return self._has_stored_usage
+        return self._stored_at is not None
 
     @property
     def window_seconds(self) -> float:
@@ -147,18 +147,19 @@
         """Records usage at an instance that was not granted here."""
         self._shared.record_report(holder, usages)
 
-    def record_stored(self, usages: list[quotas.Usage]) -> None:
+    def record_stored(self, usages: list[quotas.Usage], now: float) -> None:
         """Records the usage before the start, as the store has it.
 
-        Organisations without usage there used less than UNRECORDED_FRACTION.
+        It counts for one window. Organisations without usage there used less
+        than UNRECORDED_FRACTION.
         """
-        self._has_stored_usage = True
+        self._stored_at = now
         self._shared.record_report(STORED, usages)
         self._isolated.record_report(STORED, usages)
 
     def forget_stored(self) -> None:
         """Drops the usage from the store, as others report the same."""
-        self._has_stored_usage = False
+        self._stored_at = None
         self._shared.record_report(STORED, [])
         self._isolated.record_report(STORED, [])
 
@@ -232,8 +233,14 @@
         )
 
     def expire(self, now: float) -> None:
-        """Makes charges final that have had no decision for a whole window."""
+        """Ends what is older than a window.
+
+        Charges without a decision become final, and the usage from the store
+        is dropped.
+        """
         oldest = now - self.window_seconds
+        if self._stored_at is not None and self._stored_at < oldest:
+            self.forget_stored()
         for id_, charge in list(self._pending.items()):
             if charge.at < oldest:
                 del self._pending[id_]
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -185,7 +185,15 @@
             now: seconds of the loop's clock.
         """
         usages: list[Usage] = []
-        for name, account in self._accounts.items():
+        reported = {
+            usage.organisation
+            for usages_of_one in self._reported.values()
+            for usage in usages_of_one
+        }
+        for name in sorted(self._accounts.keys() | reported):
+            account = self._account(name, now)
+            if account is None:
+                continue
             known = [
                 Usage(name, cost, at, "")
                 for at, cost in account.usage.amounts(now)
--- a/cranberryglade/gateway/usage_sync.py
+++ b/cranberryglade/gateway/usage_sync.py
@@ -93,8 +93,10 @@
         return True
 
     def _apply(self, row: ports.Row) -> None:
+        # The age of the row is not known. Without it, usage counts for longer.
+        now = asyncio.get_running_loop().time()
         if row.value is None:
-            self._charges.record_stored([])
+            self._charges.record_stored([], now)
             return
         try:
             stored = msgspec.json.decode(
@@ -103,9 +105,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             logger.warning("usage.unreadable", problem=str(error))
             return
-        # Its age is not known. Without it, usage counts for longer.
-        now = asyncio.get_running_loop().time()
-        self._charges.record_stored(quotas.decode_usage(stored, now))
+        self._charges.record_stored(quotas.decode_usage(stored, now), now)
         logger.info(
             "usage.read", organisations=len({u.organisation for u in stored})
         )
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -384,7 +384,8 @@
     charging = charges.Charges(
         make_quotas(organisation), make_quotas(organisation)
     )
-    charging.record_stored([])
+    charging.record_stored([], 51.0)
+    charging.expire(58.9)
     assert charging.has_stored_usage
     charging.expire(60.0)
     assert not charging.has_stored_usage
