Measure an allocator under the load of hundreds of instances

`cranberryglade bench allocator` drives the allocator of a gateway by the datagrams that it would receive, in simulated time, and prints the processor time by type of message. Its defaults are the size of a deployment with 195 instances and 59 endpoints of 4 slots.

--- a/cranberryglade/tools/bench.py
+++ b/cranberryglade/tools/bench.py
@@ -7,6 +7,7 @@
 import msgspec
 import uvloop
 
+from cranberryglade.tools import benchallocator
 from cranberryglade.tools import benchengine
 from cranberryglade.tools import benchload
 from cranberryglade.tools import benchslopes
@@ -15,7 +16,7 @@
 
 @click.group()
 def bench() -> None:
-    """Benchmarks a running daemon, or the scheduler core alone."""
+    """Benchmarks a running daemon, or single parts of the scheduler."""
 
 
 @bench.command("engine")
@@ -88,6 +89,59 @@
             click.echo(f"  {size:>9,}  {value:>16,.2f} {slope.unit}")
 
 
+@bench.command("allocator")
+@click.option(
+    "--instances",
+    default=195,
+    show_default=True,
+    help="Number of instances, with the allocator.",
+)
+@click.option(
+    "--endpoints",
+    default=59,
+    show_default=True,
+    help="Number of endpoints of the service.",
+)
+@click.option(
+    "--slots", default=4, show_default=True, help="Slots of an endpoint."
+)
+@click.option(
+    "--load",
+    default=0.7,
+    show_default=True,
+    help="Requests that arrive, as a share of what the endpoints can run.",
+)
+@click.option(
+    "--answer-seconds",
+    default=0.35,
+    show_default=True,
+    help="Mean time that a request holds its slot.",
+)
+@click.option(
+    "--organisations", default=19, show_default=True, help="Their number."
+)
+@click.option(
+    "--seconds", default=5.0, show_default=True, help="Simulated time."
+)
+@click.option("--seed", default=1, show_default=True, help="Seed of the load.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
+def measure_allocator(as_json: bool, **options) -> None:
+    """Prints the processor time of an allocator, by type of message."""
+    measured = benchallocator.measure(benchallocator.Plan(**options))
+    if as_json:
+        click.echo(msgspec.json.encode(measured).decode())
+        return
+    click.echo(
+        f"{measured.plan.requests_per_second:,.0f} requests/s:"
+        f" {measured.cores:.3f} cores,"
+        f" {measured.granted:,} granted, {measured.denied:,} denied,"
+        f" at most {measured.most_waiting:,} waiting"
+    )
+    for kind, count in measured.counts.items():
+        cost = measured.microseconds[kind]
+        click.echo(f"  {kind:<12}  {count:>9,}  {cost:>10,.1f} us each")
+
+
 @bench.command("rest")
 @click.argument("pids", type=int, nargs=-1, required=True)
 @click.option(
