--- /dev/null
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -0,0 +1,340 @@
+"""The endpoints of one service, ordered by what a request costs there.
+
+Load pattern: hundreds of requests a second for endpoints whose speeds differ by
+several times. The best endpoint with a free slot is found without going through
+all of them, so that a grant costs the same for 40 endpoints and for 2,000.
+"""
+
+import bisect
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import heapq
+import itertools
+import math
+
+from cranberryglade.gateway import endpoint_limits
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import messages
+
+DEFAULT_PACE = 0.0
+
+MAX_COMPARED = 8
+"""Most endpoints whose present costs are compared for one grant. Costs rise
+while requests run, so an order by earlier costs is nearly right."""
+
+MAX_REST_SECONDS = 0.1
+"""An endpoint whose limit is used up is looked at again after this time, since
+its limit may have changed."""
+
+MEDIAN_TOLERANCE = 0.1
+"""Relative change of the median pace from which on the endpoints that have no
+pace of their own are ordered anew."""
+
+MIN_COMPACTION = 64
+"""A heap with fewer entries than this is not rebuilt without the stale ones."""
+
+Accepts = Callable[[endpoint_states.EndpointState], bool]
+
+Candidate = tuple[endpoint_states.Cost, str, int, endpoint_states.EndpointState]
+"""Cost, id of the endpoint, and the revision of the state it belongs to."""
+
+
+class EndpointRates:
+    """The requests a second that endpoints take; performs no I/O.
+
+    Attributes:
+        limit_share: share of the endpoints' limits that may be granted here.
+    """
+
+    __slots__ = ("_limits", "limit_share")
+
+    def __init__(self, limits: endpoint_limits.EndpointLimits):
+        self._limits = limits
+        self.limit_share = 1.0
+
+    @property
+    def unlimited(self) -> bool:
+        """Whether no endpoint names a limit, or did so lately."""
+        return self._limits.is_empty
+
+    def limit(self, state: endpoint_states.EndpointState, now: float) -> float:
+        """Returns the requests a second that may be granted at an endpoint."""
+        return self.limit_share * self._limits.rate(state.endpoint, now)
+
+    def tokens(self, state: endpoint_states.EndpointState, now: float) -> float:
+        """Returns how many requests an endpoint's limit admits now."""
+        if self.unlimited:
+            return math.inf
+        rate = self.limit(state, now)
+        if math.isinf(rate):
+            state.bucket = None
+            return math.inf
+        if state.bucket is None:
+            state.bucket = endpoint_limits.TokenBucket(now)
+        return state.bucket.refill(rate, now)
+
+
+class MedianPace:
+    """Median of the measured paces of the endpoints of one service."""
+
+    __slots__ = ("_paces",)
+
+    def __init__(self):
+        self._paces: list[float] = []
+
+    @property
+    def value(self) -> float:
+        """The median, in seconds for each unit of work."""
+        if not self._paces:
+            return DEFAULT_PACE
+        return self._paces[len(self._paces) // 2]
+
+    def add(self, state: endpoint_states.EndpointState) -> None:
+        """Includes the pace of an endpoint, if it was measured."""
+        if state.samples:
+            bisect.insort(self._paces, state.seconds_per_work_unit)
+
+    def remove(self, state: endpoint_states.EndpointState) -> None:
+        """Leaves out an endpoint's pace; to be called before it changes."""
+        if state.samples:
+            pace = state.seconds_per_work_unit
+            del self._paces[bisect.bisect_left(self._paces, pace)]
+
+
+class VersionPool:
+    """The endpoints of one service and software version.
+
+    Each is in one of three places: in the order of costs, at rest until a time,
+    or, while it is full, in neither. An entry is stale once the state of its
+    endpoint has a newer revision.
+
+    Attributes:
+        load: slots of all of them, and the work in progress there.
+        states: the endpoints by id.
+    """
+
+    __slots__ = ("_candidates", "_resting", "_revisions", "load", "states")
+
+    def __init__(self):
+        self.load = endpoint_states.NO_LOAD
+        self.states: dict[str, endpoint_states.EndpointState] = {}
+        self._revisions = itertools.count(1)
+        self._candidates: list[Candidate] = []
+        self._resting: list[
+            tuple[float, str, int, endpoint_states.EndpointState]
+        ] = []
+
+    def renew(
+        self,
+        state: endpoint_states.EndpointState,
+        default_pace: float,
+        now: float,
+    ) -> None:
+        """Renews the place of an endpoint after its state has changed."""
+        state.revision = next(self._revisions)
+        load = state.load
+        self.load += load - state.counted
+        state.counted = load
+        if state.free_slots <= 0:
+            return
+        cost = state.cost(default_pace, now)
+        self.put((cost, state.endpoint.id, state.revision, state))
+        if len(self._candidates) > MIN_COMPACTION + 2 * len(self.states):
+            self._candidates = [e for e in self._candidates if self._holds(e)]
+            heapq.heapify(self._candidates)
+
+    def remove(self, state: endpoint_states.EndpointState) -> None:
+        """Removes an endpoint."""
+        del self.states[state.endpoint.id]
+        self.load -= state.counted
+        state.counted = endpoint_states.NO_LOAD
+
+    def put(self, candidate: Candidate) -> None:
+        """Puts an endpoint into the order of costs."""
+        heapq.heappush(self._candidates, candidate)
+
+    def take_first(self) -> None:
+        """Takes the endpoint that `first` returned out of the order."""
+        heapq.heappop(self._candidates)
+
+    def rest(self, state: endpoint_states.EndpointState, until: float) -> None:
+        """Takes an endpoint out of the order of costs until a time."""
+        state.revision = next(self._revisions)
+        id_ = state.endpoint.id
+        heapq.heappush(self._resting, (until, id_, state.revision, state))
+
+    def wake(self, default_pace: float, now: float) -> None:
+        """Puts endpoints back whose rest is over."""
+        while self._resting and self._resting[0][0] <= now:
+            entry = heapq.heappop(self._resting)
+            if self._holds(entry):
+                self.renew(entry[-1], default_pace, now)
+
+    def first(self) -> Candidate | None:
+        """Returns the endpoint that had the least cost, if any is free."""
+        while self._candidates and not self._holds(self._candidates[0]):
+            heapq.heappop(self._candidates)
+        return self._candidates[0] if self._candidates else None
+
+    def _holds(self, entry: tuple) -> bool:
+        _, id_, revision, state = entry
+        return revision == state.revision and self.states.get(id_) is state
+
+
+class EndpointGroup:
+    """The endpoints of one service that accept requests; performs no I/O.
+
+    Times are seconds of the loop's clock.
+    """
+
+    __slots__ = ("_keyed_median", "_median", "_pools", "_rates", "_unmeasured")
+
+    def __init__(self, rates: EndpointRates):
+        self._rates = rates
+        self._median = MedianPace()
+        self._keyed_median = DEFAULT_PACE
+        self._pools: dict[str, VersionPool] = {}
+        self._unmeasured: dict[str, endpoint_states.EndpointState] = {}
+
+    def __contains__(self, id_: str) -> bool:
+        """Returns whether an endpoint is in the group."""
+        return any(id_ in pool.states for pool in self._pools.values())
+
+    @property
+    def median_pace(self) -> float:
+        """Median seconds for each unit of work."""
+        return self._median.value
+
+    def add(self, state: endpoint_states.EndpointState, now: float) -> None:
+        """Adds an endpoint."""
+        version = state.endpoint.software_version
+        pool = self._pools.setdefault(version, VersionPool())
+        pool.states[state.endpoint.id] = state
+        self._median.add(state)
+        if not state.samples:
+            self._unmeasured[state.endpoint.id] = state
+        pool.renew(state, self.median_pace, now)
+
+    def remove(self, state: endpoint_states.EndpointState) -> None:
+        """Removes an endpoint."""
+        version = state.endpoint.software_version
+        pool = self._pools[version]
+        pool.remove(state)
+        if not pool.states:
+            del self._pools[version]
+        self._median.remove(state)
+        self._unmeasured.pop(state.endpoint.id, None)
+
+    def renew(self, state: endpoint_states.EndpointState, now: float) -> None:
+        """Renews the place of an endpoint after its state has changed."""
+        pool = self._pools[state.endpoint.software_version]
+        pool.renew(state, self.median_pace, now)
+
+    def record_pace(
+        self, state: endpoint_states.EndpointState, pace: float, now: float
+    ) -> None:
+        """Includes a measured pace of an endpoint."""
+        self._median.remove(state)
+        state.record_pace(pace)
+        self._median.add(state)
+        self._unmeasured.pop(state.endpoint.id, None)
+        change = abs(self.median_pace - self._keyed_median)
+        if change > MEDIAN_TOLERANCE * self._keyed_median:
+            self._keyed_median = self.median_pace
+            for each in self._unmeasured.values():
+                self.renew(each, now)
+
+    def usable(
+        self, request: messages.SlotRequest
+    ) -> Iterator[endpoint_states.EndpointState]:
+        """Returns the endpoints that may run a request, free or not."""
+        return (
+            state
+            for pool in self._pools_for(request)
+            for state in pool.states.values()
+            if request.may_run_at(state.endpoint)
+        )
+
+    def load_for(self, request: messages.SlotRequest) -> endpoint_states.Load:
+        """Returns the slots that may run a request, free or not."""
+        total = endpoint_states.NO_LOAD
+        for pool in self._pools_for(request):
+            total += pool.load
+            for id_ in request.excluded_endpoints:
+                if id_ in pool.states:
+                    total -= pool.states[id_].counted
+        return total
+
+    def has_free(self, now: float) -> bool:
+        """Returns whether some request could get a slot now."""
+        return any(
+            self._first_available(pool, now) is not None
+            for pool in self._pools.values()
+        )
+
+    def choose(
+        self, request: messages.SlotRequest, accepts: Accepts, now: float
+    ) -> endpoint_states.EndpointState | None:
+        """Returns the endpoint with a free slot where a request costs least.
+
+        Args:
+            request: the request.
+            accepts: says whether a free endpoint may get the request.
+            now: the present time.
+        """
+        best = [
+            candidate
+            for pool in self._pools_for(request)
+            if (candidate := self._best_of(pool, accepts, now)) is not None
+        ]
+        return min(best)[-1] if best else None
+
+    def _pools_for(
+        self, request: messages.SlotRequest
+    ) -> Iterable[VersionPool]:
+        version = request.software_version
+        if version is None:
+            return self._pools.values()
+        return [self._pools[version]] if version in self._pools else []
+
+    def _best_of(
+        self, pool: VersionPool, accepts: Accepts, now: float
+    ) -> Candidate | None:
+        taken: list[Candidate] = []
+        best: Candidate | None = None
+        compared = 0
+        while compared < MAX_COMPARED:
+            first = self._first_available(pool, now)
+            if first is None or (best is not None and best[0] <= first[0]):
+                break
+            pool.take_first()
+            _, id_, revision, state = first
+            candidate = (
+                state.cost(self.median_pace, now),
+                id_,
+                revision,
+                state,
+            )
+            taken.append(candidate)
+            if not accepts(state):
+                continue
+            compared += 1
+            best = candidate if best is None else min(best, candidate)
+        for candidate in taken:
+            pool.put(candidate)
+        return best
+
+    def _first_available(
+        self, pool: VersionPool, now: float
+    ) -> Candidate | None:
+        pool.wake(self.median_pace, now)
+        while (first := pool.first()) is not None:
+            state = first[-1]
+            until = max(state.paused_until, state.down_until(now))
+            if until <= now and self._rates.tokens(state, now) < 1.0:
+                until = now + MAX_REST_SECONDS
+            if until <= now:
+                return first
+            pool.rest(state, until)
+        return None
--- a/cranberryglade/gateway/endpoint_limits.py
+++ b/cranberryglade/gateway/endpoint_limits.py
@@ -84,6 +84,11 @@
     def __init__(self):
         self._limits: dict[str, EndpointLimit] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint names a limit, or did so lately."""
+        return not self._limits
+
     @property
     def count(self) -> int:
         """Number of endpoints that name a limit at present."""
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -1,6 +1,9 @@
 """The allocator's records of endpoints, leases and queued requests."""
 
+from collections.abc import Mapping
 import dataclasses
+import heapq
+from typing import NamedTuple
 
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import messages
@@ -16,6 +19,10 @@
 FIRST_ANSWER_SLOWDOWN_FACTOR = 1.5
 """Factor by which other prompts at the endpoint delay a first answer."""
 
+LEARNING_RATE = 0.2
+SLOWDOWN_PER_REQUEST = 0.3
+"""Relative slowdown for each request that the endpoint already runs."""
+
 DOWN_AFTER_INSTANCES = 2
 """An endpoint that this many instances cannot reach is considered down."""
 
@@ -29,17 +36,18 @@
         request: the request; None if it is known only from its holder's report.
         endpoint: id of the endpoint that runs it.
         granted_at: when it was granted, seconds of the loop's clock.
+        work_units: size of the request, in prompt tokens; 0 if it is unknown.
     """
 
     holder: str
     request: messages.SlotRequest | None
     endpoint: str
     granted_at: float
+    work_units: float = dataclasses.field(init=False)
 
-    @property
-    def work_units(self) -> float:
-        """Size of the request, in prompt tokens; 0 if it is unknown."""
-        return work_units(self.request) if self.request is not None else 0.0
+    def __post_init__(self):
+        """Computes the size, which the choice of an endpoint often needs."""
+        self.work_units = work_units(self.request) if self.request else 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +58,7 @@
 
     Attributes:
         endpoint: its entry in the list of endpoints.
-        leases: ids of the requests that it runs.
+        leases: the requests that it runs, by id; kept by `leases.LeaseTable`.
         seconds_per_work_unit: seconds per unit of work (a prompt token, or a
             plain call); a moving average.
         samples: number of answers that the average includes.
@@ -60,29 +68,70 @@
         unreachable_from: instances that cannot reach it, with the time until
             which they get no slots.
         bucket: admits requests by the limit that it names; None without one.
+        revision: number of its newest place in the order of costs.
+        counted: what the sums over endpoints count for it.
     """
 
     endpoint: messages.Endpoint
-    leases: set[str] = dataclasses.field(default_factory=set)
+    leases: Mapping[str, Lease] = dataclasses.field(default_factory=dict)
     seconds_per_work_unit: float = 0.0
     samples: int = 0
     consecutive_failures: int = 0
     paused_until: float = 0.0
     unreachable_from: dict[str, float] = dataclasses.field(default_factory=dict)
     bucket: endpoint_limits.TokenBucket | None = None
+    revision: int = 0
+    counted: "Load" = dataclasses.field(default_factory=lambda: NO_LOAD)
 
-    def available_to(self, holder: str, now: float) -> bool:
-        """Returns whether an instance may get a slot now."""
-        if self.paused_until > now:
-            return False
-        return not self.is_unreachable_from(holder, now)
+    @property
+    def load(self) -> "Load":
+        """Its slots, and the work in progress there."""
+        work = sum(lease.work_units for lease in self.leases.values())
+        return Load(self.endpoint.slots, work)
 
     def is_unreachable_from(self, holder: str, now: float) -> bool:
         """Returns whether it counts as unreachable for an instance."""
-        barred = [
-            name for name, until in self.unreachable_from.items() if until > now
-        ]
-        return holder in barred or len(barred) >= DOWN_AFTER_INSTANCES
+        if not self.unreachable_from:
+            return False
+        barred_until = self.unreachable_from.get(holder, 0.0)
+        return barred_until > now or self.down_until(now) > now
+
+    def down_until(self, now: float) -> float:
+        """Returns until when no instance gets a slot, as several failed.
+
+        That is not after `now` while it is in use.
+        """
+        if len(self.unreachable_from) < DOWN_AFTER_INSTANCES:
+            return 0.0
+        ends = heapq.nlargest(
+            DOWN_AFTER_INSTANCES, self.unreachable_from.values()
+        )
+        return ends[-1]
+
+    def record_unreachable(self, holder: str, until: float, now: float) -> None:
+        """Records that an instance cannot reach it, until a time."""
+        for name, end in list(self.unreachable_from.items()):
+            if end <= now:
+                del self.unreachable_from[name]
+        self.unreachable_from[holder] = until
+
+    def record_pace(self, pace: float) -> None:
+        """Includes a measured pace in the moving average."""
+        rate = max(LEARNING_RATE, 1 / (self.samples + 1))
+        self.seconds_per_work_unit += rate * (pace - self.seconds_per_work_unit)
+        self.samples += 1
+
+    def cost(self, default_pace: float, now: float) -> "Cost":
+        """Returns the expected time of a request, to compare endpoints."""
+        pace = self.seconds_per_work_unit if self.samples else default_pace
+        # The time that a request has run so far reveals a slow endpoint
+        # before the request ends; most useful while there are no samples.
+        for lease in self.leases.values():
+            if lease.work_units:
+                elapsed = now - lease.granted_at
+                pace = max(pace, elapsed / lease.work_units)
+        running = len(self.leases)
+        return Cost(pace * (1 + SLOWDOWN_PER_REQUEST * running), running)
 
     @property
     def free_slots(self) -> int:
@@ -90,6 +139,34 @@
         return self.endpoint.slots - len(self.leases)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """Slots of endpoints, and the size of the requests that run in them.
+
+    Attributes:
+        slots: number of slots, in use or not.
+        work_units: size of the running requests, in prompt tokens.
+    """
+
+    slots: int
+    work_units: float
+
+    def __add__(self, other: "Load") -> "Load":
+        """Returns the sum."""
+        return Load(
+            self.slots + other.slots, self.work_units + other.work_units
+        )
+
+    def __sub__(self, other: "Load") -> "Load":
+        """Returns the difference."""
+        return Load(
+            self.slots - other.slots, self.work_units - other.work_units
+        )
+
+
+NO_LOAD = Load(0, 0.0)
+
+
 @dataclasses.dataclass(slots=True)
 class QueuedRequest:
     """A request in the queue.
@@ -104,22 +181,18 @@
     request: messages.SlotRequest
     queued_at: float
 
-    def sort_key(self, pace: float, now: float) -> tuple[int, bool, float]:
-        """Returns the sort key; the smallest is served first.
+    def is_late(self, pace: float, now: float) -> bool:
+        """Returns whether its first answer would come after its target time.
 
-        Within a rank, requests that can still get their first answer in time
-        precede those that are late already: under overload, serving the
-        oldest first would make all of them late.
+        Args:
+            pace: expected seconds of an endpoint for each unit of work.
+            now: seconds of the loop's clock.
         """
-        late = (
-            now + first_answer_seconds(self.request, pace)
-            > self.request.first_answer_due
-        )
-        return (self.request.rank, late, self.queued_at)
+        expected_at = now + first_answer_seconds(self.request, pace)
+        return expected_at > self.request.first_answer_due
 
 
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
-class Cost:
+class Cost(NamedTuple):
     """Cost of running a request at an endpoint; the smallest is best.
 
     Attributes:
--- /dev/null
+++ b/cranberryglade/gateway/slot_queue.py
@@ -0,0 +1,153 @@
+"""The queue of the requests that wait for a slot of one service.
+
+Load pattern: for seconds at a time there are more requests than slots, and
+thousands wait. Which one is next is found without going through the others.
+"""
+
+import dataclasses
+import heapq
+import itertools
+
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import messages
+
+MIN_COMPACTION = 64
+"""A heap with fewer entries than this is not rebuilt without the stale ones."""
+
+Entry = tuple[int, float, int, endpoint_states.QueuedRequest]
+"""Rank, time of queueing, and a number that orders entries of the same time."""
+
+
+@dataclasses.dataclass(slots=True)
+class RankLoad:
+    """The requests of one rank.
+
+    Attributes:
+        requests: their number.
+        work_units: their size, as in `endpoint_states.work_units`.
+    """
+
+    requests: int = 0
+    work_units: float = 0.0
+
+
+class SlotQueue:
+    """Requests that wait for a slot of one service; performs no I/O.
+
+    Lower ranks are served first. Within a rank, requests that can still get
+    their first answer in time precede those that are late already, in the order
+    of their arrival: under overload, serving the oldest first would make all of
+    them late. A request that is found to be late stays behind the others.
+    """
+
+    __slots__ = (
+        "_blocked",
+        "_late",
+        "_load_by_rank",
+        "_numbers",
+        "_timely",
+        "_waiting",
+    )
+
+    def __init__(self):
+        self._waiting: dict[str, endpoint_states.QueuedRequest] = {}
+        self._timely: list[Entry] = []
+        self._late: list[Entry] = []
+        self._blocked: list[Entry] = []
+        self._load_by_rank: dict[int, RankLoad] = {}
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        """Returns the number of requests."""
+        return len(self._waiting)
+
+    def load_up_to(self, rank: int) -> RankLoad:
+        """Returns the requests of a rank and of more urgent ones."""
+        loads = [
+            load for each, load in self._load_by_rank.items() if each <= rank
+        ]
+        return RankLoad(
+            sum(load.requests for load in loads),
+            sum(load.work_units for load in loads),
+        )
+
+    def add(self, waiting: endpoint_states.QueuedRequest) -> None:
+        """Adds a request."""
+        self._waiting[waiting.request.id] = waiting
+        self._count(waiting.request, 1)
+        heapq.heappush(self._timely, self._entry(waiting))
+
+    def remove(self, id_: str) -> endpoint_states.QueuedRequest | None:
+        """Removes and returns a request, if it waits here."""
+        waiting = self._waiting.pop(id_, None)
+        if waiting is None:
+            return None
+        self._count(waiting.request, -1)
+        limit = MIN_COMPACTION + 2 * len(self._waiting)
+        if len(self._timely) + len(self._late) > limit:
+            self._timely = self._without_stale(self._timely)
+            self._late = self._without_stale(self._late)
+        return waiting
+
+    def first(
+        self, pace: float, now: float
+    ) -> endpoint_states.QueuedRequest | None:
+        """Returns the request to be served next, without those set aside.
+
+        Args:
+            pace: expected seconds of an endpoint for each unit of work.
+            now: seconds of the loop's clock.
+        """
+        timely = self._first_timely(pace, now)
+        late = self._first_of(self._late)
+        if timely is None or late is None:
+            entry = timely or late
+        else:
+            # Of the same rank, the timely one.
+            entry = late if late[0] < timely[0] else timely
+        return entry[-1] if entry is not None else None
+
+    def set_aside(self, waiting: endpoint_states.QueuedRequest) -> None:
+        """Skips a request, which cannot run at any free endpoint."""
+        for heap in (self._timely, self._late):
+            if heap and heap[0][-1] is waiting:
+                heapq.heappush(self._blocked, heapq.heappop(heap))
+
+    def restore(self, most: int | None = None) -> None:
+        """Puts requests that were set aside back into their places.
+
+        Args:
+            most: how many, those that are served first; None for all.
+        """
+        count = len(self._blocked)
+        for _ in range(count if most is None else min(most, count)):
+            heapq.heappush(self._timely, heapq.heappop(self._blocked))
+
+    def _first_timely(self, pace: float, now: float) -> Entry | None:
+        while True:
+            entry = self._first_of(self._timely)
+            if entry is None or not entry[-1].is_late(pace, now):
+                return entry
+            heapq.heappush(self._late, heapq.heappop(self._timely))
+
+    def _first_of(self, heap: list[Entry]) -> Entry | None:
+        while heap and not self._waits(heap[0][-1]):
+            heapq.heappop(heap)
+        return heap[0] if heap else None
+
+    def _waits(self, waiting: endpoint_states.QueuedRequest) -> bool:
+        return self._waiting.get(waiting.request.id) is waiting
+
+    def _without_stale(self, heap: list[Entry]) -> list[Entry]:
+        kept = [entry for entry in heap if self._waits(entry[-1])]
+        heapq.heapify(kept)
+        return kept
+
+    def _entry(self, waiting: endpoint_states.QueuedRequest) -> Entry:
+        number = next(self._numbers)
+        return (waiting.request.rank, waiting.queued_at, number, waiting)
+
+    def _count(self, request: messages.SlotRequest, change: int) -> None:
+        load = self._load_by_rank.setdefault(request.rank, RankLoad())
+        load.requests += change
+        load.work_units += change * endpoint_states.work_units(request)
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -7,18 +7,18 @@
 first, and none is stuck behind a slow endpoint.
 """
 
+from collections.abc import Iterable
+import heapq
 import math
 
 from cranberryglade import crash_evidence
 from cranberryglade import quarantine
+from cranberryglade.gateway import endpoint_group
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
-
-DEFAULT_PACE = 0.0
-LEARNING_RATE = 0.2
-SLOWDOWN_PER_REQUEST = 0.3
-"""Relative slowdown for each request that the endpoint already runs."""
+from cranberryglade.gateway import slot_queue
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -29,26 +29,28 @@
 MIN_CAPACITY = 0.01
 """Least number of slots that a wait is estimated with."""
 
+MAX_RESTORED = 8
+"""Requests that found no endpoint among the free ones, and are tried again when
+another becomes free; all are tried again from time to time."""
+
 
 class SlotScheduler:
-    """Slots and queue of the allocator; performs no I/O.
+    """Slots and queues of the allocator; performs no I/O.
 
     Callers pass in events and the time `now`, in seconds of the loop's clock,
     and deliver the decisions that the methods return.
-
-    Attributes:
-        limit_share: share of the endpoints' limits that may be granted here.
     """
 
     __slots__ = (
+        "_expiries",
+        "_groups",
         "_leases",
-        "_limits",
-        "_median_paces",
         "_quarantine",
+        "_quarantine_revision",
+        "_queues",
+        "_rates",
         "_states",
-        "_states_by_service",
         "_waiting",
-        "limit_share",
     )
 
     def __init__(
@@ -64,15 +66,16 @@
             limits: the limits that endpoints name; None for none.
         """
         self._quarantine = crashing_parts or quarantine.Quarantine()
-        self._limits = limits or endpoint_limits.EndpointLimits()
-        self.limit_share = 1.0
+        self._quarantine_revision = self._quarantine.revision
+        self._rates = endpoint_group.EndpointRates(
+            limits or endpoint_limits.EndpointLimits()
+        )
         self._states: dict[str, endpoint_states.EndpointState] = {}
-        self._states_by_service: dict[
-            str, list[endpoint_states.EndpointState]
-        ] = {}
-        self._median_paces: dict[str, float] = {}
-        self._leases: dict[str, endpoint_states.Lease] = {}
+        self._groups: dict[str, endpoint_group.EndpointGroup] = {}
+        self._leases = leases.LeaseTable()
+        self._queues: dict[str, slot_queue.SlotQueue] = {}
         self._waiting: dict[str, endpoint_states.QueuedRequest] = {}
+        self._expiries: list[tuple[float, str]] = []
 
     @property
     def lease_count(self) -> int:
@@ -81,9 +84,18 @@
 
     @property
     def queue_length(self) -> int:
-        """Number of requests in the queue."""
+        """Number of requests in the queues."""
         return len(self._waiting)
 
+    @property
+    def limit_share(self) -> float:
+        """Share of the endpoints' limits that may be granted here."""
+        return self._rates.limit_share
+
+    @limit_share.setter
+    def limit_share(self, share: float) -> None:
+        self._rates.limit_share = share
+
     def update_endpoints(
         self, listed: dict[str, messages.Endpoint], now: float
     ) -> list[endpoint_states.SlotDecision]:
@@ -94,25 +106,23 @@
         Returns:
             Grants that the new list makes possible.
         """
-        for removed in self._states.keys() - listed.keys():
-            del self._states[removed]
+        for name in self._states.keys() - listed.keys():
+            self._leave_group(self._states.pop(name))
         for name, entry in listed.items():
             state = self._states.get(name)
-            if state is None:
-                state = self._states[name] = endpoint_states.EndpointState(
-                    entry
-                )
-                for id_, lease in self._leases.items():
-                    if lease.endpoint == name:
-                        state.leases.add(id_)
-            elif state.endpoint.started_ms != entry.started_ms:
-                self._states[name] = endpoint_states.EndpointState(
-                    entry, leases=state.leases
-                )
-            else:
+            if state is not None and state.endpoint == entry:
                 state.endpoint = entry
-        self._rebuild_index()
-        return self._grant_free_slots(now)
+                continue
+            if state is not None:
+                self._leave_group(state)
+            if state is None or state.endpoint.started_ms != entry.started_ms:
+                held = self._leases.at(name)
+                state = endpoint_states.EndpointState(entry, held)
+            state.endpoint = entry
+            self._states[name] = state
+            self._join_group(state, now)
+        self._leases.forget_endpoints(self._states)
+        return self._grant_all(now)
 
     def request_slot(
         self, holder: str, request: messages.SlotRequest, now: float
@@ -129,20 +139,21 @@
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
-        self._waiting[request.id] = endpoint_states.QueuedRequest(
-            holder, request, now
-        )
-        decisions = self._grant_free_slots(now)
+        self._enqueue(endpoint_states.QueuedRequest(holder, request, now))
+        decisions = self._deny_if_quarantined([request.id], now)
+        decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
             denied = self._early_denial(holder, request, now)
             if denied is not None:
-                del self._waiting[request.id]
+                self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
         return decisions
 
     def withdraw(self, id_: str) -> None:
         """Removes a request from the queue."""
-        self._waiting.pop(id_, None)
+        waiting = self._waiting.pop(id_, None)
+        if waiting is not None:
+            self._queues[waiting.request.service].remove(id_)
 
     def release(
         self,
@@ -155,14 +166,15 @@
         Returns:
             Grants that the free slot makes possible.
         """
-        lease = self._leases.pop(id_, None)
+        lease = self._leases.remove(id_)
         if lease is None:
             return []
         state = self._states.get(lease.endpoint)
-        if state is not None:
-            state.leases.discard(id_)
-            self._apply_outcome(state, lease, outcome, now)
-        return self._grant_free_slots(now)
+        if state is None:
+            return []
+        self._apply_outcome(state, lease, outcome, now)
+        self._renew(lease.endpoint, now)
+        return self._grant_waiting(state.endpoint.service, now)
 
     def apply_report(
         self, holder: str, reported: list[messages.Granted], now: float
@@ -176,14 +188,16 @@
             Grants that the freed slots make possible.
         """
         listed = {each.id: each.endpoint for each in reported}
-        for id_, lease in list(self._leases.items()):
-            missing = lease.holder == holder and id_ not in listed
-            if missing and now - lease.granted_at > MIN_RETRY_AFTER_SECONDS:
-                self._drop_lease(id_)
+        missing = [
+            id_
+            for id_, lease in self._leases.of(holder).items()
+            if id_ not in listed
+            and now - lease.granted_at > MIN_RETRY_AFTER_SECONDS
+        ]
         for id_, endpoint in listed.items():
             if id_ not in self._leases:
                 self.register_lease(holder, id_, None, endpoint, now)
-        return self._grant_free_slots(now)
+        return self._drop_leases(missing, now)
 
     def register_lease(
         self,
@@ -194,11 +208,9 @@
         now: float,
     ) -> None:
         """Registers a lease that another instance granted."""
-        self._leases[id_] = endpoint_states.Lease(
-            holder, request, endpoint, now
-        )
-        if endpoint in self._states:
-            self._states[endpoint].leases.add(id_)
+        lease = endpoint_states.Lease(holder, request, endpoint, now)
+        self._leases.add(id_, lease)
+        self._renew(endpoint, now)
 
     def contains(self, id_: str) -> bool:
         """Returns whether a request waits or has a slot."""
@@ -238,13 +250,6 @@
         ]
         self._quarantine.record_crash(process, running, now)
 
-    def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
-        return [
-            crash_evidence.RunningAttempt(lease.request.parts, lease.granted_at)
-            for lease in self._leases.values()
-            if lease.endpoint == endpoint and lease.request is not None
-        ]
-
     def suspects(self, parts: tuple[str, ...]) -> bool:
         """Returns whether any of some parts may crash endpoints."""
         return bool(self._quarantine.evidence.suspected(parts))
@@ -253,8 +258,7 @@
         """Returns the leases of one instance."""
         return [
             messages.Granted(id_, lease.endpoint)
-            for id_, lease in self._leases.items()
-            if lease.holder == holder
+            for id_, lease in self._leases.of(holder).items()
         ]
 
     def remove_holder(
@@ -265,13 +269,10 @@
         Returns:
             Grants that the freed slots make possible.
         """
-        for id_, lease in list(self._leases.items()):
-            if lease.holder == holder:
-                self._drop_lease(id_)
         for id_, waiting in list(self._waiting.items()):
             if waiting.holder == holder:
-                del self._waiting[id_]
-        return self._grant_free_slots(now)
+                self.withdraw(id_)
+        return self._drop_leases(list(self._leases.of(holder)), now)
 
     def tick(self, now: float) -> list[endpoint_states.SlotDecision]:
         """Denies requests that waited too long, and grants free slots.
@@ -280,63 +281,97 @@
             The denials and grants.
         """
         decisions = []
-        for id_, waiting in list(self._waiting.items()):
-            if now >= waiting.request.wait_until:
-                del self._waiting[id_]
-                denied = self._make_denial(waiting.request, "waited", 0.5)
-                decisions.append(
-                    endpoint_states.SlotDecision(waiting.holder, denied)
-                )
-        return decisions + self._grant_free_slots(now)
+        while self._expiries and self._expiries[0][0] <= now:
+            _, id_ = heapq.heappop(self._expiries)
+            waiting = self._waiting.get(id_)
+            if waiting is None or now < waiting.request.wait_until:
+                continue
+            self.withdraw(id_)
+            denied = self._make_denial(waiting.request, "waited", 0.5)
+            decisions.append(
+                endpoint_states.SlotDecision(waiting.holder, denied)
+            )
+        return decisions + self._grant_all(now)
 
-    def _drop_lease(self, id_: str) -> None:
-        lease = self._leases.pop(id_)
-        state = self._states.get(lease.endpoint)
-        if state is not None:
-            state.leases.discard(id_)
+    def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
+        return [
+            crash_evidence.RunningAttempt(lease.request.parts, lease.granted_at)
+            for lease in self._leases.at(endpoint).values()
+            if lease.request is not None
+        ]
 
-    def _rebuild_index(self) -> None:
-        self._states_by_service = {}
-        self._median_paces = {}
-        for state in self._states.values():
-            if not state.endpoint.leaving:
-                name = state.endpoint.service
-                self._states_by_service.setdefault(name, []).append(state)
+    def _join_group(
+        self, state: endpoint_states.EndpointState, now: float
+    ) -> None:
+        if state.endpoint.leaving:
+            return
+        service = state.endpoint.service
+        group = self._groups.get(service)
+        if group is None:
+            group = endpoint_group.EndpointGroup(self._rates)
+            self._groups[service] = group
+        group.add(state, now)
+
+    def _leave_group(self, state: endpoint_states.EndpointState) -> None:
+        if not state.endpoint.leaving:
+            self._groups[state.endpoint.service].remove(state)
+
+    def _renew(self, endpoint: str, now: float) -> None:
+        """Has an endpoint's place among the others renewed, if it is in use."""
+        state = self._states.get(endpoint)
+        if state is not None and not state.endpoint.leaving:
+            self._groups[state.endpoint.service].renew(state, now)
+
+    def _drop_leases(
+        self, ids: Iterable[str], now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        services: set[str] = set()
+        for id_ in ids:
+            lease = self._leases.remove(id_)
+            self._renew(lease.endpoint, now)
+            if lease.endpoint in self._states:
+                services.add(self._states[lease.endpoint].endpoint.service)
+        return [
+            decision
+            for service in sorted(services)
+            for decision in self._grant_waiting(service, now)
+        ]
 
-    def _states_of(self, service: str) -> list[endpoint_states.EndpointState]:
-        return self._states_by_service.get(service, [])
+    def _enqueue(self, waiting: endpoint_states.QueuedRequest) -> None:
+        request = waiting.request
+        self._waiting[request.id] = waiting
+        queue = self._queues.get(request.service)
+        if queue is None:
+            queue = self._queues[request.service] = slot_queue.SlotQueue()
+        queue.add(waiting)
+        heapq.heappush(self._expiries, (request.wait_until, request.id))
+
+    def _grant_all(self, now: float) -> list[endpoint_states.SlotDecision]:
+        decisions = self._deny_newly_quarantined(now)
+        for service, queue in self._queues.items():
+            queue.restore()
+            decisions += self._grant_waiting(service, now)
+        return decisions
 
-    def _grant_free_slots(
-        self, now: float
+    def _grant_waiting(
+        self, service: str, now: float
     ) -> list[endpoint_states.SlotDecision]:
-        decisions = self._deny_quarantined(now)
-        if not self._waiting:
+        """Grants the free slots of one service."""
+        decisions = self._deny_newly_quarantined(now)
+        queue = self._queues.get(service)
+        group = self._groups.get(service)
+        if not queue or group is None:
             return decisions
-        paces = {
-            service: self._median_pace(service)
-            for service in {w.request.service for w in self._waiting.values()}
-        }
-        queue = sorted(
-            self._waiting.values(),
-            key=lambda each: each.sort_key(paces[each.request.service], now),
-        )
-        full = {
-            s
-            for s in paces
-            if not any(each.free_slots > 0 for each in self._states_of(s))
-        }
-        for waiting in queue:
-            if waiting.request.service in full:
-                continue
-            state = self._choose_endpoint(waiting.holder, waiting.request, now)
+        queue.restore(MAX_RESTORED)
+        while group.has_free(now):
+            waiting = queue.first(group.median_pace, now)
+            if waiting is None:
+                break
+            state = self._choose_endpoint(group, waiting, now)
             if state is None:
-                continue
-            decisions.append(self._grant(waiting, state, now))
-            service = waiting.request.service
-            if not any(
-                each.free_slots > 0 for each in self._states_of(service)
-            ):
-                full.add(service)
+                queue.set_aside(waiting)
+            else:
+                decisions.append(self._grant(waiting, state, now))
         return decisions
 
     def _grant(
@@ -347,26 +382,30 @@
     ) -> endpoint_states.SlotDecision:
         request = waiting.request
         name = state.endpoint.id
-        del self._waiting[request.id]
-        self._leases[request.id] = endpoint_states.Lease(
-            waiting.holder, request, name, now
-        )
-        state.leases.add(request.id)
+        self.withdraw(request.id)
+        self.register_lease(waiting.holder, request.id, request, name, now)
         if state.bucket is not None:
             state.bucket.take()
         granted = messages.Granted(request.id, name)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
-    def _deny_quarantined(
+    def _deny_newly_quarantined(
         self, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        if self._quarantine.revision == self._quarantine_revision:
+            return []
+        self._quarantine_revision = self._quarantine.revision
+        return self._deny_if_quarantined(list(self._waiting), now)
+
+    def _deny_if_quarantined(
+        self, ids: Iterable[str], now: float
     ) -> list[endpoint_states.SlotDecision]:
         decisions = []
-        if self._quarantine.is_empty:
-            return decisions
-        for id_, waiting in list(self._waiting.items()):
+        for id_ in ids:
+            waiting = self._waiting[id_]
             entry = self._quarantine.find(waiting.request.parts, now)
             if entry is not None:
-                del self._waiting[id_]
+                self.withdraw(id_)
                 denied = self._make_denial(
                     waiting.request, messages.QUARANTINED, entry.until - now
                 )
@@ -375,106 +414,49 @@
                 )
         return decisions
 
-    def _suspected_by_endpoint(self) -> dict[str, set[str]]:
-        """Returns the suspected parts that run, by endpoint."""
-        running: dict[str, set[str]] = {}
-        for lease in self._leases.values():
-            if lease.request is None:
-                continue
-            suspected = self._quarantine.evidence.suspected(lease.request.parts)
-            if suspected:
-                running.setdefault(lease.endpoint, set()).update(suspected)
-        return running
-
     def _choose_endpoint(
-        self, holder: str, request: messages.SlotRequest, now: float
+        self,
+        group: endpoint_group.EndpointGroup,
+        waiting: endpoint_states.QueuedRequest,
+        now: float,
     ) -> endpoint_states.EndpointState | None:
+        request = waiting.request
         suspected = self._quarantine.evidence.suspected(request.parts)
-        occupied = self._suspected_by_endpoint() if suspected else {}
-        if any(suspected & parts for parts in occupied.values()):
+        # Of the requests with a suspected part, one runs at a time.
+        if suspected and self._leases.runs_any_part(suspected):
             return None
-        free = [
-            state
-            for state in self._states_of(request.service)
-            if state.free_slots > 0
-            and request.may_run_at(state.endpoint)
-            and state.available_to(holder, now)
-            and state.endpoint.id not in occupied
-            and self._tokens(state, now) >= 1.0
-        ]
-        default_pace = self._median_pace(request.service)
-        return min(
-            free,
-            key=lambda state: self._estimate_cost(state, default_pace, now),
-            default=None,
-        )
 
-    def _limit(self, state: endpoint_states.EndpointState, now: float) -> float:
-        """Returns the requests a second that may be granted at an endpoint."""
-        return self.limit_share * self._limits.rate(state.endpoint, now)
+        def accepts(state: endpoint_states.EndpointState) -> bool:
+            return (
+                request.may_run_at(state.endpoint)
+                and not state.is_unreachable_from(waiting.holder, now)
+                and not (suspected and self._runs_suspected(state))
+            )
 
-    def _tokens(
-        self, state: endpoint_states.EndpointState, now: float
-    ) -> float:
-        """Returns how many requests an endpoint's limit admits now."""
-        rate = self._limit(state, now)
-        if math.isinf(rate):
-            state.bucket = None
-            return math.inf
-        if state.bucket is None:
-            state.bucket = endpoint_limits.TokenBucket(now)
-        return state.bucket.refill(rate, now)
-
-    def _estimate_cost(
-        self,
-        state: endpoint_states.EndpointState,
-        default_pace: float,
-        now: float,
-    ) -> endpoint_states.Cost:
-        """Returns the expected time of a request, to compare endpoints."""
-        running = [
-            self._leases[id_] for id_ in state.leases if id_ in self._leases
-        ]
-        # The time that a request has run so far reveals a slow endpoint
-        # before the request ends; most useful while there are no samples.
-        least_paces = [
-            (now - r.granted_at) / r.work_units for r in running if r.work_units
-        ]
-        pace = state.seconds_per_work_unit if state.samples else default_pace
-        pace = max([pace, *least_paces])
-        return endpoint_states.Cost(
-            pace * (1 + SLOWDOWN_PER_REQUEST * len(running)), len(running)
-        )
+        return group.choose(request, accepts, now)
 
-    def _median_pace(self, service: str) -> float:
-        pace = self._median_paces.get(service)
-        if pace is None:
-            paces = sorted(
-                each.seconds_per_work_unit
-                for each in self._states_of(service)
-                if each.samples
-            )
-            pace = paces[len(paces) // 2] if paces else DEFAULT_PACE
-            self._median_paces[service] = pace
-        return pace
+    def _runs_suspected(self, state: endpoint_states.EndpointState) -> bool:
+        return any(
+            lease.request is not None and self.suspects(lease.request.parts)
+            for lease in state.leases.values()
+        )
 
     def _early_denial(
         self, holder: str, request: messages.SlotRequest, now: float
     ) -> messages.Denied | None:
-        usable = [
-            state
-            for state in self._states_of(request.service)
-            if request.may_run_at(state.endpoint)
-        ]
-        if not usable:
+        group = self._groups.get(request.service)
+        if group is None or next(group.usable(request), None) is None:
             any_version = request.software_version is None
             reason = "no_endpoint" if any_version else "no_endpoint_of_version"
             return self._make_denial(request, reason, 1.0)
-        if all(state.is_unreachable_from(holder, now) for state in usable):
+        if all(
+            state.is_unreachable_from(holder, now)
+            for state in group.usable(request)
+        ):
             return self._make_denial(
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
             )
-        wait = self._expected_wait(request, usable, now)
+        wait = self._expected_wait(request, group, now)
         if now + wait > request.wait_until:
             return self._make_denial(request, "hopeless", wait)
         return None
@@ -482,36 +464,29 @@
     def _expected_wait(
         self,
         request: messages.SlotRequest,
-        usable: list[endpoint_states.EndpointState],
+        group: endpoint_group.EndpointGroup,
         now: float,
     ) -> float:
-        default_pace = self._median_pace(request.service)
-        limits = [self._limit(state, now) for state in usable]
-        ahead = [
-            other.request
-            for other in self._waiting.values()
-            if other.request.service == request.service
-            and other.request.rank <= request.rank
-        ]
-        running = [
-            self._leases[id_].work_units
-            for state in usable
-            for id_ in state.leases
-            if id_ in self._leases
-        ]
-        load = sum(map(endpoint_states.work_units, ahead)) + 0.5 * sum(running)
-        seconds = endpoint_states.work_units(request) * default_pace
+        ahead = self._queues[request.service].load_up_to(request.rank)
+        load = group.load_for(request)
+        work = ahead.work_units + 0.5 * load.work_units
+        pace = group.median_pace
+        if self._rates.unlimited:
+            return work * pace / max(MIN_CAPACITY, load.slots)
+        usable = list(group.usable(request))
+        limits = [self._rates.limit(state, now) for state in usable]
+        seconds = endpoint_states.work_units(request) * pace
         capacity = sum(
             state.endpoint.slots
             if math.isinf(limit)
             else min(state.endpoint.slots, limit * seconds)
             for state, limit in zip(usable, limits, strict=True)
         )
-        by_load = load * default_pace / max(MIN_CAPACITY, capacity)
+        by_load = work * pace / max(MIN_CAPACITY, capacity)
         if math.inf in limits:
             return by_load
-        tokens = sum(self._tokens(state, now) for state in usable)
-        by_limits = (len(ahead) - tokens) / sum(limits)
+        tokens = sum(self._rates.tokens(state, now) for state in usable)
+        by_limits = (ahead.requests - tokens) / sum(limits)
         return max(by_load, by_limits)
 
     def _apply_outcome(
@@ -526,16 +501,13 @@
                 state.consecutive_failures = 0
                 state.unreachable_from.pop(lease.holder, None)
                 if lease.work_units:
-                    self._median_paces.pop(state.endpoint.service, None)
-                    _update_pace(
-                        state, (now - lease.granted_at) / lease.work_units
-                    )
+                    pace = (now - lease.granted_at) / lease.work_units
+                    self._record_pace(state, pace, now)
             case messages.Outcome.FAILED | messages.Outcome.ABANDONED:
                 pass
             case messages.Outcome.UNREACHABLE:
-                state.unreachable_from[lease.holder] = (
-                    now + UNREACHABLE_BACKOFF_SECONDS
-                )
+                until = now + UNREACHABLE_BACKOFF_SECONDS
+                state.record_unreachable(lease.holder, until, now)
             case messages.Outcome.REFUSED:
                 state.paused_until = now + REFUSED_BACKOFF_SECONDS
             case (
@@ -549,6 +521,15 @@
                 )
                 state.paused_until = now + min(MAX_BACKOFF_SECONDS, pause)
 
+    def _record_pace(
+        self, state: endpoint_states.EndpointState, pace: float, now: float
+    ) -> None:
+        if state.endpoint.leaving:
+            state.record_pace(pace)
+        else:
+            group = self._groups[state.endpoint.service]
+            group.record_pace(state, pace, now)
+
     def _make_denial(
         self, request: messages.SlotRequest, reason: str, wait: float
     ) -> messages.Denied:
@@ -556,9 +537,3 @@
         return messages.Denied(
             request.id, reason, retry_after, len(self._waiting)
         )
-
-
-def _update_pace(state: endpoint_states.EndpointState, pace: float) -> None:
-    rate = max(LEARNING_RATE, 1 / (state.samples + 1))
-    state.seconds_per_work_unit += rate * (pace - state.seconds_per_work_unit)
-    state.samples += 1
--- a/cranberryglade/quarantine.py
+++ b/cranberryglade/quarantine.py
@@ -76,6 +76,7 @@
 
     Attributes:
         evidence: which parts are suspected, and why.
+        revision: rises when a quarantine begins or changes.
     """
 
     __slots__ = (
@@ -85,6 +86,7 @@
         "_rotation",
         "_unsaved",
         "evidence",
+        "revision",
     )
 
     def __init__(self, log_to: Log = logger):
@@ -95,6 +97,7 @@
         self._groups: dict[tuple[str, ...], None] = {}
         self._unsaved: dict[tuple[str, ...], Entry] = {}
         self._rotation = 0
+        self.revision = 0
 
     @property
     def is_empty(self) -> bool:
@@ -286,6 +289,7 @@
     def _keep(self, entry: Entry) -> None:
         self._forget(entry.parts)
         self._entries[entry.parts] = entry
+        self.revision += 1
         if len(entry.parts) > 1:
             self._groups[entry.parts] = None
         while len(self._entries) > MAX_ENTRIES:
--- /dev/null
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -0,0 +1,247 @@
+"""Tests that a grant costs the same whatever the size of the deployment.
+
+Also that what makes it cheap, the order of endpoints and that of the queue,
+gives what going through all of them would give.
+"""
+
+import itertools
+import random
+import statistics
+import sys
+
+import pytest
+
+from cranberryglade.gateway import endpoint_group
+from cranberryglade.gateway import endpoint_limits
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import leases
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import slot_queue
+from cranberryglade.gateway import slots
+from cranberryglade.tests import gateway_builders as builders
+
+Outcome = messages.Outcome
+
+FEW_ENDPOINTS = 45
+MOST_GROWTH = 1.3
+"""Growth of the work for a grant that is allowed from the smallest size."""
+
+
+def count_steps(action) -> int:
+    """Returns how many instructions of the interpreter an action takes."""
+    steps = 0
+
+    def trace(frame, event, argument):
+        nonlocal steps
+        frame.f_trace_opcodes = True
+        frame.f_trace_lines = False
+        steps += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        action()
+    finally:
+        sys.settrace(before)
+    return steps
+
+
+def make_loaded_scheduler(endpoints: int, waiting: int) -> slots.SlotScheduler:
+    """Returns a scheduler with measured endpoints.
+
+    Half of the slots are in use, or all of them if requests wait.
+    """
+    scheduler = slots.SlotScheduler()
+    listed = {
+        f"e-{n}": builders.make_endpoint(f"e-{n}", slots=4)
+        for n in range(endpoints)
+    }
+    scheduler.update_endpoints(listed, 0.0)
+    for number in range(4 * endpoints):
+        request = builders.make_slot_request(f"first-{number}")
+        scheduler.request_slot("a", request, 1.0)
+    for number in range(4 * endpoints):
+        pace = 0.3 + number % 7 / 10
+        scheduler.release(f"first-{number}", Outcome.SERVED, 1.0 + pace)
+    for number in range((4 if waiting else 2) * endpoints):
+        request = builders.make_slot_request(f"running-{number}")
+        scheduler.request_slot(f"holder-{number % 200}", request, 3.0)
+    for number in range(waiting):
+        request = builders.make_slot_request(
+            f"waiting-{number}", rank=number % 3, wait_until=1e6
+        )
+        scheduler.request_slot("a", request, 3.0)
+    assert scheduler.queue_length == waiting
+    return scheduler
+
+
+def steps_of_a_request(scheduler: slots.SlotScheduler) -> float:
+    """Returns the median steps of a request, a release and a report."""
+    running = itertools.count()
+    samples = []
+    for number in range(15):
+
+        def play(number=number):
+            now = 3.1 + number / 100
+            request = builders.make_slot_request(f"r-{number}", wait_until=1e6)
+            scheduler.request_slot("b", request, now)
+            ended = f"running-{next(running)}"
+            scheduler.release(ended, Outcome.SERVED, now)
+            scheduler.apply_report("c", [], now)
+
+        samples.append(count_steps(play))
+    return statistics.median(samples)
+
+
+@pytest.mark.parametrize("waiting", [0, 100, 10_000])
+@pytest.mark.parametrize("endpoints", [200, 400, 2_000])
+def test_a_grant_costs_the_same_at_any_size(endpoints, waiting):
+    # Load: from 45 to 2,000 endpoints, half full, or full with a long queue.
+    few = min(waiting, 100)
+    base = steps_of_a_request(make_loaded_scheduler(FEW_ENDPOINTS, few))
+    large = steps_of_a_request(make_loaded_scheduler(endpoints, waiting))
+    assert large <= MOST_GROWTH * base
+
+
+def make_state(name: str, held: leases.LeaseTable, **changes):
+    return endpoint_states.EndpointState(
+        builders.make_endpoint(name, **changes), held.at(name)
+    )
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_endpoint_chosen_has_the_least_cost_of_all(seed):
+    rng = random.Random(seed)
+    held = leases.LeaseTable()
+    rates = endpoint_group.EndpointRates(endpoint_limits.EndpointLimits())
+    group = endpoint_group.EndpointGroup(rates)
+    count = endpoint_group.MAX_COMPARED
+    states = [make_state(f"e-{n}", held, slots=3) for n in range(count)]
+    for state in states:
+        group.add(state, 0.0)
+    ids = []
+    now = 0.0
+    for number in range(400):
+        now += rng.expovariate(10.0)
+        request = builders.make_slot_request(
+            f"r-{number}", prompt_tokens=rng.randrange(100, 5000)
+        )
+        free = [
+            state
+            for state in states
+            if state.free_slots and state.paused_until <= now
+        ]
+        chosen = group.choose(request, lambda state: True, now)
+        assert (chosen is None) == (not free)
+        if chosen is not None:
+            default = group.median_pace
+            least = min(each.cost(default, now) for each in free)
+            # Endpoints without a pace are ordered anew only now and then.
+            assert chosen.cost(default, now).seconds <= 1.25 * least.seconds
+            name = chosen.endpoint.id
+            held.add(request.id, endpoint_states.Lease("a", request, name, now))
+            group.renew(chosen, now)
+            ids.append(request.id)
+        if ids and rng.random() < 0.9:
+            ended = held.remove(ids.pop(rng.randrange(len(ids))))
+            state = states[int(ended.endpoint.removeprefix("e-"))]
+            pace = (now - ended.granted_at + 0.01) / ended.work_units
+            group.record_pace(state, pace, now)
+            if rng.random() < 0.1:
+                state.paused_until = now + 0.3
+            group.renew(state, now)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_queue_is_in_the_order_of_rank_lateness_and_arrival(seed):
+    rng = random.Random(seed)
+    queue = slot_queue.SlotQueue()
+    waiting: dict[str, endpoint_states.QueuedRequest] = {}
+    pace = 1e-4
+    for number in range(500):
+        now = number / 100
+        request = builders.make_slot_request(
+            f"r-{number}",
+            rank=rng.randrange(3),
+            first_answer_due=now + rng.uniform(0.1, 3.0),
+        )
+        waiting[request.id] = endpoint_states.QueuedRequest("a", request, now)
+        queue.add(waiting[request.id])
+        if rng.random() < 0.2:
+            id_ = rng.choice(list(waiting))
+            assert queue.remove(id_) is waiting.pop(id_)
+        if waiting and rng.random() < 0.7:
+            expected = min(
+                waiting.values(),
+                key=lambda w, at=now: (
+                    w.request.rank,
+                    w.is_late(pace, at),
+                    w.queued_at,
+                ),
+            )
+            assert queue.first(pace, now) is expected
+            queue.remove(expected.request.id)
+            del waiting[expected.request.id]
+        rank = rng.randrange(3)
+        ahead = [w for w in waiting.values() if w.request.rank <= rank]
+        assert queue.load_up_to(rank).requests == len(ahead)
+
+
+def test_requests_that_were_set_aside_get_their_places_back():
+    queue = slot_queue.SlotQueue()
+    waiting = [
+        endpoint_states.QueuedRequest(
+            "a", builders.make_slot_request(f"r-{n}"), float(n)
+        )
+        for n in range(3)
+    ]
+    for each in waiting:
+        queue.add(each)
+    queue.set_aside(waiting[0])
+    queue.set_aside(waiting[1])
+    assert queue.first(0.0, 5.0) is waiting[2]
+    queue.restore(1)
+    assert queue.first(0.0, 5.0) is waiting[0]
+    queue.remove("r-0")
+    queue.restore()
+    assert queue.first(0.0, 5.0) is waiting[1]
+
+
+def test_requests_for_no_free_endpoint_do_not_hold_up_those_behind():
+    # Load: the only free endpoint lost many requests, which wait for another.
+    scheduler = slots.SlotScheduler()
+    listed = {
+        "e-1": builders.make_endpoint("e-1", slots=1),
+        "e-2": builders.make_endpoint("e-2", slots=40),
+    }
+    scheduler.update_endpoints(listed, 0.0)
+    scheduler.register_lease("b", "other", None, "e-1", 0.0)
+    for number in range(50):
+        request = builders.make_slot_request(
+            f"again-{number}", excluded_endpoints=("e-2",)
+        )
+        assert not scheduler.request_slot("a", request, 0.0)
+    request = builders.make_slot_request("first")
+    (decision,) = scheduler.request_slot("a", request, 0.1)
+    assert decision.result == messages.Granted("first", "e-2")
+    (decision,) = scheduler.release("other", Outcome.SERVED, 0.2)
+    assert decision.result == messages.Granted("again-0", "e-1")
+
+
+def test_leases_are_found_by_holder_endpoint_and_part():
+    table = leases.LeaseTable()
+    request = builders.make_slot_request("r-1", parts=("p-1", "p-2"))
+    table.add("r-1", endpoint_states.Lease("a", request, "e-1", 0.0))
+    table.add("r-2", endpoint_states.Lease("a", None, "e-2", 0.0))
+    table.add("r-2", endpoint_states.Lease("b", None, "e-1", 0.0))
+    assert list(table.of("a")) == ["r-1"]
+    assert list(table.at("e-1")) == ["r-1", "r-2"]
+    assert table.runs_any_part({"p-2", "p-3"})
+    assert not table.runs_any_part({"p-3"})
+    table.remove("r-1")
+    assert not table.of("a")
+    assert not table.runs_any_part({"p-1"})
+    table.remove("r-2")
+    table.forget_endpoints({})
+    assert not len(table)
--- a/cranberryglade/tests/test_quarantine.py
+++ b/cranberryglade/tests/test_quarantine.py
@@ -315,7 +315,7 @@
         for id_, end in list(self.ends.items()):
             if id_ not in self.ends or now < end:
                 continue
-            lease = self.scheduler._leases[id_]
+            lease = self.scheduler._leases.get(id_)
             if self.faulty in lease.request.parts:
                 self._crash(lease.endpoint, now)
             else:
@@ -332,11 +332,7 @@
 
     def _crash(self, endpoint, now):
         self.crash_times.append(now)
-        running = [
-            id_
-            for id_, lease in self.scheduler._leases.items()
-            if lease.endpoint == endpoint
-        ]
+        running = list(self.scheduler._leases.at(endpoint))
         for id_ in running:
             self._end(id_, Outcome.CRASHED, now)
         self.dead[endpoint] = now + self.SECONDS_TO_RETURN
@@ -351,7 +347,7 @@
         for decision in decisions:
             match decision.result:
                 case messages.Granted(id=id_):
-                    parts = self.scheduler._leases[id_].request.parts
+                    parts = self.scheduler._leases.get(id_).request.parts
                     bad = self.faulty in parts
                     wait = (
                         self.SECONDS_TO_CRASH if bad else self.SECONDS_TO_ANSWER
