Make the cost of a slot request and of a heartbeat independent of instances

Cause: for each slot request the allocator counted all instances (twice) and derived the known share of quotas from the ages of all that report; for each heartbeat an instance counted all instances, and collected all recent senders to introduce one of them. Every 50 ms each instance hashed the names of all others to find its place, whether it is a contact, and who allocates.

Change * A member keeps its weight; contacts are chosen anew only when a member becomes known; members that answer, a few of hundreds, are kept apart. * The number of instances is counted at most every 0.25 s (it changes by timeouts of 20 s, or when a member becomes known, which counts at once). * Introductions go round all members, one after the other. * What is known of the usage of quotas is gathered at most every 0.1 s, and at once when an instance begins or stops to report, or this one begins to allocate.

The tests that lower the limits of a full mesh have contacts chosen anew, as these are kept now.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -36,6 +36,10 @@
 
 MAX_QUOTA_RETRY_AFTER_SECONDS = 2.0
 
+KNOWLEDGE_SECONDS = 0.1
+"""For this long what is known of the usage of quotas is not gathered anew,
+unless an instance begins or stops to report."""
+
 ENDPOINT_FAULT_OUTCOMES = frozenset(
     (
         messages.Outcome.REFUSED,
@@ -84,6 +88,8 @@
         "_charges",
         "_granted_by",
         "_holders_seen",
+        "_knowledge",
+        "_knowledge_at",
         "_allocating_since",
         "_mesh",
         "_name",
@@ -117,6 +123,8 @@
         self._granted_by: dict[str, str] = {}
         self._holders_seen: dict[str, float] = {}
         self._reporters: set[str] = set()
+        self._knowledge: charges.UsageKnowledge | None = None
+        self._knowledge_at = 0.0
         self._last_reported_to = ""
 
     @property
@@ -220,6 +228,7 @@
             if now - seen > HOLDER_TIMEOUT_SECONDS:
                 del self._holders_seen[holder]
                 self._reporters.discard(holder)
+                self._knowledge = None
                 self.deliver_decisions(self._slots.remove_holder(holder, now))
         self.deliver_decisions(self._slots.tick(now))
         self._charges.expire(now)
@@ -250,7 +259,9 @@
                 pass
             case datagrams.Ping(name=name, report=report):
                 self._holders_seen[name] = now
-                self._reporters.add(name)
+                if name not in self._reporters:
+                    self._reporters.add(name)
+                    self._knowledge = None
                 held = [messages.Granted(h.id, h.endpoint) for h in report.held]
                 self._charges.record_report(
                     name, quotas.decode_usage(report.usage, now)
@@ -363,6 +374,13 @@
         return await pending.future
 
     def _usage_knowledge(self, now: float) -> charges.UsageKnowledge:
+        fresh = now - self._knowledge_at < KNOWLEDGE_SECONDS
+        if self._knowledge is None or not fresh:
+            self._knowledge = self._gather_knowledge(now)
+            self._knowledge_at = now
+        return self._knowledge
+
+    def _gather_knowledge(self, now: float) -> charges.UsageKnowledge:
         allocating = 0.0
         if self._allocating_since is not None:
             allocating = now - self._allocating_since
@@ -382,9 +400,11 @@
     def _update_role(self, allocating: bool, now: float) -> None:
         if not allocating:
             self._allocating_since = None
+            self._knowledge = None
             return
         if self._allocating_since is None:
             self._allocating_since = now
+            self._knowledge = None
             self._reporters.clear()
             logger.info("allocator.begun", held=self._slots.lease_count)
         usage = self._charges.usage_not_granted_by(self._mesh.incarnation, now)
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -110,6 +110,7 @@
     __slots__ = (
         "_isolated",
         "_ledger",
+        "_known_share",
         "_pending",
         "_shared",
         "_stored_at",
@@ -127,6 +128,7 @@
         self._ledger = quotas.Ledger()
         self._pending: dict[str, Charge] = {}
         self._stored_at: float | None = None
+        self._known_share: tuple[UsageKnowledge, float, float] | None = None
 
     @property
     def has_stored_usage(self) -> bool:
@@ -175,7 +177,7 @@
         now: float,
     ) -> float:
         """Charges a request; returns 0, or the seconds until it would fit."""
-        share = knowledge.share(self.window_seconds)
+        share = self._share(knowledge)
         return self._charge(self._shared, request, share, now)
 
     def charge_isolated(
@@ -245,6 +247,17 @@
             if charge.at < oldest:
                 del self._pending[id_]
 
+    def _share(self, knowledge: UsageKnowledge) -> float:
+        """Returns `knowledge.share`, computed once for the same knowledge."""
+        window = self.window_seconds
+        if self._known_share is not None:
+            last_knowledge, last_window, share = self._known_share
+            if last_knowledge is knowledge and last_window == window:
+                return share
+        share = knowledge.share(window)
+        self._known_share = (knowledge, window, share)
+        return share
+
     def _charge(
         self,
         account: quotas.Quotas,
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -35,6 +35,12 @@
 MEMBER_TIMEOUT_SECONDS = 20.0
 """An instance not heard from for longer has no share of common limits."""
 
+COUNT_SECONDS = 0.25
+"""For this long the number of instances is not counted anew."""
+
+MAX_INTRODUCTIONS_TRIED = 8
+"""How many instances are looked at for one that sent a heartbeat recently."""
+
 
 @dataclasses.dataclass(slots=True)
 class Member:
@@ -57,6 +63,7 @@
         stopping: whether it announced that it stops.
         cut_off: whether it reports that it reaches endpoints only through
             other instances.
+        weight: its weight in rendezvous order; the greatest comes first.
     """
 
     name: str
@@ -72,6 +79,11 @@
     confirmed_at: float | None = None
     stopping: bool = False
     cut_off: bool = False
+    weight: int = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        """Computes the weight."""
+        self.weight = _rendezvous_weight(self.name)
 
     @property
     def last_contact_at(self) -> float:
@@ -87,23 +99,36 @@
     """The other instances, as seen by this one; performs no I/O."""
 
     __slots__ = (
-        "_names_by_address",
-        "_started",
+        "_answered",
+        "_contacts",
+        "_counted",
+        "_counted_at",
         "_domain",
+        "_introduced",
         "_members",
+        "_names_by_address",
         "_own",
+        "_own_weight",
         "_ring",
+        "_started",
         "_suspects",
     )
 
     def __init__(self, own: str, domain: str, now: float):
         self._own = own
+        self._own_weight = _rendezvous_weight(own)
         self._domain = domain
         self._started = now
         self._members: dict[str, Member] = {}
         self._ring: list[tuple[int, str]] = []
         self._names_by_address: dict[str, str] = {}
         self._suspects: dict[str, float] = {}
+        # Only a few of hundreds are sent heartbeats, and answer.
+        self._answered: dict[str, Member] = {}
+        self._contacts: list[Member] | None = None
+        self._counted = 1
+        self._counted_at = float("-inf")
+        self._introduced = 0
 
     @property
     def all(self) -> list[Member]:
@@ -127,12 +152,15 @@
     @property
     def contacts(self) -> list[Member]:
         """Members that this instance sends heartbeats to."""
+        if self._contacts is None:
+            self._contacts = self._choose_contacts()
+        return self._contacts
+
+    def _choose_contacts(self) -> list[Member]:
         if self.full_mesh:
             return self.all
         order = sorted(
-            self._members.values(),
-            key=lambda m: _rendezvous_weight(m.name),
-            reverse=True,
+            self._members.values(), key=lambda m: m.weight, reverse=True
         )
         same_domain = [
             member for member in order if member.domain == self._domain
@@ -147,19 +175,12 @@
     @property
     def is_contact(self) -> bool:
         """Whether this instance is a contact of other instances."""
-        own = _rendezvous_weight(self._own)
-        ahead = [
-            m
-            for m in self._members.values()
-            if _rendezvous_weight(m.name) > own
-        ]
-        same_domain = [
-            member for member in ahead if member.domain == self._domain
-        ]
-        return (
-            len(ahead) < CONTACTS_PER_GROUP
-            or len(same_domain) < CONTACTS_PER_GROUP
-        )
+        ahead = same_domain = 0
+        for member in self.contacts:
+            if member.weight > self._own_weight:
+                ahead += 1
+                same_domain += member.domain == self._domain
+        return ahead < CONTACTS_PER_GROUP or same_domain < CONTACTS_PER_GROUP
 
     def contacts_suffice(self, now: float) -> bool:
         """Returns whether the contacts report all that the store would.
@@ -199,7 +220,9 @@
         member = self._members.get(name)
         if member is None:
             member = self._members[name] = Member(name, address, domain, now)
-            bisect.insort(self._ring, (_rendezvous_weight(name), name))
+            bisect.insort(self._ring, (member.weight, name))
+            self._contacts = None
+            self._counted_at = float("-inf")
         elif member.address != address:
             self._names_by_address.pop(member.address, None)
             member.address = address
@@ -236,10 +259,29 @@
         return [
             member
             for member in self._members.values()
-            if member.heartbeat_at is not None
-            and now - member.heartbeat_at < RECENT_HEARTBEAT_SECONDS
+            if self._sent_recently(member, now)
         ]
 
+    def _sent_recently(self, member: Member, now: float) -> bool:
+        return (
+            member.heartbeat_at is not None
+            and now - member.heartbeat_at < RECENT_HEARTBEAT_SECONDS
+        )
+
+    def introduction(self, now: float) -> Member | None:
+        """Returns a member that sent a heartbeat recently, in turn.
+
+        None if there are few instances, or none of the next ones did.
+        """
+        if self.full_mesh:
+            return None
+        for _ in range(MAX_INTRODUCTIONS_TRIED):
+            self._introduced = (self._introduced + 1) % len(self._ring)
+            member = self._members[self._ring[self._introduced][1]]
+            if self._sent_recently(member, now):
+                return member
+        return None
+
     def record_answer(
         self, name: str, incarnation: str, age_seconds: float, now: float
     ) -> bool:
@@ -263,6 +305,7 @@
             member.started_at = now - age_seconds
             member.stopping = False
         member.answered_at = now
+        self._answered[name] = member
         self._suspects.pop(name, None)
         return restarted
 
@@ -281,9 +324,8 @@
         timeout = MAX_MISSED_HEARTBEATS * self.heartbeat_seconds
         return [
             member
-            for member in self._members.values()
-            if member.answered_at is not None
-            and now - member.answered_at < timeout
+            for member in self._answered.values()
+            if now - member.answered_at < timeout
         ]
 
     def helpers(self, now: float) -> list[Member]:
@@ -337,30 +379,30 @@
             now: seconds of the loop's clock.
             own_stopping: whether this instance is stopping.
         """
-        start_times = {
-            member.name: member.started_at
+        usable = [
+            member
             for member in self.reachable(now)
             if not member.stopping
             and self._suspects.get(member.name, 0.0) <= now
-        }
-        if not own_stopping or not start_times:
-            start_times[self._own] = self._started
-        settled = [
-            name
-            for name, start in start_times.items()
-            if now - start >= MIN_ALLOCATOR_AGE_SECONDS
         ]
-        return max(settled or start_times, key=_rendezvous_weight)
+        candidates = [
+            (now - each.started_at >= MIN_ALLOCATOR_AGE_SECONDS, each.weight)
+            for each in usable
+        ]
+        names = [each.name for each in usable]
+        if not own_stopping or not usable:
+            settled = now - self._started >= MIN_ALLOCATOR_AGE_SECONDS
+            candidates.append((settled, self._own_weight))
+            names.append(self._own)
+        return names[candidates.index(max(candidates))]
 
     def rendezvous_rank(self, now: float) -> int:
         """Returns this instance's position in rendezvous order, from 0.
 
         Only reachable instances count.
         """
-        own = _rendezvous_weight(self._own)
         return sum(
-            _rendezvous_weight(member.name) > own
-            for member in self.reachable(now)
+            member.weight > self._own_weight for member in self.reachable(now)
         )
 
     def instance_count(self, now: float) -> int:
@@ -368,6 +410,12 @@
 
         With many instances, most are known only from reports of the contacts.
         """
+        if now - self._counted_at >= COUNT_SECONDS:
+            self._counted = self._count_instances(now)
+            self._counted_at = now
+        return self._counted
+
+    def _count_instances(self, now: float) -> int:
         own = 1 + sum(
             now - member.last_contact_at < MEMBER_TIMEOUT_SECONDS
             for member in self._members.values()
@@ -385,7 +433,9 @@
         """Returns seconds since the start of this instance and those named."""
         start_times = [self._started]
         start_times += [
-            m.started_at for m in self._members.values() if m.name in names
+            self._members[name].started_at
+            for name in names
+            if name in self._members
         ]
         return tuple(now - start for start in start_times)
 
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -313,8 +313,7 @@
         )
 
     def _choose_introduction(self, now: float) -> datagrams.MemberInfo | None:
-        candidates = self.members.recent_senders(now)
-        if not candidates or self.members.full_mesh:
+        other = self.members.introduction(now)
+        if other is None:
             return None
-        other = candidates[self._sequence % len(candidates)]
         return datagrams.MemberInfo(other.name, other.address, other.domain)
--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -1,4 +1,4 @@
-"""An in-memory platform that injects a chosen fault into each call."""
+"""Fakes: a platform that injects faults, and the mesh of an allocator."""
 
 import asyncio
 
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from cranberryglade import tables
+from cranberryglade.gateway import membership
 
 LOST = Failure(tables.PlatformError("TimeoutError"))
 
@@ -66,3 +67,19 @@
                 value=write.value, version=write.expected_version + 1
             )
         return tables.TransactionOutcome(committed=True)
+
+
+class FakeMesh:
+    """Mesh of an allocator that has three reachable peers."""
+
+    def __init__(self, now):
+        self.members = membership.Membership("a", "north", now - 60.0)
+        for name in ("b", "c", "d"):
+            self.members.register(name, f"{name}:1", "north", now)
+            self.members.record_answer(name, "life-1", 60.0, now)
+        self.allocator = "a"
+        self.incarnation = "life-a"
+        self.sent = []
+
+    def send_to(self, name, message):
+        self.sent.append(message)
--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -4,6 +4,7 @@
 gives what going through all of them would give.
 """
 
+import asyncio
 import itertools
 import random
 import statistics
@@ -11,13 +12,20 @@
 
 import pytest
 
+from cranberryglade.gateway import allocation
+from cranberryglade.gateway import charges
+from cranberryglade.gateway import conversions
+from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_group
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import leases
+from cranberryglade.gateway import membership
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import quotas
 from cranberryglade.gateway import slot_queue
 from cranberryglade.gateway import slots
+from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
 Outcome = messages.Outcome
@@ -245,3 +253,97 @@
     table.remove("r-2")
     table.forget_endpoints({})
     assert not len(table)
+
+
+def make_membership(instances: int) -> membership.Membership:
+    """Returns the view of an instance that all others send heartbeats to."""
+    view = membership.Membership("gate-0", "north", 0.0)
+    for number in range(1, instances):
+        name = f"gate-{number}"
+        view.register(name, f"{name}:1", f"domain-{number % 5}", 0.0)
+        view.record_heartbeat(name, "life-1", 9.0, 9.0)
+    for contact in view.contacts:
+        view.record_answer(contact.name, "life-1", 9.0, 9.0)
+    view.instance_count(9.0)
+    return view
+
+
+def steps_of_a_heartbeat(instances: int) -> int:
+    view = make_membership(instances)
+
+    def play():
+        view.register("gate-7", "gate-7:1", "domain-2", 9.1)
+        view.record_heartbeat("gate-7", "life-1", 9.1, 9.1)
+        view.introduction(9.1)
+        view.instance_count(9.1)
+        view.allocator(9.1)
+        view.contacts_suffice(9.1)
+        view.rendezvous_rank(9.1)
+
+    return count_steps(play)
+
+
+@pytest.mark.parametrize("instances", [100, 300, 730])
+def test_a_heartbeat_costs_the_same_with_any_number_of_instances(instances):
+    # Load: all instances send heartbeats to the allocator.
+    assert steps_of_a_heartbeat(instances) <= MOST_GROWTH * (
+        steps_of_a_heartbeat(30)
+    )
+
+
+def test_all_instances_that_send_heartbeats_are_introduced_in_turn():
+    view = make_membership(50)
+    gone = {"gate-3", "gate-4"}
+    for number in range(1, 50):
+        if f"gate-{number}" not in gone:
+            view.record_heartbeat(f"gate-{number}", "life-1", 20.0, 20.0)
+    introduced = {view.introduction(20.1).name for _ in range(49)}
+    assert introduced == {f"gate-{n}" for n in range(1, 50)} - gone
+
+
+def test_contacts_follow_instances_that_become_known():
+    small = membership.Membership("gate-0", "north", 0.0)
+    for number in range(1, 40):
+        name = f"gate-{number}"
+        small.register(name, f"{name}:1", "north", 0.0)
+        assert small.contacts
+    at_once = membership.Membership("gate-0", "north", 0.0)
+    for number in range(1, 40):
+        name = f"gate-{number}"
+        at_once.register(name, f"{name}:1", "north", 0.0)
+    assert [m.name for m in small.contacts] == [
+        m.name for m in at_once.contacts
+    ]
+
+
+async def test_usage_is_known_anew_once_an_instance_reports():
+    # Load: a new allocator gets slot requests between the first reports.
+    now = asyncio.get_running_loop().time()
+    organisation = builders.make_organisation(rate=1000.0, burst=0.0)
+    tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
+    charging = charges.Charges(
+        quotas.Quotas(lambda name: organisation, tolerance),
+        quotas.Quotas(lambda name: organisation, tolerance),
+    )
+    mesh = fakes.FakeMesh(now)
+    allocator = allocation.SharedAllocator("a", slots.SlotScheduler(), charging)
+    allocator.set_mesh(mesh)
+    allocator.tick(now)
+
+    def ask(id_):
+        mesh.sent.clear()
+        request = builders.make_slot_request(
+            id_, organisation="studio", cost=1500.0
+        )
+        allocator.receive(
+            "b", conversions.encode_slot_request("b", request, now)
+        )
+        return mesh.sent[0]
+
+    assert ask("r-1").reason == messages.OVER_QUOTA
+    for name in ("b", "c", "d"):
+        status = datagrams.Status(1, 0, 1, 4, 60_000)
+        report = datagrams.Report([], [])
+        ping = datagrams.Ping(name, "l", f"{name}:1", "n", 1, status, report)
+        allocator.receive(name, ping)
+    assert ask("r-1").reason == "no_endpoint"
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -9,10 +9,10 @@
 from cranberryglade.gateway import charges
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
-from cranberryglade.gateway import membership
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import slots
+from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
 Outcome = messages.Outcome
@@ -303,22 +303,6 @@
     )
 
 
-class FakeMesh:
-    """Mesh of an allocator that has three reachable peers."""
-
-    def __init__(self, now):
-        self.members = membership.Membership("a", "north", now - 60.0)
-        for name in ("b", "c", "d"):
-            self.members.register(name, f"{name}:1", "north", now)
-            self.members.record_answer(name, "life-1", 60.0, now)
-        self.allocator = "a"
-        self.incarnation = "life-a"
-        self.sent = []
-
-    def send_to(self, name, message):
-        self.sent.append(message)
-
-
 async def test_a_new_allocator_grants_no_quota_before_it_has_reports():
     # Load: the allocator fails while an organisation is at the limit of its
     # quota; its successor gets slot requests before it has the usage reports.
@@ -329,7 +313,7 @@
     def make_quotas():
         return quotas.Quotas(lambda name: organisation, tolerance)
 
-    mesh = FakeMesh(now)
+    mesh = fakes.FakeMesh(now)
     allocator = make_allocator(builders.make_endpoint(slots=100))
     shared_allocator = allocation.SharedAllocator(
         "a", allocator, charges.Charges(make_quotas(), make_quotas())
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -234,6 +234,9 @@
     monkeypatch.setattr(membership, "FULL_MESH_LIMIT", 2)
     monkeypatch.setattr(membership, "CONTACTS_PER_GROUP", 1)
     monkeypatch.setattr(membership, "MIN_CURRENT_CONTACTS", 1)
+    for gateway in cluster.gateways:
+        # They were chosen by the usual limits, and change with the members.
+        gateway._mesh.members._contacts = None
     await gateway_cluster.wait_until(
         lambda: (
             sum(g._store_watcher.relies_on_peers for g in cluster.gateways) >= 4
