Let the most capable machines allocate and be contacts of all

Cause: on a deployment of 195 machines of 0.5 to 2.15 cores the allocator and the contacts of all were those that the hash of their names puts first, mostly small ones. What an allocator spends is four times as much of a small machine.

Change: an instance knows its capacity (cores, as far as its link keeps them busy, rounded) from the settings file, and tells it in its row, its heartbeats and introductions. Contacts, the allocator and the delay of probes follow the order of precedence: capacity, then the weight of the name. Machines that are alike are ordered as before.

Not done: load is not part of it (a large machine that is full or slowed keeps allocating until it is silent), and an allocator does not hand over before that.

--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -8,6 +8,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade.gateway import capacity
+
 
 class HeldSlot(msgspec.Struct, array_like=True, frozen=True):
     """A request of the sender that holds a slot of an endpoint."""
@@ -139,6 +141,7 @@
         suspects: the strongest suspicions; None unless the sender is the
             allocator.
         limits: limits that endpoints name, those observed last.
+        capacity: as in `capacity.of_machine`.
     """
 
     name: str
@@ -152,6 +155,7 @@
     quarantine: list[QuarantineEntry] = []
     suspects: list[SuspectPart] | None = None
     limits: list[EndpointLimit] = []
+    capacity: float = capacity.DEFAULT_CAPACITY
 
 
 class MemberInfo(msgspec.Struct, array_like=True, frozen=True):
@@ -161,11 +165,13 @@
         name: its name.
         address: host and port where it receives datagrams.
         domain: its failure domain.
+        capacity: as in `capacity.of_machine`.
     """
 
     name: str
     address: str
     domain: str
+    capacity: float = capacity.DEFAULT_CAPACITY
 
 
 class Pong(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -6,12 +6,14 @@
 
 import xxhash
 
+from cranberryglade.gateway import capacity
+
 FULL_MESH_LIMIT = 16
 """Up to this many instances, each sends heartbeats to all others."""
 
 CONTACTS_PER_GROUP = 4
-"""With more instances, each sends heartbeats to this many that are first in
-rendezvous order, and to as many of its own failure domain."""
+"""With more instances, each sends heartbeats to this many that come first in
+order of precedence, and to as many of its own failure domain."""
 
 HEARTBEAT_SECONDS = 0.3
 PARTIAL_MESH_HEARTBEAT_SECONDS = 0.5
@@ -42,6 +44,10 @@
 """How many instances are looked at for one that sent a heartbeat recently."""
 
 
+Precedence = tuple[float, int]
+"""Capacity, then weight in rendezvous order; the greatest comes first."""
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """Another instance; times are seconds of the loop's clock.
@@ -63,7 +69,8 @@
         stopping: whether it announced that it stops.
         cut_off: whether it reports that it reaches endpoints only through
             other instances.
-        weight: its weight in rendezvous order; the greatest comes first.
+        capacity: as in `capacity.of_machine`.
+        weight: its weight in rendezvous order.
     """
 
     name: str
@@ -79,12 +86,18 @@
     confirmed_at: float | None = None
     stopping: bool = False
     cut_off: bool = False
+    capacity: float = capacity.DEFAULT_CAPACITY
     weight: int = dataclasses.field(init=False)
 
     def __post_init__(self):
         """Computes the weight."""
         self.weight = _rendezvous_weight(self.name)
 
+    @property
+    def precedence(self) -> Precedence:
+        """Its place among the instances that do more than their share."""
+        return (self.capacity, self.weight)
+
     @property
     def last_contact_at(self) -> float:
         """Time at which it became known, answered or sent a heartbeat."""
@@ -108,15 +121,21 @@
         "_members",
         "_names_by_address",
         "_own",
-        "_own_weight",
+        "_own_precedence",
         "_ring",
         "_started",
         "_suspects",
     )
 
-    def __init__(self, own: str, domain: str, now: float):
+    def __init__(
+        self,
+        own: str,
+        domain: str,
+        now: float,
+        own_capacity: float = capacity.DEFAULT_CAPACITY,
+    ):
         self._own = own
-        self._own_weight = _rendezvous_weight(own)
+        self._own_precedence = (own_capacity, _rendezvous_weight(own))
         self._domain = domain
         self._started = now
         self._members: dict[str, Member] = {}
@@ -160,7 +179,7 @@
         if self.full_mesh:
             return self.all
         order = sorted(
-            self._members.values(), key=lambda m: m.weight, reverse=True
+            self._members.values(), key=lambda m: m.precedence, reverse=True
         )
         same_domain = [
             member for member in order if member.domain == self._domain
@@ -177,7 +196,7 @@
         """Whether this instance is a contact of other instances."""
         ahead = same_domain = 0
         for member in self.contacts:
-            if member.weight > self._own_weight:
+            if member.precedence > self._own_precedence:
                 ahead += 1
                 same_domain += member.domain == self._domain
         return ahead < CONTACTS_PER_GROUP or same_domain < CONTACTS_PER_GROUP
@@ -208,9 +227,14 @@
         return self._members.get(name)
 
     def register(
-        self, name: str, address: str, domain: str, now: float
+        self,
+        name: str,
+        address: str,
+        domain: str,
+        now: float,
+        its_capacity: float = capacity.DEFAULT_CAPACITY,
     ) -> Member | None:
-        """Registers an instance, or its new address.
+        """Registers an instance, or its new address and capacity.
 
         Returns:
             The member; None if the name is that of this instance.
@@ -226,6 +250,9 @@
         elif member.address != address:
             self._names_by_address.pop(member.address, None)
             member.address = address
+        if member.capacity != its_capacity:
+            member.capacity = its_capacity
+            self._contacts = None
         self._names_by_address[address] = name
         return member
 
@@ -371,8 +398,8 @@
     def allocator(self, now: float, own_stopping: bool = False) -> str:
         """Returns the name of the instance that grants slots.
 
-        It is the first in rendezvous order of the reachable instances that are
-        neither stopping nor suspected. Those that have run for
+        It is the first in order of precedence of the reachable instances that
+        are neither stopping nor suspected. Those that have run for
         MIN_ALLOCATOR_AGE_SECONDS precede the others.
 
         Args:
@@ -386,23 +413,27 @@
             and self._suspects.get(member.name, 0.0) <= now
         ]
         candidates = [
-            (now - each.started_at >= MIN_ALLOCATOR_AGE_SECONDS, each.weight)
+            (
+                now - each.started_at >= MIN_ALLOCATOR_AGE_SECONDS,
+                each.precedence,
+            )
             for each in usable
         ]
         names = [each.name for each in usable]
         if not own_stopping or not usable:
             settled = now - self._started >= MIN_ALLOCATOR_AGE_SECONDS
-            candidates.append((settled, self._own_weight))
+            candidates.append((settled, self._own_precedence))
             names.append(self._own)
         return names[candidates.index(max(candidates))]
 
-    def rendezvous_rank(self, now: float) -> int:
-        """Returns this instance's position in rendezvous order, from 0.
+    def rank(self, now: float) -> int:
+        """Returns this instance's position in order of precedence, from 0.
 
         Only reachable instances count.
         """
         return sum(
-            member.weight > self._own_weight for member in self.reachable(now)
+            member.precedence > self._own_precedence
+            for member in self.reachable(now)
         )
 
     def instance_count(self, now: float) -> int:
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade.gateway import capacity
 from cranberryglade.gateway import clock
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
@@ -47,13 +48,27 @@
         on_message: Handler,
         on_status: Callable[[membership.Member, datagrams.Status], None],
         report: Callable[[membership.Member], datagrams.Report],
+        own_capacity: float = capacity.DEFAULT_CAPACITY,
     ):
+        """Connects it to the other components; `open` starts it.
+
+        Args:
+            name: name of this instance.
+            domain: its failure domain.
+            address: host and port at which it receives datagrams.
+            instance_state: state of this instance.
+            on_message: gets the datagrams that are not handled here.
+            on_status: gets the status in each answer to a heartbeat.
+            report: returns what the allocator gets with a heartbeat.
+            own_capacity: as in `capacity.of_machine`.
+        """
         self.members = membership.Membership(
-            name, domain, asyncio.get_running_loop().time()
+            name, domain, asyncio.get_running_loop().time(), own_capacity
         )
         self.stopping = False
         self._name = name
         self._domain = domain
+        self._capacity = own_capacity
         self._address = address
         self._state = instance_state
         self._on_message = on_message
@@ -137,6 +152,7 @@
             self._quarantine(),
             self._suspects() if allocator == self._name else None,
             self._limits(),
+            self._capacity,
         )
         self.send(member, ping)
 
@@ -199,7 +215,7 @@
     def _receive_ping(self, ping: datagrams.Ping) -> None:
         now = asyncio.get_running_loop().time()
         member = self.members.register(
-            ping.name, ping.address, ping.domain, now
+            ping.name, ping.address, ping.domain, now, ping.capacity
         )
         if member is None:
             return
@@ -233,7 +249,9 @@
         self._learn_quarantine(pong.name, pong.quarantine)
         if pong.other is not None:
             other = pong.other
-            self.members.register(other.name, other.address, other.domain, now)
+            self.members.register(
+                other.name, other.address, other.domain, now, other.capacity
+            )
         status = pong.status
         member.reported_instances = status.members
         member.cut_off = status.cut_off
@@ -316,4 +334,6 @@
         other = self.members.introduction(now)
         if other is None:
             return None
-        return datagrams.MemberInfo(other.name, other.address, other.domain)
+        return datagrams.MemberInfo(
+            other.name, other.address, other.domain, other.capacity
+        )
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -16,6 +16,7 @@
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import budgets
+from cranberryglade.gateway import capacity
 from cranberryglade.gateway import charges
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import configuration_age
@@ -58,7 +59,7 @@
 SETTINGS_REREAD_SECONDS = 3.0
 PROBE_STEP_SECONDS = 0.4
 """Delay of the probe of the store for each instance that is earlier in
-rendezvous order, so that one probe usually serves all instances."""
+order of precedence, so that one probe usually serves all instances."""
 
 SETTLE_SECONDS = 1.0
 """How long requests that count against quotas wait after a start for what the
@@ -150,6 +151,7 @@
             self._receive_datagram,
             self._peer_sync.fetch_newer,
             self._allocator.report,
+            self._capacity,
         )
         self._allocator.set_mesh(self._mesh)
         self._origins.set_mesh(self._mesh)
@@ -186,6 +188,12 @@
         self._logger = log.get_logger(__name__)
         self._register_gauges()
 
+    @property
+    def _capacity(self) -> float:
+        return capacity.of_machine(
+            self._settings.processor_cores, self._settings.link_mbps
+        )
+
     @property
     def _peer_address(self) -> str:
         return f"{self._settings.host}:{self._settings.peer_port}"
@@ -459,7 +467,7 @@
             self._state.quarantine.expire(now, self._allocator.is_allocating)
             self._state.endpoint_limits.expire(self._state.endpoints, now)
             self._state.limit_share = 1 / self._mesh.members.instance_count(now)
-            rank = self._mesh.members.rendezvous_rank(now)
+            rank = self._mesh.members.rank(now)
             self._store_watcher.probe_delay_seconds = rank * PROBE_STEP_SECONDS
             self._store_watcher.relies_on_peers = (
                 self._mesh.members.contacts_suffice(now)
@@ -467,7 +475,7 @@
 
     async def _register(self) -> None:
         entry = registration.MemberRow(
-            self._peer_address, self._settings.failure_domain
+            self._peer_address, self._settings.failure_domain, self._capacity
         )
         await registration.keep_registered(
             self._store,
--- a/cranberryglade/gateway/registration.py
+++ b/cranberryglade/gateway/registration.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade.gateway import capacity
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import ports
 
@@ -27,10 +28,12 @@
         address: host and port where it receives datagrams, and calls of its
             peers.
         domain: its failure domain.
+        capacity: as in `capacity.of_machine`.
     """
 
     address: str
     domain: str
+    capacity: float = capacity.DEFAULT_CAPACITY
 
 
 async def keep_registered(
@@ -94,7 +97,9 @@
                 "member.unreadable", member=row.key, problem=str(error)
             )
             continue
-        own_membership.register(row.key, other.address, other.domain, now)
+        own_membership.register(
+            row.key, other.address, other.domain, now, other.capacity
+        )
     logger.info("registered", members=len(rows))
 
 
--- a/cranberryglade/gateway/settings.py
+++ b/cranberryglade/gateway/settings.py
@@ -10,6 +10,8 @@
     "ready_address",
     "peer_port",
     "store_address",
+    "processor_cores",
+    "link_mbps",
 )
 """Settings that stay as they are until the next start."""
 
@@ -35,6 +37,8 @@
         quota_window_seconds: sliding window in which usage is counted.
         quota_ratio: tolerated overrun of a quota, as a fraction of it.
         quota_slack: overrun that is tolerated in addition.
+        processor_cores: processor time that the instance may use, in cores.
+        link_mbps: bandwidth of its machine's link, in Mbit/s.
     """
 
     instance: str
@@ -52,3 +56,5 @@
     quota_window_seconds: float
     quota_ratio: float
     quota_slack: float
+    processor_cores: float = 1.0
+    link_mbps: float = 1000.0
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -44,7 +44,7 @@
 
     Attributes:
         probe_delay_seconds: seconds that the probe for the newest configuration
-            is delayed relative to the first instance in rendezvous order.
+            is delayed relative to the first instance in order of precedence.
         relies_on_peers: whether peers report all changes, so that this instance
             need not read the store itself.
     """
--- a/cranberryglade/platform/boot.py
+++ b/cranberryglade/platform/boot.py
@@ -31,10 +31,16 @@
     Attributes:
         memory_mb: limit on its memory, in MB.
         max_fds: limit on the number of its file descriptors.
+        cpu_share: share of a core that it may use.
+        cpu_cores: speed of that core, relative to the usual one.
+        link_mbps: bandwidth of the machine's link, in Mbit/s.
     """
 
     memory_mb: float = 300.0
     max_fds: int = 4096
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class Bounds(msgspec.Struct):
@@ -134,4 +140,6 @@
         quota_window_seconds=bounds.quota_window_s,
         quota_ratio=bounds.quota_overage,
         quota_slack=bounds.quota_slack,
+        processor_cores=boot.limits.cpu_share * boot.limits.cpu_cores,
+        link_mbps=boot.limits.link_mbps,
     )
--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -14,6 +14,7 @@
 
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import charges
+from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_group
@@ -21,10 +22,13 @@
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import membership
+from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import slot_queue
 from cranberryglade.gateway import slots
+from cranberryglade.gateway import state
+from cranberryglade.gateway import telemetry
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -126,8 +130,8 @@
     group = endpoint_group.EndpointGroup(rates)
     count = endpoint_group.MAX_COMPARED
     states = [make_state(f"e-{n}", held, slots=3) for n in range(count)]
-    for state in states:
-        group.add(state, 0.0)
+    for each in states:
+        group.add(each, 0.0)
     ids = []
     now = 0.0
     for number in range(400):
@@ -136,11 +140,11 @@
             f"r-{number}", prompt_tokens=rng.randrange(100, 5000)
         )
         free = [
-            state
-            for state in states
-            if state.free_slots and state.paused_until <= now
+            each
+            for each in states
+            if each.free_slots and each.paused_until <= now
         ]
-        chosen = group.choose(request, lambda state: True, now)
+        chosen = group.choose(request, lambda each: True, now)
         assert (chosen is None) == (not free)
         if chosen is not None:
             default = group.median_pace
@@ -153,12 +157,12 @@
             ids.append(request.id)
         if ids and rng.random() < 0.9:
             ended = held.remove(ids.pop(rng.randrange(len(ids))))
-            state = states[int(ended.endpoint.removeprefix("e-"))]
+            freed = states[int(ended.endpoint.removeprefix("e-"))]
             pace = (now - ended.granted_at + 0.01) / ended.work_units
-            group.record_pace(state, pace, now)
+            group.record_pace(freed, pace, now)
             if rng.random() < 0.1:
-                state.paused_until = now + 0.3
-            group.renew(state, now)
+                freed.paused_until = now + 0.3
+            group.renew(freed, now)
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -278,7 +282,7 @@
         view.instance_count(9.1)
         view.allocator(9.1)
         view.contacts_suffice(9.1)
-        view.rendezvous_rank(9.1)
+        view.rank(9.1)
 
     return count_steps(play)
 
@@ -301,6 +305,55 @@
     assert introduced == {f"gate-{n}" for n in range(1, 50)} - gone
 
 
+async def test_the_capacity_of_a_machine_is_told_with_an_introduction():
+    loop = asyncio.get_running_loop()
+    told = []
+
+    def make_mesh(name, own_capacity):
+        return mesh.Mesh(
+            name,
+            "north",
+            f"127.0.0.1:{7600 + len(name)}",
+            state.InstanceState(
+                "1",
+                configuration_age.ConfigurationAge(5.0),
+                telemetry.Telemetry(),
+            ),
+            lambda sender, message: None,
+            lambda member, status: None,
+            lambda member: datagrams.Report([], []),
+            own_capacity,
+        )
+
+    class Transport:
+        def is_closing(self):
+            return False
+
+        def sendto(self, data, address):
+            told.append(data)
+
+    large, small = make_mesh("large", 2.2), make_mesh("sm", 0.5)
+    for instance in (large, small):
+        instance.connection_made(Transport())
+    member = large.members.register("sm", "127.0.0.1:7602", "n", loop.time())
+    large.ping(member)
+    small.datagram_received(told.pop(), ("127.0.0.1", 7605))
+    assert small.members.get("large").capacity == 2.2
+    for number in range(20):
+        name = f"x-{number}"
+        small.members.register(name, f"{name}:1", "n", loop.time(), 0.1)
+        small.members.record_heartbeat(name, "1", 1.0, loop.time())
+    introduced = {}
+    for _ in range(21):
+        told.clear()
+        large.ping(member)
+        small.datagram_received(told.pop(0), ("127.0.0.1", 7605))
+        other = datagrams.decode(told.pop()).unwrap().other
+        introduced[other.name] = other.capacity
+    assert introduced["large"] == 2.2
+    assert introduced["x-7"] == 0.1
+
+
 def test_contacts_follow_instances_that_become_known():
     small = membership.Membership("gate-0", "north", 0.0)
     for number in range(1, 40):
@@ -325,20 +378,20 @@
         quotas.Quotas(lambda name: organisation, tolerance),
         quotas.Quotas(lambda name: organisation, tolerance),
     )
-    mesh = fakes.FakeMesh(now)
+    fake_mesh = fakes.FakeMesh(now)
     allocator = allocation.SharedAllocator("a", slots.SlotScheduler(), charging)
-    allocator.set_mesh(mesh)
+    allocator.set_mesh(fake_mesh)
     allocator.tick(now)
 
     def ask(id_):
-        mesh.sent.clear()
+        fake_mesh.sent.clear()
         request = builders.make_slot_request(
             id_, organisation="studio", cost=1500.0
         )
         allocator.receive(
             "b", conversions.encode_slot_request("b", request, now)
         )
-        return mesh.sent[0]
+        return fake_mesh.sent[0]
 
     assert ask("r-1").reason == messages.OVER_QUOTA
     for name in ("b", "c", "d"):
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -531,6 +531,33 @@
     assert len(chosen) == 1
 
 
+def test_all_agree_that_the_most_capable_machine_allocates():
+    # Load: small machines with a few large ones among them, in two domains.
+    capacities = {f"gate-{n}": 2.2 if n % 16 == 3 else 0.5 for n in range(80)}
+    chosen = set()
+    for own, own_capacity in capacities.items():
+        view = membership.Membership(own, "north", 0.0, own_capacity)
+        for other, its_capacity in capacities.items():
+            view.register(other, f"{other}:1", "north", 0.0, its_capacity)
+        for contact in view.contacts:
+            view.record_answer(contact.name, "life-1", 4.0, 4.0)
+        chosen.add(view.allocator(4.1))
+        large = {m.name for m in view.contacts if m.capacity > 1}
+        assert len(large) >= membership.CONTACTS_PER_GROUP
+    (allocator,) = chosen
+    assert capacities[allocator] == 2.2
+
+
+def test_a_machine_that_became_smaller_is_a_contact_no_more():
+    view = membership.Membership("a", "north", 0.0, 0.5)
+    for number in range(40):
+        name = f"gate-{number}"
+        view.register(name, f"{name}:1", "north", 0.0, 1.0)
+    first = view.contacts[0]
+    view.register(first.name, first.address, "north", 5.0, 0.2)
+    assert first not in view.contacts
+
+
 def test_an_unreachable_or_stopping_instance_does_not_allocate():
     view = membership.Membership("b", "north", 0.0)
     add_reachable(view, "a", "c", "d", "e", "f", now=0.0)
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -280,8 +280,8 @@
 async def test_instances_follow_the_store_when_their_contacts_do_not(
     monkeypatch, cut
 ):
-    # The first two in rendezvous order are each other's only contact. When they
-    # cannot read the store, the others must not rely on them for its changes.
+    # The first two in order of precedence are each other's only contact. When
+    # they cannot read the store, the others must not rely on them for changes.
     monkeypatch.setattr(membership, "MAX_CONFIRMATION_AGE_SECONDS", 1.0)
     async with Cluster(gateways=6, revoke_seconds=5.0) as cluster:
         await force_partial_mesh(cluster, monkeypatch)
--- a/cranberryglade/tests/test_platform_boot.py
+++ b/cranberryglade/tests/test_platform_boot.py
@@ -46,6 +46,14 @@
     assert configured.quota_slack == 190000.0
 
 
+def test_the_machine_is_as_large_as_the_file_states(tmp_path):
+    limits = "[limits]\ncpu_share = 0.5\ncpu_cores = 3\nlink_mbps = 20.0\n"
+    match read_settings(tmp_path, FILE + limits):
+        case Success(configured):
+            assert configured.processor_cores == 1.5
+            assert configured.link_mbps == 20.0
+
+
 def test_no_bound_on_keys_unless_it_is_enforced(tmp_path):
     text = FILE.replace("enforce_revocation = true", "")
     match read_settings(tmp_path, text):
--- a/cranberryglade/tools/benchallocator.py
+++ b/cranberryglade/tools/benchallocator.py
@@ -251,7 +251,7 @@
                 self._schedule(TICK_SECONDS, "tick", None)
                 started = time.process_time()
                 self._allocator.tick(self._loop.now)
-                self._mesh.members.rendezvous_rank(self._loop.now)
+                self._mesh.members.rank(self._loop.now)
                 self._mesh.members.contacts_suffice(self._loop.now)
                 self._count("tick", time.process_time() - started)
         self._read_sent()
