--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -367,7 +367,7 @@
                 request, self._usage_knowledge(now), now
             )
         if wait > 0:
-            return _over_quota(request.id, wait)
+            return self._over_quota(request, wait, now)
         self.deliver_decisions(
             self._slots.request_slot(self._name, request, now)
         )
@@ -454,7 +454,7 @@
                 request, self._usage_knowledge(now), now
             )
         if wait > 0:
-            denied = _over_quota(request.id, wait)
+            denied = self._over_quota(request, wait, now)
             self._mesh.send_to(
                 datagram.name, conversions.encode_decision(denied)
             )
@@ -466,6 +466,17 @@
         ):
             self._mesh.send_to(datagram.name, datagrams.Queued(request.id))
 
+    def _over_quota(
+        self, request: messages.SlotRequest, wait: float, now: float
+    ) -> messages.Denied:
+        retry_after = min(MAX_QUOTA_RETRY_AFTER_SECONDS, wait)
+        logger.info(
+            "quota.exceeded",
+            id=request.id,
+            **self._charges.log_fields(request, now),
+        )
+        return messages.Denied(request.id, messages.OVER_QUOTA, retry_after)
+
     def _free_slot(
         self, holder: str, id_: str, outcome: messages.Outcome, now: float
     ) -> None:
@@ -503,8 +514,3 @@
         pending = self._pending.get(decision.id)
         if pending is not None and not pending.future.done():
             pending.future.set_result(decision)
-
-
-def _over_quota(id_: str, wait: float) -> messages.Denied:
-    retry_after = min(MAX_QUOTA_RETRY_AFTER_SECONDS, wait)
-    return messages.Denied(id_, messages.OVER_QUOTA, retry_after)
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -200,6 +200,20 @@
             now,
         )
 
+    def log_fields(
+        self, request: messages.SlotRequest, now: float
+    ) -> dict[str, float | str]:
+        """Returns log fields on a request that does not fit into its quota."""
+        standing = self._shared.standing(request.organisation, now)
+        if standing is None:
+            return {}
+        return {
+            "organisation": request.organisation,
+            "cost": request.cost,
+            "used": round(standing.used),
+            "limit": round(standing.limit),
+        }
+
     def make_final(self, id_: str) -> None:
         """Makes a charge final, as the request has a slot."""
         self._pending.pop(id_, None)
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -84,6 +84,19 @@
         )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Standing:
+    """What an organisation used of its quota, and the quota.
+
+    Attributes:
+        used: cost that is counted in the present window.
+        limit: cost allowed in a window.
+    """
+
+    used: float
+    limit: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Usage:
     """Usage of a quota.
@@ -177,6 +190,17 @@
         account.usage.add(cost, now)
         return 0.0
 
+    def standing(self, organisation: str, now: float) -> Standing | None:
+        """Returns what an organisation used and may use, for the log."""
+        account = self._account(organisation, now)
+        if account is None:
+            return None
+        used = account.usage.total(now)
+        return Standing(
+            used + self._reported_usage(organisation, now),
+            account.current_limit(self.window_seconds, now),
+        )
+
     def large_usage(self, fraction: float, now: float) -> list[Usage]:
         """Returns the usage of organisations that used much of their quotas.
 
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -43,6 +43,20 @@
     assert "secret-stranger" not in str(lines)
 
 
+async def test_a_request_over_quota_logs_usage_and_limit():
+    config = operator_configuration.a_config()
+    config["tenants"][0] |= {"rate_per_s": 1, "burst": 2}
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster(config=config) as cluster:
+            for number in range(8):
+                await cluster.send_request(X_Attempt_Id=f"a-{number}")
+    denials = [line for line in lines if line["event"] == "quota.exceeded"]
+    assert denials
+    for line in denials:
+        assert line["organisation"] == "studio"
+        assert line["used"] + line["cost"] > line["limit"] / 2
+
+
 async def test_disconnects_and_timeouts_log_one_final_line():
     config = operator_configuration.a_config()
     config["routes"][1]["timeout_ms"] = 300
