Limit brittle endpoints to the requests that they had room for

An endpoint with fewer places than its row states got as many requests as the row says, refused the others again and again (a pause of 0.1 s each), and fell over.

Cause: a refusal paused an endpoint for a moment and said nothing on its room.

Change: a refusal (503) of an endpoint that states that it is brittle is an outcome of its own, overloaded. The allocator then grants it no more requests at once than it ran at that time, and one more every two seconds, so that places that come back are found and a wrong guess costs one refusal. Endpoints that do not state it are treated as before.

Not covered: a new allocator learns it again, by a refusal of each endpoint; N itself is not used, as one refusal in two seconds is below any N from 1 on.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -43,6 +43,7 @@
 ENDPOINT_FAULT_OUTCOMES = frozenset(
     (
         messages.Outcome.REFUSED,
+        messages.Outcome.OVERLOADED,
         messages.Outcome.UNREACHABLE,
         messages.Outcome.MISDIRECTED,
         messages.Outcome.LOST,
--- a/cranberryglade/gateway/dialect.py
+++ b/cranberryglade/gateway/dialect.py
@@ -78,6 +78,8 @@
         limits: requests a second that the endpoint takes from all instances
             together, as often as it states one; NaN for one that cannot be
             read.
+        brittle: whether the endpoint states that it fails if it has to refuse
+            requests often.
     """
 
     id: str
@@ -88,6 +90,7 @@
     leaving: bool
     retry_after_seconds: float | None
     limits: tuple[float, ...] = ()
+    brittle: bool = False
 
 
 class UnreadableRequestError(Exception):
--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -331,7 +331,9 @@
         pool.wake(self.median_pace, now)
         while (first := pool.first()) is not None:
             state = first[-1]
-            until = max(state.paused_until, state.down_until(now))
+            until = max(
+                state.paused_until, state.down_until(now), state.room_at(now)
+            )
             if until <= now and self._rates.tokens(state, now) < 1.0:
                 until = now + MAX_REST_SECONDS
             if until <= now:
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -23,6 +23,10 @@
 SLOWDOWN_PER_REQUEST = 0.3
 """Relative slowdown for each request that the endpoint already runs."""
 
+LIMIT_RISE_SECONDS = 2.0
+"""Time after which the limit of an endpoint that refused a request rises by
+one."""
+
 DOWN_AFTER_INSTANCES = 2
 """An endpoint that this many instances cannot reach is considered down."""
 
@@ -68,6 +72,9 @@
         unreachable_from: instances that cannot reach it, with the time until
             which they get no slots.
         bucket: admits requests by the limit that it names; None without one.
+        concurrency_limit: requests that it ran when it last refused one for
+            want of room; None if that does not matter.
+        limited_at: when that limit was set.
         revision: number of its newest place in the order of costs.
         counted: what the sums over endpoints count for it.
     """
@@ -80,6 +87,8 @@
     paused_until: float = 0.0
     unreachable_from: dict[str, float] = dataclasses.field(default_factory=dict)
     bucket: endpoint_limits.TokenBucket | None = None
+    concurrency_limit: int | None = None
+    limited_at: float = 0.0
     revision: int = 0
     counted: "Load" = dataclasses.field(default_factory=lambda: NO_LOAD)
 
@@ -138,6 +147,23 @@
         """Number of slots that are not in use."""
         return self.endpoint.slots - len(self.leases)
 
+    def lower_limit(self, now: float) -> None:
+        """Limits it to the requests that it runs, as it refused one more.
+
+        Load pattern: an endpoint has fewer places than its row states, and
+        fails if it has to refuse too many requests in a second. The limit
+        rises by one after a time; what is then refused lowers it again.
+        """
+        self.concurrency_limit = max(1, len(self.leases))
+        self.limited_at = now
+
+    def room_at(self, now: float) -> float:
+        """Returns when its limit admits one more request, `now` if it does."""
+        if self.concurrency_limit is None:
+            return now
+        excess = 1 + len(self.leases) - self.concurrency_limit
+        return max(now, self.limited_at + excess * LIMIT_RISE_SECONDS)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Load:
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -157,6 +157,8 @@
         SERVED: the endpoint gave a complete answer.
         FAILED: the endpoint ran the request and answered with a failure.
         REFUSED: the endpoint answered that it did not run the request.
+        OVERLOADED: as REFUSED, and the endpoint states that it fails if it has
+            to refuse requests often.
         UNREACHABLE: no connection was made, so nothing was sent.
         MISDIRECTED: another endpoint has the address and did not run it.
         LOST: the request was sent, and no complete answer arrived.
@@ -167,6 +169,7 @@
     SERVED = "served"
     FAILED = "failed"
     REFUSED = "refused"
+    OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
     MISDIRECTED = "misdirected"
     LOST = "lost"
@@ -178,6 +181,7 @@
         """Whether the endpoint certainly did not run the request."""
         return self in (
             Outcome.REFUSED,
+            Outcome.OVERLOADED,
             Outcome.UNREACHABLE,
             Outcome.MISDIRECTED,
         )
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -337,7 +337,10 @@
         if head.status == MISDIRECTED_STATUS:
             return AttemptFailure(messages.Outcome.MISDIRECTED, "421")
         if answer_facts.not_run:
-            return AttemptFailure(messages.Outcome.REFUSED, f"{head.status}")
+            outcome = messages.Outcome.REFUSED
+            if answer_facts.brittle and head.status == UNAVAILABLE_STATUS:
+                outcome = messages.Outcome.OVERLOADED
+            return AttemptFailure(outcome, f"{head.status}")
         if (
             not answer_facts.stamped
             or answer_facts.encoded
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -510,6 +510,9 @@
                 state.record_unreachable(lease.holder, until, now)
             case messages.Outcome.REFUSED:
                 state.paused_until = now + REFUSED_BACKOFF_SECONDS
+            case messages.Outcome.OVERLOADED:
+                state.paused_until = now + REFUSED_BACKOFF_SECONDS
+                state.lower_limit(now)
             case (
                 messages.Outcome.MISDIRECTED
                 | messages.Outcome.LOST
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -38,6 +38,9 @@
 SERVER_LIMIT = b"server-limit"
 """Requests a second that an endpoint takes from all instances together."""
 
+SERVER_BRITTLE = b"server-brittle"
+"""Requests that an endpoint can refuse in a second without failing."""
+
 GATEWAY_ONLY = frozenset(
     (
         DEADLINE,
@@ -154,6 +157,7 @@
             ),
             leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
             limits=_parse_limits(head.headers),
+            brittle=SERVER_BRITTLE in fields,
         )
 
     def relayed_headers(
--- a/cranberryglade/tests/test_brittle_endpoints.py
+++ b/cranberryglade/tests/test_brittle_endpoints.py
@@ -2,8 +2,16 @@
 
 import asyncio
 
+import pytest
+
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import slots
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
+Outcome = messages.Outcome
+
 MOST_REFUSALS = 2
 """Refusals in a second that an endpoint withstands, as it states."""
 
@@ -56,3 +64,50 @@
                 )
             )
         assert not any(each.falls() for each in brittle)
+
+
+@pytest.mark.parametrize("places", [1, 2, 3])
+def test_grants_find_the_places_of_a_brittle_endpoint(places):
+    # Load: more requests than places; the row states twice as many.
+    scheduler = slots.SlotScheduler()
+    scheduler.update_endpoints({"e-1": builders.make_endpoint(slots=6)}, 0.0)
+    running: dict[str, float] = {}
+    refused_at: list[float] = []
+    arrived = 0
+    for step in range(600):
+        now = step / 50
+        decisions = scheduler.tick(now)
+        if step % 2:
+            arrived += 1
+            request = builders.make_slot_request(f"r-{arrived}")
+            decisions += scheduler.request_slot("a", request, now)
+        for id_, end in list(running.items()):
+            if now >= end:
+                del running[id_]
+                decisions += scheduler.release(id_, Outcome.SERVED, now)
+        while decisions:
+            id_ = decisions.pop(0).result.id
+            if len(running) < places:
+                running[id_] = now + 0.3
+            else:
+                refused_at.append(now)
+                decisions += scheduler.release(id_, Outcome.OVERLOADED, now)
+    first = [at for at in refused_at if at < 1.0]
+    later = [at for at in refused_at if at >= 1.0]
+    assert 1 <= len(first) <= 2
+    most = 12.0 / endpoint_states.LIMIT_RISE_SECONDS
+    assert 1 <= len(later) <= most
+    assert scheduler.lease_count == places
+
+
+def test_a_refusal_of_another_endpoint_limits_nothing():
+    scheduler = slots.SlotScheduler()
+    scheduler.update_endpoints({"e-1": builders.make_endpoint(slots=6)}, 0.0)
+    for number in range(3):
+        request = builders.make_slot_request(f"r-{number}")
+        scheduler.request_slot("a", request, 0.0)
+    scheduler.release("r-0", Outcome.REFUSED, 0.0)
+    for number in range(3, 7):
+        request = builders.make_slot_request(f"r-{number}")
+        scheduler.request_slot("a", request, 0.5)
+    assert scheduler.lease_count == 6
