Do not join a stream from two versions after all instances were killed

Those that start see the new version only and take it for what began every stream.

Cause: which versions a service had was known from the list of endpoints since the start of an instance alone; that origins are inferred from a single version assumes the knowledge of the last minute.

Change: the allocator stores the versions of each service, also single ones, when they change. An allocator reads the row when it begins, and any instance reads it once before it infers an origin; versions before the start count for a minute. Without the row nothing is inferred.

Ruled out: the endpoints' own statements (no answer carries the software version); reading the row at each start (a call of each instance for what few need).

--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -12,6 +12,8 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 
 from cranberryglade import log
@@ -58,6 +60,7 @@
     """Records the origins of streams and finds those of resumed ones."""
 
     __slots__ = (
+        "_learn_earlier_versions",
         "_mesh",
         "_name",
         "_next_number",
@@ -67,17 +70,26 @@
         "_versions",
     )
 
-    def __init__(self, name: str):
+    def __init__(
+        self,
+        name: str,
+        versions: software_versions.SoftwareVersions,
+        learn_earlier_versions: Callable[[], Awaitable[bool]],
+    ):
         """Initialises the records; `set_mesh` must be called before use.
 
         Args:
             name: name of this instance.
+            versions: software versions of the endpoints.
+            learn_earlier_versions: adds those of the time before the start;
+                returns whether they are known.
         """
         self._name = name
+        self._learn_earlier_versions = learn_earlier_versions
         self._mesh: mesh.Mesh | None = None
         self._own = stream_origins.StreamOrigins()
         self._received = stream_origins.StreamOrigins()
-        self._versions = software_versions.SoftwareVersions()
+        self._versions = versions
         self._pending: dict[int, PendingQuery] = {}
         self._next_number = 0
 
@@ -145,6 +157,8 @@
         if not replies and self._mesh.members.instance_count(now) > 1:
             logger.warning("origin.unanswered", attempt=attempt)
             return None
+        if not await self._learn_earlier_versions():
+            return None
         return self._infer(service, replies)
 
     def receive(self, sender: str, message: datagrams.OriginMessage) -> None:
--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -22,7 +22,7 @@
         LEASES: leases of endpoints for operators' orders.
         INSTANCES: daemons and their endpoints.
         QUARANTINE: prompt parts and requests that crash endpoints.
-        USAGE: usage of quotas.
+        USAGE: usage of quotas, and software versions in use.
     """
 
     CONFIGURATION = "configuration"
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -40,12 +40,14 @@
 from cranberryglade.gateway import settings
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import sockets
+from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import state
 from cranberryglade.gateway import status
 from cranberryglade.gateway import store_watch
 from cranberryglade.gateway import telemetry
 from cranberryglade.gateway import tunnels
 from cranberryglade.gateway import usage_sync
+from cranberryglade.gateway import version_sync
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -122,7 +124,13 @@
         )
         self._registered = asyncio.Event()
         self._pauses = endpoint_pauses.EndpointPauses(randomness)
-        self._origins = origin_sharing.OriginSharing(initial_settings.instance)
+        versions = software_versions.SoftwareVersions()
+        self._version_sync = version_sync.VersionSync(
+            store, versions, self._allocator
+        )
+        self._origins = origin_sharing.OriginSharing(
+            initial_settings.instance, versions, self._version_sync.load
+        )
         self._sender = sending.Sender(
             header_dialect,
             self._endpoint_leaves,
@@ -217,6 +225,7 @@
             self._register(),
             self._quarantine_sync.run(),
             self._usage_sync.run(),
+            self._version_sync.run(),
             self._settle(),
             self._tick(),
             self._reread_settings(),
--- a/cranberryglade/gateway/software_versions.py
+++ b/cranberryglade/gateway/software_versions.py
@@ -29,6 +29,26 @@
         }
         return lately | self._listed.get(service, set())
 
+    def by_service(self, now: float) -> dict[str, list[str]]:
+        """Returns the versions of each service, sorted."""
+        services = self._listed.keys() | self._removed_at.keys()
+        found = {
+            service: sorted(self.versions(service, now))
+            for service in sorted(services)
+        }
+        return {service: each for service, each in found.items() if each}
+
+    def record_earlier(
+        self, service: str, versions: Iterable[str], now: float
+    ) -> None:
+        """Records versions that a service had before this instance started.
+
+        When their endpoints left is not known; they count as if it was now.
+        """
+        removed = self._removed_at.setdefault(service, {})
+        for version in versions:
+            removed[version] = now
+
     def observe(
         self, endpoints: Iterable[messages.Endpoint], now: float
     ) -> set[str]:
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -27,6 +27,11 @@
     return {endpoint.id: endpoint for endpoint in endpoints}
 
 
+async def nothing_earlier() -> bool:
+    """Says that all versions are known, as if the store had none."""
+    return True
+
+
 class Network:
     """Instances that exchange origins by datagrams, some of which are lost."""
 
@@ -38,7 +43,9 @@
         names = [f"i-{number}" for number in range(count)]
         now = asyncio.get_running_loop().time()
         for name in names:
-            sharing = origin_sharing.OriginSharing(name)
+            sharing = origin_sharing.OriginSharing(
+                name, software_versions.SoftwareVersions(), nothing_earlier
+            )
             members = membership.Membership(name, "north", now)
             for other in names:
                 members.register(other, f"{other}:1", "north", now)
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from cranberryglade.gateway import version_sync
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
@@ -70,13 +73,25 @@
 
 async def list_another_version(cluster) -> None:
     """Lists three more endpoints of the service, of another version."""
+    await add_another_version(cluster)
+    count = len(cluster.runners)
+    await cluster.wait_for_endpoints(lambda listed: len(listed) == count)
+
+
+async def add_another_version(cluster) -> None:
+    """Starts and registers those endpoints."""
     for number in range(3):
         added = endpoint_standin.EndpointStandin(f"j-{number}")
         added.software_version = "v2"
         await cluster.add_runner(added)
     make_resumable(cluster)
-    count = len(cluster.runners)
-    await cluster.wait_for_endpoints(lambda listed: len(listed) == count)
+
+
+def kill_all_gateways(cluster) -> None:
+    for gateway in cluster.gateways:
+        gateway.close()
+    cluster.gateways.clear()
+    cluster.settings.clear()
 
 
 async def test_stream_goes_on_within_its_answer_at_the_version_that_began_it():
@@ -229,6 +244,53 @@
         assert sent_to(other) == []
 
 
+@pytest.mark.parametrize("leaves", ["before", "meanwhile"])
+async def test_stream_is_not_mixed_after_all_instances_were_killed(leaves):
+    # Load: a release is under way, or has just ended, when all instances are
+    # killed; only endpoints of the new version are left when others start.
+    async with Cluster(gateways=2) as cluster:
+        (first,) = cluster.runners
+        await begin_stream(cluster)
+        if leaves == "before":
+            await list_another_version(cluster)
+            cluster.store.remove("servers", first.id)
+            await cluster.wait_for_endpoints(lambda listed: len(listed) == 3)
+        # The allocator looks for changes twice a second.
+        await asyncio.sleep(2.5 * version_sync.WRITE_SECONDS)
+        kill_all_gateways(cluster)
+        if leaves == "meanwhile":
+            cluster.store.remove("servers", first.id)
+        for number in range(2):
+            await cluster.add_gateway(f"later-{number}")
+        await gateway_cluster.wait_until(
+            lambda: all(gateway.is_ready(0, 1) for gateway in cluster.gateways)
+        )
+        if leaves == "meanwhile":
+            await add_another_version(cluster)
+        await cluster.wait_for_endpoints(lambda listed: len(listed) == 3)
+        answer = await resume_stream(cluster)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        for other in cluster.runners[1:]:
+            assert sent_to(other) == []
+
+
+async def test_stream_goes_on_after_all_instances_were_killed():
+    # Without a release, the origin of each stream can be inferred.
+    async with Cluster(gateways=2) as cluster:
+        await begin_stream(cluster)
+        await asyncio.sleep(2.5 * version_sync.WRITE_SECONDS)
+        kill_all_gateways(cluster)
+        for number in range(2):
+            await cluster.add_gateway(f"later-{number}")
+        await gateway_cluster.wait_until(
+            lambda: all(gateway.is_ready(0, 1) for gateway in cluster.gateways)
+        )
+        await cluster.wait_for_endpoints(lambda listed: len(listed) == 1)
+        answer = await resume_stream(cluster)
+        assert answer.body == builders.make_events(4, 6)
+
+
 async def test_stream_of_an_endpoint_that_restarted_unseen_is_not_mixed():
     # The endpoint runs v2 already, but its row still says v1.
     async with Cluster(runners=2) as cluster:
