--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -179,6 +179,14 @@
         writer.write(self._head(received, 503, lines, 0))
         await writer.drain()
 
+    def refusal(self, received, identified: bool = True) -> bytes:
+        """Returns the refusal of a request, with its id or without."""
+        head = self._head(received, 503, ["X-Not-Executed: 1"], 0)
+        if identified:
+            return head
+        id_line = f"X-Attempt-Id: {received.request_id}\r\n"
+        return head.replace(id_line.encode(), b"")
+
     async def fail(self, received, reader, writer) -> None:
         """Runs a request and answers with status 500."""
         self.ran.append(received.request_id)
