Expect a request to wait for one slot, and deny at once what will be late anyway

Change * The first of the running requests to end counts, half done. * A request that will miss its target behind the timely ones ahead is late; late ones are served in the order of their arrival, as far as timely ones leave slots. So it waits at least as long as the oldest late one has: it is denied at once if that is more than half of the time that it may wait.

Tests: test_one_waits_although_all_endpoints_are_busy_for_longer fails before; replays of 20 endpoints at 0.9 and 1.5 times what they can run.

--- a/cranberryglade/gateway/slot_queue.py
+++ b/cranberryglade/gateway/slot_queue.py
@@ -4,6 +4,7 @@
 thousands wait. Which one is next is found without going through the others.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import heapq
 import itertools
@@ -30,6 +31,11 @@
     requests: int = 0
     work_units: float = 0.0
 
+    def change(self, request: messages.SlotRequest, sign: int) -> None:
+        """Adds a request (1), or takes it out (-1)."""
+        self.requests += sign
+        self.work_units += sign * endpoint_states.work_units(request)
+
 
 class SlotQueue:
     """Requests that wait for a slot of one service; performs no I/O.
@@ -43,9 +49,11 @@
     __slots__ = (
         "_blocked",
         "_late",
-        "_load_by_rank",
+        "_late_ids",
+        "_late_loads",
         "_numbers",
         "_timely",
+        "_timely_loads",
         "_waiting",
     )
 
@@ -54,7 +62,9 @@
         self._timely: list[Entry] = []
         self._late: list[Entry] = []
         self._blocked: list[Entry] = []
-        self._load_by_rank: dict[int, RankLoad] = {}
+        self._late_ids: set[str] = set()
+        self._timely_loads: dict[int, RankLoad] = {}
+        self._late_loads: dict[int, RankLoad] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -63,18 +73,28 @@
 
     def load_up_to(self, rank: int) -> RankLoad:
         """Returns the requests of a rank and of more urgent ones."""
-        loads = [
-            load for each, load in self._load_by_rank.items() if each <= rank
-        ]
-        return RankLoad(
-            sum(load.requests for load in loads),
-            sum(load.work_units for load in loads),
+        return _sum_up_to(
+            rank, [*self._timely_loads.items(), *self._late_loads.items()]
         )
 
+    def timely_load_up_to(self, rank: int) -> RankLoad:
+        """Returns those of them that are not known to be late."""
+        return _sum_up_to(rank, self._timely_loads.items())
+
+    def oldest_late(self, rank: int) -> float | None:
+        """Returns since when a late request waits that precedes others.
+
+        None if there is none of the rank or of a more urgent one.
+        """
+        entry = self._first_of(self._late)
+        if entry is None or entry[0] > rank:
+            return None
+        return entry[-1].queued_at
+
     def add(self, waiting: endpoint_states.QueuedRequest) -> None:
         """Adds a request."""
         self._waiting[waiting.request.id] = waiting
-        self._count(waiting.request, 1)
+        _change(self._timely_loads, waiting.request, 1)
         heapq.heappush(self._timely, self._entry(waiting))
 
     def remove(self, id_: str) -> endpoint_states.QueuedRequest | None:
@@ -82,7 +102,10 @@
         waiting = self._waiting.pop(id_, None)
         if waiting is None:
             return None
-        self._count(waiting.request, -1)
+        late = id_ in self._late_ids
+        self._late_ids.discard(id_)
+        loads = self._late_loads if late else self._timely_loads
+        _change(loads, waiting.request, -1)
         limit = MIN_COMPACTION + 2 * len(self._waiting)
         if len(self._timely) + len(self._late) > limit:
             self._timely = self._without_stale(self._timely)
@@ -121,14 +144,23 @@
         """
         count = len(self._blocked)
         for _ in range(count if most is None else min(most, count)):
-            heapq.heappush(self._timely, heapq.heappop(self._blocked))
+            entry = heapq.heappop(self._blocked)
+            late = entry[-1].request.id in self._late_ids
+            heapq.heappush(self._late if late else self._timely, entry)
 
     def _first_timely(self, pace: float, now: float) -> Entry | None:
         while True:
             entry = self._first_of(self._timely)
             if entry is None or not entry[-1].is_late(pace, now):
                 return entry
-            heapq.heappush(self._late, heapq.heappop(self._timely))
+            self._mark_late(heapq.heappop(self._timely))
+
+    def _mark_late(self, entry: Entry) -> None:
+        request = entry[-1].request
+        self._late_ids.add(request.id)
+        _change(self._timely_loads, request, -1)
+        _change(self._late_loads, request, 1)
+        heapq.heappush(self._late, entry)
 
     def _first_of(self, heap: list[Entry]) -> Entry | None:
         while heap and not self._waits(heap[0][-1]):
@@ -147,7 +179,16 @@
         number = next(self._numbers)
         return (waiting.request.rank, waiting.queued_at, number, waiting)
 
-    def _count(self, request: messages.SlotRequest, change: int) -> None:
-        load = self._load_by_rank.setdefault(request.rank, RankLoad())
-        load.requests += change
-        load.work_units += change * endpoint_states.work_units(request)
+
+def _sum_up_to(rank: int, loads: Iterable[tuple[int, RankLoad]]) -> RankLoad:
+    counted = [load for each, load in loads if each <= rank]
+    return RankLoad(
+        sum(load.requests for load in counted),
+        sum(load.work_units for load in counted),
+    )
+
+
+def _change(
+    loads: dict[int, RankLoad], request: messages.SlotRequest, sign: int
+) -> None:
+    loads.setdefault(request.rank, RankLoad()).change(request, sign)
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -29,6 +29,10 @@
 MIN_CAPACITY = 0.01
 """Least number of slots that a wait is estimated with."""
 
+MAX_LATE_WAIT_SHARE = 0.5
+"""A request that will be late is denied if it would wait for more than this
+part of the longest time that it may wait."""
+
 MAX_RESTORED = 8
 """Requests that found no endpoint among the free ones, and are tried again when
 another becomes free; all are tried again from time to time."""
@@ -456,20 +460,47 @@
             return self._make_denial(
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
             )
-        wait = self._expected_wait(request, group, now)
+        queue = self._queues[request.service]
+        ahead = queue.load_up_to(request.rank)
+        wait = self._expected_wait(request, group, ahead, now)
         if now + wait > request.wait_until:
             return self._make_denial(request, "hopeless", wait)
+        oldest = queue.oldest_late(request.rank)
+        if oldest is None or not self._will_be_late(request, group, now):
+            return None
+        # Late requests are served in the order of their arrival, as far as
+        # those in time leave slots.
+        wait = max(wait, now - oldest)
+        if wait > MAX_LATE_WAIT_SHARE * (request.wait_until - now):
+            return self._make_denial(request, "hopeless", wait)
         return None
 
+    def _will_be_late(
+        self,
+        request: messages.SlotRequest,
+        group: endpoint_group.EndpointGroup,
+        now: float,
+    ) -> bool:
+        """Returns whether a waiting request will miss its target time."""
+        queue = self._queues[request.service]
+        ahead = queue.timely_load_up_to(request.rank)
+        granted_at = now + self._expected_wait(request, group, ahead, now)
+        first_answer = endpoint_states.first_answer_seconds(
+            request, group.median_pace
+        )
+        return granted_at + first_answer > request.first_answer_due
+
     def _expected_wait(
         self,
         request: messages.SlotRequest,
         group: endpoint_group.EndpointGroup,
+        ahead: slot_queue.RankLoad,
         now: float,
     ) -> float:
-        ahead = self._queues[request.service].load_up_to(request.rank)
         load = group.load_for(request)
-        work = ahead.work_units + 0.5 * load.work_units
+        # The first of the running requests to end is about half done.
+        mean_running = load.work_units / max(MIN_CAPACITY, load.slots)
+        work = ahead.work_units + 0.5 * mean_running
         pace = group.median_pace
         if self._rates.unlimited:
             return work * pace / max(MIN_CAPACITY, load.slots)
--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -400,3 +400,21 @@
         ping = datagrams.Ping(name, "l", f"{name}:1", "n", 1, status, report)
         allocator.receive(name, ping)
     assert ask("r-1").reason == "no_endpoint"
+
+
+def test_late_requests_are_counted_apart_once_they_are_found():
+    queue = slot_queue.SlotQueue()
+    for number, rank in enumerate([1, 1, 2]):
+        request = builders.make_slot_request(
+            f"r-{number}", rank=rank, first_answer_due=2.0 * number + 1.0
+        )
+        queue.add(endpoint_states.QueuedRequest("a", request, number / 10))
+    assert queue.oldest_late(2) is None
+    assert queue.first(0.0, 1.5).request.id == "r-1"
+    assert queue.oldest_late(1) == 0.0
+    assert queue.oldest_late(0) is None
+    assert queue.timely_load_up_to(1).requests == 1
+    assert queue.load_up_to(1).requests == 2
+    queue.remove("r-0")
+    assert queue.oldest_late(1) is None
+    assert queue.load_up_to(2) == queue.timely_load_up_to(2)
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -1,6 +1,8 @@
 """Tests of the allocator: grants, the queue, and denials."""
 
 import asyncio
+import collections
+import heapq
 import random
 
 import pytest
@@ -156,6 +158,90 @@
     assert 20 < len(denials) < 39
 
 
+def play_full_endpoints(load: float, seed: int) -> dict[str, list[float]]:
+    """Plays requests on 20 endpoints of 4 slots, with answers of 1.5 s.
+
+    Each request may wait for a second.
+
+    Args:
+        load: requests that arrive, as a share of what the endpoints can run.
+        seed: seed of arrivals and lengths.
+
+    Returns:
+        Under "granted" how long requests waited for a slot, and under the
+        reason of each denial how long those waited.
+    """
+    rng = random.Random(seed)
+    allocator = make_allocator(
+        *(builders.make_endpoint(f"e-{n}", slots=4) for n in range(20))
+    )
+    arrived: dict[str, float] = {}
+    ends: list[tuple[float, str]] = []
+    waits: dict[str, list[float]] = collections.defaultdict(list)
+
+    def record(decisions, now):
+        for each in decisions:
+            id_ = each.result.id
+            match each.result:
+                case messages.Granted():
+                    waits["granted"].append(now - arrived[id_])
+                    end = now + rng.uniform(1.0, 2.0)
+                    heapq.heappush(ends, (end, id_))
+                case messages.Denied(reason=reason):
+                    waits[reason].append(now - arrived[id_])
+
+    now = 0.0
+    while now < 20.0:
+        now += rng.expovariate(load * 80 / 1.5)
+        while ends and ends[0][0] <= now:
+            at, id_ = heapq.heappop(ends)
+            record(allocator.release(id_, Outcome.SERVED, at), at)
+        id_ = f"r-{len(arrived)}"
+        arrived[id_] = now
+        request = builders.make_slot_request(
+            id_, wait_until=now + 1.0, first_answer_due=now + 0.4
+        )
+        record(allocator.tick(now), now)
+        record(allocator.request_slot("a", request, now), now)
+    return waits
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_request_is_denied_while_slots_become_free_in_time(seed):
+    # Load: all 80 slots are in use at times, and one becomes free every 20 ms.
+    waits = play_full_endpoints(load=0.9, seed=seed)
+    assert waits.keys() == {"granted"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_under_overload_requests_are_denied_at_once_and_no_slot_is_idle(seed):
+    # Load: half as much again as the endpoints can run.
+    waits = play_full_endpoints(load=1.5, seed=seed)
+    assert len(waits["granted"]) > 0.95 * 20 * 80 / 1.5
+    in_time = sum(wait < 0.25 for wait in waits["granted"])
+    assert in_time > 0.95 * len(waits["granted"])
+    denied_at_once = sum(wait == 0.0 for wait in waits["hopeless"])
+    assert denied_at_once > len(waits["waited"])
+
+
+def test_one_waits_although_all_endpoints_are_busy_for_longer():
+    # Load: answers of 4 s in all of 80 slots; the next one ends in 50 ms.
+    allocator = make_allocator(
+        *(builders.make_endpoint(f"e-{n}", slots=4) for n in range(20))
+    )
+    for number in range(80):
+        request = builders.make_slot_request(f"first-{number}")
+        allocator.request_slot("a", request, 0.0)
+    for number in range(80):
+        allocator.release(f"first-{number}", Outcome.SERVED, 4.0)
+    for number in range(80):
+        request = builders.make_slot_request(f"r-{number}")
+        allocator.request_slot("a", request, 4.0 + number / 20)
+    waiting = builders.make_slot_request("waiting", wait_until=9.0)
+    assert allocator.request_slot("a", waiting, 8.0) == []
+    assert "waiting" in granted(allocator.release("r-0", Outcome.SERVED, 8.05))
+
+
 def test_a_slower_endpoint_is_used_last():
     allocator = make_allocator(
         builders.make_endpoint("e-1"), builders.make_endpoint("e-2")
