Let only the contacts of all watch the store while they are in reach

Cause: with five failure domains 24 of 195 instances watched the store's feeds: the four contacts of all and four of each domain.

Change: the contacts of a domain rely on the contacts of all like others do, and watch the store while fewer than two of these answer and are up to date. They do not count each other, as what they tell each other comes from there.

What it costs: if three of the four contacts of all are lost at once, the others notice after 2.5 s; before, the contacts of the domains had the feeds open.

--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -114,6 +114,7 @@
     __slots__ = (
         "_answered",
         "_contacts",
+        "_contacts_of_all",
         "_counted",
         "_counted_at",
         "_domain",
@@ -145,6 +146,7 @@
         # Only a few of hundreds are sent heartbeats, and answer.
         self._answered: dict[str, Member] = {}
         self._contacts: list[Member] | None = None
+        self._contacts_of_all: set[str] = set()
         self._counted = 1
         self._counted_at = float("-inf")
         self._introduced = 0
@@ -184,11 +186,9 @@
         same_domain = [
             member for member in order if member.domain == self._domain
         ]
-        chosen = {
-            m.name: m
-            for m in order[:CONTACTS_PER_GROUP]
-            + same_domain[:CONTACTS_PER_GROUP]
-        }
+        of_all = order[:CONTACTS_PER_GROUP]
+        self._contacts_of_all = {member.name for member in of_all}
+        chosen = {m.name: m for m in of_all + same_domain[:CONTACTS_PER_GROUP]}
         return list(chosen.values())
 
     @property
@@ -201,23 +201,42 @@
                 same_domain += member.domain == self._domain
         return ahead < CONTACTS_PER_GROUP or same_domain < CONTACTS_PER_GROUP
 
+    @property
+    def is_contact_of_all(self) -> bool:
+        """Whether all instances send heartbeats to this one."""
+        ahead = sum(
+            member.precedence > self._own_precedence for member in self.contacts
+        )
+        return ahead < CONTACTS_PER_GROUP
+
     def contacts_suffice(self, now: float) -> bool:
         """Returns whether the contacts report all that the store would.
 
         Load pattern: one row changes, and each of hundreds of instances
-        would fetch it from the store by a call of its own.
+        would fetch it from the store by a call of its own. The contacts of all
+        fetch it for the others. The contacts of a failure domain do so only if
+        their domain is cut off from those: what they tell each other comes
+        from there.
         """
-        if self.full_mesh or self.is_contact:
+        if self.full_mesh or self.is_contact_of_all:
             return False
+        informed = self._answered.keys()
+        if self.is_contact:
+            informed = self._contacts_of_all
         current = [
             member
             for member in self.reachable(now)
-            if member.confirmed_at is not None
-            and now - member.confirmed_at < MAX_CONFIRMATION_AGE_SECONDS
-            and not member.stopping
+            if member.name in informed and self._is_current(member, now)
         ]
         return len(current) >= MIN_CURRENT_CONTACTS
 
+    def _is_current(self, member: Member, now: float) -> bool:
+        return (
+            member.confirmed_at is not None
+            and now - member.confirmed_at < MAX_CONFIRMATION_AGE_SECONDS
+            and not member.stopping
+        )
+
     def uptime(self, now: float) -> float:
         """Returns the seconds since this instance started."""
         return now - self._started
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -531,6 +531,39 @@
     assert len(chosen) == 1
 
 
+def test_contacts_of_a_domain_watch_the_store_only_while_it_is_cut_off():
+    # Load: rows of endpoints change several times a second.
+    names = [f"gate-{number}" for number in range(60)]
+    domains = {name: f"domain-{n % 3}" for n, name in enumerate(names)}
+    views = []
+    for own in names:
+        view = membership.Membership(own, domains[own], 0.0)
+        for other in names:
+            view.register(other, f"{other}:1", domains[other], 0.0)
+        views.append(view)
+    relays = [v for v in views if v.is_contact and not v.is_contact_of_all]
+    assert relays
+    for view in relays:
+        for contact in view.contacts:
+            view.record_answer(contact.name, "life-1", 4.0, 4.0)
+            contact.confirmed_at = 3.5
+        assert view.contacts_suffice(4.1)
+        # Now only those of its domain are reached. They know no more, but for
+        # those of them that are contacts of all.
+        for contact in view.contacts:
+            if contact.domain == view._domain:
+                view.record_answer(contact.name, "life-1", 9.0, 9.0)
+                contact.confirmed_at = 8.5
+        reached = sum(
+            contact.name in view._contacts_of_all
+            for contact in view.contacts
+            if contact.domain == view._domain
+        )
+        assert view.contacts_suffice(9.1) == (
+            reached >= membership.MIN_CURRENT_CONTACTS
+        )
+
+
 def test_all_agree_that_the_most_capable_machine_allocates():
     # Load: small machines with a few large ones among them, in two domains.
     capacities = {f"gate-{n}": 2.2 if n % 16 == 3 else 0.5 for n in range(80)}
@@ -638,6 +671,10 @@
         sum(view.is_contact for view in views)
         <= 3 * membership.CONTACTS_PER_GROUP
     )
+    assert (
+        sum(view.is_contact_of_all for view in views)
+        <= membership.CONTACTS_PER_GROUP
+    )
     non_relay = next(view for view in views if not view.is_contact)
     assert not non_relay.contacts_suffice(1.0)
     for contact in non_relay.contacts:
