Keep rows that the allocator writes by one class

The usage of quotas and the software versions were read, decoded, compared and stored by the same steps written twice. shared_row.SharedRow does it for both; a row that cannot be read as expected is told apart from an unreachable store by the type of the error. A row of versions that cannot be decoded is replaced by the allocator now, instead of being read again twice a second.

--- a/cranberryglade/gateway/usage_sync.py
+++ b/cranberryglade/gateway/usage_sync.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-import msgspec
 from returns.result import Failure
 from returns.result import Success
 
@@ -16,11 +15,9 @@
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import quotas
+from cranberryglade.gateway import shared_row
 from cranberryglade.gateway import state
 
-WRITE_SECONDS = 0.5
-"""Time between two writes of usage that changes."""
-
 RETRY_SECONDS = 0.3
 
 KEY = "usage"
@@ -35,15 +32,7 @@
         read: is set when the stored usage was read.
     """
 
-    __slots__ = (
-        "_allocator",
-        "_charges",
-        "_era",
-        "_state",
-        "_store",
-        "_stored",
-        "read",
-    )
+    __slots__ = ("_allocator", "_charges", "_era", "_row", "_state", "read")
 
     def __init__(
         self,
@@ -52,12 +41,11 @@
         charging: charges.Charges,
         allocator: allocation.SharedAllocator,
     ):
-        self._store = store
         self._state = instance_state
         self._era: int | None = None
         self._charges = charging
         self._allocator = allocator
-        self._stored: list[datagrams.QuotaUsage] | None = None
+        self._row = shared_row.SharedRow(store, KEY, list[datagrams.QuotaUsage])
         self.read = asyncio.Event()
 
     async def run(self) -> None:
@@ -66,54 +54,36 @@
             await asyncio.sleep(RETRY_SECONDS)
         self.read.set()
         while True:
-            await asyncio.sleep(WRITE_SECONDS)
+            await asyncio.sleep(shared_row.WRITE_SECONDS)
             if self._allocator.is_allocating:
                 await self._save_changes()
             else:
                 # Another allocator may store something else.
-                self._stored = None
+                self._row.forget()
 
     async def _save_changes(self) -> None:
         if self._state.store_era != self._era:
             # A store that came back from an old copy may have older usage.
             self._era = self._state.store_era
-            self._stored = None
+            self._row.forget()
         now = asyncio.get_running_loop().time()
-        usage = self._charges.usage_to_store(now)
-        if usage != self._stored:
-            await self._save(usage)
+        await self._row.write(self._charges.usage_to_store(now))
 
     async def _load(self) -> bool:
-        match await self._store.read_row(ports.Table.USAGE, KEY):
-            case Failure(error):
-                logger.warning("usage.unread", reason=error.value)
+        match await self._row.read():
+            case Failure(ports.StoreError.UNREADABLE):
+                # All of a quota may be used; it is granted as time passes.
+                return True
+            case Failure(_):
                 return False
-            case Success(row):
-                self._apply(row)
+            case Success(stored):
+                self._apply(stored or [])
         return True
 
-    def _apply(self, row: ports.Row) -> None:
+    def _apply(self, stored: list[datagrams.QuotaUsage]) -> None:
         # The age of the row is not known. Without it, usage counts for longer.
         now = asyncio.get_running_loop().time()
-        if row.value is None:
-            self._charges.record_stored([], now)
-            return
-        try:
-            stored = msgspec.json.decode(
-                row.value, type=list[datagrams.QuotaUsage]
-            )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning("usage.unreadable", problem=str(error))
-            return
         self._charges.record_stored(quotas.decode_usage(stored, now), now)
         logger.info(
             "usage.read", organisations=len({u.organisation for u in stored})
         )
-
-    async def _save(self, usage: list[datagrams.QuotaUsage]) -> None:
-        value = msgspec.json.encode(usage)
-        match await self._store.write(ports.Table.USAGE, KEY, value, None):
-            case Failure(error):
-                logger.warning("usage.unsaved", reason=error.value)
-            case Success(_):
-                self._stored = usage
--- a/cranberryglade/gateway/version_sync.py
+++ b/cranberryglade/gateway/version_sync.py
@@ -9,18 +9,15 @@
 
 import asyncio
 
-import msgspec
 from returns.result import Failure
 from returns.result import Success
 
 from cranberryglade import log
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import shared_row
 from cranberryglade.gateway import software_versions
 
-WRITE_SECONDS = 0.5
-"""Time between two looks for changes that are to be stored."""
-
 KEY = "versions"
 
 logger = log.get_logger(__name__)
@@ -32,14 +29,7 @@
 class VersionSync:
     """Stores the versions while this is the allocator; reads them once."""
 
-    __slots__ = (
-        "_allocator",
-        "_loading",
-        "_read",
-        "_store",
-        "_stored",
-        "_versions",
-    )
+    __slots__ = ("_allocator", "_loading", "_read", "_row", "_versions")
 
     def __init__(
         self,
@@ -47,22 +37,23 @@
         versions: software_versions.SoftwareVersions,
         allocator: allocation.SharedAllocator,
     ):
-        self._store = store
+        self._row = shared_row.SharedRow(store, KEY, StoredVersions)
         self._versions = versions
         self._allocator = allocator
         self._loading = asyncio.Lock()
         self._read = False
-        self._stored: StoredVersions | None = None
 
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
-            await asyncio.sleep(WRITE_SECONDS)
-            if self._allocator.is_allocating:
-                await self._save_changes()
-            else:
+            await asyncio.sleep(shared_row.WRITE_SECONDS)
+            if not self._allocator.is_allocating:
                 # Another allocator may store something else.
-                self._stored = None
+                self._row.forget()
+            elif await self.load():
+                # What one before this one stored is not forgotten.
+                now = asyncio.get_running_loop().time()
+                await self._row.write(self._versions.by_service(now))
 
     async def load(self) -> bool:
         """Learns the versions before the start; returns whether it did.
@@ -74,39 +65,18 @@
                 self._read = await self._load()
         return self._read
 
-    async def _save_changes(self) -> None:
-        # What an allocator before this one stored must not be forgotten.
-        if not await self.load():
-            return
-        now = asyncio.get_running_loop().time()
-        versions = self._versions.by_service(now)
-        if versions == self._stored:
-            return
-        value = msgspec.json.encode(versions)
-        match await self._store.write(ports.Table.USAGE, KEY, value, None):
-            case Failure(error):
-                logger.warning("versions.unsaved", reason=error.value)
-            case Success(_):
-                self._stored = versions
-
     async def _load(self) -> bool:
-        match await self._store.read_row(ports.Table.USAGE, KEY):
-            case Failure(error):
-                logger.warning("versions.unread", reason=error.value)
+        match await self._row.read():
+            case Failure(ports.StoreError.UNREADABLE) | Success(None):
+                return True
+            case Failure(_):
                 return False
-            case Success(row):
-                return self._apply(row)
-
-    def _apply(self, row: ports.Row) -> bool:
-        if row.value is None:
-            return True
-        try:
-            stored = msgspec.json.decode(row.value, type=StoredVersions)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning("versions.unreadable", problem=str(error))
-            return False
+            case Success(stored):
+                self._apply(stored)
+        return True
+
+    def _apply(self, stored: StoredVersions) -> None:
         now = asyncio.get_running_loop().time()
         for service, versions in stored.items():
             self._versions.record_earlier(service, versions, now)
         logger.info("versions.read", services=len(stored))
-        return True
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryglade.gateway import version_sync
+from cranberryglade.gateway import shared_row
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
@@ -256,7 +256,7 @@
             cluster.store.remove("servers", first.id)
             await cluster.wait_for_endpoints(lambda listed: len(listed) == 3)
         # The allocator looks for changes twice a second.
-        await asyncio.sleep(2.5 * version_sync.WRITE_SECONDS)
+        await asyncio.sleep(2.5 * shared_row.WRITE_SECONDS)
         kill_all_gateways(cluster)
         if leaves == "meanwhile":
             cluster.store.remove("servers", first.id)
@@ -279,7 +279,7 @@
     # Without a release, the origin of each stream can be inferred.
     async with Cluster(gateways=2) as cluster:
         await begin_stream(cluster)
-        await asyncio.sleep(2.5 * version_sync.WRITE_SECONDS)
+        await asyncio.sleep(2.5 * shared_row.WRITE_SECONDS)
         kill_all_gateways(cluster)
         for number in range(2):
             await cluster.add_gateway(f"later-{number}")
