--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -35,6 +35,7 @@
 """A heap with fewer entries than this is not rebuilt without the stale ones."""
 
 Accepts = Callable[[endpoint_states.EndpointState], bool]
+"""Says whether a free endpoint may get a request."""
 
 Candidate = tuple[endpoint_states.Cost, str, int, endpoint_states.EndpointState]
 """Cost, id of the endpoint, and the revision of the state it belongs to."""
@@ -197,10 +198,6 @@
         self._pools: dict[str, VersionPool] = {}
         self._unmeasured: dict[str, endpoint_states.EndpointState] = {}
 
-    def __contains__(self, id_: str) -> bool:
-        """Returns whether an endpoint is in the group."""
-        return any(id_ in pool.states for pool in self._pools.values())
-
     @property
     def median_pace(self) -> float:
         """Median seconds for each unit of work."""
@@ -280,7 +277,7 @@
 
         Args:
             request: the request.
-            accepts: says whether a free endpoint may get the request.
+            accepts: says so of each endpoint that is considered.
             now: the present time.
         """
         best = [
@@ -332,7 +329,7 @@
         while (first := pool.first()) is not None:
             state = first[-1]
             until = max(
-                state.paused_until, state.down_until(now), state.room_at(now)
+                state.paused_until, state.down_until, state.room_at(now)
             )
             if until <= now and self._rates.tokens(state, now) < 1.0:
                 until = now + MAX_REST_SECONDS
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -103,12 +103,13 @@
         if not self.unreachable_from:
             return False
         barred_until = self.unreachable_from.get(holder, 0.0)
-        return barred_until > now or self.down_until(now) > now
+        return barred_until > now or self.down_until > now
 
-    def down_until(self, now: float) -> float:
-        """Returns until when no instance gets a slot, as several failed.
+    @property
+    def down_until(self) -> float:
+        """Until when no instance gets a slot, as several could not reach it.
 
-        That is not after `now` while it is in use.
+        In the past while it is in use.
         """
         if len(self.unreachable_from) < DOWN_AFTER_INSTANCES:
             return 0.0
