Store origins of streams during a release, for instances that start after a kill

Cause: origins of streams lay in the memory of four instances; when all are killed in a release, each resumption was refused although endpoints of its version were there.

Change: while a service has several versions the allocator gets each origin like the replicas do, and stores new ones five times a second, in rows that are replaced after 51 s. An instance that neither knows an origin nor hears of it from peers (it may not know any yet, just after the start) reads the rows, at most twice a second.

test_stream_goes_on_at_its_version_after_all_were_killed fails before (503).

--- /dev/null
+++ b/cranberryglade/gateway/origin_rows.py
@@ -0,0 +1,100 @@
+"""Keeps origins of streams in the platform's store during a release.
+
+Load pattern: all instances are killed at once while a service has several
+software versions, and callers resume the streams that broke off. Those that
+start find in the store which version began each of them.
+"""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+import msgspec
+from returns.result import Failure
+from returns.result import Success
+
+from cranberryglade import log
+from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import ports
+
+WRITE_SECONDS = 0.2
+"""Time between two writes of new origins; each goes into a row of its own."""
+
+ROWS = 256
+"""Number of rows, written in turn: a row is replaced after 51 s."""
+
+MAX_RECORDS = 700
+"""Most origins of one row."""
+
+MIN_READ_SECONDS = 0.5
+"""For this long a read of the table serves all that look for an origin."""
+
+logger = log.get_logger(__name__)
+
+
+class OriginRows:
+    """Stores new origins while this is the allocator, and reads them."""
+
+    __slots__ = ("_is_allocating", "_loading", "_read_at", "_store", "_unsaved")
+
+    def __init__(self, store: ports.Store, is_allocating: Callable[[], bool]):
+        """Initialises without origins.
+
+        Args:
+            store: client of the platform's store.
+            is_allocating: says whether this instance is the allocator.
+        """
+        self._store = store
+        self._is_allocating = is_allocating
+        self._loading = asyncio.Lock()
+        self._read_at = float("-inf")
+        self._unsaved: list[datagrams.OriginRecord] = []
+
+    def add(self, records: list[datagrams.OriginRecord]) -> None:
+        """Adds origins that are to be stored if this is the allocator."""
+        self._unsaved += records
+        del self._unsaved[:-MAX_RECORDS]
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await asyncio.sleep(WRITE_SECONDS)
+            records, self._unsaved = self._unsaved, []
+            if records and self._is_allocating():
+                await self._write(records)
+
+    async def read(self) -> list[datagrams.OriginRecord]:
+        """Returns the stored origins; none if they were read just now."""
+        async with self._loading:
+            now = asyncio.get_running_loop().time()
+            if now - self._read_at < MIN_READ_SECONDS:
+                return []
+            self._read_at = now
+            match await self._store.read_table(ports.Table.ORIGINS):
+                case Failure(error):
+                    logger.warning("origins.unread", reason=error.value)
+                    return []
+                case Success(found):
+                    return [each for row in found.rows for each in _decode(row)]
+
+    async def _write(self, records: list[datagrams.OriginRecord]) -> None:
+        # Rows follow the time of day, so that an allocator does not replace
+        # what another one has just written.
+        key = f"{int(time.time() / WRITE_SECONDS) % ROWS:03}"
+        value = msgspec.json.encode(records)
+        table = ports.Table.ORIGINS
+        match await self._store.write(table, key, value, None):
+            case Failure(error):
+                logger.warning("origins.unsaved", reason=error.value)
+            case Success(_):
+                pass
+
+
+def _decode(row: ports.Row) -> list[datagrams.OriginRecord]:
+    try:
+        return msgspec.json.decode(
+            row.value or b"[]", type=list[datagrams.OriginRecord]
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        logger.warning("origins.unreadable", key=row.key, problem=str(error))
+        return []
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -21,6 +21,7 @@
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
 
@@ -67,6 +68,7 @@
         "_own",
         "_pending",
         "_received",
+        "_rows",
         "_versions",
     )
 
@@ -75,6 +77,7 @@
         name: str,
         versions: software_versions.SoftwareVersions,
         learn_earlier_versions: Callable[[], Awaitable[bool]],
+        rows: origin_rows.OriginRows,
     ):
         """Initialises the records; `set_mesh` must be called before use.
 
@@ -83,9 +86,11 @@
             versions: software versions of the endpoints.
             learn_earlier_versions: adds those of the time before the start;
                 returns whether they are known.
+            rows: origins in the store.
         """
         self._name = name
         self._learn_earlier_versions = learn_earlier_versions
+        self._rows = rows
         self._mesh: mesh.Mesh | None = None
         self._own = stream_origins.StreamOrigins()
         self._received = stream_origins.StreamOrigins()
@@ -156,16 +161,23 @@
                 return origin
         if not replies and self._mesh.members.instance_count(now) > 1:
             logger.warning("origin.unanswered", attempt=attempt)
-            return None
+            return await self._find_stored(attempt)
         if not await self._learn_earlier_versions():
             return None
-        return self._infer(service, replies)
+        inferred = self._infer(service, replies)
+        return inferred or await self._find_stored(attempt)
+
+    async def _find_stored(self, attempt: str) -> messages.StreamOrigin | None:
+        for record in await self._rows.read():
+            self._received.record(record.attempt, _decode(record), _now())
+        return self._lookup(attempt, _now())
 
     def receive(self, sender: str, message: datagrams.OriginMessage) -> None:
         """Handles a datagram from another instance."""
         now = _now()
         match message:
             case datagrams.Origins(records=records):
+                self._rows.add(records)
                 for record in records:
                     self._received.record(record.attempt, _decode(record), now)
             case datagrams.OriginQuery():
@@ -202,8 +214,12 @@
         )
         for attempt, origin in origins.items():
             record = _encode(attempt, origin)
-            for member in self._mesh.members.replicas(attempt, REPLICAS, now):
-                batches[member.name].append(record)
+            replicas = self._mesh.members.replicas(attempt, REPLICAS, now)
+            names = {member.name for member in replicas}
+            # The allocator stores them.
+            for name in names | {self._mesh.allocator}:
+                batches[name].append(record)
+        self._rows.add(batches.pop(self._name, []))
         for name, records in batches.items():
             for start in range(0, len(records), RECORDS_PER_DATAGRAM):
                 batch = records[start : start + RECORDS_PER_DATAGRAM]
--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -23,6 +23,7 @@
         INSTANCES: daemons and their endpoints.
         QUARANTINE: prompt parts and requests that crash endpoints.
         USAGE: usage of quotas, and software versions in use.
+        ORIGINS: what began recent streams, during a release.
     """
 
     CONFIGURATION = "configuration"
@@ -34,6 +35,7 @@
     INSTANCES = "instances"
     QUARANTINE = "quarantine"
     USAGE = "usage"
+    ORIGINS = "origins"
 
 
 class StoreError(enum.Enum):
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -29,6 +29,7 @@
 from cranberryglade.gateway import inbound
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import peer_sync
 from cranberryglade.gateway import ports
@@ -128,8 +129,14 @@
         self._version_sync = version_sync.VersionSync(
             store, versions, self._allocator
         )
+        self._origin_rows = origin_rows.OriginRows(
+            store, lambda: self._allocator.is_allocating
+        )
         self._origins = origin_sharing.OriginSharing(
-            initial_settings.instance, versions, self._version_sync.load
+            initial_settings.instance,
+            versions,
+            self._version_sync.load,
+            self._origin_rows,
         )
         self._sender = sending.Sender(
             header_dialect,
@@ -226,6 +233,7 @@
             self._quarantine_sync.run(),
             self._usage_sync.run(),
             self._version_sync.run(),
+            self._origin_rows.run(),
             self._settle(),
             self._tick(),
             self._reread_settings(),
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -22,6 +22,7 @@
     ports.Table.INSTANCES: "cranberryglade-instances",
     ports.Table.QUARANTINE: "cranberryglade-quarantine",
     ports.Table.USAGE: "cranberryglade-usage",
+    ports.Table.ORIGINS: "cranberryglade-origins",
 }
 PAGE_ROWS = 500
 READ_TIMEOUT_SECONDS = 2.0
--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -83,3 +83,13 @@
 
     def send_to(self, name, message):
         self.sent.append(message)
+
+
+class NoOriginRows:
+    """Origins in a store that has none."""
+
+    def add(self, records):
+        pass
+
+    async def read(self):
+        return []
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -11,6 +11,7 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
+from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
 SERVICE = builders.SERVICE
@@ -44,7 +45,10 @@
         now = asyncio.get_running_loop().time()
         for name in names:
             sharing = origin_sharing.OriginSharing(
-                name, software_versions.SoftwareVersions(), nothing_earlier
+                name,
+                software_versions.SoftwareVersions(),
+                nothing_earlier,
+                fakes.NoOriginRows(),
             )
             members = membership.Membership(name, "north", now)
             for other in names:
@@ -69,9 +73,14 @@
 
 
 class NetworkMesh:
-    """The part of Mesh that OriginSharing uses."""
+    """The part of Mesh that OriginSharing uses.
+
+    Each instance is its own allocator, so that what is sent to replicas only
+    is tested.
+    """
 
     def __init__(self, network, name, members):
+        self.allocator = name
         self._network = network
         self._name = name
         self.members = members
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -275,6 +275,28 @@
             assert sent_to(other) == []
 
 
+async def test_stream_goes_on_at_its_version_after_all_were_killed():
+    # Load: all instances are killed within a release.
+    async with Cluster(gateways=2) as cluster:
+        await begin_stream(cluster)
+        await list_another_version(cluster)
+        await asyncio.sleep(2.5 * shared_row.WRITE_SECONDS)
+        kill_all_gateways(cluster)
+        for number in range(2):
+            await cluster.add_gateway(f"later-{number}")
+        # At first they do not know each other yet.
+        await gateway_cluster.wait_until(
+            lambda: all(gateway.is_ready(4, 0) for gateway in cluster.gateways)
+        )
+        for number in range(RESUMES):
+            answer = await resume_stream(
+                cluster, f"b-{number}", gateway=number % 2
+            )
+            assert answer.body == builders.make_events(4, 6)
+        for other in cluster.runners[1:]:
+            assert sent_to(other) == []
+
+
 async def test_stream_goes_on_after_all_instances_were_killed():
     # Without a release, the origin of each stream can be inferred.
     async with Cluster(gateways=2) as cluster:
