Choose the rows of origins without the time of day

An allocator now reads the table before its first write, and goes on after the row that was written last, so it replaces no origin that another one has just stored. Rows that are not its own, or cannot be read, are passed over.

--- a/cranberryglade/gateway/origin_rows.py
+++ b/cranberryglade/gateway/origin_rows.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-import time
 
 import msgspec
 from returns.result import Failure
@@ -35,7 +34,14 @@
 class OriginRows:
     """Stores new origins while this is the allocator, and reads them."""
 
-    __slots__ = ("_is_allocating", "_loading", "_read_at", "_store", "_unsaved")
+    __slots__ = (
+        "_is_allocating",
+        "_loading",
+        "_next_row",
+        "_read_at",
+        "_store",
+        "_unsaved",
+    )
 
     def __init__(self, store: ports.Store, is_allocating: Callable[[], bool]):
         """Initialises without origins.
@@ -47,6 +53,7 @@
         self._store = store
         self._is_allocating = is_allocating
         self._loading = asyncio.Lock()
+        self._next_row: int | None = None
         self._read_at = float("-inf")
         self._unsaved: list[datagrams.OriginRecord] = []
 
@@ -59,9 +66,12 @@
         """Runs until cancelled."""
         while True:
             await asyncio.sleep(WRITE_SECONDS)
-            records, self._unsaved = self._unsaved, []
-            if records and self._is_allocating():
-                await self._write(records)
+            if not self._is_allocating():
+                # Another allocator writes rows meanwhile.
+                self._next_row = None
+                self._unsaved = []
+            elif self._unsaved:
+                await self._save()
 
     async def read(self) -> list[datagrams.OriginRecord]:
         """Returns the stored origins; none if they were read just now."""
@@ -77,10 +87,14 @@
                 case Success(found):
                     return [each for row in found.rows for each in _decode(row)]
 
-    async def _write(self, records: list[datagrams.OriginRecord]) -> None:
-        # Rows follow the time of day, so that an allocator does not replace
-        # what another one has just written.
-        key = f"{int(time.time() / WRITE_SECONDS) % ROWS:03}"
+    async def _save(self) -> None:
+        if self._next_row is None:
+            self._next_row = await self._find_next_row()
+        if self._next_row is None:
+            return
+        records, self._unsaved = self._unsaved, []
+        key = f"{self._next_row:03}"
+        self._next_row = (self._next_row + 1) % ROWS
         value = msgspec.json.encode(records)
         table = ports.Table.ORIGINS
         match await self._store.write(table, key, value, None):
@@ -89,6 +103,19 @@
             case Success(_):
                 pass
 
+    async def _find_next_row(self) -> int | None:
+        """Returns the row after the one written last, by any allocator."""
+        match await self._store.read_table(ports.Table.ORIGINS):
+            case Failure(error):
+                logger.warning("origins.unread", reason=error.value)
+                return None
+            case Success(found):
+                rows = [row for row in found.rows if row.key.isdecimal()]
+        if not rows:
+            return 0
+        newest = max(rows, key=lambda row: row.version)
+        return (int(newest.key) + 1) % ROWS
+
 
 def _decode(row: ports.Row) -> list[datagrams.OriginRecord]:
     try:
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -3,12 +3,16 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
+from returns.result import Success
 
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import ports
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
 from cranberryglade.tests import fakes
@@ -212,3 +216,57 @@
         assert answer in (origin, None)
         found += answer == origin
     assert found >= 0.9 * len(began)
+
+
+class RowStore:
+    """A store with rows of origins.
+
+    Attributes:
+        rows: the rows by key.
+    """
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    async def read_table(self, table):
+        return Success(ports.Rows(ports.NO_VERSION, list(self.rows.values())))
+
+    async def write(self, table, key, value, expected):
+        version = ports.Version(1, 100 + len(self.rows))
+        self.rows[key] = ports.Row(key, version, value)
+        return Success(version)
+
+
+async def test_a_new_allocator_keeps_the_origins_that_were_stored_last(
+    monkeypatch,
+):
+    # Load: the allocator fails in a release; its successor stores, too.
+    monkeypatch.setattr(origin_rows, "WRITE_SECONDS", 0.01)
+    keys = ["254", "255", "003", "odd"]
+    versions = [ports.Version(1, number) for number in (8, 9, 2, 10)]
+    before = [
+        ports.Row(key, version, b"[]")
+        for key, version in zip(keys, versions, strict=True)
+    ]
+    store = RowStore({row.key: row for row in before})
+    rows = origin_rows.OriginRows(store, lambda: True)
+    rows.add([datagrams.OriginRecord("a-1", SERVICE, "v1")])
+    task = asyncio.create_task(rows.run())
+    await asyncio.sleep(0.1)
+    task.cancel()
+    assert store.rows.keys() == {*keys, "000"}
+    (found,) = await rows.read()
+    assert found.attempt == "a-1"
+
+
+async def test_rows_of_origins_that_cannot_be_read_are_passed_over():
+    record = datagrams.OriginRecord("a-1", SERVICE, "v1")
+    version = ports.Version(1, 1)
+    values = {"000": b"[[", "001": msgspec.json.encode([record])}
+    store = RowStore(
+        {key: ports.Row(key, version, value) for key, value in values.items()}
+    )
+    rows = origin_rows.OriginRows(store, lambda: False)
+    assert await rows.read() == [record]
+    # A second one, just afterwards, costs no call.
+    assert await rows.read() == []
