--- a/review/4/play.py
+++ b/review/4/play.py
@@ -66,6 +66,9 @@
         await channel.open()
         await send(channel, gateway, KEY, log)
         channels.append(channel)
+    lab.require(
+        all(status == 200 for *_, status in log.values()), "not served at first"
+    )
     if lab.TROUBLE:
         gateway.kill(signal.SIGSTOP)
     start = time.monotonic()
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -57,6 +57,7 @@
     log = []
     for gateway in case.gateways:
         await send(gateway, log)
+    lab.require(all(status == 200 for *_, status in log), "not served at first")
     if lab.TROUBLE:
         count = proxy.silence_open_channels()
         case.record.write(f"{count} open channels to the store go silent")
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -37,6 +37,12 @@
     """The case could not be played."""
 
 
+def require(condition, what):
+    """Ends the case as not run unless a condition holds."""
+    if not condition:
+        raise CannotRunError(what)
+
+
 class Record:
     """The file record.txt: one line for each thing that was seen."""
 
@@ -760,6 +766,9 @@
     """
 
     async def run():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         lab = Lab(pathlib.Path(script).resolve().parent)
         lab.record.write(f"trouble: {'on' if TROUBLE else 'off'}")
         try:
@@ -768,7 +777,7 @@
                 broken = await play(lab)
             lab.record.write(f"rule {'BROKEN' if broken else 'held'}")
             return EXIT_BROKEN if broken else EXIT_HELD
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             lab.record.write(f"not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
