--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -335,21 +335,21 @@
     def report(self):
         """Writes its entry; returns when the store has confirmed it."""
         self._sequence += 1
-        return self._store.put_json(
-            "servers",
-            self.id,
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": ZONE,
-                "version": "v1",
-                "slots": self.slots,
-                "state": "draining" if self.leaving else "ready",
-                "cold_remaining_ms": 0,
-                "sequence": self._sequence,
-                "born": self.born,
-            },
-        )
+        return self._store.put_json("servers", self.id, self.entry())
+
+    def entry(self):
+        """Returns its entry."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": ZONE,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.leaving else "ready",
+            "cold_remaining_ms": 0,
+            "sequence": self._sequence,
+            "born": self.born,
+        }
 
     def leave(self):
         """Reports that it is draining; returns the confirmation's time."""
