--- a/review/4/play.py
+++ b/review/4/play.py
@@ -6,10 +6,11 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import lab
 
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
 KEY = "i9n73hh2b9wu3fexd9dn"
 DRAIN_SECONDS = 2.0
 RECOVERY_SECONDS = 12.0
@@ -126,4 +127,4 @@
     return bool(late) or served < len(recovered) / 4
 
 
-lab.main(__file__, play)
+lab.main(RECORD, play)
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,16 +1,16 @@
 """A machine stands still while two manifests come; the second takes a key."""
 
 import asyncio
-import collections
 import pathlib
 import signal
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import lab
 
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
 KEY = "i9n73hh2b9wu3fexd9dn"
 OTHER_KEY = "n2ctnfzs989anu6wsjnb"
 SERVICE = "commission-desk"
@@ -106,4 +106,4 @@
     return bool(wrong)
 
 
-lab.main(__file__, play)
+lab.main(RECORD, play)
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 python3 - <<'PYTHON'
 import pathlib
 
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     compile(path.read_text(), str(path), "exec")
     print("compiled", path)
 PYTHON
--- a/review/common/lab.py
+++ b/review/lab.py
@@ -20,7 +20,7 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 GATEWAY_COMMAND = ("python3", "-m", "cranberryglade.platform")
 STORE_ANSWER_SECONDS = 0.004
 HOST = "ficu95.example"
@@ -44,10 +44,10 @@
 
 
 class Record:
-    """The file record.txt: one line for each thing that was seen."""
+    """A file with one line for each thing that was seen."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._start = time.monotonic()
 
     def write(self, text):
@@ -705,8 +705,8 @@
 class Lab:
     """A store and gateways, and what a script adds."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self.temporary.name
         self.store = Store()
@@ -757,11 +757,11 @@
         self.temporary.cleanup()
 
 
-def main(script, play):
+def main(record_path, play):
     """Plays a case and exits with its result.
 
     Args:
-        script: path of the script; record.txt is written beside it.
+        record_path: file that gets what was sent, answered and run.
         play: coroutine function of a lab; returns whether the rule was broken.
     """
 
@@ -769,7 +769,7 @@
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, asyncio.current_task().cancel
         )
-        lab = Lab(pathlib.Path(script).resolve().parent)
+        lab = Lab(record_path)
         lab.record.write(f"trouble: {'on' if TROUBLE else 'off'}")
         try:
             await lab.store.start()
