Refuse at shutdown what cannot end before it, and answer all that was read

Cause: the shutdown decided about connections, never about requests. Whether a connection stays open was settled when the head of an answer was written, so a stream that began before SIGTERM left an open one; what was read there was accepted without asking how long the process had, and at the end everything was dropped. The log called these requests caller_gone.

Now the shutdown has a schedule (gateway/shutdown.py, no I/O): while the balancer may still send, all is accepted; after that only what ends in time by its own timeout, the rest is refused at once. A connection closes with the answer that it carried, unless requests that were read wait behind it. When the time is over, requests in progress are answered: 503 if they have not run, else 502; only answers that have begun are cut off. The log says reason=stopping and the time since SIGTERM.

--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -1,6 +1,8 @@
 """Forwards requests to endpoints, retries them, and answers the callers."""
 
 import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import itertools
 
@@ -37,6 +39,12 @@
 DEFAULT_RETRY_AFTER_SECONDS = 0.4
 """Default of the Retry-After header."""
 
+STOPPING_RETRY_AFTER_SECONDS = 0.0
+"""Retry-After of an instance that shuts down: the other instances serve."""
+
+STOPPING = "stopping"
+"""Reason of requests that a shutdown refuses or ends."""
+
 logger = log.get_logger(__name__)
 
 
@@ -52,6 +60,7 @@
         "_pauses",
         "_relay",
         "_request_numbers",
+        "_running",
         "_sender",
         "_state",
     )
@@ -77,6 +86,7 @@
         self._pauses = pauses
         self._relay = stream_relaying.StreamRelay(origins)
         self._request_numbers = itertools.count()
+        self._running: set[asyncio.Timeout] = set()
 
     async def handle(
         self, request: messages.Request, responder: responding.Responder
@@ -98,6 +108,16 @@
             logger.exception("request.fault")
             responder.abort()
 
+    def end_all(self) -> None:
+        """Ends the requests in progress, as the instance shuts down.
+
+        They are answered when the loop runs next: those that have not run are
+        refused, and those whose answer has begun are cut off.
+        """
+        now = asyncio.get_running_loop().time()
+        for timeout in self._running:
+            timeout.reschedule(now)
+
     async def _handle(
         self, request: messages.Request, responder: responding.Responder
     ) -> None:
@@ -113,6 +133,15 @@
         match admission_decision:
             case admission.Rejected():
                 self._reject(facts, responder, admission_decision)
+            case admission.Admitted(timeout_seconds=seconds) if (
+                not self._state.shutdown.accepts(
+                    self._state.boottime_now(), seconds
+                )
+            ):
+                rejected = admission.Rejected(
+                    503, STOPPING, STOPPING_RETRY_AFTER_SECONDS
+                )
+                self._reject(facts, responder, rejected)
             case admission.Admitted():
                 await self._serve(request, facts, admission_decision, responder)
 
@@ -143,12 +172,12 @@
         )
         try:
             latest = exchange.deadline - ANSWER_MARGIN_SECONDS
-            async with asyncio.timeout_at(latest):
+            async with self._end_by(latest):
                 ended = await self._find_origin(exchange)
                 if ended is None:
                     ended = await self._run_attempts(exchange)
         except TimeoutError:
-            ended = self._give_up(exchange, 504, "timeout")
+            ended = self._give_up_late(exchange)
         except responding.CallerGoneError:
             ended = exchanges.RequestResult(0, "caller_gone")
         except asyncio.CancelledError:
@@ -156,6 +185,26 @@
             raise
         self._log_end(exchange, ended)
 
+    @contextlib.asynccontextmanager
+    async def _end_by(self, latest: float) -> AsyncIterator[None]:
+        """Raises TimeoutError at a time, or earlier in `end_all`."""
+        async with asyncio.timeout_at(latest) as timeout:
+            self._running.add(timeout)
+            try:
+                yield
+            finally:
+                self._running.discard(timeout)
+
+    def _give_up_late(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.RequestResult:
+        """Ends a request whose time is over, or whose instance shuts down."""
+        if self._state.shutdown.has_ended(self._state.boottime_now()):
+            return self._give_up(
+                exchange, 502, STOPPING, STOPPING_RETRY_AFTER_SECONDS
+            )
+        return self._give_up(exchange, 504, "timeout")
+
     async def _find_origin(
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult | None:
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -149,8 +149,11 @@
 
     @property
     def may_keep_alive(self) -> bool:
-        """Whether the connection may be kept alive after the answer."""
-        return not self._listener.stopping
+        """Whether the connection may be kept alive after the answer.
+
+        While the listener stops, only for requests that were read already.
+        """
+        return not self._listener.stopping or bool(self._queue)
 
     def connection_made(self, transport) -> None:
         """Registers the connection and starts the idle timeout."""
@@ -206,6 +209,9 @@
             self._start_handler(self._queue.pop(0))
         elif self._read_failure is not None:
             self._send_error()
+        elif self._listener.stopping and not self._reading_request:
+            # A request that arrived now could be dropped with the process.
+            self._transport.close()
         else:
             self._transport.resume_reading()
             if not self._reading_request:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -52,12 +52,8 @@
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
-MIN_DRAIN_SECONDS = 2.9
-"""Time after SIGTERM during which new connections are still accepted, until
-the balancer has seen that the instance is not ready."""
-
-STOP_MARGIN_SECONDS = 0.8
-"""Time kept free between the end of the drain and SIGKILL."""
+FLUSH_SECONDS = 0.3
+"""Time for the last answers to be sent when the shutdown ends."""
 
 SETTINGS_REREAD_SECONDS = 3.0
 PROBE_STEP_SECONDS = 0.4
@@ -176,7 +172,7 @@
             initial_settings.retry_window_seconds,
             time.monotonic(),
         )
-        forwarder = forwarding.Forwarder(
+        self._forwarder = forwarding.Forwarder(
             self._state,
             header_dialect,
             admission.Admission(self._state.configuration_age, randomness),
@@ -187,7 +183,7 @@
             self._pauses,
         )
         self._caller_listener = inbound.Listener(
-            forwarder.handle, self._report_invalid_request
+            self._forwarder.handle, self._report_invalid_request
         )
         self._status_listener = inbound.Listener(
             status.StatusPages(self._state, self._ready).answer,
@@ -251,6 +247,9 @@
         """
         if not self._stopping.is_set():
             self._logger.info("stopping", busy=self._caller_listener.busy)
+        self._state.shutdown.begin(
+            self._state.boottime_now(), self._settings.grace_seconds
+        )
         self._caller_listener.stopping = True
         self._mesh.leave()
         self._stopping.set()
@@ -258,20 +257,29 @@
     async def drain(self) -> None:
         """Drains open requests until the grace period is nearly over.
 
-        Connections that are still busy then are dropped.
+        Requests that are still open then are answered that the instance stops,
+        or cut off if their answer has begun.
         """
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        deadline = started + self._settings.grace_seconds - STOP_MARGIN_SECONDS
-        # The balancer still sends new connections until it notices.
-        await asyncio.sleep(MIN_DRAIN_SECONDS)
+        now = self._state.boottime_now
+        schedule = self._state.shutdown.begin(
+            now(), self._settings.grace_seconds
+        )
+        while now() < schedule.balancer_until:
+            await asyncio.sleep(TICK_SECONDS)
         self._caller_server.close()
-        while self._caller_listener.connections and loop.time() < deadline:
-            for connection in list(self._caller_listener.connections):
+        await self._wait_for_callers(schedule.ends_at)
+        self._forwarder.end_all()
+        await self._wait_for_callers(now() + FLUSH_SECONDS)
+        self._logger.info("stopped", busy=self._caller_listener.busy)
+        self.close()
+
+    async def _wait_for_callers(self, latest: float) -> None:
+        """Closes idle connections until none is left, or up to a time."""
+        connections = self._caller_listener.connections
+        while connections and self._state.boottime_now() < latest:
+            for connection in list(connections):
                 connection.close_if_idle()
             await asyncio.sleep(TICK_SECONDS)
-        self.close()
-        self._logger.info("stopped", busy=self._caller_listener.busy)
 
     def close(self) -> None:
         """Cancels all tasks and drops all connections at once."""
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import reachability
+from cranberryglade.gateway import shutdown
 from cranberryglade.gateway import telemetry
 
 
@@ -31,6 +32,7 @@
         quarantine: prompt parts and requests that crash endpoints.
         endpoint_limits: limits that endpoints name.
         reachability: endpoints that only other instances reach.
+        shutdown: whether the instance shuts down, and until when.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.quarantine = quarantine.Quarantine()
         self.endpoint_limits = endpoint_limits.EndpointLimits()
         self.reachability = reachability.Reachability()
+        self.shutdown = shutdown.Shutdown()
 
     @property
     def version(self) -> int:
@@ -63,6 +66,14 @@
         return clock.boottime_now()
 
     def log_fields(self) -> dict[str, float]:
-        """Returns log fields: version and age of the configuration in force."""
-        age = self.configuration_age.age(self.boottime_now())
-        return {"version": self.version, "age_s": round(min(age, 9999.0), 2)}
+        """Returns log fields: version and age of the configuration in force.
+
+        While the instance shuts down, also the time since SIGTERM.
+        """
+        now = self.boottime_now()
+        age = self.configuration_age.age(now)
+        return {
+            "version": self.version,
+            "age_s": round(min(age, 9999.0), 2),
+            **self.shutdown.log_fields(now),
+        }
--- /dev/null
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -0,0 +1,156 @@
+"""What becomes of requests that reach a gateway while it shuts down."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from cranberryglade.gateway import shutdown
+from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_cluster
+
+Cluster = gateway_cluster.Cluster
+
+BALANCER_SECONDS = 0.3
+SHUTDOWN_SECONDS = 1.3
+GRACE_SECONDS = SHUTDOWN_SECONDS + shutdown.END_MARGIN_SECONDS
+LONG_MS = 60_000
+"""Timeout of a request that cannot end before the shutdown does."""
+
+
+@pytest.fixture(autouse=True)
+def short_balancer_time(monkeypatch):
+    monkeypatch.setattr(shutdown, "BALANCER_SECONDS", BALANCER_SECONDS)
+
+
+def stopping_cluster(**changes) -> Cluster:
+    return Cluster(grace_seconds=GRACE_SECONDS, **changes)
+
+
+def stop(cluster) -> asyncio.Task:
+    """Sends the first gateway what SIGTERM sends; returns its shutdown."""
+    (gateway,) = cluster.gateways
+    gateway.stop()
+    return asyncio.create_task(gateway.drain())
+
+
+async def after_balancer() -> None:
+    await asyncio.sleep(BALANCER_SECONDS + 0.1)
+
+
+def a_request(id_, timeout_ms=LONG_MS, **fields) -> dict:
+    return {
+        "X_Attempt_Id": id_,
+        "X_Deadline_Ms": str(timeout_ms),
+        "target": "/look/1",
+    } | fields
+
+
+def config_with_long_routes() -> dict:
+    kinds = {
+        "look": "idempotent",
+        "pay": "non_idempotent",
+        "note": "streaming",
+    }
+    times = {"timeout_ms": LONG_MS, "target_latency_ms": LONG_MS}
+    return operator_configuration.a_config(
+        routes=[
+            operator_configuration.a_route(name, kind, **times)
+            for name, kind in kinds.items()
+        ]
+    )
+
+
+async def test_no_request_is_taken_and_dropped_behind_a_stream():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.event_gap_seconds = SHUTDOWN_SECONDS / 4
+        endpoint.default_behaviour = endpoint.events(1, 4)
+        caller = await cluster.connect()
+        caller.request(**a_request("s-1", target="/note/1"))
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        stopping = stop(cluster)
+        assert (await caller.answer()).whole
+        caller.request(**a_request("s-2", target="/note/2"))
+        late = await caller.answer()
+        assert late.status in (0, 503)
+        assert endpoint.ran == ["s-1"]
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+@pytest.mark.parametrize(("timeout_ms", "status"), [(LONG_MS, 503), (300, 200)])
+async def test_a_late_request_is_accepted_only_if_it_can_end(
+    timeout_ms, status
+):
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        caller = await cluster.connect()
+        # A request that is being read keeps the connection open.
+        fields = a_request("r-1", timeout_ms, method="POST")
+        caller.request(**fields, Transfer_Encoding="chunked")
+        caller.send(b"4\r\nsome\r\n")
+        stopping = stop(cluster)
+        await after_balancer()
+        caller.send(b"0\r\n\r\n")
+        answer = await caller.answer()
+        assert answer.status == status
+        assert answer.headers["connection"] == "close"
+        assert len(cluster.runners[0].ran) == (status == 200)
+        if status == 503:
+            assert "retry-after" in answer.headers
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+async def test_a_request_without_a_slot_is_refused_when_the_shutdown_ends():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.default_behaviour = endpoint.hang
+        waiting = [await cluster.connect() for _ in range(6)]
+        for number, caller in enumerate(waiting):
+            caller.request(**a_request(f"w-{number}"))
+        await gateway_cluster.wait_until(lambda: len(endpoint.ran) == 4)
+        stopping = stop(cluster)
+        answers = [await each.answer() for each in waiting]
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+        assert len(endpoint.ran) == 4
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [502, 502, 502, 502, 503, 503]
+
+
+async def test_pipelined_requests_are_answered_after_sigterm():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+
+        async def behave_slowly(received, reader, writer):
+            await asyncio.sleep(0.2)
+            await endpoint.succeed(received, reader, writer)
+
+        endpoint.script.append(behave_slowly)
+        caller = await cluster.connect()
+        for number in range(3):
+            caller.request(**a_request(f"p-{number}"))
+        await gateway_cluster.wait_until(lambda: endpoint.received)
+        stopping = stop(cluster)
+        answers = [await caller.answer() for _ in range(3)]
+        assert [answer.status for answer in answers] == [200, 200, 200]
+        assert ["connection" in answer.headers for answer in answers] == [
+            False,
+            False,
+            True,
+        ]
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+async def test_the_log_names_requests_that_the_shutdown_ends():
+    with structlog.testing.capture_logs() as lines:
+        async with stopping_cluster(
+            config=config_with_long_routes()
+        ) as cluster:
+            (endpoint,) = cluster.runners
+            endpoint.default_behaviour = endpoint.hang
+            caller = await cluster.connect()
+            caller.request(**a_request("r-1"))
+            await gateway_cluster.wait_until(lambda: endpoint.ran)
+            await asyncio.wait_for(stop(cluster), GRACE_SECONDS)
+    (end,) = [line for line in lines if line["event"] == "request.ended"]
+    assert end["reason"] == "stopping"
+    assert end["stopping_ms"] >= SHUTDOWN_SECONDS * 1000
