Let the tunnels of other instances end before the process does

An instance that is cut off from the endpoints reaches them through another one. When that one was stopped as planned, it waited for its own callers only, and cut the other's streams and requests in the middle: a stream ended torn, a request that may run once ended as 502.

Now the shutdown waits for open tunnels too, up to the same time, and refuses new ones, which another instance passes on. A tunnel that rests is closed by who uses it once it may not be used again, so that the wait is short.

Before (with close() dropping tunnels, as the end of a process does): both cases of test_request_through_another_gateway_outlasts_its_shutdown fail. After: pass, with the other 26 of the file.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -441,10 +441,21 @@
 
         It is closed instead if it cannot carry another request.
         """
-        if channel.finish_exchange():
-            self._idle.append(channel)
-        else:
+        if not channel.finish_exchange():
             channel.abort()
+            return
+        self._idle.append(channel)
+        if not math.isinf(channel.reuse_until):
+            loop = asyncio.get_running_loop()
+            loop.call_at(channel.reuse_until, self._drop_expired)
+
+    def _drop_expired(self) -> None:
+        """Closes idle connections that may not be used again."""
+        now = asyncio.get_running_loop().time()
+        for channel in self._idle:
+            if channel.reuse_until <= now:
+                channel.abort()
+        self._idle = [each for each in self._idle if each.reuse_until > now]
 
     def close_direct(self) -> None:
         """Closes the idle connections that lead to the address directly."""
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -268,6 +268,7 @@
             await asyncio.sleep(TICK_SECONDS)
         self._caller_server.close()
         await self._wait_for_callers(schedule.ends_at)
+        await self._wait_for_tunnels(schedule.ends_at)
         self._forwarder.end_all()
         await self._wait_for_callers(now() + FLUSH_SECONDS)
         self._logger.info("stopped", busy=self._caller_listener.busy)
@@ -281,6 +282,12 @@
                 connection.close_if_idle()
             await asyncio.sleep(TICK_SECONDS)
 
+    async def _wait_for_tunnels(self, latest: float) -> None:
+        """Waits for the tunnels of other instances to end, up to a time."""
+        now = self._state.boottime_now
+        while self._tunnel_server.open_transports and now() < latest:
+            await asyncio.sleep(TICK_SECONDS)
+
     def close(self) -> None:
         """Cancels all tasks and drops all connections at once."""
         for task in self._tasks:
@@ -294,6 +301,7 @@
         ):
             for connection in list(listener.connections):
                 connection.abort()
+        self._tunnel_server.close()
         self._mesh.close()
 
     def is_ready(self, endpoints: int, peers: int) -> bool:
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -86,7 +86,14 @@
             peer.transport.write(encode_frame(refusal.encode()))
             peer.transport.close()
 
+    def close(self) -> None:
+        """Closes all tunnels at once."""
+        for transport in list(self.open_transports):
+            transport.abort()
+
     def _find_refusal(self, address: str) -> str | None:
+        if self._state.shutdown.begun:
+            return "stopping"
         listed = {each.address for each in self._state.endpoints.values()}
         if address not in listed:
             return "unknown endpoint"
--- a/cranberryglade/tests/test_cut_off_gateway.py
+++ b/cranberryglade/tests/test_cut_off_gateway.py
@@ -7,6 +7,7 @@
 
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import reachability
+from cranberryglade.gateway import shutdown
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import tunnels
 from cranberryglade.tests import cut_off_gateways
@@ -120,6 +121,27 @@
         assert not (await sent).whole
 
 
+@pytest.mark.parametrize("target", ["/note/1", "/pay/1"])
+async def test_request_through_another_gateway_outlasts_its_shutdown(
+    target, monkeypatch
+):
+    monkeypatch.setattr(shutdown, "BALANCER_SECONDS", 0.2)
+    async with make_cluster(gateways=2) as cluster:
+        await cut_off_first(cluster)
+        for endpoint in cluster.runners:
+            endpoint.event_gap_seconds = 0.1
+            endpoint.default_behaviour = endpoint.events(1, 10)
+        sent = asyncio.create_task(cluster.send_request(target=target))
+        await gateway_cluster.wait_until(
+            lambda: any(endpoint.ran for endpoint in cluster.runners)
+        )
+        helper = cluster.gateways[1]
+        helper.stop()
+        await asyncio.wait_for(helper.drain(), 5.0)
+        answer = await sent
+        assert (answer.status, answer.whole) == (200, True)
+
+
 async def test_endpoint_behind_another_gateway_learns_that_the_caller_left():
     async with make_cluster(gateways=2) as cluster:
         await cut_off_first(cluster)
