--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -93,7 +93,8 @@
     ) -> None:
         """Serves one request.
 
-        Errors are logged and end the connection; nothing is raised other than
+        Unexpected errors are logged and answered with 502, which does not say
+        whether the request has run; nothing is raised other than
         CancelledError.
 
         Args:
@@ -106,7 +107,8 @@
             self._state.metrics.count_request("caller_gone", 0.0)
         except Exception:
             logger.exception("request.fault")
-            responder.abort()
+            self._state.metrics.count_event("request_fault")
+            _answer_fault(responder)
 
     def end_all(self) -> None:
         """Ends the requests in progress, as the instance shuts down.
@@ -581,6 +583,16 @@
         )
 
 
+def _answer_fault(responder: responding.Responder) -> None:
+    """Answers a request that an unexpected error ended."""
+    if responder.started:
+        responder.abort()
+        return
+    # The caller may have left meanwhile.
+    with contextlib.suppress(responding.CallerGoneError):
+        responder.whole(502, [], b"internal error")
+
+
 def _organisation_name(admitted: admission.Admitted) -> str:
     return admitted.organisation.name if admitted.organisation else ""
 
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -154,3 +154,23 @@
     (failed,) = [line for line in lines if line["event"] == "task.failed"]
     assert str(failed["exc_info"]) == "broken"
     assert failed["log_level"] == "error"
+
+
+async def test_a_request_that_meets_an_unexpected_error_is_answered(
+    monkeypatch,
+):
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster() as cluster:
+            (gateway,) = cluster.gateways
+
+            async def fail(allocator, slot_request):
+                raise KeyError("unexpected")
+
+            monkeypatch.setattr(type(gateway._allocator), "acquire", fail)
+            caller = await cluster.connect()
+            for number in range(2):
+                caller.request(X_Attempt_Id=f"a-{number}")
+                answer = await caller.answer()
+                assert (answer.status, answer.whole) == (502, True)
+    faults = [line for line in lines if line["event"] == "request.fault"]
+    assert len(faults) == 2
