Date what the store says by when it said it, not by when it is read

A machine stood still for 5 s; the answer of the feed that waited in its socket was taken for a confirmation as of 1.2 s before it was read.

Cause: StoreWatcher._read_changes took the time of reading. A long poll is answered at any time between asking and reading, so neither of both dates it.

Now each answer is dated by the store's own steady clock (`now_ms`), which comes with it. An answer was made after it was asked for; this bounds how far that clock is ahead, and the best bound, aged by the drift that clocks may have, dates all answers (`store_clock`). It never gives a later time than the true one, and none before the asking. A clock that steps, a new era or an answer without a clock fall back to the time of asking.

--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -94,10 +94,13 @@
     Attributes:
         version: newest version of the whole store at the time of the read.
         rows: all rows of the table, or those that changed.
+        made_at: when the answer was made, or the first page of it, seconds of
+            a steady clock of the store; None if it does not say.
     """
 
     version: Version
     rows: list[Row]
+    made_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -13,6 +13,7 @@
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import state
+from cranberryglade.gateway import store_clock
 
 LONG_POLL_SECONDS = 25.0
 """Longest wait of one long poll for changes."""
@@ -25,7 +26,7 @@
 
 FEED_LAG_SECONDS = 1.2
 """Longest delay between a change and its report by the feed. An answer of the
-feed confirms the configuration as of that much earlier."""
+feed confirms the configuration as of that much before it was made."""
 
 PROBE_TICK_SECONDS = 0.25
 STARTUP_SECONDS = 10.0
@@ -56,6 +57,7 @@
         "_random",
         "_startup_end",
         "_state",
+        "_store_clock",
         "_store",
         "_store_lost",
         "_stored_version",
@@ -80,6 +82,7 @@
         self._on_endpoints = on_endpoints
         self._store_lost = False
         self._stored_version = 0
+        self._store_clock = store_clock.StoreClock()
         now = asyncio.get_running_loop().time()
         self._startup_end = now + STARTUP_SECONDS
         self.probe_delay_seconds = 0.0
@@ -187,29 +190,35 @@
         self._on_configuration()
 
     async def _read_table(self, table: ports.Table):
-        sent_at = clock.boottime_now()
+        asked_at = clock.boottime_now()
         result = await self._store.read_table(table)
         match result:
             case Success(rows):
+                made_at = self._date(rows, asked_at)
                 if table is ports.Table.CONFIGURATION:
                     self._stored_version = 0
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
-                    self._confirm_configuration(sent_at)
+                    self._confirm_configuration(made_at)
                 if table is ports.Table.ENDPOINTS:
                     self._remove_unlisted(rows)
         return result
 
     async def _read_changes(self, table: ports.Table, version: ports.Version):
+        asked_at = clock.boottime_now()
         result = await self._store.changes(table, version, LONG_POLL_SECONDS)
         match result:
             case Success(rows):
+                made_at = self._date(rows, asked_at)
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
-                    as_of = clock.boottime_now() - FEED_LAG_SECONDS
-                    self._confirm_configuration(as_of)
+                    self._confirm_configuration(made_at - FEED_LAG_SECONDS)
         return result
 
+    def _date(self, answer: ports.Rows, asked_at: float) -> float:
+        now = clock.boottime_now()
+        return self._store_clock.date(answer, asked_at, now)
+
     def _confirm_configuration(self, as_of: float) -> None:
         """Confirms the configuration in force, if the store has it.
 
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -31,6 +31,9 @@
 ERA_HEADER = b"store-era"
 """How often the store has come back from an old copy."""
 
+MAX_CLOCK_MS = 2**53
+"""Greatest time of the store's clock that is used, exclusive."""
+
 STATUS_ERRORS = {
     404: ports.StoreError.ABSENT,
     410: ports.StoreError.HISTORY_LOST,
@@ -49,11 +52,19 @@
 
 
 class WireRows(msgspec.Struct):
-    """Reply to a read; `ver` is the newest version of the whole store."""
+    """Reply to a read.
+
+    Attributes:
+        ver: the newest version of the whole store.
+        rows: the rows.
+        has_more: whether further pages follow.
+        now_ms: milliseconds of the store's clock, if it is a number.
+    """
 
     ver: int
     rows: list[WireRow] = []
     has_more: bool = False
+    now_ms: object = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -164,6 +175,7 @@
         rows: list[ports.Row] = []
         start = ""
         era = None
+        made_at = None
         while True:
             query = {"table": TABLES[table], "part": "", "limit": PAGE_ROWS}
             if start:
@@ -178,10 +190,12 @@
                 ):
                     return Failure(ports.StoreError.HISTORY_LOST)
                 case Success(Page(read, has_more)):
+                    if era is None:
+                        made_at = read.made_at
                     era = read.version.era
                     rows += read.rows
                     if not has_more or not read.rows:
-                        return Success(ports.Rows(read.version, rows))
+                        return Success(ports.Rows(read.version, rows, made_at))
                     start = read.rows[-1].key + "\0"
                 case Failure(_):
                     return page
@@ -325,7 +339,18 @@
 
 def _page(wire: WireRows, era: int) -> Page:
     rows = [_row(each, era) for each in wire.rows]
-    return Page(ports.Rows(ports.Version(era, wire.ver), rows), wire.has_more)
+    version = ports.Version(era, wire.ver)
+    read = ports.Rows(version, rows, _seconds(wire.now_ms))
+    return Page(read, wire.has_more)
+
+
+def _seconds(milliseconds: object) -> float | None:
+    match milliseconds:
+        case bool():
+            return None
+        case int() | float() if abs(milliseconds) < MAX_CLOCK_MS:
+            return milliseconds / 1000
+    return None
 
 
 def _row(wire: WireRow, era: int) -> ports.Row:
