Infer the origin of a stream only from what is confirmed after it came back

Callers saw: with some instances cut off from the store and from the others while endpoints of a second software version joined, a stream that began on such an endpoint elsewhere, broke and was taken up at a cut-off instance went on at the old version, answered 200 and whole.

Cause: an instance that knew a single version of the service took it for the origin as soon as one other instance replied and knew no other either. Neither the age of that belief nor the instances that did not reply counted; after 20 s without any reply the instance even took itself for the only one.

Now an origin is inferred only if all instances that were heard within 20 s reply and know a single version, and none of them has started since the last confirmation; or else if a read of the endpoints and of the stored versions that begins after the request arrived shows a single one. Such reads are shared and at least 0.1 s apart, and none is made while all reply. Otherwise the resumption is refused (503, not run).

So that sound resumptions go on while the store is down and an instance has been killed, an instance that nothing has confirmed for 2.5 s sends the origins of all its streams to the others, as it does during a release: they are found then and need not be inferred.

Evidence: on the code before, test_stream_is_not_mixed_at_gateways_that_are_out_of_step failed (200 instead of 503), and the case of test_instances_that_are_out_of_step_together_do_not_guess returned v1 for a stream of v2. A single instance that was cut off from all others, or had stood still, already refused: nobody replies to it.

No message and no row has changed. Each resumption leaves one line, origin.decided, with the reason and the age of what the instance knew.

--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -7,7 +7,10 @@
 that every instance knows whom to ask.
 
 While the endpoints of a service have a single version, origins are not sent:
-an unknown stream then began at that version.
+an unknown stream then began at that version. An instance that is out of step
+may not know of a further one, so this holds only if all other instances, or the
+store, confirm it after the stream is resumed. While the store confirms nothing,
+origins are sent in any case.
 """
 
 import asyncio
@@ -24,6 +27,7 @@
 from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
+from cranberryglade.gateway import version_sync
 
 REPLICAS = 3
 """Other instances that have a copy of an origin."""
@@ -37,6 +41,14 @@
 
 RECORDS_PER_DATAGRAM = 16
 
+MAX_STEP_AGE_SECONDS = 2.5
+"""An instance is out of step when the store, or a peer, last confirmed what it
+knows longer ago; longer than the time between two confirmations."""
+
+MAX_AGE_OF_REPLIES_SECONDS = membership.MEMBER_TIMEOUT_SECONDS / 2
+"""The replies of the other instances suffice for an instance that was confirmed
+within this time: no instance that it lost since is forgotten yet."""
+
 logger = log.get_logger(__name__)
 
 
@@ -57,10 +69,47 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class FindQuery:
+    """The search for the origin of one stream.
+
+    Attributes:
+        attempt: id of the attempt that brought its first event; "" if unknown.
+        service: the service that its route allows; "" if there are several.
+        age_seconds: as `OriginSharing` knows it at the beginning.
+        replies: those of other instances, by name.
+        versions: versions that the instances and the store know.
+        reason: what the decision rests on, for the log.
+    """
+
+    attempt: str
+    service: str
+    age_seconds: float
+    replies: dict[str, datagrams.OriginReply] = dataclasses.field(
+        default_factory=dict
+    )
+    versions: set[str] = dataclasses.field(default_factory=set)
+    reason: str = ""
+
+    @property
+    def fields(self) -> dict[str, str | int | float | list[str]]:
+        """Its log fields."""
+        return {
+            "attempt": self.attempt,
+            "service": self.service,
+            "reason": self.reason,
+            "versions": sorted(self.versions),
+            "replies": len(self.replies),
+            "age_s": min(self.age_seconds, 9999.0),
+        }
+
+
 class OriginSharing:
     """Records the origins of streams and finds those of resumed ones."""
 
     __slots__ = (
+        "_age",
+        "_confirm_versions",
         "_learn_earlier_versions",
         "_mesh",
         "_name",
@@ -69,6 +118,7 @@
         "_pending",
         "_received",
         "_rows",
+        "_sharing_all",
         "_versions",
     )
 
@@ -78,6 +128,10 @@
         versions: software_versions.SoftwareVersions,
         learn_earlier_versions: Callable[[], Awaitable[bool]],
         rows: origin_rows.OriginRows,
+        confirm_versions: Callable[
+            [], Awaitable[version_sync.StoredVersions | None]
+        ],
+        age: Callable[[], float],
     ):
         """Initialises the records; `set_mesh` must be called before use.
 
@@ -87,8 +141,15 @@
             learn_earlier_versions: adds those of the time before the start;
                 returns whether they are known.
             rows: origins in the store.
+            confirm_versions: brings `versions` up to date and returns the
+                stored ones, or None, as `VersionConfirmation.confirm` does.
+            age: returns the seconds since the store, or a peer, last confirmed
+                what this instance knows.
         """
         self._name = name
+        self._confirm_versions = confirm_versions
+        self._age = age
+        self._sharing_all = False
         self._learn_earlier_versions = learn_earlier_versions
         self._rows = rows
         self._mesh: mesh.Mesh | None = None
@@ -119,6 +180,23 @@
                 continue
             self._send(self._own.of_service(service, now), now)
 
+    def tick(self) -> None:
+        """Sends all own origins once this instance is out of step.
+
+        Nobody can confirm then that a service has a single version.
+        """
+        out_of_step = self._age() > MAX_STEP_AGE_SECONDS
+        if out_of_step and not self._sharing_all:
+            now = _now()
+            origins = self._own.all(now)
+            logger.info(
+                "origins.shared",
+                count=len(origins),
+                age_s=round(self._age(), 2),
+            )
+            self._send(origins, now)
+        self._sharing_all = out_of_step
+
     def record(self, attempt: str, origin: messages.StreamOrigin) -> None:
         """Records what began a stream, before its first event is relayed.
 
@@ -131,7 +209,9 @@
             return
         now = _now()
         self._own.record(attempt, origin, now)
-        if not self._has_single_version(origin.service, now):
+        if self._sharing_all or not self._has_single_version(
+            origin.service, now
+        ):
             self._send({attempt: origin}, now)
 
     async def find(
@@ -147,30 +227,49 @@
         Returns:
             The origin; None if it is unknown and cannot be inferred.
         """
+        service = services[0] if len(services) == 1 else ""
+        query = FindQuery(attempt, service, round(self._age(), 2))
+        origin = await self._decide(query)
+        version = origin.software_version if origin else None
+        logger.info("origin.decided", software_version=version, **query.fields)
+        return origin
+
+    async def _decide(self, query: FindQuery) -> messages.StreamOrigin | None:
         now = _now()
-        known = self._lookup(attempt, now)
+        known = self._lookup(query.attempt, now)
         if known is not None:
+            query.reason = "known"
             return known
-        service = services[0] if len(services) == 1 else ""
-        targets = self._mesh.members.replicas(attempt, QUERIED_REPLICAS, now)
-        replies = await self._ask(targets, attempt, service)
-        for reply in replies:
+        members = self._mesh.members
+        targets = (
+            members.reachable(now)
+            if members.full_mesh
+            else members.replicas(query.attempt, QUERIED_REPLICAS, now)
+        )
+        query.replies = await self._ask(targets, query.attempt, query.service)
+        for reply in query.replies.values():
             if reply.origin is not None:
-                origin = _decode(reply.origin)
-                self._received.record(attempt, origin, _now())
-                return origin
-        if not replies and self._mesh.members.instance_count(now) > 1:
-            logger.warning("origin.unanswered", attempt=attempt)
-            return await self._find_stored(attempt)
+                self._learn(reply.origin, _now())
+                query.reason = "peer"
+                return _decode(reply.origin)
+        if not query.replies and members.instance_count(now) > 1:
+            query.reason = "unanswered"
+            return await self._find_stored(query)
         if not await self._learn_earlier_versions():
+            query.reason = "earlier_versions_unread"
             return None
-        inferred = self._infer(service, replies)
-        return inferred or await self._find_stored(attempt)
+        return await self._infer(query) or await self._find_stored(query)
 
-    async def _find_stored(self, attempt: str) -> messages.StreamOrigin | None:
+    async def _find_stored(
+        self, query: FindQuery
+    ) -> messages.StreamOrigin | None:
+        # Rows of an earlier release may be among them.
         for record in await self._rows.read():
             self._received.record(record.attempt, _decode(record), _now())
-        return self._lookup(attempt, _now())
+        origin = self._lookup(query.attempt, _now())
+        if origin is not None:
+            query.reason = "stored"
+        return origin
 
     def receive(self, sender: str, message: datagrams.OriginMessage) -> None:
         """Handles a datagram from another instance."""
@@ -179,7 +278,7 @@
             case datagrams.Origins(records=records):
                 self._rows.add(records)
                 for record in records:
-                    self._received.record(record.attempt, _decode(record), now)
+                    self._learn(record, now)
             case datagrams.OriginQuery():
                 self._reply(message, now)
             case datagrams.OriginReply():
@@ -189,19 +288,63 @@
         own = self._own.find(attempt, now)
         return own or self._received.find(attempt, now)
 
-    def _infer(
-        self, service: str, replies: list[datagrams.OriginReply]
-    ) -> messages.StreamOrigin | None:
-        """Returns the origin if all know a single version of the service."""
-        versions = self._versions.versions(service, _now())
-        for reply in replies:
-            versions |= set(reply.software_versions)
-        if len(versions) != 1:
-            logger.info(
-                "origin.unknown", service=service, versions=sorted(versions)
+    def _learn(self, record: datagrams.OriginRecord, now: float) -> None:
+        """Keeps an origin of another instance; its version was in service."""
+        self._received.record(record.attempt, _decode(record), now)
+        known = self._versions.versions(record.service, now)
+        if record.software_version not in known:
+            versions = [record.software_version]
+            self._versions.record_earlier(record.service, versions, now)
+
+    async def _infer(self, query: FindQuery) -> messages.StreamOrigin | None:
+        """Returns the origin if the service certainly has a single version."""
+        query.versions |= self._known_versions(query)
+        query.reason = "instances"
+        if len(query.versions) == 1 and not self._replies_suffice(
+            query.replies
+        ):
+            query.reason = "store"
+            stored = await self._confirm_versions()
+            if stored is None:
+                query.reason = "unconfirmed"
+                return None
+            query.versions |= self._known_versions(query)
+            query.versions |= set(stored.get(query.service, []))
+        if len(query.versions) != 1:
+            query.reason = (
+                "several_versions" if query.versions else "no_version"
             )
             return None
-        return messages.StreamOrigin(service, versions.pop())
+        (version,) = query.versions
+        return messages.StreamOrigin(query.service, version)
+
+    def _known_versions(self, query: FindQuery) -> set[str]:
+        """Returns those that this instance and those that replied know."""
+        versions = self._versions.versions(query.service, _now())
+        for reply in query.replies.values():
+            versions |= set(reply.software_versions)
+        return versions
+
+    def _replies_suffice(
+        self, replies: dict[str, datagrams.OriginReply]
+    ) -> bool:
+        """Returns whether replies show that no other version began a stream.
+
+        An instance that began one knows its version, unless it has started
+        again since.
+        """
+        now = _now()
+        age = self._age()
+        members = self._mesh.members
+        count = 0
+        for name, reply in replies.items():
+            member = members.get(name)
+            started_since = member is None or member.started_at > now - age
+            count += bool(reply.software_versions) and not started_since
+        if not members.full_mesh:
+            return age <= MAX_STEP_AGE_SECONDS and count >= REPLICAS
+        all_others = max(1, members.instance_count(now) - 1)
+        return age <= MAX_AGE_OF_REPLIES_SECONDS and count >= all_others
 
     def _has_single_version(self, service: str, now: float) -> bool:
         return len(self._versions.versions(service, now)) == 1
@@ -227,9 +370,9 @@
 
     async def _ask(
         self, targets: list[membership.Member], attempt: str, service: str
-    ) -> list[datagrams.OriginReply]:
+    ) -> dict[str, datagrams.OriginReply]:
         if not targets:
-            return []
+            return {}
         loop = asyncio.get_running_loop()
         self._next_number += 1
         number = self._next_number
@@ -248,7 +391,7 @@
                     break
         finally:
             del self._pending[number]
-        return list(pending.replies.values())
+        return pending.replies
 
     def _reply(self, query: datagrams.OriginQuery, now: float) -> None:
         origin = self._lookup(query.attempt, now)
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -48,6 +48,7 @@
 from cranberryglade.gateway import telemetry
 from cranberryglade.gateway import tunnels
 from cranberryglade.gateway import usage_sync
+from cranberryglade.gateway import version_confirmation
 from cranberryglade.gateway import version_sync
 
 INCARNATION_BYTES = 4
@@ -133,6 +134,11 @@
             versions,
             self._version_sync.load,
             self._origin_rows,
+            version_confirmation.VersionConfirmation(
+                lambda: self._store_watcher.read_endpoints(),
+                self._version_sync.read,
+            ).confirm,
+            self._state.confirmation_age,
         )
         self._sender = sending.Sender(
             header_dialect,
@@ -497,6 +503,7 @@
             if self._state.directory.expire(now):
                 self._endpoints_changed()
             self._allocator.tick(now)
+            self._origins.tick()
             self._state.quarantine.expire(now, self._allocator.is_allocating)
             self._state.endpoint_limits.expire(self._state.endpoints, now)
             self._state.limit_share = 1 / self._mesh.members.instance_count(now)
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -65,15 +65,22 @@
         """Returns seconds of the clock for the age of the configuration."""
         return clock.boottime_now()
 
+    def confirmation_age(self) -> float:
+        """Returns the seconds since the configuration was last confirmed.
+
+        The store, or a peer, was in touch with this instance then. Infinite
+        before the first confirmation.
+        """
+        return self.configuration_age.age(self.boottime_now())
+
     def log_fields(self) -> dict[str, float]:
         """Returns log fields: version and age of the configuration in force.
 
         While the instance shuts down, also the time since SIGTERM.
         """
-        now = self.boottime_now()
-        age = self.configuration_age.age(now)
+        age = self.confirmation_age()
         return {
             "version": self.version,
             "age_s": round(min(age, 9999.0), 2),
-            **self.shutdown.log_fields(now),
+            **self.shutdown.log_fields(self.boottime_now()),
         }
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -136,6 +136,20 @@
             case Failure(error):
                 self._record_store_failure(ports.Table.CONFIGURATION, error)
 
+    async def read_endpoints(self) -> bool:
+        """Reads the endpoints from the store once.
+
+        Returns:
+            Whether the store answered.
+        """
+        match await self._read_table(ports.Table.ENDPOINTS):
+            case Success(_):
+                self._record_store_answer()
+                return True
+            case Failure(error):
+                self._record_store_failure(ports.Table.ENDPOINTS, error)
+        return False
+
     def _covered_by_peers(self, table: ports.Table) -> bool:
         if not self.relies_on_peers:
             return False
--- a/cranberryglade/gateway/stream_origins.py
+++ b/cranberryglade/gateway/stream_origins.py
@@ -45,6 +45,11 @@
         self._origins.expire(now)
         return self._origins.get(attempt)
 
+    def all(self, now: float) -> dict[str, messages.StreamOrigin]:
+        """Returns all origins, by attempt."""
+        self._origins.expire(now)
+        return dict(self._origins.items())
+
     def of_service(
         self, service: str, now: float
     ) -> dict[str, messages.StreamOrigin]:
--- a/cranberryglade/gateway/version_sync.py
+++ b/cranberryglade/gateway/version_sync.py
@@ -65,14 +65,21 @@
                 self._read = await self._load()
         return self._read
 
-    async def _load(self) -> bool:
+    async def read(self) -> StoredVersions | None:
+        """Returns the stored versions; None if the store cannot be read."""
         match await self._row.read():
             case Failure(ports.StoreError.UNREADABLE) | Success(None):
-                return True
+                return {}
             case Failure(_):
-                return False
+                return None
             case Success(stored):
-                self._apply(stored)
+                return stored
+
+    async def _load(self) -> bool:
+        stored = await self.read()
+        if stored is None:
+            return False
+        self._apply(stored)
         return True
 
     def _apply(self, stored: StoredVersions) -> None:
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -1,6 +1,7 @@
 """Which software version began a stream, as the instances tell each other."""
 
 import asyncio
+import functools
 import random
 
 import msgspec
@@ -15,6 +16,7 @@
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
+from cranberryglade.gateway import version_confirmation
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -38,13 +40,29 @@
 
 
 class Network:
-    """Instances that exchange origins by datagrams, some of which are lost."""
+    """Instances that exchange origins by datagrams, some of which are lost.
+
+    Attributes:
+        instances: the instances that run, by name.
+        sent: all datagrams.
+        store_up: whether the store answers.
+        listed_in_store: versions of the endpoints that the store lists.
+        stored: versions that the allocator stored.
+        confirmations: number of reads of the store.
+        age_seconds: age of what all instances know.
+    """
 
     def __init__(self, count, loss=0.0, seed=0):
         self.instances: dict[str, origin_sharing.OriginSharing] = {}
+        self.store_up = True
+        self.listed_in_store = ()
+        self.stored: dict[str, list[str]] = {}
+        self.confirmations = 0
+        self.age_seconds = 0.0
         self.sent: list[datagrams.OriginMessage] = []
         self._random = random.Random(seed)
         self._loss = loss
+        self._cut_off: set[str] = set()
         names = [f"i-{number}" for number in range(count)]
         now = asyncio.get_running_loop().time()
         for name in names:
@@ -53,6 +71,8 @@
                 software_versions.SoftwareVersions(),
                 nothing_earlier,
                 fakes.NoOriginRows(),
+                functools.partial(self.confirm, name),
+                lambda: self.age_seconds,
             )
             members = membership.Membership(name, "north", now)
             for other in names:
@@ -61,16 +81,30 @@
             sharing.set_mesh(NetworkMesh(self, name, members))
             self.instances[name] = sharing
 
+    async def confirm(self, name):
+        self.confirmations += 1
+        if not self.store_up:
+            return None
+        listing = make_listing(*self.listed_in_store)
+        self.instances[name].observe_endpoints(listing)
+        return self.stored
+
     def list_versions(self, *versions):
+        self.listed_in_store = versions
         for sharing in self.instances.values():
             sharing.observe_endpoints(make_listing(*versions))
 
     def kill(self, name):
         del self.instances[name]
 
+    def cut_off(self, *names):
+        """From now on these instances and the others hear nothing mutually."""
+        self._cut_off = set(names)
+
     def deliver(self, sender, receiver, message):
         self.sent.append(message)
         lost = self._random.random() < self._loss
+        lost |= (sender in self._cut_off) != (receiver in self._cut_off)
         if receiver in self.instances and not lost:
             decoded = datagrams.decode(datagrams.encode(message)).unwrap()
             self.instances[receiver].receive(sender, decoded)
@@ -188,6 +222,135 @@
     assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
 
 
+def cut_off_during_release():
+    """Returns instances two of which are out of step.
+
+    Only the others know of v2, and have begun a stream there.
+    """
+    network = Network(4)
+    network.list_versions("v1")
+    network.cut_off("i-0", "i-1")
+    for name in ("i-2", "i-3"):
+        network.instances[name].observe_endpoints(make_listing("v1", "v2"))
+    network.instances["i-3"].record("a-1", NEW)
+    return network
+
+
+async def test_instances_that_are_out_of_step_together_do_not_guess():
+    network = cut_off_during_release()
+    network.store_up = False
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_instances_that_are_out_of_step_learn_a_version_from_the_store():
+    network = cut_off_during_release()
+    network.listed_in_store = ("v1", "v2")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_an_instance_asks_the_store_if_another_one_is_silent():
+    network = Network(4)
+    network.list_versions("v1")
+    network.kill("i-3")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) == OLD
+    assert network.confirmations == 1
+
+
+async def test_a_version_that_came_and_went_meanwhile_prevents_a_wrong_guess():
+    network = Network(4)
+    network.list_versions("v1")
+    network.kill("i-3")
+    network.stored = {SERVICE: ["v1", "v2"]}
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_the_store_is_not_asked_while_all_instances_reply():
+    network = Network(4)
+    network.list_versions("v1")
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) == OLD
+    assert network.confirmations == 0
+
+
+async def test_an_instance_whose_peers_are_forgotten_does_not_guess(
+    monkeypatch,
+):
+    # It was cut off from all others and from the store for long.
+    monkeypatch.setattr(membership, "MAX_MISSED_HEARTBEATS", 0)
+    monkeypatch.setattr(membership, "MEMBER_TIMEOUT_SECONDS", 0.0)
+    network = Network(3)
+    network.list_versions("v1")
+    network.store_up = False
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_replies_do_not_suffice_for_what_was_forgotten_meanwhile(
+    monkeypatch,
+):
+    # Those of the other side of a cut count no longer.
+    network = Network(4)
+    network.list_versions("v1")
+    network.kill("i-3")
+    monkeypatch.setattr(membership.Membership, "instance_count", lambda *_: 3)
+    network.store_up = False
+    network.age_seconds = membership.MEMBER_TIMEOUT_SECONDS
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_an_instance_that_started_again_does_not_vouch_for_the_past():
+    network = Network(3)
+    network.list_versions("v1")
+    network.store_up = False
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) == OLD
+    # All members started just now, after the last confirmation.
+    network.age_seconds = 1.0
+    assert await network.instances["i-0"].find("a-1", [SERVICE]) is None
+
+
+async def test_streams_go_on_while_nothing_is_confirmed():
+    # Load: the store is down while an instance is killed; no release.
+    network = Network(7)
+    network.list_versions("v1")
+    killed = network.instances["i-0"]
+    killed.record("a-before", OLD)
+    network.store_up = False
+    network.age_seconds = 3.0
+    for sharing in network.instances.values():
+        sharing.tick()
+    killed.record("a-meanwhile", OLD)
+    network.kill("i-0")
+    for attempt in ("a-before", "a-meanwhile"):
+        for sharing in network.instances.values():
+            assert await sharing.find(attempt, [SERVICE]) == OLD
+    sent = len(network.sent)
+    network.age_seconds = 0.0
+    network.instances["i-1"].tick()
+    network.instances["i-1"].record("a-later", OLD)
+    assert len(network.sent) == sent
+
+
+async def test_a_read_of_the_store_serves_all_that_asked_before_it():
+    reads = []
+
+    async def read_endpoints():
+        reads.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(0.02)
+        return True
+
+    async def read_versions():
+        return {SERVICE: ["v1"]}
+
+    confirmation = version_confirmation.VersionConfirmation(
+        read_endpoints, read_versions
+    )
+    first = asyncio.create_task(confirmation.confirm())
+    await asyncio.sleep(0.01)
+    found = await asyncio.gather(*[confirmation.confirm() for _ in range(20)])
+    assert [await first, *found] == [{SERVICE: ["v1"]}] * 21
+    # What was asked during the first read is answered by a second one.
+    assert len(reads) == 2
+    assert reads[1] - reads[0] >= version_confirmation.MIN_INTERVAL_SECONDS
+
+
 async def test_an_instance_without_peers_knows_its_own_versions():
     network = Network(1)
     network.list_versions("v1")
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -9,6 +9,7 @@
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
+from cranberryglade.tests import out_of_step_gateways
 
 Cluster = gateway_cluster.Cluster
 RESUMES = 8
@@ -78,9 +79,9 @@
     await cluster.wait_for_endpoints(lambda listed: len(listed) == count)
 
 
-async def add_another_version(cluster) -> None:
+async def add_another_version(cluster, count=3) -> None:
     """Starts and registers those endpoints."""
-    for number in range(3):
+    for number in range(count):
         added = endpoint_standin.EndpointStandin(f"j-{number}")
         added.software_version = "v2"
         await cluster.add_runner(added)
@@ -313,6 +314,49 @@
         assert answer.body == builders.make_events(4, 6)
 
 
+async def add_gateways_behind_relay(cluster, names):
+    """Starts gateways that reach the store by a relay, which is returned."""
+    relay = out_of_step_gateways.StoreRelay(cluster.store_address)
+    await relay.start()
+    cluster.store_address = relay.address
+    for name in names:
+        await cluster.add_gateway(name)
+    peers = len(cluster.gateways) - 1
+    await gateway_cluster.wait_until(
+        lambda: all(each.is_ready(1, peers) for each in cluster.gateways)
+    )
+    return relay
+
+
+async def test_stream_is_not_mixed_at_gateways_that_are_out_of_step():
+    # Load: two instances are cut off from the store and from a third one when
+    # endpoints of a new version join.
+    async with Cluster() as cluster:
+        (old,) = cluster.runners
+        relay = await add_gateways_behind_relay(cluster, ["cut-1", "cut-2"])
+        in_step, *out_of_step = cluster.gateways
+        relay.cut()
+        out_of_step_gateways.part([in_step], out_of_step)
+        await add_another_version(cluster, count=1)
+        await gateway_cluster.wait_until(
+            lambda: len(in_step._state.endpoints) == 2
+        )
+        cluster.register_runner(old, state="draining")
+        await gateway_cluster.wait_until(
+            lambda: in_step._state.endpoints[old.id].leaving
+        )
+        await begin_stream(cluster)
+        assert sent_to(old) == []
+        await gateway_cluster.wait_until(
+            lambda: not any(each.is_ready(0, 2) for each in out_of_step)
+        )
+        for number in (1, 2):
+            answer = await resume_stream(cluster, f"b-{number}", number)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+        assert sent_to(old) == []
+
+
 async def test_stream_of_an_endpoint_that_restarted_unseen_is_not_mixed():
     # The endpoint runs v2 already, but its row still says v1.
     async with Cluster(runners=2) as cluster:
