A broken stream goes on with its own events only, or ends incomplete

Callers saw: a stream broke off, the next endpoint answered with a success of its own that was no continuation, and its text stood in the middle of the stream, which then ended as complete. The same with an empty answer, with an event that came twice or was missing, and with the stream from its start where its events have no ids.

Cause: whatever came with a stamp and a 2xx was taken for the continuation. The splitter cut at blank lines, and an error text, a page or a whole HTTP head has blank lines, too. Nothing compared the first event with the last one before it, and an attempt that brought no event ended the answer as whole.

Answers with an error status, without the stamp, with an encoding, or that broke off were told apart before; these cases stay as tests.

Now an attempt that goes on with a stream must have the status and the media type of the first one, and begin with an event that may follow: a larger id, or the next number where the ids so far count by one. One without any event leaves open whether events were left, so the answer ends incomplete, and the caller may ask for the rest. Bytes that are no lines of events break a stream off in every attempt. A stream whose last event has no id is not sent again. A responder writes no second head.

A gap is told only where at least two ids came before; ids need not count by one.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -29,6 +29,8 @@
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
         cost_submitted: whether its cost was part of an earlier slot request.
+        stream_head: head of the first stream, which the caller received; None
+            before it.
         origin: what began its stream; None before the first event.
         attempt_in_progress: whether an attempt is in progress.
         earlier_attempt_may_have_run: whether an earlier attempt may have run.
@@ -55,6 +57,7 @@
     )
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
+    stream_head: dialect.AnswerHead | None = None
     origin: messages.StreamOrigin | None = None
     attempt_in_progress: bool = False
     earlier_attempt_may_have_run: bool = False
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import exchanges
+from cranberryglade.gateway import http_fields
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import request_digests
@@ -373,7 +374,8 @@
         exchange.attempt_in_progress = True
         exchange.answer_framing = None
         exchange.failure = ""
-        exchange.splitter.discard_pending()
+        if exchange.responder.started:
+            exchange.splitter.begin_join()
         result = await self._sender.send(
             exchange.request,
             endpoint,
@@ -422,13 +424,12 @@
         opened: sending.StreamStarted,
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
         exchange.earlier_attempt_may_have_run = True
-        responder = exchange.responder
         try:
-            if not responder.started:
-                headers = self._dialect.relayed_headers(opened.head)
-                head = opened.head
-                responder.start(head.status, head.reason, headers, None)
-            lost = await self._relay.relay(exchange, endpoint, opened.channel)
+            lost = self._begin_stream(exchange, opened.head)
+            if not lost:
+                lost = await self._relay.relay(
+                    exchange, endpoint, opened.channel
+                )
         except BaseException:
             opened.channel.abort()
             raise
@@ -437,11 +438,31 @@
             outcome = await self._explain_loss(exchange, endpoint)
             return outcome, self._retry_or_give_up(exchange, lost)
         self._sender.put_back(endpoint, opened.channel)
-        responder.finish()
+        exchange.responder.finish()
         return messages.Outcome.SERVED, exchanges.RequestResult(
             opened.head.status, "served"
         )
 
+    def _begin_stream(
+        self, exchange: exchanges.Exchange, head: dialect.AnswerHead
+    ) -> str:
+        """Writes the head of a stream unless an earlier attempt's was written.
+
+        Returns:
+            Why the stream cannot go on in the caller's answer; "" if it can.
+        """
+        first = exchange.stream_head
+        if first is None:
+            exchange.stream_head = head
+            headers = self._dialect.relayed_headers(head)
+            exchange.responder.start(head.status, head.reason, headers, None)
+            return ""
+        if head.status != first.status:
+            return f"stream goes on with status {head.status}"
+        if _media_type(head) != _media_type(first):
+            return "stream goes on as another media type"
+        return ""
+
     async def _explain_loss(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> messages.Outcome:
@@ -465,6 +486,7 @@
         now = asyncio.get_running_loop().time()
         if (
             repeatable
+            and exchange.splitter.resumable
             and exchange.crashes < MAX_CRASHES_PER_REQUEST
             and len(exchange.attempted_endpoints) < route.max_attempts
             and exchange.remaining_seconds > MIN_ATTEMPT_SECONDS
@@ -593,6 +615,10 @@
         responder.whole(502, [], b"internal error")
 
 
+def _media_type(head: dialect.AnswerHead) -> bytes:
+    return http_fields.media_type(head.headers)
+
+
 def _organisation_name(admitted: admission.Admitted) -> str:
     return admitted.organisation.name if admitted.organisation else ""
 
--- a/cranberryglade/gateway/http_fields.py
+++ b/cranberryglade/gateway/http_fields.py
@@ -40,6 +40,14 @@
     }
 
 
+def media_type(headers: list[messages.Header]) -> bytes:
+    """Returns the media type of a body, in lower case; b"" if unknown."""
+    for header in headers:
+        if header.name.lower() == b"content-type":
+            return header.value.partition(b";")[0].strip().lower()
+    return b""
+
+
 def without_port(value: str) -> str:
     """Returns the host of a Host field, in lower case."""
     return value.rsplit(":", 1)[0].lower() if ":" in value else value.lower()
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -11,6 +11,10 @@
     """The caller closed its connection."""
 
 
+class HeadRepeatedError(Exception):
+    """A second head would stand in the body of the answer."""
+
+
 class Connection(Protocol):
     """The part of a caller's connection that a responder uses."""
 
@@ -83,7 +87,10 @@
 
         Raises:
             CallerGoneError: if the connection is closed or closing.
+            HeadRepeatedError: if the answer has begun.
         """
+        if self.started:
+            raise HeadRepeatedError
         if self._connection.closing:
             raise CallerGoneError
         self._keep_alive = self._keep_alive and self._connection.may_keep_alive
@@ -146,6 +153,7 @@
 
         Raises:
             CallerGoneError: if the connection is closed or closing.
+            HeadRepeatedError: if the answer has begun.
         """
         self.start(status, reason, headers, len(body))
         if body:
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -44,7 +44,8 @@
         """
         splitter = exchange.splitter
         has_events = False
-        # A framed stream may be empty, as when nothing was left to resume. If
+        # A framed stream may be empty, as when the caller resumes one and
+        # nothing was left; its endpoint alone vouches for that. If
         # it is not framed, it may as well have broken off at its beginning.
         unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
         timeout_seconds = exchange.attempt_timeout(
@@ -60,14 +61,17 @@
                 case outbound.Data(data):
                     try:
                         events = splitter.feed(data)
-                    except event_streams.EventTooLongError:
-                        return "event too long"
+                    except event_streams.StreamError as error:
+                        return str(error)
                     if events and not has_events:
                         has_events = True
                         self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End() if splitter.within_event:
                     return "stream ended inside an event"
+                case outbound.End() if splitter.awaits_join:
+                    # Whether events were left is not known.
+                    return "stream went on without events"
                 case outbound.End() if not has_events and unframed:
                     return "stream ended without events"
                 case outbound.End():
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -150,6 +150,38 @@
         assert received == token(0) + token(1)
 
 
+ERROR_TEXT = b"upstream failed\n\n"
+SECOND_HEAD = refusal(b"503 No", ERROR_TEXT)
+FOREIGN_REPLIES = {
+    "an error": refusal(b"500 Oh", ERROR_TEXT),
+    "a redirection": refusal(b"302 Go", ERROR_TEXT),
+    "no content": refusal(b"204 No Content", b""),
+    "not modified": refusal(b"304 Not Modified", b""),
+    "a part": refusal(b"206 Partial Content", token(1) + end(2)),
+    "an error as a success": refusal(b"200 OK", ERROR_TEXT),
+    "an error as a stream": keep_alive_response(ERROR_TEXT),
+    "an error event": keep_alive_response(b"event: error\ndata: oh\n\n"),
+    "an unframed error": CLOSING_HEAD + ERROR_TEXT,
+    "nothing": keep_alive_response(b""),
+    "nothing, unframed": CLOSING_HEAD,
+    "a second head": CLOSING_HEAD + SECOND_HEAD,
+    "a second head behind a token": CLOSING_HEAD + token(1) + SECOND_HEAD,
+    "another's end": CLOSING_HEAD + token(1) + end(2, b"r2"),
+    "a gap": CLOSING_HEAD + token(2) + end(3),
+    "no end": CLOSING_HEAD + token(1),
+    "a broken head": b"HTTP/1.1 200 O",
+}
+
+
+@pytest.mark.parametrize("name", FOREIGN_REPLIES)
+async def test_no_bytes_of_another_answer_enter_a_resumed_one(client, name):
+    replies = [CLOSING_HEAD + token(0) + b"id: 1\nda", FOREIGN_REPLIES[name]]
+    async with ScriptedServer(replies) as fake:
+        outcome, received = await run(client, fake.address)
+    assert outcome in (LOST, NOT_WHOLE)
+    assert received in (token(0), token(0) + token(1))
+
+
 @pytest.mark.parametrize("status", [b"307 Go", b"308 Go", b"302 Go"])
 async def test_a_redirection_is_not_followed(client, status):
     async with ScriptedServer([keep_alive_response(WHOLE)]) as redirect_target:
