--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -102,6 +102,11 @@
     rows: list[Row]
     made_at: float | None = None
 
+    @property
+    def era(self) -> int:
+        """Era of the store that the answer is of."""
+        return self.version.era
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Write:
--- a/cranberryglade/gateway/store_clock.py
+++ b/cranberryglade/gateway/store_clock.py
@@ -9,9 +9,22 @@
 RESOLUTION_SECONDS = 0.001
 """The store names its time in whole milliseconds, rounded down."""
 
+MAX_CLOCK_MS = 2**53
+"""Greatest time of the store's clock that is used, exclusive."""
+
 logger = log.get_logger(__name__)
 
 
+def to_seconds(milliseconds: object) -> float | None:
+    """Returns a time that the store named, in seconds; None if it is none."""
+    match milliseconds:
+        case bool():
+            return None
+        case int() | float() if abs(milliseconds) < MAX_CLOCK_MS:
+            return milliseconds / 1000
+    return None
+
+
 class StoreClock:
     """Bounds from below when the store made its answers; no I/O.
 
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -11,6 +11,7 @@
 
 from cranberryglade.gateway import fetching
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import store_clock
 
 TABLES = {
     ports.Table.CONFIGURATION: "op",
@@ -31,9 +32,6 @@
 ERA_HEADER = b"store-era"
 """How often the store has come back from an old copy."""
 
-MAX_CLOCK_MS = 2**53
-"""Greatest time of the store's clock that is used, exclusive."""
-
 STATUS_ERRORS = {
     404: ports.StoreError.ABSENT,
     410: ports.StoreError.HISTORY_LOST,
@@ -52,14 +50,7 @@
 
 
 class WireRows(msgspec.Struct):
-    """Reply to a read.
-
-    Attributes:
-        ver: the newest version of the whole store.
-        rows: the rows.
-        has_more: whether further pages follow.
-        now_ms: milliseconds of the store's clock, if it is a number.
-    """
+    """Reply to a read; `ver` is the newest version of the whole store."""
 
     ver: int
     rows: list[WireRow] = []
@@ -174,8 +165,7 @@
         """Returns all rows of a table, read in pages."""
         rows: list[ports.Row] = []
         start = ""
-        era = None
-        made_at = None
+        first = None
         while True:
             query = {"table": TABLES[table], "part": "", "limit": PAGE_ROWS}
             if start:
@@ -184,17 +174,13 @@
                 "/rows-get", query, self._read_seconds
             )
             match page:
-                case Success(Page(read)) if era not in (
-                    None,
-                    read.version.era,
-                ):
+                case Success(Page(read)) if first and first.era != read.era:
                     return Failure(ports.StoreError.HISTORY_LOST)
                 case Success(Page(read, has_more)):
-                    if era is None:
-                        made_at = read.made_at
-                    era = read.version.era
+                    first = first or read
                     rows += read.rows
                     if not has_more or not read.rows:
+                        made_at = first.made_at
                         return Success(ports.Rows(read.version, rows, made_at))
                     start = read.rows[-1].key + "\0"
                 case Failure(_):
@@ -339,18 +325,10 @@
 
 def _page(wire: WireRows, era: int) -> Page:
     rows = [_row(each, era) for each in wire.rows]
-    version = ports.Version(era, wire.ver)
-    read = ports.Rows(version, rows, _seconds(wire.now_ms))
-    return Page(read, wire.has_more)
-
-
-def _seconds(milliseconds: object) -> float | None:
-    match milliseconds:
-        case bool():
-            return None
-        case int() | float() if abs(milliseconds) < MAX_CLOCK_MS:
-            return milliseconds / 1000
-    return None
+    now = store_clock.to_seconds(wire.now_ms)
+    return Page(
+        ports.Rows(ports.Version(era, wire.ver), rows, now), wire.has_more
+    )
 
 
 def _row(wire: WireRow, era: int) -> ports.Row:
