Take all ages of a gateway from the clock that counts suspensions

What callers saw: nothing yet. While a machine is suspended, the event loop's clock stands still; only the age of the configuration was taken from the one that goes on. After a suspension leases, heartbeats, grants, windows of quotas and of the retry budget, quarantines, origins and request deadlines were as many seconds younger than they looked from outside.

Now the loop itself runs by CLOCK_BOOTTIME (clock.BoottimeLoop), so there is one clock for every age and every timer; the monotonic clock that the retry budget began with is gone, too. Timers that became due in a suspension run at the next turn of the loop.

--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -8,7 +8,6 @@
 
 from cranberryglade import log
 from cranberryglade.gateway import capacity
-from cranberryglade.gateway import clock
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import membership
@@ -111,14 +110,11 @@
         They are used while the configuration is stale, since all contacts may
         be cut off from the store. Successive calls rotate through them.
         """
-        stale = (
-            self._state.configuration_age.age(clock.boottime_now())
-            > STALE_SECONDS
-        )
+        now = asyncio.get_running_loop().time()
+        stale = self._state.configuration_age.age(now) > STALE_SECONDS
         if self.members.full_mesh or not stale:
             return []
         contacts = {member.name for member in self.members.contacts}
-        now = asyncio.get_running_loop().time()
         candidates = [
             member
             for member in self.members.recent_senders(now)
@@ -134,7 +130,7 @@
         instance that hold slots, and its usage of quotas.
         """
         self._sequence += 1
-        self._ping_times[self._sequence] = clock.boottime_now()
+        self._ping_times[self._sequence] = asyncio.get_running_loop().time()
         self._ping_times.pop(self._sequence - MAX_PENDING_PINGS, None)
         allocator = self.allocator
         ping = datagrams.Ping(
@@ -319,7 +315,7 @@
 
     def _status(self) -> datagrams.Status:
         now = asyncio.get_running_loop().time()
-        age = self._state.configuration_age.age(clock.boottime_now())
+        age = self._state.configuration_age.age(now)
         return datagrams.Status(
             self._state.version,
             int(age * 1000) if age != float("inf") else -1,
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import time
 
 from returns.result import Failure
 from returns.result import Result
@@ -176,7 +175,7 @@
             initial_settings.retry_ratio,
             initial_settings.retry_slack,
             initial_settings.retry_window_seconds,
-            time.monotonic(),
+            asyncio.get_running_loop().time(),
         )
         self._forwarder = forwarding.Forwarder(
             self._state,
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from cranberryglade import quarantine
-from cranberryglade.gateway import clock
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import endpoint_directory
@@ -62,8 +61,8 @@
         return self.configuration.version if self.configuration else 0
 
     def boottime_now(self) -> float:
-        """Returns seconds of the clock for the age of the configuration."""
-        return clock.boottime_now()
+        """Returns seconds of the loop's clock, as in `clock.BoottimeLoop`."""
+        return asyncio.get_running_loop().time()
 
     def confirmation_age(self) -> float:
         """Returns the seconds since the configuration was last confirmed.
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -8,7 +8,6 @@
 from returns.result import Success
 
 from cranberryglade import log
-from cranberryglade.gateway import clock
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import ports
@@ -171,7 +170,7 @@
         """
         while True:
             await asyncio.sleep(PROBE_TICK_SECONDS)
-            now = clock.boottime_now()
+            now = asyncio.get_running_loop().time()
             if self._state.configuration_age.probe_due(
                 now, self.probe_delay_seconds
             ):
@@ -204,7 +203,7 @@
         self._on_configuration()
 
     async def _read_table(self, table: ports.Table):
-        asked_at = clock.boottime_now()
+        asked_at = asyncio.get_running_loop().time()
         result = await self._store.read_table(table)
         match result:
             case Success(rows):
@@ -219,7 +218,7 @@
         return result
 
     async def _read_changes(self, table: ports.Table, version: ports.Version):
-        asked_at = clock.boottime_now()
+        asked_at = asyncio.get_running_loop().time()
         result = await self._store.changes(table, version, LONG_POLL_SECONDS)
         match result:
             case Success(rows):
@@ -230,7 +229,7 @@
         return result
 
     def _date(self, answer: ports.Rows, asked_at: float) -> float:
-        now = clock.boottime_now()
+        now = asyncio.get_running_loop().time()
         return self._store_clock.date(answer, asked_at, now)
 
     def _confirm_configuration(self, as_of: float) -> None:
--- a/cranberryglade/platform/__main__.py
+++ b/cranberryglade/platform/__main__.py
@@ -1,6 +1,5 @@
 """The gateway program, which the platform starts on each machine."""
 
-import asyncio
 import sys
 
 from returns.result import Failure
@@ -8,6 +7,7 @@
 
 from cranberryglade import log
 from cranberryglade import logoutput
+from cranberryglade.gateway import clock
 from cranberryglade.gateway import process
 from cranberryglade.platform import boot
 from cranberryglade.platform import documents
@@ -27,7 +27,7 @@
         case Success(configured):
             output = logoutput.LogOutput(sys.stdout.fileno())
             log.configure("info", configured.instance, output)
-            asyncio.run(_serve(configured))
+            clock.run(_serve(configured))
 
 
 async def _serve(configured) -> None:
--- a/cranberryglade/tests/gateway_builders.py
+++ b/cranberryglade/tests/gateway_builders.py
@@ -2,6 +2,7 @@
 
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import settings
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 
@@ -98,3 +99,24 @@
     """Returns the events of an endpoint stand-in with these numbers."""
     numbers = range(first, last + 1)
     return b"".join(endpoint_standin.event(number) for number in numbers)
+
+
+def make_settings(**changes) -> settings.Settings:
+    fields = {
+        "instance": "gate-0",
+        "failure_domain": "north",
+        "host": "127.0.0.1",
+        "front_address": "127.0.0.1:8221",
+        "ready_address": "127.0.0.1:8224",
+        "peer_port": 7600,
+        "store_address": "127.0.0.1:8225",
+        "revoke_seconds": 5.0,
+        "grace_seconds": 6.0,
+        "retry_ratio": 0.2,
+        "retry_slack": 100.0,
+        "retry_window_seconds": 10.0,
+        "quota_window_seconds": 8.0,
+        "quota_ratio": 0.1,
+        "quota_slack": 0.0,
+    }
+    return settings.Settings(**(fields | changes))
--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -17,6 +17,7 @@
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
 from cranberryglade.standins import store as store_standin
+from cranberryglade.tests import gateway_builders
 
 WAIT_TIMEOUT_SECONDS = 5.0
 """Default timeout of waits."""
@@ -122,22 +123,12 @@
         """
         fields = {
             "instance": name,
-            "failure_domain": "north",
-            "host": "127.0.0.1",
             "front_address": f"127.0.0.1:{free_port()}",
             "ready_address": f"127.0.0.1:{free_port()}",
             "peer_port": free_port(),
             "store_address": self.store_address,
-            "revoke_seconds": 5.0,
-            "grace_seconds": 6.0,
-            "retry_ratio": 0.2,
-            "retry_slack": 100.0,
-            "retry_window_seconds": 10.0,
-            "quota_window_seconds": 8.0,
-            "quota_ratio": 0.1,
-            "quota_slack": 0.0,
         }
-        configured = settings.Settings(**(fields | self._changes))
+        configured = gateway_builders.make_settings(**(fields | self._changes))
         gateway = process.Gateway(
             configured,
             store.StoreClient(self.store_address),
--- a/cranberryglade/tests/test_belief_ages.py
+++ b/cranberryglade/tests/test_belief_ages.py
@@ -10,7 +10,6 @@
 import pytest
 from returns.result import Success
 
-from cranberryglade.gateway import clock
 from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import state
@@ -21,6 +20,7 @@
 from cranberryglade.platform import store
 from cranberryglade.standins import operator_configuration
 from cranberryglade.standins import store as store_standin
+from cranberryglade.tests import stepped_clock
 
 STORE_AHEAD_SECONDS = 5000.0
 REVOKE_SECONDS = 5.0
@@ -35,28 +35,19 @@
     return ports.Rows(number, [row], made_at)
 
 
-class TestClock:
-    """A clock that only moves when it is advanced."""
-
-    __test__ = False
-
-    def __init__(self):
-        self.now = 100.0
-
-
 class SlowlyReadStore:
-    """Makes its answers at once; each is read after a time."""
+    """Makes its answers after a time; each is read after a further time."""
 
-    def __init__(self, test_clock: TestClock, tells_time: bool):
-        self._clock = test_clock
+    def __init__(self, stepped: stepped_clock.SteppedClock, tells_time: bool):
+        self._clock = stepped
         self._tells_time = tells_time
         self.waits_seconds = 0.0
         self.unread_seconds = 0.0
 
     def _make(self, version):
-        self._clock.now += self.waits_seconds
-        made_at = self._clock.now + STORE_AHEAD_SECONDS
-        self._clock.now += self.unread_seconds
+        self._clock.step(self.waits_seconds)
+        made_at = self._clock.time() + STORE_AHEAD_SECONDS
+        self._clock.step(self.unread_seconds)
         return make_rows(version, made_at if self._tells_time else None)
 
     async def read_table(self, table):
@@ -68,13 +59,6 @@
         return Success(self._make(2))
 
 
-@pytest.fixture
-def test_clock(monkeypatch):
-    stepped = TestClock()
-    monkeypatch.setattr(clock, "boottime_now", lambda: stepped.now)
-    return stepped
-
-
 async def watch_a_change(store):
     """Reads the configuration, then a change; returns the state."""
     shared = state.InstanceState(
@@ -98,22 +82,24 @@
 
 
 async def test_a_change_that_waited_while_the_process_stood_still_is_old(
-    test_clock,
+    monkeypatch,
 ):
-    shared = await watch_a_change(SlowlyReadStore(test_clock, True))
+    stepped = stepped_clock.SteppedClock(monkeypatch)
+    shared = await watch_a_change(SlowlyReadStore(stepped, True))
     assert shared.version == 2
-    age = shared.configuration_age.age(test_clock.now)
+    age = shared.configuration_age.age(stepped.time())
     lag = store_watch.FEED_LAG_SECONDS
     assert 5.0 + lag <= age < 5.1 + lag
-    assert not shared.configuration_age.admits_keys(test_clock.now)
+    assert not shared.configuration_age.admits_keys(stepped.time())
 
 
 async def test_a_change_of_a_store_without_a_clock_is_dated_when_asked_for(
-    test_clock,
+    monkeypatch,
 ):
-    shared = await watch_a_change(SlowlyReadStore(test_clock, False))
+    stepped = stepped_clock.SteppedClock(monkeypatch)
+    shared = await watch_a_change(SlowlyReadStore(stepped, False))
     assert shared.version == 2
-    assert shared.configuration_age.age(test_clock.now) == 25.0
+    assert 25.0 <= shared.configuration_age.age(stepped.time()) < 25.1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
