After a pause, admit nothing before asking again

What callers saw: a process that had stood still for seconds served the requests that waited in its sockets by what it knew before: sent them to endpoints that had left meanwhile, and, where the bound for revoked keys is longer than the pause, with keys that had been taken away.

Cause: what waits in the sockets is read before anything new can arrive, and nothing told the process that it had stood still.

Now a process that ran nothing for over 1 s notices it at the first request, datagram or tick (process_pauses). It drops the questions that are on their way, reads both tables once, asks its peers, and refuses requests with 503 and Retry-After until the configuration and the endpoints were confirmed by an answer to a question asked after the pause: the store's, or that of a peer which was in touch with it. If nobody answers for 1 s, requests without a key go on as in any outage of the store; keys wait for an answer. Datagrams that tell how things are and waited in the socket (grants, reports, heartbeats) are discarded for 20 ms; all of them are sent again.

A peer's answer to a heartbeat counts for at most one heartbeat after it was asked for, and its age of the configuration from then.

A pause costs two reads of the store, and one more if the probe is due.

--- a/cranberryglade/gateway/admission.py
+++ b/cranberryglade/gateway/admission.py
@@ -6,6 +6,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import process_pauses
 
 RETRY_AFTER_SECONDS = 0.4
 ROUTE_RANKS = 100
@@ -57,14 +58,16 @@
 class Admission:
     """Checks requests against the configuration in force; no I/O."""
 
-    __slots__ = ("_config_age", "_random")
+    __slots__ = ("_config_age", "_pauses", "_random")
 
     def __init__(
         self,
         config_age: configuration_age.ConfigurationAge,
+        pauses: process_pauses.ProcessPauses,
         randomness: random.Random,
     ):
         self._config_age = config_age
+        self._pauses = pauses
         self._random = randomness
 
     def decide(
@@ -83,6 +86,8 @@
         """
         if config is None:
             return Rejected(503, "no_configuration", RETRY_AFTER_SECONDS)
+        if not self._pauses.admits(now):
+            return Rejected(503, "process_paused", RETRY_AFTER_SECONDS)
         route = config.route(facts.host, facts.path)
         if route is None:
             return self._reject_unlisted(404, "no_route", now)
@@ -90,7 +95,7 @@
         if config.requires_keys and not (
             route.allow_anonymous and not facts.key
         ):
-            if not self._config_age.admits_keys(now):
+            if not self._admits_keys(now):
                 return Rejected(
                     503, "configuration_too_old", RETRY_AFTER_SECONDS
                 )
@@ -99,6 +104,9 @@
                 return self._reject_unlisted(401, "unknown_key", now)
         return self._admit(facts, route, organisation)
 
+    def _admits_keys(self, now: float) -> bool:
+        return self._config_age.admits_keys(now) and self._pauses.admits_keys()
+
     def _reject_unlisted(
         self, status: int, reason: str, now: float
     ) -> Rejected:
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -11,6 +11,8 @@
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import membership
+from cranberryglade.gateway import ports
+from cranberryglade.gateway import process_pauses
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
 
@@ -21,9 +23,28 @@
 """An instance whose configuration was confirmed longer ago also sends
 heartbeats to instances that are not its contacts."""
 
+IN_TOUCH_SECONDS = 2.5
+"""An instance knows the store's endpoints if its configuration was confirmed
+within this time."""
+
 EXTRA_TARGETS = 2
 """How many of those get a heartbeat in each period."""
 
+DISCARD_SECONDS = 0.02
+"""For so long after a pause of this process, datagrams are discarded that tell
+what was so when they were sent: they waited in the socket."""
+
+DATED_DATAGRAMS = (
+    datagrams.Ping
+    | datagrams.Pong
+    | datagrams.SlotRequest
+    | datagrams.Queued
+    | datagrams.Grant
+    | datagrams.Deny
+    | datagrams.EndpointLimit
+)
+"""What tells how things are when it is sent, and is sent again."""
+
 logger = log.get_logger(__name__)
 
 Handler = Callable[[str, datagrams.Datagram], None]
@@ -75,6 +96,7 @@
         self._report = report
         self._transport = None
         self._sequence = 0
+        self._discard_until = float("-inf")
         self._ping_times: dict[int, float] = {}
         self._reachable: set[str] = set()
 
@@ -193,9 +215,13 @@
         Slot requests, decisions and releases go to the message handler;
         datagrams that cannot be decoded are logged and dropped.
         """
+        now = asyncio.get_running_loop().time()
+        self._state.process_pauses.observe(now)
         match datagrams.decode(data):
             case Failure(problem):
                 logger.warning("datagram.unreadable", problem=problem)
+            case Success(message) if self._is_outdated(message, now):
+                self._state.metrics.count_event("datagram_outdated")
             case Success(datagrams.Ping() as ping):
                 self._receive_ping(ping)
             case Success(datagrams.Pong() as pong):
@@ -208,6 +234,25 @@
                 sender = self.members.name_at(f"{addr[0]}:{addr[1]}")
                 self._on_message(sender, message)
 
+    def _is_outdated(self, message: datagrams.Datagram, now: float) -> bool:
+        return now < self._discard_until and isinstance(
+            message, DATED_DATAGRAMS
+        )
+
+    def ask_again(self) -> None:
+        """Asks the other instances anew, after this process stood still.
+
+        Answers to earlier heartbeats are ignored.
+        """
+        loop = asyncio.get_running_loop()
+        self._ping_times.clear()
+        self._discard_until = loop.time() + DISCARD_SECONDS
+        loop.call_at(self._discard_until, self._ping_contacts)
+
+    def _ping_contacts(self) -> None:
+        for member in self.members.contacts:
+            self.ping(member)
+
     def _receive_ping(self, ping: datagrams.Ping) -> None:
         now = asyncio.get_running_loop().time()
         member = self.members.register(
@@ -240,7 +285,11 @@
             return
         now = asyncio.get_running_loop().time()
         age = pong.status.age_ms / 1000
-        if self.members.record_answer(pong.name, pong.incarnation, age, now):
+        # A pong that was late shows nothing of the time in which it was.
+        answered_at = min(now, sent_at + self.members.heartbeat_seconds)
+        if self.members.record_answer(
+            pong.name, pong.incarnation, age, answered_at
+        ):
             logger.info("peer.heard", peer=pong.name, life=pong.incarnation)
         self._learn_quarantine(pong.name, pong.quarantine)
         if pong.other is not None:
@@ -252,13 +301,28 @@
         member.reported_instances = status.members
         member.cut_off = status.cut_off
         if status.confirmed_ms >= 0:
-            member.confirmed_at = now - status.confirmed_ms / 1000
+            member.confirmed_at = sent_at - status.confirmed_ms / 1000
         same_version = status.configuration == self._state.version
         if same_version and status.confirmed_ms >= 0 and self._state.version:
             as_of = sent_at - status.confirmed_ms / 1000
             self._state.configuration_age.confirm(as_of)
+            self._state.process_pauses.confirm(
+                process_pauses.Belief.CONFIGURATION, sent_at
+            )
+        self._confirm_endpoints(status, sent_at)
         self._on_status(member, status)
 
+    def _confirm_endpoints(
+        self, status: datagrams.Status, sent_at: float
+    ) -> None:
+        """Confirms the endpoints if a peer in touch knows nothing newer."""
+        known = ports.Version(status.era, status.endpoints)
+        in_touch = 0 <= status.confirmed_ms < IN_TOUCH_SECONDS * 1000
+        if in_touch and known <= self._state.directory.version:
+            self._state.process_pauses.confirm(
+                process_pauses.Belief.ENDPOINTS, sent_at
+            )
+
     def _learn_quarantine(
         self, peer: str, entries: list[datagrams.QuarantineEntry]
     ) -> None:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -170,6 +170,7 @@
             self._capacity,
         )
         self._allocator.set_mesh(self._mesh)
+        self._state.process_pauses.set_on_resumed(self._ask_again)
         self._origins.set_mesh(self._mesh)
         self._budget = budgets.RetryBudget(
             initial_settings.retry_ratio,
@@ -180,7 +181,11 @@
         self._forwarder = forwarding.Forwarder(
             self._state,
             header_dialect,
-            admission.Admission(self._state.configuration_age, randomness),
+            admission.Admission(
+                self._state.configuration_age,
+                self._state.process_pauses,
+                randomness,
+            ),
             self._allocator,
             self._budget,
             self._sender,
@@ -223,6 +228,7 @@
 
     async def start(self) -> None:
         """Opens the listeners and starts the background tasks."""
+        self._state.process_pauses.observe(asyncio.get_running_loop().time())
         await self._listen()
         await self._mesh.open()
         for coroutine in (
@@ -499,6 +505,7 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = loop.time()
+            self._state.process_pauses.observe(now)
             if self._state.directory.expire(now):
                 self._endpoints_changed()
             self._allocator.tick(now)
@@ -512,6 +519,12 @@
                 self._mesh.members.contacts_suffice(now)
             )
 
+    def _ask_again(self) -> None:
+        """Asks for what may have changed while this process stood still."""
+        self._state.metrics.count_event("process_paused")
+        self._store_watcher.ask_again()
+        self._mesh.ask_again()
+
     async def _register(self) -> None:
         entry = registration.MemberRow(
             self._peer_address, self._settings.failure_domain, self._capacity
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -8,6 +8,7 @@
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import process_pauses
 from cranberryglade.gateway import reachability
 from cranberryglade.gateway import shutdown
 from cranberryglade.gateway import telemetry
@@ -26,6 +27,7 @@
         store_era: newest era of the store that is known; None before the first
             answer.
         store_restored: is set when the store has come back from an old copy.
+        process_pauses: what was asked again since this process stood still.
         limit_share: this instance's fraction of common limits.
         metrics: counters and histograms.
         quarantine: prompt parts and requests that crash endpoints.
@@ -48,6 +50,7 @@
         self.store_era: int | None = None
         self.store_restored = asyncio.Event()
         self.configuration_age = config_age
+        self.process_pauses = process_pauses.ProcessPauses()
         self.limit_share = 1.0
         self.metrics = metrics
         self.quarantine = quarantine.Quarantine()
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -11,6 +11,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import process_pauses
 from cranberryglade.gateway import state
 from cranberryglade.gateway import store_clock
 
@@ -36,6 +37,12 @@
 
 PEER_CHECK_SECONDS = 0.25
 
+BELIEFS = {
+    ports.Table.CONFIGURATION: process_pauses.Belief.CONFIGURATION,
+    ports.Table.ENDPOINTS: process_pauses.Belief.ENDPOINTS,
+}
+"""What a read of a table brings up to date."""
+
 logger = log.get_logger(__name__)
 
 
@@ -53,6 +60,8 @@
         "_decoder",
         "_on_configuration",
         "_on_endpoints",
+        "_outdated",
+        "_questions",
         "_random",
         "_startup_end",
         "_state",
@@ -79,6 +88,8 @@
         self._random = randomness
         self._on_configuration = on_configuration
         self._on_endpoints = on_endpoints
+        self._questions: dict[ports.Table, asyncio.Timeout] = {}
+        self._outdated: set[ports.Table] = set()
         self._store_lost = False
         self._stored_version = 0
         self._store_clock = store_clock.StoreClock()
@@ -98,15 +109,16 @@
         backoff = INITIAL_BACKOFF_SECONDS
         version = None
         while True:
-            if self._covered_by_peers(table):
+            if table in self._outdated:
+                self._outdated.discard(table)
+                version = None
+            elif self._covered_by_peers(table):
                 version = None
                 await asyncio.sleep(PEER_CHECK_SECONDS)
                 continue
-            if version is None:
-                result = await self._read_table(table)
-            else:
-                result = await self._read_changes(table, version)
-            match result:
+            match await self._ask(table, version):
+                case None:
+                    logger.info("store.asked_anew", table=table.value)
                 case Success(ports.Rows(version=version)):
                     backoff = INITIAL_BACKOFF_SECONDS
                     self._record_store_answer()
@@ -123,6 +135,31 @@
                     )
                     backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
 
+    def ask_again(self) -> None:
+        """Drops the questions that wait for an answer, and reads all anew.
+
+        Called when the process stood still: the answers to earlier questions
+        may be old.
+        """
+        self._outdated = set(BELIEFS)
+        now = asyncio.get_running_loop().time()
+        for question in self._questions.values():
+            if not question.expired():
+                question.reschedule(now)
+
+    async def _ask(self, table: ports.Table, version: ports.Version | None):
+        """Reads a table, or its changes; None if it must be asked anew."""
+        try:
+            async with asyncio.timeout(None) as question:
+                self._questions[table] = question
+                if version is None:
+                    return await self._read_table(table)
+                return await self._read_changes(table, version)
+        except TimeoutError:
+            return None
+        finally:
+            del self._questions[table]
+
     async def refresh(self) -> None:
         """Reads the configuration from the store once.
 
@@ -215,6 +252,7 @@
                     self._confirm_configuration(made_at)
                 if table is ports.Table.ENDPOINTS:
                     self._remove_unlisted(rows)
+                self._state.process_pauses.confirm(BELIEFS[table], asked_at)
         return result
 
     async def _read_changes(self, table: ports.Table, version: ports.Version):
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import process_pauses
 from cranberryglade.gateway import quotas
 from cranberryglade.tests import gateway_builders as builders
 
@@ -22,7 +23,8 @@
 
 
 def decide(facts, config, config_age, now):
-    return admission.Admission(config_age, FirstChoice()).decide(
+    pauses = process_pauses.ProcessPauses()
+    return admission.Admission(config_age, pauses, FirstChoice()).decide(
         facts, config, now
     )
 
