Refuse rows of the store that cannot be used, and go on reading the others

What callers saw: one entry of another writer among those of the endpoints ended the watch of that table in all instances for good. An endpoint that left later still got requests, new ones got none, and a restart did not help. With a port out of range the entry was listed, and a request that was given to it ended without an answer.

Cause: each place that decodes rows caught some errors of the decoder. Nested lists raise RecursionError, which none caught: the tasks that watch the endpoints, register the instance and read the quarantine ended. Ranges were not checked: a port of 70000 or of other digits, or a host that is no name, raised OverflowError, ValueError or UnicodeError on connecting, where only OSError is expected; numbers beyond 64 bits could not be passed on to other instances.

One module decodes now, and returns what is wrong instead of raising; one check says whether an endpoint can be used, for rows and for what another instance tells. An address is an IP with a port from 1 to 65535, an id can be the value of a header field, numbers fit into 64 bits.

Entries that are refused from now on: hosts that are names, numbers that are negative or beyond 64 bits, more than a million slots, ids that are not printable ASCII, names and versions of more than 1,024 characters.

--- a/cranberryglade/gateway/origin_rows.py
+++ b/cranberryglade/gateway/origin_rows.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import ports
@@ -118,10 +119,10 @@
 
 
 def _decode(row: ports.Row) -> list[datagrams.OriginRecord]:
-    try:
-        return msgspec.json.decode(
-            row.value or b"[]", type=list[datagrams.OriginRecord]
-        )
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        logger.warning("origins.unreadable", key=row.key, problem=str(error))
-        return []
+    kind = list[datagrams.OriginRecord]
+    match decoding.from_json(row.value or b"[]", kind):
+        case Success(records):
+            return records
+        case Failure(problem):
+            logger.warning("origins.unreadable", key=row.key, problem=problem)
+            return []
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -10,8 +10,10 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import fetching
 from cranberryglade.gateway import membership
@@ -161,19 +163,33 @@
         self, path: str, body: bytes, member: membership.Member
     ) -> None:
         reply_type = ports.Row if path == CONFIGURATION_PATH else EndpointList
-        try:
-            decoded = msgspec.msgpack.decode(body, type=reply_type)
-        except msgspec.DecodeError as error:
-            logger.warning(
-                "peer.unreadable", peer=member.name, problem=str(error)
-            )
-            return
-        logger.info("peer.handout", peer=member.name, what=path)
-        if isinstance(decoded, EndpointList):
-            self._store_watcher.apply_listing(decoded.entries, decoded.version)
-        else:
-            self._store_watcher.apply_configuration(decoded)
+        match decoding.from_msgpack(body, reply_type):
+            case Failure(problem):
+                logger.warning(
+                    "peer.unreadable", peer=member.name, problem=problem
+                )
+            case Success(EndpointList(version=version, entries=entries)):
+                logger.info("peer.handout", peer=member.name, what=path)
+                usable = [each for each in entries if _is_usable(each, member)]
+                self._store_watcher.apply_listing(usable, version)
+            case Success(row):
+                logger.info("peer.handout", peer=member.name, what=path)
+                self._store_watcher.apply_configuration(row)
 
     def _listing(self) -> EndpointList:
         endpoints = self._state.directory
         return EndpointList(endpoints.version, endpoints.entries)
+
+
+def _is_usable(
+    entry: endpoint_directory.Entry, member: membership.Member
+) -> bool:
+    problem = endpoint_checks.find_problem(entry.endpoint)
+    if problem is not None:
+        logger.warning(
+            "endpoint.unreadable",
+            endpoint=entry.endpoint.id,
+            problem=problem,
+            peer=member.name,
+        )
+    return problem is None
--- a/cranberryglade/gateway/quarantine_sync.py
+++ b/cranberryglade/gateway/quarantine_sync.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 import xxhash
 
+from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade import quarantine
 from cranberryglade.gateway import ports
@@ -34,8 +35,8 @@
     """
 
     parts: list[str]
-    seconds: float
-    generation: int
+    seconds: decoding.Quantity
+    generation: decoding.Count
 
 
 class QuarantineSync:
@@ -80,13 +81,14 @@
         return True
 
     def _apply(self, row: ports.Row) -> None:
-        try:
-            stored = msgspec.json.decode(row.value or b"", type=EntryRow)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning(
-                "quarantine.unreadable", key=row.key, problem=str(error)
-            )
-            return
+        match decoding.from_json(row.value, EntryRow):
+            case Success(stored):
+                pass
+            case Failure(problem):
+                logger.warning(
+                    "quarantine.unreadable", key=row.key, problem=problem
+                )
+                return
         now = asyncio.get_running_loop().time()
         entry = quarantine.Entry(
             tuple(stored.parts), now + stored.seconds, stored.generation
--- a/cranberryglade/gateway/registration.py
+++ b/cranberryglade/gateway/registration.py
@@ -5,12 +5,15 @@
 
 import msgspec
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade.gateway import capacity
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import sockets
 
 RETRY_SECONDS = 1.0
 
@@ -33,7 +36,7 @@
 
     address: str
     domain: str
-    capacity: float = capacity.DEFAULT_CAPACITY
+    capacity: decoding.Quantity = capacity.DEFAULT_CAPACITY
 
 
 async def keep_registered(
@@ -90,19 +93,28 @@
             await asyncio.sleep(RETRY_SECONDS)
     now = asyncio.get_running_loop().time()
     for row in rows:
-        try:
-            other = msgspec.json.decode(row.value or b"", type=MemberRow)
-        except msgspec.DecodeError as error:
-            logger.warning(
-                "member.unreadable", member=row.key, problem=str(error)
-            )
-            continue
-        own_membership.register(
-            row.key, other.address, other.domain, now, other.capacity
-        )
+        match _decode(row):
+            case Success(other):
+                own_membership.register(
+                    row.key, other.address, other.domain, now, other.capacity
+                )
+            case Failure(problem):
+                logger.warning(
+                    "member.unreadable", member=row.key, problem=problem
+                )
     logger.info("registered", members=len(rows))
 
 
+def _decode(row: ports.Row) -> Result[MemberRow, str]:
+    return decoding.from_json(row.value, MemberRow).bind(
+        lambda member: (
+            Success(member)
+            if sockets.is_ip_address(member.address)
+            else Failure("no usable address")
+        )
+    )
+
+
 async def _write_and_read(
     store: ports.Store, name: str, entry: MemberRow
 ) -> list[ports.Row] | None:
--- a/cranberryglade/gateway/shared_row.py
+++ b/cranberryglade/gateway/shared_row.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade.gateway import ports
 
@@ -65,8 +66,10 @@
     def _decode(self, row: ports.Row) -> Result[Value | None, ports.StoreError]:
         if row.value is None:
             return Success(None)
-        try:
-            return Success(msgspec.json.decode(row.value, type=self._type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning(f"{self._key}.unreadable", problem=str(error))
-            return Failure(ports.StoreError.UNREADABLE)
+        return decoding.from_json(row.value, self._type).alt(
+            self._report_unreadable
+        )
+
+    def _report_unreadable(self, problem: str) -> ports.StoreError:
+        logger.warning(f"{self._key}.unreadable", problem=problem)
+        return ports.StoreError.UNREADABLE
--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -1,7 +1,15 @@
 """Addresses, and socket options that detect unreachable peers."""
 
+import functools
+import ipaddress
 import socket
 
+from cranberryglade import decoding
+
+MAX_PORT = 65_535
+KNOWN_ADDRESSES = 4096
+"""Addresses whose check is remembered."""
+
 KEEPALIVE_SECONDS = 1
 """Idle time before the first keepalive probe, and between probes."""
 
@@ -25,6 +33,31 @@
     return host, int(port)
 
 
+@functools.lru_cache(KNOWN_ADDRESSES)
+def is_ip_address(address: str) -> bool:
+    """Returns whether an address is an IP and a port to connect or send to.
+
+    Others raise errors of many kinds where they are used, or close the socket
+    that they are used with.
+
+    >>> is_ip_address("10.0.0.1:80"), is_ip_address("10.0.0.1:70000")
+    (True, False)
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    # A scope is a name of the system's, or any text.
+    return "%" not in host and bool(decoding.parse_count(port, MAX_PORT))
+
+
+def is_listening_address(address: str) -> bool:
+    """Returns whether an address has a host, by IP or name, and a port."""
+    host, _, port = address.rpartition(":")
+    return bool(host) and decoding.parse_count(port, MAX_PORT) is not None
+
+
 def set_connection_options(
     connected: socket.socket | None, milliseconds: int
 ) -> None:
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration and the endpoints' rows."""
 
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -7,19 +8,22 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade.gateway import configuration
+from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import ports
 
 CONFIGURATION_KEY = "config"
 DEFAULT_MAX_CONNECTIONS = 1000
+Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 
 
 class WireSplit(msgspec.Struct):
     """The share of a route's requests that one service gets."""
 
     service: str
-    weight: float
+    weight: decoding.Number
 
 
 class WireRoute(msgspec.Struct):
@@ -37,39 +41,39 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 0
+    timeout_ms: decoding.Number
+    target_latency_ms: decoding.Number = 1000.0
+    priority: Rank = 0
     service: str = ""
     traffic_split: list[WireSplit] = []
-    max_attempts: int = 1
+    max_attempts: decoding.Integer = 1
     allow_anonymous: bool = False
     stream_resume: bool = False
-    gap_aim_ms: float = 500.0
+    gap_aim_ms: decoding.Number = 500.0
 
 
 class WireEngine(msgspec.Struct):
     """Capacity of each endpoint of a service, if the endpoints are engines."""
 
-    slots: int = 0
-    kv_cache_tokens: int = 0
+    slots: decoding.Integer = 0
+    kv_cache_tokens: decoding.Integer = 0
 
 
 class WireService(msgspec.Struct):
     """A service; `max_connections` limits one endpoint, over all instances."""
 
     name: str
-    max_connections: int = DEFAULT_MAX_CONNECTIONS
+    max_connections: decoding.Integer = DEFAULT_MAX_CONNECTIONS
     engine: WireEngine | None = None
 
 
 class WireLimits(msgspec.Struct):
     """Limits on requests of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: decoding.Integer = 16_384
+    max_body_bytes: decoding.Integer = 4_194_304
+    header_timeout_ms: decoding.Number = 3000.0
+    idle_timeout_ms: decoding.Number = 15_000.0
 
 
 class WireOrganisation(msgspec.Struct):
@@ -84,17 +88,17 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
     unit: str = ""
-    plain_tokens: int = 0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    plain_tokens: decoding.Integer = 0
+    rate_per_s: decoding.Number = 0.0
+    burst: decoding.Number = 0.0
 
 
 class WireConfig(msgspec.Struct):
     """The operator's complete configuration."""
 
-    version: int
+    version: decoding.Count
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -116,10 +120,10 @@
     address: str
     zone: str
     state: Literal["ready", "draining"]
-    slots: int = 1
-    born: int = 0
+    slots: decoding.Count = 1
+    born: decoding.Count = 0
     version: str = ""
-    sequence: int = 0
+    sequence: decoding.Count = 0
 
 
 class Decoder:
@@ -131,36 +135,31 @@
         """Decodes the configuration; returns None for any other row."""
         if row.key != CONFIGURATION_KEY or row.value is None:
             return None
-        try:
-            wire = msgspec.json.decode(row.value, type=WireConfig)
-            return Success(_configuration(wire))
-        except (msgspec.DecodeError, ValueError) as error:
-            return Failure(str(error))
+        return decoding.from_json(row.value, WireConfig).map(_configuration)
 
     def decode_endpoint(self, row: ports.Row) -> Result[messages.Endpoint, str]:
-        """Decodes an endpoint's row, or returns why it cannot be decoded."""
-        try:
-            wire = msgspec.json.decode(row.value or b"", type=WireEndpoint)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Failure(str(error))
-        host, _, port = wire.address.rpartition(":")
-        if not host or not port.isdigit() or wire.slots < 1:
-            return Failure("no usable address or slots")
-        return Success(
-            messages.Endpoint(
-                id=row.key,
-                service=wire.service,
-                address=wire.address,
-                domain=wire.zone,
-                slots=wire.slots,
-                leaving=wire.state == "draining",
-                started_ms=wire.born,
-                software_version=wire.version,
-                report_number=wire.sequence,
-            )
+        """Decodes an endpoint's row, or returns why it cannot be used."""
+        return decoding.from_json(row.value, WireEndpoint).bind(
+            lambda wire: _endpoint(row.key, wire)
         )
 
 
+def _endpoint(id_: str, wire: WireEndpoint) -> Result[messages.Endpoint, str]:
+    endpoint = messages.Endpoint(
+        id=id_,
+        service=wire.service,
+        address=wire.address,
+        domain=wire.zone,
+        slots=wire.slots,
+        leaving=wire.state == "draining",
+        started_ms=wire.born,
+        software_version=wire.version,
+        report_number=wire.sequence,
+    )
+    problem = endpoint_checks.find_problem(endpoint)
+    return Success(endpoint) if problem is None else Failure(problem)
+
+
 def _kind(route: WireRoute) -> configuration.Kind:
     match route.kind:
         case "idempotent":
@@ -177,6 +176,7 @@
     shares = tuple(
         configuration.ServiceWeight(split.service, split.weight)
         for split in wire.traffic_split
+        if split.weight > 0
     )
     return configuration.Route(
         name=wire.name,
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade.gateway import fetching
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import store_clock
@@ -44,7 +45,7 @@
 
     key: str
     table: str = ""
-    ver: int = 0
+    ver: decoding.Count = 0
     value: str = ""
     deleted: bool = False
 
@@ -52,7 +53,7 @@
 class WireRows(msgspec.Struct):
     """Reply to a read; `ver` is the newest version of the whole store."""
 
-    ver: int
+    ver: decoding.Count
     rows: list[WireRow] = []
     has_more: bool = False
     now_ms: object = None
@@ -69,7 +70,7 @@
 class Written(msgspec.Struct):
     """Reply to an applied transaction; `ver` is the version it created."""
 
-    ver: int
+    ver: decoding.Count
 
 
 class Refused(msgspec.Struct):
@@ -279,7 +280,7 @@
 def _era(reply: fetching.Reply) -> int:
     for header in reply.headers:
         if header.name.lower() == ERA_HEADER:
-            return int(header.value) if header.value.isdigit() else 0
+            return decoding.parse_count(header.value.decode("latin-1")) or 0
     return 0
 
 
@@ -301,10 +302,9 @@
 
 
 def _decode(body: bytes, kind: type):
-    try:
-        return Success(msgspec.json.decode(body, type=kind))
-    except msgspec.DecodeError:
-        return Failure(ports.StoreError.UNREADABLE)
+    return decoding.from_json(body, kind).alt(
+        lambda problem: ports.StoreError.UNREADABLE
+    )
 
 
 def _transaction(writes: list[ports.Write]) -> Transaction:
