Keep instances in touch whatever a datagram or a member's row holds

What was seen: an instance fell silent for good when it learned of a member with a port out of range, by the store, a heartbeat or an introduction. Sending to such an address raises OverflowError, upon which asyncio closes the socket, and nothing opens it again; an address without a port ended the task that sends heartbeats.

Addresses of members are checked where they come in; the rest of the heartbeat is dropped with them, as there is no way to answer. Kinds and outcomes that are not known are refused by the decoder instead of raising in the handler. Any number in a datagram has a meaning: durations and counts are limited to what can be raised and sent again; before, 2**64 - 1 ms came out as 2**64, which cannot be encoded, and ended the task that sends heartbeats.

No change of formats; a heartbeat of the build before is refused only if it holds NaN, an infinite or a negative cost.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -191,9 +191,7 @@
         granter = self._granted_by.pop(id_, self._name)
         if granter != self._name:
             told = list(parts) if self._tells_of_parts(parts, outcome) else []
-            self._mesh.send_to(
-                granter, datagrams.Release(id_, outcome.value, told)
-            )
+            self._mesh.send_to(granter, datagrams.Release(id_, outcome, told))
         if granter == self._name or outcome is messages.Outcome.SERVED:
             self._slots.record_evidence(id_, parts, outcome, now)
         self._free_slot(self._name, id_, outcome, now)
@@ -273,10 +271,9 @@
             case datagrams.SlotRequest():
                 self._holders_seen.setdefault(message.name, now)
                 self._handle_slot_request(message, now)
-            case datagrams.Release(id=id_, outcome=outcome):
+            case datagrams.Release(id=id_, outcome=ended):
                 self._slots.withdraw(id_)
                 self._charges.refund(id_)
-                ended = messages.Outcome(outcome)
                 parts = tuple(message.parts)
                 self._slots.record_evidence(id_, parts, ended, now)
                 self._free_slot(sender, id_, ended, now)
@@ -312,7 +309,7 @@
             decision = await self._request_from(allocator, request, pending)
             if decision is not None:
                 return decision
-            abandoned = messages.Outcome.ABANDONED.value
+            abandoned = messages.Outcome.ABANDONED
             self._mesh.send_to(
                 allocator, datagrams.Release(request.id, abandoned)
             )
@@ -440,7 +437,7 @@
         abandoned = messages.Outcome.ABANDONED
         self._granted_by.pop(id_, None)
         for name in asked:
-            self._mesh.send_to(name, datagrams.Release(id_, abandoned.value))
+            self._mesh.send_to(name, datagrams.Release(id_, abandoned))
         now = asyncio.get_running_loop().time()
         self.deliver_decisions(self._slots.release(id_, abandoned, now))
 
@@ -501,7 +498,8 @@
             return
         if pending is None or pending.future.done():
             self._mesh.send_to(
-                sender, datagrams.Release(granted.id, "abandoned")
+                sender,
+                datagrams.Release(granted.id, messages.Outcome.ABANDONED),
             )
             return
         now = asyncio.get_running_loop().time()
--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -1,12 +1,22 @@
-"""Converts slot requests and decisions to and from datagrams."""
+"""Converts slot requests and decisions to and from datagrams.
+
+Any number of a datagram has a meaning here, and any number can be sent.
+"""
+
+import math
 
 from cranberryglade import crash_evidence
 from cranberryglade import quarantine
-from cranberryglade.gateway import configuration
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import messages
 
+MAX_DURATION_MS = 2**53
+MAX_COUNT = 2**53
+"""Counts are limited to this, so that they can be raised and sent again."""
+
+MAX_LIMIT_PER_SECOND = 1e9
+
 
 def encode_decision(decision: messages.Decision) -> datagrams.Datagram:
     """Returns the datagram of a decision."""
@@ -15,12 +25,12 @@
             return datagrams.Grant(id_, endpoint)
         case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
             waiting = decision.waiting
-            return datagrams.Deny(id_, reason, round(after * 1000), waiting)
+            return datagrams.Deny(id_, reason, _milliseconds(after), waiting)
 
 
 def decode_denial(deny: datagrams.Deny) -> messages.Denied:
     """Returns the denial that a datagram carries."""
-    after = deny.retry_after_ms / 1000
+    after = max(0.0, _seconds(deny.retry_after_ms))
     return messages.Denied(deny.id, deny.reason, after, deny.waiting)
 
 
@@ -33,11 +43,11 @@
         id=request.id,
         service=request.service,
         rank=request.rank,
-        kind=request.kind.value,
+        kind=request.kind,
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
-        wait_ms=max(0, round((request.wait_until - now) * 1000)),
-        target_ms=round((request.first_answer_due - now) * 1000),
+        wait_ms=max(0, _milliseconds(request.wait_until - now)),
+        target_ms=_milliseconds(request.first_answer_due - now),
         avoid=list(request.excluded_endpoints),
         organisation=request.organisation,
         cost=request.cost,
@@ -54,11 +64,11 @@
         id=ask.id,
         service=ask.service,
         rank=ask.rank,
-        kind=configuration.Kind(ask.kind),
+        kind=ask.kind,
         prompt_tokens=ask.prompt_tokens,
         output_tokens=ask.output_tokens,
-        wait_until=now + ask.wait_ms / 1000,
-        first_answer_due=now + ask.target_ms / 1000,
+        wait_until=now + _seconds(ask.wait_ms),
+        first_answer_due=now + _seconds(ask.target_ms),
         excluded_endpoints=tuple(ask.avoid),
         organisation=ask.organisation,
         cost=ask.cost,
@@ -73,7 +83,7 @@
     """Returns a quarantine as a heartbeat holds it."""
     return datagrams.QuarantineEntry(
         list(entry.parts),
-        max(0, round((entry.until - now) * 1000)),
+        max(0, _milliseconds(entry.until - now)),
         entry.generation,
         entry.lifted,
     )
@@ -85,8 +95,8 @@
     """Returns a quarantine of a heartbeat, with times of this clock."""
     return quarantine.Entry(
         tuple(entry.parts),
-        now + entry.remaining_ms / 1000,
-        entry.generation,
+        now + _seconds(entry.remaining_ms),
+        _count(entry.generation),
         entry.lifted,
     )
 
@@ -100,7 +110,7 @@
         limit.started_ms,
         limit.per_second,
         limit.ended,
-        max(0, round((now - limit.observed_at) * 1000)),
+        max(0, _milliseconds(now - limit.observed_at)),
     )
 
 
@@ -111,9 +121,9 @@
     return endpoint_limits.EndpointLimit(
         news.endpoint,
         news.started_ms,
-        news.per_second,
+        _limit(news.per_second),
         news.ended,
-        now - news.age_ms / 1000,
+        now - max(0.0, _seconds(news.age_ms)),
     )
 
 
@@ -131,5 +141,26 @@
 ) -> crash_evidence.Suspicion:
     """Returns a suspicion of a heartbeat."""
     return crash_evidence.Suspicion(
-        suspect.part, suspect.crashes, suspect.endpoints
+        suspect.part, _count(suspect.crashes), _count(suspect.endpoints)
     )
+
+
+def _milliseconds(seconds: float) -> int:
+    # Of NaN, too, max returns its first argument.
+    milliseconds = max(-MAX_DURATION_MS, seconds * 1000)
+    return round(min(MAX_DURATION_MS, milliseconds))
+
+
+def _seconds(milliseconds: int) -> float:
+    return max(-MAX_DURATION_MS, min(MAX_DURATION_MS, milliseconds)) / 1000
+
+
+def _count(number: int) -> int:
+    return max(0, min(MAX_COUNT, number))
+
+
+def _limit(per_second: float) -> float:
+    """Returns a limit as it is applied; none in effect for other numbers."""
+    usable = math.isfinite(per_second) and per_second >= 0
+    limited = per_second if usable else MAX_LIMIT_PER_SECOND
+    return min(limited, MAX_LIMIT_PER_SECOND)
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -4,11 +4,12 @@
 """
 
 import msgspec
-from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade.gateway import capacity
+from cranberryglade.gateway import configuration
+from cranberryglade.gateway import messages
 
 
 class HeldSlot(msgspec.Struct, array_like=True, frozen=True):
@@ -29,8 +30,8 @@
     """
 
     organisation: str
-    cost: float
-    age_seconds: float
+    cost: decoding.Quantity
+    age_seconds: decoding.Number
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
@@ -155,7 +156,7 @@
     quarantine: list[QuarantineEntry] = []
     suspects: list[SuspectPart] | None = None
     limits: list[EndpointLimit] = []
-    capacity: float = capacity.DEFAULT_CAPACITY
+    capacity: decoding.Quantity = capacity.DEFAULT_CAPACITY
 
 
 class MemberInfo(msgspec.Struct, array_like=True, frozen=True):
@@ -171,7 +172,7 @@
     name: str
     address: str
     domain: str
-    capacity: float = capacity.DEFAULT_CAPACITY
+    capacity: decoding.Quantity = capacity.DEFAULT_CAPACITY
 
 
 class Pong(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -203,7 +204,7 @@
         id: id of the request, unique among all instances.
         service: the service that runs it.
         rank: urgency; 0 is the most urgent.
-        kind: which repeats are allowed; a value of `configuration.Kind`.
+        kind: which repeats are allowed.
         prompt_tokens: length of the prompt; 0 for plain calls.
         output_tokens: expected length of the answer; 0 for plain calls.
         wait_ms: milliseconds from now that it may wait for a slot.
@@ -220,14 +221,14 @@
     id: str
     service: str
     rank: int
-    kind: str
+    kind: configuration.Kind
     prompt_tokens: int
     output_tokens: int
     wait_ms: int
     target_ms: int
     avoid: list[str]
     organisation: str
-    cost: float
+    cost: decoding.Quantity
     software_version: str | None = None
     parts: list[str] = []
 
@@ -266,12 +267,12 @@
 
     Attributes:
         id: id of the request.
-        outcome: how it ended; a value of `messages.Outcome`.
+        outcome: how it ended.
         parts: as in SlotRequest, if the outcome tells something of them.
     """
 
     id: str
-    outcome: str
+    outcome: messages.Outcome
     parts: list[str] = []
 
 
@@ -363,7 +364,4 @@
     >>> decode(encode(Queued("a.1")))
     <Success: Queued(id='a.1')>
     """
-    try:
-        return Success(_decoder.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(str(error))
+    return decoding.attempt(lambda: _decoder.decode(data))
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -255,9 +255,10 @@
 
     def _receive_ping(self, ping: datagrams.Ping) -> None:
         now = asyncio.get_running_loop().time()
-        member = self.members.register(
-            ping.name, ping.address, ping.domain, now, ping.capacity
+        sender = datagrams.MemberInfo(
+            ping.name, ping.address, ping.domain, ping.capacity
         )
+        member = self._register(sender, now)
         if member is None:
             return
         age = ping.status.age_ms / 1000
@@ -278,6 +279,20 @@
         self._learn_limits(ping.limits)
         self._on_message(ping.name, ping)
 
+    def _register(
+        self, info: datagrams.MemberInfo, now: float
+    ) -> membership.Member | None:
+        if not sockets.is_ip_address(info.address):
+            logger.warning(
+                "member.unreadable",
+                member=info.name,
+                problem="no usable address",
+            )
+            return None
+        return self.members.register(
+            info.name, info.address, info.domain, now, info.capacity
+        )
+
     def _receive_pong(self, pong: datagrams.Pong) -> None:
         sent_at = self._ping_times.get(pong.sequence)
         member = self.members.get(pong.name)
@@ -293,10 +308,7 @@
             logger.info("peer.heard", peer=pong.name, life=pong.incarnation)
         self._learn_quarantine(pong.name, pong.quarantine)
         if pong.other is not None:
-            other = pong.other
-            self.members.register(
-                other.name, other.address, other.domain, now, other.capacity
-            )
+            self._register(pong.other, now)
         status = pong.status
         member.reported_instances = status.members
         member.cut_off = status.cut_off
--- a/cranberryglade/tools/benchallocator.py
+++ b/cranberryglade/tools/benchallocator.py
@@ -286,7 +286,7 @@
 
     def _end(self, id_: str) -> None:
         self._held[self._holders.pop(id_)].pop(id_, None)
-        self._receive(datagrams.Release(id_, messages.Outcome.SERVED.value, []))
+        self._receive(datagrams.Release(id_, messages.Outcome.SERVED, []))
 
     def _beat(self, name: str) -> None:
         held = [
