Refuse settings files that are nested too deep or out of range

A settings file is read each few seconds. One with nested lists or an integer of thousands of digits raised an error that nobody caught, which ended the process at the start and the task that reads it again later. Ports out of range, windows without length, NaN and infinite numbers were accepted, and raised errors where they were used.

The file is now decoded in one place, and the settings are checked as a whole before they come into force. All nine cases of test_settings_that_cannot_be_used_are_refused failed before.

--- a/cranberryglade/gateway/settings.py
+++ b/cranberryglade/gateway/settings.py
@@ -2,6 +2,13 @@
 
 import dataclasses
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade import decoding
+from cranberryglade.gateway import sockets
+
 FIXED = (
     "instance",
     "failure_domain",
@@ -58,3 +65,23 @@
     quota_slack: float
     processor_cores: float = 1.0
     link_mbps: float = 1000.0
+
+
+def check(settings: Settings) -> Result[Settings, str]:
+    """Returns settings that can be used, or what is wrong with them."""
+    addresses = {
+        "host": f"{settings.host}:{settings.peer_port}",
+        "front_address": settings.front_address,
+        "ready_address": settings.ready_address,
+        "store_address": settings.store_address,
+    }
+    for name, address in addresses.items():
+        if not sockets.is_listening_address(address):
+            return Failure(f"no usable address: {name}")
+    for field in dataclasses.fields(settings):
+        value = getattr(settings, field.name)
+        if isinstance(value, float) and not 0 <= value <= decoding.MAX_NUMBER:
+            return Failure(f"number out of range: {field.name}")
+    if not min(settings.retry_window_seconds, settings.quota_window_seconds):
+        return Failure("a window without length")
+    return Success(settings)
--- a/cranberryglade/platform/boot.py
+++ b/cranberryglade/platform/boot.py
@@ -1,13 +1,12 @@
 """Reads the settings file that the platform writes for a process."""
 
 import os
-import tomllib
 
 import msgspec
 from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade.gateway import settings
 
 PATH_VARIABLE = "CRANBERRYGLADE_BOOT"
@@ -113,12 +112,12 @@
     path = path or os.environ.get(PATH_VARIABLE, "")
     try:
         with open(path, "rb") as file:
-            boot = msgspec.convert(tomllib.load(file), Boot)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            data = file.read()
+    except (OSError, ValueError) as error:
         return Failure(f"{path}: {error}")
-    except msgspec.ValidationError as error:
-        return Failure(f"{path}: {error}")
-    return Success(_settings(boot))
+    boot = decoding.from_toml(data, Boot)
+    checked = boot.map(_settings).bind(settings.check)
+    return checked.alt(lambda problem: f"{path}: {problem}")
 
 
 def _settings(boot: Boot) -> settings.Settings:
--- a/cranberryglade/tests/test_platform_boot.py
+++ b/cranberryglade/tests/test_platform_boot.py
@@ -2,10 +2,14 @@
 
 import pathlib
 
+import hypothesis
+from hypothesis import strategies
+import pytest
 from returns.result import Failure
 from returns.result import Success
 
 from cranberryglade.platform import boot
+from cranberryglade.tests import odd_values
 
 ROOT = pathlib.Path(__file__).parents[2]
 FILE = """
@@ -75,3 +79,33 @@
     pinned = (ROOT / "constraints.txt").read_text(encoding="utf-8")
     wanted = (ROOT / "deploy" / "requirements.txt").read_text(encoding="utf-8")
     assert set(wanted.splitlines()) <= set(pinned.splitlines())
+
+
+ODD_SETTINGS = [
+    "a = " + "[" * 3000,
+    "a = 1" + "0" * 5000,
+    FILE.replace("[7600, 7615]", "[70000, 70001]"),
+    FILE.replace(":8221", ":70000"),
+    FILE.replace(":8225", ":x"),
+    FILE.replace("grace_s = 8", "grace_s = nan"),
+    FILE.replace("grace_s = 8", "grace_s = -1"),
+    FILE.replace("grace_s = 8", "quota_window_s = 0"),
+    FILE.replace("slack = 190000", "slack = inf"),
+]
+
+
+@pytest.mark.parametrize("text", ODD_SETTINGS)
+def test_settings_that_cannot_be_used_are_refused(text, tmp_path):
+    match read_settings(tmp_path, text):
+        case Failure(problem):
+            assert "boot.toml" in problem
+        case Success(_):
+            pytest.fail("accepted")
+
+
+@odd_values.SETTINGS
+@hypothesis.given(data=strategies.binary(max_size=200))
+def test_any_settings_file_gives_settings_or_a_problem(data, tmp_path_factory):
+    path = tmp_path_factory.getbasetemp() / "any.toml"
+    path.write_bytes(data)
+    assert isinstance(boot.read(str(path)), (Success, Failure))
