Start long-lived tasks again that end by an error

What was seen: a task that ended by an error nobody foresaw stayed away for the rest of the process's life, with one line in the log. The watch of a table, the heartbeats, the registration, the clean-up tick: each is needed, and the process went on without it, ready as before. The socket for datagrams was not opened again when the system closed it.

The process does not end itself: what one instance cannot read, all instances cannot read, and their restarts would cost every request. Usage that was read before is not read again with a restart.

--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -95,6 +95,7 @@
         self._on_status = on_status
         self._report = report
         self._transport = None
+        self._closed = False
         self._sequence = 0
         self._discard_until = float("-inf")
         self._ping_times: dict[int, float] = {}
@@ -119,8 +120,16 @@
         )
 
     async def run(self) -> None:
-        """Sends heartbeats periodically until cancelled."""
+        """Sends heartbeats periodically until cancelled.
+
+        Opens the socket again if the system closed it.
+
+        Raises:
+            OSError: if it cannot be opened.
+        """
         while True:
+            if self._transport.is_closing() and not self._closed:
+                await self.open()
             for member in self.members.contacts + self._extra_targets():
                 self.ping(member)
             self._log_reachability()
@@ -198,6 +207,7 @@
 
     def close(self) -> None:
         """Closes the socket."""
+        self._closed = True
         if self._transport is not None:
             self._transport.close()
 
@@ -205,6 +215,11 @@
         """Stores the transport, once the socket is bound."""
         self._transport = transport
 
+    def connection_lost(self, exc) -> None:
+        """Logs that the socket was closed, unless that was intended."""
+        if not self._closed:
+            logger.error("mesh.closed", exc_info=exc)
+
     def error_received(self, exc) -> None:
         """Counts an error that a send or receive operation raised."""
         self._state.metrics.count_event("datagram_error")
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -111,7 +111,11 @@
         self._pending_paths.add(path)
         task = asyncio.create_task(self._fetch(path, member, version))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_fetch)
+
+    def _end_fetch(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        log.report_failed_task(logger, task, task="fetch")
 
     async def _fetch(
         self,
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade import supervision
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import budgets
@@ -204,7 +205,9 @@
         )
         self._caller_server: asyncio.Server | None = None
         self._servers: list[asyncio.Server] = []
-        self._tasks: list[asyncio.Task] = []
+        self._supervisor = supervision.Supervisor(
+            lambda: self._state.metrics.count_event("task_failed")
+        )
         self._stopping = asyncio.Event()
         self._logger = log.get_logger(__name__)
         self._register_gauges()
@@ -231,23 +234,22 @@
         self._state.process_pauses.observe(asyncio.get_running_loop().time())
         await self._listen()
         await self._mesh.open()
-        for coroutine in (
-            self._store_watcher.watch(ports.Table.CONFIGURATION),
-            self._store_watcher.watch(ports.Table.ENDPOINTS),
-            self._store_watcher.probe(),
-            self._mesh.run(),
-            self._register(),
-            self._quarantine_sync.run(),
-            self._usage_sync.run(),
-            self._version_sync.run(),
-            self._origin_rows.run(),
-            self._settle(),
-            self._tick(),
-            self._reread_settings(),
-        ):
-            task = asyncio.create_task(coroutine)
-            task.add_done_callback(self._log_failed_task)
-            self._tasks.append(task)
+        watch = self._store_watcher.watch
+        for name, run in {
+            "watch_configuration": lambda: watch(ports.Table.CONFIGURATION),
+            "watch_endpoints": lambda: watch(ports.Table.ENDPOINTS),
+            "probe": self._store_watcher.probe,
+            "mesh": self._mesh.run,
+            "register": self._register,
+            "quarantine": self._quarantine_sync.run,
+            "usage": self._usage_sync.run,
+            "versions": self._version_sync.run,
+            "origins": self._origin_rows.run,
+            "settle": self._settle,
+            "tick": self._tick,
+            "settings": self._reread_settings,
+        }.items():
+            self._supervisor.start(name, run)
         self._logger.info("started", incarnation=self._state.incarnation)
 
     def stop(self) -> None:
@@ -301,8 +303,7 @@
 
     def close(self) -> None:
         """Cancels all tasks and drops all connections at once."""
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         for server in self._servers:
             server.close()
         for listener in (
@@ -378,10 +379,6 @@
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
 
-    def _log_failed_task(self, task: asyncio.Task) -> None:
-        name = task.get_coro().__qualname__
-        log.report_failed_task(self._logger, task, task=name)
-
     def _register_gauges(self) -> None:
         state = self._state
         members = self._mesh.members
--- a/cranberryglade/gateway/usage_sync.py
+++ b/cranberryglade/gateway/usage_sync.py
@@ -50,7 +50,7 @@
 
     async def run(self) -> None:
         """Runs until cancelled."""
-        while not await self._load():
+        while not self.read.is_set() and not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
         self.read.set()
         while True:
--- a/cranberryglade/instance.py
+++ b/cranberryglade/instance.py
@@ -31,6 +31,7 @@
 from cranberryglade import settings
 from cranberryglade import snapshots
 from cranberryglade import subscriptions
+from cranberryglade import supervision
 from cranberryglade import tables
 from cranberryglade import tickets
 from cranberryglade import tracing
@@ -60,7 +61,7 @@
         self._metrics = metrics.Metrics(configured.statsd_address)
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._runners: list[web.AppRunner] = []
-        self._tasks: list[asyncio.Task] = []
+        self._supervisor = supervision.Supervisor()
 
     async def run(self) -> None:
         """Serves requests until a graceful stop is complete.
@@ -213,22 +214,19 @@
             own.incarnation,
             self._tracing,
         ).register(peer_app)
-        self._spawn(
-            gauges.Gauges(
-                self._metrics, self._executor, subscription, fact_log
-            ).run()
+        measured = gauges.Gauges(
+            self._metrics, self._executor, subscription, fact_log
         )
-        self._spawn(subscription.run(self._settings.poll_seconds))
-        self._spawn(members.poll_list(self._settings.poll_seconds))
-        self._spawn(self._reports.run())
-        self._spawn(members.run_probes(self._settings.probe_seconds))
-
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(
-            lambda done: log.report_failed_task(logger, done)
-        )
-        self._tasks.append(task)
+        poll_seconds = self._settings.poll_seconds
+        probe_seconds = self._settings.probe_seconds
+        for name, run in {
+            "gauges": measured.run,
+            "configuration": lambda: subscription.run(poll_seconds),
+            "list": lambda: members.poll_list(poll_seconds),
+            "reports": self._reports.run,
+            "probes": lambda: members.run_probes(probe_seconds),
+        }.items():
+            self._supervisor.start(name, run)
 
     async def _stop(self) -> None:
         self._members.stop()
@@ -256,9 +254,8 @@
         await self._lifecycle.wait_until_idle()
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._supervisor.cancel()
+        await self._supervisor.wait_until_ended()
         for runner in self._runners:
             await runner.cleanup()
         self._members.close()
