Read on in the daemon when a row, report or message cannot be read

What was seen: one entry of the list of instances that could not be read made the whole list unreadable, so that the daemon followed it no longer. A report with an age of 10**400 ms ended the follower of that endpoint, and nothing started it again.

All decoders of the daemon return or raise their own error now; numbers beyond 64 bits are refused by the types of the messages. An entry that cannot be read names no instance, is logged, and hides no other. Followers run under the supervisor.

No change of formats: numbers beyond 64 bits, which nobody sends, are refused.

--- a/cranberryglade/claimants.py
+++ b/cranberryglade/claimants.py
@@ -5,8 +5,11 @@
 import secrets
 
 import msgspec
+from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import decoding
+from cranberryglade import log
 from cranberryglade import tables
 from cranberryglade import wire
 from cranberryglade.gateway import ports
@@ -20,6 +23,8 @@
 CLAIM_TIMEOUT_SECONDS = 2.0
 BACKOFF_SECONDS = 0.5
 
+logger = log.get_logger(__name__)
+
 
 class ClaimRow(msgspec.Struct):
     """Value of a claim row.
@@ -177,8 +182,13 @@
         read = await self._platform.row(TABLE, item.key)
         match read:
             case Success(stored) if stored.version:
-                found = msgspec.json.decode(stored.value, type=ClaimRow)
-                item.settle(*_resolve(item, found, stored.version))
+                match decoding.from_json(stored.value, ClaimRow):
+                    case Success(found):
+                        item.settle(*_resolve(item, found, stored.version))
+                    case Failure(problem):
+                        logger.warning(
+                            "claim.unreadable", key=item.key, problem=problem
+                        )
             case _:
                 pass
 
--- a/cranberryglade/gossip_encoding.py
+++ b/cranberryglade/gossip_encoding.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade.scheduling import gossip_messages
 from cranberryglade.scheduling import messages
 
@@ -40,9 +41,9 @@
     incarnation: str
     address: str
     failure_domain: str
-    heartbeat: int
-    version: int
-    age_ms: int
+    heartbeat: decoding.Integer
+    version: decoding.Integer
+    age_ms: decoding.Integer
     digests: list[list[Any]]
     owner: bool = True
 
@@ -58,7 +59,7 @@
     """A part that ran in a crash, and for how long in milliseconds."""
 
     part: str
-    running_ms: int
+    running_ms: decoding.Integer
 
 
 class CrashRow(msgspec.Struct, array_like=True):
@@ -66,7 +67,7 @@
 
     endpoint: str
     incarnation: str
-    age_ms: int
+    age_ms: decoding.Integer
     attempts: list[AttemptRow]
 
 
@@ -74,8 +75,8 @@
     """A quarantine; the time until its end is in milliseconds."""
 
     prefixes: list[str]
-    remaining_ms: int
-    generation: int
+    remaining_ms: decoding.Integer
+    generation: decoding.Integer
     lifted: bool
 
 
@@ -166,12 +167,7 @@
                 ),
             )
         )
-    except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
-        RecursionError,
-        zlib.error,
-    ) as error:
+    except (*decoding.ERRORS, TypeError, zlib.error) as error:
         return Failure(str(error))
 
 
--- a/cranberryglade/reports.py
+++ b/cranberryglade/reports.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+import functools
 
 import aiohttp
 import reactivex
@@ -16,9 +17,11 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import limited_reading
 from cranberryglade import log
 from cranberryglade import membership
+from cranberryglade import supervision
 from cranberryglade import wire
 from cranberryglade.scheduling import messages
 from cranberryglade.scheduling import pools
@@ -51,12 +54,12 @@
         dropped: prefixes evicted from the cache since the last line.
     """
 
-    sequence: int
+    sequence: decoding.Integer
     state: str = "live"
     incarnation: str = ""
-    running: int = 0
-    waiting: int = 0
-    age_ms: int = 0
+    running: decoding.Integer = 0
+    waiting: decoding.Integer = 0
+    age_ms: decoding.Integer = 0
     held: list[str] = []
     dropped: list[str] = []
 
@@ -70,8 +73,8 @@
         state: "live" or "leaving".
     """
 
-    running: int = 0
-    waiting: int = 0
+    running: decoding.Integer = 0
+    waiting: decoding.Integer = 0
     state: str = "live"
 
 
@@ -150,7 +153,10 @@
                 self._tasks.pop(endpoint).cancel()
             for endpoint in wanted - self._tasks.keys():
                 self._tasks[endpoint] = asyncio.create_task(
-                    self._follow(endpoint)
+                    supervision.keep_running(
+                        "reports_of_endpoint",
+                        functools.partial(self._follow, endpoint),
+                    )
                 )
             await asyncio.sleep(OWNERSHIP_CHECK_SECONDS)
 
--- a/cranberryglade/scheduling/answers.py
+++ b/cranberryglade/scheduling/answers.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from cranberryglade import decoding
+
 TOKEN_PREFIX = b"id: "
 END_PREFIX = b"event: end\n"
 EVENT_SEPARATOR = b"\n\n"
@@ -131,7 +133,7 @@
         data = event[len(END_PREFIX) + len(b"data: ") :]
         try:
             end = msgspec.json.decode(data, type=EndMarker)
-        except msgspec.MsgspecError as error:
+        except decoding.ERRORS as error:
             raise BrokenAnswerError("end marker is not readable") from error
         if end.request_id != self._request_id:
             raise BrokenAnswerError("end marker names another request")
--- a/cranberryglade/scheduling/messages.py
+++ b/cranberryglade/scheduling/messages.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from cranberryglade import decoding
 from cranberryglade import verdicts
 
 
@@ -153,9 +154,8 @@
     ('', 0)
     """
     parts = request_id.rsplit(".", 2)
-    if len(parts) != 3 or not parts[1].isdecimal():
-        return "", 0
-    return parts[0], int(parts[1])
+    sequence = decoding.parse_count(parts[1]) if len(parts) == 3 else None
+    return ("", 0) if sequence is None else (parts[0], sequence)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/snapshots.py
+++ b/cranberryglade/snapshots.py
@@ -4,10 +4,10 @@
 import collections
 import dataclasses
 
-import msgspec
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import exchanges
 from cranberryglade import log
 from cranberryglade import tables
@@ -228,11 +228,11 @@
 
 
 def _decode(data: bytes, home: str) -> Snapshot | None:
-    try:
-        snapshot = msgspec.json.decode(data, type=Snapshot)
-    except msgspec.MsgspecError:
-        return None
-    return snapshot if snapshot.home == home else None
+    match decoding.from_json(data, Snapshot):
+        case Success(snapshot) if snapshot.home == home:
+            return snapshot
+        case _:
+            return None
 
 
 def _object_name(home: str) -> str:
--- a/cranberryglade/tables.py
+++ b/cranberryglade/tables.py
@@ -12,8 +12,12 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import log
 from cranberryglade import wire
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import sockets
+
+logger = log.get_logger(__name__)
 
 
 class PlatformError(Exception):
@@ -214,14 +218,26 @@
     return read.map(lambda stored_row: Row(stored_row.value, stored_row.number))
 
 
+def _decode_instance(row: ports.Row) -> Result[wire.InstanceDocument, str]:
+    return wire.decode(row.value or b"", wire.InstanceDocument).bind(
+        lambda instance: (
+            Success(instance)
+            if sockets.is_listening_address(instance.address)
+            else Failure("no usable address")
+        )
+    )
+
+
 def _decode_instances(
     read: ports.Rows, filters: dict[str, str]
 ) -> Result[InstanceListing, PlatformError]:
     instances = []
     for row in read.rows:
-        match wire.decode(row.value or b"", wire.InstanceDocument):
+        match _decode_instance(row):
             case Failure(problem):
-                return Failure(PlatformError(f"{row.key}: {problem}"))
+                logger.warning(
+                    "instance.unreadable", row=row.key, problem=problem
+                )
             case Success(instance):
                 instances.append(instance)
     matching = [
--- a/cranberryglade/tests/odd_values.py
+++ b/cranberryglade/tests/odd_values.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from cranberryglade.standins import operator_configuration
 
@@ -73,3 +74,19 @@
     ),
     max_leaves=8,
 )
+
+
+def documents_of(kinds):
+    """Returns a strategy of JSON, mostly with fields of one of some types."""
+    return strategies.one_of(
+        strategies.binary(max_size=60),
+        VALUES.map(lambda value: json.dumps(value).encode()),
+        *map(_documents_like, kinds),
+    )
+
+
+def _documents_like(kind):
+    names = [field.encode_name for field in msgspec.structs.fields(kind)]
+    return strategies.dictionaries(
+        strategies.sampled_from(names), VALUES, max_size=len(names)
+    ).map(lambda document: json.dumps(document).encode())
--- a/cranberryglade/tests/test_unreadable_rows.py
+++ b/cranberryglade/tests/test_unreadable_rows.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import json
 
 import hypothesis
 from hypothesis import strategies
@@ -90,23 +89,10 @@
 ]
 
 
-def documents_like(kind):
-    """Returns JSON objects that have the fields of a type, with any values."""
-    names = [field.encode_name for field in msgspec.structs.fields(kind)]
-    return strategies.dictionaries(
-        strategies.sampled_from(names), odd_values.VALUES, max_size=len(names)
-    ).map(lambda document: json.dumps(document).encode())
-
-
-ANY_JSON = strategies.one_of(
-    strategies.binary(max_size=60),
-    odd_values.VALUES.map(lambda value: json.dumps(value).encode()),
-    *map(documents_like, KINDS),
-)
-
-
 @odd_values.SETTINGS
-@hypothesis.given(value=ANY_JSON, key=strategies.text(max_size=8))
+@hypothesis.given(
+    value=odd_values.documents_of(KINDS), key=strategies.text(max_size=8)
+)
 @hypothesis.example(value=odd_values.NESTED, key="i-odd")
 def test_any_row_is_decoded_or_refused(value, key):
     decoder = documents.Decoder()
--- a/cranberryglade/tickets.py
+++ b/cranberryglade/tickets.py
@@ -8,6 +8,8 @@
 import hashlib
 import hmac
 
+from cranberryglade import decoding
+
 SIGNATURE_CHARACTERS = 24
 ID_PARTS = 5
 
@@ -76,9 +78,12 @@
             The parts; None if the text does not have the form of an id.
         """
         parts = text.split(".")
-        if len(parts) != ID_PARTS or not parts[3].isdecimal():
+        if len(parts) != ID_PARTS:
+            return None
+        number = decoding.parse_count(parts[3])
+        if number is None:
             return None
-        return Ticket(parts[0], parts[1], parts[2], int(parts[3]))
+        return Ticket(parts[0], parts[1], parts[2], number)
 
     def is_home(self, request_id: str) -> bool:
         """Returns whether the id names this incarnation as its home."""
--- a/cranberryglade/tools/reference.py
+++ b/cranberryglade/tools/reference.py
@@ -151,6 +151,8 @@
 def _type(kind) -> str:
     text = kind if isinstance(kind, str) else inspect.formatannotation(kind)
     text = re.sub(r"[\w.]+\.(\w+)", r"\1", text)
+    text = re.sub(r"Annotated\[(\w+), Meta\([^)]*\)\]", r"\1", text)
+    text = re.sub(r"Optional\[(\w+)\]", r"\1 or None", text)
     return text.replace("|", "or").replace("Raw", "JSON")
 
 
--- a/cranberryglade/wire.py
+++ b/cranberryglade/wire.py
@@ -8,10 +8,9 @@
 from typing import TypeVar
 
 import msgspec
-from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
+from cranberryglade import decoding
 from cranberryglade import verdicts
 
 T = TypeVar("T")
@@ -45,10 +44,10 @@
     kind: str
     prompt: str = ""
     prefix: str = ""
-    prompt_tokens: int | None = None
-    max_tokens: int | None = None
+    prompt_tokens: decoding.Integer | None = None
+    max_tokens: decoding.Integer | None = None
     payload: dict[str, Any] | None = None
-    deadline_ms: int | None = None
+    deadline_ms: decoding.Integer | None = None
     ticket: str | None = None
     stream: bool = False
 
@@ -69,7 +68,7 @@
     verdict: str
     request_id: str = ""
     reason: str = ""
-    retry_after_ms: int | None = None
+    retry_after_ms: decoding.Integer | None = None
     detail: str = ""
     answer: msgspec.Raw = NO_ANSWER
 
@@ -83,7 +82,7 @@
     """
 
     text: str
-    tokens: int
+    tokens: decoding.Integer
 
 
 class TicketsRequest(Document):
@@ -93,7 +92,7 @@
         count: number of tickets, 1 to 1000.
     """
 
-    count: int = 1
+    count: decoding.Integer = 1
 
 
 class TicketsDocument(Document):
@@ -121,12 +120,12 @@
     """
 
     request_id: str
-    attempt: int
+    attempt: decoding.Integer
     kind: str
     prompt: str = ""
     prefix: str = ""
-    prompt_tokens: int = 0
-    max_tokens: int = 0
+    prompt_tokens: decoding.Integer = 0
+    max_tokens: decoding.Integer = 0
     payload: dict[str, Any] | None = None
 
 
@@ -149,10 +148,10 @@
     request_id: str
     organisation: str
     key: str = ""
-    attempt: int = 0
-    remaining_ms: int
-    first_token_ms: int
-    version: int = 0
+    attempt: decoding.Integer = 0
+    remaining_ms: decoding.Integer
+    first_token_ms: decoding.Integer
+    version: decoding.Integer = 0
     idempotent: bool = False
 
 
@@ -194,7 +193,7 @@
     state: str = "live"
     target: str = ""
     generation: str = "g1"
-    slots: int = 8
+    slots: decoding.Integer = 8
     fenced: bool = False
 
 
@@ -218,10 +217,7 @@
     Returns:
         The message, or a description of the first problem found.
     """
-    try:
-        return Success(msgspec.json.decode(data, type=document_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(str(error))
+    return decoding.from_json(data, document_type)
 
 
 def encode(document: Any) -> bytes:
