Bytes behind an answer make its connection unusable, and a refusal names its request

Callers saw: a request that may run once ran at two endpoints, or was answered 503 and had run. A faulty endpoint had written the beginning of an earlier refusal behind an answer.

Cause: a connection counted as clean when no event was queued. Bytes from which the parser makes no event (line ends, a head that has begun) did not count, and the parser went on with them when the next answer came: the refusal's status and X-Not-Executed with the fields of the real answer, its id among them. A refusal was believed on that ground, and on a new connection without any id.

Now a connection is clean only if the last byte that it received ended an answer. The parser does not tell what it took in behind one, so the last byte of each read is parsed on its own: if it ends an answer, nothing followed. A head in which a status line stands within the reason or a field is no answer; that covers bytes that arrive after the next request was sent. A refusal (X-Not- Executed, 421) counts only if it carries the request's id and no second one; without, nothing is known, and the caller is told 502. A tunnel whose frame has begun is not used again, either.

A request without an id of its own cannot be named: its refusal ends in 502.

--- a/cranberryglade/gateway/dialect.py
+++ b/cranberryglade/gateway/dialect.py
@@ -64,7 +64,8 @@
     """Decoded headers of an endpoint's answer.
 
     Attributes:
-        id: id of the request that it answers; "" if absent.
+        id: id of the request that it answers; "" if absent, or if it names
+            several.
         stamped: whether it carries the stamp of an endpoint that ran the
             request.
         not_run: whether it states that the request was not run.
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import math
+import re
 from typing import Protocol
 
 import httptools
@@ -35,6 +36,9 @@
 BODILESS_STATUSES = (204, 304)
 """Statuses whose answers never have a body."""
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
+"""The beginning of an answer, which stands within no field of a head."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Data:
@@ -62,6 +66,10 @@
 Event = dialect.AnswerHead | Data | End | AnswerLost
 
 
+class JoinedHeadsError(Exception):
+    """A head that broke off and the next one were read as one."""
+
+
 class BodyMemory:
     """Memory that the bodies of several answers may take together.
 
@@ -109,6 +117,7 @@
         reusable: whether the last answer lets the connection stay open.
         reuse_until: time after which it carries no further request, seconds of
             the loop's clock; infinite for a direct connection.
+        more_announced: whether more bytes are known to be on their way.
     """
 
     def __init__(self):
@@ -124,6 +133,7 @@
         self._in_exchange = False
         self._bodiless = False
         self._ends_at_close = False
+        self._at_end = True
         self._headers: list[messages.Header] = []
         self._reason = b""
         self._failure = ""
@@ -133,12 +143,18 @@
         self.max_idle_seconds: float | None = None
         self.reusable = False
         self.reuse_until = math.inf
+        self.more_announced = False
 
     @property
     def usable(self) -> bool:
-        """Whether another request can be sent on it."""
-        clean = not self._failure and not self._events
-        return clean and not self._transport.is_closing()
+        """Whether another request can be sent on it.
+
+        Not if anything was received behind the last answer, however little:
+        it would be read as the beginning of the next one.
+        """
+        clean = self._at_end and not self.more_announced
+        whole = not self._failure and not self._events
+        return clean and whole and not self._transport.is_closing()
 
     def connection_made(self, transport) -> None:
         """Stores the transport and sets the socket options."""
@@ -252,7 +268,7 @@
             return
         self._overhead_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._emit_part()
             self._fail("unreadable answer")
@@ -263,6 +279,13 @@
             self._fail("head or framing too long")
             self._transport.abort()
 
+    def _feed(self, data: bytes) -> None:
+        # The parser takes in bytes behind an answer without a callback. If the
+        # last byte ends an answer, there are none.
+        self._parser.feed_data(data[:-1])
+        self._at_end = False
+        self._parser.feed_data(data[-1:])
+
     def eof_received(self) -> bool:
         """Ends an answer that is delimited by the end of the connection."""
         if self._ends_at_close:
@@ -291,6 +314,10 @@
 
     def on_headers_complete(self) -> None:
         """Emits the head and determines how the body ends (parser callback)."""
+        text = b"\n".join([self._reason, *[h.value for h in self._headers]])
+        if b"HTTP/1." in text and STATUS_LINE.search(text):
+            # The parser takes it as a failure of its own.
+            raise JoinedHeadsError
         status = self._parser.get_status_code()
         if status in INTERIM_STATUSES:
             return
@@ -315,6 +342,7 @@
         """Emits the end of a framed answer (parser callback)."""
         if self._parser.get_status_code() in INTERIM_STATUSES:
             return
+        self._at_end = True
         if not self._ends_at_close and not self._bodiless:
             self._emit_part()
             self._emit(End())
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -288,7 +288,7 @@
                         channel.abort()
                         return AttemptFailure(messages.Outcome.LOST, "no id")
                     return await self._classify(
-                        channel, endpoint, head, answer_facts, streams
+                        channel, endpoint, head, answer_facts, facts, streams
                     )
                 case outbound.AnswerLost(reason):
                     return AttemptFailure(messages.Outcome.LOST, reason)
@@ -312,6 +312,7 @@
         endpoint: messages.Endpoint,
         head: dialect.AnswerHead,
         answer_facts: dialect.AnswerFacts,
+        facts: messages.RequestMetadata,
         streams: bool,
     ) -> Result:
         channel.max_idle_seconds = (
@@ -333,6 +334,13 @@
             return AttemptFailure(
                 messages.Outcome.LOST, f"answer {body.reason}"
             )
+        refused = answer_facts.not_run or head.status == MISDIRECTED_STATUS
+        if refused and not (facts.id and answer_facts.id == facts.id):
+            # It may be the refusal of another request.
+            channel.abort()
+            return AttemptFailure(
+                messages.Outcome.LOST, f"refusal without id, {head.status}"
+            )
         self.put_back(endpoint, channel)
         if head.status == MISDIRECTED_STATUS:
             return AttemptFailure(messages.Outcome.MISDIRECTED, "421")
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -226,6 +226,8 @@
             data = data[missing:]
             if len(self._head) == FRAME_HEAD.size:
                 self._begin_frame()
+        if self.channel is not None:
+            self.channel.more_announced = bool(self._head or self._left)
 
     def connection_lost(self, exc) -> None:
         if self.channel is not None:
--- a/cranberryglade/platform/headers.py
+++ b/cranberryglade/platform/headers.py
@@ -146,8 +146,9 @@
         """Decodes the headers of an endpoint's answer."""
         fields = {h.name.lower(): h.value for h in head.headers}
         encoding = fields.get(b"content-encoding", b"identity")
+        ids = {h.value for h in head.headers if h.name.lower() == ATTEMPT_ID}
         return dialect.AnswerFacts(
-            id=fields.get(ATTEMPT_ID, b"").decode("latin-1"),
+            id=ids.pop().decode("latin-1") if len(ids) == 1 else "",
             stamped=RESPONSE_SEAL in fields,
             not_run=NOT_RUN in fields,
             encoded=encoding.strip().lower() not in (b"", b"identity"),
