--- a/cranberryglade/gateway/admission.py
+++ b/cranberryglade/gateway/admission.py
@@ -38,6 +38,11 @@
     timeout_seconds: float
     max_wait_seconds: float
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; "" if it is anonymous."""
+        return self.organisation.name if self.organisation else ""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Rejected:
--- /dev/null
+++ b/cranberryglade/gateway/attempts.py
@@ -0,0 +1,373 @@
+"""Attempts of requests at endpoints, from their slots to their ends."""
+
+import asyncio
+import dataclasses
+import itertools
+import math
+
+from cranberryglade import log
+from cranberryglade.gateway import allocation
+from cranberryglade.gateway import budgets
+from cranberryglade.gateway import dialect
+from cranberryglade.gateway import endpoint_pauses
+from cranberryglade.gateway import exchanges
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import replacement
+from cranberryglade.gateway import sending
+from cranberryglade.gateway import state
+
+MIN_ATTEMPT_SECONDS = 0.05
+"""Time left to the deadline at or below which no further attempt is made."""
+
+MAX_CRASHES_PER_REQUEST = 2
+"""Endpoint crashes under one request after which it is not sent again."""
+
+logger = log.get_logger(__name__)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why no further attempt of a request begins now.
+
+    Attributes:
+        reason: why, for logs.
+        pause_seconds: time after which one may; inf if none ever may.
+    """
+
+    reason: str
+    pause_seconds: float
+
+
+class Attempts:
+    """Begins and ends attempts; keeps to the limits on further ones."""
+
+    __slots__ = (
+        "_allocator",
+        "_budget",
+        "_pauses",
+        "_request_numbers",
+        "_sender",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        shared: state.InstanceState,
+        allocator: allocation.Allocator,
+        budget: budgets.RetryBudget,
+        sender: sending.Sender,
+        pauses: endpoint_pauses.EndpointPauses,
+    ):
+        self._state = shared
+        self._allocator = allocator
+        self._budget = budget
+        self._sender = sender
+        self._pauses = pauses
+        self._request_numbers = itertools.count()
+
+    def reserve(self, exchange: exchanges.Exchange) -> Refusal | None:
+        """Takes a further attempt from the retry budget, if one may follow.
+
+        `begin` uses it, or gives it back.
+
+        Returns:
+            Why none may follow; None if one may.
+        """
+        refusal = self._find_refusal(exchange)
+        exchange.refusal = refusal.reason if refusal is not None else ""
+        return refusal
+
+    async def begin(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Attempt | messages.Denied:
+        """Waits for a slot and sends the request to its endpoint.
+
+        Args:
+            exchange: the request.
+
+        Returns:
+            The attempt, which must be given to `end`; or why there is none.
+        """
+        try:
+            while True:
+                denied = self._find_quarantine(exchange)
+                if denied is not None:
+                    exchange.refusal = denied.reason
+                    return denied
+                slot_request = self._build_slot_request(exchange)
+                exchange.cost_submitted = True
+                decision = await self._allocator.acquire(slot_request)
+                match decision:
+                    case messages.Denied(reason=reason):
+                        exchange.refusal = reason
+                        return decision
+                    case messages.Granted(endpoint=id_):
+                        endpoint = self._state.endpoints.get(id_)
+                        if endpoint is not None and self._may_send(
+                            exchange, endpoint
+                        ):
+                            return self._start(exchange, slot_request, endpoint)
+                        self._withhold(exchange, slot_request, id_)
+        finally:
+            self.give_back(exchange)
+
+    def give_back(self, exchange: exchanges.Exchange) -> None:
+        """Gives a retry back that was reserved and not sent."""
+        reserved_at = exchange.retry_reserved_at
+        if reserved_at is not None:
+            exchange.retry_reserved_at = None
+            self._budget.give_back(exchange.admitted.service, reserved_at)
+
+    def end(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        outcome: messages.Outcome,
+    ) -> None:
+        """Ends an attempt: stops it, unless it is whole, and frees its slot."""
+        if outcome is not messages.Outcome.SERVED:
+            attempt.stop()
+        self._conclude(exchange, attempt, not outcome.not_run)
+        self._allocator.release(attempt.slot_request, outcome)
+        if outcome is not messages.Outcome.SERVED:
+            self._log_end(exchange, attempt, outcome)
+
+    def drop_replacement(self, exchange: exchanges.Exchange) -> None:
+        """Ends the attempt that was to replace a silent one, if any."""
+        attempt = exchange.take_replacement()
+        if attempt is not None:
+            self.end(exchange, attempt, messages.Outcome.ABANDONED)
+
+    async def settle(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        result: sending.Result,
+    ) -> messages.Outcome:
+        """Records the result of an attempt that did not begin to answer.
+
+        Returns:
+            How the attempt ended, for `end`.
+        """
+        match result:
+            case sending.Answer(outcome=outcome):
+                exchange.earlier_attempt_may_have_run = True
+                exchange.fallback_answer = result
+            case sending.AttemptFailure(outcome, reason):
+                attempt.failure = reason
+                if outcome is messages.Outcome.UNREACHABLE:
+                    exchange.attempted_endpoints.remove(attempt.endpoint)
+                elif not outcome.not_run:
+                    exchange.earlier_attempt_may_have_run = True
+                    outcome = await self.explain_loss(exchange, attempt)
+                self._conclude(exchange, attempt, not outcome.not_run)
+        return outcome
+
+    async def explain_loss(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
+    ) -> messages.Outcome:
+        """Returns how an attempt ended whose answer was lost."""
+        if not await self._sender.has_ended(attempt.endpoint):
+            return messages.Outcome.LOST
+        exchange.crashes += 1
+        return messages.Outcome.CRASHED
+
+    async def give_up_silent(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
+    ) -> messages.Outcome:
+        """Stops a silent attempt, as another one goes on.
+
+        Returns:
+            How it ended, for `end`.
+        """
+        attempt.failure = "silent"
+        attempt.stop()
+        exchange.earlier_attempt_may_have_run = True
+        self._sender.distrust(attempt.endpoint)
+        return await self.explain_loss(exchange, attempt)
+
+    def _find_refusal(self, exchange: exchanges.Exchange) -> Refusal | None:
+        route = exchange.admitted.route
+        if exchange.may_have_run and not route.kind.retryable:
+            return Refusal("once_only", math.inf)
+        if not exchange.splitter.resumable:
+            return Refusal("not_resumable", math.inf)
+        if exchange.crashes >= MAX_CRASHES_PER_REQUEST:
+            return Refusal("crashes", math.inf)
+        if len(exchange.attempted_endpoints) >= route.max_attempts:
+            return Refusal("attempts_used_up", math.inf)
+        if exchange.remaining_seconds <= MIN_ATTEMPT_SECONDS:
+            return Refusal("deadline", math.inf)
+        denied = self._find_quarantine(exchange)
+        if denied is not None:
+            return Refusal(denied.reason, denied.retry_after_seconds)
+        if not self._spend_retry(exchange):
+            return Refusal("retry_budget", 0.0)
+        return None
+
+    def _spend_retry(self, exchange: exchanges.Exchange) -> bool:
+        if not exchange.attempted_endpoints:
+            return True
+        now = asyncio.get_running_loop().time()
+        service = exchange.admitted.service
+        share = self._state.limit_share
+        if not self._budget.try_spend(service, share, now):
+            return False
+        exchange.retry_reserved_at = now
+        return True
+
+    def paused_seconds(self, exchange: exchanges.Exchange) -> float | None:
+        """Returns after which time an endpoint ends the pause it asked for.
+
+        None if one that may run the request is not paused, or there is none.
+        """
+        usable = (
+            endpoint
+            for endpoint in self._state.endpoints.values()
+            if endpoint.service == exchange.admitted.service
+            and exchange.may_be_sent_to(endpoint)
+        )
+        now = asyncio.get_running_loop().time()
+        return self._pauses.seconds_left(usable, now)
+
+    def _find_quarantine(
+        self, exchange: exchanges.Exchange
+    ) -> messages.Denied | None:
+        now = asyncio.get_running_loop().time()
+        entry = self._state.quarantine.find(exchange.parts, now)
+        if entry is None:
+            return None
+        return messages.Denied(
+            exchange.facts.id, messages.QUARANTINED, entry.until - now
+        )
+
+    def _may_send(
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
+    ) -> bool:
+        now = asyncio.get_running_loop().time()
+        if self._state.quarantine.find(exchange.parts, now) is not None:
+            return False
+        paused = self._pauses.is_paused(endpoint, now)
+        return not paused and exchange.may_be_sent_to(endpoint)
+
+    def _withhold(
+        self,
+        exchange: exchanges.Exchange,
+        slot_request: messages.SlotRequest,
+        endpoint_id: str,
+    ) -> None:
+        """Returns a slot whose endpoint may not run the request any more."""
+        exchange.excluded_endpoints.append(endpoint_id)
+        abandoned = messages.Outcome.ABANDONED
+        self._allocator.release(slot_request, abandoned)
+        logger.info(
+            "attempt.ended",
+            id=exchange.facts.id,
+            endpoint=endpoint_id,
+            outcome=abandoned.value,
+            reason="not sent",
+            left_ms=round(exchange.remaining_seconds * 1000),
+        )
+
+    def _start(
+        self,
+        exchange: exchanges.Exchange,
+        slot_request: messages.SlotRequest,
+        endpoint: messages.Endpoint,
+    ) -> exchanges.Attempt:
+        admitted = exchange.admitted
+        kind = admitted.route.kind
+        exchange.attempted_endpoints.append(endpoint)
+        exchange.excluded_endpoints.append(endpoint.id)
+        exchange.attempts_in_progress += 1
+        exchange.retry_reserved_at = None
+        added = dialect.AddedHeaders(
+            endpoint=endpoint.id,
+            organisation=admitted.organisation_name,
+            remaining_seconds=exchange.remaining_seconds,
+            last_event_id=exchange.splitter.last_id,
+        )
+        attempt = exchanges.Attempt(endpoint, slot_request)
+        attempt.opening = asyncio.create_task(
+            self._sender.send(
+                exchange.request,
+                endpoint,
+                added,
+                exchange.facts,
+                kind.retryable,
+                kind.streams,
+                attempt.record_sent,
+            )
+        )
+        return attempt
+
+    def _conclude(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        may_have_run: bool,
+    ) -> None:
+        """Counts an attempt as no longer in progress, once."""
+        if attempt.in_progress:
+            attempt.in_progress = False
+            exchange.attempts_in_progress -= 1
+            if may_have_run and attempt.sent.done():
+                exchange.earlier_attempt_may_have_run = True
+
+    def _build_slot_request(
+        self, exchange: exchanges.Exchange
+    ) -> messages.SlotRequest:
+        admitted = exchange.admitted
+        facts = exchange.facts
+        wait_until = exchange.arrived + admitted.max_wait_seconds
+        due = exchange.arrived + admitted.route.target_latency_seconds
+        if exchange.attempts_in_progress:
+            wait_until = exchange.deadline - MIN_ATTEMPT_SECONDS
+        if exchange.begun:
+            due = exchange.heard_at + replacement.caller_patience_seconds(
+                admitted.route
+            )
+        return messages.SlotRequest(
+            id=f"{self._state.incarnation}.{next(self._request_numbers)}",
+            service=admitted.service,
+            rank=admitted.rank,
+            kind=admitted.route.kind,
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=min(facts.expected_tokens, facts.output_tokens),
+            wait_until=wait_until,
+            first_answer_due=due,
+            excluded_endpoints=(
+                *exchange.excluded_endpoints,
+                *self._state.directory.announced,
+                *self._pauses.paused_ids(
+                    self._state.endpoints, asyncio.get_running_loop().time()
+                ),
+            ),
+            organisation=admitted.organisation_name,
+            cost=0.0 if exchange.cost_submitted else admitted.cost,
+            software_version=(
+                exchange.origin.software_version if exchange.origin else None
+            ),
+            parts=exchange.parts,
+        )
+
+    def _log_end(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        outcome: messages.Outcome,
+    ) -> None:
+        fields = {}
+        if attempt.is_current:
+            fields = exchange.answer_log_fields()
+        logger.info(
+            "attempt.ended",
+            id=exchange.facts.id,
+            endpoint=attempt.endpoint.id,
+            outcome=outcome.value,
+            reason=attempt.failure,
+            left_ms=round(exchange.remaining_seconds * 1000),
+            prompt_parts=exchange.facts.prompt_parts,
+            digest=exchange.digest,
+            **fields,
+        )
--- a/cranberryglade/gateway/budgets.py
+++ b/cranberryglade/gateway/budgets.py
@@ -136,6 +136,10 @@
         retries.add(1, now)
         return True
 
+    def give_back(self, service: str, spent_at: float) -> None:
+        """Gives a retry back that was taken at a time and not sent."""
+        self._window_of(self._retries, service).subtract(1, spent_at)
+
     def _window_of(
         self, windows: dict[str, SlidingWindow], service: str
     ) -> SlidingWindow:
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -11,6 +11,78 @@
 from cranberryglade.gateway import sending
 
 
+class Attempt:
+    """An attempt of a request at one endpoint.
+
+    Attributes:
+        endpoint: where it runs.
+        slot_request: asked for its slot.
+        opening: sends it; ends with its result, which for a stream is its head.
+        sent: is resolved with the time at which it was sent, seconds of the
+            loop's clock.
+        in_progress: whether the request counts it as in progress.
+        is_current: whether its answer is the one that is awaited or relayed;
+            not so while it is to replace another.
+        failure: why it has no answer that can be relayed; "" if it has one.
+    """
+
+    __slots__ = (
+        "endpoint",
+        "failure",
+        "in_progress",
+        "is_current",
+        "opening",
+        "sent",
+        "slot_request",
+    )
+
+    def __init__(
+        self,
+        endpoint: messages.Endpoint,
+        slot_request: messages.SlotRequest,
+    ):
+        """Creates an attempt; `opening` must be set before use."""
+        self.endpoint = endpoint
+        self.slot_request = slot_request
+        self.opening: asyncio.Task[sending.Result] | None = None
+        self.sent: asyncio.Future[float] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.in_progress = True
+        self.is_current = False
+        self.failure = ""
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether it has an answer that can be relayed, or its beginning."""
+        return self.opening.done() and is_answer(self.opening.result())
+
+    def record_sent(self) -> None:
+        """Records that the request was sent now."""
+        self.sent.set_result(asyncio.get_running_loop().time())
+
+    def stop(self) -> None:
+        """Stops it; its connection is closed."""
+        if not self.opening.done():
+            self.opening.cancel()
+            return
+        if self.opening.cancelled() or self.opening.exception() is not None:
+            return
+        match self.opening.result():
+            case sending.StreamStarted(channel=channel):
+                channel.abort()
+
+
+def is_answer(result: sending.Result) -> bool:
+    """Returns whether the result of an attempt can be relayed as a success."""
+    match result:
+        case sending.StreamStarted():
+            return True
+        case sending.Answer(outcome=outcome):
+            return outcome is messages.Outcome.SERVED
+    return False
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """A request in progress.
@@ -32,13 +104,21 @@
         stream_head: head of the first stream, which the caller received; None
             before it.
         origin: what began its stream; None before the first event.
-        attempt_in_progress: whether an attempt is in progress.
+        attempts_in_progress: number of attempts in progress; two while a silent
+            one is being replaced.
         earlier_attempt_may_have_run: whether an earlier attempt may have run.
         fallback_answer: the last failure answer, relayed if no later attempt
             succeeds.
         waited_seconds: seconds spent waiting for slots.
-        failure: why the last attempt has no answer that can be relayed; "" if
-            it has one.
+        refusal: why no further attempt was made when one was last considered;
+            "" if one was.
+        retry_reserved_at: when a retry was taken from the budget that is not
+            sent yet, seconds of the loop's clock.
+        replacement: the attempt that is to replace a silent one, and goes on
+            when the current one ends.
+        heard_at: when the last part of its answer arrived, or the request if
+            there is none, seconds of the loop's clock.
+        version: version of the configuration at its start.
         crashes: number of endpoints that crashed while they ran it.
         answer_framing: how the end of the last attempt's answer is marked;
             None if the attempt had no answer that can be relayed.
@@ -59,14 +139,27 @@
     cost_submitted: bool = False
     stream_head: dialect.AnswerHead | None = None
     origin: messages.StreamOrigin | None = None
-    attempt_in_progress: bool = False
+    attempts_in_progress: int = 0
     earlier_attempt_may_have_run: bool = False
     fallback_answer: sending.Answer | None = None
     waited_seconds: float = 0.0
-    failure: str = ""
+    refusal: str = ""
+    retry_reserved_at: float | None = None
+    replacement: Attempt | None = None
+    heard_at: float = dataclasses.field(init=False)
+    version: int = 0
     crashes: int = 0
     answer_framing: dialect.Framing | None = None
 
+    def __post_init__(self):
+        """Counts its silence from its arrival."""
+        self.heard_at = self.arrived
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has got the beginning of its answer."""
+        return self.responder.started
+
     @property
     def digest(self) -> str:
         """Names what it asks for, as `request_digests` does."""
@@ -75,29 +168,19 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have run it, or may still run it."""
-        return self.attempt_in_progress or self.earlier_attempt_may_have_run
+        return (
+            self.attempts_in_progress > 0 or self.earlier_attempt_may_have_run
+        )
 
     @property
     def remaining_seconds(self) -> float:
         """Seconds until the final answer is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
-    def attempt_timeout(self, seconds: float) -> float | None:
-        """Returns the timeout of the current attempt.
-
-        Guards against endpoints that accept requests and answer none of them
-        although their health checks succeed.
-
-        Args:
-            seconds: the timeout if another attempt may follow.
-
-        Returns:
-            Seconds; None if the request may not be repeated or this is its
-            last attempt, as only its deadline applies then.
-        """
-        route = self.admitted.route
-        is_last = len(self.attempted_endpoints) >= route.max_attempts
-        return None if is_last or not route.kind.retryable else seconds
+    def take_replacement(self) -> Attempt | None:
+        """Returns the attempt that is to go on, if any, and forgets it."""
+        attempt, self.replacement = self.replacement, None
+        return attempt
 
     def may_be_sent_to(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint that was granted may still run it."""
@@ -115,6 +198,14 @@
             "incomplete_event_bytes": len(self.splitter.pending),
         }
 
+    def torn_log_fields(self, now: float) -> dict[str, str | int]:
+        """Returns log fields on an answer that was begun and not ended."""
+        return {
+            "silent_ms": round((now - self.heard_at) * 1000),
+            "begun_at_version": self.version,
+            "refusal": self.refusal,
+        }
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestResult:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -4,12 +4,12 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import itertools
 
 from cranberryglade import crash_evidence
 from cranberryglade import log
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
+from cranberryglade.gateway import attempts
 from cranberryglade.gateway import budgets
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import dialect
@@ -19,6 +19,7 @@
 from cranberryglade.gateway import http_fields
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import replacing
 from cranberryglade.gateway import request_digests
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
@@ -28,15 +29,6 @@
 ANSWER_MARGIN_SECONDS = 0.03
 """Time before a request's deadline at which a timeout is answered."""
 
-MIN_ATTEMPT_SECONDS = 0.05
-"""Time left to the deadline at or below which no further attempt is made."""
-
-ATTEMPT_TIMEOUT_FACTOR = 2.0
-"""Timeout of an attempt that can be retried, in target latencies."""
-
-MAX_CRASHES_PER_REQUEST = 2
-"""Endpoint crashes under one request after which it is not sent again."""
-
 DEFAULT_RETRY_AFTER_SECONDS = 0.4
 """Default of the Retry-After header."""
 
@@ -54,13 +46,12 @@
 
     __slots__ = (
         "_admission",
-        "_allocator",
+        "_attempts",
         "_budget",
         "_dialect",
         "_origins",
-        "_pauses",
         "_relay",
-        "_request_numbers",
+        "_replacer",
         "_running",
         "_sender",
         "_state",
@@ -80,13 +71,14 @@
         self._state = shared
         self._dialect = translator
         self._admission = admission_control
-        self._allocator = allocator
         self._budget = budget
         self._sender = sender
         self._origins = origins
-        self._pauses = pauses
-        self._relay = stream_relaying.StreamRelay(origins)
-        self._request_numbers = itertools.count()
+        self._attempts = attempts.Attempts(
+            shared, allocator, budget, sender, pauses
+        )
+        self._replacer = replacing.Replacer(self._attempts)
+        self._relay = stream_relaying.StreamRelay(origins, self._replacer)
         self._running: set[asyncio.Timeout] = set()
 
     async def handle(
@@ -165,13 +157,14 @@
             parts=crash_evidence.request_parts(
                 facts.prompt_parts,
                 request_digests.compute_digest(
-                    request, facts, _organisation_name(admitted)
+                    request, facts, admitted.organisation_name
                 ),
             ),
             responder=responder,
             deadline=request.arrived + admitted.timeout_seconds,
             arrived=request.arrived,
             splitter=event_streams.EventSplitter(facts.last_event_id),
+            version=self._state.version,
         )
         try:
             latest = exchange.deadline - ANSWER_MARGIN_SECONDS
@@ -243,54 +236,43 @@
     async def _run_attempts(
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult:
-        while True:
-            ended = self._refuse_quarantined(exchange)
-            if ended is not None:
-                return ended
-            slot_request = self._build_slot_request(exchange)
-            exchange.cost_submitted = True
-            started = asyncio.get_running_loop().time()
-            decision = await self._allocator.acquire(slot_request)
+        try:
+            while True:
+                attempt = exchange.take_replacement()
+                if attempt is None:
+                    begun = await self._begin_attempt(exchange)
+                    if isinstance(begun, messages.Denied):
+                        return self._answer_denied(exchange, begun)
+                    attempt = begun
+                ended = await self._run_attempt(exchange, attempt)
+                if ended is not None:
+                    return ended
+        finally:
+            self._attempts.drop_replacement(exchange)
+
+    async def _begin_attempt(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Attempt | messages.Denied:
+        started = asyncio.get_running_loop().time()
+        try:
+            return await self._attempts.begin(exchange)
+        finally:
             exchange.waited_seconds += (
                 asyncio.get_running_loop().time() - started
             )
-            match decision:
-                case messages.Denied():
-                    return self._answer_denied(exchange, decision)
-                case messages.Granted(endpoint=endpoint_id):
-                    ended = await self._run_attempt(
-                        exchange, slot_request, endpoint_id
-                    )
-            if ended is not None:
-                return ended
-
-    def _refuse_quarantined(
-        self, exchange: exchanges.Exchange
-    ) -> exchanges.RequestResult | None:
-        """Ends a request that is quarantined, or that has such a part.
-
-        Returns:
-            How it ended; None if it may be sent.
-        """
-        now = asyncio.get_running_loop().time()
-        entry = self._state.quarantine.find(exchange.parts, now)
-        if entry is None:
-            return None
-        logger.info(
-            "request.quarantined",
-            id=exchange.facts.id,
-            parts=entry.parts,
-            ends_in_s=round(entry.until - now),
-        )
-        self._state.metrics.count_event("request_quarantined")
-        return self._give_up(
-            exchange, 502, messages.QUARANTINED, entry.until - now
-        )
 
     def _answer_denied(
         self, exchange: exchanges.Exchange, denied: messages.Denied
     ) -> exchanges.RequestResult:
-        retry_after = self._retry_after(exchange, denied)
+        if denied.reason == messages.QUARANTINED:
+            self._record_quarantined(exchange, denied)
+            return self._give_up(
+                exchange, 502, denied.reason, denied.retry_after_seconds
+            )
+        retry_after = max(
+            denied.retry_after_seconds,
+            self._attempts.paused_seconds(exchange) or 0.0,
+        )
         logger.info(
             "request.denied",
             id=exchange.facts.id,
@@ -303,141 +285,87 @@
         status = 429 if denied.reason == messages.OVER_QUOTA else 502
         return self._give_up(exchange, status, denied.reason, retry_after)
 
-    def _retry_after(
+    def _record_quarantined(
         self, exchange: exchanges.Exchange, denied: messages.Denied
-    ) -> float:
-        """Returns the time after which there may be room, in seconds."""
-        usable = (
-            endpoint
-            for endpoint in self._state.endpoints.values()
-            if endpoint.service == exchange.admitted.service
-            and exchange.may_be_sent_to(endpoint)
-        )
-        now = asyncio.get_running_loop().time()
-        paused = self._pauses.seconds_left(usable, now)
-        return max(denied.retry_after_seconds, paused or 0.0)
-
-    def _may_send(
-        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
-    ) -> bool:
+    ) -> None:
         now = asyncio.get_running_loop().time()
-        if self._state.quarantine.find(exchange.parts, now) is not None:
-            return False
-        paused = self._pauses.is_paused(endpoint, now)
-        return not paused and exchange.may_be_sent_to(endpoint)
+        entry = self._state.quarantine.find(exchange.parts, now)
+        logger.info(
+            "request.quarantined",
+            id=exchange.facts.id,
+            parts=entry.parts if entry is not None else (),
+            ends_in_s=round(denied.retry_after_seconds),
+        )
+        self._state.metrics.count_event("request_quarantined")
 
     async def _run_attempt(
-        self,
-        exchange: exchanges.Exchange,
-        slot_request: messages.SlotRequest,
-        endpoint_id: str,
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
     ) -> exchanges.RequestResult | None:
         outcome = messages.Outcome.ABANDONED
+        attempt.is_current = True
+        exchange.answer_framing = None
+        if exchange.responder.started:
+            exchange.splitter.begin_join()
         try:
-            endpoint = self._state.endpoints.get(endpoint_id)
-            if endpoint is None or not self._may_send(exchange, endpoint):
-                exchange.excluded_endpoints.append(endpoint_id)
-                return None
-            result = await self._send(exchange, endpoint)
+            result = await self._replacer.wait(
+                exchange,
+                attempt.endpoint,
+                lambda: asyncio.shield(attempt.opening),
+                exchanges.is_answer,
+            )
             outcome, ended = await self._handle_result(
-                exchange, endpoint, result
+                exchange, attempt, result
             )
             return ended
         finally:
-            self._allocator.release(slot_request, outcome)
-            if outcome is not messages.Outcome.SERVED:
-                logger.info(
-                    "attempt.ended",
-                    id=exchange.facts.id,
-                    endpoint=endpoint_id,
-                    outcome=outcome.value,
-                    reason=exchange.failure,
-                    left_ms=round(exchange.remaining_seconds * 1000),
-                    prompt_parts=exchange.facts.prompt_parts,
-                    digest=exchange.digest,
-                    **exchange.answer_log_fields(),
-                )
-
-    async def _send(
-        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
-    ) -> sending.Result:
-        admitted = exchange.admitted
-        kind = admitted.route.kind
-        exchange.attempted_endpoints.append(endpoint)
-        exchange.excluded_endpoints.append(endpoint.id)
-        added = dialect.AddedHeaders(
-            endpoint=endpoint.id,
-            organisation=_organisation_name(admitted),
-            remaining_seconds=exchange.remaining_seconds,
-            last_event_id=exchange.splitter.last_id,
-        )
-        exchange.attempt_in_progress = True
-        exchange.answer_framing = None
-        exchange.failure = ""
-        if exchange.responder.started:
-            exchange.splitter.begin_join()
-        result = await self._sender.send(
-            exchange.request,
-            endpoint,
-            added,
-            exchange.facts,
-            kind.retryable,
-            kind.streams,
-            exchange.attempt_timeout(
-                ATTEMPT_TIMEOUT_FACTOR * admitted.route.target_latency_seconds
-            ),
-        )
-        exchange.attempt_in_progress = False
-        return result
+            self._attempts.end(exchange, attempt, outcome)
 
     async def _handle_result(
         self,
         exchange: exchanges.Exchange,
-        endpoint: messages.Endpoint,
-        result: sending.Result,
+        attempt: exchanges.Attempt,
+        result: sending.Result | None,
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
         match result:
+            case None:
+                return await self._replace_silent(exchange, attempt)
             case sending.StreamStarted():
                 exchange.answer_framing = result.head.framing
-                return await self._relay_stream(exchange, endpoint, result)
+                return await self._relay_stream(exchange, attempt, result)
             case sending.Answer(outcome=messages.Outcome.SERVED):
                 exchange.answer_framing = result.head.framing
                 return result.outcome, self._relay_answer(exchange, result)
-            case sending.Answer():
-                exchange.earlier_attempt_may_have_run = True
-                exchange.fallback_answer = result
-                return result.outcome, self._retry_or_give_up(
-                    exchange, "failed"
-                )
-            case sending.AttemptFailure(outcome, reason):
-                if outcome is messages.Outcome.UNREACHABLE:
-                    exchange.attempted_endpoints.pop()
-                elif not outcome.not_run:
-                    exchange.earlier_attempt_may_have_run = True
-                    outcome = await self._explain_loss(exchange, endpoint)
-                return outcome, self._retry_or_give_up(exchange, reason)
+        outcome = await self._attempts.settle(exchange, attempt, result)
+        reason = attempt.failure or outcome.value
+        return outcome, self._retry_or_give_up(exchange, attempt, reason)
+
+    async def _replace_silent(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
+    ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
+        outcome = await self._attempts.give_up_silent(exchange, attempt)
+        return outcome, self._retry_or_give_up(
+            exchange, attempt, attempt.failure
+        )
 
     async def _relay_stream(
         self,
         exchange: exchanges.Exchange,
-        endpoint: messages.Endpoint,
+        attempt: exchanges.Attempt,
         opened: sending.StreamStarted,
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
         exchange.earlier_attempt_may_have_run = True
-        try:
-            lost = self._begin_stream(exchange, opened.head)
-            if not lost:
-                lost = await self._relay.relay(
-                    exchange, endpoint, opened.channel
-                )
-        except BaseException:
-            opened.channel.abort()
-            raise
+        lost = self._begin_stream(exchange, opened.head)
+        if not lost:
+            lost = await self._relay.relay(
+                exchange, attempt.endpoint, opened.channel
+            )
+        if lost == stream_relaying.SILENT:
+            return await self._replace_silent(exchange, attempt)
         if lost:
             opened.channel.abort()
-            outcome = await self._explain_loss(exchange, endpoint)
-            return outcome, self._retry_or_give_up(exchange, lost)
-        self._sender.put_back(endpoint, opened.channel)
+            outcome = await self._attempts.explain_loss(exchange, attempt)
+            return outcome, self._retry_or_give_up(exchange, attempt, lost)
+        self._sender.put_back(attempt.endpoint, opened.channel)
         exchange.responder.finish()
         return messages.Outcome.SERVED, exchanges.RequestResult(
             opened.head.status, "served"
@@ -463,44 +391,24 @@
             return "stream goes on as another media type"
         return ""
 
-    async def _explain_loss(
-        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
-    ) -> messages.Outcome:
-        """Returns how an attempt ended whose answer was lost."""
-        if not await self._sender.has_ended(endpoint):
-            return messages.Outcome.LOST
-        exchange.crashes += 1
-        return messages.Outcome.CRASHED
-
     def _retry_or_give_up(
-        self, exchange: exchanges.Exchange, reason: str
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        reason: str,
     ) -> exchanges.RequestResult | None:
         """Decides after an attempt whether another one follows.
 
         Returns:
             None if another attempt follows; else how the request ended.
         """
-        exchange.failure = reason
-        route = exchange.admitted.route
-        repeatable = route.kind.retryable or not exchange.may_have_run
-        now = asyncio.get_running_loop().time()
-        if (
-            repeatable
-            and exchange.splitter.resumable
-            and exchange.crashes < MAX_CRASHES_PER_REQUEST
-            and len(exchange.attempted_endpoints) < route.max_attempts
-            and exchange.remaining_seconds > MIN_ATTEMPT_SECONDS
-            and self._spend_retry(exchange, now)
-        ):
-            logger.info("request.again", id=exchange.facts.id, reason=reason)
-            return None
-        return self._give_up(exchange, 502, reason)
-
-    def _spend_retry(self, exchange: exchanges.Exchange, now: float) -> bool:
-        if not exchange.attempted_endpoints:
-            return True
-        share = self._state.limit_share
-        return self._budget.try_spend(exchange.admitted.service, share, now)
+        attempt.failure = reason
+        if exchange.replacement is None:
+            refusal = self._attempts.reserve(exchange)
+            if refusal is not None:
+                return self._give_up(exchange, 502, reason)
+        logger.info("request.again", id=exchange.facts.id, reason=reason)
+        return None
 
     def _give_up(
         self,
@@ -531,36 +439,6 @@
         )
         return exchanges.RequestResult(answer.head.status, answer.outcome.value)
 
-    def _build_slot_request(
-        self, exchange: exchanges.Exchange
-    ) -> messages.SlotRequest:
-        admitted = exchange.admitted
-        facts = exchange.facts
-        return messages.SlotRequest(
-            id=f"{self._state.incarnation}.{next(self._request_numbers)}",
-            service=admitted.service,
-            rank=admitted.rank,
-            kind=admitted.route.kind,
-            prompt_tokens=facts.prompt_tokens,
-            output_tokens=min(facts.expected_tokens, facts.output_tokens),
-            wait_until=exchange.arrived + admitted.max_wait_seconds,
-            first_answer_due=exchange.arrived
-            + admitted.route.target_latency_seconds,
-            excluded_endpoints=(
-                *exchange.excluded_endpoints,
-                *self._state.directory.announced,
-                *self._pauses.paused_ids(
-                    self._state.endpoints, asyncio.get_running_loop().time()
-                ),
-            ),
-            organisation=_organisation_name(admitted),
-            cost=0.0 if exchange.cost_submitted else admitted.cost,
-            software_version=(
-                exchange.origin.software_version if exchange.origin else None
-            ),
-            parts=exchange.parts,
-        )
-
     def _reject(
         self,
         facts: messages.RequestMetadata,
@@ -586,11 +464,14 @@
         took_seconds = asyncio.get_running_loop().time() - exchange.arrived
         self._state.metrics.count_request(ended.reason, took_seconds)
         attempted = exchange.attempted_endpoints
+        torn = {}
+        if exchange.begun and not ended.status:
+            torn = exchange.torn_log_fields(asyncio.get_running_loop().time())
         logger.info(
             "request.ended",
             id=exchange.facts.id,
             route=exchange.admitted.route.name,
-            organisation=_organisation_name(exchange.admitted),
+            organisation=exchange.admitted.organisation_name,
             digest=exchange.digest,
             status=ended.status,
             reason=ended.reason,
@@ -601,6 +482,7 @@
             waited_ms=round(exchange.waited_seconds * 1000),
             took_ms=round(took_seconds * 1000),
             **exchange.answer_log_fields(),
+            **torn,
             **self._state.log_fields(),
         )
 
@@ -619,10 +501,6 @@
     return http_fields.media_type(head.headers)
 
 
-def _organisation_name(admitted: admission.Admitted) -> str:
-    return admitted.organisation.name if admitted.organisation else ""
-
-
 def retry_after_header(seconds: float) -> messages.Header:
     """Returns a Retry-After header, in seconds with two decimals."""
     return messages.Header(b"Retry-After", b"%.2f" % seconds)
--- /dev/null
+++ b/cranberryglade/gateway/replacement.py
@@ -0,0 +1,160 @@
+"""Decides when a silent attempt is replaced, and which of the two goes on.
+
+Load pattern: sound endpoints pause for a second or two within an answer or
+before it, most of all while every endpoint is full, so that no other has a
+slot; stalled endpoints stay silent for good. Silence alone does not tell them
+apart. So an attempt that may still succeed is kept until another endpoint has
+taken its request. Without one, its silence ends nothing but the patience of the
+caller.
+"""
+
+import enum
+import math
+
+from cranberryglade.gateway import configuration
+
+HEAD_SILENCE_FACTOR = 2.0
+"""Silence before an answer after which another endpoint is sought, in target
+latencies."""
+
+STREAM_SILENCE_FACTOR = 3.0
+"""The same between the parts of a stream, in longest gaps that are on time."""
+
+CALLER_GAP_SECONDS = 2.0
+CALLER_GAP_TARGET_LATENCIES = 4.0
+CALLER_GAP_FACTOR = 8.0
+"""Callers leave a stream after the longest of these: a fixed time, a number of
+target latencies, and a number of longest gaps that are on time."""
+
+OVERLAP_SECONDS = 0.2
+"""How long a silent attempt is kept after its request was sent to another
+endpoint, which by then has accepted it or refused it. Both must not work on it
+for more than twice as long."""
+
+MIN_SEEK_PAUSE_SECONDS = 0.25
+"""Least time from a refusal of another endpoint until one is sought again."""
+
+
+class Step(enum.Enum):
+    """What follows.
+
+    Attributes:
+        WAIT: nothing, until something happens or `due`.
+        SEEK: another endpoint is sought, beside the silent attempt.
+        KEEP: the attempt goes on, or has ended by itself; the other endpoint is
+            not needed.
+        SWITCH: the other attempt goes on; the silent one is given up.
+    """
+
+    WAIT = "wait"
+    SEEK = "seek"
+    KEEP = "keep"
+    SWITCH = "switch"
+
+
+class Replacement:
+    """One silence of an attempt; performs no I/O.
+
+    If both attempts speak, the earlier one goes on: what it sends follows what
+    the caller has already, and nothing that it did is in vain. Times are
+    seconds of the loop's clock.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_lost",
+        "_seek_at",
+        "_seeking",
+        "_sent_at",
+        "_spoke",
+    )
+
+    def __init__(self, now: float):
+        """Begins when the silence has lasted so long that it is doubtful."""
+        self._seek_at = now
+        self._seeking = False
+        self._sent_at = math.inf
+        self._answered = False
+        self._spoke = False
+        self._lost = False
+
+    @property
+    def due(self) -> float:
+        """When `step` is to be called again if nothing happens; may be inf."""
+        if self._seeking:
+            return self._sent_at + OVERLAP_SECONDS
+        return self._seek_at
+
+    def spoke(self) -> None:
+        """Records that the silent attempt went on."""
+        self._spoke = True
+
+    def lost(self) -> None:
+        """Records that the silent attempt failed."""
+        self._lost = True
+
+    def sought(self) -> None:
+        """Records that another endpoint is sought."""
+        self._seeking = True
+
+    def refused(self, pause_seconds: float, now: float) -> None:
+        """Records that there is no other endpoint, or that it failed.
+
+        Args:
+            pause_seconds: time after which one may be sought again; inf if it
+                may not.
+            now: the present time.
+        """
+        self._seeking = False
+        self._sent_at = math.inf
+        self._answered = False
+        self._seek_at = now + max(MIN_SEEK_PAUSE_SECONDS, pause_seconds)
+
+    def sent(self, at: float) -> None:
+        """Records when the request was sent to the other endpoint."""
+        self._sent_at = at
+
+    def answered(self) -> None:
+        """Records that the other endpoint began to answer."""
+        self._answered = True
+
+    def step(self, now: float) -> Step:
+        """Returns what follows."""
+        if self._spoke:
+            return Step.KEEP
+        sent = self._sent_at <= now
+        if self._answered or (self._lost and sent):
+            return Step.SWITCH
+        if self._lost:
+            return Step.WAIT if self._seeking else Step.KEEP
+        if sent and now >= self._sent_at + OVERLAP_SECONDS:
+            return Step.SWITCH
+        if not self._seeking and now >= self._seek_at:
+            return Step.SEEK
+        return Step.WAIT
+
+
+def silence_seconds(route: configuration.Route, begun: bool) -> float | None:
+    """Returns after which silence another endpoint is sought.
+
+    Args:
+        route: the route of the request.
+        begun: whether the attempt has begun to answer.
+
+    Returns:
+        Seconds; None if the request must not be sent again.
+    """
+    if not route.kind.retryable:
+        return None
+    if begun:
+        return STREAM_SILENCE_FACTOR * route.max_gap_seconds
+    return HEAD_SILENCE_FACTOR * route.target_latency_seconds
+
+
+def caller_patience_seconds(route: configuration.Route) -> float:
+    """Returns the silence in a stream after which callers leave it."""
+    return max(
+        CALLER_GAP_SECONDS,
+        CALLER_GAP_TARGET_LATENCIES * route.target_latency_seconds,
+        CALLER_GAP_FACTOR * route.max_gap_seconds,
+    )
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -148,10 +148,12 @@
         facts: messages.RequestMetadata,
         repeatable: bool,
         streams: bool,
-        timeout_seconds: float | None,
+        on_sent: Callable[[], None],
     ) -> Result:
         """Sends a request and waits for its answer.
 
+        If it is cancelled, the connection is closed.
+
         Args:
             request: the caller's request.
             endpoint: the endpoint to send it to.
@@ -159,8 +161,8 @@
             facts: the decoded headers of the request.
             repeatable: whether it may be sent again if the answer is lost.
             streams: whether a successful answer is a stream of events.
-            timeout_seconds: timeout for the whole answer, or for the head of
-                a stream; None for no timeout.
+            on_sent: called when the request leaves, just after its first bytes
+                were written.
 
         Returns:
             The whole answer, a stream whose head was received, or why there
@@ -179,15 +181,8 @@
                 request.body,
                 request.method == HEAD,
             )
-            async with asyncio.timeout(timeout_seconds):
-                return await self._read_answer(
-                    channel, endpoint, facts, streams
-                )
-        except TimeoutError:
-            channel.abort()
-            # Its other idle connections may hang as well.
-            self.pools.for_address(endpoint.address).close_direct()
-            return AttemptFailure(messages.Outcome.LOST, "silent")
+            on_sent()
+            return await self._read_answer(channel, endpoint, facts, streams)
         except BaseException:
             channel.abort()
             raise
@@ -198,6 +193,10 @@
         """Returns a connection to its pool after a whole answer."""
         self.pools.for_address(endpoint.address).put_back(channel)
 
+    def distrust(self, endpoint: messages.Endpoint) -> None:
+        """Closes the idle connections to a silent endpoint; they may hang."""
+        self.pools.for_address(endpoint.address).close_direct()
+
     async def has_ended(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint's process has ended.
 
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -9,19 +9,24 @@
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import outbound
+from cranberryglade.gateway import replacing
 
-STREAM_TIMEOUT_FACTOR = 3.0
-"""Timeout between the parts of a stream that can be resumed elsewhere, in
-longest pauses that are on time."""
+SILENT = "silent"
+"""Why the stream of an attempt is not relayed further that was replaced."""
 
 
 class StreamRelay:
     """Relays streams and records what began them."""
 
-    __slots__ = ("_origins",)
+    __slots__ = ("_origins", "_replacer")
 
-    def __init__(self, origins: origin_sharing.OriginSharing):
+    def __init__(
+        self,
+        origins: origin_sharing.OriginSharing,
+        replacer: replacing.Replacer,
+    ):
         self._origins = origins
+        self._replacer = replacer
 
     async def relay(
         self,
@@ -29,7 +34,7 @@
         endpoint: messages.Endpoint,
         channel: outbound.Channel,
     ) -> str:
-        """Relays the events of one attempt.
+        """Relays the events of one attempt, the current one of a request.
 
         Args:
             exchange: the request.
@@ -37,7 +42,8 @@
             channel: the connection that the events follow on.
 
         Returns:
-            Why the stream broke off; "" if it ended whole.
+            Why the stream broke off, or SILENT if another attempt goes on; ""
+            if it ended whole.
 
         Raises:
             CallerGoneError: if the caller's connection is closed.
@@ -48,17 +54,24 @@
         # nothing was left; its endpoint alone vouches for that. If
         # it is not framed, it may as well have broken off at its beginning.
         unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
-        timeout_seconds = exchange.attempt_timeout(
-            STREAM_TIMEOUT_FACTOR * exchange.admitted.route.max_gap_seconds
-        )
+
+        def is_sound(event: outbound.Event) -> bool:
+            match event:
+                case outbound.Data():
+                    return True
+                case outbound.End():
+                    return not splitter.within_event
+            return False
+
         while True:
-            try:
-                async with asyncio.timeout(timeout_seconds):
-                    event = await channel.next_event()
-            except TimeoutError:
-                return "stream silent"
+            event = await self._replacer.wait(
+                exchange, endpoint, channel.next_event, is_sound
+            )
             match event:
+                case None:
+                    return SILENT
                 case outbound.Data(data):
+                    exchange.heard_at = asyncio.get_running_loop().time()
                     try:
                         events = splitter.feed(data)
                     except event_streams.StreamError as error:
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -239,6 +239,63 @@
         writer.write(answer.replace(b"X-Attempt-Id: \r\n", b""))
         await writer.drain()
 
+    def silent_first(self, seconds: float, otherwise: Behaviour) -> Behaviour:
+        """Returns a behaviour that is silent for a time, then goes on.
+
+        Args:
+            seconds: how long it sends nothing.
+            otherwise: what follows, unless the caller disconnects meanwhile.
+        """
+
+        async def behave(received, reader, writer):
+            if await self._is_kept_waiting(received, reader, seconds):
+                await otherwise(received, reader, writer)
+
+        return behave
+
+    def silent_within(
+        self, silent_after: int, last: int, seconds: float
+    ) -> Behaviour:
+        """Returns a behaviour that streams, and falls silent once in between.
+
+        A stream that is resumed is sent without silence.
+
+        Args:
+            silent_after: number of the event that the silence follows.
+            last: number of the last event of the stream.
+            seconds: how long the silence lasts.
+        """
+
+        async def behave(received, reader, writer):
+            seen = received.headers.get("last-event-id")
+            if seen is not None:
+                await self.events(int(seen) + 1, last)(received, reader, writer)
+                return
+            encode = await self._send_events(
+                received,
+                writer,
+                dialect.Framing.CHUNKED,
+                range(1, silent_after + 1),
+            )
+            if await self._is_kept_waiting(received, reader, seconds):
+                for number in range(silent_after + 1, last + 1):
+                    writer.write(encode(event(number, self.event_text)))
+                writer.write(LAST_CHUNK)
+                await writer.drain()
+
+        return behave
+
+    async def _is_kept_waiting(
+        self, received: Received, reader: asyncio.StreamReader, seconds: float
+    ) -> bool:
+        """Waits; returns whether the caller stays connected that long."""
+        try:
+            await asyncio.wait_for(reader.read(), seconds)
+        except TimeoutError:
+            return True
+        self.disconnected.append(received.request_id)
+        return False
+
     def in_chunks(self, body: bytes) -> Behaviour:
         """Returns a behaviour that runs a request and answers in chunks.
 
--- /dev/null
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -0,0 +1,254 @@
+"""Endpoints that fall silent for a while and go on, or never do."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_builders as builders
+from cranberryglade.tests import gateway_cluster
+
+Cluster = gateway_cluster.Cluster
+
+SILENCE_SECONDS = 0.9
+"""How long an endpoint is silent before it goes on; far longer than the
+configuration allows between two events, or until an answer."""
+
+STOP_SECONDS = 0.5
+"""The users' bound on the work of an abandoned attempt."""
+
+IDEMPOTENT = "/look/1"
+ONCE = "/pay/1"
+RESUMABLE = "/write/1"
+STREAM = "/note/1"
+
+
+def make_config(**changes) -> dict:
+    """Returns a configuration under which that silence is far too long.
+
+    Args:
+        **changes: fields of all routes.
+    """
+    config = operator_configuration.a_config()
+    for route in config["routes"]:
+        route |= {
+            "timeout_ms": 4000,
+            "target_latency_ms": 200,
+            "gap_aim_ms": 100,
+        } | changes
+    return config
+
+
+async def occupy_one(cluster):
+    """Fills an endpoint with a request that stays there.
+
+    Returns:
+        The endpoint that is full, and the other one.
+    """
+    for endpoint in cluster.runners:
+        cluster.register_runner(endpoint, slots=1)
+    await cluster.wait_for_endpoints(
+        lambda listed: all(each.slots == 1 for each in listed.values())
+    )
+    for endpoint in cluster.runners:
+        endpoint.default_behaviour = endpoint.hang
+    caller = await cluster.connect()
+    caller.request(target=ONCE, X_Attempt_Id="occupying")
+    await gateway_cluster.wait_until(
+        lambda: any(endpoint.ran for endpoint in cluster.runners)
+    )
+    free, full = sorted(cluster.runners, key=lambda each: len(each.ran))
+    return full, free
+
+
+def begin_silently(cluster, silence=60.0):
+    """Lets the first endpoint that is asked fall silent within its stream.
+
+    Returns:
+        That endpoint, once it was asked, and the others.
+    """
+    for endpoint in cluster.runners:
+        endpoint.default_behaviour = endpoint.silent_within(3, 6, silence)
+
+    def find():
+        first = next(each for each in cluster.runners if each.ran)
+        return first, [each for each in cluster.runners if each is not first]
+
+    return find
+
+
+def leases(cluster) -> int:
+    return sum(gateway._slots.lease_count for gateway in cluster.gateways)
+
+
+def sent_to(endpoint) -> list[str]:
+    return [received.request_id for received in endpoint.received]
+
+
+async def test_stream_of_a_silent_endpoint_goes_on_when_no_other_has_a_slot():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        full, free = await occupy_one(cluster)
+        free.script.append(free.silent_within(3, 6, SILENCE_SECONDS))
+        answer = await cluster.send_request(target=RESUMABLE, method="POST")
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        assert sent_to(full) == ["occupying"]
+
+
+async def test_stream_of_a_silent_endpoint_goes_on_without_retry_budget():
+    async with Cluster(
+        runners=2, config=make_config(), retry_ratio=0.0, retry_slack=0.0
+    ) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.silent_within(
+                3, 6, SILENCE_SECONDS
+            )
+        answer = await cluster.send_request(target=RESUMABLE, method="POST")
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        assert sum(len(each.received) for each in cluster.runners) == 1
+
+
+@pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
+async def test_late_first_answer_is_relayed_when_no_other_has_a_slot(target):
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        full, free = await occupy_one(cluster)
+        answering = free.succeed if target == IDEMPOTENT else free.events(1, 3)
+        free.script.append(free.silent_first(SILENCE_SECONDS, answering))
+        answer = await cluster.send_request(target=target)
+        assert answer.status == 200
+        assert answer.whole
+        assert sent_to(full) == ["occupying"]
+
+
+@pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
+async def test_late_first_answer_is_relayed_without_retry_budget(target):
+    async with Cluster(
+        runners=2, config=make_config(), retry_ratio=0.0, retry_slack=0.0
+    ) as cluster:
+        for endpoint in cluster.runners:
+            answering = (
+                endpoint.succeed
+                if target == IDEMPOTENT
+                else endpoint.events(1, 3)
+            )
+            endpoint.default_behaviour = endpoint.silent_first(
+                SILENCE_SECONDS, answering
+            )
+        answer = await cluster.send_request(target=target)
+        assert answer.status == 200
+        assert answer.whole
+        assert sum(len(each.received) for each in cluster.runners) == 1
+
+
+async def test_stalled_stream_goes_on_elsewhere_and_its_endpoint_stops():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        find = begin_silently(cluster)
+        started = asyncio.get_running_loop().time()
+        answer = await cluster.send_request(target=RESUMABLE, method="POST")
+        assert asyncio.get_running_loop().time() - started < 1.0
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        stalled, (other,) = find()
+        await gateway_cluster.wait_until(
+            lambda: stalled.disconnected == ["a-1"], STOP_SECONDS
+        )
+        (resumed,) = other.received
+        assert resumed.headers["last-event-id"] == "3"
+        await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
+
+
+@pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
+async def test_late_first_answer_is_replaced_when_another_has_a_slot(target):
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        first, second = cluster.runners
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.hang
+        caller = await cluster.connect()
+        caller.request(target=target)
+        await gateway_cluster.wait_until(lambda: first.ran or second.ran)
+        stalled, other = (first, second) if first.ran else (second, first)
+        other.default_behaviour = other.serve_by_target
+        answer = await asyncio.wait_for(caller.answer(), 1.0)
+        assert answer.whole
+        await gateway_cluster.wait_until(
+            lambda: stalled.disconnected == ["a-1"], STOP_SECONDS
+        )
+        await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
+
+
+async def test_stream_goes_on_when_the_endpoint_that_is_to_replace_it_refuses():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        find = begin_silently(cluster, SILENCE_SECONDS)
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.ran for each in cluster.runners)
+        )
+        first, (other,) = find()
+        other.default_behaviour = other.refuse
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        assert sent_to(other) == ["a-1"]
+        assert first.disconnected == []
+
+
+async def test_endpoint_that_goes_on_first_is_kept_and_the_other_one_stops():
+    # The pause ends between the sending of the replacement and its answer.
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        find = begin_silently(cluster, 0.4)
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.ran for each in cluster.runners)
+        )
+        first, (other,) = find()
+        other.default_behaviour = other.hang
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        assert first.disconnected == []
+        await gateway_cluster.wait_until(
+            lambda: other.disconnected == sent_to(other) == ["a-1"],
+            STOP_SECONDS,
+        )
+        await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
+
+
+@pytest.mark.parametrize("target", [ONCE, STREAM])
+async def test_silent_request_that_may_run_once_is_waited_for(target):
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.silent_first(
+                SILENCE_SECONDS, endpoint.serve_by_target
+            )
+        answer = await cluster.send_request(target=target, method="POST")
+        assert answer.status == 200
+        assert answer.whole
+        assert sum(len(each.received) for each in cluster.runners) == 1
+
+
+async def test_torn_answer_logs_its_silence_versions_and_refusal():
+    config = make_config(timeout_ms=1200)
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster(
+            runners=2, config=config, retry_ratio=0.0, retry_slack=0.0
+        ) as cluster:
+            begin_silently(cluster)
+            caller = await cluster.connect()
+            caller.request(target=RESUMABLE, method="POST")
+            await gateway_cluster.wait_until(
+                lambda: any(each.ran for each in cluster.runners)
+            )
+            cluster.configure(make_config() | {"version": 2})
+            answer = await asyncio.wait_for(caller.answer(), 3.0)
+            assert not answer.whole
+    (end,) = [line for line in lines if line["event"] == "request.ended"]
+    assert end["reason"] == "timeout"
+    assert end["refusal"] == "retry_budget"
+    assert end["silent_ms"] > 1000
+    assert (end["begun_at_version"], end["version"]) == (1, 2)
+    refusals = [e for e in lines if e["event"] == "attempt.not_replaced"]
+    assert {line["reason"] for line in refusals} == {"retry_budget"}
