A begun answer that broke off waits for a slot instead of ending torn

What callers saw: a stream that may be resumed ended inside the answer when its endpoint reset it while all others were full, though a slot was free soon after.

Cause: the next attempt asked for a slot with the time limits of a new request, which are counted from its arrival. Within a stream they are over, so that the request was denied at once unless a slot was free at that moment.

Evidence: test_broken_stream_waits_for_a_slot_when_all_endpoints_are_full got the first three of six events on the code before.

Why this works: what has begun may wait until its deadline, and counts as in time as long as its caller stays; if there is no room it asks again. If no endpoint is left that may run it, it still ends at once: the caller may send the request again, and that one may run at endpoints that this one excludes. The same holds without retry budget or further attempts, which a request of the caller's own does not need.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -22,6 +22,9 @@
 MAX_CRASHES_PER_REQUEST = 2
 """Endpoint crashes under one request after which it is not sent again."""
 
+MAX_DENIAL_PAUSE_SECONDS = 1.0
+"""Longest time until a slot is asked for again for a begun answer."""
+
 logger = log.get_logger(__name__)
 
 
@@ -78,12 +81,13 @@
         return refusal
 
     async def begin(
-        self, exchange: exchanges.Exchange
+        self, exchange: exchanges.Exchange, persistent: bool
     ) -> exchanges.Attempt | messages.Denied:
         """Waits for a slot and sends the request to its endpoint.
 
         Args:
             exchange: the request.
+            persistent: whether to ask again when there is no room.
 
         Returns:
             The attempt, which must be given to `end`; or why there is none.
@@ -94,9 +98,9 @@
                 if denied is not None:
                     exchange.refusal = denied.reason
                     return denied
-                slot_request = self._build_slot_request(exchange)
-                exchange.cost_submitted = True
-                decision = await self._allocator.acquire(slot_request)
+                slot_request, decision = await self._acquire(
+                    exchange, persistent
+                )
                 match decision:
                     case messages.Denied(reason=reason):
                         exchange.refusal = reason
@@ -216,6 +220,48 @@
         exchange.retry_reserved_at = now
         return True
 
+    async def _acquire(
+        self, exchange: exchanges.Exchange, persistent: bool
+    ) -> tuple[messages.SlotRequest, messages.Decision]:
+        """Asks for a slot; if it persists, again whenever there is no room."""
+        while True:
+            slot_request = self._build_slot_request(exchange)
+            exchange.cost_submitted = True
+            decision = await self._allocator.acquire(slot_request)
+            pause = self._pause_for_room(exchange, decision)
+            if not persistent or pause is None:
+                return slot_request, decision
+            logger.info(
+                "request.held",
+                id=exchange.facts.id,
+                reason=decision.reason,
+                pause_ms=round(pause * 1000),
+                left_ms=round(exchange.remaining_seconds * 1000),
+            )
+            await asyncio.sleep(pause)
+
+    def _pause_for_room(
+        self, exchange: exchanges.Exchange, decision: messages.Decision
+    ) -> float | None:
+        """Returns the time after which there may be room.
+
+        None if there is a slot, or no endpoint is left: the caller may send the
+        request again, which may then run at those that this one excludes.
+        """
+        match decision:
+            case messages.Denied(reason=reason) if (
+                reason in messages.NO_ROOM
+                or self.paused_seconds(exchange) is not None
+            ):
+                pause = max(
+                    decision.retry_after_seconds,
+                    replacement.MIN_SEEK_PAUSE_SECONDS,
+                )
+                pause = min(pause, MAX_DENIAL_PAUSE_SECONDS)
+                left = exchange.remaining_seconds - MIN_ATTEMPT_SECONDS
+                return pause if pause < left else None
+        return None
+
     def paused_seconds(self, exchange: exchanges.Exchange) -> float | None:
         """Returns after which time an endpoint ends the pause it asked for.
 
@@ -321,7 +367,8 @@
         facts = exchange.facts
         wait_until = exchange.arrived + admitted.max_wait_seconds
         due = exchange.arrived + admitted.route.target_latency_seconds
-        if exchange.attempts_in_progress:
+        # What has begun is not given up for want of a slot.
+        if exchange.begun or exchange.attempts_in_progress:
             wait_until = exchange.deadline - MIN_ATTEMPT_SECONDS
         if exchange.begun:
             due = exchange.heard_at + replacement.caller_patience_seconds(
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -255,7 +255,10 @@
     ) -> exchanges.Attempt | messages.Denied:
         started = asyncio.get_running_loop().time()
         try:
-            return await self._attempts.begin(exchange)
+            # An answer that has begun is not torn for want of a slot.
+            return await self._attempts.begin(
+                exchange, persistent=exchange.begun
+            )
         finally:
             exchange.waited_seconds += (
                 asyncio.get_running_loop().time() - started
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -149,6 +149,9 @@
 OVER_QUOTA = "over_quota"
 QUARANTINED = "quarantined"
 
+NO_ROOM = frozenset(("hopeless", "unreachable", "waited"))
+"""Reasons of denials that pass: there are endpoints, but no slot for now."""
+
 
 class Outcome(enum.Enum):
     """How an attempt at an endpoint ended.
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -154,7 +154,7 @@
             return
         self._silence.sought()
         self._seeking = asyncio.create_task(
-            self._attempts.begin(self._exchange)
+            self._attempts.begin(self._exchange, persistent=False)
         )
 
     def _refuse(self, reason: str, pause_seconds: float) -> None:
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -44,7 +44,8 @@
     """Fills an endpoint with a request that stays there.
 
     Returns:
-        The endpoint that is full, and the other one.
+        The endpoint that is full, the other one, and the caller that occupies
+        the first.
     """
     for endpoint in cluster.runners:
         cluster.register_runner(endpoint, slots=1)
@@ -59,7 +60,7 @@
         lambda: any(endpoint.ran for endpoint in cluster.runners)
     )
     free, full = sorted(cluster.runners, key=lambda each: len(each.ran))
-    return full, free
+    return full, free, caller
 
 
 def begin_silently(cluster, silence=60.0):
@@ -88,7 +89,7 @@
 
 async def test_stream_of_a_silent_endpoint_goes_on_when_no_other_has_a_slot():
     async with Cluster(runners=2, config=make_config()) as cluster:
-        full, free = await occupy_one(cluster)
+        full, free, _ = await occupy_one(cluster)
         free.script.append(free.silent_within(3, 6, SILENCE_SECONDS))
         answer = await cluster.send_request(target=RESUMABLE, method="POST")
         assert answer.body == builders.make_events(1, 6)
@@ -113,7 +114,7 @@
 @pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
 async def test_late_first_answer_is_relayed_when_no_other_has_a_slot(target):
     async with Cluster(runners=2, config=make_config()) as cluster:
-        full, free = await occupy_one(cluster)
+        full, free, _ = await occupy_one(cluster)
         answering = free.succeed if target == IDEMPOTENT else free.events(1, 3)
         free.script.append(free.silent_first(SILENCE_SECONDS, answering))
         answer = await cluster.send_request(target=target)
@@ -230,6 +231,22 @@
         assert sum(len(each.received) for each in cluster.runners) == 1
 
 
+async def test_broken_stream_waits_for_a_slot_when_all_endpoints_are_full():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        full, free, occupying = await occupy_one(cluster)
+        free.script.append(free.resuming(3, 6))
+        full.script.append(full.resuming(3, 6))
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(lambda: free.ran)
+        # Its target time is over, and more than the longest wait for a slot.
+        await asyncio.sleep(0.8)
+        occupying.close()
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+
+
 async def test_torn_answer_logs_its_silence_versions_and_refusal():
     config = make_config(timeout_ms=1200)
     with structlog.testing.capture_logs() as lines:
