A retry that waited for a slot counts from when it is sent

Cause: a retry is taken from the budget before its slot is sought, and that may now last for seconds. It was counted from then on, so that retries which waited together and were sent together left the window too early, and others could follow within one window of the same endpoints.

Why this works: the retry keeps its place in the window while it waits, and is counted anew at the moment of sending.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -220,6 +220,15 @@
         exchange.retry_reserved_at = now
         return True
 
+    def _count_retry(self, exchange: exchanges.Exchange) -> None:
+        """Counts a reserved retry as sent now."""
+        reserved_at = exchange.retry_reserved_at
+        if reserved_at is not None:
+            exchange.retry_reserved_at = None
+            now = asyncio.get_running_loop().time()
+            service = exchange.admitted.service
+            self._budget.record_sent(service, reserved_at, now)
+
     async def _acquire(
         self, exchange: exchanges.Exchange, persistent: bool
     ) -> tuple[messages.SlotRequest, messages.Decision]:
@@ -326,7 +335,7 @@
         exchange.attempted_endpoints.append(endpoint)
         exchange.excluded_endpoints.append(endpoint.id)
         exchange.attempts_in_progress += 1
-        exchange.retry_reserved_at = None
+        self._count_retry(exchange)
         added = dialect.AddedHeaders(
             endpoint=endpoint.id,
             organisation=admitted.organisation_name,
--- a/cranberryglade/gateway/budgets.py
+++ b/cranberryglade/gateway/budgets.py
@@ -136,9 +136,17 @@
         retries.add(1, now)
         return True
 
-    def give_back(self, service: str, spent_at: float) -> None:
+    def give_back(self, service: str, taken_at: float) -> None:
         """Gives a retry back that was taken at a time and not sent."""
-        self._window_of(self._retries, service).subtract(1, spent_at)
+        self._window_of(self._retries, service).subtract(1, taken_at)
+
+    def record_sent(self, service: str, taken_at: float, now: float) -> None:
+        """Counts a retry from now on that was taken earlier and is sent now.
+
+        Load pattern: many retries wait for slots and are sent together.
+        """
+        self.give_back(service, taken_at)
+        self._window_of(self._retries, service).add(1, now)
 
     def _window_of(
         self, windows: dict[str, SlidingWindow], service: str
--- a/cranberryglade/tests/test_gateway_policies.py
+++ b/cranberryglade/tests/test_gateway_policies.py
@@ -253,6 +253,29 @@
     assert sum(running.try_spend("s", 1.0, 0.0) for _ in range(60)) == 24
 
 
+def test_retries_that_waited_for_slots_count_from_when_they_are_sent():
+    # Load: all slots are taken for seconds, and then many retries are sent.
+    budget = budgets.RetryBudget(0.0, 10.0, 10.0, -100.0)
+    taken = 0
+    while budget.try_spend("s", 1.0, 0.0):
+        taken += 1
+    assert taken == 6
+    for _ in range(taken):
+        budget.record_sent("s", 0.0, 8.0)
+    assert not budget.try_spend("s", 1.0, 17.9)
+    assert budget.try_spend("s", 1.0, 18.6)
+
+
+def test_a_retry_that_was_given_back_may_be_taken_again():
+    budget = budgets.RetryBudget(0.0, 10.0, 10.0, -100.0)
+    taken = [now for now in (0.0, 1.0, 2.0) if budget.try_spend("s", 0.5, now)]
+    assert taken == [0.0, 1.0, 2.0]
+    assert not budget.try_spend("s", 0.5, 3.0)
+    budget.give_back("s", 1.0)
+    assert budget.try_spend("s", 0.5, 3.0)
+    assert not budget.try_spend("s", 0.5, 3.0)
+
+
 def make_quotas(organisation, slack=0.0, ratio=0.0):
     tolerance = quotas.OverrunTolerance(8.0, ratio, slack)
     return quotas.Quotas(lambda name: organisation, tolerance)
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -228,10 +228,15 @@
         self.taken += spent
         return spent
 
-    def give_back(self, service, spent_at):
-        super().give_back(service, spent_at)
+    def give_back(self, service, taken_at):
+        super().give_back(service, taken_at)
         self.taken -= 1
 
+    def record_sent(self, service, taken_at, now):
+        super().record_sent(service, taken_at, now)
+        # It is given back and counted anew.
+        self.taken += 1
+
 
 class Origins:
     """Origins of streams, which are not asked for here."""
