--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -380,4 +380,5 @@
     assert first.connection.data == second.connection.data
 
 
-assert MAX_OVERLAP_SECONDS > replacement.OVERLAP_SECONDS
+def test_the_overlap_leaves_time_for_the_endpoint_to_notice():
+    assert replacement.OVERLAP_SECONDS <= MAX_OVERLAP_SECONDS / 2
