One rule for where a stream must not end, also while its attempt is silent

A silent attempt whose stream then ended where it may not (no event since it was joined, or none at all without framing) counted as sound, so that the endpoint that was to replace it was given up. The rule stood twice; now it stands once.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -195,7 +195,7 @@
         if exchange.may_have_run and not route.kind.retryable:
             return Refusal("once_only", math.inf)
         if not exchange.splitter.resumable:
-            return Refusal("not_resumable", math.inf)
+            return Refusal("event_without_id", math.inf)
         if exchange.crashes >= MAX_CRASHES_PER_REQUEST:
             return Refusal("crashes", math.inf)
         if len(exchange.attempted_endpoints) >= route.max_attempts:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -307,7 +307,7 @@
         outcome = messages.Outcome.ABANDONED
         attempt.is_current = True
         exchange.answer_framing = None
-        if exchange.responder.started:
+        if exchange.begun:
             exchange.splitter.begin_join()
         try:
             result = await self._replacer.wait(
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -55,12 +55,23 @@
         # it is not framed, it may as well have broken off at its beginning.
         unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
 
+        def early_end() -> str:
+            """Returns why the stream must not end here; "" if it may."""
+            if splitter.within_event:
+                return "stream ended inside an event"
+            if splitter.awaits_join:
+                # Whether events were left is not known.
+                return "stream went on without events"
+            if not has_events and unframed:
+                return "stream ended without events"
+            return ""
+
         def is_sound(event: outbound.Event) -> bool:
             match event:
                 case outbound.Data():
                     return True
                 case outbound.End():
-                    return not splitter.within_event
+                    return not early_end()
             return False
 
         while True:
@@ -80,16 +91,11 @@
                         has_events = True
                         self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
-                case outbound.End() if splitter.within_event:
-                    return "stream ended inside an event"
-                case outbound.End() if splitter.awaits_join:
-                    # Whether events were left is not known.
-                    return "stream went on without events"
-                case outbound.End() if not has_events and unframed:
-                    return "stream ended without events"
                 case outbound.End():
-                    await exchange.responder.send(splitter.pending)
-                    return ""
+                    early = early_end()
+                    if not early:
+                        await exchange.responder.send(splitter.pending)
+                    return early
                 case outbound.AnswerLost(reason):
                     return f"stream {reason}"
                 case dialect.AnswerHead():
