--- a/cranberryglade/decoding.py
+++ b/cranberryglade/decoding.py
@@ -59,10 +59,10 @@
     return attempt(lambda: msgspec.convert(tomllib.loads(data.decode()), kind))
 
 
-def attempt(decode: Callable[[], T]) -> Result[T, str]:
+def attempt(decode: Callable[..., T], *arguments) -> Result[T, str]:
     """Calls a decoder; returns its result, or why its input is unreadable."""
     try:
-        return Success(decode())
+        return Success(decode(*arguments))
     except ERRORS as error:
         problem = str(error) or type(error).__name__
         return Failure(problem[:MAX_PROBLEM_CHARACTERS])
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -364,4 +364,4 @@
     >>> decode(encode(Queued("a.1")))
     <Success: Queued(id='a.1')>
     """
-    return decoding.attempt(lambda: _decoder.decode(data))
+    return decoding.attempt(_decoder.decode, data)
--- a/cranberryglade/tests/test_unreadable_datagrams.py
+++ b/cranberryglade/tests/test_unreadable_datagrams.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import pytest
 from returns.result import Failure
 from returns.result import Success
 
@@ -176,3 +177,25 @@
     decoded = decode(received, 9.0)
     for now in (9.0, 9.5, 1e6):
         assert msgspec.msgpack.encode(encode(decoded, now))
+
+
+ENCODED = [
+    (
+        conversions.encode_slot_request(
+            "gate-x", gateway_builders.make_slot_request(), 99.0
+        ),
+        b"\x9f\x03\xa6gate-x\xa3r-1\xa7writers\x00\xa9resumable\xcd\x03\xe8d"
+        b"\xcd\x03\xe8\xcd\x03\xe8\x90\xa0\xcb\x00\x00\x00\x00\x00\x00\x00\x00"
+        b"\xc0\x90",
+    ),
+    (
+        datagrams.Release("r-1", messages.Outcome.SERVED, ["p"]),
+        b"\x94\x07\xa3r-1\xa6served\x91\xa1p",
+    ),
+]
+
+
+@pytest.mark.parametrize(("message", "encoded"), ENCODED)
+def test_kinds_and_outcomes_are_written_and_read_as_before(message, encoded):
+    assert datagrams.encode(message) == encoded
+    assert datagrams.decode(encoded) == Success(message)
