Ask long polls of the store anew when their connections may be silent

What callers saw: open connections to the store went silent, without a reset, while new ones worked and something on the way acknowledged keep-alive probes. The long poll of the endpoints noticed after 27 s. Until then requests reached endpoints that had reported that they leave, and when those had ended all were answered 503 although new ones were registered.

The configuration is read every 1.5 s, on a kept connection; that read times out after 2 s and succeeds on a new one. Long polls that were asked before such a failure are now dropped when the store answers again, and asked anew, on new connections, from the version that they had. Of several instances the one that reads the configuration finds out, and the others hear from it that there are newer rows, as before.

What remains: a silence shows after up to 4 s, and a single poll that goes silent while the reads of the configuration do not is noticed after 27 s, as before.

--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -57,6 +57,7 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_decoder",
         "_on_configuration",
         "_on_endpoints",
@@ -68,6 +69,7 @@
         "_store_clock",
         "_store",
         "_store_lost",
+        "_unreachable_at",
         "_stored_version",
         "relies_on_peers",
         "probe_delay_seconds",
@@ -90,7 +92,9 @@
         self._on_endpoints = on_endpoints
         self._questions: dict[ports.Table, asyncio.Timeout] = {}
         self._outdated: set[ports.Table] = set()
+        self._asked_at: dict[ports.Table, float] = {}
         self._store_lost = False
+        self._unreachable_at: float | None = None
         self._stored_version = 0
         self._store_clock = store_clock.StoreClock()
         now = asyncio.get_running_loop().time()
@@ -152,6 +156,7 @@
         try:
             async with asyncio.timeout(None) as question:
                 self._questions[table] = question
+                self._asked_at[table] = asyncio.get_running_loop().time()
                 if version is None:
                     return await self._read_table(table)
                 return await self._read_changes(table, version)
@@ -371,6 +376,22 @@
             self._state.metrics.count_event("store_regained")
             now = asyncio.get_running_loop().time()
             self._state.directory.store_regained(now)
+            self._drop_earlier_questions(now)
+
+    def _drop_earlier_questions(self, now: float) -> None:
+        """Drops questions that were asked before the store was unreachable.
+
+        Load pattern: all open connections go silent, while new ones work. Of
+        those to the store, the frequent reads of the configuration find out
+        first; a long poll would wait for its time to pass.
+        """
+        unreachable_at, self._unreachable_at = self._unreachable_at, None
+        if unreachable_at is None:
+            return
+        for table, question in self._questions.items():
+            earlier = self._asked_at[table] < unreachable_at
+            if earlier and not question.expired():
+                question.reschedule(now)
 
     def _record_store_failure(
         self, table: ports.Table, error: ports.StoreError
@@ -380,3 +401,5 @@
             logger.warning("store.lost", table=table.value, reason=error.value)
             self._state.metrics.count_event("store_lost")
             self._state.directory.store_lost()
+        if error is ports.StoreError.UNREACHABLE:
+            self._unreachable_at = asyncio.get_running_loop().time()
