Refuse settings whose host can be no name

A host with a label of more than 63 characters, or with a NUL, raised UnicodeError or ValueError at each call of the store, where only OSError is expected. Both cases of test_settings_that_cannot_be_used_are_refused were accepted before.

--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -53,9 +53,18 @@
 
 
 def is_listening_address(address: str) -> bool:
-    """Returns whether an address has a host, by IP or name, and a port."""
+    """Returns whether an address has a host, by IP or name, and a port.
+
+    >>> is_listening_address("store.example:80"), is_listening_address(":80")
+    (True, False)
+    """
     host, _, port = address.rpartition(":")
-    return bool(host) and decoding.parse_count(port, MAX_PORT) is not None
+    try:
+        host.encode("idna")
+    except UnicodeError:
+        return False
+    has_port = decoding.parse_count(port, MAX_PORT) is not None
+    return bool(host) and host.isprintable() and has_port
 
 
 def set_connection_options(
--- a/cranberryglade/tests/test_platform_boot.py
+++ b/cranberryglade/tests/test_platform_boot.py
@@ -87,6 +87,8 @@
     FILE.replace("[7600, 7615]", "[70000, 70001]"),
     FILE.replace(":8221", ":70000"),
     FILE.replace(":8225", ":x"),
+    FILE.replace("10.200.1.7", "x" * 80),
+    FILE.replace("10.200.1.7", "\\u0000"),
     FILE.replace("grace_s = 8", "grace_s = nan"),
     FILE.replace("grace_s = 8", "grace_s = -1"),
     FILE.replace("grace_s = 8", "quota_window_s = 0"),
