A daemon waits for an engine that pauses after its connection was lost

What callers saw: a request whose connection to its engine was lost ended as may_have_run although the engine went on with it and had time left, if the engine was silent for longer than two seconds then, as while a prompt is read.

The first connection has the time until the deadline, a resumed one had two seconds, twice.

Evidence: test_silent_engine_is_waited_for_after_its_connection_was_lost got may_have_run, answer_lost, on the code before.

Why this works: the patience for an engine is counted once, from the dispatch, and a resumed stream has what is left of it, two seconds at least. An engine that has ended refuses the connection or does not know the request, and is left as quickly as before; only one that accepts it and stays silent is waited for.

--- a/cranberryglade/endpoints.py
+++ b/cranberryglade/endpoints.py
@@ -1,5 +1,7 @@
 """HTTP client that dispatches requests to endpoints and reads answers."""
 
+import asyncio
+
 import aiohttp
 
 from cranberryglade import bodies
@@ -64,8 +66,8 @@
             sink: receives the token events.
             left_seconds: time left until the deadline. Limited to the range
                 IDLE_TIMEOUT_RANGE_SECONDS, it is also the idle timeout of the
-                first connection; that of a resumed stream is
-                RESUME_IDLE_TIMEOUT_SECONDS.
+                first connection. A resumed stream has what is left of it, and
+                RESUME_IDLE_TIMEOUT_SECONDS at least.
 
         Returns:
             The outcome of the dispatch; never Cut.
@@ -81,6 +83,8 @@
         path = "call" if service else "generate"
         url = f"http://{endpoint.address}/v1/{path}"
         shortest, longest = IDLE_TIMEOUT_RANGE_SECONDS
+        idle_timeout_seconds = min(longest, max(shortest, left_seconds))
+        patient_until = asyncio.get_running_loop().time() + idle_timeout_seconds
         outcome = await self._read(
             "POST",
             url,
@@ -88,12 +92,14 @@
             headers,
             check,
             sink,
-            min(longest, max(shortest, left_seconds)),
+            idle_timeout_seconds,
         )
         for _ in range(0 if service else RESUME_ATTEMPTS):
             if not _interrupted(outcome):
                 break
-            outcome = await self._resume(url, request, check, sink)
+            outcome = await self._resume(
+                url, request, check, sink, patient_until
+            )
         return _dispatch_outcome(outcome)
 
     async def cancel(
@@ -122,8 +128,10 @@
         request: wire.EngineRequest,
         check: answers.AnswerCheck,
         sink: streams.Sink,
+        patient_until: float,
     ) -> streams.Outcome:
         check.reconnect()
+        left = patient_until - asyncio.get_running_loop().time()
         outcome = await self._read(
             "GET",
             f"{url}/{request.request_id}",
@@ -131,7 +139,7 @@
             {"Last-Event-ID": str(check.next_offset - 1)},
             check,
             sink,
-            RESUME_IDLE_TIMEOUT_SECONDS,
+            max(RESUME_IDLE_TIMEOUT_SECONDS, left),
         )
         if outcome is streams.NOT_CONNECTED:
             return verdicts.MayHaveRun(verdicts.Reason.ENDPOINT_LOST)
--- a/cranberryglade/tests/scripted.py
+++ b/cranberryglade/tests/scripted.py
@@ -1,6 +1,7 @@
 """An HTTP server for tests that answers with scripted bytes."""
 
 import asyncio
+import dataclasses
 
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 CLOSING_HEAD = STREAM_HEAD + b"Connection: close\r\n\r\n"
@@ -27,10 +28,19 @@
 WHOLE = token(0) + token(1) + end(2)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Late:
+    """A reply that is sent after a silence, in seconds."""
+
+    silence: float
+    reply: bytes
+
+
 class ScriptedServer:
     """Answers each request with the next reply of a list.
 
     A reply of None keeps the connection open and sends nothing; b"" closes it.
+    One that is `Late` is sent later.
     """
 
     def __init__(self, replies):
@@ -54,6 +64,9 @@
                 self.heads.append(head)
                 await reader.readexactly(_content_length(head))
                 reply = self._replies.pop(0) if self._replies else b""
+                if isinstance(reply, Late):
+                    await asyncio.sleep(reply.silence)
+                    reply = reply.reply
                 if reply is None:
                     await asyncio.sleep(60)
                 writer.write(reply)
--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -16,6 +16,7 @@
 from cranberryglade.tests import builders
 from cranberryglade.tests.scripted import CLOSING_HEAD
 from cranberryglade.tests.scripted import WHOLE
+from cranberryglade.tests.scripted import Late
 from cranberryglade.tests.scripted import ScriptedServer
 from cranberryglade.tests.scripted import end
 from cranberryglade.tests.scripted import keep_alive_response
@@ -150,6 +151,20 @@
         assert received == token(0) + token(1)
 
 
+async def test_silent_engine_is_waited_for_after_its_connection_was_lost(
+    client,
+):
+    # It pauses for longer than the idle timeout of a resumed stream.
+    replies = [
+        CLOSING_HEAD + token(0),
+        Late(0.2, CLOSING_HEAD + token(1) + end(2)),
+    ]
+    async with ScriptedServer(replies) as fake:
+        outcome, received = await run(client, fake.address)
+    assert outcome == streams.Complete(2)
+    assert received == token(0) + token(1)
+
+
 ERROR_TEXT = b"upstream failed\n\n"
 SECOND_HEAD = refusal(b"503 No", ERROR_TEXT)
 FOREIGN_REPLIES = {
