Answers to HEAD and answers without a body carry no bytes behind their head

Callers that sent HEAD and were refused found the text of the refusal before the next answer on their connection ("over_quotaHTTP/1.1 200 OK"). A 204 or 304 on a streaming route was followed by the last chunk, and so was the answer to HEAD there; a 204 elsewhere stated a length, which HTTP does not allow.

Cause: the responder did not know the method, and framed each answer by its length or by chunks whatever its status.

For it the callers' stand-in reads strictly: bytes before a status line are an error.

Now a responder is told whether only the head was asked for, and neither that nor a 204 or 304 gets a body, chunks, or a length that is not known. The refusal of a request that was not read whole keeps to this, too.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -354,7 +354,9 @@
 
     def _start_handler(self, request: messages.Request) -> None:
         self._stop_timer()
-        responder = responding.Responder(self, request.keep_alive)
+        responder = responding.Responder(
+            self, request.keep_alive, request.method == messages.HEAD
+        )
         self._task = self._loop.create_task(
             self._listener.handler(request, responder)
         )
@@ -370,7 +372,8 @@
             self._send_error()
 
     def _send_error(self) -> None:
-        responder = responding.Responder(self, False)
+        asks_for_head = self._parser.get_method() == messages.HEAD
+        responder = responding.Responder(self, False, asks_for_head)
         body = self._read_failure.reason.encode()
         responder.whole(self._read_failure.status, [], body)
 
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -5,6 +5,9 @@
 
 from cranberryglade.gateway import configuration
 
+HEAD = b"HEAD"
+"""The method whose answers have no body."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Header:
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -6,6 +6,9 @@
 
 from cranberryglade.gateway import messages
 
+BODILESS_STATUSES = (204, 304)
+"""Statuses whose answers have neither a body nor its framing."""
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection."""
@@ -57,11 +60,31 @@
         started: whether the head has been written.
     """
 
-    __slots__ = ("_chunked", "_connection", "_keep_alive", "started")
+    __slots__ = (
+        "_bodiless",
+        "_chunked",
+        "_connection",
+        "_keep_alive",
+        "started",
+    )
+
+    def __init__(
+        self,
+        connection: Connection,
+        keep_alive: bool,
+        asks_for_head: bool = False,
+    ):
+        """Creates the responder of a request.
 
-    def __init__(self, connection: Connection, keep_alive: bool):
+        Args:
+            connection: the caller's connection.
+            keep_alive: whether the caller allows it to stay open.
+            asks_for_head: whether the method is HEAD, so that no answer has a
+                body.
+        """
         self._connection = connection
         self._keep_alive = keep_alive
+        self._bodiless = asks_for_head
         self._chunked = False
         self.started = False
 
@@ -83,7 +106,9 @@
             reason: reason phrase; empty for the standard one.
             headers: fields other than Content-Length, Transfer-Encoding and
                 Connection, which are added here.
-            length: bytes of the body; None for chunked encoding.
+            length: bytes of the body; None for chunked encoding. Ignored for
+                a status without a body, and if only the head was asked for,
+                unless the length is known to be that of the body left out.
 
         Raises:
             CallerGoneError: if the connection is closed or closing.
@@ -97,7 +122,12 @@
         phrase = reason or usual_phrase(status)
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, phrase)]
         lines += [b"%s: %s\r\n" % (h.name, h.value) for h in headers]
-        if length is None:
+        if status in BODILESS_STATUSES:
+            self._bodiless = True
+        elif self._bodiless:
+            if length:
+                lines.append(b"Content-Length: %d\r\n" % length)
+        elif length is None:
             self._chunked = True
             lines.append(b"Transfer-Encoding: chunked\r\n")
         else:
@@ -111,10 +141,12 @@
     async def send(self, data: bytes) -> None:
         """Writes a part of the body and waits until the buffer has room.
 
+        Does nothing for an answer without a body.
+
         Raises:
             CallerGoneError: if the connection is closed or lost meanwhile.
         """
-        if not data:
+        if not data or self._bodiless:
             return
         if self._connection.closing:
             raise CallerGoneError
@@ -148,7 +180,7 @@
         Args:
             status: HTTP status.
             headers: fields other than those on framing and connection.
-            body: the whole body.
+            body: the whole body; left out if only the head was asked for.
             reason: reason phrase; empty for the standard one.
 
         Raises:
@@ -156,7 +188,7 @@
             HeadRepeatedError: if the answer has begun.
         """
         self.start(status, reason, headers, len(body))
-        if body:
+        if body and not self._bodiless:
             self._connection.write(body)
         self.finish()
 
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -45,9 +45,6 @@
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
-HEAD = b"HEAD"
-"""The method whose answers have no body."""
-
 logger = log.get_logger(__name__)
 
 
@@ -179,7 +176,7 @@
                     request, self._dialect.request_headers(request, added)
                 ),
                 request.body,
-                request.method == HEAD,
+                request.method == messages.HEAD,
             )
             on_sent()
             return await self._read_answer(channel, endpoint, facts, streams)
--- a/cranberryglade/standins/callers.py
+++ b/cranberryglade/standins/callers.py
@@ -5,6 +5,12 @@
 
 from cranberryglade.standins import operator_configuration
 
+BODILESS_STATUSES = (204, 304)
+
+
+class StrayBytesError(Exception):
+    """Bytes that belong to no response stand before one."""
+
 
 @dataclasses.dataclass(slots=True)
 class Answer:
@@ -65,19 +71,32 @@
             lines.append(f"Content-Length: {len(body)}")
         self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
-    async def answer(self) -> Answer:
-        """Reads one response."""
+    async def answer(self, bodiless: bool = False) -> Answer:
+        """Reads one response.
+
+        Args:
+            bodiless: whether it has no body whatever its headers say, as the
+                response to HEAD.
+
+        Raises:
+            StrayBytesError: if other bytes come before it.
+        """
         try:
             head = await self.reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
             return Answer(0, {}, b"", False)
+        if not head.startswith(b"HTTP/1.1 "):
+            raise StrayBytesError(head)
         lines = head.decode("latin-1").split("\r\n")
         fields = {}
         for line in filter(None, lines[1:]):
             name, _, value = line.partition(":")
             fields[name.lower()] = value.strip()
+        status = int(lines[0].split()[1])
+        if bodiless or status in BODILESS_STATUSES:
+            return Answer(status, fields, b"", True)
         body, whole = await self._read_body(fields)
-        return Answer(int(lines[0].split()[1]), fields, body, whole)
+        return Answer(status, fields, body, whole)
 
     async def _read_body(self, fields):
         if "content-length" in fields:
