Take the version of a stream from the process that answers, not from the row

Callers saw: an endpoint ended and came back under its id as another software version while the store was down, so that its row still named the version before. Streams that began there and broke off went on at endpoints of that version: answered 200, whole, and of two versions. The same happened to a stream that was taken up after such an endpoint's row had changed, and a stream of the old version could go on at the new process.

Cause: the version was read from the row. The id that a request expects is the same for both processes, and answers state no version.

Now a connection leads to the listed process for certain if it was opened before the row was last confirmed, or while another such connection was open, as a connection ends with its process. What begins a stream on any other connection is tentative. If such a stream breaks off, it goes on only after a read of the endpoints, begun then, that shows the process still, or that the later process started after the stream began; if not, its origin is unknown from then on, and the other instances are told. Tentative origins are also given up when the row shows that another version had started before, and when nothing confirms the rows for 2.5 s. A stream goes on only at an endpoint of which the same holds. Reads of the endpoints are shared and at least 0.1 s apart; none is made for a request whose stream doesn't break, nor where the connection is certain, which with requests every few seconds it is.

No message and no row has a new field: an unknown version is a value that no endpoint has, so that the build before refuses such a stream as one whose version is gone.

That sound streams still go on in an outage is shown by test_stream_goes_on_in_an_outage_where_connections_were_open.

What remains: an endpoint that restarts unseen and whose stream is taken up at another instance before its row arrives there (1.2 s at most); a process whose start is not written although the store is up.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -12,6 +12,8 @@
 from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import process_verification
 from cranberryglade.gateway import replacement
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
@@ -47,10 +49,12 @@
     __slots__ = (
         "_allocator",
         "_budget",
+        "_origins",
         "_pauses",
         "_request_numbers",
         "_sender",
         "_state",
+        "_verifier",
     )
 
     def __init__(
@@ -60,12 +64,16 @@
         budget: budgets.RetryBudget,
         sender: sending.Sender,
         pauses: endpoint_pauses.EndpointPauses,
+        origins: origin_sharing.OriginSharing,
+        verifier: process_verification.ProcessVerifier,
     ):
         self._state = shared
         self._allocator = allocator
         self._budget = budget
         self._sender = sender
         self._pauses = pauses
+        self._origins = origins
+        self._verifier = verifier
         self._request_numbers = itertools.count()
 
     def reserve(self, exchange: exchanges.Exchange) -> Refusal | None:
@@ -94,7 +102,7 @@
         """
         try:
             while True:
-                denied = self._find_quarantine(exchange)
+                denied = await self._find_denial(exchange)
                 if denied is not None:
                     exchange.refusal = denied.reason
                     return denied
@@ -106,10 +114,10 @@
                         exchange.refusal = reason
                         return decision
                     case messages.Granted(endpoint=id_):
-                        endpoint = self._state.endpoints.get(id_)
-                        if endpoint is not None and self._may_send(
-                            exchange, endpoint
-                        ):
+                        endpoint = await self._find_endpoint(
+                            exchange, slot_request, id_
+                        )
+                        if endpoint is not None:
                             return self._start(exchange, slot_request, endpoint)
                         self._withhold(exchange, slot_request, id_)
         finally:
@@ -176,6 +184,18 @@
         exchange.crashes += 1
         return messages.Outcome.CRASHED
 
+    async def verify_origin(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether it is known what began a stream that may go on."""
+        tentative = exchange.tentative
+        if tentative is None:
+            return True
+        endpoint = tentative.endpoint
+        if await self._verifier.began(endpoint, tentative.begun):
+            exchange.tentative = None
+            return True
+        self._origins.refute(exchange.facts.id, endpoint.service)
+        return False
+
     async def give_up_silent(
         self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
     ) -> messages.Outcome:
@@ -285,6 +305,19 @@
         now = asyncio.get_running_loop().time()
         return self._pauses.seconds_left(usable, now)
 
+    async def _find_denial(
+        self, exchange: exchanges.Exchange
+    ) -> messages.Denied | None:
+        """Returns why no slot is asked for; None if one is."""
+        denied = self._find_quarantine(exchange)
+        if denied is None and not await self.verify_origin(exchange):
+            denied = messages.Denied(
+                exchange.facts.id,
+                messages.ORIGIN_UNKNOWN,
+                MAX_DENIAL_PAUSE_SECONDS,
+            )
+        return denied
+
     def _find_quarantine(
         self, exchange: exchanges.Exchange
     ) -> messages.Denied | None:
@@ -296,6 +329,34 @@
             exchange.facts.id, messages.QUARANTINED, entry.until - now
         )
 
+    async def _find_endpoint(
+        self,
+        exchange: exchanges.Exchange,
+        slot_request: messages.SlotRequest,
+        endpoint_id: str,
+    ) -> messages.Endpoint | None:
+        """Returns the granted endpoint if the request may be sent to it."""
+        endpoint = self._state.endpoints.get(endpoint_id)
+        if endpoint is None or not self._may_send(exchange, endpoint):
+            return None
+        if exchange.origin is None:
+            return endpoint
+        # A stream goes on only where the version is certain.
+        try:
+            is_listed = await self._verifier.is_listed(endpoint)
+        except asyncio.CancelledError:
+            abandoned = messages.Outcome.ABANDONED
+            self._allocator.release(slot_request, abandoned)
+            raise
+        endpoint = self._state.endpoints.get(endpoint_id)
+        if (
+            not is_listed
+            or endpoint is None
+            or not self._may_send(exchange, endpoint)
+        ):
+            return None
+        return endpoint
+
     def _may_send(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> bool:
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -9,6 +9,7 @@
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
+from cranberryglade.gateway import tentative_origins
 
 
 class Attempt:
@@ -106,6 +107,10 @@
         origin: what began its stream; None before the first event.
         attempts_in_progress: number of attempts in progress; two while a silent
             one is being replaced.
+        process_is_certain: whether the last stream certainly came from the
+            listed process of its endpoint.
+        tentative: what that origin rests on if another process than the listed
+            one may have begun the stream; None if that is excluded.
         earlier_attempt_may_have_run: whether an earlier attempt may have run.
         fallback_answer: the last failure answer, relayed if no later attempt
             succeeds.
@@ -140,6 +145,8 @@
     stream_head: dialect.AnswerHead | None = None
     origin: messages.StreamOrigin | None = None
     attempts_in_progress: int = 0
+    process_is_certain: bool = False
+    tentative: tentative_origins.TentativeOrigin | None = None
     earlier_attempt_may_have_run: bool = False
     fallback_answer: sending.Answer | None = None
     waited_seconds: float = 0.0
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cranberryglade.gateway import http_fields
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
+from cranberryglade.gateway import process_verification
 from cranberryglade.gateway import replacing
 from cranberryglade.gateway import request_digests
 from cranberryglade.gateway import responding
@@ -67,6 +68,7 @@
         sender: sending.Sender,
         origins: origin_sharing.OriginSharing,
         pauses: endpoint_pauses.EndpointPauses,
+        verifier: process_verification.ProcessVerifier,
     ):
         self._state = shared
         self._dialect = translator
@@ -75,7 +77,7 @@
         self._sender = sender
         self._origins = origins
         self._attempts = attempts.Attempts(
-            shared, allocator, budget, sender, pauses
+            shared, allocator, budget, sender, pauses, origins, verifier
         )
         self._replacer = replacing.Replacer(self._attempts)
         self._relay = stream_relaying.StreamRelay(origins, self._replacer)
@@ -217,7 +219,7 @@
         services = [each.service for each in route.service_weights]
         origin = await self._origins.find(facts.resumed_attempt, services)
         if origin is None:
-            return self._give_up(exchange, 503, "origin_unknown")
+            return self._give_up(exchange, 503, messages.ORIGIN_UNKNOWN)
         logger.info(
             "stream.resumed",
             id=facts.id,
@@ -357,6 +359,7 @@
         opened: sending.StreamStarted,
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
         exchange.earlier_attempt_may_have_run = True
+        exchange.process_is_certain = opened.process_is_certain
         lost = self._begin_stream(exchange, opened.head)
         if not lost:
             lost = await self._relay.relay(
@@ -367,6 +370,11 @@
         if lost:
             opened.channel.abort()
             outcome = await self._attempts.explain_loss(exchange, attempt)
+            if not await self._attempts.verify_origin(exchange):
+                attempt.failure = lost
+                return outcome, self._give_up(
+                    exchange, 502, messages.ORIGIN_UNKNOWN
+                )
             return outcome, self._retry_or_give_up(exchange, attempt, lost)
         self._sender.put_back(attempt.endpoint, opened.channel)
         exchange.responder.finish()
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -126,6 +126,11 @@
         return EndpointProcess(self.id, self.started_ms)
 
 
+UNKNOWN_VERSION = "\0"
+"""Software version of an origin that will not become known; no endpoint has
+it."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StreamOrigin:
     """What began a stream; only endpoints of the same kind may continue it.
@@ -135,12 +140,18 @@
 
     Attributes:
         service: the service that the stream's first event came from.
-        software_version: software version of the endpoint that sent it.
+        software_version: software version of the endpoint that sent it;
+            UNKNOWN_VERSION if another process than the listed one may have.
     """
 
     service: str
     software_version: str
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the version is known."""
+        return self.software_version != UNKNOWN_VERSION
+
     def admits(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint may continue the stream."""
         return (
@@ -151,6 +162,7 @@
 
 OVER_QUOTA = "over_quota"
 QUARANTINED = "quarantined"
+ORIGIN_UNKNOWN = "origin_unknown"
 
 NO_ROOM = frozenset(("hopeless", "unreachable", "waited"))
 """Reasons of denials that pass: there are endpoints, but no slot for now."""
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -18,15 +18,18 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import time
 
 from cranberryglade import log
 from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
+from cranberryglade.gateway import tentative_origins
 from cranberryglade.gateway import version_sync
 
 REPLICAS = 3
@@ -41,10 +44,6 @@
 
 RECORDS_PER_DATAGRAM = 16
 
-MAX_STEP_AGE_SECONDS = 2.5
-"""An instance is out of step when the store, or a peer, last confirmed what it
-knows longer ago; longer than the time between two confirmations."""
-
 MAX_AGE_OF_REPLIES_SECONDS = membership.MEMBER_TIMEOUT_SECONDS / 2
 """The replies of the other instances suffice for an instance that was confirmed
 within this time: no instance that it lost since is forgotten yet."""
@@ -109,16 +108,19 @@
 
     __slots__ = (
         "_age",
-        "_confirm_versions",
         "_learn_earlier_versions",
         "_mesh",
         "_name",
         "_next_number",
         "_own",
         "_pending",
+        "_processes",
+        "_read_endpoints",
+        "_read_versions",
         "_received",
         "_rows",
         "_sharing_all",
+        "_tentative",
         "_versions",
     )
 
@@ -128,10 +130,12 @@
         versions: software_versions.SoftwareVersions,
         learn_earlier_versions: Callable[[], Awaitable[bool]],
         rows: origin_rows.OriginRows,
-        confirm_versions: Callable[
+        read_endpoints: Callable[[], Awaitable[bool | None]],
+        read_versions: Callable[
             [], Awaitable[version_sync.StoredVersions | None]
         ],
         age: Callable[[], float],
+        processes: endpoint_processes.EndpointProcesses,
     ):
         """Initialises the records; `set_mesh` must be called before use.
 
@@ -141,14 +145,19 @@
             learn_earlier_versions: adds those of the time before the start;
                 returns whether they are known.
             rows: origins in the store.
-            confirm_versions: brings `versions` up to date and returns the
-                stored ones, or None, as `VersionConfirmation.confirm` does.
+            read_endpoints: brings `versions` up to date with the store;
+                returns whether it could be read.
+            read_versions: returns the stored versions, or None.
             age: returns the seconds since the store, or a peer, last confirmed
                 what this instance knows.
+            processes: until when the listed processes are confirmed.
         """
         self._name = name
-        self._confirm_versions = confirm_versions
+        self._read_endpoints = read_endpoints
+        self._read_versions = read_versions
         self._age = age
+        self._processes = processes
+        self._tentative = tentative_origins.TentativeOrigins()
         self._sharing_all = False
         self._learn_earlier_versions = learn_earlier_versions
         self._rows = rows
@@ -175,6 +184,8 @@
         far are sent, as from now on they cannot be inferred.
         """
         now = _now()
+        refuted = self._tentative.take_refuted(listed, now, time.time())
+        self._refute(refuted, "started_again")
         for service in self._versions.observe(listed.values(), now):
             if self._has_single_version(service, now):
                 continue
@@ -183,11 +194,15 @@
     def tick(self) -> None:
         """Sends all own origins once this instance is out of step.
 
-        Nobody can confirm then that a service has a single version.
+        Nobody can confirm then that a service has a single version, nor a
+        tentative origin.
         """
-        out_of_step = self._age() > MAX_STEP_AGE_SECONDS
+        now = _now()
+        out_of_step = self._age() > endpoint_processes.MAX_STEP_AGE_SECONDS
+        self._tentative.confirm(self._processes.confirmed_until)
+        if not self._processes.is_in_step(now):
+            self._refute(self._tentative.take_all(), "out_of_step")
         if out_of_step and not self._sharing_all:
-            now = _now()
             origins = self._own.all(now)
             logger.info(
                 "origins.shared",
@@ -197,23 +212,56 @@
             self._send(origins, now)
         self._sharing_all = out_of_step
 
-    def record(self, attempt: str, origin: messages.StreamOrigin) -> None:
+    def record(
+        self,
+        attempt: str,
+        origin: messages.StreamOrigin,
+        tentative: tentative_origins.TentativeOrigin | None = None,
+    ) -> None:
         """Records what began a stream, before its first event is relayed.
 
         Args:
             attempt: id of the caller's attempt; "" if it has none, so that
                 the stream cannot be resumed.
             origin: the service and software version of the endpoint.
+            tentative: what it rests on if another process than the listed one
+                may have begun the stream.
         """
         if not attempt:
             return
         now = _now()
+        if tentative is not None:
+            self._tentative.add(attempt, tentative)
         self._own.record(attempt, origin, now)
         if self._sharing_all or not self._has_single_version(
             origin.service, now
         ):
             self._send({attempt: origin}, now)
 
+    def refute(self, attempt: str, service: str) -> None:
+        """Records that it is not known which version began a stream."""
+        self._tentative.discard(attempt)
+        if attempt:
+            origin = messages.StreamOrigin(service, messages.UNKNOWN_VERSION)
+            self._own.record(attempt, origin, _now())
+            self._send({attempt: origin}, _now())
+
+    def _refute(
+        self,
+        refuted: dict[str, tentative_origins.TentativeOrigin],
+        reason: str,
+    ) -> None:
+        for attempt, tentative in refuted.items():
+            logger.info(
+                "origin.refuted",
+                attempt=attempt,
+                endpoint=tentative.endpoint.id,
+                software_version=tentative.endpoint.software_version,
+                reason=reason,
+                age_s=round(self._age(), 2),
+            )
+            self.refute(attempt, tentative.endpoint.service)
+
     async def find(
         self, attempt: str, services: list[str]
     ) -> messages.StreamOrigin | None:
@@ -230,6 +278,9 @@
         service = services[0] if len(services) == 1 else ""
         query = FindQuery(attempt, service, round(self._age(), 2))
         origin = await self._decide(query)
+        if origin is not None and not origin.is_known:
+            query.reason = "process_unknown"
+            origin = None
         version = origin.software_version if origin else None
         logger.info("origin.decided", software_version=version, **query.fields)
         return origin
@@ -291,6 +342,8 @@
     def _learn(self, record: datagrams.OriginRecord, now: float) -> None:
         """Keeps an origin of another instance; its version was in service."""
         self._received.record(record.attempt, _decode(record), now)
+        if record.software_version == messages.UNKNOWN_VERSION:
+            return
         known = self._versions.versions(record.service, now)
         if record.software_version not in known:
             versions = [record.software_version]
@@ -304,7 +357,9 @@
             query.replies
         ):
             query.reason = "store"
-            stored = await self._confirm_versions()
+            stored = None
+            if await self._read_endpoints():
+                stored = await self._read_versions()
             if stored is None:
                 query.reason = "unconfirmed"
                 return None
@@ -342,7 +397,8 @@
             started_since = member is None or member.started_at > now - age
             count += bool(reply.software_versions) and not started_since
         if not members.full_mesh:
-            return age <= MAX_STEP_AGE_SECONDS and count >= REPLICAS
+            in_step = age <= endpoint_processes.MAX_STEP_AGE_SECONDS
+            return in_step and count >= REPLICAS
         all_others = max(1, members.instance_count(now) - 1)
         return age <= MAX_AGE_OF_REPLIES_SECONDS and count >= all_others
 
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -156,6 +156,13 @@
         whole = not self._failure and not self._events
         return clean and whole and not self._transport.is_closing()
 
+    def is_live(self, max_idle_seconds: float) -> bool:
+        """Returns whether it is open, and in use or was so lately."""
+        if self._failure or self._transport.is_closing():
+            return False
+        idle_seconds = self._loop.time() - self.idle_since
+        return self._in_exchange or idle_seconds < max_idle_seconds
+
     def connection_made(self, transport) -> None:
         """Stores the transport and sets the socket options."""
         self._transport = transport
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -26,6 +26,7 @@
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_pauses
+from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import forwarding
 from cranberryglade.gateway import inbound
 from cranberryglade.gateway import mesh
@@ -34,12 +35,14 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import peer_sync
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import process_verification
 from cranberryglade.gateway import quarantine_sync
 from cranberryglade.gateway import quotas
 from cranberryglade.gateway import registration
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import settings
+from cranberryglade.gateway import shared_read
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import software_versions
@@ -49,7 +52,6 @@
 from cranberryglade.gateway import telemetry
 from cranberryglade.gateway import tunnels
 from cranberryglade.gateway import usage_sync
-from cranberryglade.gateway import version_confirmation
 from cranberryglade.gateway import version_sync
 
 INCARNATION_BYTES = 4
@@ -130,16 +132,21 @@
         self._origin_rows = origin_rows.OriginRows(
             store, lambda: self._allocator.is_allocating
         )
+        self._processes = endpoint_processes.EndpointProcesses(
+            self._state.confirmation_age
+        )
+        endpoints_read = shared_read.SharedRead(
+            "endpoints", lambda: self._store_watcher.read_endpoints()
+        )
         self._origins = origin_sharing.OriginSharing(
             initial_settings.instance,
             versions,
             self._version_sync.load,
             self._origin_rows,
-            version_confirmation.VersionConfirmation(
-                lambda: self._store_watcher.read_endpoints(),
-                self._version_sync.read,
-            ).confirm,
+            endpoints_read.get,
+            shared_read.SharedRead("versions", self._version_sync.read).get,
             self._state.confirmation_age,
+            self._processes,
         )
         self._sender = sending.Sender(
             header_dialect,
@@ -147,6 +154,7 @@
             self._pauses,
             self._state.endpoint_limits,
             self._endpoint_limit_changed,
+            self._processes,
             tunnels.TunnelClient(
                 self._helpers, self._state.reachability, self._cut_off
             ),
@@ -196,6 +204,9 @@
             self._sender,
             self._origins,
             self._pauses,
+            process_verification.ProcessVerifier(
+                self._state, self._processes, endpoints_read.get
+            ),
         )
         self._caller_listener = inbound.Listener(
             self._forwarder.handle, self._report_invalid_request
@@ -511,6 +522,7 @@
             if self._state.directory.expire(now):
                 self._endpoints_changed()
             self._allocator.tick(now)
+            self._processes.tick(now)
             self._origins.tick()
             self._state.quarantine.expire(now, self._allocator.is_allocating)
             self._state.endpoint_limits.expire(self._state.endpoints, now)
@@ -576,6 +588,7 @@
     def _endpoints_changed(self) -> None:
         listed = self._state.directory.endpoints
         self._state.endpoints = listed
+        self._processes.keep_only(listed)
         self._origins.observe_endpoints(listed)
         self._sender.pools.close_others({e.address for e in listed.values()})
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/cranberryglade/gateway/process_verification.py
@@ -0,0 +1,91 @@
+"""Verifies that the listed process of an endpoint is the one that answers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+from cranberryglade import log
+from cranberryglade.gateway import endpoint_processes
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import state
+
+logger = log.get_logger(__name__)
+
+
+class ProcessVerifier:
+    """Asks the open connections, then the platform's store."""
+
+    __slots__ = ("_processes", "_read_endpoints", "_state")
+
+    def __init__(
+        self,
+        shared: state.InstanceState,
+        processes: endpoint_processes.EndpointProcesses,
+        read_endpoints: Callable[[], Awaitable[bool | None]],
+    ):
+        """Initialises it.
+
+        Args:
+            shared: has the list of endpoints.
+            processes: connections to the endpoints.
+            read_endpoints: brings the list up to date; returns whether it
+                could be read.
+        """
+        self._state = shared
+        self._processes = processes
+        self._read_endpoints = read_endpoints
+
+    async def is_listed(self, endpoint: messages.Endpoint) -> bool:
+        """Returns whether an endpoint answers as the process in its row."""
+        if self._processes.is_certain(endpoint):
+            return True
+        problem = await self._read()
+        listed = self._state.endpoints.get(endpoint.id)
+        if not problem and listed is not None:
+            if listed.process == endpoint.process:
+                return True
+            problem = "started_again"
+        _log(endpoint, problem or "removed")
+        return False
+
+    async def began(self, endpoint: messages.Endpoint, begun: float) -> bool:
+        """Returns whether a stream began at the process in an endpoint's row.
+
+        Args:
+            endpoint: the endpoint as it was listed then.
+            begun: when that was, seconds of the loop's clock.
+        """
+        if begun <= self._processes.confirmed_until:
+            return True
+        problem = await self._read()
+        if not problem and self._is_refuted(endpoint, begun):
+            problem = "started_again"
+        if problem:
+            _log(endpoint, problem)
+        return not problem
+
+    async def _read(self) -> str:
+        """Brings the list up to date; returns why it is not, or ""."""
+        if not await self._read_endpoints():
+            return "unconfirmed"
+        now = asyncio.get_running_loop().time()
+        # Endpoints that started meanwhile may not have written their rows.
+        return "" if self._processes.is_in_step(now) else "out_of_step"
+
+    def _is_refuted(self, endpoint: messages.Endpoint, begun: float) -> bool:
+        listed = self._state.endpoints.get(endpoint.id)
+        now = asyncio.get_running_loop().time()
+        return listed is not None and endpoint_processes.may_have_begun(
+            endpoint, listed, begun, now, time.time()
+        )
+
+
+def _log(endpoint: messages.Endpoint, reason: str) -> None:
+    logger.info(
+        "endpoint.unverified",
+        endpoint=endpoint.id,
+        started_ms=endpoint.started_ms,
+        software_version=endpoint.software_version,
+        reason=reason,
+    )
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -8,6 +8,7 @@
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_pauses
+from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import outbound
 
@@ -70,10 +71,13 @@
     Attributes:
         head: its status and headers.
         channel: the connection that the events follow on.
+        process_is_certain: whether it certainly leads to the listed process of
+            the endpoint.
     """
 
     head: dialect.AnswerHead
     channel: outbound.Channel
+    process_is_certain: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -106,6 +110,7 @@
         "_on_leaving",
         "_on_limit",
         "_pauses",
+        "_processes",
         "pools",
     )
 
@@ -116,6 +121,7 @@
         pauses: endpoint_pauses.EndpointPauses,
         limits: endpoint_limits.EndpointLimits,
         on_limit: Callable[[endpoint_limits.EndpointLimit], None],
+        processes: endpoint_processes.EndpointProcesses,
         detour: outbound.Detour | None = None,
     ):
         """Creates a sender without connections.
@@ -127,6 +133,7 @@
             pauses: records the pauses that endpoints ask for.
             limits: records the limits that endpoints name.
             on_limit: called with each limit that changes.
+            processes: records the connections to the endpoints.
             detour: leads to endpoints that cannot be reached directly.
         """
         self._body_memory = outbound.BodyMemory(MAX_ANSWERS_BYTES)
@@ -135,6 +142,7 @@
         self._limits = limits
         self._on_limit = on_limit
         self._on_leaving = on_leaving
+        self._processes = processes
         self.pools = outbound.Pools(detour)
 
     async def send(
@@ -170,6 +178,8 @@
         except (OSError, TimeoutError) as error:
             reason = f"connect {type(error).__name__}"
             return AttemptFailure(messages.Outcome.UNREACHABLE, reason)
+        now = asyncio.get_running_loop().time()
+        self._processes.observe(endpoint, channel, now)
         try:
             channel.send(
                 encode_head(
@@ -323,7 +333,9 @@
             and answer_facts.stamped
             and not answer_facts.encoded
         ):
-            return StreamStarted(head, channel)
+            now = asyncio.get_running_loop().time()
+            is_certain = self._processes.observe(endpoint, channel, now)
+            return StreamStarted(head, channel, is_certain)
         body = await channel.read_body(MAX_ANSWER_BYTES, self._body_memory)
         if isinstance(body, outbound.AnswerLost):
             channel.abort()
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import replacing
+from cranberryglade.gateway import tentative_origins
 
 SILENT = "silent"
 """Why the stream of an attempt is not relayed further that was replaced."""
@@ -109,5 +110,13 @@
         exchange.origin = messages.StreamOrigin(
             endpoint.service, endpoint.software_version
         )
-        if exchange.admitted.route.kind is configuration.Kind.RESUMABLE:
-            self._origins.record(exchange.facts.id, exchange.origin)
+        if exchange.admitted.route.kind is not configuration.Kind.RESUMABLE:
+            return
+        if not exchange.process_is_certain:
+            now = asyncio.get_running_loop().time()
+            exchange.tentative = tentative_origins.TentativeOrigin(
+                endpoint, now
+            )
+        self._origins.record(
+            exchange.facts.id, exchange.origin, exchange.tentative
+        )
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -76,6 +76,7 @@
         software_version: version in its row.
         connections: number of connections accepted so far.
         crashed: whether it has crashed since its last start.
+        silence_over: ends its silences when it is set.
         started_ms: when its process started, in its row; rises with each
             start.
     """
@@ -95,6 +96,7 @@
         self.software_version = "v1"
         self.connections = 0
         self.crashed = False
+        self.silence_over = asyncio.Event()
         self.started_ms = 1
         self._address = ""
         self._server: asyncio.Server | None = None
@@ -105,10 +107,14 @@
         """Address that it listens on, or did until it crashed; HOST:PORT."""
         return self._address
 
-    async def start(self) -> None:
-        """Starts listening on a free loopback port, also after a crash."""
+    async def start(self, port: int = 0) -> None:
+        """Starts listening on a loopback port, also after a crash.
+
+        Args:
+            port: the port; 0 for any that is free.
+        """
         self._server = await asyncio.start_server(
-            self._serve_connection, "127.0.0.1", 0
+            self._serve_connection, "127.0.0.1", port
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self._address = f"{host}:{port}"
@@ -288,13 +294,24 @@
     async def _is_kept_waiting(
         self, received: Received, reader: asyncio.StreamReader, seconds: float
     ) -> bool:
-        """Waits; returns whether the caller stays connected that long."""
-        try:
-            await asyncio.wait_for(reader.read(), seconds)
-        except TimeoutError:
-            return True
-        self.disconnected.append(received.request_id)
-        return False
+        """Waits, until `silence_over` at most.
+
+        Returns:
+            Whether the caller stays connected that long.
+        """
+        reading = asyncio.ensure_future(reader.read())
+        speaking = asyncio.ensure_future(self.silence_over.wait())
+        waits = (reading, speaking)
+        await asyncio.wait(
+            waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+        has_left = reading.done()
+        for each in waits:
+            each.cancel()
+        await asyncio.gather(*waits, return_exceptions=True)
+        if has_left:
+            self.disconnected.append(received.request_id)
+        return not has_left
 
     def in_chunks(self, body: bytes) -> Behaviour:
         """Returns a behaviour that runs a request and answers in chunks.
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -1,6 +1,7 @@
 """Which software version began a stream, as the instances tell each other."""
 
 import asyncio
+import dataclasses
 import functools
 import random
 
@@ -9,14 +10,16 @@
 from returns.result import Success
 
 from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import shared_read
 from cranberryglade.gateway import software_versions
 from cranberryglade.gateway import stream_origins
-from cranberryglade.gateway import version_confirmation
+from cranberryglade.gateway import tentative_origins
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -59,6 +62,7 @@
         self.stored: dict[str, list[str]] = {}
         self.confirmations = 0
         self.age_seconds = 0.0
+        self.processes = endpoint_processes.EndpointProcesses(self.age)
         self.sent: list[datagrams.OriginMessage] = []
         self._random = random.Random(seed)
         self._loss = loss
@@ -71,8 +75,10 @@
                 software_versions.SoftwareVersions(),
                 nothing_earlier,
                 fakes.NoOriginRows(),
-                functools.partial(self.confirm, name),
-                lambda: self.age_seconds,
+                functools.partial(self.read_endpoints, name),
+                self.read_versions,
+                self.age,
+                self.processes,
             )
             members = membership.Membership(name, "north", now)
             for other in names:
@@ -81,13 +87,18 @@
             sharing.set_mesh(NetworkMesh(self, name, members))
             self.instances[name] = sharing
 
-    async def confirm(self, name):
+    def age(self):
+        return self.age_seconds
+
+    async def read_endpoints(self, name):
         self.confirmations += 1
-        if not self.store_up:
-            return None
-        listing = make_listing(*self.listed_in_store)
-        self.instances[name].observe_endpoints(listing)
-        return self.stored
+        if self.store_up:
+            listing = make_listing(*self.listed_in_store)
+            self.instances[name].observe_endpoints(listing)
+        return self.store_up
+
+    async def read_versions(self):
+        return self.stored if self.store_up else None
 
     def list_versions(self, *versions):
         self.listed_in_store = versions
@@ -334,21 +345,67 @@
     async def read_endpoints():
         reads.append(asyncio.get_running_loop().time())
         await asyncio.sleep(0.02)
-        return True
-
-    async def read_versions():
-        return {SERVICE: ["v1"]}
+        return len(reads)
 
-    confirmation = version_confirmation.VersionConfirmation(
-        read_endpoints, read_versions
-    )
-    first = asyncio.create_task(confirmation.confirm())
+    read = shared_read.SharedRead("endpoints", read_endpoints)
+    first = asyncio.create_task(read.get())
     await asyncio.sleep(0.01)
-    found = await asyncio.gather(*[confirmation.confirm() for _ in range(20)])
-    assert [await first, *found] == [{SERVICE: ["v1"]}] * 21
+    found = await asyncio.gather(*[read.get() for _ in range(20)])
+    assert [await first, *found] == [1] + [2] * 20
     # What was asked during the first read is answered by a second one.
     assert len(reads) == 2
-    assert reads[1] - reads[0] >= version_confirmation.MIN_INTERVAL_SECONDS
+    assert reads[1] - reads[0] >= shared_read.MIN_INTERVAL_SECONDS
+
+
+async def test_an_origin_that_is_refuted_is_unknown_to_all_instances():
+    network = Network(7)
+    network.list_versions("v1", "v2")
+    sharing = network.instances["i-0"]
+    now = asyncio.get_running_loop().time()
+    (endpoint,) = make_listing("v1").values()
+    tentative = tentative_origins.TentativeOrigin(endpoint, now)
+    sharing.record("a-1", OLD, tentative)
+    # It had started before as v2, which its row did not show.
+    later = dataclasses.replace(
+        endpoint, software_version="v2", started_ms=endpoint.started_ms + 1
+    )
+    sharing.observe_endpoints({later.id: later})
+    for each in network.instances.values():
+        assert await each.find("a-1", [SERVICE]) is None
+
+
+async def test_a_tentative_origin_is_unknown_if_nothing_confirms_it():
+    network = Network(3)
+    network.list_versions("v1")
+    sharing = network.instances["i-0"]
+    now = asyncio.get_running_loop().time()
+    (endpoint,) = make_listing("v1").values()
+    tentative = tentative_origins.TentativeOrigin(endpoint, now)
+    sharing.record("a-1", OLD, tentative)
+    network.age_seconds = 3.0
+    network.processes.tick(now)
+    sharing.tick()
+    for each in network.instances.values():
+        assert await each.find("a-1", [SERVICE]) is None
+    # That says nothing of the versions in service.
+    network.age_seconds = 0.0
+    assert await network.instances["i-1"].find("a-2", [SERVICE]) == OLD
+
+
+def test_the_build_before_reads_an_unknown_version_as_one_that_is_gone():
+    # Neither the message nor the row has a new field.
+    record = datagrams.OriginRecord("a-1", SERVICE, messages.UNKNOWN_VERSION)
+    message = datagrams.Origins([record])
+    encoded = msgspec.msgpack.decode(datagrams.encode(message))
+    assert encoded == [9, [["a-1", SERVICE, messages.UNKNOWN_VERSION]]]
+    row = msgspec.json.encode([record])
+    assert msgspec.json.decode(row) == [
+        ["a-1", SERVICE, messages.UNKNOWN_VERSION]
+    ]
+    request = builders.make_slot_request(
+        software_version=record.software_version
+    )
+    assert not request.may_run_at(builders.make_endpoint())
 
 
 async def test_an_instance_without_peers_knows_its_own_versions():
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -161,7 +161,7 @@
             return sending.Answer(Outcome.SERVED, HEAD, b"whole")
         first = int(added.last_event_id or 0) + 1
         return sending.StreamStarted(
-            HEAD, ScriptedChannel(work, self._parts(first))
+            HEAD, ScriptedChannel(work, self._parts(first)), True
         )
 
     def _parts(self, first):
@@ -238,10 +238,20 @@
         self.taken += 1
 
 
+class CertainProcesses:
+    """Knows that each endpoint answers as the process in its row."""
+
+    async def is_listed(self, endpoint) -> bool:
+        return True
+
+    async def began(self, endpoint, begun) -> bool:
+        return True
+
+
 class Origins:
     """Origins of streams, which are not asked for here."""
 
-    def record(self, attempt, origin):
+    def record(self, attempt, origin, tentative):
         pass
 
 
@@ -281,6 +291,7 @@
             self.sender,
             Origins(),
             endpoint_pauses.EndpointPauses(draw),
+            CertainProcesses(),
         )
 
     async def run(self):
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -199,7 +199,7 @@
 async def test_endpoint_that_goes_on_first_is_kept_and_the_other_one_stops():
     # The pause ends between the sending of the replacement and its answer.
     async with Cluster(runners=2, config=make_config()) as cluster:
-        find = begin_silently(cluster, 0.4)
+        find = begin_silently(cluster)
         caller = await cluster.connect()
         caller.request(target=RESUMABLE, method="POST")
         await gateway_cluster.wait_until(
@@ -207,6 +207,8 @@
         )
         first, (other,) = find()
         other.default_behaviour = other.hang
+        await gateway_cluster.wait_until(lambda: other.ran)
+        first.silence_over.set()
         answer = await asyncio.wait_for(caller.answer(), 3.0)
         assert answer.body == builders.make_events(1, 6)
         assert answer.whole
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranberryglade.gateway import messages
 from cranberryglade.gateway import shared_row
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
@@ -52,10 +53,10 @@
     return [received.request_id for received in endpoint.received]
 
 
-async def occupy(cluster, endpoint) -> None:
+async def occupy(cluster, endpoint, gateway=1) -> None:
     """Sends a request that stays at an endpoint, so that others have less."""
     endpoint.script.append(endpoint.hang)
-    caller = await cluster.connect(1)
+    caller = await cluster.connect(gateway)
     caller.request(target="/pay/1", X_Attempt_Id="occupying")
     await gateway_cluster.wait_until(lambda: "occupying" in endpoint.ran)
 
@@ -357,6 +358,82 @@
         assert sent_to(old) == []
 
 
+async def restart_unseen(endpoint) -> None:
+    """Restarts an endpoint under its id as v2; its row stays as it is."""
+    port = int(endpoint.address.rpartition(":")[2])
+    endpoint.crash()
+    await endpoint.start(port)
+    endpoint.software_version = "v2"
+
+
+async def add_endpoint(cluster, id_) -> endpoint_standin.EndpointStandin:
+    added = endpoint_standin.EndpointStandin(id_)
+    await cluster.add_runner(added)
+    await cluster.wait_for_endpoints(lambda listed: id_ in listed)
+    return added
+
+
+async def send_until_certain(cluster) -> None:
+    """Sends requests until each process that answers is known to be listed."""
+    gateway = cluster.gateways[0]
+    while not all(
+        map(gateway._processes.is_certain, gateway._state.endpoints.values())
+    ):
+        await asyncio.gather(
+            *(
+                cluster.send_request(target="/pay/1", X_Attempt_Id=f"p-{n}")
+                for n in range(2 * len(cluster.runners))
+            )
+        )
+        await asyncio.sleep(SHARING_SECONDS)
+
+
+async def test_stream_of_an_endpoint_that_restarted_in_an_outage_is_not_mixed():
+    # Load: the store is down when an endpoint crashes, comes back as v2, begins
+    # streams and crashes once more.
+    async with Cluster() as cluster:
+        (other,) = cluster.runners
+        await send_until_certain(cluster)
+        await occupy(cluster, other, gateway=0)
+        restarted = await add_endpoint(cluster, "j-0")
+        make_resumable(cluster)
+        cluster.store.faults.refuse = True
+        await restart_unseen(restarted)
+        answer = await cluster.send_request(target="/write/1", method="POST")
+        assert sent_to(restarted) == ["a-1"]
+        assert answer.body == builders.make_events(1, 3)
+        assert not answer.whole
+        answer = await resume_stream(cluster)
+        assert answer.status == 503
+        assert "a-1" not in sent_to(other)
+        assert "a-2" not in sent_to(other)
+
+
+async def test_stream_does_not_go_on_at_an_endpoint_that_restarted_unseen():
+    async with Cluster() as cluster:
+        (first,) = cluster.runners
+        await send_until_certain(cluster)
+        await occupy(cluster, first, gateway=0)
+        restarted = await add_endpoint(cluster, "j-0")
+        make_resumable(cluster)
+        cluster.store.faults.refuse = True
+        await restart_unseen(restarted)
+        origin = messages.StreamOrigin(operator_configuration.SERVICE, "v1")
+        cluster.gateways[0]._origins.record("a-1", origin)
+        for number in range(2):
+            answer = await resume_stream(cluster, f"b-{number}")
+            assert answer.body == builders.make_events(4, 6)
+        assert sent_to(restarted) == []
+
+
+async def test_stream_goes_on_in_an_outage_where_connections_were_open():
+    async with Cluster(runners=2) as cluster:
+        await send_until_certain(cluster)
+        make_resumable(cluster)
+        cluster.store.faults.refuse = True
+        await send_broken_stream(cluster, "a-1")
+
+
 async def test_stream_of_an_endpoint_that_restarted_unseen_is_not_mixed():
     # The endpoint runs v2 already, but its row still says v1.
     async with Cluster(runners=2) as cluster:
