Keep origins of streams that could not be stored, and store them later

Callers saw: streams that began while the store was down, during a release, were refused (503, origin unknown) after all instances had been lost, even if the store had been back for a while before.

Cause: the allocator took the origins out of its list before the write and dropped them when it failed; a new allocator had none of what the one before could not store.

Now an origin stays in the list until a write of it is acknowledged, for as long as origins are kept. Each instance keeps what it was sent, and stores that too when it becomes the allocator. Rows are read in the order in which they were written, so that a later origin of the same attempt prevails.

--- a/cranberryglade/gateway/origin_rows.py
+++ b/cranberryglade/gateway/origin_rows.py
@@ -2,11 +2,14 @@
 
 Load pattern: all instances are killed at once while a service has several
 software versions, and callers resume the streams that broke off. Those that
-start find in the store which version began each of them.
+start find in the store which version began each of them. The store may be down
+meanwhile, and the allocator may fail: what is not known to be stored is kept,
+and written once the store is back, by whichever instance is the allocator then.
 """
 
 import asyncio
 from collections.abc import Callable
+import itertools
 
 import msgspec
 from returns.result import Failure
@@ -14,8 +17,10 @@
 
 from cranberryglade import decoding
 from cranberryglade import log
+from cranberryglade import recent_map
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import stream_origins
 
 WRITE_SECONDS = 0.2
 """Time between two writes of new origins; each goes into a row of its own."""
@@ -26,6 +31,9 @@
 MAX_RECORDS = 700
 """Most origins of one row."""
 
+MAX_UNSAVED = 16 * MAX_RECORDS
+"""Most origins that are kept until they are stored."""
+
 MIN_READ_SECONDS = 0.5
 """For this long a read of the table serves all that look for an origin."""
 
@@ -56,26 +64,37 @@
         self._loading = asyncio.Lock()
         self._next_row: int | None = None
         self._read_at = float("-inf")
-        self._unsaved: list[datagrams.OriginRecord] = []
+        self._unsaved: recent_map.RecentMap[str, datagrams.OriginRecord] = (
+            recent_map.RecentMap(stream_origins.RETENTION_SECONDS, MAX_UNSAVED)
+        )
+
+    @property
+    def unsaved_count(self) -> int:
+        """Number of origins that this instance would store as allocator."""
+        return len(self._unsaved)
 
     def add(self, records: list[datagrams.OriginRecord]) -> None:
         """Adds origins that are to be stored if this is the allocator."""
-        self._unsaved += records
-        del self._unsaved[:-MAX_RECORDS]
+        now = asyncio.get_running_loop().time()
+        for record in records:
+            self._unsaved.set(record.attempt, record, now)
 
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
             await asyncio.sleep(WRITE_SECONDS)
+            self._unsaved.expire(asyncio.get_running_loop().time())
             if not self._is_allocating():
                 # Another allocator writes rows meanwhile.
                 self._next_row = None
-                self._unsaved = []
             elif self._unsaved:
                 await self._save()
 
     async def read(self) -> list[datagrams.OriginRecord]:
-        """Returns the stored origins; none if they were read just now."""
+        """Returns the stored origins, the newest ones last.
+
+        None if they were read just now.
+        """
         async with self._loading:
             now = asyncio.get_running_loop().time()
             if now - self._read_at < MIN_READ_SECONDS:
@@ -86,23 +105,40 @@
                     logger.warning("origins.unread", reason=error.value)
                     return []
                 case Success(found):
-                    return [each for row in found.rows for each in _decode(row)]
+                    rows = sorted(found.rows, key=lambda row: row.version)
+                    return [each for row in rows for each in _decode(row)]
 
     async def _save(self) -> None:
         if self._next_row is None:
             self._next_row = await self._find_next_row()
         if self._next_row is None:
             return
-        records, self._unsaved = self._unsaved, []
+        records = [
+            record
+            for _, record in itertools.islice(
+                self._unsaved.items(), MAX_RECORDS
+            )
+        ]
+        # A write without an answer may still replace its row, seconds later.
         key = f"{self._next_row:03}"
         self._next_row = (self._next_row + 1) % ROWS
         value = msgspec.json.encode(records)
         table = ports.Table.ORIGINS
         match await self._store.write(table, key, value, None):
             case Failure(error):
-                logger.warning("origins.unsaved", reason=error.value)
+                logger.warning(
+                    "origins.unsaved",
+                    reason=error.value,
+                    count=len(self._unsaved),
+                )
             case Success(_):
-                pass
+                self._drop(records)
+
+    def _drop(self, records: list[datagrams.OriginRecord]) -> None:
+        for record in records:
+            # A later origin of the same attempt is not stored yet.
+            if self._unsaved.get(record.attempt) == record:
+                self._unsaved.discard(record.attempt)
 
     async def _find_next_row(self) -> int | None:
         """Returns the row after the one written last, by any allocator."""
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from returns.result import Failure
 from returns.result import Success
 
 from cranberryglade.gateway import datagrams
@@ -449,7 +450,8 @@
         self.rows = rows
 
     async def read_table(self, table):
-        return Success(ports.Rows(ports.NO_VERSION, list(self.rows.values())))
+        rows = [self.rows[key] for key in sorted(self.rows)]
+        return Success(ports.Rows(ports.NO_VERSION, rows))
 
     async def write(self, table, key, value, expected):
         version = ports.Version(1, 100 + len(self.rows))
@@ -490,3 +492,77 @@
     assert await rows.read() == [record]
     # A second one, just afterwards, costs no call.
     assert await rows.read() == []
+
+
+class FailingStore(RowStore):
+    """Refuses writes while it is down."""
+
+    def __init__(self):
+        super().__init__({})
+        self.is_down = True
+
+    async def write(self, table, key, value, expected):
+        if self.is_down:
+            return Failure(ports.StoreError.REFUSED)
+        return await super().write(table, key, value, expected)
+
+
+async def test_origins_that_could_not_be_stored_are_stored_later(monkeypatch):
+    # Load: the store is down while streams begin, during a release.
+    monkeypatch.setattr(origin_rows, "WRITE_SECONDS", 0.01)
+    monkeypatch.setattr(origin_rows, "MAX_RECORDS", 4)
+    store = FailingStore()
+    rows = origin_rows.OriginRows(store, lambda: True)
+    task = asyncio.create_task(rows.run())
+    for number in range(10):
+        record = datagrams.OriginRecord(f"a-{number}", SERVICE, "v1")
+        rows.add([record])
+        await asyncio.sleep(0.01)
+    store.is_down = False
+    await asyncio.sleep(0.1)
+    task.cancel()
+    found = {record.attempt for record in await rows.read()}
+    assert found == {f"a-{number}" for number in range(10)}
+    assert rows.unsaved_count == 0
+
+
+async def test_a_new_allocator_stores_what_the_one_before_could_not(
+    monkeypatch,
+):
+    # Load: the store is down in a release, and the allocator is killed.
+    monkeypatch.setattr(origin_rows, "WRITE_SECONDS", 0.01)
+    store = FailingStore()
+    store.is_down = False
+    is_allocating = False
+    rows = origin_rows.OriginRows(store, lambda: is_allocating)
+    task = asyncio.create_task(rows.run())
+    rows.add([datagrams.OriginRecord("a-1", SERVICE, "v1")])
+    await asyncio.sleep(0.05)
+    assert store.rows == {}
+    is_allocating = True
+    await asyncio.sleep(0.05)
+    task.cancel()
+    (found,) = await rows.read()
+    assert found.attempt == "a-1"
+
+
+async def test_an_origin_that_changed_while_it_was_stored_is_stored_again(
+    monkeypatch,
+):
+    monkeypatch.setattr(origin_rows, "WRITE_SECONDS", 0.01)
+    # The rows are written in turn; the next ones are 255 and 000.
+    store = RowStore({"254": ports.Row("254", ports.Version(1, 8), b"[]")})
+    rows = origin_rows.OriginRows(store, lambda: True)
+    write = store.write
+
+    async def refute_meanwhile(*args):
+        store.write = write
+        rows.add([datagrams.OriginRecord("a-1", SERVICE, "v2")])
+        return await write(*args)
+
+    store.write = refute_meanwhile
+    task = asyncio.create_task(rows.run())
+    rows.add([datagrams.OriginRecord("a-1", SERVICE, "v1")])
+    await asyncio.sleep(0.1)
+    task.cancel()
+    assert [each.software_version for each in await rows.read()] == ["v1", "v2"]
