Wait for the store once when a stream looks for an endpoint to go on at

A stream that goes on asks the store whether the process in an endpoint's row is the one that answers, where no open connection tells. With a store that doesn't answer, it waited for a second at each endpoint in turn, with a slot of it. Now all endpoints of which the same is unknown are left out after the first failure, so that the stream goes on where a connection is open, or is refused at once.

Evidence: test_stream_waits_once_for_a_store_that_does_not_answer; the request took until its deadline before.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -343,17 +343,16 @@
             return endpoint
         # A stream goes on only where the version is certain.
         try:
-            is_listed = await self._verifier.is_listed(endpoint)
+            unusable = await self._verifier.find_unusable(endpoint)
         except asyncio.CancelledError:
             abandoned = messages.Outcome.ABANDONED
             self._allocator.release(slot_request, abandoned)
             raise
+        exchange.excluded_endpoints += unusable
+        if unusable:
+            return None
         endpoint = self._state.endpoints.get(endpoint_id)
-        if (
-            not is_listed
-            or endpoint is None
-            or not self._may_send(exchange, endpoint)
-        ):
+        if endpoint is None or not self._may_send(exchange, endpoint):
             return None
         return endpoint
 
--- a/cranberryglade/gateway/process_verification.py
+++ b/cranberryglade/gateway/process_verification.py
@@ -36,18 +36,33 @@
         self._processes = processes
         self._read_endpoints = read_endpoints
 
-    async def is_listed(self, endpoint: messages.Endpoint) -> bool:
-        """Returns whether an endpoint answers as the process in its row."""
+    async def find_unusable(self, endpoint: messages.Endpoint) -> list[str]:
+        """Returns which endpoints a stream cannot go on at for now.
+
+        Args:
+            endpoint: the endpoint that it is to go on at.
+
+        Returns:
+            Ids; none if the endpoint answers as the process in its row. If the
+            store cannot tell, all endpoints that may be another process, so
+            that the stream does not wait for the store once more.
+        """
         if self._processes.is_certain(endpoint):
-            return True
+            return []
         problem = await self._read()
+        if problem:
+            _log(endpoint, problem)
+            return [
+                each.id
+                for each in self._state.endpoints.values()
+                if each.service == endpoint.service
+                and not self._processes.is_certain(each)
+            ]
         listed = self._state.endpoints.get(endpoint.id)
-        if not problem and listed is not None:
-            if listed.process == endpoint.process:
-                return True
-            problem = "started_again"
-        _log(endpoint, problem or "removed")
-        return False
+        if listed is not None and listed.process == endpoint.process:
+            return []
+        _log(endpoint, "started_again" if listed else "removed")
+        return [endpoint.id]
 
     async def began(self, endpoint: messages.Endpoint, begun: float) -> bool:
         """Returns whether a stream began at the process in an endpoint's row.
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -241,8 +241,8 @@
 class CertainProcesses:
     """Knows that each endpoint answers as the process in its row."""
 
-    async def is_listed(self, endpoint) -> bool:
-        return True
+    async def find_unusable(self, endpoint) -> list[str]:
+        return []
 
     async def began(self, endpoint, begun) -> bool:
         return True
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import shared_read
 from cranberryglade.gateway import shared_row
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
@@ -426,6 +427,20 @@
         assert sent_to(restarted) == []
 
 
+async def test_stream_waits_once_for_a_store_that_does_not_answer():
+    async with Cluster(runners=4) as cluster:
+        make_resumable(cluster)
+        cluster.store.faults.hang = True
+        origin = messages.StreamOrigin(operator_configuration.SERVICE, "v1")
+        cluster.gateways[0]._origins.record("a-1", origin)
+        started = asyncio.get_running_loop().time()
+        answer = await resume_stream(cluster)
+        assert answer.status == 503
+        took = asyncio.get_running_loop().time() - started
+        assert took < shared_read.TIMEOUT_SECONDS + 0.5
+        assert [sent_to(each) for each in cluster.runners] == [[]] * 4
+
+
 async def test_stream_goes_on_in_an_outage_where_connections_were_open():
     async with Cluster(runners=2) as cluster:
         await send_until_certain(cluster)
