Let streams go on at instances that started in an outage

Callers saw, since streams go on only where the process that answers is known: after an outage of the store in which instances were killed, streams that were taken up at those within 2.3 s were refused (503). An instance that has just started has no earlier connections, and its reads of the endpoints didn't count until all rows that could not be written were expected to be in.

Connections also stay known over longer idle times, 15 s instead of 4 s, and when they are dropped for a new one: an instance that sends an endpoint less than one request in 4 s didn't know its process for certain.

--- a/cranberryglade/gateway/endpoint_processes.py
+++ b/cranberryglade/gateway/endpoint_processes.py
@@ -28,7 +28,7 @@
 """Time after which all rows that endpoints could not write meanwhile are known
 to an instance that is in step again."""
 
-MAX_IDLE_SECONDS = 4.0
+MAX_IDLE_SECONDS = 15.0
 """A connection that was idle for longer shows nothing: if the machine of its
 endpoint failed, nobody has closed it."""
 
@@ -82,6 +82,15 @@
         """Returns whether rows are reported to this instance as usual."""
         return now - self._out_of_step_at >= SETTLE_SECONDS
 
+    def has_all_rows(self, now: float) -> bool:
+        """Returns whether a read of the endpoints shows all processes.
+
+        Those that started while this instance was out of step, perhaps with the
+        store down, have written their rows by then.
+        """
+        seconds = now - self._out_of_step_at
+        return seconds >= endpoint_directory.RECOVERY_GRACE_SECONDS
+
     def tick(self, now: float) -> None:
         """Applies the age of what this instance knows."""
         age = self._age()
@@ -101,17 +110,28 @@
             del self._connections[process]
 
     def observe(
-        self, endpoint: messages.Endpoint, channel: outbound.Channel, now: float
+        self,
+        endpoint: messages.Endpoint,
+        channel: outbound.Channel,
+        now: float,
+        was_certain: bool = False,
     ) -> bool:
         """Records that a connection to an endpoint is used.
 
+        Args:
+            endpoint: the endpoint.
+            channel: the connection.
+            now: the present time.
+            was_certain: whether the listed process certainly answered just
+                before the connection was opened.
+
         Returns:
             Whether it certainly leads to the listed process.
         """
         connections = self._connections.setdefault(endpoint.process, {})
         known = connections.get(id(channel))
         if known is None or known.channel is not channel:
-            is_certain = self.is_certain(endpoint)
+            is_certain = was_certain or self.is_certain(endpoint)
             known = OpenConnection(channel, now, is_certain)
             _drop_closed(connections)
             connections[id(channel)] = known
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -173,13 +173,15 @@
             The whole answer, a stream whose head was received, or why there
             is neither.
         """
+        # Idle connections may be dropped for a new one.
+        was_certain = self._processes.is_certain(endpoint)
         try:
             channel = await self._take_channel(endpoint, repeatable)
         except (OSError, TimeoutError) as error:
             reason = f"connect {type(error).__name__}"
             return AttemptFailure(messages.Outcome.UNREACHABLE, reason)
         now = asyncio.get_running_loop().time()
-        self._processes.observe(endpoint, channel, now)
+        self._processes.observe(endpoint, channel, now, was_certain)
         try:
             channel.send(
                 encode_head(
--- a/cranberryglade/tests/test_endpoint_processes.py
+++ b/cranberryglade/tests/test_endpoint_processes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import store_watch
@@ -145,3 +146,24 @@
     for version in ("", "v1"):
         endpoint = builders.make_endpoint(software_version=version)
         assert not origin.admits(endpoint)
+
+
+def test_a_connection_stays_certain_when_idle_ones_are_dropped_for_it():
+    observer = Observer()
+    first, second = Connection(), Connection()
+    observer.use(first, 100.0)
+    observer.processes.tick(102.0)
+    was_certain = observer.processes.is_certain(observer.endpoint)
+    first.live = False
+    assert observer.processes.observe(
+        observer.endpoint, second, 103.0, was_certain
+    )
+
+
+def test_all_rows_are_written_soon_after_an_instance_was_out_of_step():
+    observer = Observer()
+    observer.age = OUT_OF_STEP
+    observer.processes.tick(100.0)
+    grace = endpoint_directory.RECOVERY_GRACE_SECONDS
+    assert not observer.processes.has_all_rows(100.0 + grace - 0.1)
+    assert observer.processes.has_all_rows(100.0 + grace + 0.1)
