Take no wall clock to tell which process of an endpoint began a stream

If an endpoint has started again as another version, what it answered on connections that aren't certain is of unknown version now, whenever it started.

--- a/cranberryglade/gateway/endpoint_processes.py
+++ b/cranberryglade/gateway/endpoint_processes.py
@@ -32,9 +32,6 @@
 """A connection that was idle for longer shows nothing: if the machine of its
 endpoint failed, nobody has closed it."""
 
-CLOCK_TOLERANCE_SECONDS = 0.25
-"""Largest difference between the wall clocks of this machine and others."""
-
 
 @dataclasses.dataclass(slots=True)
 class OpenConnection:
@@ -151,29 +148,24 @@
         return connection.is_certain
 
 
-def may_have_begun(
-    earlier: messages.Endpoint,
-    later: messages.Endpoint,
-    begun: float,
-    now: float,
-    unix_now: float,
+def is_replaced(
+    earlier: messages.Endpoint, listed: dict[str, messages.Endpoint]
 ) -> bool:
-    """Returns whether another version of an endpoint may have begun a stream.
+    """Returns whether an endpoint has started again as another version.
+
+    When it did is not known by this machine's clock. What it answered on a
+    connection that is not certain may be of either version.
 
     Args:
-        earlier: the endpoint as it was listed when the stream began.
-        later: the endpoint as it is listed now.
-        begun: when the stream began, seconds of the loop's clock.
-        now: the present time on that clock.
-        unix_now: the present time, seconds of Unix time.
+        earlier: the endpoint as it was listed when it answered.
+        listed: the endpoints as they are listed now.
     """
-    if later.software_version == earlier.software_version:
-        return False
-    if later.process == earlier.process:
-        return False
-    started = now - (unix_now - later.started_ms / 1000)
-    # If it starts in the future, the clocks differ by an unknown time.
-    return started > now or begun > started - CLOCK_TOLERANCE_SECONDS
+    later = listed.get(earlier.id)
+    return (
+        later is not None
+        and later.process != earlier.process
+        and later.software_version != earlier.software_version
+    )
 
 
 def _drop_closed(connections: dict[int, OpenConnection]) -> None:
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -18,7 +18,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import time
 
 from cranberryglade import log
 from cranberryglade.gateway import datagrams
@@ -184,7 +183,7 @@
         far are sent, as from now on they cannot be inferred.
         """
         now = _now()
-        refuted = self._tentative.take_refuted(listed, now, time.time())
+        refuted = self._tentative.take_refuted(listed)
         self._refute(refuted, "started_again")
         for service in self._versions.observe(listed.values(), now):
             if self._has_single_version(service, now):
--- a/cranberryglade/gateway/process_verification.py
+++ b/cranberryglade/gateway/process_verification.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import time
 
 from cranberryglade import log
 from cranberryglade.gateway import endpoint_processes
@@ -75,7 +74,7 @@
         problem = ""
         if not await self._read_endpoints():
             problem = "unconfirmed"
-        elif self._is_refuted(endpoint, begun):
+        elif endpoint_processes.is_replaced(endpoint, self._state.endpoints):
             problem = "started_again"
         elif not self._processes.has_all_rows(
             asyncio.get_running_loop().time()
@@ -85,13 +84,6 @@
             _log(endpoint, problem)
         return not problem
 
-    def _is_refuted(self, endpoint: messages.Endpoint, begun: float) -> bool:
-        listed = self._state.endpoints.get(endpoint.id)
-        now = asyncio.get_running_loop().time()
-        return listed is not None and endpoint_processes.may_have_begun(
-            endpoint, listed, begun, now, time.time()
-        )
-
 
 def _log(endpoint: messages.Endpoint, reason: str) -> None:
     logger.info(
--- a/cranberryglade/gateway/tentative_origins.py
+++ b/cranberryglade/gateway/tentative_origins.py
@@ -64,22 +64,18 @@
         return taken
 
     def take_refuted(
-        self, listed: dict[str, messages.Endpoint], now: float, unix_now: float
+        self, listed: dict[str, messages.Endpoint]
     ) -> dict[str, TentativeOrigin]:
         """Removes and returns those that another process may have begun.
 
         Args:
             listed: the endpoints as they are listed now.
-            now: the present time.
-            unix_now: the same, seconds of Unix time.
         """
-        taken = {}
-        for attempt, origin in self._origins.items():
-            later = listed.get(origin.endpoint.id)
-            if later is not None and endpoint_processes.may_have_begun(
-                origin.endpoint, later, origin.begun, now, unix_now
-            ):
-                taken[attempt] = origin
+        taken = {
+            attempt: origin
+            for attempt, origin in self._origins.items()
+            if endpoint_processes.is_replaced(origin.endpoint, listed)
+        }
         for attempt in taken:
             self._origins.discard(attempt)
         return taken
--- a/cranberryglade/tests/test_endpoint_processes.py
+++ b/cranberryglade/tests/test_endpoint_processes.py
@@ -11,9 +11,7 @@
 
 LAG = store_watch.FEED_LAG_SECONDS
 SETTLE = endpoint_processes.SETTLE_SECONDS
-TOLERANCE = endpoint_processes.CLOCK_TOLERANCE_SECONDS
 OUT_OF_STEP = endpoint_processes.MAX_STEP_AGE_SECONDS + 0.1
-UNIX_NOW = 1_000_000.0
 
 
 class Connection:
@@ -96,29 +94,19 @@
     assert observer.processes.is_in_step(100.0)
 
 
-def make_later(started_after, **changes):
-    """Returns the endpoint after a start, in seconds after UNIX_NOW."""
-    started_ms = round((UNIX_NOW + started_after) * 1000)
-    fields = {"software_version": "v2", "started_ms": started_ms} | changes
-    return builders.make_endpoint(**fields)
-
-
 @pytest.mark.parametrize(
-    ("begun", "later", "expected"),
+    ("changes", "expected"),
     [
-        (-3.0, make_later(-1.0), False),
-        (-1.0, make_later(-3.0), True),
-        # The clocks may differ a little.
-        (-3.0, make_later(-3.0 + TOLERANCE / 2), True),
-        # They differ by an unknown time.
-        (-9.0, make_later(1.0), True),
-        (-1.0, make_later(-3.0, software_version="v1"), False),
-        (-1.0, builders.make_endpoint(software_version="v2"), False),
+        ({"started_ms": 2, "software_version": "v2"}, True),
+        ({"started_ms": 2}, False),
+        ({"software_version": "v2"}, False),
+        ({"id_": "e-2", "started_ms": 2, "software_version": "v2"}, False),
     ],
 )
-def test_a_later_process_may_have_begun_a_stream(begun, later, expected):
-    found = endpoint_processes.may_have_begun(
-        builders.make_endpoint(), later, 50.0 + begun, 50.0, UNIX_NOW
+def test_another_version_of_an_endpoint_replaces_it(changes, expected):
+    later = builders.make_endpoint(**changes)
+    found = endpoint_processes.is_replaced(
+        builders.make_endpoint(), {later.id: later}
     )
     assert found == expected
 
@@ -133,10 +121,20 @@
         )
     origins.confirm(47.0)
     assert len(origins) == 2
-    later = make_later(-1.5)
-    refuted = origins.take_refuted({later.id: later}, 50.0, UNIX_NOW)
-    assert refuted.keys() == {"a-2"}
-    assert origins.take_all().keys() == {"a-1"}
+    assert origins.take_refuted({endpoint.id: endpoint}) == {}
+    later = builders.make_endpoint(started_ms=2, software_version="v2")
+    refuted = origins.take_refuted({later.id: later})
+    assert refuted.keys() == {"a-1", "a-2"}
+    assert len(origins) == 0
+
+
+def test_nothing_confirms_tentative_origins_out_of_step():
+    origins = tentative_origins.TentativeOrigins()
+    tentative = tentative_origins.TentativeOrigin(
+        builders.make_endpoint(), 47.0
+    )
+    origins.add("a-1", tentative)
+    assert origins.take_all() == {"a-1": tentative}
     assert len(origins) == 0
 
 
