Let a request for one version wait only for slots of that version

Callers saw: after all instances had been lost in a release, streams that were taken up again were refused at once ("hopeless") though endpoints of their version were about to be free.

Cause: the expected wait of a request that only one software version may run counted all waiting requests against the slots of that version: also those that only other versions may run, and in full those that any version may run, which the other slots serve, too.

Now the first are left out, and the second count by the share of the slots that have the version. Requests that any version may run are treated as before.

Evidence: test_a_request_for_one_version_waits_only_for_slots_of_that_version failed before.

--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -203,6 +203,14 @@
         """Median seconds for each unit of work."""
         return self._median.value
 
+    @property
+    def load(self) -> endpoint_states.Load:
+        """All slots, free or not, and the work in progress there."""
+        return sum(
+            (pool.load for pool in self._pools.values()),
+            start=endpoint_states.NO_LOAD,
+        )
+
     def add(self, state: endpoint_states.EndpointState, now: float) -> None:
         """Adds an endpoint."""
         version = state.endpoint.software_version
--- a/cranberryglade/gateway/slot_queue.py
+++ b/cranberryglade/gateway/slot_queue.py
@@ -19,16 +19,20 @@
 """Rank, time of queueing, and a number that orders entries of the same time."""
 
 
+LoadKey = tuple[int, str | None]
+"""A rank, and the only software version that may run the requests, if any."""
+
+
 @dataclasses.dataclass(slots=True)
 class RankLoad:
-    """The requests of one rank.
+    """Requests of one or several ranks.
 
     Attributes:
         requests: their number.
         work_units: their size, as in `endpoint_states.work_units`.
     """
 
-    requests: int = 0
+    requests: float = 0
     work_units: float = 0.0
 
     def change(self, request: messages.SlotRequest, sign: int) -> None:
@@ -63,23 +67,33 @@
         self._late: list[Entry] = []
         self._blocked: list[Entry] = []
         self._late_ids: set[str] = set()
-        self._timely_loads: dict[int, RankLoad] = {}
-        self._late_loads: dict[int, RankLoad] = {}
+        self._timely_loads: dict[LoadKey, RankLoad] = {}
+        self._late_loads: dict[LoadKey, RankLoad] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
         """Returns the number of requests."""
         return len(self._waiting)
 
-    def load_up_to(self, rank: int) -> RankLoad:
-        """Returns the requests of a rank and of more urgent ones."""
-        return _sum_up_to(
-            rank, [*self._timely_loads.items(), *self._late_loads.items()]
-        )
+    def load_up_to(
+        self, rank: int, version: str | None = None, share: float = 1.0
+    ) -> RankLoad:
+        """Returns the requests of a rank and of more urgent ones.
+
+        Args:
+            rank: the rank.
+            version: if given, requests that only other software versions may
+                run are left out.
+            share: what requests that all versions may run count for then.
+        """
+        loads = [*self._timely_loads.items(), *self._late_loads.items()]
+        return _sum_up_to(rank, loads, version, share)
 
-    def timely_load_up_to(self, rank: int) -> RankLoad:
+    def timely_load_up_to(
+        self, rank: int, version: str | None = None, share: float = 1.0
+    ) -> RankLoad:
         """Returns those of them that are not known to be late."""
-        return _sum_up_to(rank, self._timely_loads.items())
+        return _sum_up_to(rank, self._timely_loads.items(), version, share)
 
     def oldest_late(self, rank: int) -> float | None:
         """Returns since when a late request waits that precedes others.
@@ -180,15 +194,27 @@
         return (waiting.request.rank, waiting.queued_at, number, waiting)
 
 
-def _sum_up_to(rank: int, loads: Iterable[tuple[int, RankLoad]]) -> RankLoad:
-    counted = [load for each, load in loads if each <= rank]
-    return RankLoad(
-        sum(load.requests for load in counted),
-        sum(load.work_units for load in counted),
-    )
+def _sum_up_to(
+    rank: int,
+    loads: Iterable[tuple[LoadKey, RankLoad]],
+    version: str | None,
+    share: float,
+) -> RankLoad:
+    total = RankLoad()
+    for (each, only), load in loads:
+        if each > rank or (version is not None and only not in (None, version)):
+            continue
+        counts = share if version is not None and only is None else 1.0
+        total.requests += counts * load.requests
+        total.work_units += counts * load.work_units
+    return total
 
 
 def _change(
-    loads: dict[int, RankLoad], request: messages.SlotRequest, sign: int
+    loads: dict[LoadKey, RankLoad], request: messages.SlotRequest, sign: int
 ) -> None:
-    loads.setdefault(request.rank, RankLoad()).change(request, sign)
+    key = (request.rank, request.software_version)
+    load = loads.setdefault(key, RankLoad())
+    load.change(request, sign)
+    if not load.requests:
+        del loads[key]
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -461,7 +461,8 @@
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
             )
         queue = self._queues[request.service]
-        ahead = queue.load_up_to(request.rank)
+        share = _version_share(request, group)
+        ahead = queue.load_up_to(request.rank, request.software_version, share)
         wait = self._expected_wait(request, group, ahead, now)
         if now + wait > request.wait_until:
             return self._make_denial(request, "hopeless", wait)
@@ -483,7 +484,10 @@
     ) -> bool:
         """Returns whether a waiting request will miss its target time."""
         queue = self._queues[request.service]
-        ahead = queue.timely_load_up_to(request.rank)
+        share = _version_share(request, group)
+        ahead = queue.timely_load_up_to(
+            request.rank, request.software_version, share
+        )
         granted_at = now + self._expected_wait(request, group, ahead, now)
         first_answer = endpoint_states.first_answer_seconds(
             request, group.median_pace
@@ -571,3 +575,13 @@
         return messages.Denied(
             request.id, reason, retry_after, len(self._waiting)
         )
+
+
+def _version_share(
+    request: messages.SlotRequest, group: endpoint_group.EndpointGroup
+) -> float:
+    """Returns the share of a service's slots that have a request's version."""
+    if request.software_version is None:
+        return 1.0
+    slots = group.load_for(request).slots
+    return slots / max(MIN_CAPACITY, group.load.slots)
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -328,6 +328,30 @@
     assert granted(freed) == {"r-1": "e-1"}
 
 
+@pytest.mark.parametrize("ahead", [None, "v2"])
+def test_a_request_for_one_version_waits_only_for_slots_of_that_version(ahead):
+    # Load: all instances were killed in a release and are back; streams of
+    # both versions are taken up at once, beside new requests.
+    old = builders.make_endpoint("e-1", slots=4, software_version="v1")
+    new = builders.make_endpoint("e-2", slots=4, software_version="v2")
+    allocator = make_allocator(old, new)
+    record_paces(allocator)
+    for number in range(8):
+        request = builders.make_slot_request(f"running-{number}")
+        allocator.request_slot("a", request, 1.0)
+    for number in range(8):
+        request = builders.make_slot_request(
+            f"ahead-{number}", software_version=ahead
+        )
+        assert not denied(allocator.request_slot("a", request, 1.0))
+    resumed = builders.make_slot_request(software_version="v1", wait_until=2.0)
+    assert not denied(allocator.request_slot("a", resumed, 1.0))
+    late = builders.make_slot_request(
+        "r-2", software_version="v1", wait_until=1.2
+    )
+    assert denied(allocator.request_slot("a", late, 1.0))
+
+
 def test_a_slot_request_keeps_its_version_between_instances():
     request = builders.make_slot_request(software_version="v1")
     sent = datagrams.encode(conversions.encode_slot_request("a", request, 0.0))
