After a call that got no answer, use no connection that rests

What was seen: after the open connections to the store went silent, the first read timed out after 2 s and the next one, too, as it took another of the kept connections: of three instances two had not asked their long polls anew 6 s after the silence began. One run of the whole suite showed it, in test_an_endpoint_that_leaves_is_noticed_though_polls_are_silent[3].

When a call gets no answer in time, the kept connections to that address are closed; the next call opens a new one. This costs nothing while calls are answered. The same client makes the calls between instances.

--- a/cranberryglade/gateway/fetching.py
+++ b/cranberryglade/gateway/fetching.py
@@ -84,6 +84,8 @@
                 result = await self._exchange(channel, call)
         except TimeoutError:
             result = Failure("timeout")
+            # If connections have gone silent, those that rest have, too.
+            self._pool.close()
         except OSError as error:
             return Failure(type(error).__name__)
         except asyncio.CancelledError:
