A daemon's connection with bytes behind an answer is closed, and logged

Callers could be told of another request's refusal, or of an answer lost that was not: an endpoint that wrote bytes behind an answer had them read as the answer to the next request on that connection.

Cause: the same as at the gateway's connections, in another place. aiohttp checks a connection when it takes it back, not when it hands it out, and keeps what arrives meanwhile; a stream's last chunk hid what followed it. A refusal without request_id counted on any connection.

Now the protocol below aiohttp knows where an answer ends, by its chunks or its length, and closes the connection if anything follows, at once or while it rests; after an answer of unknown length it is not used again. A peer's refusal stays as it was: a peer that cannot read a request cannot name it, and peers run older builds during an upgrade.

The gateway logs such a connection, too (connection.spoiled).

--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -4,6 +4,9 @@
 a chunked event stream is then read directly from the transport and passed to a
 callback in the same iteration of the event loop. At its end aiohttp receives
 an empty body, so that it returns the connection to its pool.
+
+A connection on which anything arrives behind an answer is closed: aiohttp would
+read it as the answer to the next request.
 """
 
 import asyncio
@@ -13,6 +16,8 @@
 
 import aiohttp
 
+from cranberryglade import log
+
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
@@ -26,16 +31,34 @@
 MAX_INTERIM_BYTES = 65_536
 """Most bytes of interim responses, which are ignored."""
 
+STATUS_CODE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})")
+BODILESS_STATUSES = (204, 304)
+CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]+)[ \t]*\r\n")
+TRANSFER_ENCODING = b"\r\ntransfer-encoding:"
+
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 """`int` would also take signs, spaces, underscores and "0x"."""
 
 Consumer = Callable[[bytes], asyncio.Future | None]
 
 
+logger = log.get_logger(__name__)
+
+
 class BrokenBodyError(ConnectionError):
     """The body is not valid HTTP chunked encoding."""
 
 
+class Response(aiohttp.ClientResponse):
+    """A response.
+
+    Attributes:
+        is_first: whether its request was the first one on its connection.
+    """
+
+    is_first = False
+
+
 class Request(aiohttp.ClientRequest):
     """A request whose streamed response body is read by Body."""
 
@@ -49,10 +72,17 @@
         transport = conn.transport
         body = transport.get_protocol()
         if not isinstance(body, Body):
+            if conn.protocol.should_close:
+                # Bytes came before any request.
+                transport.abort()
             body = Body(conn.protocol, transport)
             transport.set_protocol(body)
         body.reset()
-        return await super().send(conn)
+        body.request_count += 1
+        self.response_class = Response
+        response = await super().send(conn)
+        response.is_first = body.request_count == 1
+        return response
 
 
 class Body(asyncio.Protocol):
@@ -60,6 +90,9 @@
 
     It passes everything through to aiohttp except the bodies of event streams,
     which go to a consumer.
+
+    Attributes:
+        request_count: number of requests that were sent on the connection.
     """
 
     __slots__ = (
@@ -69,16 +102,19 @@
         "_buffer",
         "_in_body",
         "_interim_bytes",
+        "_left",
         "_loop",
         "_paused",
         "_protocol",
         "_transport",
+        "request_count",
     )
 
     def __init__(self, protocol, transport: asyncio.Transport):
         self._loop = asyncio.get_running_loop()
         self._protocol = protocol
         self._transport = transport
+        self.request_count = 0
         self.reset()
 
     @property
@@ -89,6 +125,7 @@
     def reset(self) -> None:
         """Resets the state for the head of the next response."""
         self._head: bytes | None = b""
+        self._left: int | None = None
         self._interim_bytes = 0
         self._in_body = False
         self._buffer = b""
@@ -127,7 +164,7 @@
         elif self._in_body:
             self._buffer_data(data)
         elif self._head is None:
-            self._protocol.data_received(data)
+            self._pass_on(data)
         else:
             self._receive_head(data)
 
@@ -162,13 +199,37 @@
             return
         self._head = None
         if not _is_event_stream(data[:end]):
-            self._protocol.data_received(data)
+            self._left = _bytes_left(data[:end])
+            if self._left is None:
+                # Its end is not known here.
+                self._protocol.force_close()
+            else:
+                self._left += end
+            self._pass_on(data)
             return
         self._in_body = True
         self._buffer = data[end:]
         self._protocol.read_timeout = None
         self._protocol.data_received(data[:end])
 
+    def _pass_on(self, data: bytes) -> None:
+        if self._left is None:
+            self._protocol.data_received(data)
+            return
+        answer = data[: self._left]
+        self._left -= len(answer)
+        if answer:
+            self._protocol.data_received(answer)
+        if len(answer) < len(data):
+            self._close_spoiled()
+
+    def _close_spoiled(self) -> None:
+        logger.info(
+            "connection.spoiled",
+            peer=self._transport.get_extra_info("peername"),
+        )
+        self._transport.abort()
+
     def _skip_interim_responses(self, data: bytes) -> bytes:
         while data.startswith(INTERIM_STATUS):
             end = data.find(HEAD_END)
@@ -208,10 +269,12 @@
         start = 0
         size = None
         ended = False
+        end = 0
         while (line_end := data.find(LINE_END, start)) >= 0:
             size = parse_chunk_size(data[start:line_end])
             if size == 0:
-                ended = data.find(HEAD_END, line_end) >= 0
+                end = data.find(HEAD_END, line_end) + len(HEAD_END)
+                ended = end >= len(HEAD_END)
                 break
             chunk_start = line_end + len(LINE_END)
             if len(data) < chunk_start + size + len(LINE_END):
@@ -229,6 +292,8 @@
                 self._pause_until(drained)
         if ended:
             self._complete()
+            if len(data) > end:
+                self._close_spoiled()
 
     def _pause_until(self, drained: asyncio.Future) -> None:
         if not self._paused:
@@ -246,6 +311,7 @@
         self._resume(None)
         self._in_body = False
         self._consumer = None
+        self._left = 0
         if not self._completed.done():
             self._completed.set_result(None)
         self._protocol.data_received(LAST_CHUNK)
@@ -269,6 +335,18 @@
     return body if isinstance(body, Body) and body.in_body else None
 
 
+def _bytes_left(head: bytes) -> int | None:
+    """Returns the size of the body behind a head; None if it is not stated."""
+    status = STATUS_CODE.match(head)
+    if status is not None and int(status[1]) in BODILESS_STATUSES:
+        return 0
+    lowered = head.lower()
+    lengths = CONTENT_LENGTH.findall(lowered)
+    if len(lengths) != 1 or TRANSFER_ENCODING in lowered:
+        return None
+    return int(lengths[0])
+
+
 def _is_event_stream(head: bytes) -> bool:
     if not head.startswith(STREAM_STATUS):
         return False
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from cranberryglade import log
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import opening
@@ -40,6 +41,9 @@
 """The beginning of an answer, which stands within no field of a head."""
 
 
+logger = log.get_logger(__name__)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Data:
     """A part of an answer's body, without chunk framing."""
@@ -152,9 +156,8 @@
         Not if anything was received behind the last answer, however little:
         it would be read as the beginning of the next one.
         """
-        clean = self._at_end and not self.more_announced
-        whole = not self._failure and not self._events
-        return clean and whole and not self._transport.is_closing()
+        sound = not self._failure and not self._transport.is_closing()
+        return sound and self._is_clean()
 
     def is_live(self, max_idle_seconds: float) -> bool:
         """Returns whether it is open, and in use or was so lately."""
@@ -259,6 +262,8 @@
         """
         self._in_exchange = False
         self.idle_since = self._loop.time()
+        if self.reusable and not self._failure and not self._is_clean():
+            self._report_spoiled()
         unsent = self._transport.get_write_buffer_size()
         return self.usable and self.reusable and not unsent
 
@@ -271,6 +276,7 @@
         """Parses received bytes; closes the connection on invalid ones."""
         if not self._in_exchange:
             # Data outside an exchange would be read as the next answer.
+            self._report_spoiled()
             self.abort()
             return
         self._overhead_bytes += len(data)
@@ -286,6 +292,15 @@
             self._fail("head or framing too long")
             self._transport.abort()
 
+    def _is_clean(self) -> bool:
+        return self._at_end and not self.more_announced and not self._events
+
+    def _report_spoiled(self) -> None:
+        logger.info(
+            "connection.spoiled",
+            peer=self._transport.get_extra_info("peername"),
+        )
+
     def _feed(self, data: bytes) -> None:
         # The parser takes in bytes behind an answer without a callback. If the
         # last byte ends an answer, there are none.
--- a/cranberryglade/peers.py
+++ b/cranberryglade/peers.py
@@ -296,6 +296,8 @@
                     {**headers, **self._headers(path, body, peer.incarnation)},
                     answers.AnswerCheck(request.request_id),
                     monitored_sink,
+                    # A peer that cannot read a request cannot name it.
+                    trusts_unnamed_refusals=True,
                 ),
                 sink,
                 timeout_seconds,
--- a/cranberryglade/standins/engine.py
+++ b/cranberryglade/standins/engine.py
@@ -133,7 +133,9 @@
         request = msgspec.json.decode(body, type=wire.EngineRequest)
         if self._faults.refuse:
             refusal = wire.VerdictDocument(
-                verdict="not_run", reason="endpoint_refused"
+                verdict="not_run",
+                request_id=request.request_id,
+                reason="endpoint_refused",
             )
             return web.Response(body=wire.encode(refusal), status=503)
         if request.prefix and request.prefix == self._faults.crash_prefix:
--- a/cranberryglade/standins/service.py
+++ b/cranberryglade/standins/service.py
@@ -67,7 +67,9 @@
         call = msgspec.json.decode(body, type=wire.EngineRequest)
         if self._faults.refuse:
             refusal = wire.VerdictDocument(
-                verdict="not_run", reason="endpoint_refused"
+                verdict="not_run",
+                request_id=call.request_id,
+                reason="endpoint_refused",
             )
             return web.Response(body=wire.encode(refusal), status=503)
         self._runs[call.request_id] += 1
--- a/cranberryglade/streams.py
+++ b/cranberryglade/streams.py
@@ -51,6 +51,7 @@
     headers: Mapping[str, str],
     check: answers.AnswerCheck,
     sink: Sink,
+    trusts_unnamed_refusals: bool = False,
 ) -> Outcome:
     """Sends one request and passes its token events to a sink.
 
@@ -62,6 +63,8 @@
         headers: HTTP headers.
         check: validates the answer across connections; it is advanced.
         sink: receives each batch of new, complete token events.
+        trusts_unnamed_refusals: whether a refusal without a request id counts
+            also on a connection that carried other requests.
 
     Returns:
         The outcome of the request. NotRun is returned only if the request
@@ -73,7 +76,11 @@
             method, url, data=body, headers=headers, allow_redirects=False
         ) as response:
             if response.status != 200:
-                return await _parse_refusal(response, check.request_id)
+                is_alone = trusts_unnamed_refusals or response.is_first
+                ids = (
+                    ("", check.request_id) if is_alone else (check.request_id,)
+                )
+                return await _parse_refusal(response, ids)
             await _deliver_events(response, check, sink)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return NOT_CONNECTED
@@ -101,15 +108,19 @@
 
 
 async def _parse_refusal(
-    response: aiohttp.ClientResponse, request_id: str
+    response: aiohttp.ClientResponse, request_ids: tuple[str, ...]
 ) -> Outcome:
     body = await limited_reading.read_body(response, MAX_REFUSAL_BYTES)
     decoded = wire.decode(body, wire.VerdictDocument)
     match decoded:
-        case Success(document) if document.verdict in (
-            "not_run",
-            "may_have_run",
-        ) and document.request_id in ("", request_id):
+        case Success(document) if (
+            document.verdict
+            in (
+                "not_run",
+                "may_have_run",
+            )
+            and document.request_id in request_ids
+        ):
             return wire.read_verdict(document)
         case _:
             return verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
--- a/cranberryglade/tests/test_bodies.py
+++ b/cranberryglade/tests/test_bodies.py
@@ -50,7 +50,7 @@
                 await asyncio.sleep(0.001)
 
 
-async def read_answers(handler, count=1):
+async def read_answers(handler, count=1, pause_seconds=0.0):
     server = await asyncio.start_server(handler, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     results = []
@@ -68,6 +68,7 @@
                 lambda data, into=received: into.append(data),
             )
             results.append((outcome, b"".join(received)))
+            await asyncio.sleep(pause_seconds)
     server.close()
     return results
 
@@ -144,6 +145,62 @@
     assert server.connections == 1
 
 
+def refusal(fields: bytes) -> bytes:
+    body = b'{"verdict":"not_run","reason":"endpoint_refused"%b}' % fields
+    head = b"HTTP/1.1 503 No\r\nContent-Length: %d\r\n\r\n" % len(body)
+    return head + body
+
+
+WITH_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(
+    b"".join(EVENTS) + END
+) + b"".join([*EVENTS, END])
+STRAY_BYTES = {
+    "a line end": b"\r\n",
+    "a status line that has begun": b"HTTP/1.1 503 Serv",
+    "a head that has begun": refusal(b"")[:30],
+    "a refusal that has begun": refusal(b"")[:-5],
+    "a refusal": refusal(b""),
+    "a refusal of another request": refusal(b',"request_id":"r0"'),
+    "a stream": WHOLE,
+    "a stream that has begun": WHOLE[:-30],
+}
+
+
+@pytest.mark.parametrize("first", [WHOLE, WITH_LENGTH])
+@pytest.mark.parametrize("stray", STRAY_BYTES.values(), ids=STRAY_BYTES)
+async def test_connection_with_bytes_behind_an_answer_is_not_used_again(
+    first, stray
+):
+    for writes in ([first + stray], [first, stray]):
+        server = ScriptedServer(writes, [WHOLE])
+        found = await read_answers(server, 2, pause_seconds=0.02)
+        assert found == [(streams.Complete(3), b"".join(EVENTS))] * 2
+        assert server.connections == 2
+
+
+async def test_answer_of_unknown_length_is_the_last_of_its_connection():
+    head = b"HTTP/1.1 404 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server = ScriptedServer([head + b"2\r\n{}\r\n0\r\n\r\n"], [WHOLE])
+    found = await read_answers(server, 2)
+    assert found[1] == (streams.Complete(3), b"".join(EVENTS))
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "late", [refusal(b""), refusal(b',"request_id":"r0"')], ids=["none", "r0"]
+)
+async def test_refusal_on_a_used_connection_counts_only_with_its_request(late):
+    server = ScriptedServer([WHOLE], [late + WHOLE])
+    (_, (outcome, received)) = await read_answers(server, 2)
+    assert outcome == verdicts.MayHaveRun(verdicts.Reason.ANSWER_LOST)
+    assert received == b""
+    own = refusal(b',"request_id":"r1"')
+    server = ScriptedServer([WHOLE], [own])
+    (_, (outcome, _)) = await read_answers(server, 2)
+    assert isinstance(outcome, verdicts.NotRun)
+    assert server.connections == 1
+
+
 async def test_a_slow_caller_holds_back_its_endpoint_alone():
     exchange = exchanges.Exchange("r1", "store-1")
     event = answers.token_event(0, b'"' + b"x" * 65_536 + b'"')
