A caller that is lost while nobody waits for its connection leaves no error

What was seen: test_answer_that_its_caller_never_reads_is_dropped failed now and then, and in service a line "Future exception was never retrieved" was logged, whenever the interpreter collected the connection of a caller that had not read its answer.

Cause: the loss of a connection is handed to whoever waits until it is writable. An answer that is written at once waits for nothing, so the error stayed unseen.

Why this works: the error counts as seen; who waits still gets it.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -172,6 +172,8 @@
             self._task.cancel()
         if self._write_resumed is not None and not self._write_resumed.done():
             self._write_resumed.set_exception(responding.CallerGoneError())
+            # Nobody waits if the answer was written at once.
+            self._write_resumed.exception()
 
     def pause_writing(self) -> None:
         """Makes `wait_writable` wait: the write buffer is full."""
--- a/cranberryglade/tests/test_endless_bytes.py
+++ b/cranberryglade/tests/test_endless_bytes.py
@@ -1,6 +1,7 @@
 """Bytes without end: heads, chunk lines, trailers, events and bodies."""
 
 import asyncio
+import gc
 import random
 import time
 
@@ -205,6 +206,8 @@
         listener = cluster.gateways[0]._caller_listener
         await gateway_cluster.wait_until(lambda: endpoint.received)
         await gateway_cluster.wait_until(lambda: not listener.connections)
+        # The cluster fails if an error is left that nobody has seen.
+        gc.collect()
 
 
 async def test_endless_answers_to_other_requests_end_the_attempt():
