A silent stream is kept when the other endpoint sends something else

What callers saw: nothing yet; found by reading. A stream ended inside the answer when its endpoint paused and the endpoint that was to go on answered with another status or another type of content.

Cause: the silent attempt was given up for any success, before the head of the other one was compared with that of the answer.

Evidence: test_stream_goes_on_when_the_other_endpoint_cannot_replace_it[succeed] got three of six events on the code before.

Why this works: the head is compared first, and what cannot go on in the answer counts as a refusal: the silent attempt is waited for.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -156,7 +156,7 @@
         attempt: exchanges.Attempt,
         result: sending.Result,
     ) -> messages.Outcome:
-        """Records the result of an attempt that did not begin to answer.
+        """Records the result of an attempt that cannot be relayed.
 
         Returns:
             How the attempt ended, for `end`.
@@ -165,6 +165,11 @@
             case sending.Answer(outcome=outcome):
                 exchange.earlier_attempt_may_have_run = True
                 exchange.fallback_answer = result
+            case sending.StreamStarted(head=head):
+                attempt.failure = exchange.find_mismatch(head)
+                attempt.stop()
+                exchange.earlier_attempt_may_have_run = True
+                outcome = await self.explain_loss(exchange, attempt)
             case sending.AttemptFailure(outcome, reason):
                 attempt.failure = reason
                 if outcome is messages.Outcome.UNREACHABLE:
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -6,6 +6,7 @@
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
+from cranberryglade.gateway import http_fields
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sending
@@ -53,11 +54,6 @@
         self.is_current = False
         self.failure = ""
 
-    @property
-    def has_answered(self) -> bool:
-        """Whether it has an answer that can be relayed, or its beginning."""
-        return self.opening.done() and is_answer(self.opening.result())
-
     def record_sent(self) -> None:
         """Records that the request was sent now."""
         self.sent.set_result(asyncio.get_running_loop().time())
@@ -195,6 +191,33 @@
             return False
         return self.origin is None or self.origin.admits(endpoint)
 
+    def goes_on_with(self, result: sending.Result) -> bool:
+        """Returns whether the result of a further attempt can be relayed."""
+        if not is_answer(result):
+            return False
+        match result:
+            case sending.StreamStarted(head=head):
+                return not self.find_mismatch(head)
+        return True
+
+    def find_mismatch(self, head: dialect.AnswerHead) -> str:
+        """Returns why a stream cannot go on in the caller's answer.
+
+        Args:
+            head: head of the stream.
+
+        Returns:
+            Why; "" if it can.
+        """
+        first = self.stream_head
+        if first is None:
+            return ""
+        if head.status != first.status:
+            return f"stream goes on with status {head.status}"
+        if _media_type(head) != _media_type(first):
+            return "stream goes on as another media type"
+        return ""
+
     def answer_log_fields(self) -> dict[str, str | int]:
         """Returns log fields: how the answer of the last attempt ended."""
         if self.answer_framing is None:
@@ -226,3 +249,7 @@
 
     status: int
     reason: str
+
+
+def _media_type(head: dialect.AnswerHead) -> bytes:
+    return http_fields.media_type(head.headers)
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -16,7 +16,6 @@
 from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import exchanges
-from cranberryglade.gateway import http_fields
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import process_verification
@@ -390,17 +389,11 @@
         Returns:
             Why the stream cannot go on in the caller's answer; "" if it can.
         """
-        first = exchange.stream_head
-        if first is None:
+        if exchange.stream_head is None:
             exchange.stream_head = head
             headers = self._dialect.relayed_headers(head)
             exchange.responder.start(head.status, head.reason, headers, None)
-            return ""
-        if head.status != first.status:
-            return f"stream goes on with status {head.status}"
-        if _media_type(head) != _media_type(first):
-            return "stream goes on as another media type"
-        return ""
+        return exchange.find_mismatch(head)
 
     def _retry_or_give_up(
         self,
@@ -508,10 +501,6 @@
         responder.whole(502, [], b"internal error")
 
 
-def _media_type(head: dialect.AnswerHead) -> bytes:
-    return http_fields.media_type(head.headers)
-
-
 def retry_after_header(seconds: float) -> messages.Header:
     """Returns a Retry-After header, in seconds with two decimals."""
     return messages.Header(b"Retry-After", b"%.2f" % seconds)
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -133,9 +133,11 @@
             return
         if other.sent.done():
             self._silence.sent(other.sent.result())
-        if other.has_answered:
+        if not other.opening.done():
+            return
+        if self._exchange.goes_on_with(other.opening.result()):
             self._silence.answered()
-        elif other.opening.done():
+        else:
             await self._settle(other)
 
     async def _settle(self, other: exchanges.Attempt) -> None:
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -160,8 +160,11 @@
             work.end()
             return sending.Answer(Outcome.SERVED, HEAD, b"whole")
         first = int(added.last_event_id or 0) + 1
+        head = HEAD
+        if first > 1 and draw.random() < 0.1:
+            head = dataclasses.replace(HEAD, status=206)
         return sending.StreamStarted(
-            HEAD, ScriptedChannel(work, self._parts(first)), True
+            head, ScriptedChannel(work, self._parts(first)), True
         )
 
     def _parts(self, first):
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -179,7 +179,9 @@
         await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
 
 
-async def test_stream_goes_on_when_the_endpoint_that_is_to_replace_it_refuses():
+@pytest.mark.parametrize("reply", ["refuse", "fail", "succeed"])
+async def test_stream_goes_on_when_the_other_endpoint_cannot_replace_it(reply):
+    # It refuses, answers with an error, or with something that is no stream.
     async with Cluster(runners=2, config=make_config()) as cluster:
         find = begin_silently(cluster, SILENCE_SECONDS)
         caller = await cluster.connect()
@@ -188,7 +190,7 @@
             lambda: any(each.ran for each in cluster.runners)
         )
         first, (other,) = find()
-        other.default_behaviour = other.refuse
+        other.default_behaviour = getattr(other, reply)
         answer = await asyncio.wait_for(caller.answer(), 3.0)
         assert answer.body == builders.make_events(1, 6)
         assert answer.whole
