--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -28,6 +28,7 @@
 from cranberryglade.gateway import endpoint_pauses
 from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import forwarding
+from cranberryglade.gateway import gauges
 from cranberryglade.gateway import inbound
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
@@ -225,7 +226,13 @@
         )
         self._stopping = asyncio.Event()
         self._logger = log.get_logger(__name__)
-        self._register_gauges()
+        gauges.register(
+            initial_settings.instance,
+            self._state,
+            self._mesh,
+            self._slots,
+            self._origins,
+        )
 
     @property
     def _capacity(self) -> float:
@@ -395,58 +402,6 @@
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
 
-    def _register_gauges(self) -> None:
-        state = self._state
-        members = self._mesh.members
-        watch = state.metrics.add_gauge
-        watch(
-            "configuration_version",
-            "Version in force; 0 before the first.",
-            lambda: state.version,
-        )
-        watch(
-            "configuration_age_seconds",
-            "Since it was last confirmed to be the newest.",
-            lambda: state.configuration_age.age(state.boottime_now()),
-        )
-        watch("endpoints", "Endpoints in use.", lambda: len(state.endpoints))
-        watch(
-            "peers_heard",
-            "Instances heard lately, this one included.",
-            lambda: members.reachable_count(asyncio.get_running_loop().time()),
-        )
-        watch(
-            "allocating",
-            "1 if this instance grants the slots.",
-            lambda: self._mesh.allocator == self._settings.instance,
-        )
-        watch("slots_used", "Slots in use.", lambda: self._slots.lease_count)
-        watch(
-            "stream_origins",
-            "Streams whose first software version is kept.",
-            lambda: self._origins.count,
-        )
-        watch(
-            "endpoints_limited",
-            "Endpoints that name a limit, as far as this instance knows.",
-            lambda: state.endpoint_limits.count,
-        )
-        watch(
-            "prompt_parts_suspected",
-            "Prompt parts and digests whose requests run one at a time.",
-            lambda: state.quarantine.evidence.suspected_count,
-        )
-        watch(
-            "quarantines",
-            "Quarantines, lifted ones included.",
-            lambda: len(state.quarantine.entries),
-        )
-        watch(
-            "requests_waiting",
-            "Requests in the allocator's queue.",
-            lambda: self._slots.queue_length,
-        )
-
     def _receive_datagram(
         self, sender: str, message: datagrams.Datagram
     ) -> None:
