Let no deadline at the end of a shutdown end the shutdown itself

Callers saw (review, by test): all requests in progress got a closed connection when the own deadline of one of them passed in the same turn of the loop as the end of the shutdown. asyncio refuses to change a timeout that is expiring, the error ended the drain, and neither the other requests were answered nor their connections flushed.

Timeouts that have expired are left alone, and the drain closes what is open whatever happens in it.

test_a_deadline_at_the_end_of_the_shutdown_ends_nothing_else failed before with that error.

--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -112,7 +112,9 @@
         """
         now = asyncio.get_running_loop().time()
         for timeout in self._running:
-            timeout.reschedule(now)
+            # Those whose own time is over are ended already.
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     async def _handle(
         self, request: messages.Request, responder: responding.Responder
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -300,15 +300,17 @@
         schedule = self._state.shutdown.begin(
             now(), self._settings.grace_seconds
         )
-        while now() < schedule.balancer_until:
-            await asyncio.sleep(TICK_SECONDS)
-        self._caller_server.close()
-        await self._wait_for_callers(schedule.ends_at)
-        await self._wait_for_tunnels(schedule.ends_at)
-        self._forwarder.end_all()
-        await self._wait_for_callers(now() + FLUSH_SECONDS)
-        self._logger.info("stopped", busy=self._caller_listener.busy)
-        self.close()
+        try:
+            while now() < schedule.balancer_until:
+                await asyncio.sleep(TICK_SECONDS)
+            self._caller_server.close()
+            await self._wait_for_callers(schedule.ends_at)
+            await self._wait_for_tunnels(schedule.ends_at)
+            self._forwarder.end_all()
+            await self._wait_for_callers(now() + FLUSH_SECONDS)
+            self._logger.info("stopped", busy=self._caller_listener.busy)
+        finally:
+            self.close()
 
     async def _wait_for_callers(self, latest: float) -> None:
         """Closes idle connections until none is left, or up to a time."""
--- a/cranberryglade/tests/test_gateway_shutdown.py
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -1,6 +1,7 @@
 """What becomes of requests that reach a gateway while it shuts down."""
 
 import asyncio
+import time
 
 import pytest
 import structlog
@@ -34,6 +35,11 @@
     return asyncio.create_task(gateway.drain())
 
 
+def stand_still(seconds: float) -> None:
+    """Lets the process run nothing for a time, as if it were frozen."""
+    time.sleep(seconds)
+
+
 async def after_balancer() -> None:
     await asyncio.sleep(BALANCER_SECONDS + 0.1)
 
@@ -154,3 +160,20 @@
     (end,) = [line for line in lines if line["event"] == "request.ended"]
     assert end["reason"] == "stopping"
     assert end["stopping_ms"] >= SHUTDOWN_SECONDS * 1000
+
+
+async def test_a_deadline_at_the_end_of_the_shutdown_ends_nothing_else():
+    # Both are over in the same turn of the loop, as the process stood still.
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.default_behaviour = endpoint.hang
+        callers = [await cluster.connect() for _ in range(2)]
+        for caller, timeout_ms in zip(callers, (LONG_MS, 1000), strict=True):
+            caller.request(**a_request(f"r-{timeout_ms}", timeout_ms))
+        await gateway_cluster.wait_until(lambda: len(endpoint.ran) == 2)
+        stopping = stop(cluster)
+        await asyncio.sleep(0.6)
+        stand_still(SHUTDOWN_SECONDS - 0.3)
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+        answers = [await caller.answer() for caller in callers]
+        assert [answer.status for answer in answers] == [502, 502]
