Close connections to endpoints that a cancelled request had opened or taken

Found by review: a caller that left, a deadline or the end of a shutdown, at the moment at which it was asked whether an endpoint had ended, or a resting connection was taken, left a connection that was neither used again nor closed until the endpoint closed it. It counts against the connections that an endpoint accepts.

--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -224,9 +224,10 @@
                 reason=type(error).__name__,
             )
             return False
-        closed = await channel.closes_within(ACCEPTED_SECONDS)
-        channel.abort()
-        return closed
+        try:
+            return await channel.closes_within(ACCEPTED_SECONDS)
+        finally:
+            channel.abort()
 
     async def _take_channel(
         self, endpoint: messages.Endpoint, repeatable: bool
@@ -235,7 +236,11 @@
         idle_limit = MAX_IDLE_SECONDS if repeatable else ONCE_MAX_IDLE_SECONDS
         while (channel := pool.take_idle(idle_limit)) is not None:
             # Lets the event loop process a close by the endpoint first.
-            await asyncio.sleep(0)
+            try:
+                await asyncio.sleep(0)
+            except asyncio.CancelledError:
+                channel.abort()
+                raise
             if channel.usable:
                 return channel
         return await pool.connect(CONNECT_TIMEOUT_SECONDS)
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -107,6 +107,11 @@
         """Address that it listens on, or did until it crashed; HOST:PORT."""
         return self._address
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self._writers)
+
     async def start(self, port: int = 0) -> None:
         """Starts listening on a loopback port, also after a crash.
 
