Let an error behind a whole answer end nothing

Found by review: an unexpected error after an answer was written, such as one in its log line, closed the connection, on which a pipelined request was already served; it got no answer.

test_an_error_after_an_answer_leaves_the_next_request_alone failed before (200 and no answer).

--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -495,6 +495,8 @@
 
 def _answer_fault(responder: responding.Responder) -> None:
     """Answers a request that an unexpected error ended."""
+    if responder.finished:
+        return
     if responder.started:
         responder.abort()
         return
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -58,6 +58,8 @@
 
     Attributes:
         started: whether the head has been written.
+        finished: whether the answer is whole; the connection may serve the next
+            request.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "_chunked",
         "_connection",
         "_keep_alive",
+        "finished",
         "started",
     )
 
@@ -87,6 +90,7 @@
         self._bodiless = asks_for_head
         self._chunked = False
         self.started = False
+        self.finished = False
 
     def take_connection(self) -> asyncio.Transport:
         """Returns the connection, to be used for something else."""
@@ -159,6 +163,7 @@
         """Writes the end of the body and releases the connection."""
         if self._chunked:
             self._connection.write(b"0\r\n\r\n")
+        self.finished = True
         self._connection.finish_answer(self._keep_alive)
 
     def abort(self) -> None:
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from cranberryglade.gateway import forwarding
 from cranberryglade.gateway import quarantine_sync
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_cluster
@@ -181,3 +182,28 @@
                 assert (answer.status, answer.whole) == (502, True)
     faults = [line for line in lines if line["event"] == "request.fault"]
     assert len(faults) == 2
+
+
+async def test_an_error_after_an_answer_leaves_the_next_request_alone(
+    monkeypatch,
+):
+    log_end = forwarding.Forwarder._log_end
+
+    def fail_once(forwarder, exchange, ended):
+        monkeypatch.setattr(forwarding.Forwarder, "_log_end", log_end)
+        raise KeyError("unexpected")
+
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+
+        async def succeed_late(received, reader, writer):
+            await asyncio.sleep(0.1)
+            await endpoint.succeed(received, reader, writer)
+
+        endpoint.default_behaviour = succeed_late
+        monkeypatch.setattr(forwarding.Forwarder, "_log_end", fail_once)
+        caller = await cluster.connect()
+        for number in range(2):
+            caller.request(X_Attempt_Id=f"a-{number}")
+        answers = [await caller.answer() for _ in range(2)]
+        assert [answer.status for answer in answers] == [200, 200]
