At a shutdown, wait for half a request, and let no close cut an answer

Found by review: a request that was half read behind another one when SIGTERM came was dropped, as the other's answer said that the connection closes. And bytes of a further request that met the close of a connection reset it, so that the end of a long answer was lost on its way.

A request that is read in part keeps the connection like one that was read. While the instance stops, a connection closes its sending side first, reads no more, and closes half a second later: what the caller sent meanwhile was not read, and may be sent again. A whole request that arrives behind an answer whose head already said that the connection closes is still not served, as HTTP has it.

test_a_half_read_request_behind_another_is_answered_after_sigterm and test_a_long_answer_is_whole_when_a_request_crosses_its_close failed before.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -111,6 +111,7 @@
         "_read_failure",
         "_headers",
         "_headers_done",
+        "_lingering",
         "_listener",
         "_loop",
         "_overhead_bytes",
@@ -134,6 +135,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._write_resumed: asyncio.Future | None = None
         self._read_failure: ReadFailure | None = None
+        self._lingering = False
         self._reading_request = False
         self._reset_request()
 
@@ -151,9 +153,12 @@
     def may_keep_alive(self) -> bool:
         """Whether the connection may be kept alive after the answer.
 
-        While the listener stops, only for requests that were read already.
+        While the listener stops, only for requests that were read already, or
+        in part.
         """
-        return not self._listener.stopping or bool(self._queue)
+        if not self._listener.stopping:
+            return True
+        return bool(self._queue) or self._reading_request
 
     def connection_made(self, transport) -> None:
         """Registers the connection and starts the idle timeout."""
@@ -213,7 +218,7 @@
             self._send_error()
         elif self._listener.stopping and not self._reading_request:
             # A request that arrived now could be dropped with the process.
-            self._transport.close()
+            self._close_gracefully()
         else:
             self._transport.resume_reading()
             if not self._reading_request:
@@ -233,7 +238,7 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
-        if not self.busy:
+        if not self.busy and not self._lingering:
             self._transport.close()
 
     def data_received(self, data: bytes) -> None:
@@ -405,12 +410,19 @@
     def _close_gracefully(self) -> None:
         # Closing a socket with unread bytes sends a reset, which can discard
         # the answer before the caller has read it. Therefore only the sending
-        # side is closed at first, and what still arrives is read and ignored.
-        if self._read_failure is not None and self._transport.can_write_eof():
-            self._transport.write_eof()
-            self._start_timer(LINGER_SECONDS, self._close)
-        else:
+        # side is closed at first.
+        rejected = self._read_failure is not None
+        lingers = rejected or self._listener.stopping
+        if not lingers or not self._transport.can_write_eof():
             self._transport.close()
+            return
+        self._lingering = True
+        if not rejected:
+            # The caller may send again what has not been read; the rest of a
+            # rejected request is read and ignored.
+            self._transport.pause_reading()
+        self._transport.write_eof()
+        self._start_timer(LINGER_SECONDS, self._close)
 
     def _start_timer(self, seconds: float, callback) -> None:
         self._stop_timer()
--- a/cranberryglade/tests/test_gateway_shutdown.py
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -40,6 +40,18 @@
     time.sleep(seconds)
 
 
+def answering_after(endpoint, seconds, body=b"late"):
+    """Returns a behaviour that runs a request and answers after a time."""
+
+    async def behave(received, reader, writer):
+        endpoint.ran.append(received.request_id)
+        await asyncio.sleep(seconds)
+        writer.write(endpoint.answer(received, body))
+        await writer.drain()
+
+    return behave
+
+
 async def after_balancer() -> None:
     await asyncio.sleep(BALANCER_SECONDS + 0.1)
 
@@ -126,11 +138,7 @@
     async with stopping_cluster(config=config_with_long_routes()) as cluster:
         (endpoint,) = cluster.runners
 
-        async def behave_slowly(received, reader, writer):
-            await asyncio.sleep(0.2)
-            await endpoint.succeed(received, reader, writer)
-
-        endpoint.script.append(behave_slowly)
+        endpoint.script.append(answering_after(endpoint, 0.2))
         caller = await cluster.connect()
         for number in range(3):
             caller.request(**a_request(f"p-{number}"))
@@ -177,3 +185,40 @@
         await asyncio.wait_for(stopping, GRACE_SECONDS)
         answers = [await caller.answer() for caller in callers]
         assert [answer.status for answer in answers] == [502, 502]
+
+
+async def test_a_half_read_request_behind_another_is_answered_after_sigterm():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(answering_after(endpoint, 0.2))
+        caller = await cluster.connect()
+        caller.request(**a_request("r-1"))
+        await gateway_cluster.wait_until(lambda: endpoint.received)
+        fields = a_request("r-2", 300, method="POST")
+        caller.request(**fields, Transfer_Encoding="chunked")
+        caller.send(b"4\r\nsome\r\n")
+        await asyncio.sleep(0.05)
+        stop(cluster)
+        assert (await caller.answer()).status == 200
+        caller.send(b"0\r\n\r\n")
+        answer = await caller.answer()
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+
+
+async def test_a_long_answer_is_whole_when_a_request_crosses_its_close():
+    body = bytes(4_000_000)
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.script.append(answering_after(endpoint, 0.2, body))
+        caller = await cluster.connect()
+        caller.request(**a_request("r-1"))
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        stop(cluster)
+        await asyncio.sleep(0.5)
+        caller.request(**a_request("r-2"))
+        await asyncio.sleep(0.1)
+        answer = await caller.answer()
+        assert answer.whole
+        assert answer.body == body
+        assert endpoint.ran == ["r-1"]
