Count the time to SIGKILL from when SIGTERM may have come

Found by review: a signal that comes while the process stands still is handled when it runs again, and the shutdown took that for the beginning of its time. After a pause of 1.5 s it would have ended after SIGKILL, and all that was open would have been killed unanswered.

--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -283,8 +283,10 @@
         """
         if not self._stopping.is_set():
             self._logger.info("stopping", busy=self._caller_listener.busy)
+        now = self._state.boottime_now()
         self._state.shutdown.begin(
-            self._state.boottime_now(), self._settings.grace_seconds
+            self._state.process_pauses.earliest_arrival(now),
+            self._settings.grace_seconds,
         )
         self._caller_listener.stopping = True
         self._mesh.leave()
--- a/cranberryglade/gateway/process_pauses.py
+++ b/cranberryglade/gateway/process_pauses.py
@@ -13,6 +13,9 @@
 """If nobody answers for so long, requests that need no key are admitted by what
 was known before the pause."""
 
+ARREARS_SECONDS = 0.1
+"""For so long after a pause, what is noticed may have arrived in it."""
+
 logger = log.get_logger(__name__)
 
 
@@ -38,7 +41,13 @@
     Times are seconds of the loop's clock, as in `clock.BoottimeLoop`.
     """
 
-    __slots__ = ("_last_turn", "_on_resumed", "_resumed_at", "_unconfirmed")
+    __slots__ = (
+        "_last_turn",
+        "_on_resumed",
+        "_paused_at",
+        "_resumed_at",
+        "_unconfirmed",
+    )
 
     def __init__(self, on_resumed: Callable[[], None] = lambda: None):
         """Initialises without a pause.
@@ -48,6 +57,7 @@
         """
         self._on_resumed = on_resumed
         self._last_turn: float | None = None
+        self._paused_at = float("-inf")
         self._resumed_at = float("-inf")
         self._unconfirmed: set[Belief] = set()
 
@@ -65,10 +75,21 @@
         if last is None or now - last <= MAX_TURN_SECONDS:
             return
         logger.warning("process.paused", seconds=round(now - last, 2))
+        self._paused_at = last
         self._resumed_at = now
         self._unconfirmed = set(Belief)
         self._on_resumed()
 
+    def earliest_arrival(self, now: float) -> float:
+        """Returns when something that is noticed now may have arrived.
+
+        Args:
+            now: the present time.
+        """
+        self.observe(now)
+        just_resumed = now - self._resumed_at <= ARREARS_SECONDS
+        return self._paused_at if just_resumed else now
+
     def confirm(self, belief: Belief, asked_at: float) -> None:
         """Records an answer to a question about a belief.
 
--- a/cranberryglade/tests/test_gateway_shutdown.py
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -222,3 +222,17 @@
         assert answer.whole
         assert answer.body == body
         assert endpoint.ran == ["r-1"]
+
+
+async def test_a_shutdown_ends_before_sigkill_also_if_sigterm_came_in_a_pause():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (gateway,) = cluster.gateways
+        await asyncio.sleep(0.2)
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        loop.call_soon(gateway.stop)
+        stand_still(1.5)
+        await asyncio.sleep(0.1)
+        shut_down = gateway._state.shutdown
+        left = shut_down.seconds_left(loop.time())
+        assert loop.time() + left <= sent + SHUTDOWN_SECONDS
