Don't count an attempt that was never sent

What callers saw: a stream whose endpoint paused, went on and then broke off ended incomplete (refusal=attempts_used_up, or no_endpoint), although only one endpoint had ever received the request.

Cause: an attempt used up one of the route's attempts, its endpoint and a retry as soon as its slot was there. The one that was to replace a silent one may be abandoned while it still connects; then nothing was sent, but all three stayed used up.

Now the retry is with the attempt and counts when the request is sent. An attempt that ends unsent gives it back, is taken out of the attempted endpoints, and, if it was abandoned, its endpoint may be asked again. That holds for an endpoint without a connection, too: its retry is given back.

Evidence: before, test_attempt_that_was_never_sent_uses_nothing_up got events 1 to 4 of 6, and the retries taken in test_replacing, which now have to equal those sent, were one too many.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -139,7 +139,7 @@
         """Ends an attempt: stops it, unless it is whole, and frees its slot."""
         if outcome is not messages.Outcome.SERVED:
             attempt.stop()
-        self._conclude(exchange, attempt, not outcome.not_run)
+        self._conclude(exchange, attempt, outcome)
         self._allocator.release(attempt.slot_request, outcome)
         if outcome is not messages.Outcome.SERVED:
             self._log_end(exchange, attempt, outcome)
@@ -172,12 +172,10 @@
                 outcome = await self.explain_loss(exchange, attempt)
             case sending.AttemptFailure(outcome, reason):
                 attempt.failure = reason
-                if outcome is messages.Outcome.UNREACHABLE:
-                    exchange.attempted_endpoints.remove(attempt.endpoint)
-                elif not outcome.not_run:
+                if not outcome.not_run:
                     exchange.earlier_attempt_may_have_run = True
                     outcome = await self.explain_loss(exchange, attempt)
-                self._conclude(exchange, attempt, not outcome.not_run)
+                self._conclude(exchange, attempt, outcome)
         return outcome
 
     async def explain_loss(
@@ -245,11 +243,13 @@
         exchange.retry_reserved_at = now
         return True
 
-    def _count_retry(self, exchange: exchanges.Exchange) -> None:
-        """Counts a reserved retry as sent now."""
-        reserved_at = exchange.retry_reserved_at
+    def _record_sent(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
+    ) -> None:
+        """Records that an attempt is sent now, and counts it if a retry."""
+        attempt.record_sent()
+        reserved_at = attempt.take_retry()
         if reserved_at is not None:
-            exchange.retry_reserved_at = None
             now = asyncio.get_running_loop().time()
             service = exchange.admitted.service
             self._budget.record_sent(service, reserved_at, now)
@@ -400,14 +400,16 @@
         exchange.attempted_endpoints.append(endpoint)
         exchange.excluded_endpoints.append(endpoint.id)
         exchange.attempts_in_progress += 1
-        self._count_retry(exchange)
         added = dialect.AddedHeaders(
             endpoint=endpoint.id,
             organisation=admitted.organisation_name,
             remaining_seconds=exchange.remaining_seconds,
             last_event_id=exchange.splitter.last_id,
         )
-        attempt = exchanges.Attempt(endpoint, slot_request)
+        attempt = exchanges.Attempt(
+            endpoint, slot_request, exchange.retry_reserved_at
+        )
+        exchange.retry_reserved_at = None
         attempt.opening = asyncio.create_task(
             self._sender.send(
                 exchange.request,
@@ -416,7 +418,7 @@
                 exchange.facts,
                 kind.retryable,
                 kind.streams,
-                attempt.record_sent,
+                lambda: self._record_sent(exchange, attempt),
             )
         )
         return attempt
@@ -425,14 +427,32 @@
         self,
         exchange: exchanges.Exchange,
         attempt: exchanges.Attempt,
-        may_have_run: bool,
+        outcome: messages.Outcome,
     ) -> None:
         """Counts an attempt as no longer in progress, once."""
-        if attempt.in_progress:
-            attempt.in_progress = False
-            exchange.attempts_in_progress -= 1
-            if may_have_run and attempt.sent.done():
-                exchange.earlier_attempt_may_have_run = True
+        if not attempt.in_progress:
+            return
+        attempt.in_progress = False
+        exchange.attempts_in_progress -= 1
+        if not attempt.sent.done():
+            self._uncount(exchange, attempt, outcome)
+        elif not outcome.not_run:
+            exchange.earlier_attempt_may_have_run = True
+
+    def _uncount(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        outcome: messages.Outcome,
+    ) -> None:
+        """Takes back what an attempt used up that was not sent."""
+        exchange.attempted_endpoints.remove(attempt.endpoint)
+        if outcome is messages.Outcome.ABANDONED:
+            # Nothing is known against its endpoint.
+            exchange.excluded_endpoints.remove(attempt.endpoint.id)
+        reserved_at = attempt.take_retry()
+        if reserved_at is not None:
+            self._budget.give_back(exchange.admitted.service, reserved_at)
 
     def _build_slot_request(
         self, exchange: exchanges.Exchange
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -25,6 +25,8 @@
         in_progress: whether the request counts it as in progress.
         is_current: whether its answer is the one that is awaited or relayed;
             not so while it is to replace another.
+        retry_reserved_at: when its retry was taken from the budget, seconds of
+            the loop's clock; None if it is no retry, or once it was sent.
         failure: why it has no answer that can be relayed; "" if it has one.
     """
 
@@ -34,6 +36,7 @@
         "in_progress",
         "is_current",
         "opening",
+        "retry_reserved_at",
         "sent",
         "slot_request",
     )
@@ -42,10 +45,12 @@
         self,
         endpoint: messages.Endpoint,
         slot_request: messages.SlotRequest,
+        retry_reserved_at: float | None = None,
     ):
         """Creates an attempt; `opening` must be set before use."""
         self.endpoint = endpoint
         self.slot_request = slot_request
+        self.retry_reserved_at = retry_reserved_at
         self.opening: asyncio.Task[sending.Result] | None = None
         self.sent: asyncio.Future[float] = (
             asyncio.get_running_loop().create_future()
@@ -58,6 +63,11 @@
         """Records that the request was sent now."""
         self.sent.set_result(asyncio.get_running_loop().time())
 
+    def take_retry(self) -> float | None:
+        """Returns when its retry was taken from the budget, and forgets it."""
+        reserved_at, self.retry_reserved_at = self.retry_reserved_at, None
+        return reserved_at
+
     def stop(self) -> None:
         """Stops it; its connection is closed."""
         if not self.opening.done():
@@ -113,8 +123,8 @@
         waited_seconds: seconds spent waiting for slots.
         refusal: why no further attempt was made when one was last considered;
             "" if one was.
-        retry_reserved_at: when a retry was taken from the budget that is not
-            sent yet, seconds of the loop's clock.
+        retry_reserved_at: when a retry was taken from the budget that no
+            attempt has yet, seconds of the loop's clock.
         replacement: the attempt that is to replace a silent one, and goes on
             when the current one ends.
         heard_at: when the last part of its answer arrived, or the request if
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -265,7 +265,11 @@
         return behave
 
     def silent_within(
-        self, silent_after: int, last: int, seconds: float
+        self,
+        silent_after: int,
+        last: int,
+        seconds: float,
+        lost_after: int | None = None,
     ) -> Behaviour:
         """Returns a behaviour that streams, and falls silent once in between.
 
@@ -275,6 +279,8 @@
             silent_after: number of the event that the silence follows.
             last: number of the last event of the stream.
             seconds: how long the silence lasts.
+            lost_after: number of the event after the silence at which the
+                stream breaks off; None if it is sent to its end.
         """
 
         async def behave(received, reader, writer):
@@ -289,10 +295,13 @@
                 range(1, silent_after + 1),
             )
             if await self._is_kept_waiting(received, reader, seconds):
-                for number in range(silent_after + 1, last + 1):
+                for number in range(silent_after + 1, (lost_after or last) + 1):
                     writer.write(encode(event(number, self.event_text)))
-                writer.write(LAST_CHUNK)
+                if lost_after is None:
+                    writer.write(LAST_CHUNK)
                 await writer.drain()
+                if lost_after is not None:
+                    writer.transport.abort()
 
         return behave
 
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -352,8 +352,8 @@
     for earlier, later in zip(works, works[1:], strict=False):
         overlap = min(earlier.ended_at, later.ended_at) - later.sent_at
         assert overlap <= MAX_OVERLAP_SECONDS
-    # Attempts without a connection are not counted among the works.
-    assert max(0, len(works) - 1) <= world.budget.taken <= len(ENDPOINTS) - 1
+    # Attempts that were never sent are neither works nor retries.
+    assert world.budget.taken == max(0, len(works) - 1)
     connection = world.connection
     if kind is Kind.RESUMABLE and connection.status == 200:
         whole = builders.make_events(1, EVENTS)
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from cranberryglade.gateway import outbound
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
@@ -222,6 +223,44 @@
         await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
 
 
+async def test_attempt_that_was_never_sent_uses_nothing_up(monkeypatch):
+    # The pause ends while the replacement connects; later the stream breaks.
+    held = asyncio.Event()
+    connecting = asyncio.Event()
+    connect = outbound.Pool.connect
+
+    async def connect_unless_held(pool, seconds):
+        if not held.is_set():
+            return await connect(pool, seconds)
+        connecting.set()
+        await asyncio.sleep(seconds)
+        raise TimeoutError
+
+    monkeypatch.setattr(outbound.Pool, "connect", connect_unless_held)
+    async with Cluster(
+        runners=2, config=make_config(max_attempts=2)
+    ) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.silent_within(
+                3, 6, 60.0, lost_after=4
+            )
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.ran for each in cluster.runners)
+        )
+        first, other = sorted(cluster.runners, key=lambda each: not each.ran)
+        held.set()
+        await asyncio.wait_for(connecting.wait(), 2.0)
+        held.clear()
+        first.silence_over.set()
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        (resumed,) = other.received
+        assert resumed.headers["last-event-id"] == "4"
+
+
 @pytest.mark.parametrize("target", [ONCE, STREAM])
 async def test_silent_request_that_may_run_once_is_waited_for(target):
     async with Cluster(runners=2, config=make_config()) as cluster:
