Judge a further stream alike wherever it is awaited

What callers saw: a stream ended incomplete, or late, although a third endpoint had taken the request: the first had stalled, the second was silent, and then answered 200 with another media type.

Cause: while the second was silent, its answer was judged by its status alone (is_answer), so that it seemed to go on and the third was dropped. Only then was its head compared with the one that the caller has. The replacement of a silent attempt is judged by goes_on_with, head included.

Now both are judged by goes_on_with.

Evidence: test_third_endpoint_goes_on_when_the_second_one_sends_no_stream failed before.

--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -317,7 +317,7 @@
                 exchange,
                 attempt.endpoint,
                 lambda: asyncio.shield(attempt.opening),
-                exchanges.is_answer,
+                exchange.goes_on_with,
             )
             outcome, ended = await self._handle_result(
                 exchange, attempt, result
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -261,6 +261,34 @@
         assert resumed.headers["last-event-id"] == "4"
 
 
+async def test_third_endpoint_goes_on_when_the_second_one_sends_no_stream():
+    # The first stalls; the second does, too, until the third is asked.
+    async with Cluster(
+        runners=3, config=make_config(max_attempts=3)
+    ) as cluster:
+        find = begin_silently(cluster)
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.ran for each in cluster.runners)
+        )
+        _, others = find()
+        for endpoint in others:
+            endpoint.default_behaviour = endpoint.silent_first(
+                60.0, endpoint.succeed
+            )
+        await gateway_cluster.wait_until(
+            lambda: any(each.received for each in others)
+        )
+        second, third = sorted(others, key=lambda each: not each.received)
+        third.default_behaviour = third.silent_first(0.15, third.events(4, 6))
+        await gateway_cluster.wait_until(lambda: third.received)
+        second.silence_over.set()
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+
+
 @pytest.mark.parametrize("target", [ONCE, STREAM])
 async def test_silent_request_that_may_run_once_is_waited_for(target):
     async with Cluster(runners=2, config=make_config()) as cluster:
