--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -3,9 +3,11 @@
 Load pattern: sound endpoints pause for a second or two within an answer or
 before it, most of all while every endpoint is full, so that no other has a
 slot; stalled endpoints stay silent for good. Silence alone does not tell them
-apart. So an attempt that may still succeed is kept until another endpoint has
-taken its request. Without one, its silence ends nothing but the patience of the
-caller.
+apart. So an attempt that may still succeed is kept until its request was sent
+to another endpoint. As both must not work on it for long, it is given up 0.2 s
+later, whether or not the other endpoint has answered by then: one that refuses
+later leaves neither. Without another endpoint, a silent attempt is not given
+up.
 """
 
 import enum
@@ -28,8 +30,8 @@
 
 OVERLAP_SECONDS = 0.2
 """How long a silent attempt is kept after its request was sent to another
-endpoint, which by then has accepted it or refused it. Both must not work on it
-for more than twice as long."""
+endpoint, whether or not that one has answered. Most refuse sooner, if they do.
+Both must not work on it for more than twice as long."""
 
 MIN_SEEK_PAUSE_SECONDS = 0.25
 """Least time from a refusal of another endpoint until one is sought again."""
