Release a slot when verifying its endpoint fails

A slot was released only if the verification of its endpoint was cancelled. After an unexpected error the request ended with 502 and its slot stayed taken. Now any error releases it, and goes on as before.

test_slot_is_released_when_its_endpoint_cannot_be_verified raises such an error in find_unusable and failed before. No error of that kind has been seen.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -349,7 +349,7 @@
         # A stream goes on only where the version is certain.
         try:
             unusable = await self._verifier.find_unusable(endpoint)
-        except asyncio.CancelledError:
+        except BaseException:
             abandoned = messages.Outcome.ABANDONED
             self._allocator.release(slot_request, abandoned)
             raise
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -283,6 +283,7 @@
         self.sender = ScriptedSender(draw)
         self.allocator = ScriptedAllocator(draw, denies_later)
         self.budget = CountingBudget()
+        self.verifier = CertainProcesses()
         self.connection = Connection()
         self.leaves_after = draw.choice((None, None, draw.uniform(0.0, 6.0)))
         self._forwarder = forwarding.Forwarder(
@@ -294,7 +295,7 @@
             self.sender,
             Origins(),
             endpoint_pauses.EndpointPauses(draw),
-            CertainProcesses(),
+            self.verifier,
         )
 
     async def run(self):
@@ -335,6 +336,22 @@
     return world
 
 
+def test_slot_is_released_when_its_endpoint_cannot_be_verified():
+    # The verification fails unexpectedly before a begun stream goes on.
+    verified = []
+
+    async def fail(endpoint):
+        verified.append(endpoint)
+        raise ValueError("unexpected")
+
+    for seed in range(20):
+        world = World(seed, Kind.RESUMABLE)
+        world.verifier.find_unusable = fail
+        play(world)
+        assert world.allocator.held == {}
+    assert verified
+
+
 SEEDS = strategies.integers(0, 2**32)
 
 
