An answer without framing that ends in a crash of its endpoint is no whole one

Cause: the end of an answer that has neither a length nor chunks is that of its connection. The connections of a process that crashes are closed by its system, properly and not by a reset, so an answer that was cut between two events, or anywhere if it is no stream, looked whole.

Fix: before such an answer counts as whole, its endpoint is asked whether it has ended, as after a lost answer. If so, the answer is lost: another endpoint is asked, or the caller's connection is closed within the answer. An endpoint that leaves ends its answers first and is believed; the test of that fails without this condition.

What remains: an endpoint that closes a connection between two events and goes on, or that is back before it is asked, is still believed; a whole answer of an endpoint that crashes just after it is lost.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -187,6 +187,28 @@
         exchange.crashes += 1
         return messages.Outcome.CRASHED
 
+    async def doubt_end(
+        self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
+    ) -> str:
+        """Returns why an answer that seems whole may not be; "" if it is.
+
+        The end of an answer without framing is that of its connection, and the
+        connections of an endpoint that crashes end as well. One that leaves
+        ends its answers first.
+
+        Args:
+            exchange: the request.
+            endpoint: the endpoint whose answer has ended.
+        """
+        if exchange.answer_framing is not dialect.Framing.CONNECTION_CLOSE:
+            return ""
+        listed = self._state.endpoints.get(endpoint.id)
+        if listed is None or listed.leaving:
+            return ""
+        if not await self._sender.has_ended(endpoint):
+            return ""
+        return "answer ended with its endpoint"
+
     async def verify_origin(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether it is known what began a stream that may go on."""
         tentative = exchange.tentative
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -340,7 +340,7 @@
                 return await self._relay_stream(exchange, attempt, result)
             case sending.Answer(outcome=messages.Outcome.SERVED):
                 exchange.answer_framing = result.head.framing
-                return result.outcome, self._relay_answer(exchange, result)
+                return await self._relay_served(exchange, attempt, result)
         outcome = await self._attempts.settle(exchange, attempt, result)
         reason = attempt.failure or outcome.value
         return outcome, self._retry_or_give_up(exchange, attempt, reason)
@@ -353,6 +353,19 @@
             exchange, attempt, attempt.failure
         )
 
+    async def _relay_served(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        answer: sending.Answer,
+    ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
+        doubt = await self._attempts.doubt_end(exchange, attempt.endpoint)
+        if doubt:
+            exchange.earlier_attempt_may_have_run = True
+            outcome = await self._attempts.explain_loss(exchange, attempt)
+            return outcome, self._retry_or_give_up(exchange, attempt, doubt)
+        return answer.outcome, self._relay_answer(exchange, answer)
+
     async def _relay_stream(
         self,
         exchange: exchanges.Exchange,
@@ -366,6 +379,8 @@
             lost = await self._relay.relay(
                 exchange, attempt.endpoint, opened.channel
             )
+        if not lost:
+            lost = await self._attempts.doubt_end(exchange, attempt.endpoint)
         if lost == stream_relaying.SILENT:
             return await self._replace_silent(exchange, attempt)
         if lost:
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -486,6 +486,26 @@
 
         return behave
 
+    def crashing_between_events(self, last: int) -> Behaviour:
+        """Returns a behaviour that crashes within a stream without framing.
+
+        Args:
+            last: number of the last event before the crash; whole events only
+                are sent.
+        """
+
+        async def behave(received, reader, writer):
+            await self._send_events(
+                received,
+                writer,
+                dialect.Framing.CONNECTION_CLOSE,
+                range(1, last + 1),
+            )
+            await asyncio.sleep(DELIVERY_SECONDS)
+            self.crash()
+
+        return behave
+
     async def _send_events(
         self,
         received: Received,
--- a/cranberryglade/tests/test_gateway_path.py
+++ b/cranberryglade/tests/test_gateway_path.py
@@ -1,6 +1,7 @@
 """Requests through running gateways: relayed answers, retries, refusals."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -260,6 +261,26 @@
             assert answer.body == b"body of "
 
 
+async def test_unframed_answer_cut_by_a_crash_is_not_relayed():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.default_behaviour = endpoint.crashing_between_events(1)
+        answer = await cluster.send_request(target="/pay/1", method="POST")
+        assert answer.status == 502
+        assert len(endpoint.ran) == 1
+
+
+async def test_unframed_answer_cut_by_a_crash_is_asked_for_elsewhere():
+    async with Cluster(runners=2) as cluster:
+        for endpoint, other in itertools.permutations(cluster.runners):
+            endpoint.default_behaviour = crashing_once(
+                endpoint, other, 1, endpoint.succeed
+            )
+        answer = await cluster.send_request()
+        assert answer.body == b"body of "
+        assert sum(endpoint.crashed for endpoint in cluster.runners) == 1
+
+
 async def test_error_answer_of_an_endpoint_is_relayed_unchanged():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
@@ -270,6 +291,16 @@
         assert answer.headers["x-response-seal"] == "seal-of-i-0"
 
 
+def crashing_once(endpoint, other, last, otherwise):
+    """Returns the behaviour that crashes unless the other endpoint did."""
+
+    async def behave(*received):
+        crash = endpoint.crashing_between_events(last)
+        await (otherwise if other.crashed else crash)(*received)
+
+    return behave
+
+
 async def receive_stream(behaviour):
     """Returns the answer to a request whose stream cannot be resumed.
 
@@ -327,6 +358,35 @@
     assert answer.body == builders.make_events(1, 3)
 
 
+async def test_unframed_stream_cut_by_a_crash_is_not_framed_as_complete():
+    answer = await receive_stream(lambda each: each.crashing_between_events(1))
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body == builders.make_events(1, 1)
+
+
+async def test_unframed_stream_cut_by_a_crash_is_resumed_elsewhere():
+    async with Cluster(runners=2) as cluster:
+        for endpoint, other in itertools.permutations(cluster.runners):
+            endpoint.default_behaviour = crashing_once(
+                endpoint, other, 3, endpoint.events(4, 6)
+            )
+        answer = await cluster.send_request(target="/write/1", method="POST")
+        assert answer.whole
+        assert answer.body == builders.make_events(1, 6)
+        assert sum(endpoint.crashed for endpoint in cluster.runners) == 1
+
+
+async def test_unframed_stream_of_an_endpoint_that_leaves_and_ends_is_whole():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.leaving = True
+        endpoint.script.append(endpoint.crashing_between_events(3))
+        answer = await cluster.send_request(target="/note/1", method="POST")
+        assert answer.whole
+        assert answer.body == builders.make_events(1, 3)
+
+
 async def test_unframed_stream_without_events_is_not_framed_as_complete():
     answer = await receive_stream(
         lambda each: each.events(1, 0, framing=Framing.CONNECTION_CLOSE)
