The soak reports bytes that are no answer

A caller of the soak that received stray bytes, or a body whose chunks cannot be read, ended with its error, which was dropped: the run went on with one caller less and reported nothing. It now is a violation of "own answer", and any other error of a caller ends the run with a traceback.

test_bytes_that_are_no_answer_are_caught plants three kinds; the error passed through before. An answer that breaks off stays what it was.

--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -52,6 +52,8 @@
         resumes: request whose broken stream it resumes; "" if none.
         resumed_after: number of the last event of that stream.
         crashing_part: part of its prompt that crashes endpoints; "" if none.
+        unreadable: why what its caller received is no answer; "" if it is one,
+            or nothing was received.
     """
 
     id: str
@@ -69,6 +71,7 @@
     resumes: str = ""
     resumed_after: int = 0
     crashing_part: str = ""
+    unreadable: str = ""
 
     @property
     def resumable(self) -> bool:
@@ -290,6 +293,8 @@
 def _check_responses(history: History, bounds: Bounds) -> Iterator[Violation]:
     ran = {run.id for run in history.runs}
     for each in history.submissions.values():
+        if each.unreadable:
+            yield Violation("own answer", each.id, each.unreadable)
         if each.status != 200 or not each.whole or each.abandoned:
             continue
         if not each.sealed or each.id not in ran:
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -134,6 +134,12 @@
                 answer = await caller.answer()
         except TimeoutError:
             pass  # The caller gave up, deliberately or at its timeout.
+        except (
+            callers.StrayBytesError,
+            asyncio.LimitOverrunError,
+            ValueError,
+        ) as error:
+            submission.unreadable = repr(error)
         submission.ended = loop.time()
         submission.lag_seconds = self._clock.lag(submission.sent)
         if answer is None:
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -105,7 +105,7 @@
         await asyncio.sleep(CHECK_SECONDS)
         for task in load_tasks:
             task.cancel()
-        await asyncio.gather(*load_tasks, return_exceptions=True)
+        _raise_first(await asyncio.gather(*load_tasks, return_exceptions=True))
         # A request that is still open when the load stops counts as abandoned.
         for each in self._deployment.history.submissions.values():
             if not each.ended:
@@ -289,6 +289,13 @@
         return asyncio.get_running_loop().time()
 
 
+def _raise_first(results: list) -> None:
+    """Raises the first error of tasks that were cancelled, if there is one."""
+    for each in results:
+        if isinstance(each, Exception):
+            raise each
+
+
 async def _impair(link: links.Link, mode: str, seconds: float) -> None:
     link.impairments = links.Impairments(
         delay_seconds=DELAY_SECONDS if mode == "slow" else 0.0,
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -9,7 +9,9 @@
 from cranberryglade.soak import faults
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
+from cranberryglade.soak import load
 from cranberryglade.soak import run
+from cranberryglade.standins import callers
 from cranberryglade.standins import machine
 
 STREAM_BODY = b"".join(
@@ -17,6 +19,7 @@
     for n in range(1, deployment.EVENTS_PER_STREAM + 1)
 )
 STREAM_ROUTES = ("write", "note")
+SERVED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def a_submission(id_="s-1", route="pay", **changes) -> guarantees.Submission:
@@ -80,6 +83,47 @@
     assert violated(a_history(unsealed)) == {"own answer"}
 
 
+async def submit_to(answer: bytes) -> guarantees.Submission:
+    """Returns a request as a caller observes it that gets certain bytes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    history = guarantees.History()
+    loop = asyncio.get_running_loop()
+    generator = load.LoadGenerator([], history, 1, load.LagMonitor(), set())
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        address = server.sockets[0].getsockname()
+        caller = callers.Caller(*await asyncio.open_connection(*address))
+        assert not await generator._request(caller, 0, loop)
+        caller.close()
+    (submission,) = history.submissions.values()
+    return submission
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"stray bytes" + SERVED_HEAD,
+        SERVED_HEAD + b"no chunk\r\n",
+        b"HTTP/1.1 " + bytes(100_000),
+    ],
+    ids=["stray bytes", "no chunk", "endless head"],
+)
+async def test_bytes_that_are_no_answer_are_caught(answer):
+    submission = await submit_to(answer)
+    assert submission.ended
+    assert violated(a_history(submission)) == {"own answer"}
+
+
+async def test_an_answer_that_breaks_off_is_not_taken_for_other_bytes():
+    submission = await submit_to(SERVED_HEAD + b"5\r\nid: ")
+    assert (submission.status, submission.whole) == (200, False)
+    assert violated(a_history(submission)) == set()
+
+
 @pytest.mark.parametrize(
     "body",
     [
