An answer without framing is whole only if its endpoint is found running

Cause: whether an endpoint has ended is not always found out in the 0.1 s that are given to it. Of the answers that ended with it, those were still taken for whole.

Fix: the answer counts as whole only if the endpoint accepts a connection within 0.3 s, directly or through another gateway. A gateway that is cut off, or stands still just then, so loses whole answers without framing; before, it could have delivered parts of answers as whole. What is known of an endpoint otherwise (crash evidence) still needs certainty that it ended.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -205,9 +205,9 @@
         listed = self._state.endpoints.get(endpoint.id)
         if listed is None or listed.leaving:
             return ""
-        if not await self._sender.has_ended(endpoint):
+        if await self._sender.still_runs(endpoint):
             return ""
-        return "answer ended with its endpoint"
+        return "answer may have ended with its endpoint"
 
     async def verify_origin(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether it is known what began a stream that may go on."""
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -207,14 +207,26 @@
         self.pools.for_address(endpoint.address).close_direct()
 
     async def has_ended(self, endpoint: messages.Endpoint) -> bool:
-        """Returns whether an endpoint's process has ended.
+        """Returns whether an endpoint's process has certainly ended.
 
         Then nothing listens at its address, or what does closes the connection
         at once.
         """
+        seconds = LIVENESS_TIMEOUT_SECONDS
+        return await self._find_ended(endpoint, seconds) is True
+
+    async def still_runs(self, endpoint: messages.Endpoint) -> bool:
+        """Returns whether an endpoint's process has certainly not ended."""
+        seconds = CONNECT_TIMEOUT_SECONDS
+        return await self._find_ended(endpoint, seconds) is False
+
+    async def _find_ended(
+        self, endpoint: messages.Endpoint, timeout_seconds: float
+    ) -> bool | None:
+        """Returns whether an endpoint's process has ended; None if unclear."""
         pool = self.pools.for_address(endpoint.address)
         try:
-            channel = await pool.connect(LIVENESS_TIMEOUT_SECONDS)
+            channel = await pool.connect(timeout_seconds)
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError) as error:
@@ -223,7 +235,7 @@
                 endpoint=endpoint.id,
                 reason=type(error).__name__,
             )
-            return False
+            return None
         try:
             return await channel.closes_within(ACCEPTED_SECONDS)
         finally:
--- a/cranberryglade/tests/test_cut_off_gateway.py
+++ b/cranberryglade/tests/test_cut_off_gateway.py
@@ -121,6 +121,25 @@
         assert not (await sent).whole
 
 
+@pytest.mark.parametrize("cut", cut_off_gateways.Cut)
+@pytest.mark.parametrize(("gateways", "whole"), [(1, False), (2, True)])
+async def test_unframed_stream_is_complete_only_if_its_endpoint_is_reached(
+    cut, gateways, whole
+):
+    async with make_cluster(gateways=gateways) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.event_gap_seconds = 0.1
+            endpoint.default_behaviour = endpoint.events(
+                1, 3, framing=dialect.Framing.CONNECTION_CLOSE
+            )
+        sent = asyncio.create_task(cluster.send_request(target="/note/1"))
+        await gateway_cluster.wait_until(
+            lambda: any(endpoint.ran for endpoint in cluster.runners)
+        )
+        cut_off_gateways.cut_off(cluster.gateways[0], cut)
+        assert (await sent).whole == whole
+
+
 @pytest.mark.parametrize("target", ["/note/1", "/pay/1"])
 async def test_request_through_another_gateway_outlasts_its_shutdown(
     target, monkeypatch
