Don't go on with a silent stream that sends no events

What callers saw: a stream waited, or ended incomplete, although another endpoint had its request and was about to go on: the silent one sent bytes that cannot follow, and with them counted as going on.

Cause: any data ended the silence and dropped the other attempt; only then were they split into events, which may fail.

Now what arrives is split where it is awaited, so that such data end the silent attempt and not the other one.

Evidence: test_other_endpoint_goes_on_when_the_silent_one_sends_no_events failed before.

--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -67,7 +67,18 @@
                 return "stream ended without events"
             return ""
 
-        def is_sound(event: outbound.Event) -> bool:
+        async def receive() -> outbound.Event | event_streams.StreamError:
+            """Returns the next event; data as the whole events in it."""
+            event = await channel.next_event()
+            if not isinstance(event, outbound.Data):
+                return event
+            exchange.heard_at = asyncio.get_running_loop().time()
+            try:
+                return outbound.Data(splitter.feed(event.data))
+            except event_streams.StreamError as error:
+                return error
+
+        def is_sound(event: outbound.Event | event_streams.StreamError) -> bool:
             match event:
                 case outbound.Data():
                     return True
@@ -77,17 +88,14 @@
 
         while True:
             event = await self._replacer.wait(
-                exchange, endpoint, channel.next_event, is_sound
+                exchange, endpoint, receive, is_sound
             )
             match event:
                 case None:
                     return SILENT
-                case outbound.Data(data):
-                    exchange.heard_at = asyncio.get_running_loop().time()
-                    try:
-                        events = splitter.feed(data)
-                    except event_streams.StreamError as error:
-                        return str(error)
+                case event_streams.StreamError() as error:
+                    return str(error)
+                case outbound.Data(events):
                     if events and not has_events:
                         has_events = True
                         self._record_origin(exchange, endpoint)
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -199,6 +199,25 @@
         assert first.disconnected == []
 
 
+async def test_other_endpoint_goes_on_when_the_silent_one_sends_no_events():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        find = begin_silently(cluster)
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.ran for each in cluster.runners)
+        )
+        first, (other,) = find()
+        other.default_behaviour = other.silent_first(0.1, other.events(4, 6))
+        await gateway_cluster.wait_until(lambda: other.received)
+        # A line that is no field of an event.
+        first.event_text = "piece\noh no"
+        first.silence_over.set()
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+
+
 async def test_endpoint_that_goes_on_first_is_kept_and_the_other_one_stops():
     # The pause ends between the sending of the replacement and its answer.
     async with Cluster(runners=2, config=make_config()) as cluster:
