--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -487,8 +487,9 @@
         if exchange.begun or exchange.attempts_in_progress:
             wait_until = exchange.deadline - MIN_ATTEMPT_SECONDS
         if exchange.begun:
-            due = exchange.heard_at + replacement.caller_patience_seconds(
-                admitted.route
+            due = (
+                exchange.last_received_at
+                + replacement.caller_timeout_seconds(admitted.route)
             )
         return messages.SlotRequest(
             id=f"{self._state.incarnation}.{next(self._request_numbers)}",
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -127,8 +127,8 @@
             attempt has yet, seconds of the loop's clock.
         replacement: the attempt that is to replace a silent one, and goes on
             when the current one ends.
-        heard_at: when the last part of its answer arrived, or the request if
-            there is none, seconds of the loop's clock.
+        last_received_at: when the last part of its answer arrived, or the
+            request if there is none, seconds of the loop's clock.
         version: version of the configuration at its start.
         crashes: number of endpoints that crashed while they ran it.
         answer_framing: how the end of the last attempt's answer is marked;
@@ -159,14 +159,14 @@
     refusal: str = ""
     retry_reserved_at: float | None = None
     replacement: Attempt | None = None
-    heard_at: float = dataclasses.field(init=False)
+    last_received_at: float = dataclasses.field(init=False)
     version: int = 0
     crashes: int = 0
     answer_framing: dialect.Framing | None = None
 
     def __post_init__(self):
         """Counts its silence from its arrival."""
-        self.heard_at = self.arrived
+        self.last_received_at = self.arrived
 
     @property
     def begun(self) -> bool:
@@ -241,7 +241,7 @@
     def torn_log_fields(self, now: float) -> dict[str, str | int]:
         """Returns log fields on an answer that was begun and not ended."""
         return {
-            "silent_ms": round((now - self.heard_at) * 1000),
+            "silent_ms": round((now - self.last_received_at) * 1000),
             "begun_at_version": self.version,
             "refusal": self.refusal,
         }
--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -57,9 +57,9 @@
 class Replacement:
     """One silence of an attempt; performs no I/O.
 
-    If both attempts speak, the earlier one goes on: what it sends follows what
-    the caller has already, and nothing that it did is in vain. Times are
-    seconds of the loop's clock.
+    If both attempts send something, the earlier one goes on: what it sends
+    follows what the caller has already, and nothing that it did is in vain.
+    Times are seconds of the loop's clock.
     """
 
     __slots__ = (
@@ -68,7 +68,7 @@
         "_seek_at",
         "_seeking",
         "_sent_at",
-        "_spoke",
+        "_resumed",
     )
 
     def __init__(self, now: float):
@@ -77,7 +77,7 @@
         self._seeking = False
         self._sent_at = math.inf
         self._answered = False
-        self._spoke = False
+        self._resumed = False
         self._lost = False
 
     @property
@@ -87,9 +87,9 @@
             return self._sent_at + OVERLAP_SECONDS
         return self._seek_at
 
-    def spoke(self) -> None:
+    def resumed(self) -> None:
         """Records that the silent attempt went on."""
-        self._spoke = True
+        self._resumed = True
 
     def lost(self) -> None:
         """Records that the silent attempt failed."""
@@ -99,7 +99,7 @@
         """Records that another endpoint is sought."""
         self._seeking = True
 
-    def refused(self, pause_seconds: float, now: float) -> None:
+    def unavailable(self, pause_seconds: float, now: float) -> None:
         """Records that there is no other endpoint, or that it failed.
 
         Args:
@@ -122,7 +122,7 @@
 
     def step(self, now: float) -> Step:
         """Returns what follows."""
-        if self._spoke:
+        if self._resumed:
             return Step.KEEP
         sent = self._sent_at <= now
         if self._answered or (self._lost and sent):
@@ -153,7 +153,7 @@
     return HEAD_SILENCE_FACTOR * route.target_latency_seconds
 
 
-def caller_patience_seconds(route: configuration.Route) -> float:
+def caller_timeout_seconds(route: configuration.Route) -> float:
     """Returns the silence in a stream after which callers leave it."""
     return max(
         CALLER_GAP_SECONDS,
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -16,7 +16,7 @@
 """Least timeout of a wait, so that it ends when the next step is due."""
 
 Step = replacement.Step
-Heard = TypeVar("Heard")
+Received = TypeVar("Received")
 
 logger = log.get_logger(__name__)
 
@@ -33,9 +33,9 @@
         self,
         exchange: exchanges.Exchange,
         endpoint: messages.Endpoint,
-        receive: Callable[[], Awaitable[Heard]],
-        is_sound: Callable[[Heard], bool],
-    ) -> Heard | None:
+        receive: Callable[[], Awaitable[Received]],
+        is_sound: Callable[[Received], bool],
+    ) -> Received | None:
         """Waits for the next that the current attempt of a request sends.
 
         Args:
@@ -90,32 +90,32 @@
 
     async def run(self):
         """Waits for the end of the silence; returns as `Replacer.wait`."""
-        hearing = asyncio.ensure_future(self._receive())
+        receiving = asyncio.ensure_future(self._receive())
         step = Step.KEEP
         try:
             while True:
-                await self._observe(hearing)
+                await self._observe(receiving)
                 step = self._silence.step(_now())
                 match step:
                     case Step.SEEK:
                         self._seek()
                     case Step.WAIT:
-                        await self._wait(hearing)
+                        await self._wait(receiving)
                     case Step.KEEP:
-                        return hearing.result()
+                        return receiving.result()
                     case Step.SWITCH:
-                        return hearing.result() if hearing.done() else None
+                        return receiving.result() if receiving.done() else None
         finally:
-            hearing.cancel()
+            receiving.cancel()
             self._stop_seeking()
             if step is not Step.SWITCH:
                 self._attempts.drop_replacement(self._exchange)
 
-    async def _observe(self, hearing: asyncio.Future) -> None:
+    async def _observe(self, receiving: asyncio.Future) -> None:
         """Tells the decision what has happened."""
-        if hearing.done():
-            if self._is_sound(hearing.result()):
-                self._silence.spoke()
+        if receiving.done():
+            if self._is_sound(receiving.result()):
+                self._silence.resumed()
                 return
             self._silence.lost()
         if self._seeking is not None and self._seeking.done():
@@ -162,18 +162,18 @@
     def _refuse(self, reason: str, pause_seconds: float) -> None:
         """Goes on without another endpoint for a time, or for good."""
         self._exchange.refusal = reason
-        self._silence.refused(pause_seconds, _now())
+        self._silence.unavailable(pause_seconds, _now())
         logger.info(
             "attempt.not_replaced",
             id=self._exchange.facts.id,
             reason=reason,
             for_good=math.isinf(pause_seconds),
-            silent_ms=round((_now() - self._exchange.heard_at) * 1000),
+            silent_ms=round((_now() - self._exchange.last_received_at) * 1000),
         )
 
-    async def _wait(self, hearing: asyncio.Future) -> None:
+    async def _wait(self, receiving: asyncio.Future) -> None:
         """Waits until something happens, or the next step is due."""
-        awaited = [each for each in (hearing, self._seeking) if each]
+        awaited = [each for each in (receiving, self._seeking) if each]
         other = self._exchange.replacement
         if other is not None:
             awaited += [other.opening, other.sent]
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -72,7 +72,7 @@
             event = await channel.next_event()
             if not isinstance(event, outbound.Data):
                 return event
-            exchange.heard_at = asyncio.get_running_loop().time()
+            exchange.last_received_at = asyncio.get_running_loop().time()
             try:
                 return outbound.Data(splitter.feed(event.data))
             except event_streams.StreamError as error:
--- a/cranberryglade/tests/test_replacement.py
+++ b/cranberryglade/tests/test_replacement.py
@@ -29,12 +29,12 @@
         match silence.step(now):
             case Step.SEEK:
                 silence.sought()
-                silence.refused(0.0, now)
+                silence.unavailable(0.0, now)
                 assert silence.due == now + PAUSE
             case step:
                 assert step is Step.WAIT
         now = min(silence.due, 1.8)
-    silence.spoke()
+    silence.resumed()
     assert silence.step(now) is Step.KEEP
 
 
@@ -43,7 +43,7 @@
     silence = replacement.Replacement(0.0)
     assert silence.step(0.0) is Step.SEEK
     silence.sought()
-    silence.refused(0.5, 0.0)
+    silence.unavailable(0.5, 0.0)
     assert silence.step(0.49) is Step.WAIT
     assert silence.step(0.5) is Step.SEEK
     silence.sought()
@@ -63,25 +63,25 @@
     assert silence.step(silence.due) is Step.SWITCH
 
 
-def test_the_earlier_attempt_goes_on_if_both_speak():
+def test_the_earlier_attempt_goes_on_if_both_send():
     silence = seek()
     silence.sent(0.1)
     silence.answered()
-    silence.spoke()
+    silence.resumed()
     assert silence.step(0.1 + OVERLAP) is Step.KEEP
 
 
 def test_refused_replacement_leaves_the_silent_attempt_open():
     silence = seek()
     silence.sent(0.1)
-    silence.refused(0.0, 0.15)
+    silence.unavailable(0.0, 0.15)
     assert silence.step(0.15 + OVERLAP) is Step.WAIT
     assert silence.step(0.15 + PAUSE) is Step.SEEK
 
 
 def test_nothing_is_sought_after_a_refusal_for_good():
     silence = seek()
-    silence.refused(math.inf, 0.0)
+    silence.unavailable(math.inf, 0.0)
     assert math.isinf(silence.due)
     assert silence.step(1e9) is Step.WAIT
 
@@ -97,7 +97,7 @@
 def test_lost_attempt_without_replacement_ends_the_silence():
     silence = seek()
     silence.lost()
-    silence.refused(5.0, 0.1)
+    silence.unavailable(5.0, 0.1)
     assert silence.step(0.1) is Step.KEEP
 
 
@@ -118,6 +118,6 @@
         target_latency_seconds=latency,
         max_gap_seconds=gap,
     )
-    patience = replacement.caller_patience_seconds(route)
+    timeout = replacement.caller_timeout_seconds(route)
     for begun in (False, True):
-        assert replacement.silence_seconds(route, begun) <= patience / 2
+        assert replacement.silence_seconds(route, begun) <= timeout / 2
