--- /dev/null
+++ b/cranberryglade/gateway/attempt_streams.py
@@ -0,0 +1,73 @@
+"""The stream of one attempt, as whole events."""
+
+from cranberryglade.gateway import dialect
+from cranberryglade.gateway import event_streams
+from cranberryglade.gateway import outbound
+from cranberryglade.gateway import sending
+
+Part = outbound.Event | event_streams.StreamError
+
+
+class AttemptStream:
+    """Receives the events of an attempt, and judges where they end.
+
+    Attributes:
+        splitter: splits the stream into whole events.
+    """
+
+    __slots__ = ("_channel", "_framing", "_has_events", "splitter")
+
+    def __init__(
+        self,
+        opened: sending.StreamStarted,
+        splitter: event_streams.EventSplitter,
+    ):
+        """Creates one of which nothing was received but its head.
+
+        Args:
+            opened: the stream.
+            splitter: splits it into whole events.
+        """
+        self._channel = opened.channel
+        self._framing = opened.head.framing
+        self._has_events = False
+        self.splitter = splitter
+
+    async def receive(self) -> Part:
+        """Returns the next part; data as the whole events in it.
+
+        Loses nothing if it is cancelled.
+        """
+        part = await self._channel.next_event()
+        if not isinstance(part, outbound.Data):
+            return part
+        try:
+            events = self.splitter.feed(part.data)
+        except event_streams.StreamError as error:
+            return error
+        self._has_events = self._has_events or bool(events)
+        return outbound.Data(events)
+
+    def is_sound(self, part: Part) -> bool:
+        """Returns whether the attempt goes on or ends properly with a part."""
+        match part:
+            case outbound.Data():
+                return True
+            case outbound.End():
+                return not self.find_early_end()
+        return False
+
+    def find_early_end(self) -> str:
+        """Returns why the stream must not end here; "" if it may."""
+        if self.splitter.within_event:
+            return "stream ended inside an event"
+        if self.splitter.awaits_join:
+            # Whether events were left is not known.
+            return "stream went on without events"
+        # A framed stream may be empty, as when the caller resumes one and
+        # nothing was left; its endpoint alone vouches for that. If
+        # it is not framed, it may as well have broken off at its beginning.
+        unframed = self._framing is dialect.Framing.CONNECTION_CLOSE
+        if unframed and not self._has_events:
+            return "stream ended without events"
+        return ""
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -376,9 +376,7 @@
         exchange.process_is_certain = opened.process_is_certain
         lost = self._begin_stream(exchange, opened.head)
         if not lost:
-            lost = await self._relay.relay(
-                exchange, attempt.endpoint, opened.channel
-            )
+            lost = await self._relay.relay(exchange, attempt.endpoint, opened)
         if not lost:
             lost = await self._attempts.doubt_end(exchange, attempt.endpoint)
         if lost == stream_relaying.SILENT:
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cranberryglade.gateway import attempt_streams
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
@@ -10,6 +11,7 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import replacing
+from cranberryglade.gateway import sending
 from cranberryglade.gateway import tentative_origins
 
 SILENT = "silent"
@@ -33,14 +35,14 @@
         self,
         exchange: exchanges.Exchange,
         endpoint: messages.Endpoint,
-        channel: outbound.Channel,
+        opened: sending.StreamStarted,
     ) -> str:
         """Relays the events of one attempt, the current one of a request.
 
         Args:
             exchange: the request.
             endpoint: the endpoint that sends the stream.
-            channel: the connection that the events follow on.
+            opened: its stream.
 
         Returns:
             Why the stream broke off, or SILENT if another attempt goes on; ""
@@ -49,61 +51,31 @@
         Raises:
             CallerGoneError: if the caller's connection is closed.
         """
-        splitter = exchange.splitter
-        has_events = False
-        # A framed stream may be empty, as when the caller resumes one and
-        # nothing was left; its endpoint alone vouches for that. If
-        # it is not framed, it may as well have broken off at its beginning.
-        unframed = exchange.answer_framing is dialect.Framing.CONNECTION_CLOSE
+        stream = attempt_streams.AttemptStream(opened, exchange.splitter)
 
-        def early_end() -> str:
-            """Returns why the stream must not end here; "" if it may."""
-            if splitter.within_event:
-                return "stream ended inside an event"
-            if splitter.awaits_join:
-                # Whether events were left is not known.
-                return "stream went on without events"
-            if not has_events and unframed:
-                return "stream ended without events"
-            return ""
-
-        async def receive() -> outbound.Event | event_streams.StreamError:
-            """Returns the next event; data as the whole events in it."""
-            event = await channel.next_event()
-            if not isinstance(event, outbound.Data):
-                return event
-            exchange.last_received_at = asyncio.get_running_loop().time()
-            try:
-                return outbound.Data(splitter.feed(event.data))
-            except event_streams.StreamError as error:
-                return error
-
-        def is_sound(event: outbound.Event | event_streams.StreamError) -> bool:
-            match event:
-                case outbound.Data():
-                    return True
-                case outbound.End():
-                    return not early_end()
-            return False
+        async def receive() -> attempt_streams.Part:
+            part = await stream.receive()
+            if isinstance(part, outbound.Data):
+                exchange.last_received_at = asyncio.get_running_loop().time()
+            return part
 
         while True:
-            event = await self._replacer.wait(
-                exchange, endpoint, receive, is_sound
+            part = await self._replacer.wait(
+                exchange, endpoint, receive, stream.is_sound
             )
-            match event:
+            match part:
                 case None:
                     return SILENT
                 case event_streams.StreamError() as error:
                     return str(error)
                 case outbound.Data(events):
-                    if events and not has_events:
-                        has_events = True
+                    if events:
                         self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End():
-                    early = early_end()
+                    early = stream.find_early_end()
                     if not early:
-                        await exchange.responder.send(splitter.pending)
+                        await exchange.responder.send(stream.splitter.pending)
                     return early
                 case outbound.AnswerLost(reason):
                     return f"stream {reason}"
