Take the word of a sound endpoint that no events of a stream are left

Cause: a further attempt that ends without events counted as lost whatever it was, as it is not known whether events were left. But the endpoint was asked with Last-Event-Id, and knows.

So its end counts if the answer has the status and the media type of the first, the stamp, the id of the request, a framing that ended properly, and nothing but comments in it. It doesn't if more is known to follow the last event: an earlier attempt had begun the next one, or had stated a length that it did not reach. Then, and without any one of these, the stream still ends as incomplete, as an end before the last piece would break ORDER. The cases of test_joined_streams.py break off within an event; they hold unchanged.

Evidence: on the code before, all six cases of test_stream_that_broke_off_behind_its_last_event_ends_whole failed, and test_event_that_broke_off_and_came_again_is_not_missed. The 19 cases of test_stream_does_not_end_whole_if_more_may_be_left pass before and after.

--- a/cranberryglade/gateway/attempt_streams.py
+++ b/cranberryglade/gateway/attempt_streams.py
@@ -15,7 +15,13 @@
         splitter: splits the stream into whole events.
     """
 
-    __slots__ = ("_channel", "_framing", "_has_events", "splitter")
+    __slots__ = (
+        "_channel",
+        "_framing",
+        "_has_events",
+        "_names_request",
+        "splitter",
+    )
 
     def __init__(
         self,
@@ -30,9 +36,15 @@
         """
         self._channel = opened.channel
         self._framing = opened.head.framing
+        self._names_request = opened.names_request
         self._has_events = False
         self.splitter = splitter
 
+    @property
+    def trailing(self) -> bytes:
+        """Blank lines behind the last event, if this attempt sent that."""
+        return b"" if self.splitter.awaits_join else self.splitter.pending
+
     async def receive(self) -> Part:
         """Returns the next part; data as the whole events in it.
 
@@ -61,8 +73,7 @@
         """Returns why the stream must not end here; "" if it may."""
         if self.splitter.within_event:
             return "stream ended inside an event"
-        if self.splitter.awaits_join:
-            # Whether events were left is not known.
+        if self.splitter.awaits_join and not self._says_nothing_left():
             return "stream went on without events"
         # A framed stream may be empty, as when the caller resumes one and
         # nothing was left; its endpoint alone vouches for that. If
@@ -71,3 +82,19 @@
         if unframed and not self._has_events:
             return "stream ended without events"
         return ""
+
+    def _says_nothing_left(self) -> bool:
+        """Returns whether no events were left, as this further attempt says.
+
+        Load pattern: an endpoint pauses or breaks off behind the last event,
+        before the end of its stream. The next one has nothing to send. Only a
+        framed answer to this very request vouches for that, and not against
+        what was seen to follow the last event.
+        """
+        splitter = self.splitter
+        framed = self._framing in (
+            dialect.Framing.CHUNKED,
+            dialect.Framing.LENGTH,
+        )
+        vouched = framed and self._names_request and splitter.only_comments
+        return vouched and not splitter.more_left
--- a/cranberryglade/gateway/event_streams.py
+++ b/cranberryglade/gateway/event_streams.py
@@ -33,6 +33,9 @@
 )
 """One whole event with a number as its id, the usual case."""
 
+COMMENTS = re.compile(rb"(?:(?::[^\r\n]*)?" + LINE_END + rb")*+")
+"""Lines that say nothing: comments and blank lines."""
+
 MAX_ID_DIGITS = 18
 """Digits of an id up to which it is compared as a number."""
 
@@ -75,6 +78,9 @@
             event: not if the last event had no id.
         awaits_join: whether a further attempt has begun and none of its events
             has arrived.
+        more_left: whether more is known to follow the last whole event, as an
+            earlier attempt had begun to send it.
+        only_comments: whether a further attempt has sent nothing but comments.
     """
 
     __slots__ = (
@@ -83,6 +89,8 @@
         "_pending",
         "awaits_join",
         "last_id",
+        "more_left",
+        "only_comments",
         "resumable",
     )
 
@@ -93,6 +101,8 @@
         self.last_id = last_id
         self.resumable = True
         self.awaits_join = False
+        self.more_left = False
+        self.only_comments = True
 
     @property
     def pending(self) -> bytes:
@@ -143,13 +153,19 @@
         # Comments and blank lines alone do not show whose stream it is.
         return b"" if self.awaits_join else whole
 
-    def begin_join(self) -> None:
+    def begin_join(self, bytes_left: bool = False) -> None:
         """Begins a further attempt, which goes on after the last whole event.
 
         It repeats the incomplete event, which is dropped.
+
+        Args:
+            bytes_left: whether the attempt before had stated that its stream
+                is longer.
         """
+        self.more_left = self.more_left or self.within_event or bytes_left
         self._pending.clear()
         self.awaits_join = True
+        self.only_comments = True
 
     def _check(self, whole: bytes) -> None:
         if not FIELD_LINES.fullmatch(whole):
@@ -168,10 +184,13 @@
             elif not line and first_id is not None:
                 break
         if first_id is None:
+            if not COMMENTS.fullmatch(whole):
+                self.only_comments = False
             return
         if self.last_id and not self._may_follow(first_id):
             raise WrongEventError
         self.awaits_join = False
+        self.more_left = False
 
     def _may_follow(self, id_: str) -> bool:
         if not _is_number(self.last_id):
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -309,9 +309,11 @@
     ) -> exchanges.RequestResult | None:
         outcome = messages.Outcome.ABANDONED
         attempt.is_current = True
-        exchange.answer_framing = None
         if exchange.begun:
-            exchange.splitter.begin_join()
+            # The end of a stream with a length is that of its last event.
+            bytes_left = exchange.answer_framing is dialect.Framing.LENGTH
+            exchange.splitter.begin_join(bytes_left)
+        exchange.answer_framing = None
         try:
             result = await self._replacer.wait(
                 exchange,
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -73,11 +73,13 @@
         channel: the connection that the events follow on.
         process_is_certain: whether it certainly leads to the listed process of
             the endpoint.
+        names_request: whether the head has the id of the request.
     """
 
     head: dialect.AnswerHead
     channel: outbound.Channel
     process_is_certain: bool
+    names_request: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -354,7 +356,8 @@
         ):
             now = asyncio.get_running_loop().time()
             is_certain = self._processes.observe(endpoint, channel, now)
-            return StreamStarted(head, channel, is_certain)
+            names_request = bool(facts.id) and answer_facts.id == facts.id
+            return StreamStarted(head, channel, is_certain, names_request)
         body = await channel.read_body(MAX_ANSWER_BYTES, self._body_memory)
         if isinstance(body, outbound.AnswerLost):
             channel.abort()
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cranberryglade import log
 from cranberryglade.gateway import attempt_streams
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import dialect
@@ -18,6 +19,9 @@
 """Why the stream of an attempt is not relayed further that was replaced."""
 
 
+logger = log.get_logger(__name__)
+
+
 class StreamRelay:
     """Relays streams and records what began them."""
 
@@ -74,9 +78,12 @@
                     await exchange.responder.send(events)
                 case outbound.End():
                     early = stream.find_early_end()
-                    if not early:
-                        await exchange.responder.send(stream.splitter.pending)
-                    return early
+                    if early:
+                        return early
+                    if stream.splitter.awaits_join:
+                        _log_nothing_left(exchange, endpoint)
+                    await exchange.responder.send(stream.trailing)
+                    return ""
                 case outbound.AnswerLost(reason):
                     return f"stream {reason}"
                 case dialect.AnswerHead():
@@ -100,3 +107,14 @@
         self._origins.record(
             exchange.facts.id, exchange.origin, exchange.tentative
         )
+
+
+def _log_nothing_left(
+    exchange: exchanges.Exchange, endpoint: messages.Endpoint
+) -> None:
+    logger.info(
+        "stream.nothing_left",
+        id=exchange.facts.id,
+        endpoint=endpoint.id,
+        last_event=exchange.splitter.last_id,
+    )
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -466,6 +466,28 @@
 
         return behave
 
+    def without_end(
+        self, last: int, body_bytes: int | None = None
+    ) -> Behaviour:
+        """Returns a behaviour that closes a stream behind an event.
+
+        Args:
+            last: number of the last event that is sent.
+            body_bytes: length that the head states; None for chunks.
+        """
+        framing = dialect.Framing.LENGTH
+        if body_bytes is None:
+            framing = dialect.Framing.CHUNKED
+
+        async def behave(received, reader, writer):
+            await self._send_events(
+                received, writer, framing, range(1, last + 1), body_bytes
+            )
+            await asyncio.sleep(DELIVERY_SECONDS)
+            writer.close()
+
+        return behave
+
     def reset_unframed(self, last: int, first: int = 1) -> Behaviour:
         """Returns a behaviour that resets an answer without framing.
 
@@ -512,9 +534,17 @@
         writer: asyncio.StreamWriter,
         framing: dialect.Framing,
         numbers: range,
+        body_bytes: int | None = None,
     ) -> Callable[[bytes], bytes]:
         """Runs a request and sends the head and whole events of its stream.
 
+        Args:
+            received: the request.
+            writer: its connection.
+            framing: how the end of the stream is marked.
+            numbers: numbers of the events.
+            body_bytes: length of the body if that marks its end.
+
         Returns:
             Encodes further bytes of the body as the framing demands.
         """
@@ -527,7 +557,7 @@
         if is_chunked:
             lines.append("Transfer-Encoding: chunked")
         encode = _chunk if is_chunked else bytes
-        writer.write(self._head(received, 200, lines, None))
+        writer.write(self._head(received, 200, lines, body_bytes))
         for number in numbers:
             writer.write(encode(event(number, self.event_text)))
             await writer.drain()
--- a/cranberryglade/tests/stream_replies.py
+++ b/cranberryglade/tests/stream_replies.py
@@ -38,6 +38,7 @@
         lines: header lines besides the id and the framing.
         framing: how the end of the body is marked.
         cut_bytes: bytes that are missing at its end.
+        named: whether it names the request that it answers.
     """
 
     body: bytes
@@ -45,6 +46,7 @@
     lines: tuple[str, ...] = (SEAL_LINE, EVENT_STREAM)
     framing: Framing = Framing.CHUNKED
     cut_bytes: int = 0
+    named: bool = True
 
     @property
     def closes(self) -> bool:
@@ -55,7 +57,8 @@
     def encode(self, request_id: str) -> bytes:
         """Returns the answer to a request."""
         lines = [f"HTTP/1.1 {self.status} Status", *self.lines]
-        lines.append(f"X-Attempt-Id: {request_id}")
+        if self.named:
+            lines.append(f"X-Attempt-Id: {request_id}")
         body = self.body
         if self.framing is Framing.CHUNKED:
             lines.append("Transfer-Encoding: chunked")
@@ -186,3 +189,43 @@
     "a time to reconnect": Reply(b"retry: 10\n\n" + SOUND_BODY),
 }
 """Replies that go on with the stream and end it."""
+
+NOTHING_LEFT_REPLIES = {
+    f"{name}, {framing.value}": Reply(body, framing=framing)
+    for name, body in {
+        "no bytes": b"",
+        "a blank line": b"\n",
+        "a comment": b": all was sent\n\n",
+    }.items()
+    for framing in (Framing.CHUNKED, Framing.LENGTH)
+}
+"""Replies that say that no events were left."""
+
+UNPROVEN_END_REPLIES = {
+    "unframed": Reply(b"", framing=Framing.CONNECTION_CLOSE),
+    "a comment, unframed": Reply(b": on\n\n", framing=Framing.CONNECTION_CLOSE),
+    "without the id": Reply(b"", named=False),
+    "without the seal": Reply(b"", lines=(EVENT_STREAM,)),
+    "of another media type": Reply(
+        b"", lines=(SEAL_LINE, "Content-Type: text/plain")
+    ),
+    "encoded": Reply(
+        b"", lines=(SEAL_LINE, EVENT_STREAM, "Content-Encoding: gzip")
+    ),
+    "206": Reply(b"", 206),
+    "204": Reply(b"", 204, framing=Framing.NO_BODY),
+    "500": Reply(b"", 500),
+    "not executed": Reply(b"", 503, (NOT_EXECUTED,)),
+    "an error text": Reply(ERROR_TEXT),
+    "an error text without its end": Reply(ERROR_TEXT.rstrip()),
+    "an error as a field": Reply(b"error: upstream failed\n\n"),
+    "an error event": Reply(ERROR_EVENT),
+    "an error event without data": Reply(b"event: error\n\n"),
+    "the last event once more": Reply(endpoint_standin.event(LAST)),
+    "a head that breaks off": Reply(b"", framing=Framing.LENGTH, cut_bytes=3),
+    "chunks that break off": Reply(b"", cut_bytes=2),
+    "a body that breaks off": Reply(
+        b": on\n\n", framing=Framing.LENGTH, cut_bytes=2
+    ),
+}
+"""Replies without events after which it is not known that none were left."""
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -164,7 +164,7 @@
         if first > 1 and draw.random() < 0.1:
             head = dataclasses.replace(HEAD, status=206)
         return sending.StreamStarted(
-            head, ScriptedChannel(work, self._parts(first)), True
+            head, ScriptedChannel(work, self._parts(first)), True, True
         )
 
     def _parts(self, first):
