Give up a silent stream only for one that has shown that it goes on

Cause: a head counted as the proof that the other endpoint goes on. One that sends nothing behind it, or closes, leaves neither.

Now the other attempt's stream is received beside the silent one, into a splitter of its own, until its first event or its end. Only then is the silent attempt given up; if the other one breaks off, or ends without vouching that nothing was left, the silent one stays as it was, and a further one is sought. The bound on both of them at work, 0.2 s from the sending, is unchanged.

Evidence: on the code before, all eight cases of test_silent_endpoint_is_kept_while_the_other_sends_only_a_head and test_silent_endpoint_is_kept_when_the_other_one_ends_without_events failed, with silences before the head, behind it, between events and behind the last one. What remains: a silent endpoint that goes on later than 0.2 s after the request was sent to another one that sends nothing by then.

--- a/cranberryglade/gateway/attempt_streams.py
+++ b/cranberryglade/gateway/attempt_streams.py
@@ -19,6 +19,7 @@
         "_channel",
         "_framing",
         "_has_events",
+        "_held",
         "_names_request",
         "splitter",
     )
@@ -38,6 +39,7 @@
         self._framing = opened.head.framing
         self._names_request = opened.names_request
         self._has_events = False
+        self._held: Part | None = None
         self.splitter = splitter
 
     @property
@@ -50,6 +52,9 @@
 
         Loses nothing if it is cancelled.
         """
+        held, self._held = self._held, None
+        if held is not None:
+            return held
         part = await self._channel.next_event()
         if not isinstance(part, outbound.Data):
             return part
@@ -60,16 +65,39 @@
         self._has_events = self._has_events or bool(events)
         return outbound.Data(events)
 
+    async def confirm(self) -> str:
+        """Waits until it is certain whether the attempt goes on.
+
+        It does with its first event, or a proper end. `receive` returns what
+        was received once more. Loses nothing if it is cancelled.
+
+        Returns:
+            Why it does not go on; "" if it does.
+        """
+        while True:
+            part = await self.receive()
+            if part != outbound.Data(b""):
+                self._held = part
+                return self.find_problem(part)
+
     def is_sound(self, part: Part) -> bool:
         """Returns whether the attempt goes on or ends properly with a part."""
+        return not self.find_problem(part)
+
+    def find_problem(self, part: Part) -> str:
+        """Returns why the stream breaks off with a part; "" if it does not."""
         match part:
-            case outbound.Data():
-                return True
+            case event_streams.StreamError() as error:
+                return str(error)
             case outbound.End():
-                return not self.find_early_end()
-        return False
+                return self._find_early_end()
+            case outbound.AnswerLost(reason):
+                return f"stream {reason}"
+            case dialect.AnswerHead():
+                return "stream torn"
+        return ""
 
-    def find_early_end(self) -> str:
+    def _find_early_end(self) -> str:
         """Returns why the stream must not end here; "" if it may."""
         if self.splitter.within_event:
             return "stream ended inside an event"
--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -155,9 +155,16 @@
         exchange: exchanges.Exchange,
         attempt: exchanges.Attempt,
         result: sending.Result,
+        problem: str = "",
     ) -> messages.Outcome:
         """Records the result of an attempt that cannot be relayed.
 
+        Args:
+            exchange: the request.
+            attempt: the attempt.
+            result: its result.
+            problem: why a stream whose head is right does not go on.
+
         Returns:
             How the attempt ended, for `end`.
         """
@@ -166,7 +173,7 @@
                 exchange.earlier_attempt_may_have_run = True
                 exchange.fallback_answer = result
             case sending.StreamStarted(head=head):
-                attempt.failure = exchange.find_mismatch(head)
+                attempt.failure = problem or exchange.find_mismatch(head)
                 attempt.stop()
                 exchange.earlier_attempt_may_have_run = True
                 outcome = await self.explain_loss(exchange, attempt)
--- a/cranberryglade/gateway/event_streams.py
+++ b/cranberryglade/gateway/event_streams.py
@@ -5,6 +5,7 @@
 the events tell: they increase, but not always by one.
 """
 
+import copy
 import re
 
 BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
@@ -167,6 +168,10 @@
         self.awaits_join = True
         self.only_comments = True
 
+    def fork(self) -> "EventSplitter":
+        """Returns a copy for an attempt beside the one that this one splits."""
+        return copy.deepcopy(self)
+
     def _check(self, whole: bytes) -> None:
         if not FIELD_LINES.fullmatch(whole):
             raise ForeignBytesError
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cranberryglade.gateway import admission
+from cranberryglade.gateway import attempt_streams
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import http_fields
@@ -28,6 +29,7 @@
         retry_reserved_at: when its retry was taken from the budget, seconds of
             the loop's clock; None if it is no retry, or once it was sent.
         failure: why it has no answer that can be relayed; "" if it has one.
+        stream: its stream, once its head was received; None before.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "retry_reserved_at",
         "sent",
         "slot_request",
+        "stream",
     )
 
     def __init__(
@@ -58,6 +61,7 @@
         self.in_progress = True
         self.is_current = False
         self.failure = ""
+        self.stream: attempt_streams.AttemptStream | None = None
 
     def record_sent(self) -> None:
         """Records that the request was sent now."""
@@ -195,6 +199,36 @@
         attempt, self.replacement = self.replacement, None
         return attempt
 
+    def begin_stream(
+        self, attempt: Attempt, opened: sending.StreamStarted
+    ) -> None:
+        """Begins the stream of an attempt whose head was received.
+
+        That of one beside the current attempt goes on after the same event.
+        """
+        if attempt.stream is not None:
+            return
+        splitter = self.splitter
+        if not attempt.is_current:
+            splitter = splitter.fork()
+            self._begin_join(splitter)
+        attempt.stream = attempt_streams.AttemptStream(opened, splitter)
+
+    def make_current(self, attempt: Attempt) -> None:
+        """Makes an attempt the one whose answer is awaited or relayed."""
+        attempt.is_current = True
+        if attempt.stream is not None:
+            self.splitter = attempt.stream.splitter
+        else:
+            self._begin_join(self.splitter)
+        self.answer_framing = None
+
+    def _begin_join(self, splitter: event_streams.EventSplitter) -> None:
+        if self.begun:
+            # The end of a stream with a length is that of its last event.
+            bytes_left = self.answer_framing is dialect.Framing.LENGTH
+            splitter.begin_join(bytes_left)
+
     def may_be_sent_to(self, endpoint: messages.Endpoint) -> bool:
         """Returns whether an endpoint that was granted may still run it."""
         if endpoint.leaving:
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -308,12 +308,7 @@
         self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
     ) -> exchanges.RequestResult | None:
         outcome = messages.Outcome.ABANDONED
-        attempt.is_current = True
-        if exchange.begun:
-            # The end of a stream with a length is that of its last event.
-            bytes_left = exchange.answer_framing is dialect.Framing.LENGTH
-            exchange.splitter.begin_join(bytes_left)
-        exchange.answer_framing = None
+        exchange.make_current(attempt)
         try:
             result = await self._replacer.wait(
                 exchange,
@@ -378,7 +373,10 @@
         exchange.process_is_certain = opened.process_is_certain
         lost = self._begin_stream(exchange, opened.head)
         if not lost:
-            lost = await self._relay.relay(exchange, attempt.endpoint, opened)
+            exchange.begin_stream(attempt, opened)
+            lost = await self._relay.relay(
+                exchange, attempt.endpoint, attempt.stream
+            )
         if not lost:
             lost = await self._attempts.doubt_end(exchange, attempt.endpoint)
         if lost == stream_relaying.SILENT:
--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -3,11 +3,12 @@
 Load pattern: sound endpoints pause for a second or two within an answer or
 before it, most of all while every endpoint is full, so that no other has a
 slot; stalled endpoints stay silent for good. Silence alone does not tell them
-apart. So an attempt that may still succeed is kept until its request was sent
-to another endpoint. As both must not work on it for long, it is given up 0.2 s
-later, whether or not the other endpoint has answered by then: one that refuses
-later leaves neither. Without another endpoint, a silent attempt is not given
-up.
+apart. So an attempt that may still succeed is kept until another endpoint has
+shown that it goes on: by an event, a whole answer, or the end of a stream of
+which nothing was left. A head alone shows nothing. As both must not work on it
+for long, the silent attempt is given up at the latest 0.2 s after the request
+was sent to the other endpoint: one that refuses later leaves neither. Without
+another endpoint, a silent attempt is not given up.
 """
 
 import enum
@@ -63,7 +64,7 @@
     """
 
     __slots__ = (
-        "_answered",
+        "_replaced",
         "_lost",
         "_seek_at",
         "_seeking",
@@ -76,7 +77,7 @@
         self._seek_at = now
         self._seeking = False
         self._sent_at = math.inf
-        self._answered = False
+        self._replaced = False
         self._resumed = False
         self._lost = False
 
@@ -109,23 +110,23 @@
         """
         self._seeking = False
         self._sent_at = math.inf
-        self._answered = False
+        self._replaced = False
         self._seek_at = now + max(MIN_SEEK_PAUSE_SECONDS, pause_seconds)
 
     def sent(self, at: float) -> None:
         """Records when the request was sent to the other endpoint."""
         self._sent_at = at
 
-    def answered(self) -> None:
-        """Records that the other endpoint began to answer."""
-        self._answered = True
+    def replaced(self) -> None:
+        """Records that the other endpoint goes on, or has ended its answer."""
+        self._replaced = True
 
     def step(self, now: float) -> Step:
         """Returns what follows."""
         if self._resumed:
             return Step.KEEP
         sent = self._sent_at <= now
-        if self._answered or (self._lost and sent):
+        if self._replaced or (self._lost and sent):
             return Step.SWITCH
         if self._lost:
             return Step.WAIT if self._seeking else Step.KEEP
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -11,6 +11,7 @@
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import replacement
+from cranberryglade.gateway import sending
 
 MIN_WAIT_SECONDS = 0.001
 """Least timeout of a wait, so that it ends when the next step is due."""
@@ -73,6 +74,7 @@
 
     __slots__ = (
         "_attempts",
+        "_confirming",
         "_exchange",
         "_is_sound",
         "_receive",
@@ -87,6 +89,7 @@
         self._is_sound = is_sound
         self._silence = replacement.Replacement(_now())
         self._seeking: asyncio.Task | None = None
+        self._confirming: asyncio.Task[str] | None = None
 
     async def run(self):
         """Waits for the end of the silence; returns as `Replacer.wait`."""
@@ -108,6 +111,7 @@
         finally:
             receiving.cancel()
             self._stop_seeking()
+            await self._stop_confirming()
             if step is not Step.SWITCH:
                 self._attempts.drop_replacement(self._exchange)
 
@@ -135,15 +139,41 @@
             self._silence.sent(other.sent.result())
         if not other.opening.done():
             return
-        if self._exchange.goes_on_with(other.opening.result()):
-            self._silence.answered()
-        else:
+        result = other.opening.result()
+        if not self._exchange.goes_on_with(result):
             await self._settle(other)
+            return
+        match result:
+            case sending.StreamStarted():
+                await self._observe_stream(other, result)
+            case _:
+                self._silence.replaced()
+
+    async def _observe_stream(
+        self, other: exchanges.Attempt, opened: sending.StreamStarted
+    ) -> None:
+        """Tells the decision whether the stream of the other attempt goes on.
+
+        A head alone does not show that.
+        """
+        if self._confirming is None:
+            self._exchange.begin_stream(other, opened)
+            self._confirming = asyncio.create_task(other.stream.confirm())
+        if not self._confirming.done():
+            return
+        problem = self._confirming.result()
+        if problem:
+            await self._settle(other, problem)
+        else:
+            self._silence.replaced()
 
-    async def _settle(self, other: exchanges.Attempt) -> None:
+    async def _settle(
+        self, other: exchanges.Attempt, problem: str = ""
+    ) -> None:
         """Ends the other attempt, which failed."""
+        self._confirming = None
         outcome = await self._attempts.settle(
-            self._exchange, other, other.opening.result()
+            self._exchange, other, other.opening.result(), problem
         )
         self._exchange.replacement = None
         self._attempts.end(self._exchange, other, outcome)
@@ -173,7 +203,8 @@
 
     async def _wait(self, receiving: asyncio.Future) -> None:
         """Waits until something happens, or the next step is due."""
-        awaited = [each for each in (receiving, self._seeking) if each]
+        tasks = (receiving, self._seeking, self._confirming)
+        awaited = [each for each in tasks if each]
         other = self._exchange.replacement
         if other is not None:
             awaited += [other.opening, other.sent]
@@ -200,6 +231,13 @@
                 abandoned = messages.Outcome.ABANDONED
                 self._attempts.end(self._exchange, begun, abandoned)
 
+    async def _stop_confirming(self) -> None:
+        """Lets the stream of the other attempt be received elsewhere."""
+        confirming = self._confirming
+        if confirming is not None and not confirming.done():
+            confirming.cancel()
+            await asyncio.wait([confirming])
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -5,14 +5,11 @@
 from cranberryglade import log
 from cranberryglade.gateway import attempt_streams
 from cranberryglade.gateway import configuration
-from cranberryglade.gateway import dialect
-from cranberryglade.gateway import event_streams
 from cranberryglade.gateway import exchanges
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import replacing
-from cranberryglade.gateway import sending
 from cranberryglade.gateway import tentative_origins
 
 SILENT = "silent"
@@ -39,14 +36,14 @@
         self,
         exchange: exchanges.Exchange,
         endpoint: messages.Endpoint,
-        opened: sending.StreamStarted,
+        stream: attempt_streams.AttemptStream,
     ) -> str:
         """Relays the events of one attempt, the current one of a request.
 
         Args:
             exchange: the request.
             endpoint: the endpoint that sends the stream.
-            opened: its stream.
+            stream: its stream.
 
         Returns:
             Why the stream broke off, or SILENT if another attempt goes on; ""
@@ -55,7 +52,6 @@
         Raises:
             CallerGoneError: if the caller's connection is closed.
         """
-        stream = attempt_streams.AttemptStream(opened, exchange.splitter)
 
         async def receive() -> attempt_streams.Part:
             part = await stream.receive()
@@ -67,27 +63,21 @@
             part = await self._replacer.wait(
                 exchange, endpoint, receive, stream.is_sound
             )
+            if part is None:
+                return SILENT
+            problem = stream.find_problem(part)
+            if problem:
+                return problem
             match part:
-                case None:
-                    return SILENT
-                case event_streams.StreamError() as error:
-                    return str(error)
                 case outbound.Data(events):
                     if events:
                         self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End():
-                    early = stream.find_early_end()
-                    if early:
-                        return early
                     if stream.splitter.awaits_join:
                         _log_nothing_left(exchange, endpoint)
                     await exchange.responder.send(stream.trailing)
                     return ""
-                case outbound.AnswerLost(reason):
-                    return f"stream {reason}"
-                case dialect.AnswerHead():
-                    return "stream torn"
 
     def _record_origin(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -466,6 +466,15 @@
 
         return behave
 
+    async def head_only(self, received, reader, writer) -> None:
+        """Begins a stream and sends none of it until the caller disconnects."""
+        await self._send_events(
+            received, writer, dialect.Framing.CHUNKED, range(0)
+        )
+        await writer.drain()
+        await reader.read()
+        self.disconnected.append(received.request_id)
+
     def without_end(
         self, last: int, body_bytes: int | None = None
     ) -> Behaviour:
--- a/cranberryglade/tests/test_replacement.py
+++ b/cranberryglade/tests/test_replacement.py
@@ -51,7 +51,7 @@
     assert silence.step(0.6) is Step.WAIT
     silence.sent(0.7)
     assert silence.step(0.7) is Step.WAIT
-    silence.answered()
+    silence.replaced()
     assert silence.step(0.71) is Step.SWITCH
 
 
@@ -66,7 +66,7 @@
 def test_the_earlier_attempt_goes_on_if_both_send():
     silence = seek()
     silence.sent(0.1)
-    silence.answered()
+    silence.replaced()
     silence.resumed()
     assert silence.step(0.1 + OVERLAP) is Step.KEEP
 
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -92,6 +92,7 @@
     sent_at: float
     ended_at: float | None = None
     refused: bool = False
+    ended_whole: bool = False
 
     def end(self):
         if self.ended_at is None:
@@ -116,6 +117,7 @@
         self._parts.pop(0)
         if isinstance(event, outbound.End | outbound.AnswerLost):
             self._work.end()
+            self._work.ended_whole = isinstance(event, outbound.End)
         return event
 
     def abort(self):
@@ -377,6 +379,8 @@
         assert whole.startswith(connection.events)
         # It may also break off between the last event and the end.
         assert not connection.ended or connection.events == whole
+        if any(work.ended_whole for work in works) and not world.leaves_after:
+            assert connection.ended
     if connection.status in (429, 503):
         assert all(work.refused for work in works)
 
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -242,6 +242,82 @@
         await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
 
 
+SILENT_AFTER = [None, 0, 3, 6]
+"""Events of the first endpoint before it falls silent; None for no head."""
+
+
+async def go_on_in_time(silent_after, other_behaviour, done):
+    """Returns the answer if the first endpoint goes on in the overlap.
+
+    Args:
+        silent_after: as in SILENT_AFTER.
+        other_behaviour: returns what the other endpoint sends, given that one.
+        done: returns whether the other endpoint has done so, given that one.
+    """
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        for endpoint in cluster.runners:
+            if silent_after is None:
+                begin = endpoint.silent_first(60.0, endpoint.events(1, 6))
+            else:
+                begin = endpoint.silent_within(silent_after, 6, 60.0)
+            endpoint.default_behaviour = begin
+        caller = await cluster.connect()
+        caller.request(target=RESUMABLE, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.received for each in cluster.runners)
+        )
+        first, other = sorted(
+            cluster.runners, key=lambda each: not each.received
+        )
+        other.default_behaviour = other_behaviour(other)
+        await gateway_cluster.wait_until(lambda: done(other))
+        # Its answer arrives at the gateway.
+        await asyncio.sleep(0.05)
+        first.silence_over.set()
+        answer = await asyncio.wait_for(caller.answer(), 3.0)
+        assert first.disconnected == []
+        assert len(other.received) == 1
+        await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
+        return answer
+
+
+@pytest.mark.parametrize("silent_after", SILENT_AFTER)
+async def test_silent_endpoint_is_kept_while_the_other_sends_only_a_head(
+    silent_after,
+):
+    answer = await go_on_in_time(
+        silent_after, lambda other: other.head_only, lambda other: other.ran
+    )
+    assert answer.body == builders.make_events(1, 6)
+    assert answer.whole
+
+
+@pytest.mark.parametrize("silent_after", SILENT_AFTER)
+async def test_silent_endpoint_is_kept_when_the_other_one_ends_without_events(
+    silent_after,
+):
+    # It closes behind its head, and does not say that nothing was left.
+    answer = await go_on_in_time(
+        silent_after,
+        lambda other: other.events(1, 0, whole=False),
+        lambda other: other.ran,
+    )
+    assert answer.body == builders.make_events(1, 6)
+    assert answer.whole
+
+
+async def test_silence_behind_the_last_event_ends_when_nothing_was_left():
+    async with Cluster(runners=2, config=make_config()) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = endpoint.silent_within(6, 6, 60.0)
+        started = asyncio.get_running_loop().time()
+        answer = await cluster.send_request(target=RESUMABLE, method="POST")
+        assert asyncio.get_running_loop().time() - started < 1.0
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+        await gateway_cluster.wait_until(lambda: leases(cluster) == 0)
+
+
 async def test_attempt_that_was_never_sent_uses_nothing_up(monkeypatch):
     # The pause ends while the replacement connects; later the stream breaks.
     held = asyncio.Event()
