--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -19,6 +19,7 @@
 """Time until an endpoint that crashed is back."""
 
 WORK_SECONDS = (0.002, 0.04)
+SILENCE_SECONDS = (0.6, 1.9)
 READY_TIMEOUT_SECONDS = 10.0
 NOT_RUN_MODES = ("refuse", "unsealed", "pause")
 """Faults in which an endpoint answers without running the request."""
@@ -207,8 +208,8 @@
 
         Args:
             endpoint: the endpoint.
-            mode: fault of half of the requests, drawn at random: one of
-                faults.ENDPOINT_MODES; "" for none.
+            mode: fault of half of the requests, drawn at random, as in
+                faults.Endpoint; "" for none.
         """
 
         async def behave(received, reader, writer):
@@ -275,6 +276,15 @@
                 last = self._random.randint(seen, EVENTS_PER_STREAM - 1)
                 framing = self._random.choice(BREAKABLE_FRAMINGS)
                 return endpoint.events(seen + 1, last, False, framing)
+            case "fall_silent" if _is_stream(received):
+                return self._falling_silent(endpoint, seen)
+            case "fall_silent":
+                normal = self._normal(endpoint, received)
+                return endpoint.silent_first(self._draw_silence(), normal)
+            case "lose_end" if not _is_stream(received):
+                return endpoint.truncate
+            case "lose_end":
+                return endpoint.without_end(EVENTS_PER_STREAM, first=seen + 1)
             case "reset_unframed":
                 return endpoint.reset_unframed(EVENTS_PER_STREAM - 1, seen + 1)
             case "pause":
@@ -282,6 +292,34 @@
             case _:
                 return getattr(endpoint, mode)
 
+    def _falling_silent(
+        self, endpoint: endpoint_standin.EndpointStandin, seen: int
+    ) -> endpoint_standin.Behaviour:
+        """Returns a stream with a silence before its head or after any event.
+
+        Args:
+            endpoint: the endpoint.
+            seen: number of the event that it goes on after.
+        """
+        last = EVENTS_PER_STREAM
+        silent_after = self._random.randint(seen - 1, last)
+        seconds = self._draw_silence()
+        if silent_after < seen:
+            return endpoint.silent_first(
+                seconds, endpoint.events(seen + 1, last)
+            )
+        within_event = silent_after < last and self._random.random() < 0.5
+        return endpoint.silent_within(
+            silent_after,
+            last,
+            seconds,
+            first=seen + 1,
+            within_event=within_event,
+        )
+
+    def _draw_silence(self) -> float:
+        return self._random.uniform(*SILENCE_SECONDS)
+
     def _normal(
         self, endpoint: endpoint_standin.EndpointStandin, received
     ) -> endpoint_standin.Behaviour:
--- a/cranberryglade/soak/faults.py
+++ b/cranberryglade/soak/faults.py
@@ -188,6 +188,10 @@
 """Ends streams inside an event, without framing; resets answers without
 framing; refuses requests and asks for a pause."""
 
+STREAM_END_MODES = ("fall_silent", "lose_end")
+"""Is silent for a time, anywhere in an answer, and goes on; closes streams
+behind the last event."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ScheduledFault:
@@ -231,6 +235,7 @@
         ("later kinds", MAX_LATER_GAP_SECONDS, _draw_later_kind),
         ("crashing parts", MAX_LONG_GAP_SECONDS, _draw_crashing_part),
         ("named limits", MAX_LONG_GAP_SECONDS, _draw_named_limit),
+        ("stream ends", MAX_LATER_GAP_SECONDS, _draw_stream_end),
     ):
         # Random numbers of their own, so that a seed that failed before these
         # were added keeps its faults.
@@ -276,6 +281,12 @@
     return NamedLimit(rng.randrange(endpoints), per_second, duration)
 
 
+def _draw_stream_end(rng: random.Random, endpoints: int, _: int) -> Fault:
+    duration = round(rng.uniform(0.2, MAX_DURATION_SECONDS), 2)
+    mode = rng.choice(STREAM_END_MODES)
+    return Endpoint(rng.randrange(endpoints), mode, duration)
+
+
 def _draw_fault(rng: random.Random, gateways: int, endpoints: int) -> Fault:
     seconds = round(rng.uniform(0.2, MAX_DURATION_SECONDS), 2)
     gateway = rng.randrange(gateways)
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -270,10 +270,12 @@
         last: int,
         seconds: float,
         lost_after: int | None = None,
+        first: int = 1,
+        within_event: bool = False,
     ) -> Behaviour:
         """Returns a behaviour that streams, and falls silent once in between.
 
-        A stream that is resumed is sent without silence.
+        A stream that is resumed elsewhere is sent without silence.
 
         Args:
             silent_after: number of the event that the silence follows.
@@ -281,22 +283,32 @@
             seconds: how long the silence lasts.
             lost_after: number of the event after the silence at which the
                 stream breaks off; None if it is sent to its end.
+            first: number of its first event.
+            within_event: whether the silence comes within the next event.
         """
 
         async def behave(received, reader, writer):
-            seen = received.headers.get("last-event-id")
-            if seen is not None:
-                await self.events(int(seen) + 1, last)(received, reader, writer)
+            seen = int(received.headers.get("last-event-id") or 0)
+            if seen >= first:
+                await self.events(seen + 1, last)(received, reader, writer)
                 return
             encode = await self._send_events(
                 received,
                 writer,
                 dialect.Framing.CHUNKED,
-                range(1, silent_after + 1),
+                range(first, silent_after + 1),
             )
+            begun = b""
+            if within_event:
+                begun = self._incomplete_event(silent_after + 1)
+                writer.write(encode(begun))
             if await self._is_kept_waiting(received, reader, seconds):
-                for number in range(silent_after + 1, (lost_after or last) + 1):
-                    writer.write(encode(event(number, self.event_text)))
+                numbers = range(silent_after + 1, (lost_after or last) + 1)
+                rest = [event(number, self.event_text) for number in numbers]
+                if begun:
+                    rest[0] = rest[0].removeprefix(begun)
+                for each in rest:
+                    writer.write(encode(each))
                 if lost_after is None:
                     writer.write(LAST_CHUNK)
                 await writer.drain()
@@ -476,13 +488,14 @@
         self.disconnected.append(received.request_id)
 
     def without_end(
-        self, last: int, body_bytes: int | None = None
+        self, last: int, body_bytes: int | None = None, first: int = 1
     ) -> Behaviour:
         """Returns a behaviour that closes a stream behind an event.
 
         Args:
             last: number of the last event that is sent.
             body_bytes: length that the head states; None for chunks.
+            first: number of the first event.
         """
         framing = dialect.Framing.LENGTH
         if body_bytes is None:
@@ -490,7 +503,7 @@
 
         async def behave(received, reader, writer):
             await self._send_events(
-                received, writer, framing, range(1, last + 1), body_bytes
+                received, writer, framing, range(first, last + 1), body_bytes
             )
             await asyncio.sleep(DELIVERY_SECONDS)
             writer.close()
