Test that a stop in calm cuts no request that was passed on

A report of another operator: in a planned stop of one machine, requests that came late in the grace time were taken and passed on, and cut at its end, among them such as may not be repeated.

New tests: twelve callers that send requests that may run once, on kept and on new connections until the process has ended: all that ran are answered; a second SIGTERM moves no time of the shutdown; a stop while the store is away.

--- a/cranberryglade/tests/test_gateway_shutdown.py
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -1,6 +1,7 @@
 """What becomes of requests that reach a gateway while it shuts down."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -236,3 +237,86 @@
         shut_down = gateway._state.shutdown
         left = shut_down.seconds_left(loop.time())
         assert loop.time() + left <= sent + SHUTDOWN_SECONDS
+
+
+async def send_until_refused(cluster, ids, work_seconds) -> dict[str, int]:
+    """Sends requests that may run once, until the process takes no more.
+
+    Returns:
+        The status of each answer by request id; 0 if there was none.
+    """
+    statuses = {}
+    while True:
+        try:
+            caller = await cluster.connect()
+        except OSError:
+            return statuses
+        while True:
+            id_ = f"once-{next(ids)}"
+            caller.request(
+                **a_request(id_, 900, target="/pay/1", method="POST")
+            )
+            answer = await caller.answer()
+            statuses[id_] = answer.status
+            if answer.headers.get("connection") == "close" or not answer.status:
+                break
+            await asyncio.sleep(work_seconds / 4)
+
+
+async def test_a_stop_in_calm_cuts_no_request_that_was_passed_on():
+    # Callers send on kept and on new connections until the process has ended.
+    async with stopping_cluster(
+        config=config_with_long_routes(), runners=4
+    ) as cluster:
+        ids = itertools.count()
+        work_seconds = [0.01, 0.05, 0.2, 0.4]
+        for endpoint, seconds in zip(
+            cluster.runners, work_seconds, strict=True
+        ):
+            endpoint.default_behaviour = answering_after(endpoint, seconds)
+        sending = [
+            asyncio.create_task(send_until_refused(cluster, ids, seconds))
+            for seconds in work_seconds * 3
+        ]
+        await asyncio.sleep(0.3)
+        await asyncio.wait_for(stop(cluster), GRACE_SECONDS)
+        statuses = {}
+        for each in await asyncio.gather(*sending):
+            statuses |= each
+        ran = {id_ for each in cluster.runners for id_ in each.ran}
+        assert len(ran) > 20
+        assert {id_ for id_, status in statuses.items() if status == 200} == ran
+        assert set(statuses.values()) <= {0, 200, 503}
+
+
+async def test_a_second_sigterm_changes_no_time_of_the_shutdown():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (gateway,) = cluster.gateways
+        (endpoint,) = cluster.runners
+        endpoint.script.append(answering_after(endpoint, 0.6))
+        caller = await cluster.connect()
+        caller.request(**a_request("r-1"))
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        stopping = stop(cluster)
+        left = gateway._state.shutdown.seconds_left
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + left(loop.time())
+        await asyncio.sleep(0.2)
+        gateway.stop()
+        assert loop.time() + left(loop.time()) == pytest.approx(ends_at)
+        assert (await caller.answer()).status == 200
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+async def test_a_stop_while_the_store_is_away_answers_what_was_taken():
+    async with stopping_cluster(config=config_with_long_routes()) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.default_behaviour = answering_after(endpoint, 0.4)
+        caller = await cluster.connect()
+        caller.request(**a_request("r-1", target="/pay/1", method="POST"))
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        cluster.store.faults.hang = True
+        started = asyncio.get_running_loop().time()
+        await asyncio.wait_for(stop(cluster), GRACE_SECONDS)
+        assert asyncio.get_running_loop().time() - started < SHUTDOWN_SECONDS
+        assert (await caller.answer()).status == 200
