With a short grace time, stop in its last sixth and not before

Cause: the time kept free before SIGKILL was 0.8 s whatever the grace time; below 0.8 s the shutdown ended at once.

Evidence: test_a_shutdown_lasts_until_the_last_sixth_of_the_grace_time failed for 0.5, 2 and 4 s. Now the margin is a sixth at most, and last answers have half of that to be sent. From 4.8 s on nothing changes.

--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -57,9 +57,6 @@
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
-FLUSH_SECONDS = 0.3
-"""Time for the last answers to be sent when the shutdown ends."""
-
 SETTINGS_REREAD_SECONDS = 3.0
 PROBE_STEP_SECONDS = 0.4
 """Delay of the probe of the store for each instance that is earlier in
@@ -309,7 +306,7 @@
             await self._wait_for_callers(schedule.ends_at)
             await self._wait_for_tunnels(schedule.ends_at)
             self._forwarder.end_all()
-            await self._wait_for_callers(now() + FLUSH_SECONDS)
+            await self._wait_for_callers(now() + schedule.flush_seconds)
             self._logger.info("stopped", busy=self._caller_listener.busy)
         finally:
             self.close()
--- a/cranberryglade/gateway/shutdown.py
+++ b/cranberryglade/gateway/shutdown.py
@@ -19,6 +19,14 @@
 END_MARGIN_SECONDS = 0.8
 """Time kept free between the end of the shutdown and SIGKILL."""
 
+FLUSH_SECONDS = 0.3
+"""How long last answers may take on their way, if half of that margin is not
+shorter."""
+
+END_MARGIN_SHARE = 1 / 6
+"""The same as a share of the grace time, if that is shorter. An endpoint may be
+at work for all the time before, and its request is not cut then."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Schedule:
@@ -28,11 +36,13 @@
         began_at: when SIGTERM was handled.
         balancer_until: until when the balancer may send new connections.
         ends_at: when all requests have to be answered.
+        flush_seconds: how long last answers may take on their way then.
     """
 
     began_at: float
     balancer_until: float
     ends_at: float
+    flush_seconds: float
 
 
 class Shutdown:
@@ -59,9 +69,14 @@
             The times of the shutdown.
         """
         if self._schedule is None:
-            ends_at = now + max(grace_seconds - END_MARGIN_SECONDS, 0.0)
-            balancer_until = min(now + BALANCER_SECONDS, ends_at)
-            self._schedule = Schedule(now, balancer_until, ends_at)
+            margin = min(END_MARGIN_SECONDS, END_MARGIN_SHARE * grace_seconds)
+            ends_at = now + grace_seconds - margin
+            self._schedule = Schedule(
+                began_at=now,
+                balancer_until=min(now + BALANCER_SECONDS, ends_at),
+                ends_at=ends_at,
+                flush_seconds=min(FLUSH_SECONDS, margin / 2),
+            )
         return self._schedule
 
     def accepts(self, now: float, timeout_seconds: float) -> bool:
--- a/cranberryglade/tests/test_gateway_shutdown.py
+++ b/cranberryglade/tests/test_gateway_shutdown.py
@@ -15,7 +15,7 @@
 
 BALANCER_SECONDS = 0.3
 SHUTDOWN_SECONDS = 1.3
-GRACE_SECONDS = SHUTDOWN_SECONDS + shutdown.END_MARGIN_SECONDS
+GRACE_SECONDS = SHUTDOWN_SECONDS / (1 - shutdown.END_MARGIN_SHARE)
 LONG_MS = 60_000
 """Timeout of a request that cannot end before the shutdown does."""
 
@@ -320,3 +320,12 @@
         await asyncio.wait_for(stop(cluster), GRACE_SECONDS)
         assert asyncio.get_running_loop().time() - started < SHUTDOWN_SECONDS
         assert (await caller.answer()).status == 200
+
+
+@pytest.mark.parametrize("grace_seconds", [0.5, 2.0, 4.0, 8.0, 60.0])
+def test_a_shutdown_lasts_until_the_last_sixth_of_the_grace_time(grace_seconds):
+    # Only there may a request be cut that an endpoint still works on.
+    schedule = shutdown.Shutdown().begin(100.0, grace_seconds)
+    assert schedule.ends_at >= 100.0 + grace_seconds * 5 / 6 - 1e-9
+    dropped_at = schedule.ends_at + schedule.flush_seconds
+    assert schedule.ends_at < dropped_at < 100.0 + grace_seconds
