Log only some of the rows that cannot be read, and count the others

Cause: only unreadable datagrams were counted and logged once in a time.

Evidence: test_thousands_of_unreadable_entries_flood_no_log_and_stop_no_read (3,000 rows, five reads) failed on the code before, with a line for each. An entry that becomes readable again is used again: a test for it passes before and after.

--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import capacity
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
@@ -35,9 +36,6 @@
 """For so long after a pause of this process, datagrams are discarded that tell
 what was so when they were sent: they waited in the socket."""
 
-UNREADABLE_LOG_SECONDS = 5.0
-"""Time between two log lines on datagrams that cannot be read."""
-
 DATED_DATAGRAMS = (
     datagrams.Ping
     | datagrams.Pong
@@ -120,8 +118,12 @@
         self._closed = False
         self._sequence = 0
         self._discard_until = float("-inf")
-        self._unreadable = 0
-        self._report_unreadable_at = float("-inf")
+        self._unreadable = bounded_warnings.BoundedWarning(
+            "datagram.unreadable", max_per_window=1
+        )
+        self._unreadable_members = bounded_warnings.BoundedWarning(
+            "member.unreadable"
+        )
         self._ping_times: dict[int, float] = {}
         self._reachable: set[str] = set()
 
@@ -258,7 +260,9 @@
         self._state.process_pauses.observe(now)
         match datagrams.decode(data):
             case Failure(problem):
-                self._report_unreadable(problem, now)
+                # A later build may send many of a kind that is unknown here.
+                self._state.metrics.count_event("datagram_unreadable")
+                self._unreadable.log(problem=problem)
             case Success(message) if self._is_outdated(message, now):
                 self._state.metrics.count_event("datagram_outdated")
             case Success(datagrams.Ping() as ping):
@@ -273,18 +277,6 @@
                 sender = self.members.name_at(f"{addr[0]}:{addr[1]}")
                 self._on_message(sender, message)
 
-    def _report_unreadable(self, problem: str, now: float) -> None:
-        # A later build may send many of a kind that this one does not know.
-        self._state.metrics.count_event("datagram_unreadable")
-        self._unreadable += 1
-        if now < self._report_unreadable_at:
-            return
-        logger.warning(
-            "datagram.unreadable", problem=problem, count=self._unreadable
-        )
-        self._unreadable = 0
-        self._report_unreadable_at = now + UNREADABLE_LOG_SECONDS
-
     def _is_outdated(self, message: datagrams.Datagram, now: float) -> bool:
         return now < self._discard_until and isinstance(
             message, DATED_DATAGRAMS
@@ -334,10 +326,8 @@
         self, info: datagrams.MemberInfo, now: float
     ) -> membership.Member | None:
         if not sockets.is_ip_address(info.address):
-            logger.warning(
-                "member.unreadable",
-                member=info.name,
-                problem="no usable address",
+            self._unreadable_members.log(
+                member=info.name, problem="no usable address"
             )
             return None
         return self.members.register(
--- a/cranberryglade/gateway/origin_rows.py
+++ b/cranberryglade/gateway/origin_rows.py
@@ -18,6 +18,7 @@
 from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade import recent_map
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import stream_origins
@@ -49,6 +50,7 @@
         "_next_row",
         "_read_at",
         "_store",
+        "_unreadable",
         "_unsaved",
     )
 
@@ -64,6 +66,7 @@
         self._loading = asyncio.Lock()
         self._next_row: int | None = None
         self._read_at = float("-inf")
+        self._unreadable = bounded_warnings.BoundedWarning("origins.unreadable")
         self._unsaved: recent_map.RecentMap[str, datagrams.OriginRecord] = (
             recent_map.RecentMap(stream_origins.RETENTION_SECONDS, MAX_UNSAVED)
         )
@@ -106,7 +109,7 @@
                     return []
                 case Success(found):
                     rows = sorted(found.rows, key=lambda row: row.version)
-                    return [each for row in rows for each in _decode(row)]
+                    return [each for row in rows for each in self._decode(row)]
 
     async def _save(self) -> None:
         if self._next_row is None:
@@ -153,12 +156,11 @@
         newest = max(rows, key=lambda row: row.version)
         return (int(newest.key) + 1) % ROWS
 
-
-def _decode(row: ports.Row) -> list[datagrams.OriginRecord]:
-    kind = list[datagrams.OriginRecord]
-    match decoding.from_json(row.value or b"[]", kind):
-        case Success(records):
-            return records
-        case Failure(problem):
-            logger.warning("origins.unreadable", key=row.key, problem=problem)
-            return []
+    def _decode(self, row: ports.Row) -> list[datagrams.OriginRecord]:
+        kind = list[datagrams.OriginRecord]
+        match decoding.from_json(row.value or b"[]", kind):
+            case Success(records):
+                return records
+            case Failure(problem):
+                self._unreadable.log(key=row.key, problem=problem)
+                return []
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -12,6 +12,7 @@
 
 from cranberryglade import decoding
 from cranberryglade import log
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import endpoint_directory
@@ -54,6 +55,7 @@
         "_pending_paths",
         "_state",
         "_tasks",
+        "_unreadable",
     )
 
     def __init__(
@@ -66,6 +68,9 @@
         self._fetchers: dict[str, fetching.Fetcher] = {}
         self._pending_paths: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
+        self._unreadable = bounded_warnings.BoundedWarning(
+            "endpoint.unreadable"
+        )
 
     async def handle(
         self, request: messages.Request, responder: responding.Responder
@@ -177,7 +182,9 @@
                 )
             case Success(EndpointList(version=version, entries=entries)):
                 logger.info("peer.handout", peer=member.name, what=path)
-                usable = [each for each in entries if _is_usable(each, member)]
+                usable = [
+                    each for each in entries if self._is_usable(each, member)
+                ]
                 self._store_watcher.apply_listing(usable, version)
             case Success(row):
                 logger.info("peer.handout", peer=member.name, what=path)
@@ -187,16 +194,12 @@
         endpoints = self._state.directory
         return EndpointList(endpoints.version, endpoints.entries)
 
-
-def _is_usable(
-    entry: endpoint_directory.Entry, member: membership.Member
-) -> bool:
-    problem = endpoint_checks.find_problem(entry.endpoint)
-    if problem is not None:
-        logger.warning(
-            "endpoint.unreadable",
-            endpoint=entry.endpoint.id,
-            problem=problem,
-            peer=member.name,
-        )
-    return problem is None
+    def _is_usable(
+        self, entry: endpoint_directory.Entry, member: membership.Member
+    ) -> bool:
+        problem = endpoint_checks.find_problem(entry.endpoint)
+        if problem is not None:
+            self._unreadable.log(
+                endpoint=entry.endpoint.id, problem=problem, peer=member.name
+            )
+        return problem is None
--- a/cranberryglade/gateway/quarantine_sync.py
+++ b/cranberryglade/gateway/quarantine_sync.py
@@ -14,6 +14,7 @@
 from cranberryglade import decoding
 from cranberryglade import log
 from cranberryglade import quarantine
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import state
 
@@ -42,13 +43,16 @@
 class QuarantineSync:
     """Reads the stored quarantine once, then stores each change made here."""
 
-    __slots__ = ("_era", "_quarantine", "_state", "_store")
+    __slots__ = ("_era", "_quarantine", "_state", "_store", "_unreadable")
 
     def __init__(self, store: ports.Store, instance_state: state.InstanceState):
         self._store = store
         self._state = instance_state
         self._quarantine = instance_state.quarantine
         self._era: int | None = None
+        self._unreadable = bounded_warnings.BoundedWarning(
+            "quarantine.unreadable"
+        )
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -85,9 +89,7 @@
             case Success(stored):
                 pass
             case Failure(problem):
-                logger.warning(
-                    "quarantine.unreadable", key=row.key, problem=problem
-                )
+                self._unreadable.log(key=row.key, problem=problem)
                 return
         now = asyncio.get_running_loop().time()
         entry = quarantine.Entry(
--- a/cranberryglade/gateway/registration.py
+++ b/cranberryglade/gateway/registration.py
@@ -10,6 +10,7 @@
 
 from cranberryglade import decoding
 from cranberryglade import log
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import capacity
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import ports
@@ -92,6 +93,7 @@
         if rows is None:
             await asyncio.sleep(RETRY_SECONDS)
     now = asyncio.get_running_loop().time()
+    unreadable = bounded_warnings.BoundedWarning("member.unreadable")
     for row in rows:
         match _decode(row):
             case Success(other):
@@ -99,9 +101,7 @@
                     row.key, other.address, other.domain, now, other.capacity
                 )
             case Failure(problem):
-                logger.warning(
-                    "member.unreadable", member=row.key, problem=problem
-                )
+                unreadable.log(member=row.key, problem=problem)
     logger.info("registered", members=len(rows))
 
 
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from cranberryglade import log
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import ports
@@ -74,6 +75,7 @@
         "_unreachable_at",
         "_stored_version",
         "_unaccepted",
+        "_unreadable",
         "peers_asked",
         "relies_on_peers",
         "probe_delay_seconds",
@@ -107,6 +109,9 @@
         self.relies_on_peers = False
         self.peers_asked = False
         self._unaccepted: float | None = None
+        self._unreadable = bounded_warnings.BoundedWarning(
+            "endpoint.unreadable"
+        )
 
     async def watch(self, table: ports.Table) -> None:
         """Applies the rows of a table and their changes until cancelled.
@@ -346,9 +351,7 @@
             return endpoints.remove(row.key, row.version, now)
         match self._decoder.decode_endpoint(row):
             case Failure(problem):
-                logger.warning(
-                    "endpoint.unreadable", endpoint=row.key, problem=problem
-                )
+                self._unreadable.log(endpoint=row.key, problem=problem)
                 return endpoints.remove(row.key, row.version, now)
             case Success(endpoint):
                 changed = endpoints.put(endpoint, row.version)
--- a/cranberryglade/tests/test_former_build.py
+++ b/cranberryglade/tests/test_former_build.py
@@ -16,10 +16,10 @@
 from returns.result import Success
 import structlog
 
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import membership
-from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import origin_rows
 from cranberryglade.gateway import peer_sync
@@ -326,7 +326,7 @@
 ):
     async with gateway_cluster.Cluster(gateways=2) as cluster:
         (first, second) = (gateway._mesh for gateway in cluster.gateways)
-        monkeypatch.setattr(mesh, "UNREADABLE_LOG_SECONDS", 60.0)
+        monkeypatch.setattr(bounded_warnings, "WINDOW_SECONDS", 60.0)
         with structlog.testing.capture_logs() as lines:
             for _ in range(50):
                 for data in UNKNOWN:
--- a/cranberryglade/tests/test_unreadable_rows.py
+++ b/cranberryglade/tests/test_unreadable_rows.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 
 import hypothesis
 from hypothesis import strategies
@@ -11,7 +12,9 @@
 import pytest
 from returns.result import Failure
 from returns.result import Success
+import structlog
 
+from cranberryglade.gateway import bounded_warnings
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import endpoint_directory
@@ -30,6 +33,7 @@
 from cranberryglade.tests import odd_values
 
 Cluster = gateway_cluster.Cluster
+EVENT = "endpoint.unreadable"
 
 
 async def test_an_entry_that_cannot_be_read_ends_no_watch():
@@ -67,6 +71,42 @@
         assert (await cluster.send_request(1)).status == 200
 
 
+MANY_ROWS = 3000
+MAX_READ_SECONDS = 2.0
+READS = 5
+
+
+async def test_thousands_of_unreadable_entries_flood_no_log_and_stop_no_read():
+    async with Cluster() as cluster:
+        (gateway,) = cluster.gateways
+        odd = itertools.cycle(odd_values.odd_rows())
+        for number, (key, value) in zip(range(MANY_ROWS), odd, strict=False):
+            cluster.store.put("servers", f"{key}{number}", value)
+        loop = asyncio.get_running_loop()
+        with structlog.testing.capture_logs() as lines:
+            started = loop.time()
+            for _ in range(READS):
+                assert await gateway._store_watcher.read_endpoints()
+            took = loop.time() - started
+        named = [each for each in lines if each["event"] == EVENT]
+        assert 1 <= len(named) <= 2 * bounded_warnings.MAX_PER_WINDOW
+        assert took < READS * MAX_READ_SECONDS
+        assert set(gateway._state.endpoints) == {"i-0"}
+        assert (await cluster.send_request()).status == 200
+
+
+async def test_an_entry_that_becomes_readable_again_is_used_again():
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+        cluster.store.put("servers", endpoint.id, odd_values.NESTED)
+        # It names no endpoint to use, though an older row of it was sound.
+        await cluster.wait_for_endpoints(lambda listed: not listed)
+        assert (await cluster.send_request()).status == 503
+        cluster.register_runner(endpoint)
+        await cluster.wait_for_endpoints(lambda listed: endpoint.id in listed)
+        assert (await cluster.send_request(X_Attempt_Id="a-2")).status == 200
+
+
 UNUSABLE_ADDRESSES = ["127.0.0.1:70000", "127.0.0.1:\u00b2", "\0:80"]
 
 
