--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from returns.result import Failure
 from returns.result import Success
@@ -451,7 +452,8 @@
         age = self._state.configuration_age.age(now)
         return datagrams.Status(
             self._state.version,
-            int(age * 1000) if age != float("inf") else -1,
+            # Rounded up: instances tell it on to each other again and again.
+            math.ceil(age * 1000) if age != float("inf") else -1,
             self._state.directory.version.number,
             self.members.instance_count(now),
             int(self.members.uptime(now) * 1000),
--- a/cranberryglade/tests/test_belief_ages.py
+++ b/cranberryglade/tests/test_belief_ages.py
@@ -11,6 +11,8 @@
 from returns.result import Success
 
 from cranberryglade.gateway import configuration_age
+from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import mesh
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import state
 from cranberryglade.gateway import store_clock
@@ -20,10 +22,14 @@
 from cranberryglade.platform import store
 from cranberryglade.standins import operator_configuration
 from cranberryglade.standins import store as store_standin
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import stepped_clock
 
 STORE_AHEAD_SECONDS = 5000.0
 REVOKE_SECONDS = 5.0
+HEARTBEAT_STEP_SECONDS = 0.3509
+"""Nearly a whole number of milliseconds, so that rounding down shows."""
+
 FIRST = ports.Version(0, 1)
 
 
@@ -172,3 +178,64 @@
     assert len(read.unwrap().rows) == 1
     client.close()
     await standin.close()
+
+
+class DirectTransport:
+    """Hands datagrams to the other instance at once."""
+
+    def __init__(self):
+        self.receiver: mesh.Mesh | None = None
+
+    def is_closing(self):
+        return False
+
+    def sendto(self, data, address):
+        self.receiver.datagram_received(data, ("127.0.0.1", 1))
+
+
+def make_mesh(name: str, shared: state.InstanceState) -> mesh.Mesh:
+    """Returns the datagrams of an instance that has only its state."""
+    return mesh.Mesh(
+        name,
+        "north",
+        "127.0.0.1:7600",
+        shared,
+        lambda sender, message: None,
+        lambda member, status: None,
+        lambda member: datagrams.Report([], []),
+    )
+
+
+async def test_instances_that_vouch_for_each_other_make_nothing_younger(
+    monkeypatch,
+):
+    # Load: the store is away, and the instances go on with their heartbeats.
+    stepped = stepped_clock.SteppedClock(monkeypatch)
+    age = configuration_age.ConfigurationAge
+    states = [
+        state.InstanceState(name, age(None), telemetry.Telemetry())
+        for name in ("life-1", "life-2")
+    ]
+    meshes = [make_mesh(f"gate-{n}", each) for n, each in enumerate(states)]
+    members = []
+    for number, each in enumerate(meshes):
+        transport = DirectTransport()
+        transport.receiver = meshes[1 - number]
+        each.connection_made(transport)
+        members.append(
+            each.members.register(
+                f"gate-{1 - number}", "127.0.0.1:7600", "north", stepped.time()
+            )
+        )
+    config = builders.make_configuration(routes=[], organisations=[])
+    confirmed_at = stepped.time()
+    for each in states:
+        each.configuration = config
+    states[0].configuration_age.confirm(confirmed_at)
+    for number in range(200):
+        stepped.step(HEARTBEAT_STEP_SECONDS)
+        meshes[number % 2].ping(members[number % 2])
+        truth = stepped.time() - confirmed_at
+        for each in states:
+            assert each.configuration_age.age(stepped.time()) >= truth - 1e-6
+    assert states[1].configuration_age.age(stepped.time()) < math.inf
