--- a/cranberryglade/tests/test_configuration_under_requests.py
+++ b/cranberryglade/tests/test_configuration_under_requests.py
@@ -162,3 +162,41 @@
         answer = await caller.answer()
         assert answer.whole
         assert answer.status in (200, 429, 503)
+
+
+SILENCE_SECONDS = 0.9
+
+
+def short_gaps() -> dict:
+    """Returns a configuration under which that silence is far too long."""
+    config = operator_configuration.a_config()
+    for route in config["routes"]:
+        route |= {
+            "timeout_ms": 4000,
+            "target_latency_ms": 200,
+            "gap_aim_ms": 100,
+        }
+    return config
+
+
+@pytest.mark.parametrize("others", [0, 1])
+@pytest.mark.parametrize("target", ["/look/1", "/write/1"])
+@pytest.mark.parametrize("apply", CHANGES)
+async def test_a_request_whose_endpoint_pauses_beside_a_change_is_answered(
+    apply, target, others
+):
+    async with Cluster(runners=1 + others, config=short_gaps()) as cluster:
+        for endpoint in cluster.runners:
+            endpoint.default_behaviour = (
+                endpoint.silent_first(SILENCE_SECONDS, endpoint.succeed)
+                if target == "/look/1"
+                else endpoint.silent_within(3, EVENTS, SILENCE_SECONDS)
+            )
+        caller = await cluster.connect()
+        caller.request(target=target, method="POST")
+        await gateway_cluster.wait_until(
+            lambda: any(each.received for each in cluster.runners)
+        )
+        await change(cluster, apply)
+        answer = await asyncio.wait_for(caller.answer(), 4.0)
+        assert (answer.status, answer.whole) == (200, True)
