Test that no request reaches an endpoint late that leaves while channels are silent

New: endpoints that leave 0.2, 1.5 and 3 s after the silence, one and three gateways: from 5 s after it, or 2 s after they left, none gets a request. And a gateway whose own connections alone are silent hears of them from the others.

--- a/cranberryglade/tests/silent_relay.py
+++ b/cranberryglade/tests/silent_relay.py
@@ -12,13 +12,14 @@
 
     Attributes:
         address: host and port where it listens.
+        target: host and port to which it passes connections on.
         connections: number of connections so far.
     """
 
     def __init__(self, target: str, address: str):
         self.address = address
         self.connections = 0
-        self._target = target
+        self.target = target
         self._silent_up_to = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -43,7 +44,7 @@
         self.connections += 1
         number = self.connections
         self._tasks.add(asyncio.current_task())
-        target = sockets.split_address(self._target)
+        target = sockets.split_address(self.target)
         upstream_reader, upstream_writer = await asyncio.open_connection(
             *target
         )
--- a/cranberryglade/tests/test_silent_connections.py
+++ b/cranberryglade/tests/test_silent_connections.py
@@ -18,6 +18,10 @@
 LEAVING_SECONDS = 2.0
 """Time after which a request must reach no endpoint that leaves."""
 
+CONTACT_SECONDS = 3.0
+"""Time after connections have gone silent in which the bound does not hold: the
+pages count that like a reset."""
+
 DETECTION_SECONDS = 4.5
 """A read of the configuration is due after 1.5 s and times out after 2 s; each
 of the two is noticed within 0.25 s."""
@@ -66,6 +70,48 @@
         assert not leaving.ran
 
 
+@pytest.mark.parametrize("leaves_after", [0.2, 1.5, 3.0])
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_an_endpoint_that_leaves_in_a_silence_gets_nothing_late(
+    gateways, leaves_after
+):
+    async with clusters_behind_relay(gateways) as (cluster, relay):
+        relay.silence()
+        await asyncio.sleep(leaves_after)
+        (leaving,) = cluster.runners
+        await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
+        cluster.register_runner(leaving, state="draining", sequence=2)
+        in_touch_after = max(0.0, CONTACT_SECONDS - leaves_after)
+        await asyncio.sleep(in_touch_after + LEAVING_SECONDS)
+        ran = len(leaving.ran)
+        for number in range(3 * gateways):
+            answer = await cluster.send_request(
+                number % gateways, X_Attempt_Id=f"a-{number}"
+            )
+            assert answer.status == 200
+        assert len(leaving.ran) == ran
+
+
+async def test_a_gateway_whose_polls_alone_are_silent_hears_from_the_others():
+    async with clusters_behind_relay(1) as (cluster, relay):
+        cluster.store_address = relay.target
+        for number in (1, 2):
+            await cluster.add_gateway(f"gate-{number}")
+        await gateway_cluster.wait_until(
+            lambda: all(each.is_ready(1, 2) for each in cluster.gateways)
+        )
+        relay.silence()
+        (leaving,) = cluster.runners
+        await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
+        cluster.register_runner(leaving, state="draining", sequence=2)
+        await gateway_cluster.wait_until(
+            lambda: cluster.gateways[0]._state.endpoints["i-0"].leaving,
+            LEAVING_SECONDS,
+        )
+        assert (await cluster.send_request(0)).status == 200
+        assert not leaving.ran
+
+
 async def test_no_connection_that_rests_is_used_after_one_was_silent():
     async with clusters_behind_relay(1) as (cluster, relay):
         client = store.StoreClient(relay.address, read_seconds=0.5)
