Tell the successor of an allocator how much more evidence a part needs

Cause: eight crashes in a row are asked of a part that had whole answers lately, three of any other. The allocator shared a part's crashes, but not that it had been answered, so its successor asked for three in all. And parts that all requests share filled the eight places of a heartbeat, so that the faulty one had none.

Now what was answered is told with as many fewer crashes as more are asked of it, and not at all while none is left. Formats are the same; builds before read it, and ask for more.

Evidence: test_a_successor_asks_as_much_of_a_part_that_it_never_saw_answered (four allocators, one after the other: the sound part was barred together with the bad one) and test_suspicions_of_answered_parts_displace_no_others failed before.

--- a/cranberryglade/crash_evidence.py
+++ b/cranberryglade/crash_evidence.py
@@ -249,15 +249,12 @@
 
     def suspicions(self) -> list[Suspicion]:
         """Returns the suspicions to share, those with most crashes."""
-        strongest = heapq.nlargest(
+        told = (self._tell(*item) for item in self._records.items())
+        return heapq.nlargest(
             SHARED_SUSPICIONS,
-            self._records.items(),
-            key=lambda item: (item[1].crashes, item[1].endpoints),
+            (each for each in told if each.crashes),
+            key=lambda each: (each.crashes, each.endpoints),
         )
-        return [
-            Suspicion(part, record.crashes, record.endpoints)
-            for part, record in strongest
-        ]
 
     def adopt(self, suspicions: Iterable[Suspicion], now: float) -> None:
         """Replaces the suspicions by those of the allocator."""
@@ -333,6 +330,18 @@
             return record.crashes >= ANSWERED_SUSPECT_CRASHES
         return record.endpoints >= SUSPECT_ENDPOINTS
 
+    def _tell(self, part: str, record: _Record) -> Suspicion:
+        """Returns a suspicion for others, who may not know of whole answers.
+
+        What was answered is told with fewer crashes, so that others ask for
+        as many more as this instance does.
+        """
+        if not self.was_answered(part):
+            return Suspicion(part, record.crashes, record.endpoints)
+        missing = max(0, ANSWERED_QUARANTINE_CRASHES - record.crashes)
+        crashes = max(0, QUARANTINE_CRASHES - missing)
+        return Suspicion(part, crashes, record.endpoints)
+
     def _set_record(
         self, part: str, crashes: int, endpoints: int, now: float
     ) -> None:
--- a/cranberryglade/tests/test_quarantine.py
+++ b/cranberryglade/tests/test_quarantine.py
@@ -237,6 +237,31 @@
     assert barred(second, "bad")
 
 
+def test_a_successor_asks_as_much_of_a_part_that_it_never_saw_answered():
+    # Load: crashes go on while the allocator changes again and again.
+    allocators = [quarantine.Quarantine() for _ in range(4)]
+    allocators[0].record_served(("sound",), 0.0)
+    for number, record in enumerate(allocators):
+        now = 1.0 + number
+        if number:
+            earlier = allocators[number - 1].evidence.suspicions()
+            record.evidence.adopt(earlier, now - 0.5)
+        crash(record, number, now, "sound bad")
+    assert barred(allocators[-1], "bad")
+    assert not barred(allocators[-1], "sound")
+    assert not barred(allocators[-1], "sound other")
+
+
+def test_suspicions_of_answered_parts_displace_no_others():
+    record = quarantine.Quarantine()
+    usual = [f"usual{n}" for n in range(2 * crash_evidence.SHARED_SUSPICIONS)]
+    record.record_served(tuple(usual), 0.0)
+    for number in range(2):
+        crash(record, number, 1.0 + number, " ".join([*usual, "bad"]))
+    told = [each.part for each in record.evidence.suspicions()]
+    assert told == ["bad"]
+
+
 def test_requests_with_a_suspected_part_run_one_at_a_time():
     record = quarantine.Quarantine()
     scheduler = slots.SlotScheduler(record)
