--- a/cranberryglade/tests/test_endpoints.py
+++ b/cranberryglade/tests/test_endpoints.py
@@ -165,6 +165,29 @@
     assert received == token(0) + token(1)
 
 
+TOKENS = token(0) + token(1)
+LATE_ENDS = {
+    "in an answer of its own": [CLOSING_HEAD + TOKENS, CLOSING_HEAD + end(2)],
+    "behind a broken one": [
+        CLOSING_HEAD + TOKENS + end(2)[:9],
+        CLOSING_HEAD + end(2),
+    ],
+    "late": [CLOSING_HEAD + TOKENS, Late(0.2, CLOSING_HEAD + end(2))],
+    "behind tokens once more": [
+        CLOSING_HEAD + TOKENS,
+        CLOSING_HEAD + token(1) + end(2),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", LATE_ENDS)
+async def test_answer_whose_tokens_have_all_been_sent_ends_whole(client, name):
+    async with ScriptedServer(LATE_ENDS[name]) as fake:
+        outcome, received = await run(client, fake.address)
+    assert outcome == streams.Complete(2)
+    assert received == TOKENS
+
+
 ERROR_TEXT = b"upstream failed\n\n"
 SECOND_HEAD = refusal(b"503 No", ERROR_TEXT)
 FOREIGN_REPLIES = {
