Count no instance as a reporter that reports to another allocator

What the other one granted it meanwhile was counted nowhere, and came on top.

Instances report to the one that they take for the allocator, and only to that. So a heartbeat without a report says that its sender has another one: its usage is unknown from then on, and the share of the quota that is granted shrinks, until it reports again.

Evidence: test_an_allocator_leaves_quota_to_the_one_that_others_turned_to: 8 requests were granted before, of a quota that the others may have used up; 0 now, and 8 again once they report. No format changes.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -226,8 +226,7 @@
         for holder, seen in list(self._holders_seen.items()):
             if now - seen > HOLDER_TIMEOUT_SECONDS:
                 del self._holders_seen[holder]
-                self._reporters.discard(holder)
-                self._knowledge = None
+                self._forget_reporter(holder)
                 self.deliver_decisions(self._slots.remove_holder(holder, now))
         self.deliver_decisions(self._slots.tick(now))
         self._charges.expire(now)
@@ -254,8 +253,9 @@
         """Handles a datagram from another instance."""
         now = asyncio.get_running_loop().time()
         match message:
-            case datagrams.Ping(report=None):
-                pass
+            case datagrams.Ping(name=name, report=None):
+                # It reports to another allocator, which may grant it quota.
+                self._forget_reporter(name)
             case datagrams.Ping(name=name, report=report):
                 self._holders_seen[name] = now
                 if name not in self._reporters:
@@ -395,6 +395,12 @@
             has_stored_usage=self._charges.has_stored_usage,
         )
 
+    def _forget_reporter(self, name: str) -> None:
+        """Counts the usage at an instance as unknown from now on."""
+        if name in self._reporters:
+            self._reporters.discard(name)
+            self._knowledge = None
+
     def _update_role(self, allocating: bool, now: float) -> None:
         if not allocating:
             self._allocating_since = None
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -413,42 +413,87 @@
     )
 
 
-async def test_a_new_allocator_grants_no_quota_before_it_has_reports():
-    # Load: the allocator fails while an organisation is at the limit of its
-    # quota; its successor gets slot requests before it has the usage reports.
-    now = asyncio.get_running_loop().time()
-    organisation = builders.make_organisation()
-    tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
+class PressedAllocator:
+    """An allocator in touch with b, c and d; one organisation presses.
 
-    def make_quotas():
-        return quotas.Quotas(lambda name: organisation, tolerance)
+    Its quota is 8,500 in 8 s, without tolerance; each request costs 500.
+    """
 
-    mesh = fakes.FakeMesh(now)
-    allocator = make_allocator(builders.make_endpoint(slots=100))
-    shared_allocator = allocation.SharedAllocator(
-        "a", allocator, charges.Charges(make_quotas(), make_quotas())
-    )
-    shared_allocator.set_mesh(mesh)
-    shared_allocator.tick(now)
+    COST = 500.0
+    QUOTA = 8500.0
+
+    def __init__(self, now: float):
+        organisation = builders.make_organisation()
+        tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
+        accounts = [
+            quotas.Quotas(lambda name: organisation, tolerance)
+            for _ in range(2)
+        ]
+        self._now = now
+        self._mesh = fakes.FakeMesh(now)
+        self._sent = 0
+        endpoints = make_allocator(builders.make_endpoint(slots=100))
+        self._allocator = allocation.SharedAllocator(
+            "a", endpoints, charges.Charges(*accounts)
+        )
+        self._allocator.set_mesh(self._mesh)
+        self._allocator.tick(now)
+
+    def count_grants(self) -> int:
+        """Returns how many of 50 more requests have been granted, and before.
 
-    def count_grants(first):
-        for number in range(first, first + 50):
+        They come from b, c and d in turn.
+        """
+        for number in range(self._sent, self._sent + 50):
             request = builders.make_slot_request(
-                f"{number}", organisation="studio", cost=500.0
+                f"{number}", organisation="studio", cost=self.COST
             )
             datagram = conversions.encode_slot_request(
-                "bcd"[number % 3], request, now
+                "bcd"[number % 3], request, self._now
             )
-            shared_allocator.receive(datagram.name, datagram)
-        return sum(isinstance(m, datagrams.Grant) for m in mesh.sent)
-
-    # Only one of four instances, itself, has reported: a quarter of 8,500.
-    assert count_grants(0) <= 8500 / 4 / 500
-    for name in ("b", "c", "d"):
-        report = datagrams.Report(
-            [], [datagrams.QuotaUsage("studio", 1500.0, 1.0)]
-        )
+            self._allocator.receive(datagram.name, datagram)
+        self._sent += 50
+        return sum(isinstance(m, datagrams.Grant) for m in self._mesh.sent)
+
+    def receive_heartbeat(self, name: str, used: float | None) -> None:
+        """Receives a heartbeat, with the usage it reports; None for no report.
+
+        Instances report to the allocator only, that is, to the one that they
+        take for it.
+        """
+        report = None
+        if used is not None:
+            usage = [datagrams.QuotaUsage("studio", used, 1.0)]
+            report = datagrams.Report([], usage)
         status = datagrams.Status(1, 0, 1, 4, 60_000)
         ping = datagrams.Ping(name, "l", f"{name}:1", "n", 1, status, report)
-        shared_allocator.receive(name, ping)
-    assert count_grants(50) <= (8500 - 3 * 1500) / 500
+        self._allocator.receive(name, ping)
+
+
+async def test_a_new_allocator_grants_no_quota_before_it_has_reports():
+    # Load: the allocator fails while an organisation is at the limit of its
+    # quota; its successor gets slot requests before it has the usage reports.
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    # Only one of four instances, itself, has reported: a quarter.
+    assert pressed.count_grants() <= pressed.QUOTA / 4 / pressed.COST
+    for name in ("b", "c", "d"):
+        pressed.receive_heartbeat(name, 1500.0)
+    left = pressed.QUOTA - 3 * 1500
+    assert pressed.count_grants() <= left / pressed.COST
+
+
+async def test_an_allocator_leaves_quota_to_the_one_that_others_turned_to():
+    # Load: the allocator falls silent for a moment while an organisation
+    # presses; some instances turn to its successor, which grants them more.
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    for name in ("b", "c", "d"):
+        pressed.receive_heartbeat(name, 1500.0)
+    for name in ("b", "c"):
+        pressed.receive_heartbeat(name, None)
+    # Two of four instances report to it: what is used is more than it may
+    # grant.
+    assert pressed.count_grants() == 0
+    for name in ("b", "c"):
+        pressed.receive_heartbeat(name, 1500.0)
+    left = pressed.QUOTA - 3 * 1500
+    assert pressed.count_grants() == left / pressed.COST
