Read the loop's clock by one name; a set-up of tests that stood five times

InstanceState.boottime_now was the loop's time by a second name since gateways run on a loop whose clock counts suspensions; exchanges._media_type only passed on. No change of behaviour.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -258,7 +258,8 @@
             return ""
         if head.status != first.status:
             return f"stream goes on with status {head.status}"
-        if _media_type(head) != _media_type(first):
+        media_type = http_fields.media_type(head.headers)
+        if media_type != http_fields.media_type(first.headers):
             return "stream goes on as another media type"
         return ""
 
@@ -293,7 +294,3 @@
 
     status: int
     reason: str
-
-
-def _media_type(head: dialect.AnswerHead) -> bytes:
-    return http_fields.media_type(head.headers)
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -125,16 +125,15 @@
             logger.info("request.unreadable", reason=str(error))
             responder.whole(400, [], str(error).encode())
             return
+        now = asyncio.get_running_loop().time()
         admission_decision = self._admission.decide(
-            facts, self._state.configuration, self._state.boottime_now()
+            facts, self._state.configuration, now
         )
         match admission_decision:
             case admission.Rejected():
                 self._reject(facts, responder, admission_decision)
             case admission.Admitted(timeout_seconds=seconds) if (
-                not self._state.shutdown.accepts(
-                    self._state.boottime_now(), seconds
-                )
+                not self._state.shutdown.accepts(now, seconds)
             ):
                 rejected = admission.Rejected(
                     503, STOPPING, STOPPING_RETRY_AFTER_SECONDS
@@ -198,7 +197,8 @@
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult:
         """Ends a request whose time is over, or whose instance shuts down."""
-        if self._state.shutdown.has_ended(self._state.boottime_now()):
+        now = asyncio.get_running_loop().time()
+        if self._state.shutdown.has_ended(now):
             return self._give_up(
                 exchange, 502, STOPPING, STOPPING_RETRY_AFTER_SECONDS
             )
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -34,7 +34,7 @@
     watch(
         "configuration_age_seconds",
         "Since it was last confirmed to be the newest.",
-        lambda: shared.configuration_age.age(shared.boottime_now()),
+        shared.confirmation_age,
     )
     watch("endpoints", "Endpoints in use.", lambda: len(shared.endpoints))
     watch(
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -280,7 +280,7 @@
         """
         if not self._stopping.is_set():
             self._logger.info("stopping", busy=self._caller_listener.busy)
-        now = self._state.boottime_now()
+        now = asyncio.get_running_loop().time()
         self._state.shutdown.begin(
             self._state.process_pauses.earliest_arrival(now),
             self._settings.grace_seconds,
@@ -295,7 +295,7 @@
         Requests that are still open then are answered that the instance stops,
         or cut off if their answer has begun.
         """
-        now = self._state.boottime_now
+        now = asyncio.get_running_loop().time
         schedule = self._state.shutdown.begin(
             now(), self._settings.grace_seconds
         )
@@ -314,14 +314,15 @@
     async def _wait_for_callers(self, latest: float) -> None:
         """Closes idle connections until none is left, or up to a time."""
         connections = self._caller_listener.connections
-        while connections and self._state.boottime_now() < latest:
+        now = asyncio.get_running_loop().time
+        while connections and now() < latest:
             for connection in list(connections):
                 connection.close_if_idle()
             await asyncio.sleep(TICK_SECONDS)
 
     async def _wait_for_tunnels(self, latest: float) -> None:
         """Waits for the tunnels of other instances to end, up to a time."""
-        now = self._state.boottime_now
+        now = asyncio.get_running_loop().time
         while self._tunnel_server.open_transports and now() < latest:
             await asyncio.sleep(TICK_SECONDS)
 
@@ -466,7 +467,7 @@
         if not configured or self._stopping.is_set():
             return False
         return self._state.configuration_age.admits_keys(
-            self._state.boottime_now()
+            asyncio.get_running_loop().time()
         )
 
     async def _tick(self) -> None:
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -66,26 +66,23 @@
         """Version of the configuration in force; 0 before the first."""
         return self.configuration.version if self.configuration else 0
 
-    def boottime_now(self) -> float:
-        """Returns seconds of the loop's clock, as in `clock.BoottimeLoop`."""
-        return asyncio.get_running_loop().time()
-
     def confirmation_age(self) -> float:
         """Returns the seconds since the configuration was last confirmed.
 
         The store, or a peer, was in touch with this instance then. Infinite
         before the first confirmation.
         """
-        return self.configuration_age.age(self.boottime_now())
+        return self.configuration_age.age(asyncio.get_running_loop().time())
 
     def log_fields(self) -> dict[str, float]:
         """Returns log fields: version and age of the configuration in force.
 
         While the instance shuts down, also the time since SIGTERM.
         """
-        age = self.confirmation_age()
+        now = asyncio.get_running_loop().time()
+        age = self.configuration_age.age(now)
         return {
             "version": self.version,
             "age_s": round(min(age, 9999.0), 2),
-            **self.shutdown.log_fields(self.boottime_now()),
+            **self.shutdown.log_fields(now),
         }
--- a/cranberryglade/tests/test_gateway_store.py
+++ b/cranberryglade/tests/test_gateway_store.py
@@ -302,7 +302,7 @@
         )
         await asyncio.sleep(5.2)
         ages = [
-            g._state.configuration_age.age(g._state.boottime_now())
+            g._state.confirmation_age()
             for g in cluster.gateways
             if not g._ready()
         ]
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -80,6 +80,16 @@
     return find
 
 
+async def begin_stream(cluster):
+    """Sends a request for a stream; returns its caller once it runs."""
+    caller = await cluster.connect()
+    caller.request(target=RESUMABLE, method="POST")
+    await gateway_cluster.wait_until(
+        lambda: any(each.ran for each in cluster.runners)
+    )
+    return caller
+
+
 def leases(cluster) -> int:
     return sum(gateway._slots.lease_count for gateway in cluster.gateways)
 
@@ -185,11 +195,7 @@
     # It refuses, answers with an error, or with something that is no stream.
     async with Cluster(runners=2, config=make_config()) as cluster:
         find = begin_silently(cluster, SILENCE_SECONDS)
-        caller = await cluster.connect()
-        caller.request(target=RESUMABLE, method="POST")
-        await gateway_cluster.wait_until(
-            lambda: any(each.ran for each in cluster.runners)
-        )
+        caller = await begin_stream(cluster)
         first, (other,) = find()
         other.default_behaviour = getattr(other, reply)
         answer = await asyncio.wait_for(caller.answer(), 3.0)
@@ -202,11 +208,7 @@
 async def test_other_endpoint_goes_on_when_the_silent_one_sends_no_events():
     async with Cluster(runners=2, config=make_config()) as cluster:
         find = begin_silently(cluster)
-        caller = await cluster.connect()
-        caller.request(target=RESUMABLE, method="POST")
-        await gateway_cluster.wait_until(
-            lambda: any(each.ran for each in cluster.runners)
-        )
+        caller = await begin_stream(cluster)
         first, (other,) = find()
         other.default_behaviour = other.silent_first(0.1, other.events(4, 6))
         await gateway_cluster.wait_until(lambda: other.received)
@@ -222,11 +224,7 @@
     # The pause ends between the sending of the replacement and its answer.
     async with Cluster(runners=2, config=make_config()) as cluster:
         find = begin_silently(cluster)
-        caller = await cluster.connect()
-        caller.request(target=RESUMABLE, method="POST")
-        await gateway_cluster.wait_until(
-            lambda: any(each.ran for each in cluster.runners)
-        )
+        caller = await begin_stream(cluster)
         first, (other,) = find()
         other.default_behaviour = other.hang
         await gateway_cluster.wait_until(lambda: other.ran)
@@ -339,11 +337,7 @@
             endpoint.default_behaviour = endpoint.silent_within(
                 3, 6, 60.0, lost_after=4
             )
-        caller = await cluster.connect()
-        caller.request(target=RESUMABLE, method="POST")
-        await gateway_cluster.wait_until(
-            lambda: any(each.ran for each in cluster.runners)
-        )
+        caller = await begin_stream(cluster)
         first, other = sorted(cluster.runners, key=lambda each: not each.ran)
         held.set()
         await asyncio.wait_for(connecting.wait(), 2.0)
@@ -362,11 +356,7 @@
         runners=3, config=make_config(max_attempts=3)
     ) as cluster:
         find = begin_silently(cluster)
-        caller = await cluster.connect()
-        caller.request(target=RESUMABLE, method="POST")
-        await gateway_cluster.wait_until(
-            lambda: any(each.ran for each in cluster.runners)
-        )
+        caller = await begin_stream(cluster)
         _, others = find()
         for endpoint in others:
             endpoint.default_behaviour = endpoint.silent_first(
