--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -53,6 +53,11 @@
         "Streams whose first software version is kept.",
         lambda: origins.count,
     )
+    watch(
+        "stream_origins_unsaved",
+        "Of these, those that it would store if it were the allocator.",
+        lambda: origins.unsaved_count,
+    )
     watch(
         "endpoints_limited",
         "Endpoints that name a limit, as far as this instance knows.",
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -172,6 +172,11 @@
         """Number of origins that this instance keeps."""
         return len(self._own) + len(self._received)
 
+    @property
+    def unsaved_count(self) -> int:
+        """Number of origins that this instance would store as allocator."""
+        return self._rows.unsaved_count
+
     def set_mesh(self, instances: mesh.Mesh) -> None:
         """Connects it to the other instances."""
         self._mesh = instances
