--- a/cranberryglade/crash_evidence.py
+++ b/cranberryglade/crash_evidence.py
@@ -249,7 +249,7 @@
 
     def suspicions(self) -> list[Suspicion]:
         """Returns the suspicions to share, those with most crashes."""
-        told = (self._tell(*item) for item in self._records.items())
+        told = (self._to_share(*item) for item in self._records.items())
         return heapq.nlargest(
             SHARED_SUSPICIONS,
             (each for each in told if each.crashes),
@@ -330,7 +330,7 @@
             return record.crashes >= ANSWERED_SUSPECT_CRASHES
         return record.endpoints >= SUSPECT_ENDPOINTS
 
-    def _tell(self, part: str, record: _Record) -> Suspicion:
+    def _to_share(self, part: str, record: _Record) -> Suspicion:
         """Returns a suspicion for others, who may not know of whole answers.
 
         What was answered is told with fewer crashes, so that others ask for
--- a/cranberryglade/gateway/attempt_streams.py
+++ b/cranberryglade/gateway/attempt_streams.py
@@ -65,7 +65,7 @@
         self._has_events = self._has_events or bool(events)
         return outbound.Data(events)
 
-    async def confirm(self) -> str:
+    async def wait_for_proof(self) -> str:
         """Waits until it is certain whether the attempt goes on.
 
         It does with its first event, or a proper end. `receive` returns what
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -199,10 +199,10 @@
         attempt, self.replacement = self.replacement, None
         return attempt
 
-    def begin_stream(
+    def open_stream(
         self, attempt: Attempt, opened: sending.StreamStarted
     ) -> None:
-        """Begins the stream of an attempt whose head was received.
+        """Makes the stream of an attempt whose head was received.
 
         That of one beside the current attempt goes on after the same event.
         """
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -373,7 +373,7 @@
         exchange.process_is_certain = opened.process_is_certain
         lost = self._begin_stream(exchange, opened.head)
         if not lost:
-            exchange.begin_stream(attempt, opened)
+            exchange.open_stream(attempt, opened)
             lost = await self._relay.relay(
                 exchange, attempt.endpoint, attempt.stream
             )
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -74,7 +74,7 @@
 
     __slots__ = (
         "_attempts",
-        "_confirming",
+        "_proving",
         "_exchange",
         "_is_sound",
         "_receive",
@@ -89,7 +89,7 @@
         self._is_sound = is_sound
         self._silence = replacement.Replacement(_now())
         self._seeking: asyncio.Task | None = None
-        self._confirming: asyncio.Task[str] | None = None
+        self._proving: asyncio.Task[str] | None = None
 
     async def run(self):
         """Waits for the end of the silence; returns as `Replacer.wait`."""
@@ -111,7 +111,7 @@
         finally:
             receiving.cancel()
             self._stop_seeking()
-            await self._stop_confirming()
+            await self._stop_proving()
             if step is not Step.SWITCH:
                 self._attempts.drop_replacement(self._exchange)
 
@@ -156,12 +156,12 @@
 
         A head alone does not show that.
         """
-        if self._confirming is None:
-            self._exchange.begin_stream(other, opened)
-            self._confirming = asyncio.create_task(other.stream.confirm())
-        if not self._confirming.done():
+        if self._proving is None:
+            self._exchange.open_stream(other, opened)
+            self._proving = asyncio.create_task(other.stream.wait_for_proof())
+        if not self._proving.done():
             return
-        problem = self._confirming.result()
+        problem = self._proving.result()
         if problem:
             await self._settle(other, problem)
         else:
@@ -171,7 +171,7 @@
         self, other: exchanges.Attempt, problem: str = ""
     ) -> None:
         """Ends the other attempt, which failed."""
-        self._confirming = None
+        self._proving = None
         outcome = await self._attempts.settle(
             self._exchange, other, other.opening.result(), problem
         )
@@ -203,7 +203,7 @@
 
     async def _wait(self, receiving: asyncio.Future) -> None:
         """Waits until something happens, or the next step is due."""
-        tasks = (receiving, self._seeking, self._confirming)
+        tasks = (receiving, self._seeking, self._proving)
         awaited = [each for each in tasks if each]
         other = self._exchange.replacement
         if other is not None:
@@ -231,12 +231,12 @@
                 abandoned = messages.Outcome.ABANDONED
                 self._attempts.end(self._exchange, begun, abandoned)
 
-    async def _stop_confirming(self) -> None:
+    async def _stop_proving(self) -> None:
         """Lets the stream of the other attempt be received elsewhere."""
-        confirming = self._confirming
-        if confirming is not None and not confirming.done():
-            confirming.cancel()
-            await asyncio.wait([confirming])
+        proving = self._proving
+        if proving is not None and not proving.done():
+            proving.cancel()
+            await asyncio.wait([proving])
 
 
 def _now() -> float:
