Judge the usual part of a stream first, and record its origin once

No change of behaviour. For each part that a stream sends, four other kinds of parts were tried before data, and a method was called to find that the origin is recorded already.

--- a/cranberryglade/gateway/attempt_streams.py
+++ b/cranberryglade/gateway/attempt_streams.py
@@ -87,6 +87,8 @@
     def find_problem(self, part: Part) -> str:
         """Returns why the stream breaks off with a part; "" if it does not."""
         match part:
+            case outbound.Data():
+                return ""
             case event_streams.StreamError() as error:
                 return str(error)
             case outbound.End():
@@ -95,7 +97,6 @@
                 return f"stream {reason}"
             case dialect.AnswerHead():
                 return "stream torn"
-        return ""
 
     def _find_early_end(self) -> str:
         """Returns why the stream must not end here; "" if it may."""
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -70,7 +70,7 @@
                 return problem
             match part:
                 case outbound.Data(events):
-                    if events:
+                    if events and exchange.origin is None:
                         self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End():
@@ -82,8 +82,6 @@
     def _record_origin(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> None:
-        if exchange.origin is not None:
-            return
         exchange.origin = messages.StreamOrigin(
             endpoint.service, endpoint.software_version
         )
