--- a/cranberryglade/tests/gateway_builders.py
+++ b/cranberryglade/tests/gateway_builders.py
@@ -78,6 +78,28 @@
     )
 
 
+def make_operator_config(**route_fields) -> dict:
+    """Returns the operator's configuration, with fields of all routes changed.
+
+    Args:
+        **route_fields: fields of a route as the operator writes them.
+    """
+    config = operator_configuration.a_config()
+    for route in config["routes"]:
+        route |= route_fields
+    return config
+
+
+def make_short_gap_config(**route_fields) -> dict:
+    """Returns one under which most of a second is far too long a silence.
+
+    Args:
+        **route_fields: as in `make_operator_config`.
+    """
+    short = {"timeout_ms": 4000, "target_latency_ms": 200, "gap_aim_ms": 100}
+    return make_operator_config(**(short | route_fields))
+
+
 def make_facts(**changes) -> messages.RequestMetadata:
     fields = {
         "id": "a-1",
--- a/cranberryglade/tests/test_configuration_under_requests.py
+++ b/cranberryglade/tests/test_configuration_under_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
 Cluster = gateway_cluster.Cluster
@@ -167,25 +168,15 @@
 SILENCE_SECONDS = 0.9
 
 
-def short_gaps() -> dict:
-    """Returns a configuration under which that silence is far too long."""
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route |= {
-            "timeout_ms": 4000,
-            "target_latency_ms": 200,
-            "gap_aim_ms": 100,
-        }
-    return config
-
-
 @pytest.mark.parametrize("others", [0, 1])
 @pytest.mark.parametrize("target", ["/look/1", "/write/1"])
 @pytest.mark.parametrize("apply", CHANGES)
 async def test_a_request_whose_endpoint_pauses_beside_a_change_is_answered(
     apply, target, others
 ):
-    async with Cluster(runners=1 + others, config=short_gaps()) as cluster:
+    async with Cluster(
+        runners=1 + others, config=builders.make_short_gap_config()
+    ) as cluster:
         for endpoint in cluster.runners:
             endpoint.default_behaviour = (
                 endpoint.silent_first(SILENCE_SECONDS, endpoint.succeed)
--- a/cranberryglade/tests/test_crashing_prompt_part.py
+++ b/cranberryglade/tests/test_crashing_prompt_part.py
@@ -9,8 +9,8 @@
 from cranberryglade import quarantine
 from cranberryglade.gateway import messages
 from cranberryglade.platform import headers
-from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import crashing_endpoints
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
 FAULTY_PART = crashing_endpoints.FAULTY_PART
@@ -73,9 +73,7 @@
 
 
 async def test_request_under_which_two_endpoints_crashed_is_not_sent_again():
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route["max_attempts"] = 5
+    config = builders.make_operator_config(max_attempts=5)
     async with crashing_endpoints.make_cluster(1, 5, config) as cluster:
         answer = await crashing_endpoints.send(cluster, FAULTY_PART)
         assert not answer.whole
--- a/cranberryglade/tests/test_silent_connections.py
+++ b/cranberryglade/tests/test_silent_connections.py
@@ -47,6 +47,14 @@
             yield cluster, relay
 
 
+async def replace_endpoint(cluster) -> endpoint_standin.EndpointStandin:
+    """Adds an endpoint and lets the only other one leave; returns that one."""
+    (leaving,) = cluster.runners
+    await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
+    cluster.register_runner(leaving, state="draining", sequence=2)
+    return leaving
+
+
 @pytest.mark.parametrize("gateways", [1, 3])
 async def test_an_endpoint_that_leaves_is_noticed_though_polls_are_silent(
     gateways,
@@ -54,9 +62,7 @@
     async with clusters_behind_relay(gateways) as (cluster, relay):
         relay.silence()
         await asyncio.sleep(DETECTION_SECONDS)
-        (leaving,) = cluster.runners
-        await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
-        cluster.register_runner(leaving, state="draining", sequence=2)
+        leaving = await replace_endpoint(cluster)
         await gateway_cluster.wait_until(
             lambda: all(
                 gateway._state.endpoints["i-0"].leaving
@@ -78,9 +84,7 @@
     async with clusters_behind_relay(gateways) as (cluster, relay):
         relay.silence()
         await asyncio.sleep(leaves_after)
-        (leaving,) = cluster.runners
-        await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
-        cluster.register_runner(leaving, state="draining", sequence=2)
+        leaving = await replace_endpoint(cluster)
         in_touch_after = max(0.0, CONTACT_SECONDS - leaves_after)
         await asyncio.sleep(in_touch_after + LEAVING_SECONDS)
         ran = len(leaving.ran)
@@ -101,9 +105,7 @@
             lambda: all(each.is_ready(1, 2) for each in cluster.gateways)
         )
         relay.silence()
-        (leaving,) = cluster.runners
-        await cluster.add_runner(endpoint_standin.EndpointStandin("i-new"))
-        cluster.register_runner(leaving, state="draining", sequence=2)
+        leaving = await replace_endpoint(cluster)
         await gateway_cluster.wait_until(
             lambda: cluster.gateways[0]._state.endpoints["i-0"].leaving,
             LEAVING_SECONDS,
--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -6,7 +6,6 @@
 import structlog
 
 from cranberryglade.gateway import outbound
-from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
@@ -25,22 +24,6 @@
 STREAM = "/note/1"
 
 
-def make_config(**changes) -> dict:
-    """Returns a configuration under which that silence is far too long.
-
-    Args:
-        **changes: fields of all routes.
-    """
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route |= {
-            "timeout_ms": 4000,
-            "target_latency_ms": 200,
-            "gap_aim_ms": 100,
-        } | changes
-    return config
-
-
 async def occupy_one(cluster):
     """Fills an endpoint with a request that stays there.
 
@@ -99,7 +82,9 @@
 
 
 async def test_stream_of_a_silent_endpoint_goes_on_when_no_other_has_a_slot():
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         full, free, _ = await occupy_one(cluster)
         free.script.append(free.silent_within(3, 6, SILENCE_SECONDS))
         answer = await cluster.send_request(target=RESUMABLE, method="POST")
@@ -110,7 +95,10 @@
 
 async def test_stream_of_a_silent_endpoint_goes_on_without_retry_budget():
     async with Cluster(
-        runners=2, config=make_config(), retry_ratio=0.0, retry_slack=0.0
+        runners=2,
+        config=builders.make_short_gap_config(),
+        retry_ratio=0.0,
+        retry_slack=0.0,
     ) as cluster:
         for endpoint in cluster.runners:
             endpoint.default_behaviour = endpoint.silent_within(
@@ -124,7 +112,9 @@
 
 @pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
 async def test_late_first_answer_is_relayed_when_no_other_has_a_slot(target):
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         full, free, _ = await occupy_one(cluster)
         answering = free.succeed if target == IDEMPOTENT else free.events(1, 3)
         free.script.append(free.silent_first(SILENCE_SECONDS, answering))
@@ -137,7 +127,10 @@
 @pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
 async def test_late_first_answer_is_relayed_without_retry_budget(target):
     async with Cluster(
-        runners=2, config=make_config(), retry_ratio=0.0, retry_slack=0.0
+        runners=2,
+        config=builders.make_short_gap_config(),
+        retry_ratio=0.0,
+        retry_slack=0.0,
     ) as cluster:
         for endpoint in cluster.runners:
             answering = (
@@ -155,7 +148,9 @@
 
 
 async def test_stalled_stream_goes_on_elsewhere_and_its_endpoint_stops():
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         find = begin_silently(cluster)
         started = asyncio.get_running_loop().time()
         answer = await cluster.send_request(target=RESUMABLE, method="POST")
@@ -173,7 +168,9 @@
 
 @pytest.mark.parametrize("target", [IDEMPOTENT, RESUMABLE])
 async def test_late_first_answer_is_replaced_when_another_has_a_slot(target):
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         first, second = cluster.runners
         for endpoint in cluster.runners:
             endpoint.default_behaviour = endpoint.hang
@@ -193,7 +190,9 @@
 @pytest.mark.parametrize("reply", ["refuse", "fail", "succeed"])
 async def test_stream_goes_on_when_the_other_endpoint_cannot_replace_it(reply):
     # It refuses, answers with an error, or with something that is no stream.
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         find = begin_silently(cluster, SILENCE_SECONDS)
         caller = await begin_stream(cluster)
         first, (other,) = find()
@@ -206,7 +205,9 @@
 
 
 async def test_other_endpoint_goes_on_when_the_silent_one_sends_no_events():
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         find = begin_silently(cluster)
         caller = await begin_stream(cluster)
         first, (other,) = find()
@@ -222,7 +223,9 @@
 
 async def test_endpoint_that_goes_on_first_is_kept_and_the_other_one_stops():
     # The pause ends between the sending of the replacement and its answer.
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         find = begin_silently(cluster)
         caller = await begin_stream(cluster)
         first, (other,) = find()
@@ -252,7 +255,9 @@
         other_behaviour: returns what the other endpoint sends, given that one.
         done: returns whether the other endpoint has done so, given that one.
     """
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         for endpoint in cluster.runners:
             if silent_after is None:
                 begin = endpoint.silent_first(60.0, endpoint.events(1, 6))
@@ -305,7 +310,9 @@
 
 
 async def test_silence_behind_the_last_event_ends_when_nothing_was_left():
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         for endpoint in cluster.runners:
             endpoint.default_behaviour = endpoint.silent_within(6, 6, 60.0)
         started = asyncio.get_running_loop().time()
@@ -331,7 +338,7 @@
 
     monkeypatch.setattr(outbound.Pool, "connect", connect_unless_held)
     async with Cluster(
-        runners=2, config=make_config(max_attempts=2)
+        runners=2, config=builders.make_short_gap_config(max_attempts=2)
     ) as cluster:
         for endpoint in cluster.runners:
             endpoint.default_behaviour = endpoint.silent_within(
@@ -353,7 +360,7 @@
 async def test_third_endpoint_goes_on_when_the_second_one_sends_no_stream():
     # The first stalls; the second does, too, until the third is asked.
     async with Cluster(
-        runners=3, config=make_config(max_attempts=3)
+        runners=3, config=builders.make_short_gap_config(max_attempts=3)
     ) as cluster:
         find = begin_silently(cluster)
         caller = await begin_stream(cluster)
@@ -376,7 +383,9 @@
 
 @pytest.mark.parametrize("target", [ONCE, STREAM])
 async def test_silent_request_that_may_run_once_is_waited_for(target):
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         for endpoint in cluster.runners:
             endpoint.default_behaviour = endpoint.silent_first(
                 SILENCE_SECONDS, endpoint.serve_by_target
@@ -388,7 +397,9 @@
 
 
 async def test_broken_stream_waits_for_a_slot_when_all_endpoints_are_full():
-    async with Cluster(runners=2, config=make_config()) as cluster:
+    async with Cluster(
+        runners=2, config=builders.make_short_gap_config()
+    ) as cluster:
         full, free, occupying = await occupy_one(cluster)
         free.script.append(free.resuming(3, 6))
         full.script.append(full.resuming(3, 6))
@@ -404,7 +415,7 @@
 
 
 async def test_torn_answer_logs_its_silence_versions_and_refusal():
-    config = make_config(timeout_ms=1200)
+    config = builders.make_short_gap_config(timeout_ms=1200)
     with structlog.testing.capture_logs() as lines:
         async with Cluster(
             runners=2, config=config, retry_ratio=0.0, retry_slack=0.0
@@ -415,7 +426,7 @@
             await gateway_cluster.wait_until(
                 lambda: any(each.ran for each in cluster.runners)
             )
-            cluster.configure(make_config() | {"version": 2})
+            cluster.configure(builders.make_short_gap_config() | {"version": 2})
             answer = await asyncio.wait_for(caller.answer(), 3.0)
             assert not answer.whole
     (end,) = [line for line in lines if line["event"] == "request.ended"]
--- a/cranberryglade/tests/test_stream_ends.py
+++ b/cranberryglade/tests/test_stream_ends.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import stream_replies
@@ -23,9 +22,7 @@
         *replies: what the further endpoints send, in order.
     """
     remaining = list(replies)
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route["max_attempts"] = 1 + len(replies)
+    config = builders.make_operator_config(max_attempts=1 + len(replies))
     async with Cluster(runners=1 + len(replies), config=config) as cluster:
         for endpoint in cluster.runners:
             first = begin(endpoint)
--- a/cranberryglade/tests/test_streams_under_pauses.py
+++ b/cranberryglade/tests/test_streams_under_pauses.py
@@ -6,7 +6,6 @@
 import pytest
 
 from cranberryglade.standins import endpoint_standin
-from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
@@ -22,16 +21,9 @@
 BROKEN_SHARE = 0.3
 
 
-def make_config() -> dict:
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route |= {
-            "timeout_ms": 8000,
-            "target_latency_ms": 800,
-            "gap_aim_ms": 500,
-            "max_attempts": 2,
-        }
-    return config
+CONFIG = builders.make_operator_config(
+    timeout_ms=8000, target_latency_ms=800, gap_aim_ms=500, max_attempts=2
+)
 
 
 def pausing_anywhere(
@@ -67,7 +59,7 @@
     """
     draw = random.Random(per_second)
     async with gateway_cluster.Cluster(
-        runners=RUNNERS, config=make_config(), retry_slack=1000.0
+        runners=RUNNERS, config=CONFIG, retry_slack=1000.0
     ) as cluster:
         for endpoint in cluster.runners:
             endpoint.event_gap_seconds = EVENT_GAP_SECONDS
--- a/cranberryglade/tests/test_unfinished_heads.py
+++ b/cranberryglade/tests/test_unfinished_heads.py
@@ -15,7 +15,6 @@
 from cranberryglade.scheduling import answers
 from cranberryglade.standins import connections
 from cranberryglade.standins import endpoint_standin
-from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import cut_off_gateways
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
@@ -26,6 +25,7 @@
 CUTS = 6
 """Number of places at which an answer is cut in `some_cuts`."""
 
+SENT_ONCE = builders.make_operator_config(max_attempts=1)
 LOOPBACK = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 TARGETS = {
@@ -140,14 +140,6 @@
                 assert isinstance(body, outbound.AnswerLost)
 
 
-def make_config() -> dict:
-    """Returns a configuration under which nothing is sent again."""
-    config = operator_configuration.a_config()
-    for route in config["routes"]:
-        route["max_attempts"] = 1
-    return config
-
-
 async def ask_for_each_cut(cluster, name, resets=False) -> None:
     """Asks for answers that stop in their heads; none may be a success.
 
@@ -166,14 +158,12 @@
 @pytest.mark.parametrize("resets", [False, True])
 @pytest.mark.parametrize("name", HEADS)
 async def test_answer_that_ends_within_its_head_is_no_success(name, resets):
-    async with Cluster(runners=CUTS, config=make_config()) as cluster:
+    async with Cluster(runners=CUTS, config=SENT_ONCE) as cluster:
         await ask_for_each_cut(cluster, name, resets)
 
 
 async def test_answer_that_ends_within_its_head_behind_a_tunnel():
-    async with Cluster(
-        gateways=2, runners=CUTS, config=make_config()
-    ) as cluster:
+    async with Cluster(gateways=2, runners=CUTS, config=SENT_ONCE) as cluster:
         cut_off_gateways.cut_off(
             cluster.gateways[0], cut_off_gateways.Cut.REFUSED
         )
@@ -182,7 +172,7 @@
 
 @pytest.mark.parametrize("sent", some_cuts(HEADS["length last"]))
 async def test_answer_that_ends_within_its_head_on_a_kept_connection(sent):
-    async with Cluster(config=make_config()) as cluster:
+    async with Cluster(config=SENT_ONCE) as cluster:
         (endpoint,) = cluster.runners
         endpoint.script = [endpoint.succeed, stop_after(sent, False)]
         assert (await cluster.send_request(target="/look/1")).whole
