Let a stream that has begun go on until its time limit

Cause: every request ends 30 ms before its deadline so that a 504 arrives in time. A stream that has begun gets no 504; it was only cut sooner, and the excuse that its limit was reached does not hold. Why it works: once the head is written, the time-out of the request is moved to its deadline. Requests without a head, and the end of a shutdown, are as before.

--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -108,6 +108,7 @@
         deadline: when its final answer is due, seconds of the loop's clock.
         arrived: when its last byte was read, seconds of the loop's clock.
         splitter: splits its stream into whole events.
+        timeout: ends it at a time; None before it is served.
         attempted_endpoints: the endpoints that it was sent to, in order.
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
@@ -147,6 +148,7 @@
     deadline: float
     arrived: float
     splitter: event_streams.EventSplitter
+    timeout: asyncio.Timeout | None = None
     attempted_endpoints: list[messages.Endpoint] = dataclasses.field(
         default_factory=list
     )
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -27,7 +27,8 @@
 from cranberryglade.gateway import stream_relaying
 
 ANSWER_MARGIN_SECONDS = 0.03
-"""Time before a request's deadline at which a timeout is answered."""
+"""Time before a request's deadline at which a timeout is answered, unless its
+answer has begun."""
 
 DEFAULT_RETRY_AFTER_SECONDS = 0.4
 """Default of the Retry-After header."""
@@ -169,8 +170,7 @@
             version=self._state.version,
         )
         try:
-            latest = exchange.deadline - ANSWER_MARGIN_SECONDS
-            async with self._end_by(latest):
+            async with self._end_in_time(exchange):
                 ended = await self._find_origin(exchange)
                 if ended is None:
                     ended = await self._run_attempts(exchange)
@@ -184,15 +184,29 @@
         self._log_end(exchange, ended)
 
     @contextlib.asynccontextmanager
-    async def _end_by(self, latest: float) -> AsyncIterator[None]:
-        """Raises TimeoutError at a time, or earlier in `end_all`."""
+    async def _end_in_time(
+        self, exchange: exchanges.Exchange
+    ) -> AsyncIterator[None]:
+        """Raises TimeoutError when a request is to end, or in `end_all`."""
+        latest = exchange.deadline - ANSWER_MARGIN_SECONDS
         async with asyncio.timeout_at(latest) as timeout:
+            exchange.timeout = timeout
             self._running.add(timeout)
             try:
                 yield
             finally:
                 self._running.discard(timeout)
 
+    def _use_all_time(self, exchange: exchanges.Exchange) -> None:
+        """Lets an answer that has begun go on until its deadline.
+
+        No timeout is answered after it, so nothing needs a margin.
+        """
+        now = asyncio.get_running_loop().time()
+        timeout = exchange.timeout
+        if not timeout.expired() and not self._state.shutdown.has_ended(now):
+            timeout.reschedule(exchange.deadline)
+
     def _give_up_late(
         self, exchange: exchanges.Exchange
     ) -> exchanges.RequestResult:
@@ -408,6 +422,7 @@
             exchange.stream_head = head
             headers = self._dialect.relayed_headers(head)
             exchange.responder.start(head.status, head.reason, headers, None)
+            self._use_all_time(exchange)
         return exchange.find_mismatch(head)
 
     def _retry_or_give_up(
