Read no request behind an answer that announces the close

Callers who send a request behind an answer of a stopping instance lost it without answer or refusal: it was read and queued, and dropped when that answer ended. A request that was read is owed an answer; one that was not, its caller may send again. Cause: the head decided that the connection closes, and reading went on. Evidence: test_request_behind_an_announced_close_is_not_read fails before (nothing is left unread in the socket). Why it works: while the instance stops, reading pauses with the head that announces the close. A caller that leaves is noticed at the next write, which the second test shows.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -203,6 +203,16 @@
         """Writes encoded bytes of an answer without waiting."""
         self._transport.write(data)
 
+    def stop_reading(self) -> None:
+        """Reads no further request, as the connection closes with the answer.
+
+        One that is read is owed an answer; one that is not, its caller can send
+        to another instance. That the caller has left shows at the next write.
+        """
+        # The rest of a rejected request is read and ignored.
+        if self._read_failure is None:
+            self._transport.pause_reading()
+
     def finish_answer(self, keep_alive: bool) -> None:
         """Starts the next request, or closes the connection.
 
@@ -417,10 +427,7 @@
             self._transport.close()
             return
         self._lingering = True
-        if not rejected:
-            # The caller may send again what has not been read; the rest of a
-            # rejected request is read and ignored.
-            self._transport.pause_reading()
+        self.stop_reading()
         self._transport.write_eof()
         self._start_timer(LINGER_SECONDS, self._close)
 
--- a/cranberryglade/gateway/responding.py
+++ b/cranberryglade/gateway/responding.py
@@ -39,6 +39,9 @@
             CallerGoneError: if the connection is lost meanwhile.
         """
 
+    def stop_reading(self) -> None:
+        """Reads no further request."""
+
     def finish_answer(self, keep_alive: bool) -> None:
         """Starts the next request, or closes the connection.
 
@@ -122,7 +125,9 @@
             raise HeadRepeatedError
         if self._connection.closing:
             raise CallerGoneError
-        self._keep_alive = self._keep_alive and self._connection.may_keep_alive
+        if not self._connection.may_keep_alive:
+            self._keep_alive = False
+            self._connection.stop_reading()
         phrase = reason or usual_phrase(status)
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, phrase)]
         lines += [b"%s: %s\r\n" % (h.name, h.value) for h in headers]
