Notice that a silent attempt goes on while its replacement is explained

Callers saw a sound stream end in the middle, or got 502: its endpoint was silent for a time, the one that was to replace it failed, and the first went on just then. Cause: why an attempt failed is asked at its endpoint, which takes up to 0.1 s. What the silent attempt sent meanwhile was not looked at again before the next wait, which then had nothing to wait for and raised ("Set of Tasks/Futures is empty"); the unexpected error ended the request. Evidence: the test fails before with that error, and passes now. Silence alone does not show it: the other endpoint has to fail in a way that may have run the request. Why it works: whether the silent attempt went on is asked last, without any wait between that and the decision.

--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -117,11 +117,18 @@
 
     async def _observe(self, receiving: asyncio.Future) -> None:
         """Tells the decision what has happened."""
+        if not receiving.done():
+            await self._observe_other()
+        # It may also have gone on while the end of the other was explained.
         if receiving.done():
             if self._is_sound(receiving.result()):
                 self._silence.resumed()
                 return
             self._silence.lost()
+            await self._observe_other()
+
+    async def _observe_other(self) -> None:
+        """Tells the decision what has become of the other endpoint."""
         if self._seeking is not None and self._seeking.done():
             sought = self._seeking.result()
             self._seeking = None
