Choose contacts among the instances that do not stop

Cause: heartbeats go to the first instances in order of precedence and of the domain, also when those have announced that they stop. An instance all of whose contacts stop knows nobody who could allocate, and does so alone, with a small share of each quota: all 35 did within 0.05 s of the second signal. Instances that had just started did as well, until their contacts had answered. What changes: instances that stop come last as contacts, until another incarnation is heard of; new contacts get a heartbeat at once; an instance that starts sends one to all; it lets requests that count against a quota proceed when its contacts have answered (bounded as before); it tells in its status that it stops, so that whoever starts meanwhile learns of it; the first report goes out when the allocator changes, not with the next request. Former builds ignore the added field. Evidence: three of the six cases of test_instances_that_stop_do_not_each_allocate_alone, and two more tests, fail before.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -221,7 +221,9 @@
 
         Also updates whether this instance is the allocator.
         """
-        self._update_role(self._mesh.allocator == self._name, now)
+        allocator = self._mesh.allocator
+        self._update_role(allocator == self._name, now)
+        self._send_first_report(allocator)
         self._slots.limit_share = self._limit_share(now)
         for holder, seen in list(self._holders_seen.items()):
             if now - seen > HOLDER_TIMEOUT_SECONDS:
--- a/cranberryglade/gateway/consultation.py
+++ b/cranberryglade/gateway/consultation.py
@@ -31,9 +31,12 @@
     the store says confirms a configuration only when the other instances were
     asked for a newer one. Each wait is bounded: when all start at once, or one
     is alone, nobody may answer.
+
+    Attributes:
+        asked: is set when the contacts have answered once, or do not.
     """
 
-    __slots__ = ("_mesh", "_registered", "_state", "_store_watcher")
+    __slots__ = ("_mesh", "_registered", "_state", "_store_watcher", "asked")
 
     def __init__(
         self,
@@ -54,6 +57,7 @@
         self._mesh = instances
         self._store_watcher = store_watcher
         self._registered = registered
+        self.asked = asyncio.Event()
 
     async def run(self) -> None:
         """Asks at the start and after each restore; runs until cancelled."""
@@ -71,6 +75,8 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         await self._wait_until_registered()
+        if not self.asked.is_set():
+            self._mesh.greet()
         asked_at = loop.time()
         while silent := self._silent_members(began):
             if loop.time() - asked_at >= ANSWER_SECONDS:
@@ -78,6 +84,7 @@
             for member in silent:
                 self._mesh.ping(member)
             await self._wait_for_answer()
+        self.asked.set()
         await self._wait_for_configuration()
         if self._state.store_answered.is_set():
             # It came back from another copy meanwhile.
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -59,6 +59,7 @@
         age_ms: milliseconds since its present incarnation began.
         era: era of the store that the version of endpoints belongs to.
         cut_off: whether it reaches endpoints only through other instances.
+        stopping: whether it stops.
     """
 
     configuration: int
@@ -68,6 +69,7 @@
     age_ms: int
     era: int = 0
     cut_off: bool = False
+    stopping: bool = False
 
 
 class LeavingEndpoint(msgspec.Struct, array_like=True, frozen=True):
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -66,7 +66,8 @@
         reported_instances: number of instances that it reports to know.
         confirmed_at: when its configuration was last confirmed to be the
             newest, as it reports; None if never.
-        stopping: whether it announced that it stops.
+        stopping_incarnation: incarnation that announced that it stops; "" if
+            none did, or another one was heard of since.
         cut_off: whether it reports that it reaches endpoints only through
             other instances.
         capacity: as in `capacity.of_machine`.
@@ -84,7 +85,7 @@
     heartbeat_at: float | None = None
     reported_instances: int = 0
     confirmed_at: float | None = None
-    stopping: bool = False
+    stopping_incarnation: str = ""
     cut_off: bool = False
     capacity: float = capacity.DEFAULT_CAPACITY
     weight: int = dataclasses.field(init=False)
@@ -93,6 +94,11 @@
         """Computes the weight."""
         self.weight = _rendezvous_weight(self.name)
 
+    @property
+    def stopping(self) -> bool:
+        """Whether it stops, as far as is known."""
+        return bool(self.stopping_incarnation)
+
     @property
     def precedence(self) -> Precedence:
         """Its place among the instances that do more than their share."""
@@ -172,7 +178,12 @@
 
     @property
     def contacts(self) -> list[Member]:
-        """Members that this instance sends heartbeats to."""
+        """Members that this instance sends heartbeats to.
+
+        Load pattern: a large part of the instances is stopped at once. Those
+        that stop are no contacts while enough others are left: whoever has no
+        other contact would allocate alone.
+        """
         if self._contacts is None:
             self._contacts = self._choose_contacts()
         return self._contacts
@@ -181,7 +192,9 @@
         if self.full_mesh:
             return self.all
         order = sorted(
-            self._members.values(), key=lambda m: m.precedence, reverse=True
+            self._members.values(),
+            key=lambda m: (not m.stopping, m.precedence),
+            reverse=True,
         )
         same_domain = [
             member for member in order if member.domain == self._domain
@@ -296,6 +309,7 @@
         if member is None:
             return
         member.heartbeat_at = now
+        self._record_running(member, incarnation)
         if member.heartbeat_incarnation != incarnation:
             member.heartbeat_incarnation = incarnation
             member.started_at = now - age_seconds
@@ -324,7 +338,7 @@
         for _ in range(MAX_INTRODUCTIONS_TRIED):
             self._introduced = (self._introduced + 1) % len(self._ring)
             member = self._members[self._ring[self._introduced][1]]
-            if self._sent_recently(member, now):
+            if self._sent_recently(member, now) and not member.stopping:
                 return member
         return None
 
@@ -349,7 +363,7 @@
         if restarted:
             member.incarnation = incarnation
             member.started_at = now - age_seconds
-            member.stopping = False
+        self._record_running(member, incarnation)
         member.answered_at = now
         self._answered[name] = member
         self._suspects.pop(name, None)
@@ -359,11 +373,24 @@
         """Excludes an instance from allocating, until a time or its answer."""
         self._suspects[name] = until
 
-    def record_stopping(self, name: str, incarnation: str) -> None:
-        """Records that an incarnation of an instance is stopping."""
+    def record_stopping(self, name: str, incarnation: str) -> bool:
+        """Records that an incarnation of an instance is stopping.
+
+        Returns:
+            Whether that is new.
+        """
         member = self._members.get(name)
-        if member is not None and member.incarnation == incarnation:
-            member.stopping = True
+        if member is None or member.stopping_incarnation == incarnation:
+            return False
+        member.stopping_incarnation = incarnation
+        self._contacts = None
+        return True
+
+    def _record_running(self, member: Member, incarnation: str) -> None:
+        """Records that an incarnation of an instance runs, maybe to its end."""
+        if member.stopping and member.stopping_incarnation != incarnation:
+            member.stopping_incarnation = ""
+            self._contacts = None
 
     def reachable(self, now: float) -> list[Member]:
         """Returns the reachable members, which answered recently."""
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -37,6 +37,10 @@
 """For so long after a pause of this process, datagrams are discarded that tell
 what was so when they were sent: they waited in the socket."""
 
+NEW_CONTACTS_SECONDS = 0.005
+"""Time from the notice that an instance stops to heartbeats to those that are
+contacts in its stead; others may stop at the same time."""
+
 DATED_DATAGRAMS = (
     datagrams.Ping
     | datagrams.Pong
@@ -126,6 +130,7 @@
             "member.unreadable"
         )
         self._ping_times: dict[int, float] = {}
+        self._asking_contacts: asyncio.TimerHandle | None = None
         self._reachable: set[str] = set()
 
     @property
@@ -235,6 +240,8 @@
     def close(self) -> None:
         """Closes the socket."""
         self._closed = True
+        if self._asking_contacts is not None:
+            self._asking_contacts.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -271,7 +278,7 @@
             case Success(datagrams.Pong() as pong):
                 self._receive_pong(pong)
             case Success(datagrams.Leaving(name=name, incarnation=incarnation)):
-                self.members.record_stopping(name, incarnation)
+                self._learn_stopping(name, incarnation)
             case Success(datagrams.EndpointLimit() as limit):
                 self._learn_limits([limit])
             case Success(message):
@@ -297,6 +304,34 @@
         for member in self.members.contacts:
             self.ping(member)
 
+    def greet(self) -> None:
+        """Tells all known instances that this one runs; they answer."""
+        for member in self.members.all:
+            self.ping(member)
+
+    def _learn_stopping(self, name: str, incarnation: str) -> None:
+        if self.members.record_stopping(name, incarnation):
+            self._ask_new_contacts()
+
+    def _ask_new_contacts(self) -> None:
+        """Soon sends heartbeats to contacts that have not answered lately.
+
+        Many instances may stop at once, and each changes the contacts.
+        """
+        if self._asking_contacts is None:
+            loop = asyncio.get_running_loop()
+            self._asking_contacts = loop.call_later(
+                NEW_CONTACTS_SECONDS, self._ping_unproven_contacts
+            )
+
+    def _ping_unproven_contacts(self) -> None:
+        self._asking_contacts = None
+        now = asyncio.get_running_loop().time()
+        proven = {member.name for member in self.members.reachable(now)}
+        for member in self.members.contacts:
+            if member.name not in proven:
+                self.ping(member)
+
     def _receive_ping(self, ping: datagrams.Ping) -> None:
         now = asyncio.get_running_loop().time()
         sender = datagrams.MemberInfo(
@@ -307,6 +342,8 @@
             return
         age = ping.status.age_ms / 1000
         self.members.record_heartbeat(ping.name, ping.incarnation, age, now)
+        if ping.status.stopping:
+            self._learn_stopping(ping.name, ping.incarnation)
         # Only an answer to an own heartbeat shows that both directions work,
         # so a heartbeat alone does not mark its sender as reachable.
         pong = datagrams.Pong(
@@ -352,6 +389,8 @@
         if pong.other is not None:
             self._register(pong.other, now)
         status = pong.status
+        if status.stopping:
+            self._learn_stopping(pong.name, pong.incarnation)
         member.reported_instances = status.members
         member.cut_off = status.cut_off
         if status.confirmed_ms >= 0:
@@ -459,6 +498,7 @@
             int(self.members.uptime(now) * 1000),
             self._state.directory.version.era,
             self._state.reachability.is_cut_off(now),
+            self.stopping,
         )
 
     def _choose_introduction(self, now: float) -> datagrams.MemberInfo | None:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -514,6 +514,7 @@
             async with asyncio.timeout(SETTLE_SECONDS):
                 await self._registered.wait()
                 await self._usage_sync.read.wait()
+                await self._consultation.asked.wait()
         except TimeoutError:
             self._logger.warning("settled.unread")
         self._allocator.settle()
--- a/cranberryglade/tests/wire_samples.py
+++ b/cranberryglade/tests/wire_samples.py
@@ -29,7 +29,7 @@
 from cranberryglade.gateway import version_sync
 
 NOW = 100.0
-STATUS = datagrams.Status(7, 250, 41, 3, 9000, 2, True)
+STATUS = datagrams.Status(7, 250, 41, 3, 9000, 2, True, True)
 STATUS_WITHOUT_CONFIGURATION = datagrams.Status(0, -1, 0, 1, 0)
 USAGE = datagrams.QuotaUsage("studio", 120.5, 1.25)
 LIMIT = endpoint_limits.EndpointLimit("i-1", 1700000000001, 12.5, False, 99.5)
