Failing test: a request in the socket of an idle connection gets no answer

What callers see: on a kept connection to an instance that stops, a request that has arrived is closed without an answer, as the process had not come to read it when it swept its idle connections.

--- a/cranberryglade/tests/test_request_ends.py
+++ b/cranberryglade/tests/test_request_ends.py
@@ -241,6 +241,20 @@
         assert statuses == [200] * count
 
 
+async def test_request_in_the_socket_of_an_idle_connection_is_answered():
+    # It has arrived, but the process has not come to read it yet.
+    async with Cluster() as cluster:
+        caller = await cluster.connect()
+        caller.request(X_Attempt_Id="a-1")
+        assert (await caller.answer()).status == 200
+        (gateway,) = cluster.gateways
+        gateway.stop()
+        (connection,) = gateway._caller_listener.connections
+        caller.request(X_Attempt_Id="a-2")
+        connection.close_if_idle()
+        assert (await caller.answer()).status in (200, 503)
+
+
 async def test_idle_connection_stays_open_for_a_limit_that_grew():
     async with Cluster() as cluster:
         caller = await cluster.connect()
