Keep a silent attempt when its replacement meets an unexpected error

Callers saw a sound stream end in the middle, or got 502, when the search for another endpoint or the attempt there raised an error that was not foreseen. Cause: the error was raised again where the silent attempt is watched, and ended both. Evidence: test_error_while_another_endpoint_is_sought_tears_no_stream and test_error_in_a_replacement_tears_no_stream fail before (errors are put in). Why it works: an attempt that meets such an error is logged and counts as lost; a search that does is logged and counts as without result, for good.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -425,7 +425,6 @@
         endpoint: messages.Endpoint,
     ) -> exchanges.Attempt:
         admitted = exchange.admitted
-        kind = admitted.route.kind
         exchange.attempted_endpoints.append(endpoint)
         exchange.excluded_endpoints.append(endpoint.id)
         exchange.attempts_in_progress += 1
@@ -440,17 +439,35 @@
         )
         exchange.retry_reserved_at = None
         attempt.opening = asyncio.create_task(
-            self._sender.send(
+            self._send(exchange, attempt, added)
+        )
+        return attempt
+
+    async def _send(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        added: dialect.AddedHeaders,
+    ) -> sending.Result:
+        """Sends an attempt; one that meets an unexpected error is lost.
+
+        Another attempt of the same request does not end by it.
+        """
+        kind = exchange.admitted.route.kind
+        try:
+            return await self._sender.send(
                 exchange.request,
-                endpoint,
+                attempt.endpoint,
                 added,
                 exchange.facts,
                 kind.retryable,
                 kind.streams,
                 lambda: self._record_sent(exchange, attempt),
             )
-        )
-        return attempt
+        except Exception:
+            logger.exception("attempt.fault", id=exchange.facts.id)
+            self._state.metrics.count_event("attempt_fault")
+            return sending.AttemptFailure(messages.Outcome.LOST, "fault")
 
     def _conclude(
         self,
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -192,9 +192,18 @@
             self._refuse(refusal.reason, refusal.pause_seconds)
             return
         self._silence.sought()
-        self._seeking = asyncio.create_task(
-            self._attempts.begin(self._exchange, persistent=False)
-        )
+        self._seeking = asyncio.create_task(self._begin())
+
+    async def _begin(self) -> exchanges.Attempt | messages.Denied:
+        """Begins an attempt at another endpoint; raises no unexpected error.
+
+        The silent attempt is not to end by it.
+        """
+        try:
+            return await self._attempts.begin(self._exchange, persistent=False)
+        except Exception:
+            logger.exception("attempt.replacement_failed")
+            return messages.Denied(self._exchange.facts.id, "fault", math.inf)
 
     def _refuse(self, reason: str, pause_seconds: float) -> None:
         """Goes on without another endpoint for a time, or for good."""
