Ask an endpoint again whose silence leaves an answer in doubt

Callers got the whole of an answer without length, and then a cut, when its endpoint accepted no connection for 0.3 s just then. Cause: the end of such an answer is that of its connection; whether its endpoint still runs was asked once. Evidence: test_unframed_stream_is_whole_though_its_endpoint_accepts_late fails before. Why it works: an endpoint that neither accepts nor refuses is asked again for 2 s; a sound one goes on in that time. Refused connections mean that it has ended, as before.

--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -23,6 +23,9 @@
 """Time for which a new connection to an endpoint that has not ended stays open;
 a proxy in front of one that has ended closes it sooner."""
 
+SILENCE_SECONDS = 2.0
+"""For so long an endpoint that has not ended may accept no connection."""
+
 ONCE_MAX_IDLE_SECONDS = 1.0
 """Longest idle time of a reused connection for a request that may not be
 repeated; shorter than the other one because the endpoint may close an idle
@@ -218,9 +221,17 @@
         return await self._find_ended(endpoint, seconds) is True
 
     async def still_runs(self, endpoint: messages.Endpoint) -> bool:
-        """Returns whether an endpoint's process has certainly not ended."""
-        seconds = CONNECT_TIMEOUT_SECONDS
-        return await self._find_ended(endpoint, seconds) is False
+        """Returns whether an endpoint's process has certainly not ended.
+
+        One that is silent for a time is asked again.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + SILENCE_SECONDS
+        while True:
+            ended = await self._find_ended(endpoint, CONNECT_TIMEOUT_SECONDS)
+            if ended is not None or loop.time() >= until:
+                return ended is False
+            await asyncio.sleep(ACCEPTED_SECONDS)
 
     async def _find_ended(
         self, endpoint: messages.Endpoint, timeout_seconds: float
