Let the time to read a request run only while one is read

Callers got 408 for whole requests: behind a stray line end beside an answer; behind eight requests that wait, as reading was paused while the time for a body ran; and a half request behind others was never given up. Cause: any bytes started the time for the head, also blank lines between requests; the time ran while this side did not read; each request that was taken up stopped it. Evidence: four tests of test_request_ends.py fail before: blank lines (2), a full queue, a half request behind others. Why it works: the time starts with the first byte of a request as the parser sees it, and starts anew when reading is resumed.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -231,7 +231,9 @@
             self._close_gracefully()
         else:
             self._transport.resume_reading()
-            if not self._reading_request:
+            if self._reading_request:
+                self._start_request_timer()
+            else:
                 self._start_idle_timer()
 
     def abort(self) -> None:
@@ -256,12 +258,6 @@
         if self._read_failure is not None:
             return
         self._overhead_bytes += len(data)
-        if not self._reading_request:
-            self._reading_request = True
-            self._start_timer(
-                self._listener.limits.header_timeout_seconds,
-                self._on_request_timeout,
-            )
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -276,6 +272,8 @@
         """Marks the connection as reading a request (parser callback)."""
         # The parser goes on with what arrived behind a rejected request.
         self._reading_request = self._read_failure is None
+        if self._reading_request:
+            self._start_request_timer()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target (parser callback)."""
@@ -297,10 +295,7 @@
         if self._read_failure is None:
             self._check_headers()
         if self._read_failure is None:
-            self._start_timer(
-                self._listener.limits.idle_timeout_seconds,
-                self._on_request_timeout,
-            )
+            self._start_request_timer()
 
     def _check_headers(self) -> None:
         size = sum(len(h.name) + len(h.value) + 4 for h in self._headers)
@@ -370,7 +365,8 @@
             self._reject(ReadFailure(431, f"{what} too large"))
 
     def _start_handler(self, request: messages.Request) -> None:
-        self._stop_timer()
+        if not self._reading_request:
+            self._stop_timer()
         responder = responding.Responder(
             self, request.keep_alive, request.method == messages.HEAD
         )
@@ -397,6 +393,22 @@
     def _on_request_timeout(self) -> None:
         self._reject(ReadFailure(408, "request not complete in time"))
 
+    def _start_request_timer(self) -> None:
+        """Starts the timeout of the request that is being read.
+
+        None runs out while this side does not read.
+        """
+        if not self._transport.is_reading():
+            self._stop_timer()
+            return
+        limits = self._listener.limits
+        seconds = (
+            limits.idle_timeout_seconds
+            if self._headers_done
+            else limits.header_timeout_seconds
+        )
+        self._start_timer(seconds, self._on_request_timeout)
+
     def _start_idle_timer(self) -> None:
         unsent = self._transport.get_write_buffer_size()
         self._start_timer(
