Answer a request that asks for an upgrade once

Callers who offered an upgrade got their answer and then a 400 that they did not ask for, and later requests on the connection were not answered. Cause: the parser reports the upgrade after the request was complete; it was then rejected although it had been taken up. Why it works: an upgrade may be ignored; the request is answered with the close of the connection, and nothing behind it is read.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -261,7 +261,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(ReadFailure(400, "upgrade"))
+            # Its request is answered without; nothing can follow it.
+            self._transport.pause_reading()
         except httptools.HttpParserError as error:
             if self._read_failure is None:
                 self._reject(ReadFailure(400, type(error).__name__))
@@ -338,7 +339,11 @@
             headers=self._headers,
             body=bytes(self._body),
             chunked=self._chunked,
-            keep_alive=self._parser.should_keep_alive() and version == "1.1",
+            keep_alive=(
+                self._parser.should_keep_alive()
+                and not self._parser.should_upgrade()
+                and version == "1.1"
+            ),
             arrived=self._loop.time(),
         )
         self._reset_request()
