Keep idle connections for a limit that has grown

Callers who used a connection within the idle time of the newest configuration found it closed, or closing under their request. Cause: the timer of an idle connection kept the limit of the configuration in which it was started. Evidence: test_idle_connection_stays_open_for_a_limit_that_grew fails before. Why it works: when the timer runs out, the limit in force decides.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -21,6 +21,9 @@
 TCP_USER_TIMEOUT_MS = 3000
 """TCP_USER_TIMEOUT of callers' connections."""
 
+MIN_TIMER_SECONDS = 0.001
+"""Less than this left of a time counts as nothing."""
+
 LINGER_SECONDS = 0.5
 """Time between the half-close of a connection and its close."""
 
@@ -416,12 +419,21 @@
 
     def _start_idle_timer(self) -> None:
         unsent = self._transport.get_write_buffer_size()
+        idle_since = self._loop.time()
         self._start_timer(
             self._listener.limits.idle_timeout_seconds,
-            lambda: self._on_idle(unsent),
+            lambda: self._on_idle(unsent, idle_since),
         )
 
-    def _on_idle(self, unsent_before: int) -> None:
+    def _on_idle(self, unsent_before: int, idle_since: float) -> None:
+        # The limit may have grown meanwhile, and the caller relies on it.
+        idle_until = idle_since + self._listener.limits.idle_timeout_seconds
+        left = idle_until - self._loop.time()
+        if left > MIN_TIMER_SECONDS:
+            self._start_timer(
+                left, lambda: self._on_idle(unsent_before, idle_since)
+            )
+            return
         unsent = self._transport.get_write_buffer_size()
         if not unsent:
             self._transport.close()
