Give callers who read late or slowly the whole answer

Callers who did not read for 4.5 s, or read a long answer slowly and steadily, lost the rest of it. Cause: the system ends a connection whose window stays closed for TCP_USER_TIMEOUT, 3 s; and progress was looked for once an idle time, in what this process has left to send, which stays the same until a third of the system's own buffer is free. Evidence: test_caller_that_pauses_its_reading_gets_the_whole_answer and test_caller_that_reads_slowly_and_steadily_gets_the_whole_answer fail before. Why it works: both times are 10 s at least. A caller that is gone without a word holds its request for so long, or until its time limit.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -18,8 +18,13 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a request with an Expect header."""
 
-TCP_USER_TIMEOUT_MS = 3000
-"""TCP_USER_TIMEOUT of callers' connections."""
+TCP_USER_TIMEOUT_MS = 10_000
+"""TCP_USER_TIMEOUT of callers' connections; it also ends those whose caller
+does not read for so long."""
+
+MIN_UNREAD_SECONDS = 10.0
+"""Least time for which a caller may read nothing of an answer. What the system
+has buffered of it does not show."""
 
 MIN_TIMER_SECONDS = 0.001
 """Less than this left of a time counts as nothing."""
@@ -421,13 +426,17 @@
         unsent = self._transport.get_write_buffer_size()
         idle_since = self._loop.time()
         self._start_timer(
-            self._listener.limits.idle_timeout_seconds,
+            self._idle_seconds(unsent),
             lambda: self._on_idle(unsent, idle_since),
         )
 
+    def _idle_seconds(self, unsent: int) -> float:
+        seconds = self._listener.limits.idle_timeout_seconds
+        return max(seconds, MIN_UNREAD_SECONDS) if unsent else seconds
+
     def _on_idle(self, unsent_before: int, idle_since: float) -> None:
         # The limit may have grown meanwhile, and the caller relies on it.
-        idle_until = idle_since + self._listener.limits.idle_timeout_seconds
+        idle_until = idle_since + self._idle_seconds(unsent_before)
         left = idle_until - self._loop.time()
         if left > MIN_TIMER_SECONDS:
             self._start_timer(
