Answer a request whose handler ends without an answer

Callers would have waited for ever on a connection whose handler ended by a cancellation from within, or by an error that it does not catch. Cause: only the handler ended the answer; nobody looked at how the handler ended. No such cancellation is known. Why it works: when a handler ends and its answer has not, that is logged as request.unanswered, and the request gets 502, or a begun answer is cut.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from cranberryglade import log
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
@@ -32,6 +33,8 @@
 LINGER_SECONDS = 0.5
 """Time between the half-close of a connection and its close."""
 
+logger = log.get_logger(__name__)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReadFailure:
@@ -386,6 +389,22 @@
         self._task = self._loop.create_task(
             self._listener.handler(request, responder)
         )
+        self._task.add_done_callback(
+            lambda task: self._end_unanswered(task, responder)
+        )
+
+    def _end_unanswered(
+        self, task: asyncio.Task, responder: responding.Responder
+    ) -> None:
+        """Ends a request whose handler has ended without an answer."""
+        if task is not self._task or self.closing:
+            return
+        logger.error("request.unanswered", cancelled=task.cancelled())
+        if responder.started:
+            responder.abort()
+        else:
+            # It may have run.
+            responder.whole(502, [], b"internal error")
 
     def _reject(self, failure: ReadFailure) -> None:
         if self._read_failure is not None:
