Answer what waits in the socket of a connection before closing it

Callers of a stopping instance whose request had arrived on a kept connection got a reset, when the instance was late in reading it. Cause: a connection counted as idle by what was read of it. Evidence: test_request_in_the_socket_of_an_idle_connection_is_answered fails before. Why it works: before an idle connection is closed, the socket is asked whether something waits. What crosses the close on its way is still not read, and may be sent again.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -160,6 +160,18 @@
         """Whether the connection is closed or closing."""
         return self._transport is None or self._transport.is_closing()
 
+    @property
+    def _resting(self) -> bool:
+        """Whether no request is in progress, nor waits in the socket.
+
+        Load pattern: callers go on to send on kept connections while the
+        instance stops, and it reads late. What has arrived is answered.
+        """
+        if self.busy or self._lingering:
+            return False
+        opened = self._transport.get_extra_info("socket")
+        return not sockets.has_unread(opened)
+
     @property
     def may_keep_alive(self) -> bool:
         """Whether the connection may be kept alive after the answer.
@@ -237,7 +249,7 @@
             self._start_handler(self._queue.pop(0))
         elif self._read_failure is not None:
             self._send_error()
-        elif self._listener.stopping and not self._reading_request:
+        elif self._listener.stopping and self._resting:
             # A request that arrived now could be dropped with the process.
             self._close_gracefully()
         else:
@@ -261,7 +273,7 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
-        if not self.busy and not self._lingering:
+        if self._resting:
             self._transport.close()
 
     def data_received(self, data: bytes) -> None:
--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -2,6 +2,7 @@
 
 import functools
 import ipaddress
+import select
 import socket
 
 from cranberryglade import decoding
@@ -67,6 +68,19 @@
     return bool(host) and host.isprintable() and has_port
 
 
+def has_unread(connected: socket.socket | None) -> bool:
+    """Returns whether bytes, or an end, wait in a socket to be read.
+
+    Args:
+        connected: the connected socket; None, or a closed one, has none.
+    """
+    if connected is None or connected.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(connected.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def set_connection_options(
     connected: socket.socket | None, milliseconds: int
 ) -> None:
