Keep a pausing stream until sound pauses are about to be over

What callers saw: a stream of a sound endpoint that paused for 1.6 s or more ended in the middle, though the endpoint would have gone on.

Cause: another endpoint was sought after three longest gaps, and the silent one was given up 0.2 s after that one was asked. If it then refused (0.3 s later), was reset, failed, answered 421, broke off or paused too, no attempt was left.

Why the fix works: within a stream another endpoint is sought after 1.8 s, so that the first one is given up only after 2 s, which no sound pause exceeds; sooner only if the caller or the deadline leaves less than the time in which the other one can show its first event. Overlap (0.2 s), retry budget and max_attempts are as before. What is later than the longest gap is late in any case.

--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -7,7 +7,9 @@
 shown that it goes on: by an event, a whole answer, or the end of a stream of
 which nothing was left. A head alone shows nothing. As both must not work on it
 for long, the silent attempt is given up at the latest 0.2 s after the request
-was sent to the other endpoint: one that refuses later leaves neither. Without
+was sent to the other endpoint: one that refuses later leaves neither. So, once
+a stream has begun, another endpoint is sought only when sound pauses are about
+to be over, unless the caller would leave before that one could go on. Without
 another endpoint, a silent attempt is not given up.
 """
 
@@ -21,7 +23,15 @@
 latencies."""
 
 STREAM_SILENCE_FACTOR = 3.0
-"""The same between the parts of a stream, in longest gaps that are on time."""
+"""The least such silence between the parts of a stream, in longest gaps that
+are on time."""
+
+SOUND_PAUSE_SECONDS = 2.0
+"""Longest pause of a sound endpoint within an answer."""
+
+SLOT_SECONDS = 0.1
+"""Time for a slot at another endpoint, if there is one, and for the way to it
+and back."""
 
 CALLER_GAP_SECONDS = 2.0
 CALLER_GAP_TARGET_LATENCIES = 4.0
@@ -137,21 +147,35 @@
         return Step.WAIT
 
 
-def silence_seconds(route: configuration.Route, begun: bool) -> float | None:
+def silence_seconds(
+    route: configuration.Route, begun: bool, left_seconds: float = math.inf
+) -> float | None:
     """Returns after which silence another endpoint is sought.
 
     Args:
         route: the route of the request.
         begun: whether the attempt has begun to answer.
+        left_seconds: time left to the deadline of the request when the silence
+            begins.
 
     Returns:
         Seconds; None if the request must not be sent again.
     """
     if not route.kind.retryable:
         return None
-    if begun:
-        return STREAM_SILENCE_FACTOR * route.max_gap_seconds
-    return HEAD_SILENCE_FACTOR * route.target_latency_seconds
+    if not begun:
+        return HEAD_SILENCE_FACTOR * route.target_latency_seconds
+    patience = min(caller_timeout_seconds(route), left_seconds)
+    latest = patience - proof_seconds(route)
+    return max(
+        STREAM_SILENCE_FACTOR * route.max_gap_seconds,
+        min(SOUND_PAUSE_SECONDS - OVERLAP_SECONDS, latest),
+    )
+
+
+def proof_seconds(route: configuration.Route) -> float:
+    """Returns the time in which another endpoint shows that it goes on."""
+    return SLOT_SECONDS + max(OVERLAP_SECONDS, route.target_latency_seconds)
 
 
 def caller_timeout_seconds(route: configuration.Route) -> float:
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -51,7 +51,9 @@
             `exchange.replacement`. None if that one goes on in its stead.
         """
         seconds = replacement.silence_seconds(
-            exchange.admitted.route, exchange.answer_framing is not None
+            exchange.admitted.route,
+            exchange.answer_framing is not None,
+            exchange.remaining_seconds,
         )
         try:
             async with asyncio.timeout(seconds):
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -198,6 +198,11 @@
         id_line = f"X-Attempt-Id: {received.request_id}\r\n"
         return head.replace(id_line.encode(), b"")
 
+    async def misdirect(self, received, reader, writer) -> None:
+        """Says with 421 that another endpoint was meant."""
+        writer.write(self._head(received, 421, [], 0))
+        await writer.drain()
+
     async def fail(self, received, reader, writer) -> None:
         """Runs a request and answers with status 500."""
         self.ran.append(received.request_id)
