Soak: what was observed in a module of its own

The records of a run move from soak/guarantees.py to soak/observations.py, so that checks can stand in several modules. No check changes; tests only name the new module.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -6,8 +6,8 @@
 import random
 
 from cranberryglade.gateway import dialect
-from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
+from cranberryglade.soak import observations
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import machine
 from cranberryglade.standins import operator_configuration
@@ -40,7 +40,7 @@
 QUOTA_SLACK = 30.0
 QUOTA_WINDOW_SECONDS = 2.0
 
-BOUNDS = guarantees.Bounds(
+BOUNDS = observations.Bounds(
     timeout_seconds=2.0,
     revoke_seconds=2.0,
     quota=(QUOTA_RATE * QUOTA_WINDOW_SECONDS + QUOTA_BURST) * (1 + QUOTA_RATIO)
@@ -93,7 +93,7 @@
         endpoints: int,
         seed: int,
     ):
-        self.history = guarantees.History()
+        self.history = observations.History()
         self.store = store.StoreStandin()
         self.endpoints = [
             endpoint_standin.EndpointStandin(f"i-{number}")
@@ -214,7 +214,7 @@
 
         async def behave(received, reader, writer):
             self.history.arrivals.append(
-                guarantees.Arrival(
+                observations.Arrival(
                     endpoint.id, asyncio.get_running_loop().time()
                 )
             )
@@ -222,7 +222,7 @@
             if not is_faulty or mode not in NOT_RUN_MODES:
                 now = asyncio.get_running_loop().time()
                 self.history.runs.append(
-                    guarantees.Run(received.request_id, now)
+                    observations.Run(received.request_id, now)
                 )
             process = endpoint.started_ms
             await asyncio.sleep(self._random.uniform(*WORK_SECONDS))
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from cranberryglade.soak import guarantees
+from cranberryglade.soak import observations
 from cranberryglade.standins import callers
 from cranberryglade.standins import machine
 from cranberryglade.standins import operator_configuration
@@ -67,7 +67,7 @@
     def __init__(
         self,
         machines: list[machine.Machine],
-        history: guarantees.History,
+        history: observations.History,
         seed: int,
         clock: LagMonitor,
         crashing_parts: set[str],
@@ -79,7 +79,7 @@
         self._crashing_parts = crashing_parts
         self._prompt_random = random.Random(f"prompts {seed}")
         self._numbers = itertools.count()
-        self._broken: list[guarantees.Submission] = []
+        self._broken: list[observations.Submission] = []
 
     async def run(self) -> None:
         """Sends requests as one caller until cancelled.
@@ -153,9 +153,9 @@
         closing = answer.headers.get("connection", "").lower() == "close"
         return answer.whole and not closing
 
-    def _draw_prompt(self, submission: guarantees.Submission) -> str | None:
+    def _draw_prompt(self, submission: observations.Submission) -> str | None:
         """Returns the prompt of a stream, with a crashing part if drawn."""
-        if submission.route not in guarantees.STREAM_ROUTES:
+        if submission.route not in observations.STREAM_ROUTES:
             return None
         session = self._prompt_random.randrange(SESSIONS)
         parts = ["shared:60", f"session{session}:200"]
@@ -165,12 +165,12 @@
             parts.insert(1, f"{submission.crashing_part}:30")
         return ",".join([*parts, f"{submission.id}:10"])
 
-    def _draw(self, gateway: int, now: float) -> guarantees.Submission:
+    def _draw(self, gateway: int, now: float) -> observations.Submission:
         """Returns a new request; it resumes a broken stream if there is one."""
         id_ = f"s-{next(self._numbers)}"
         if self._broken:
             broken = self._broken.pop()
-            return guarantees.Submission(
+            return observations.Submission(
                 id=id_,
                 route=broken.route,
                 gateway=gateway,
@@ -179,7 +179,7 @@
                 resumes=broken.id,
                 resumed_after=broken.last_event,
             )
-        return guarantees.Submission(
+        return observations.Submission(
             id=id_,
             route=self._random.choice(ROUTES),
             gateway=gateway,
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -10,6 +10,7 @@
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.soak import load
+from cranberryglade.soak import observations
 
 CALLERS_PER_GATEWAY = 4
 RESTART_SECONDS = 0.3
@@ -197,7 +198,7 @@
         ended = await gateway.wait_ended(deployment.GRACE_SECONDS)
         stopped = self._now()
         self._deployment.history.stops.append(
-            guarantees.GatewayPeriod(number, begun, stopped)
+            observations.GatewayPeriod(number, begun, stopped)
         )
         if not ended:
             lag = self._clock.lag(begun)
@@ -256,7 +257,7 @@
         await asyncio.sleep(fault.seconds)
         endpoint.limit = ""
         self._deployment.history.limits.append(
-            guarantees.LimitPeriod(
+            observations.LimitPeriod(
                 endpoint.id, fault.per_second, begun, self._now()
             )
         )
@@ -269,7 +270,7 @@
         await asyncio.sleep(deployment.BOUNDS.revoke_seconds + seconds)
         self._revocations -= 1
         if not self._revocations:
-            revoked = guarantees.Period(begun, self._now())
+            revoked = observations.Period(begun, self._now())
             self._deployment.history.revocations.append(revoked)
             self._deployment.configure(second_key=True)
 
@@ -280,7 +281,7 @@
         return is_free
 
     def _record_disturbance(self, number: int, begun: float) -> None:
-        span = guarantees.GatewayPeriod(
+        span = observations.GatewayPeriod(
             number, begun, self._now() + SETTLE_SECONDS
         )
         self._deployment.history.disturbed.append(span)
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -10,6 +10,7 @@
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.soak import load
+from cranberryglade.soak import observations
 from cranberryglade.soak import run
 from cranberryglade.standins import callers
 from cranberryglade.standins import machine
@@ -22,7 +23,7 @@
 SERVED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def a_submission(id_="s-1", route="pay", **changes) -> guarantees.Submission:
+def a_submission(id_="s-1", route="pay", **changes) -> observations.Submission:
     body = STREAM_BODY if route in STREAM_ROUTES else id_.encode()
     defaults = {
         "gateway": 0,
@@ -34,14 +35,14 @@
         "sealed": True,
         "body": body,
     }
-    return guarantees.Submission(id_, route, **(defaults | changes))
+    return observations.Submission(id_, route, **(defaults | changes))
 
 
-def a_history(*submissions, runs=None) -> guarantees.History:
-    history = guarantees.History()
+def a_history(*submissions, runs=None) -> observations.History:
+    history = observations.History()
     history.submissions = {each.id: each for each in submissions}
     if runs is None:
-        runs = [guarantees.Run(each.id, each.sent) for each in submissions]
+        runs = [observations.Run(each.id, each.sent) for each in submissions]
     history.runs = runs
     return history
 
@@ -60,14 +61,16 @@
 
 @pytest.mark.parametrize("route", ["pay", "note"])
 def test_a_second_run_is_caught(route):
-    runs = [guarantees.Run("s-1", 10.0), guarantees.Run("s-1", 10.1)]
+    runs = [observations.Run("s-1", 10.0), observations.Run("s-1", 10.1)]
     history = a_history(a_submission(route=route), runs=runs)
     assert violated(history) == {"once"}
     assert violated(a_history(a_submission(route="look"), runs=runs)) == set()
 
 
 def test_run_of_unknown_request_is_caught():
-    assert violated(a_history(runs=[guarantees.Run("s-9", 1.0)])) == {"unasked"}
+    assert violated(a_history(runs=[observations.Run("s-9", 1.0)])) == {
+        "unasked"
+    }
 
 
 @pytest.mark.parametrize("status", guarantees.NOT_RUN_STATUSES)
@@ -83,7 +86,7 @@
     assert violated(a_history(unsealed)) == {"own answer"}
 
 
-async def submit_to(answer: bytes) -> guarantees.Submission:
+async def submit_to(answer: bytes) -> observations.Submission:
     """Returns a request as a caller observes it that gets certain bytes."""
 
     async def serve(reader, writer):
@@ -91,7 +94,7 @@
         writer.write(answer)
         writer.close()
 
-    history = guarantees.History()
+    history = observations.History()
     loop = asyncio.get_running_loop()
     generator = load.LoadGenerator([], history, 1, load.LagMonitor(), set())
     async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
@@ -167,14 +170,14 @@
     held = a_submission(ended=10.0 + deployment.BOUNDS.timeout_seconds + 0.6)
     history = a_history(held)
     assert violated(history) == {"held"}
-    history.disturbed.append(guarantees.GatewayPeriod(0, 11.0, 12.0))
+    history.disturbed.append(observations.GatewayPeriod(0, 11.0, 12.0))
     assert violated(history) == set()
 
 
 def test_a_request_lost_by_a_planned_stop_is_caught():
     history = a_history(a_submission(status=0, whole=False))
     assert violated(history) == set()
-    history.stops.append(guarantees.GatewayPeriod(0, 10.1, 12.0))
+    history.stops.append(observations.GatewayPeriod(0, 10.1, 12.0))
     assert violated(history) == {"stop"}
 
 
@@ -187,9 +190,9 @@
 def test_use_of_a_revoked_key_is_caught():
     late = a_submission(second_key=True)
     history = a_history(late)
-    history.revocations.append(guarantees.Period(7.9, 12.0))
+    history.revocations.append(observations.Period(7.9, 12.0))
     assert violated(history) == {"key"}
-    history.revocations = [guarantees.Period(8.1, 12.0)]
+    history.revocations = [observations.Period(8.1, 12.0)]
     assert violated(history) == set()
 
 
@@ -204,7 +207,7 @@
 
 def test_too_many_retries_are_caught():
     sent = [a_submission(f"s-{n}", "look") for n in range(40)]
-    runs = [guarantees.Run(each.id, 10.0) for each in sent] * 2
+    runs = [observations.Run(each.id, 10.0) for each in sent] * 2
     assert violated(a_history(*sent, runs=runs)) == {"repeats"}
 
 
@@ -280,14 +283,14 @@
     assert outcome.served > 0.3 * outcome.submissions
 
 
-def crashing_history(late_runs: int, at: float) -> guarantees.History:
+def crashing_history(late_runs: int, at: float) -> observations.History:
     """Returns five runs with a crashing part at 1 s, and others later."""
     names = [f"s-{number}" for number in range(5 + late_runs)]
     submissions = [a_submission(name, crashing_part="bad") for name in names]
     history = a_history(*submissions, runs=[])
     times = [1.0] * 5 + [at] * late_runs
     history.runs = [
-        guarantees.Run(name, time)
+        observations.Run(name, time)
         for name, time in zip(names, times, strict=True)
     ]
     return history
@@ -305,7 +308,7 @@
         refused = a_submission("r-1", crashing_part=part)
         refused.status = 503
         refused.body = messages.QUARANTINED.encode()
-        history = guarantees.History(submissions={"r-1": refused})
+        history = observations.History(submissions={"r-1": refused})
         assert ("sound part" in violated(history)) == caught
 
 
@@ -330,16 +333,16 @@
 
 
 def test_a_limit_that_an_endpoint_names_and_that_is_exceeded_is_caught():
-    period = guarantees.LimitPeriod("i-0", 2.0, 10.0, 20.0)
+    period = observations.LimitPeriod("i-0", 2.0, 10.0, 20.0)
     for count, violated_limit in ((17, False), (18, True)):
         history = a_history()
         history.limits = [period]
         history.arrivals = [
-            guarantees.Arrival("i-0", 14.0 + n / 100) for n in range(count)
+            observations.Arrival("i-0", 14.0 + n / 100) for n in range(count)
         ]
         assert ("named limit" in violated(history)) == violated_limit
         # Before the gateways must know it, and at another endpoint.
         history.arrivals = [
-            guarantees.Arrival("i-0", 10.0 + n / 100) for n in range(count)
-        ] + [guarantees.Arrival("i-1", 15.0)] * count
+            observations.Arrival("i-0", 10.0 + n / 100) for n in range(count)
+        ] + [observations.Arrival("i-1", 15.0)] * count
         assert "named limit" not in violated(history)
