Soak: find lost requests beside each kind of planned work

The soak reported a loss only if a request had run, had no status at all and overlapped SIGTERM. Not seen were a stream with status 200 that ended in the middle, losses after SIGHUP and beside a change of the configuration, requests that were read and not passed on, and requests cut on kept connections at any time. A cut that its caller saw only after the process had ended was excused as part of the restart.

soak/losses.py computes these, with their exceptions. The history records how each endpoint failed a request and until when it worked on it, when a request's last byte was written, whether its connection had been used before, and the periods of SIGHUP, of new configurations and of impaired links.

The check stays as strict as the guarantee.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -20,6 +20,12 @@
 
 WORK_SECONDS = (0.002, 0.04)
 SILENCE_SECONDS = (0.6, 1.9)
+SOUND_SILENCE_SECONDS = (1.0, 1.9)
+"""Silences of sound endpoints beside planned work."""
+
+SOUND_SILENCE_SHARE = 0.3
+"""Share of requests in which a sound endpoint falls silent, while it does."""
+
 READY_TIMEOUT_SECONDS = 10.0
 NOT_RUN_MODES = ("refuse", "unsealed", "pause")
 """Faults in which an endpoint answers without running the request."""
@@ -43,6 +49,9 @@
 BOUNDS = observations.Bounds(
     timeout_seconds=2.0,
     revoke_seconds=2.0,
+    grace_seconds=6.0,
+    apply_seconds=2.0,
+    answer_seconds=0.2,
     quota=(QUOTA_RATE * QUOTA_WINDOW_SECONDS + QUOTA_BURST) * (1 + QUOTA_RATIO)
     + QUOTA_SLACK,
     quota_window_seconds=QUOTA_WINDOW_SECONDS,
@@ -51,7 +60,8 @@
     retry_window_seconds=5.0,
     events=EVENTS_PER_STREAM,
 )
-GRACE_SECONDS = 6
+CHANGE_SECONDS = BOUNDS.apply_seconds + 1.0
+"""Time after its writing for which a configuration counts as planned work."""
 
 
 def configuration(version: int, second_key: bool) -> dict:
@@ -84,6 +94,7 @@
         endpoint_links: link to each endpoint.
         version: number of the newest configuration.
         crashing_parts: prompt parts on which endpoints crash at present.
+        silences: how many faults.Silence each endpoint has at present.
     """
 
     def __init__(
@@ -104,6 +115,11 @@
         self.endpoint_links: list[links.Link] = []
         self.version = 0
         self.crashing_parts: set[str] = set()
+        self.silences = [0] * endpoints
+        self._silence_random = random.Random(f"silences {seed}")
+        self._in_progress: dict[str, list[observations.Arrival]] = {
+            each.id: [] for each in self.endpoints
+        }
         self._restarts: set[asyncio.Task] = set()
         self._second_key = True
         self._listed_states: dict[int, str] = {}
@@ -130,7 +146,7 @@
         self.configure(second_key=True)
         bounds = machine.Bounds(
             revoke_ms=int(BOUNDS.revoke_seconds * 1000),
-            grace_seconds=GRACE_SECONDS,
+            grace_seconds=int(BOUNDS.grace_seconds),
             retry_ratio=BOUNDS.retry_ratio,
             retry_slack=BOUNDS.retry_slack,
             retry_window_seconds=BOUNDS.retry_window_seconds,
@@ -167,14 +183,21 @@
         """Writes a new version of the configuration."""
         self.version += 1
         self._second_key = second_key
-        self.store.configure(configuration(self.version, second_key))
+        self._write_configuration()
 
     def write_again(self) -> None:
         """Writes what the operator and the endpoints wrote last once more."""
-        self.store.configure(configuration(self.version, self._second_key))
+        self._write_configuration()
         for number, state in self._listed_states.items():
             self.list_endpoint(number, state)
 
+    def _write_configuration(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.store.configure(configuration(self.version, self._second_key))
+        self.history.changes.append(
+            observations.Period(now, now + CHANGE_SECONDS)
+        )
+
     def list_endpoint(self, number: int, state: str = "ready") -> None:
         """Writes an endpoint's row, with the address of its link."""
         each = self.endpoints[number]
@@ -213,12 +236,23 @@
         """
 
         async def behave(received, reader, writer):
-            self.history.arrivals.append(
-                observations.Arrival(
-                    endpoint.id, asyncio.get_running_loop().time()
-                )
-            )
+            loop = asyncio.get_running_loop()
             is_faulty = mode and self._random.random() < 0.5
+            arrival = observations.Arrival(
+                endpoint.id,
+                loop.time(),
+                received.request_id,
+                _fault(received, mode) if is_faulty else "",
+            )
+            self.history.arrivals.append(arrival)
+            self._in_progress[endpoint.id].append(arrival)
+            try:
+                await answer(received, reader, writer, is_faulty)
+            finally:
+                self._in_progress[endpoint.id].remove(arrival)
+                arrival.ended = min(arrival.ended, loop.time())
+
+        async def answer(received, reader, writer, is_faulty):
             if not is_faulty or mode not in NOT_RUN_MODES:
                 now = asyncio.get_running_loop().time()
                 self.history.runs.append(
@@ -232,6 +266,10 @@
                 self._crash(endpoint)
                 return
             normal = self._normal(endpoint, received)
+            if not is_faulty and self._falls_silent(endpoint, received):
+                normal = self._falling_silent(
+                    endpoint, received, SOUND_SILENCE_SECONDS
+                )
             if is_faulty and mode == "duplicate":
                 await normal(received, reader, writer)
             respond = normal
@@ -241,6 +279,13 @@
 
         return behave
 
+    def _falls_silent(
+        self, endpoint: endpoint_standin.EndpointStandin, received
+    ) -> bool:
+        """Returns whether a sound endpoint falls silent in a request."""
+        is_due = self.silences[self.endpoints.index(endpoint)] > 0
+        return is_due and self._silence_random.random() < SOUND_SILENCE_SHARE
+
     def _crashes(self, received: endpoint_standin.Received) -> bool:
         return any(
             part in self.crashing_parts for part in received.prompt_parts
@@ -248,6 +293,8 @@
 
     def _crash(self, endpoint: endpoint_standin.EndpointStandin) -> None:
         endpoint.crash()
+        for arrival in self._in_progress[endpoint.id]:
+            arrival.fault = observations.CRASH
         self.endpoint_links[self.endpoints.index(endpoint)].close()
         task = asyncio.create_task(self._restart_endpoint(endpoint))
         self._restarts.add(task)
@@ -266,44 +313,42 @@
         self, endpoint: endpoint_standin.EndpointStandin, received, mode: str
     ) -> endpoint_standin.Behaviour:
         seen = int(received.headers.get("last-event-id") or 0)
-        match mode:
-            case "break_off" if not _is_stream(received):
-                # Without framing nobody could tell that it is incomplete.
-                return endpoint.truncate
-            case "break_off" if seen >= EVENTS_PER_STREAM:
-                return endpoint.truncate
+        match _fault(received, mode):
             case "break_off":
                 last = self._random.randint(seen, EVENTS_PER_STREAM - 1)
                 framing = self._random.choice(BREAKABLE_FRAMINGS)
                 return endpoint.events(seen + 1, last, False, framing)
-            case "fall_silent" if _is_stream(received):
-                return self._falling_silent(endpoint, seen)
             case "fall_silent":
-                normal = self._normal(endpoint, received)
-                return endpoint.silent_first(self._draw_silence(), normal)
-            case "lose_end" if not _is_stream(received):
-                return endpoint.truncate
+                return self._falling_silent(endpoint, received, SILENCE_SECONDS)
             case "lose_end":
                 return endpoint.without_end(EVENTS_PER_STREAM, first=seen + 1)
             case "reset_unframed":
                 return endpoint.reset_unframed(EVENTS_PER_STREAM - 1, seen + 1)
             case "pause":
                 return endpoint.ask_for_pause(PAUSE)
-            case _:
-                return getattr(endpoint, mode)
+            case fault:
+                return getattr(endpoint, fault)
 
     def _falling_silent(
-        self, endpoint: endpoint_standin.EndpointStandin, seen: int
+        self,
+        endpoint: endpoint_standin.EndpointStandin,
+        received,
+        shortest_and_longest: tuple[float, float],
     ) -> endpoint_standin.Behaviour:
-        """Returns a stream with a silence before its head or after any event.
+        """Returns an answer with a silence before it or after any event.
 
         Args:
             endpoint: the endpoint.
-            seen: number of the event that it goes on after.
+            received: the request.
+            shortest_and_longest: bounds of the silence, in seconds.
         """
+        seconds = self._random.uniform(*shortest_and_longest)
+        if not _is_stream(received):
+            normal = self._normal(endpoint, received)
+            return endpoint.silent_first(seconds, normal)
+        seen = int(received.headers.get("last-event-id") or 0)
         last = EVENTS_PER_STREAM
         silent_after = self._random.randint(seen - 1, last)
-        seconds = self._draw_silence()
         if silent_after < seen:
             return endpoint.silent_first(
                 seconds, endpoint.events(seen + 1, last)
@@ -317,9 +362,6 @@
             within_event=within_event,
         )
 
-    def _draw_silence(self) -> float:
-        return self._random.uniform(*SILENCE_SECONDS)
-
     def _normal(
         self, endpoint: endpoint_standin.EndpointStandin, received
     ) -> endpoint_standin.Behaviour:
@@ -340,6 +382,18 @@
     return received.target.startswith(("/write/", "/note/"))
 
 
+def _fault(received: endpoint_standin.Received, mode: str) -> str:
+    """Returns how a request fails at an endpoint with a fault."""
+    seen = int(received.headers.get("last-event-id") or 0)
+    match mode:
+        case "break_off" | "lose_end" if not _is_stream(received):
+            # Without framing nobody could tell that it is incomplete.
+            return "truncate"
+        case "break_off" if seen >= EVENTS_PER_STREAM:
+            return "truncate"
+    return mode
+
+
 async def _is_ready(gateway: machine.Machine) -> bool:
     try:
         async with asyncio.timeout(1.0):
--- a/cranberryglade/soak/faults.py
+++ b/cranberryglade/soak/faults.py
@@ -148,6 +148,14 @@
     seconds: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Silence:
+    """A sound endpoint falls silent in some answers, and goes on."""
+
+    endpoint: int
+    seconds: float
+
+
 Fault = (
     Kill
     | Stop
@@ -163,6 +171,7 @@
     | RestoreStore
     | CrashingPart
     | NamedLimit
+    | Silence
 )
 
 LINK_MODES = ("slow", "reset", "requests", "answers", "silent", "refuse")
@@ -193,6 +202,14 @@
 behind the last event."""
 
 
+PLANNED_WORK = (Stop, Reload, RevokeKey, Configure)
+"""Planned work beside which sound endpoints fall silent."""
+
+MAX_SILENCE_LEAD_SECONDS = 2.0
+SILENCES_SECONDS = (2.0, 4.0)
+"""Time during which an endpoint falls silent in some of its answers."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ScheduledFault:
     """A fault and its start, in seconds from the start of the load."""
@@ -241,9 +258,25 @@
         # were added keeps its faults.
         own = random.Random(f"{name} {seed}")
         planned += _schedule_kind(own, seconds, endpoints, longest_gap, draw)
+    own = random.Random(f"silences {seed}")
+    planned += _schedule_silences(own, planned, endpoints)
     return sorted(planned, key=lambda each: each.at)
 
 
+def _schedule_silences(
+    rng: random.Random, planned: list[ScheduledFault], endpoints: int
+) -> list[ScheduledFault]:
+    """Draws silences of sound endpoints beside planned work."""
+    return [
+        ScheduledFault(
+            max(0.0, each.at - rng.uniform(0.0, MAX_SILENCE_LEAD_SECONDS)),
+            Silence(rng.randrange(endpoints), rng.uniform(*SILENCES_SECONDS)),
+        )
+        for each in planned
+        if isinstance(each.fault, PLANNED_WORK)
+    ]
+
+
 def _schedule_kind(
     rng: random.Random,
     seconds: float,
--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import dataclasses
 
+from cranberryglade.soak import losses
 from cranberryglade.soak import observations
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -58,7 +59,7 @@
             _check_streams,
             _check_versions,
             _check_timeouts,
-            _check_planned_stops,
+            _check_losses,
             _check_stop_durations,
             _check_revoked_keys,
             _check_quota,
@@ -160,18 +161,11 @@
             yield Violation("held", each.id, f"ended after {took:.2f} s")
 
 
-def _check_planned_stops(
+def _check_losses(
     history: observations.History, bounds: observations.Bounds
 ) -> Iterator[Violation]:
-    ran = {run.id for run in history.runs}
-    for each in history.submissions.values():
-        lost = each.status == 0 and each.id in ran and not each.abandoned
-        if (
-            lost
-            and _overlaps_any(history.stops, each)
-            and not _overlaps_any(history.disturbed, each)
-        ):
-            yield Violation("stop", each.id, "ran, but lost in a planned stop")
+    for loss in losses.find(history, bounds):
+        yield Violation(loss.clause, loss.id, loss.detail)
 
 
 def _check_stop_durations(
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -101,14 +101,19 @@
                 continue
             caller = callers.Caller(*opened)
             try:
-                while await self._request(caller, number, loop):
+                kept = False
+                while await self._request(caller, number, loop, kept):
+                    kept = True
                     await asyncio.sleep(self._random.uniform(*THINK_SECONDS))
             finally:
                 caller.close()
 
-    async def _request(self, caller, number: int, loop) -> bool:
+    async def _request(
+        self, caller, number: int, loop, kept: bool = False
+    ) -> bool:
         """Sends a request; returns whether the connection can be reused."""
         submission = self._draw(number, loop.time())
+        submission.kept = kept
         self._history.submissions[submission.id] = submission
         key = (
             operator_configuration.SECOND_KEY
@@ -126,6 +131,7 @@
             Resumes=submission.resumes or None,
             X_Prompt_Prefix=self._draw_prompt(submission),
         )
+        submission.written = loop.time()
         submission.abandoned = self._random.random() < ABANDONED_SHARE
         timeout = 0.02 if submission.abandoned else CALLER_TIMEOUT_SECONDS
         answer = None
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -4,6 +4,9 @@
 
 STREAM_ROUTES = ("write", "note")
 
+CRASH = "crash"
+"""Fault of an arrival: the endpoint crashed before it had answered."""
+
 
 @dataclasses.dataclass(slots=True)
 class Submission:
@@ -15,6 +18,8 @@
         gateway: number of the gateway that it was sent to.
         second_key: whether it was sent with the second organisation's key.
         sent: when it was sent, in seconds of the event loop's clock.
+        written: when its last byte was written, on the same clock.
+        kept: whether its connection had carried a request before.
         ended: when its response was read, its connection ended or its caller
             gave up; on the same clock.
         status: status of the response; 0 if there was none.
@@ -36,6 +41,8 @@
     gateway: int
     second_key: bool
     sent: float
+    written: float = 0.0
+    kept: bool = False
     ended: float = 0.0
     status: int = 0
     whole: bool = False
@@ -48,6 +55,11 @@
     crashing_part: str = ""
     unreadable: str = ""
 
+    @property
+    def cut(self) -> bool:
+        """Whether its connection ended without a whole answer."""
+        return not (self.whole or self.abandoned or self.unreadable)
+
     @property
     def resumable(self) -> bool:
         """Whether a caller may resume its broken stream."""
@@ -89,17 +101,25 @@
     at: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Arrival:
     """A request that reached an endpoint.
 
     Attributes:
         endpoint: id of the endpoint.
         at: when, in seconds of the event loop's clock.
+        id: request id.
+        fault: how the endpoint failed it, as in faults.Endpoint, or CRASH; ""
+            if it did not.
+        ended: when the endpoint stopped work on it, on the same clock;
+            infinite if it did not.
     """
 
     endpoint: str
     at: float
+    id: str = ""
+    fault: str = ""
+    ended: float = float("inf")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -126,6 +146,10 @@
     begun: float
     ended: float
 
+    def overlaps(self, begun: float, ended: float) -> bool:
+        """Returns whether it overlaps another period."""
+        return begun <= self.ended and ended >= self.begun
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class GatewayPeriod:
@@ -151,6 +175,11 @@
     Attributes:
         timeout_seconds: timeout of every route.
         revoke_seconds: longest time until a revoked key is refused.
+        grace_seconds: grace period of a planned stop.
+        apply_seconds: longest time until a configuration, or settings that
+            were reloaded, are in force.
+        answer_seconds: time from a request's last byte until which its
+            connection may end unanswered if it was not passed on.
         quota: most requests of the second organisation that may run in one
             quota window.
         quota_window_seconds: length of the quota window.
@@ -163,6 +192,9 @@
 
     timeout_seconds: float
     revoke_seconds: float
+    grace_seconds: float
+    apply_seconds: float
+    answer_seconds: float
     quota: float
     quota_window_seconds: float
     retry_ratio: float
@@ -182,7 +214,13 @@
         limits: periods in which endpoints named a limit.
         disturbed: periods in which a gateway was killed, paused or
             restarting, extended by run.SETTLE_SECONDS.
+        unplanned: periods in which a gateway was killed or paused, or its link
+            to the store was impaired, extended by run.SETTLE_SECONDS.
+        impaired: periods in which the link to an endpoint was impaired.
         stops: planned stops, from the signal until the process had ended.
+        reloads: periods after SIGHUP, until its settings must be in force.
+        changes: periods of new configurations, from their writing until
+            deployment.CHANGE_SECONDS later.
         revocations: periods in which the second key was revoked: from the
             confirmed write until just before the key is restored.
         late_stops: descriptions of the planned stops that exceeded the grace
@@ -196,7 +234,11 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     limits: list[LimitPeriod] = dataclasses.field(default_factory=list)
     disturbed: list[GatewayPeriod] = dataclasses.field(default_factory=list)
+    unplanned: list[GatewayPeriod] = dataclasses.field(default_factory=list)
+    impaired: list[Period] = dataclasses.field(default_factory=list)
     stops: list[GatewayPeriod] = dataclasses.field(default_factory=list)
+    reloads: list[GatewayPeriod] = dataclasses.field(default_factory=list)
+    changes: list[Period] = dataclasses.field(default_factory=list)
     revocations: list[Period] = dataclasses.field(default_factory=list)
     late_stops: list[str] = dataclasses.field(default_factory=list)
     recovery_due: float = float("inf")
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -137,15 +137,24 @@
             case faults.Pause(gateway, seconds):
                 await self._pause(gateway, seconds)
             case faults.Reload(gateway):
-                self._deployment.machines[gateway].signal(signal.SIGHUP)
+                self._reload(gateway)
             case faults.StoreLink(gateway, mode, seconds):
+                begun = self._now()
                 await _impair(
                     self._deployment.store_links[gateway], mode, seconds
                 )
+                self._record_unplanned(gateway, begun)
             case faults.EndpointLink(endpoint, mode, seconds):
+                begun = self._now()
                 await _impair(
                     self._deployment.endpoint_links[endpoint], mode, seconds
                 )
+                impaired = observations.Period(begun, self._now())
+                self._deployment.history.impaired.append(impaired)
+            case faults.Silence(endpoint, seconds):
+                self._deployment.silences[endpoint] += 1
+                await asyncio.sleep(seconds)
+                self._deployment.silences[endpoint] -= 1
             case faults.Store(mode, seconds):
                 await self._store(mode, seconds)
             case faults.RestoreStore():
@@ -177,6 +186,18 @@
         await self._deployment.machines[number].kill()
         await asyncio.sleep(seconds)
         await self._restart(number, begun)
+        self._record_unplanned(number, begun)
+
+    def _reload(self, number: int) -> None:
+        gateway = self._deployment.machines[number]
+        if gateway.process.returncode is not None:
+            return
+        begun = self._now()
+        gateway.signal(signal.SIGHUP)
+        due = begun + deployment.BOUNDS.apply_seconds
+        self._deployment.history.reloads.append(
+            observations.GatewayPeriod(number, begun, due)
+        )
 
     async def _pause(self, number: int, seconds: float) -> None:
         if not self._reserve(number):
@@ -187,6 +208,7 @@
         await asyncio.sleep(seconds)
         gateway.signal(signal.SIGCONT)
         self._record_disturbance(number, begun)
+        self._record_unplanned(number, begun)
         self._faulted.discard(number)
 
     async def _stop(self, number: int) -> None:
@@ -195,7 +217,7 @@
         begun = self._now()
         gateway = self._deployment.machines[number]
         gateway.signal(signal.SIGTERM)
-        ended = await gateway.wait_ended(deployment.GRACE_SECONDS)
+        ended = await gateway.wait_ended(deployment.BOUNDS.grace_seconds)
         stopped = self._now()
         self._deployment.history.stops.append(
             observations.GatewayPeriod(number, begun, stopped)
@@ -286,6 +308,12 @@
         )
         self._deployment.history.disturbed.append(span)
 
+    def _record_unplanned(self, number: int, begun: float) -> None:
+        span = observations.GatewayPeriod(
+            number, begun, self._now() + SETTLE_SECONDS
+        )
+        self._deployment.history.unplanned.append(span)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -231,6 +231,39 @@
     assert kinds == set(faults.Fault.__args__)
 
 
+def test_sound_endpoints_fall_silent_beside_all_planned_work():
+    planned = [each.fault for each in faults.schedule(3, 20.0, 4, 3)]
+    work = [each for each in planned if isinstance(each, faults.PLANNED_WORK)]
+    silences = [each for each in planned if isinstance(each, faults.Silence)]
+    assert len(silences) == len(work) > 0
+
+
+async def arrival_of(folder, prompt, crashing) -> observations.Arrival:
+    """Returns what is recorded of a request with that prompt."""
+    site = deployment.Deployment(folder, gateways=0, endpoints=1, seed=1)
+    try:
+        await site.start()
+        site.crashing_parts.update(crashing)
+        address = site.endpoints[0].address.split(":")
+        caller = callers.Caller(*await asyncio.open_connection(*address))
+        caller.request(X_Attempt_Id="s-1", X_Prompt_Prefix=prompt)
+        await caller.answer()
+        caller.close()
+    finally:
+        await site.stop()
+    (arrival,) = site.history.arrivals
+    return arrival
+
+
+async def test_an_endpoint_that_crashes_in_a_request_is_recorded(tmp_path):
+    arrival = await arrival_of(tmp_path, "bad:30", {"bad"})
+    assert (arrival.id, arrival.fault) == ("s-1", observations.CRASH)
+    assert arrival.ended < float("inf")
+    sound = await arrival_of(tmp_path, "good:30", {"bad"})
+    assert (sound.id, sound.fault) == ("s-1", "")
+    assert sound.at < sound.ended < float("inf")
+
+
 async def test_a_link_holds_back_one_way_and_resets():
     async def echo(reader, writer):
         while data := await reader.read(100):
