--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from cranberryglade.soak import guarantees
+from cranberryglade.soak import observations
 from cranberryglade.standins import callers
 from cranberryglade.standins import machine
 from cranberryglade.standins import operator_configuration
@@ -67,7 +67,7 @@
     def __init__(
         self,
         machines: list[machine.Machine],
-        history: guarantees.History,
+        history: observations.History,
         seed: int,
         clock: LagMonitor,
         crashing_parts: set[str],
@@ -79,7 +79,7 @@
         self._crashing_parts = crashing_parts
         self._prompt_random = random.Random(f"prompts {seed}")
         self._numbers = itertools.count()
-        self._broken: list[guarantees.Submission] = []
+        self._broken: list[observations.Submission] = []
 
     async def run(self) -> None:
         """Sends requests as one caller until cancelled.
@@ -101,14 +101,19 @@
                 continue
             caller = callers.Caller(*opened)
             try:
-                while await self._request(caller, number, loop):
+                kept = False
+                while await self._request(caller, number, loop, kept):
+                    kept = True
                     await asyncio.sleep(self._random.uniform(*THINK_SECONDS))
             finally:
                 caller.close()
 
-    async def _request(self, caller, number: int, loop) -> bool:
+    async def _request(
+        self, caller, number: int, loop, kept: bool = False
+    ) -> bool:
         """Sends a request; returns whether the connection can be reused."""
         submission = self._draw(number, loop.time())
+        submission.kept = kept
         self._history.submissions[submission.id] = submission
         key = (
             operator_configuration.SECOND_KEY
@@ -126,6 +131,7 @@
             Resumes=submission.resumes or None,
             X_Prompt_Prefix=self._draw_prompt(submission),
         )
+        submission.written = loop.time()
         submission.abandoned = self._random.random() < ABANDONED_SHARE
         timeout = 0.02 if submission.abandoned else CALLER_TIMEOUT_SECONDS
         answer = None
@@ -153,9 +159,9 @@
         closing = answer.headers.get("connection", "").lower() == "close"
         return answer.whole and not closing
 
-    def _draw_prompt(self, submission: guarantees.Submission) -> str | None:
+    def _draw_prompt(self, submission: observations.Submission) -> str | None:
         """Returns the prompt of a stream, with a crashing part if drawn."""
-        if submission.route not in guarantees.STREAM_ROUTES:
+        if submission.route not in observations.STREAM_ROUTES:
             return None
         session = self._prompt_random.randrange(SESSIONS)
         parts = ["shared:60", f"session{session}:200"]
@@ -165,12 +171,12 @@
             parts.insert(1, f"{submission.crashing_part}:30")
         return ",".join([*parts, f"{submission.id}:10"])
 
-    def _draw(self, gateway: int, now: float) -> guarantees.Submission:
+    def _draw(self, gateway: int, now: float) -> observations.Submission:
         """Returns a new request; it resumes a broken stream if there is one."""
         id_ = f"s-{next(self._numbers)}"
         if self._broken:
             broken = self._broken.pop()
-            return guarantees.Submission(
+            return observations.Submission(
                 id=id_,
                 route=broken.route,
                 gateway=gateway,
@@ -179,7 +185,7 @@
                 resumes=broken.id,
                 resumed_after=broken.last_event,
             )
-        return guarantees.Submission(
+        return observations.Submission(
             id=id_,
             route=self._random.choice(ROUTES),
             gateway=gateway,
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -10,6 +10,7 @@
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.soak import load
+from cranberryglade.soak import observations
 
 CALLERS_PER_GATEWAY = 4
 RESTART_SECONDS = 0.3
@@ -136,15 +137,24 @@
             case faults.Pause(gateway, seconds):
                 await self._pause(gateway, seconds)
             case faults.Reload(gateway):
-                self._deployment.machines[gateway].signal(signal.SIGHUP)
+                self._reload(gateway)
             case faults.StoreLink(gateway, mode, seconds):
+                begun = self._now()
                 await _impair(
                     self._deployment.store_links[gateway], mode, seconds
                 )
+                self._record_unplanned(gateway, begun)
             case faults.EndpointLink(endpoint, mode, seconds):
+                begun = self._now()
                 await _impair(
                     self._deployment.endpoint_links[endpoint], mode, seconds
                 )
+                impaired = observations.Period(begun, self._now())
+                self._deployment.history.impaired.append(impaired)
+            case faults.Silence(endpoint, seconds):
+                self._deployment.silences[endpoint] += 1
+                await asyncio.sleep(seconds)
+                self._deployment.silences[endpoint] -= 1
             case faults.Store(mode, seconds):
                 await self._store(mode, seconds)
             case faults.RestoreStore():
@@ -176,6 +186,18 @@
         await self._deployment.machines[number].kill()
         await asyncio.sleep(seconds)
         await self._restart(number, begun)
+        self._record_unplanned(number, begun)
+
+    def _reload(self, number: int) -> None:
+        gateway = self._deployment.machines[number]
+        if gateway.process.returncode is not None:
+            return
+        begun = self._now()
+        gateway.signal(signal.SIGHUP)
+        due = begun + deployment.BOUNDS.apply_seconds
+        self._deployment.history.reloads.append(
+            observations.GatewayPeriod(number, begun, due)
+        )
 
     async def _pause(self, number: int, seconds: float) -> None:
         if not self._reserve(number):
@@ -186,6 +208,7 @@
         await asyncio.sleep(seconds)
         gateway.signal(signal.SIGCONT)
         self._record_disturbance(number, begun)
+        self._record_unplanned(number, begun)
         self._faulted.discard(number)
 
     async def _stop(self, number: int) -> None:
@@ -194,10 +217,10 @@
         begun = self._now()
         gateway = self._deployment.machines[number]
         gateway.signal(signal.SIGTERM)
-        ended = await gateway.wait_ended(deployment.GRACE_SECONDS)
+        ended = await gateway.wait_ended(deployment.BOUNDS.grace_seconds)
         stopped = self._now()
         self._deployment.history.stops.append(
-            guarantees.GatewayPeriod(number, begun, stopped)
+            observations.GatewayPeriod(number, begun, stopped)
         )
         if not ended:
             lag = self._clock.lag(begun)
@@ -256,7 +279,7 @@
         await asyncio.sleep(fault.seconds)
         endpoint.limit = ""
         self._deployment.history.limits.append(
-            guarantees.LimitPeriod(
+            observations.LimitPeriod(
                 endpoint.id, fault.per_second, begun, self._now()
             )
         )
@@ -269,7 +292,7 @@
         await asyncio.sleep(deployment.BOUNDS.revoke_seconds + seconds)
         self._revocations -= 1
         if not self._revocations:
-            revoked = guarantees.Period(begun, self._now())
+            revoked = observations.Period(begun, self._now())
             self._deployment.history.revocations.append(revoked)
             self._deployment.configure(second_key=True)
 
@@ -280,11 +303,17 @@
         return is_free
 
     def _record_disturbance(self, number: int, begun: float) -> None:
-        span = guarantees.GatewayPeriod(
+        span = observations.GatewayPeriod(
             number, begun, self._now() + SETTLE_SECONDS
         )
         self._deployment.history.disturbed.append(span)
 
+    def _record_unplanned(self, number: int, begun: float) -> None:
+        span = observations.GatewayPeriod(
+            number, begun, self._now() + SETTLE_SECONDS
+        )
+        self._deployment.history.unplanned.append(span)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
