Test planned work of several kinds at once

A second change of the configuration during the first, a reload and a change in the drain, changes under tunnels, under 10 and 100 pipelined requests and beside pauses with full slots, a stop of the instance under a tunnel, and requests before the first configuration: each request that is read is answered, or crossed a close and was not passed on.

--- /dev/null
+++ b/cranberryglade/tests/planned_work.py
@@ -0,0 +1,191 @@
+"""Load for tests of planned work: what each request came to, and why."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import copy
+import dataclasses
+
+from cranberryglade.standins import callers
+from cranberryglade.standins import endpoint_standin
+from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_cluster
+
+TARGETS = ("/look/1", "/pay/1", "/write/1", "/note/1")
+
+EVENTS = 3
+EVENT_GAP_SECONDS = 0.03
+WORK_SECONDS = 0.05
+
+ANSWER_TIMEOUT_SECONDS = 6.0
+"""Longer than any timeout of the requests."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sent:
+    """A request that was sent, and its answer.
+
+    Attributes:
+        id: its request id.
+        answer: its answer; status 0 if there was none.
+        took_seconds: time from its sending to the end of its answer.
+        behind_close: whether it was sent behind another whose answer says that
+            the connection closes.
+    """
+
+    id: str
+    answer: callers.Answer
+    took_seconds: float
+    behind_close: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Callers that send back to back on kept connections.
+
+    Attributes:
+        sent: what was sent, with its answer.
+        is_over: whether the callers send no more.
+    """
+
+    sent: list[Sent] = dataclasses.field(default_factory=list)
+    is_over: bool = False
+
+    async def send_on(self, cluster, name: str, target: str, gateway=0) -> None:
+        """Sends request after request, until the load is over.
+
+        Opens a new connection if the last one has ended, until none is to be
+        had.
+
+        Args:
+            cluster: the gateways.
+            name: prefix of the request ids.
+            target: request target.
+            gateway: index of the gateway.
+        """
+        number = 0
+        while not self.is_over:
+            try:
+                caller = await cluster.connect(gateway)
+            except OSError:
+                return
+            is_open = True
+            while is_open and not self.is_over:
+                number += 1
+                one = await send_all(caller, [f"{name}-{number}"], target)
+                self.sent += one
+                is_open = not ends_connection(one[0].answer)
+
+    @property
+    def statuses(self) -> collections.Counter:
+        """Number of answers of each status."""
+        return collections.Counter(each.answer.status for each in self.sent)
+
+
+def ends_connection(answer: callers.Answer) -> bool:
+    """Returns whether no request on the same connection is answered."""
+    return not answer.whole or answer.headers.get("connection") == "close"
+
+
+async def send_all(caller, ids, target, **fields) -> list[Sent]:
+    """Sends requests at once on one connection, and reads their answers."""
+    now = asyncio.get_running_loop().time
+    began = now()
+    for id_ in ids:
+        caller.request(target=target, X_Attempt_Id=id_, **fields)
+    sent = []
+    behind_close = False
+    for id_ in ids:
+        answer = await asyncio.wait_for(caller.answer(), ANSWER_TIMEOUT_SECONDS)
+        sent.append(Sent(id_, answer, now() - began, behind_close))
+        behind_close = behind_close or ends_connection(answer)
+    return sent
+
+
+def received_ids(cluster) -> set[str]:
+    """Returns the ids of the requests that reached an endpoint."""
+    return {
+        received.request_id
+        for endpoint in cluster.runners
+        for received in endpoint.received
+    }
+
+
+def crossed_close(each: Sent, cluster) -> bool:
+    """Returns whether a request crossed the close and was not passed on."""
+    nothing = each.answer.status == 0
+    return nothing and each.id not in received_ids(cluster)
+
+
+def find_lost(sent, cluster, *excuses: Callable) -> list[str]:
+    """Returns the ids of requests without a whole answer and an excuse.
+
+    Args:
+        sent: the requests.
+        cluster: the gateways and endpoints.
+        *excuses: called with a request and the cluster; each returns whether
+            it need not be answered.
+    """
+    return [
+        each.id
+        for each in sent
+        if not each.answer.whole
+        and not any(excuses_it(each, cluster) for excuses_it in excuses)
+    ]
+
+
+def work_for(endpoint, seconds: float = WORK_SECONDS) -> None:
+    """Lets an endpoint take its time, with streams where they are asked for."""
+    endpoint.event_gap_seconds = EVENT_GAP_SECONDS
+
+    async def behave(received, reader, writer):
+        if is_stream(received):
+            await endpoint.events(1, EVENTS)(received, reader, writer)
+            return
+        await asyncio.sleep(seconds)
+        await endpoint.succeed(received, reader, writer)
+
+    endpoint.default_behaviour = behave
+
+
+def pause_once_each(endpoint, seconds: float) -> None:
+    """Lets an endpoint fall silent once in each request, and go on."""
+
+    async def behave(received, reader, writer):
+        if is_stream(received):
+            pausing = endpoint.silent_within(2, EVENTS, seconds)
+        else:
+            pausing = endpoint.silent_first(seconds, endpoint.succeed)
+        await pausing(received, reader, writer)
+
+    endpoint.default_behaviour = behave
+
+
+def is_stream(received: endpoint_standin.Received) -> bool:
+    """Returns whether an endpoint is asked for a stream."""
+    return received.target.startswith(("/write/", "/note/"))
+
+
+def write_change(cluster, version: int, apply, **changes) -> None:
+    """Writes a changed configuration without waiting for it.
+
+    Args:
+        cluster: the gateways.
+        version: its version.
+        apply: changes it in place.
+        **changes: changes that all versions of the test share.
+    """
+    config = copy.deepcopy(
+        operator_configuration.a_config(version=version, **changes)
+    )
+    apply(config)
+    cluster.configure(config)
+
+
+async def wait_for_version(cluster, version: int) -> None:
+    """Waits until all gateways use a version of the configuration."""
+    await gateway_cluster.wait_until(
+        lambda: all(
+            gateway._state.version == version for gateway in cluster.gateways
+        )
+    )
