Store the origin of a stream before its first event in a release

What callers saw: a stream that had just begun, while its service had two software versions, was refused (503, not run) when it was taken up again after all instances had been killed at once.

Cause: the allocator wrote new origins in batches, 0.2 s apart, and the first event did not wait for the write.

The allocator now writes new origins at once, one write at a time; the next takes all that came meanwhile. What comes within 0.2 s goes into the same row, so the number of rows per second, their keys and their contents stay as they were: each build reads the rows of the other. It then tells the instances that sent them. These hold the first event until then, for 50 ms at most, and only while the service has several versions and the store confirms something.

A write without an answer may take effect late: it holds all that its row had before, and the row is not written again in that round, so it drops nothing.

The new datagram is unknown to the build before, which drops it; if its allocator runs, first events wait for 50 ms in a release.

--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -334,7 +334,17 @@
     software_versions: list[str]
 
 
-OriginMessage = Origins | OriginQuery | OriginReply
+class OriginsStored(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """Tells that the store has origins which the receiver has sent.
+
+    Attributes:
+        attempts: ids of the attempts that brought the first events.
+    """
+
+    attempts: list[str]
+
+
+OriginMessage = Origins | OriginQuery | OriginReply | OriginsStored
 
 Datagram = (
     Ping
--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -11,6 +11,10 @@
 may not know of a further one, so this holds only if all other instances, or the
 store, confirm it after the stream is resumed. While the store confirms nothing,
 origins are sent in any case.
+
+All instances may be gone at once. While a service has several versions, the
+first event of a stream therefore waits, for a short time, until the store has
+its origin.
 """
 
 import asyncio
@@ -37,6 +41,9 @@
 QUERIED_REPLICAS = 4
 """Instances that are asked; more than have a copy, as one may have failed."""
 
+MAX_HOLD_SECONDS = 0.05
+"""Longest time that a first event waits until its origin is stored."""
+
 REPLY_TIMEOUT_SECONDS = 0.04
 QUERY_ROUNDS = 2
 """Number of times that an instance without a reply is asked."""
@@ -120,6 +127,7 @@
         "_rows",
         "_sharing_all",
         "_tentative",
+        "_unstored",
         "_versions",
     )
 
@@ -158,8 +166,10 @@
         self._processes = processes
         self._tentative = tentative_origins.TentativeOrigins()
         self._sharing_all = False
+        self._unstored: dict[str, asyncio.Future] = {}
         self._learn_earlier_versions = learn_earlier_versions
         self._rows = rows
+        self._rows.set_listener(self._announce_stored)
         self._mesh: mesh.Mesh | None = None
         self._own = stream_origins.StreamOrigins()
         self._received = stream_origins.StreamOrigins()
@@ -242,6 +252,33 @@
         ):
             self._send({attempt: origin}, now)
 
+    async def store(
+        self,
+        attempt: str,
+        origin: messages.StreamOrigin,
+        tentative: tentative_origins.TentativeOrigin | None = None,
+    ) -> None:
+        """Records as `record`, and waits until the store has the origin.
+
+        Returns at once if it can be inferred without the store, or while the
+        store confirms nothing; else after MAX_HOLD_SECONDS at the latest.
+        """
+        stored = asyncio.get_running_loop().create_future()
+        self._unstored[attempt] = stored
+        self.record(attempt, origin, tentative)
+        try:
+            if self._is_held(attempt, origin):
+                await asyncio.wait([stored], timeout=MAX_HOLD_SECONDS)
+                if not stored.done():
+                    logger.info("origin.released_unstored", attempt=attempt)
+        finally:
+            if self._unstored.get(attempt) is stored:
+                del self._unstored[attempt]
+
+    def _is_held(self, attempt: str, origin: messages.StreamOrigin) -> bool:
+        several = not self._has_single_version(origin.service, _now())
+        return bool(attempt) and several and not self._sharing_all
+
     def refute(self, attempt: str, service: str) -> None:
         """Records that it is not known which version began a stream."""
         self._tentative.discard(attempt)
@@ -331,13 +368,30 @@
         now = _now()
         match message:
             case datagrams.Origins(records=records):
-                self._rows.add(records)
+                self._rows.add(records, sender)
                 for record in records:
                     self._learn(record, now)
             case datagrams.OriginQuery():
                 self._reply(message, now)
             case datagrams.OriginReply():
                 self._receive_reply(sender, message)
+            case datagrams.OriginsStored(attempts=attempts):
+                self._release(attempts)
+
+    def _announce_stored(self, sender: str, attempts: list[str]) -> None:
+        """Tells the instance that began streams that the store has them."""
+        if sender == self._name:
+            self._release(attempts)
+            return
+        for start in range(0, len(attempts), RECORDS_PER_DATAGRAM):
+            batch = attempts[start : start + RECORDS_PER_DATAGRAM]
+            self._mesh.send_to(sender, datagrams.OriginsStored(batch))
+
+    def _release(self, attempts: list[str]) -> None:
+        for attempt in attempts:
+            stored = self._unstored.get(attempt)
+            if stored is not None and not stored.done():
+                stored.set_result(None)
 
     def _lookup(self, attempt: str, now: float) -> messages.StreamOrigin | None:
         own = self._own.find(attempt, now)
@@ -422,7 +476,7 @@
             # The allocator stores them.
             for name in names | {self._mesh.allocator}:
                 batches[name].append(record)
-        self._rows.add(batches.pop(self._name, []))
+        self._rows.add(batches.pop(self._name, []), self._name)
         for name, records in batches.items():
             for start in range(0, len(records), RECORDS_PER_DATAGRAM):
                 batch = records[start : start + RECORDS_PER_DATAGRAM]
--- a/cranberryglade/gateway/stream_relaying.py
+++ b/cranberryglade/gateway/stream_relaying.py
@@ -71,7 +71,7 @@
             match part:
                 case outbound.Data(events):
                     if events and exchange.origin is None:
-                        self._record_origin(exchange, endpoint)
+                        await self._record_origin(exchange, endpoint)
                     await exchange.responder.send(events)
                 case outbound.End():
                     if stream.splitter.awaits_join:
@@ -79,7 +79,7 @@
                     await exchange.responder.send(stream.trailing)
                     return ""
 
-    def _record_origin(
+    async def _record_origin(
         self, exchange: exchanges.Exchange, endpoint: messages.Endpoint
     ) -> None:
         exchange.origin = messages.StreamOrigin(
@@ -92,7 +92,7 @@
             exchange.tentative = tentative_origins.TentativeOrigin(
                 endpoint, now
             )
-        self._origins.record(
+        await self._origins.store(
             exchange.facts.id, exchange.origin, exchange.tentative
         )
 
--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -88,7 +88,10 @@
 class NoOriginRows:
     """Origins in a store that has none."""
 
-    def add(self, records):
+    def add(self, records, sender=""):
+        pass
+
+    def set_listener(self, on_stored):
         pass
 
     async def read(self):
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -23,6 +23,7 @@
 from cranberryglade.gateway import tentative_origins
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
+from cranberryglade.tests import gateway_cluster
 
 SERVICE = builders.SERVICE
 RETENTION = stream_origins.RETENTION_SECONDS
@@ -566,3 +567,123 @@
     await asyncio.sleep(0.1)
     task.cancel()
     assert [each.software_version for each in await rows.read()] == ["v1", "v2"]
+
+
+class SlowStore(RowStore):
+    """Takes some time for each write, and counts them."""
+
+    def __init__(self):
+        super().__init__({})
+        self.writes = 0
+
+    async def write(self, table, key, value, expected):
+        self.writes += 1
+        await asyncio.sleep(0.02)
+        return await super().write(table, key, value, expected)
+
+
+async def test_an_origin_does_not_wait_for_a_batch():
+    store = SlowStore()
+    rows = origin_rows.OriginRows(store, lambda: True)
+    stored = asyncio.Queue()
+    rows.set_listener(lambda *told: stored.put_nowait(told))
+    task = asyncio.create_task(rows.run())
+    await asyncio.sleep(0.05)
+    rows.add([datagrams.OriginRecord("a-1", SERVICE, "v1")], "i-1")
+    told = await asyncio.wait_for(
+        stored.get(), 0.75 * origin_rows.WRITE_SECONDS
+    )
+    task.cancel()
+    assert told == ("i-1", ["a-1"])
+    (found,) = await rows.read()
+    assert found.attempt == "a-1"
+
+
+async def test_a_write_takes_all_origins_that_came_during_the_one_before():
+    store = SlowStore()
+    rows = origin_rows.OriginRows(store, lambda: True)
+    task = asyncio.create_task(rows.run())
+    for number in range(300):
+        rows.add([datagrams.OriginRecord(f"a-{number}", SERVICE, "v1")])
+        await asyncio.sleep(0.001)
+    await gateway_cluster.wait_until(lambda: rows.unsaved_count == 0)
+    task.cancel()
+    assert store.writes < 60
+    # What a row had already is kept when more is added to it.
+    assert len(store.rows) < store.writes
+    found = {record.attempt for record in await rows.read()}
+    assert found == {f"a-{number}" for number in range(300)}
+
+
+class LateStore(RowStore):
+    """Answers no write, and applies the first one after the others."""
+
+    def __init__(self):
+        super().__init__({})
+        self.late = []
+
+    async def write(self, table, key, value, expected):
+        if len(self.rows) == 1 and not self.late:
+            self.late.append((table, key, value, expected))
+            return Failure(ports.StoreError.UNREACHABLE)
+        return await super().write(table, key, value, expected)
+
+
+async def test_a_write_that_takes_effect_late_drops_no_stored_origin(
+    monkeypatch,
+):
+    monkeypatch.setattr(origin_rows, "WRITE_SECONDS", 0.05)
+    store = LateStore()
+    rows = origin_rows.OriginRows(store, lambda: True)
+    task = asyncio.create_task(rows.run())
+    for number in range(30):
+        rows.add([datagrams.OriginRecord(f"a-{number}", SERVICE, "v1")])
+        await asyncio.sleep(0.005)
+    await gateway_cluster.wait_until(lambda: rows.unsaved_count == 0)
+    task.cancel()
+    (late,) = store.late
+    await store.write(*late)
+    found = {record.attempt for record in await rows.read()}
+    assert found == {f"a-{number}" for number in range(30)}
+
+
+async def held_seconds(sharing, attempt):
+    started = asyncio.get_running_loop().time()
+    await sharing.store(attempt, NEW)
+    return asyncio.get_running_loop().time() - started
+
+
+async def test_a_first_event_is_held_until_its_origin_is_stored():
+    network = Network(3)
+    network.list_versions("v1", "v2")
+    sharing = network.instances["i-0"]
+    holding = asyncio.create_task(sharing.store("a-1", NEW))
+    await asyncio.sleep(0.01)
+    sharing.receive("i-1", datagrams.OriginsStored(["a-2"]))
+    await asyncio.sleep(0)
+    assert not holding.done()
+    sharing.receive("i-1", datagrams.OriginsStored(["a-1"]))
+    async with asyncio.timeout(0.5 * origin_sharing.MAX_HOLD_SECONDS):
+        await holding
+
+
+async def test_a_first_event_is_held_for_a_bounded_time_by_a_former_allocator():
+    # It tells nobody what it has stored.
+    network = Network(3)
+    network.list_versions("v1", "v2")
+    seconds = await held_seconds(network.instances["i-0"], "a-1")
+    bound = origin_sharing.MAX_HOLD_SECONDS
+    assert 0.9 * bound <= seconds < bound + 0.2
+
+
+@pytest.mark.parametrize("versions, age", [(["v2"], 0.0), (["v1", "v2"], 3.0)])
+async def test_a_first_event_is_not_held_for_nothing(versions, age):
+    # There is no release, or the store does not answer.
+    network = Network(3)
+    network.list_versions(*versions)
+    network.age_seconds = age
+    sharing = network.instances["i-0"]
+    sharing.tick()
+    bound = origin_sharing.MAX_HOLD_SECONDS
+    assert await held_seconds(sharing, "a-1") < 0.5 * bound
+    assert await held_seconds(sharing, "") < 0.5 * bound
--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -300,6 +300,74 @@
             assert sent_to(other) == []
 
 
+async def begin_unbroken_stream(cluster, gateway) -> float:
+    """Begins a stream that pauses behind its first event.
+
+    Returns:
+        Seconds until its caller had the first event.
+    """
+    for endpoint in cluster.runners:
+        endpoint.default_behaviour = endpoint.resuming(3, 6)
+        endpoint.script = [endpoint.without_end(1)]
+    caller = await cluster.connect(gateway)
+    started = asyncio.get_running_loop().time()
+    caller.request(target="/write/1", method="POST")
+    async with asyncio.timeout(gateway_cluster.WAIT_TIMEOUT_SECONDS):
+        await caller.reader.readuntil(builders.make_events(1, 1))
+    return asyncio.get_running_loop().time() - started
+
+
+async def restart_all_gateways(cluster, endpoints) -> None:
+    """Kills all gateways at once and starts two others."""
+    kill_all_gateways(cluster)
+    for endpoint in cluster.runners:
+        endpoint.script.clear()
+    for number in range(2):
+        await cluster.add_gateway(f"later-{number}")
+    await gateway_cluster.wait_until(
+        lambda: all(
+            gateway.is_ready(endpoints, 0) for gateway in cluster.gateways
+        )
+    )
+
+
+@pytest.mark.parametrize("gateway", range(3))
+async def test_stream_is_not_lost_if_all_are_killed_behind_its_first_event(
+    gateway,
+):
+    # Load: all instances lose power within a release.
+    versions = ["v1", "v2"]
+    async with Cluster(gateways=3, runners=2, versions=versions) as cluster:
+        await begin_unbroken_stream(cluster, gateway)
+        await restart_all_gateways(cluster, 2)
+        answer = await cluster.send_request(
+            target="/write/1",
+            method="POST",
+            X_Attempt_Id="a-2",
+            Last_Event_Id="1",
+            Resumes="a-1",
+        )
+        assert answer.body == builders.make_events(2, 6)
+        ran = [set(sent_to(endpoint)) for endpoint in cluster.runners]
+        assert sorted(map(len, ran)) == [0, 2]
+
+
+@pytest.mark.parametrize("fault", ["slow", "silent", "refusing"])
+async def test_store_in_trouble_holds_a_first_event_for_a_bounded_time(fault):
+    versions = ["v1", "v2"]
+    async with Cluster(gateways=2, runners=2, versions=versions) as cluster:
+        faults = cluster.store.faults
+        match fault:
+            case "slow":
+                faults.delay_seconds = 1.0
+            case "silent":
+                faults.hang = True
+            case "refusing":
+                faults.refuse = True
+        seconds = await begin_unbroken_stream(cluster, 0)
+        assert seconds < 0.5
+
+
 async def test_stream_goes_on_after_all_instances_were_killed():
     # Without a release, the origin of each stream can be inferred.
     async with Cluster(gateways=2) as cluster:
--- a/cranberryglade/tests/wire_samples.py
+++ b/cranberryglade/tests/wire_samples.py
@@ -120,6 +120,7 @@
         "origins": datagrams.Origins([ORIGIN]),
         "origin_query": datagrams.OriginQuery("gate-0", 5, "a-1", "writers"),
         "origin_reply": datagrams.OriginReply(5, ORIGIN, ["v1", "v2"]),
+        "origins_stored": datagrams.OriginsStored(["a-1"]),
         "unknown_origin": datagrams.OriginReply(5, None, []),
         "endpoint_limit": conversions.encode_limit(LIMIT, NOW),
     }
