--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -465,8 +465,8 @@
                 lambda: self._record_sent(exchange, attempt),
             )
         except Exception:
-            logger.exception("attempt.fault", id=exchange.facts.id)
-            self._state.metrics.count_event("attempt_fault")
+            logger.exception("attempt.faulted", id=exchange.facts.id)
+            self._state.metrics.count_event("attempt_faulted")
             return sending.AttemptFailure(messages.Outcome.LOST, "fault")
 
     def _conclude(
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -204,8 +204,9 @@
         try:
             return await self._attempts.begin(self._exchange, persistent=False)
         except Exception:
-            logger.exception("attempt.replacement_failed")
-            return messages.Denied(self._exchange.facts.id, "fault", math.inf)
+            id_ = self._exchange.facts.id
+            logger.exception("attempt.replacement_failed", id=id_)
+            return messages.Denied(id_, "fault", math.inf)
 
     def _refuse(self, reason: str, pause_seconds: float) -> None:
         """Goes on without another endpoint for a time, or for good."""
