--- a/cranberryglade/tests/planned_work.py
+++ b/cranberryglade/tests/planned_work.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 import copy
 import dataclasses
+import socket
 
+from cranberryglade.gateway import sockets
 from cranberryglade.standins import callers
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
@@ -102,6 +104,32 @@
     return sent
 
 
+def connect_at_once(cluster) -> socket.socket:
+    """Connects to the first gateway and sends a request, in one turn."""
+    address = sockets.split_address(cluster.settings[0].front_address)
+    connection = socket.create_connection(address)
+    connection.setblocking(False)
+    lines = [
+        "GET /look/1 HTTP/1.1",
+        f"Host: {operator_configuration.HOST}",
+        "X-Attempt-Id: r-1",
+        "X-Deadline-Ms: 2000",
+        f"Authorization: Bearer {operator_configuration.KEY}",
+    ]
+    connection.send(("\r\n".join(lines) + "\r\n\r\n").encode())
+    return connection
+
+
+async def read_some(connection: socket.socket) -> bytes | None:
+    """Returns the first bytes of the answer; None if it was reset."""
+    loop = asyncio.get_running_loop()
+    with connection:
+        try:
+            return await loop.sock_recv(connection, 1000)
+        except ConnectionResetError:
+            return None
+
+
 def received_ids(cluster) -> set[str]:
     """Returns the ids of the requests that reached an endpoint."""
     return {
--- a/cranberryglade/tests/test_planned_work.py
+++ b/cranberryglade/tests/test_planned_work.py
@@ -284,3 +284,23 @@
         await gateway_cluster.wait_until(lambda: load.statuses[200] > 3)
         await end_load(load, sending)
         assert not planned_work.find_lost(load.sent, cluster)
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_a_connection_accepted_as_the_listener_closes_is_not_left_silent(
+    monkeypatch, turns
+):
+    monkeypatch.setattr(shutdown, "BALANCER_SECONDS", 0.0)
+    async with Cluster(grace_seconds=GRACE_SECONDS) as cluster:
+        (gateway,) = cluster.gateways
+        gateway.stop()
+        connection = planned_work.connect_at_once(cluster)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        stopping = asyncio.create_task(gateway.drain())
+        answer = await asyncio.wait_for(planned_work.read_some(connection), 1.0)
+        # One that was not accepted yet is reset, and the caller tries again.
+        assert answer is None or answer.startswith(
+            (b"HTTP/1.1 200", b"HTTP/1.1 503")
+        )
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
