Accept what waits when the listener closes, and drop nothing

Callers whose connection was accepted just as a stopping instance closed its listener got neither an answer nor a refusal, nor a reset for up to 1.7 s; those that waited to be accepted were reset. Cause: asyncio's server accepts in one turn of the loop and attaches the protocol in the next. Closed in between, it raises an AssertionError that nobody logs; the socket stays open until it is collected. Closing a listening socket resets its queue. Why it works: connections are accepted by a reader of our own and opened by the loop's public connect_accepted_socket, which no server has to be open for; closing accepts first what waits. A second call of close does nothing.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -8,6 +8,7 @@
 import httptools
 
 from cranberryglade import log
+from cranberryglade.gateway import accepting
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
@@ -91,7 +92,7 @@
         """Reports a request that was rejected while it was read."""
         self._on_read_failure(failure)
 
-    async def serve(self, host: str, port: int) -> asyncio.Server:
+    def serve(self, host: str, port: int) -> accepting.Acceptor:
         """Starts to accept connections.
 
         Args:
@@ -99,15 +100,12 @@
             port: TCP port to bind.
 
         Returns:
-            The listening server; the caller closes it.
+            What accepts them; the caller closes it.
 
         Raises:
             OSError: if the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            lambda: Connection(self), host, port, backlog=512
-        )
+        return accepting.Acceptor.listen(host, port, lambda: Connection(self))
 
 
 class Connection(asyncio.Protocol):
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -13,6 +13,7 @@
 
 from cranberryglade import log
 from cranberryglade import supervision
+from cranberryglade.gateway import accepting
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
 from cranberryglade.gateway import budgets
@@ -216,8 +217,8 @@
         self._peer_listener = inbound.Listener(
             self._handle_peer, self._report_invalid_request
         )
-        self._caller_server: asyncio.Server | None = None
-        self._servers: list[asyncio.Server] = []
+        self._caller_acceptor: accepting.Acceptor | None = None
+        self._acceptors: list[accepting.Acceptor] = []
         self._supervisor = supervision.Supervisor(
             lambda: self._state.metrics.count_event("task_failed")
         )
@@ -251,7 +252,7 @@
     async def start(self) -> None:
         """Opens the listeners and starts the background tasks."""
         self._state.process_pauses.observe(asyncio.get_running_loop().time())
-        await self._listen()
+        self._listen()
         await self._mesh.open()
         watch = self._store_watcher.watch
         for name, run in {
@@ -302,7 +303,7 @@
         try:
             while now() < schedule.balancer_until:
                 await asyncio.sleep(TICK_SECONDS)
-            self._caller_server.close()
+            self._caller_acceptor.close()
             await self._wait_for_callers(schedule.ends_at)
             await self._wait_for_tunnels(schedule.ends_at)
             self._forwarder.end_all()
@@ -329,8 +330,8 @@
     def close(self) -> None:
         """Cancels all tasks and drops all connections at once."""
         self._supervisor.cancel()
-        for server in self._servers:
-            server.close()
+        for acceptor in self._acceptors:
+            acceptor.close()
         for listener in (
             self._caller_listener,
             self._status_listener,
@@ -355,7 +356,7 @@
             and self._mesh.members.reachable_count(now) > peers
         )
 
-    async def _listen(self) -> None:
+    def _listen(self) -> None:
         for listener, address in (
             (self._status_listener, self._settings.ready_address),
             (
@@ -365,11 +366,11 @@
             (self._peer_listener, self._peer_address),
             (self._caller_listener, self._settings.front_address),
         ):
-            # After the loop, this is the server for callers, which is last.
-            self._caller_server = await listener.serve(
+            # After the loop, this is the one for callers, which is last.
+            self._caller_acceptor = listener.serve(
                 *sockets.split_address(address)
             )
-            self._servers.append(self._caller_server)
+            self._acceptors.append(self._caller_acceptor)
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/cranberryglade/tests/test_request_ends.py
+++ b/cranberryglade/tests/test_request_ends.py
@@ -340,7 +340,7 @@
 
     listener = inbound.Listener(fail, lambda failure: None)
     port = gateway_cluster.free_port()
-    server = await listener.serve("127.0.0.1", port)
+    server = listener.serve("127.0.0.1", port)
     try:
         opened = await asyncio.open_connection("127.0.0.1", port)
         caller = callers.Caller(*opened)
