Soak: excuse no request without an answer for links or broken attempts

With none begun, another attempt or a refusal is owed, and trouble of the store alone excuses nothing. The former check stands again beside the search, without excuses; links to the store excuse nothing; links to endpoints and broken attempts excuse only an answer that had begun, and only at that endpoint. Tests plant each case.

--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -59,6 +59,7 @@
             _check_streams,
             _check_versions,
             _check_timeouts,
+            _check_planned_stops,
             _check_losses,
             _check_stop_durations,
             _check_revoked_keys,
@@ -161,6 +162,21 @@
             yield Violation("held", each.id, f"ended after {took:.2f} s")
 
 
+def _check_planned_stops(
+    history: observations.History, bounds: observations.Bounds
+) -> Iterator[Violation]:
+    """Yields what ran and got nothing in a planned stop, without excuses."""
+    ran = {run.id for run in history.runs}
+    for each in history.submissions.values():
+        lost = each.status == 0 and each.id in ran and not each.abandoned
+        if (
+            lost
+            and _overlaps_any(history.stops, each)
+            and not _overlaps_any(history.disturbed, each)
+        ):
+            yield Violation("stop", each.id, "ran, but lost in a planned stop")
+
+
 def _check_losses(
     history: observations.History, bounds: observations.Bounds
 ) -> Iterator[Violation]:
--- a/cranberryglade/soak/losses.py
+++ b/cranberryglade/soak/losses.py
@@ -172,8 +172,7 @@
         took = each.ended - each.sent
         return (
             took >= self._bounds.timeout_seconds
-            or self._broke_off(each)
-            or self._on_impaired_link(each)
+            or self._was_broken(each)
             or not self._is_owed(each)
         )
 
@@ -190,14 +189,20 @@
         arrivals = self._arrivals.get(each.id, [])
         return any(arrival.fault in SOUND_FAULTS for arrival in arrivals)
 
-    def _broke_off(self, each: observations.Submission) -> bool:
-        faults = [arrival.fault for arrival in self._arrivals.get(each.id, [])]
-        begun = each.status != 0 and UNJOINABLE_FAULT in faults
-        return begun or (bool(faults) and faults[-1] in BREAKING_FAULTS)
+    def _was_broken(self, each: observations.Submission) -> bool:
+        """Returns whether its begun answer was broken by its endpoint or link.
 
-    def _on_impaired_link(self, each: observations.Submission) -> bool:
-        return any(
-            period.overlaps(each.sent, each.ended)
+        While none has begun, another attempt or a refusal is owed.
+        """
+        arrivals = self._arrivals.get(each.id, [])
+        if not each.status or not arrivals:
+            return False
+        if any(arrival.fault == UNJOINABLE_FAULT for arrival in arrivals):
+            return True
+        last = arrivals[-1]
+        return last.fault in BREAKING_FAULTS or any(
+            period.endpoint == last.endpoint
+            and period.overlaps(each.sent, each.ended)
             for period in self._history.impaired
         )
 
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -146,6 +146,15 @@
     begun: float
     ended: float
 
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointPeriod:
+    """A period for one endpoint, in seconds of the event loop's clock."""
+
+    endpoint: str
+    begun: float
+    ended: float
+
     def overlaps(self, begun: float, ended: float) -> bool:
         """Returns whether it overlaps another period."""
         return begun <= self.ended and ended >= self.begun
@@ -214,8 +223,8 @@
         limits: periods in which endpoints named a limit.
         disturbed: periods in which a gateway was killed, paused or
             restarting, extended by run.SETTLE_SECONDS.
-        unplanned: periods in which a gateway was killed or paused, or its link
-            to the store was impaired, extended by run.SETTLE_SECONDS.
+        unplanned: periods in which a gateway was killed or paused, extended by
+            run.SETTLE_SECONDS.
         impaired: periods in which the link to an endpoint was impaired.
         stops: planned stops, from the signal until the process had ended.
         reloads: periods after SIGHUP, until its settings must be in force.
@@ -235,7 +244,7 @@
     limits: list[LimitPeriod] = dataclasses.field(default_factory=list)
     disturbed: list[GatewayPeriod] = dataclasses.field(default_factory=list)
     unplanned: list[GatewayPeriod] = dataclasses.field(default_factory=list)
-    impaired: list[Period] = dataclasses.field(default_factory=list)
+    impaired: list[EndpointPeriod] = dataclasses.field(default_factory=list)
     stops: list[GatewayPeriod] = dataclasses.field(default_factory=list)
     reloads: list[GatewayPeriod] = dataclasses.field(default_factory=list)
     changes: list[Period] = dataclasses.field(default_factory=list)
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -139,18 +139,21 @@
             case faults.Reload(gateway):
                 self._reload(gateway)
             case faults.StoreLink(gateway, mode, seconds):
-                begun = self._now()
                 await _impair(
                     self._deployment.store_links[gateway], mode, seconds
                 )
-                self._record_unplanned(gateway, begun)
             case faults.EndpointLink(endpoint, mode, seconds):
                 begun = self._now()
                 await _impair(
                     self._deployment.endpoint_links[endpoint], mode, seconds
                 )
-                impaired = observations.Period(begun, self._now())
-                self._deployment.history.impaired.append(impaired)
+                self._deployment.history.impaired.append(
+                    observations.EndpointPeriod(
+                        self._deployment.endpoints[endpoint].id,
+                        begun,
+                        self._now(),
+                    )
+                )
             case faults.Silence(endpoint, seconds):
                 self._deployment.silences[endpoint] += 1
                 await asyncio.sleep(seconds)
--- a/cranberryglade/tests/test_guarantees.py
+++ b/cranberryglade/tests/test_guarantees.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cranberryglade.soak import deployment
+from cranberryglade.soak import guarantees
 from cranberryglade.soak import losses
 from cranberryglade.soak import observations
 from cranberryglade.tests import histories
@@ -116,14 +117,18 @@
 def test_an_endpoint_that_broke_off_excuses_a_cut(clause, work, fault):
     broken = histories.an_arrival(fault=fault)
     sound = histories.an_arrival(endpoint="i-1", at=10.3)
-    lost = histories.a_lost_request()
-    for arrivals, caught in (
-        ([broken], set()),
-        ([sound, broken], set()),
-        ([broken, sound], {clause}),
+    # With nothing sent yet, a refusal or another attempt is owed.
+    for arrivals, status, is_caught in (
+        ([broken], 200, False),
+        ([sound, broken], 200, False),
+        ([broken, sound], 200, fault != losses.UNJOINABLE_FAULT),
+        ([broken], 0, True),
+        ([sound, broken], 0, True),
+        ([broken, sound], 0, True),
     ):
+        lost = histories.a_lost_request(status=status)
         history = histories.a_history(lost, arrivals=arrivals, **work)
-        assert histories.clauses(history) == caught
+        assert histories.clauses(history) == ({clause} if is_caught else set())
 
 
 @pytest.mark.parametrize(("clause", "work"), PLANNED_WORK)
@@ -153,14 +158,32 @@
 
 
 @pytest.mark.parametrize(("clause", "work"), PLANNED_WORK)
-def test_an_impaired_link_to_an_endpoint_excuses_a_cut_meanwhile(clause, work):
-    lost = histories.a_lost_request()
-    for ended, caught in ((10.1, set()), (9.9, {clause})):
-        impaired = [observations.Period(9.0, ended)]
+def test_an_impaired_link_to_its_endpoint_excuses_a_cut_meanwhile(clause, work):
+    for endpoint, ended, status, caught in (
+        ("i-0", 10.1, 200, set()),
+        ("i-0", 9.9, 200, {clause}),
+        ("i-1", 10.1, 200, {clause}),
+        ("i-0", 10.1, 0, {clause}),
+    ):
+        lost = histories.a_lost_request(status=status)
+        impaired = [observations.EndpointPeriod(endpoint, 9.0, ended)]
         history = histories.a_history(lost, impaired=impaired, **work)
         assert histories.clauses(history) == caught
 
 
+def test_a_run_without_an_answer_in_a_planned_stop_is_never_excused():
+    timeout = deployment.BOUNDS.timeout_seconds
+    lost = histories.a_lost_request(ended=histories.SENT + timeout)
+    history = histories.a_history(
+        lost,
+        runs=[observations.Run(lost.id, histories.SENT)],
+        stops=[histories.a_stop(9.5)],
+    )
+    assert histories.clauses(history) == set()
+    violations = guarantees.check(history, deployment.BOUNDS)
+    assert "stop" in {each.guarantee for each in violations}
+
+
 @pytest.mark.parametrize(
     ("clause", "work"),
     [
