Go on to send heartbeats to contacts that stop

A review showed (22 live gateways) that an instance which misses the greeting of one that came back takes it for stopping for good, and follows another allocator than the rest: slots are granted twice and quotas overrun. Cause: a member that stops is no contact, so it was sent no heartbeat whose answer could show its new incarnation. The greeting is sent once the others are known. Reachability is logged of contacts only, as all others answer the greeting once and are not asked again. Evidence: test_an_instance_whose_return_was_missed_is_still_sent_heartbeats.

--- a/cranberryglade/gateway/consultation.py
+++ b/cranberryglade/gateway/consultation.py
@@ -36,7 +36,14 @@
         asked: is set when the contacts have answered once, or do not.
     """
 
-    __slots__ = ("_mesh", "_registered", "_state", "_store_watcher", "asked")
+    __slots__ = (
+        "_greeted",
+        "_mesh",
+        "_registered",
+        "_state",
+        "_store_watcher",
+        "asked",
+    )
 
     def __init__(
         self,
@@ -57,6 +64,7 @@
         self._mesh = instances
         self._store_watcher = store_watcher
         self._registered = registered
+        self._greeted = False
         self.asked = asyncio.Event()
 
     async def run(self) -> None:
@@ -75,7 +83,8 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         await self._wait_until_registered()
-        if not self.asked.is_set():
+        if self._registered.is_set() and not self._greeted:
+            self._greeted = True
             self._mesh.greet()
         asked_at = loop.time()
         while silent := self._silent_members(began):
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -131,6 +131,7 @@
         "_own_precedence",
         "_ring",
         "_started",
+        "_stopping_contacts",
         "_suspects",
     )
 
@@ -152,6 +153,7 @@
         # Only a few of hundreds are sent heartbeats, and answer.
         self._answered: dict[str, Member] = {}
         self._contacts: list[Member] | None = None
+        self._stopping_contacts: list[Member] = []
         self._contacts_of_all: set[str] = set()
         self._counted = 1
         self._counted_at = float("-inf")
@@ -188,21 +190,37 @@
             self._contacts = self._choose_contacts()
         return self._contacts
 
+    @property
+    def stopping_contacts(self) -> list[Member]:
+        """Members that are no contacts only because they stop.
+
+        They get heartbeats, too: that they run again may otherwise stay unseen.
+        """
+        chosen = {member.name for member in self.contacts}
+        return [
+            each for each in self._stopping_contacts if each.name not in chosen
+        ]
+
     def _choose_contacts(self) -> list[Member]:
         if self.full_mesh:
+            self._stopping_contacts = []
             return self.all
         order = sorted(
-            self._members.values(),
-            key=lambda m: (not m.stopping, m.precedence),
-            reverse=True,
+            self._members.values(), key=lambda m: m.precedence, reverse=True
         )
-        same_domain = [
-            member for member in order if member.domain == self._domain
-        ]
-        of_all = order[:CONTACTS_PER_GROUP]
-        self._contacts_of_all = {member.name for member in of_all}
-        chosen = {m.name: m for m in of_all + same_domain[:CONTACTS_PER_GROUP]}
-        return list(chosen.values())
+        usual = self._first_of(order)
+        self._stopping_contacts = [each for each in usual if each.stopping]
+        order.sort(key=lambda member: member.stopping)
+        self._contacts_of_all = {
+            member.name for member in order[:CONTACTS_PER_GROUP]
+        }
+        return self._first_of(order)
+
+    def _first_of(self, order: list[Member]) -> list[Member]:
+        """Returns the first members of all and of the failure domain."""
+        of_domain = [each for each in order if each.domain == self._domain]
+        first = order[:CONTACTS_PER_GROUP] + of_domain[:CONTACTS_PER_GROUP]
+        return list({member.name: member for member in first}.values())
 
     @property
     def is_contact(self) -> bool:
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -162,11 +162,16 @@
         while True:
             if self._transport.is_closing() and not self._closed:
                 await self.open()
-            for member in self.members.contacts + self._extra_targets():
+            for member in self._heartbeat_targets():
                 self.ping(member)
             self._log_reachability()
             await asyncio.sleep(self.members.heartbeat_seconds)
 
+    def _heartbeat_targets(self) -> list[membership.Member]:
+        members = self.members
+        regular = members.contacts + members.stopping_contacts
+        return regular + self._extra_targets()
+
     def _extra_targets(self) -> list[membership.Member]:
         """Returns further instances to send heartbeats to, if any.
 
@@ -478,7 +483,13 @@
 
     def _log_reachability(self) -> None:
         now = asyncio.get_running_loop().time()
-        reachable = {member.name for member in self.members.reachable(now)}
+        # All answer the greeting at the start; most are not asked again.
+        contacts = {member.name for member in self.members.contacts}
+        reachable = {
+            member.name
+            for member in self.members.reachable(now)
+            if member.name in contacts
+        }
         for name in self._reachable - reachable:
             logger.warning("peer.lost", peer=name)
             self._state.metrics.count_event("peer_lost")
--- a/cranberryglade/tests/test_planned_stops.py
+++ b/cranberryglade/tests/test_planned_stops.py
@@ -93,3 +93,14 @@
         view.record_heartbeat(name, life_of(name), NOW, NOW)
         view.record_stopping(name, life_of(name))
     assert view.introduction(NOW) is None
+
+
+def test_an_instance_whose_return_was_missed_is_still_sent_heartbeats():
+    # Its own heartbeats may go to others only.
+    first, *_ = in_order_of_precedence()
+    view = make_view(in_order_of_precedence()[-1])
+    view.record_stopping(first, life_of(first))
+    assert first in {each.name for each in view.stopping_contacts}
+    view.record_answer(first, life_of(first, 1), 4.0, NOW + 12)
+    assert first in {each.name for each in view.contacts}
+    assert not view.stopping_contacts
