Let no error in the search for a replacement end a silent attempt

Found by review: an unexpected error while the proof of the other stream was awaited, or while the end of a failed replacement was explained, still tore a sound stream. All that is done for the other endpoint is now guarded in one place: the error is logged, the other attempt dropped, and none is sought again in this silence. This takes the place of the guard of the search alone. Evidence: test_error_while_a_failed_replacement_is_explained_tears_no_stream and test_error_in_the_stream_of_a_replacement_tears_no_stream.

--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -103,7 +103,7 @@
                 step = self._silence.step(_now())
                 match step:
                     case Step.SEEK:
-                        self._seek()
+                        self._try_to_seek()
                     case Step.WAIT:
                         await self._wait(receiving)
                     case Step.KEEP:
@@ -130,7 +130,33 @@
             await self._observe_other()
 
     async def _observe_other(self) -> None:
-        """Tells the decision what has become of the other endpoint."""
+        """Tells the decision what has become of the other endpoint.
+
+        The silent attempt does not end by an unexpected error there.
+        """
+        try:
+            await self._observe_search()
+        except Exception:
+            self._give_search_up()
+
+    def _try_to_seek(self) -> None:
+        """Seeks another endpoint; an unexpected error ends only that."""
+        try:
+            self._seek()
+        except Exception:
+            self._give_search_up()
+
+    def _give_search_up(self) -> None:
+        """Goes on without another endpoint, for good, after an error."""
+        logger.exception(
+            "attempt.replacement_failed", id=self._exchange.facts.id
+        )
+        self._seeking = None
+        self._proving = None
+        self._attempts.drop_replacement(self._exchange)
+        self._refuse("fault", math.inf)
+
+    async def _observe_search(self) -> None:
         if self._seeking is not None and self._seeking.done():
             sought = self._seeking.result()
             self._seeking = None
@@ -194,19 +220,9 @@
             self._refuse(refusal.reason, refusal.pause_seconds)
             return
         self._silence.sought()
-        self._seeking = asyncio.create_task(self._begin())
-
-    async def _begin(self) -> exchanges.Attempt | messages.Denied:
-        """Begins an attempt at another endpoint; raises no unexpected error.
-
-        The silent attempt is not to end by it.
-        """
-        try:
-            return await self._attempts.begin(self._exchange, persistent=False)
-        except Exception:
-            id_ = self._exchange.facts.id
-            logger.exception("attempt.replacement_failed", id=id_)
-            return messages.Denied(id_, "fault", math.inf)
+        self._seeking = asyncio.create_task(
+            self._attempts.begin(self._exchange, persistent=False)
+        )
 
     def _refuse(self, reason: str, pause_seconds: float) -> None:
         """Goes on without another endpoint for a time, or for good."""
--- a/cranberryglade/tests/test_request_ends.py
+++ b/cranberryglade/tests/test_request_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cranberryglade.gateway import allocation
+from cranberryglade.gateway import attempt_streams
 from cranberryglade.gateway import attempts
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import forwarding
@@ -97,6 +98,46 @@
         assert first.disconnected == []
 
 
+async def test_error_while_a_failed_replacement_is_explained_tears_no_stream(
+    monkeypatch,
+):
+    async with short_gap_cluster() as cluster:
+        fall_silent(cluster)
+        caller, first, other = await begin_stream(cluster)
+        raised = asyncio.Event()
+
+        async def fail(*_):
+            raised.set()
+            raise ValueError("unforeseen")
+
+        monkeypatch.setattr(sending.Sender, "has_ended", fail)
+        other.default_behaviour = other.reset
+        await asyncio.wait_for(raised.wait(), 3.0)
+        first.silence_over.set()
+        assert await is_whole(caller)
+
+
+async def test_error_in_the_stream_of_a_replacement_tears_no_stream(
+    monkeypatch,
+):
+    async with short_gap_cluster() as cluster:
+        fall_silent(cluster)
+        caller, first, other = await begin_stream(cluster)
+        raised = asyncio.Event()
+
+        async def fail(*_):
+            raised.set()
+            raise ValueError("unforeseen")
+
+        monkeypatch.setattr(
+            attempt_streams.AttemptStream, "wait_for_proof", fail
+        )
+        other.default_behaviour = other.events(4, 6)
+        await asyncio.wait_for(raised.wait(), 3.0)
+        first.silence_over.set()
+        assert await is_whole(caller)
+
+
 async def test_error_in_a_replacement_tears_no_stream(monkeypatch):
     send = sending.Sender.send
     async with short_gap_cluster() as cluster:
@@ -154,6 +195,50 @@
         assert answer.whole
 
 
+async def test_retry_of_an_unframed_answer_in_doubt_is_in_time(monkeypatch):
+    connect = outbound.Pool.connect
+    config = builders.make_operator_config(timeout_ms=1500, max_attempts=2)
+    async with Cluster(runners=2, config=config) as cluster:
+        silent: set[str] = set()
+
+        async def connect_to_others(pool, seconds):
+            if pool._address in silent:
+                async with asyncio.timeout(seconds):
+                    await asyncio.sleep(60.0)
+            return await connect(pool, seconds)
+
+        for endpoint in cluster.runners:
+
+            async def end_and_fall_silent(
+                received, reader, writer, endpoint=endpoint
+            ):
+                if not silent:
+                    silent.add(endpoint.address)
+                    await endpoint.unframed(received, reader, writer)
+                    return
+                await endpoint.succeed(received, reader, writer)
+
+            endpoint.default_behaviour = end_and_fall_silent
+        monkeypatch.setattr(outbound.Pool, "connect", connect_to_others)
+        answer = await cluster.send_request(target=IDEMPOTENT)
+        assert answer.status == 200
+
+
+async def test_attempts_that_meet_errors_are_bounded(monkeypatch):
+    config = builders.make_operator_config(max_attempts=2)
+    async with Cluster(runners=5, config=config, retry_slack=99.0) as cluster:
+        sent = []
+
+        async def fail(sender, request, endpoint, *_):
+            sent.append(endpoint.id)
+            raise ValueError("unforeseen")
+
+        monkeypatch.setattr(sending.Sender, "send", fail)
+        answer = await cluster.send_request(target=IDEMPOTENT)
+        assert answer.status == 502
+        assert len(sent) == 2
+
+
 async def test_blank_line_beside_an_answer_spoils_no_later_request():
     async with Cluster() as cluster:
         (endpoint,) = cluster.runners
