Ask a silent endpoint again only where no retry can take its place

Found by review: with an answer in doubt, asking its endpoint for 2 s took the time of a retry that would have been answered; an idempotent request got 504 where it had got 200. It is asked again only for requests that may run once, and within the time left. Evidence: test_retry_of_an_unframed_answer_in_doubt_is_in_time.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -212,7 +212,11 @@
         listed = self._state.endpoints.get(endpoint.id)
         if listed is None or listed.leaving:
             return ""
-        if await self._sender.still_runs(endpoint):
+        patience = 0.0
+        if not exchange.admitted.route.kind.retryable:
+            # Nothing can take the place of what was received.
+            patience = exchange.remaining_seconds - MIN_ATTEMPT_SECONDS
+        if await self._sender.still_runs(endpoint, patience):
             return ""
         return "answer may have ended with its endpoint"
 
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -220,13 +220,18 @@
         seconds = LIVENESS_TIMEOUT_SECONDS
         return await self._find_ended(endpoint, seconds) is True
 
-    async def still_runs(self, endpoint: messages.Endpoint) -> bool:
+    async def still_runs(
+        self, endpoint: messages.Endpoint, patience_seconds: float
+    ) -> bool:
         """Returns whether an endpoint's process has certainly not ended.
 
-        One that is silent for a time is asked again.
+        Args:
+            endpoint: the endpoint.
+            patience_seconds: for so long, and SILENCE_SECONDS at most, it is
+                asked again if it neither accepts nor refuses a connection.
         """
         loop = asyncio.get_running_loop()
-        until = loop.time() + SILENCE_SECONDS
+        until = loop.time() + min(patience_seconds, SILENCE_SECONDS)
         while True:
             ended = await self._find_ended(endpoint, CONNECT_TIMEOUT_SECONDS)
             if ended is not None or loop.time() >= until:
