Count an attempt that met an unexpected error before it was sent

Found by review: such attempts were not counted, so that one request could ask all endpoints in turn, whatever the limit of its route. Evidence: test_attempts_that_meet_errors_are_bounded.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -484,7 +484,8 @@
             return
         attempt.in_progress = False
         exchange.attempts_in_progress -= 1
-        if not attempt.sent.done():
+        never_sent = outcome.not_run or outcome is messages.Outcome.ABANDONED
+        if never_sent and not attempt.sent.done():
             self._uncount(exchange, attempt, outcome)
         elif not outcome.not_run:
             exchange.earlier_attempt_may_have_run = True
