Notice callers that leave a stopping instance which does not read

Found by review: reading pauses with the head that announces the close, and a caller that left was noticed at the second write only, up to 1.3 s later between slow events, and not in a silence. Evidence: test_run_ends_soon_when_a_caller_leaves_a_slow_stream_in_the_drain.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -228,7 +228,7 @@
         """Reads no further request, as the connection closes with the answer.
 
         One that is read is owed an answer; one that is not, its caller can send
-        to another instance. That the caller has left shows at the next write.
+        to another instance. `drop_if_left` notices a caller that leaves.
         """
         # The rest of a rejected request is read and ignored.
         if self._read_failure is None:
@@ -269,6 +269,14 @@
         self._listener.connections.discard(self)
         return self._transport
 
+    def drop_if_left(self) -> None:
+        """Drops the connection if its caller left while nothing is read."""
+        is_reading = self._transport.is_reading() or self._lingering
+        if is_reading or self.closing or not self.busy:
+            return
+        if sockets.has_ended(self._transport.get_extra_info("socket")):
+            self._transport.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if self._resting:
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -302,6 +302,7 @@
         )
         try:
             while now() < schedule.balancer_until:
+                self._drop_callers_that_left()
                 await asyncio.sleep(TICK_SECONDS)
             self._caller_acceptor.close()
             await self._wait_for_callers(schedule.ends_at)
@@ -317,10 +318,15 @@
         connections = self._caller_listener.connections
         now = asyncio.get_running_loop().time
         while connections and now() < latest:
+            self._drop_callers_that_left()
             for connection in list(connections):
                 connection.close_if_idle()
             await asyncio.sleep(TICK_SECONDS)
 
+    def _drop_callers_that_left(self) -> None:
+        for connection in list(self._caller_listener.connections):
+            connection.drop_if_left()
+
     async def _wait_for_tunnels(self, latest: float) -> None:
         """Waits for the tunnels of other instances to end, up to a time."""
         now = asyncio.get_running_loop().time
--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -74,10 +74,25 @@
     Args:
         connected: the connected socket; None, or a closed one, has none.
     """
+    return _poll(connected, select.POLLIN)
+
+
+def has_ended(connected: socket.socket | None) -> bool:
+    """Returns whether the other side has closed a connection.
+
+    Also if bytes that it sent before are not read yet.
+
+    Args:
+        connected: the connected socket; None, or a closed one, has not.
+    """
+    return _poll(connected, select.POLLRDHUP)
+
+
+def _poll(connected: socket.socket | None, events: int) -> bool:
     if connected is None or connected.fileno() < 0:
         return False
     poller = select.poll()
-    poller.register(connected.fileno(), select.POLLIN)
+    poller.register(connected.fileno(), events)
     return bool(poller.poll(0))
 
 
--- a/cranberryglade/tests/test_crossing_requests.py
+++ b/cranberryglade/tests/test_crossing_requests.py
@@ -55,3 +55,20 @@
         listener = cluster.gateways[0]._caller_listener
         caller.writer.transport.abort()
         await gateway_cluster.wait_until(lambda: not listener.connections, 0.5)
+
+
+async def test_run_ends_soon_when_a_caller_leaves_a_slow_stream_in_the_drain():
+    config = shutdowns.config_with_long_routes()
+    async with shutdowns.stopping_cluster(config=config) as cluster:
+        (endpoint,) = cluster.runners
+        endpoint.event_gap_seconds = 0.7
+        endpoint.default_behaviour = endpoint.events(1, 3)
+        caller = await cluster.connect()
+        await asyncio.sleep(0.05)
+        shutdowns.stop(cluster)
+        caller.request(**shutdowns.a_request("s-1", target="/note/1"))
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        await asyncio.sleep(0.1)
+        caller.writer.close()
+        listener = cluster.gateways[0]._caller_listener
+        await gateway_cluster.wait_until(lambda: not listener.connections, 0.4)
