Bear a sound pause before an answer, too

What callers saw: 502, or the failure of another endpoint, though the first one would have answered in time. It had paused before its answer for longer than two target latencies; the other one refused 0.3 s after it was asked, was reset, failed, answered 421 or paused too.

Cause: as within a stream, the silent attempt was given up 0.2 s after the other one was asked, and no attempt was left.

Why the fix works: another endpoint is sought after 1.8 s here too, sooner if the caller would leave or the deadline pass before it could answer; for a stream, less the time for which its caller has got nothing already, so that an attempt that follows a silent one is not borne as long. What is later than two target latencies is late in any case.

Evidence: test_late_first_answer_is_not_lost_when_the_others_fail_late, 20 of 20 failed before, pass now. test_replacement, test_replacing, the rest of test_silent_endpoints (but test_pausing_stream_*), test_forwarding, test_gateway_path, test_stream_resumption and test_cut_off_gateway pass.

--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -7,10 +7,10 @@
 shown that it goes on: by an event, a whole answer, or the end of a stream of
 which nothing was left. A head alone shows nothing. As both must not work on it
 for long, the silent attempt is given up at the latest 0.2 s after the request
-was sent to the other endpoint: one that refuses later leaves neither. So, once
-a stream has begun, another endpoint is sought only when sound pauses are about
-to be over, unless the caller would leave before that one could go on. Without
-another endpoint, a silent attempt is not given up.
+was sent to the other endpoint: one that refuses later leaves neither. So
+another endpoint is sought only when sound pauses are about to be over, unless
+the caller would leave before that one could go on. Without another endpoint, a
+silent attempt is not given up.
 """
 
 import enum
@@ -19,8 +19,8 @@
 from cranberryglade.gateway import configuration
 
 HEAD_SILENCE_FACTOR = 2.0
-"""Silence before an answer after which another endpoint is sought, in target
-latencies."""
+"""Least silence before an answer after which another endpoint is sought, in
+target latencies."""
 
 STREAM_SILENCE_FACTOR = 3.0
 """The least such silence between the parts of a stream, in longest gaps that
@@ -148,7 +148,10 @@
 
 
 def silence_seconds(
-    route: configuration.Route, begun: bool, left_seconds: float = math.inf
+    route: configuration.Route,
+    begun: bool,
+    left_seconds: float = math.inf,
+    silent_seconds: float = 0.0,
 ) -> float | None:
     """Returns after which silence another endpoint is sought.
 
@@ -157,20 +160,22 @@
         begun: whether the attempt has begun to answer.
         left_seconds: time left to the deadline of the request when the silence
             begins.
+        silent_seconds: time for which the caller has got nothing by then.
 
     Returns:
         Seconds; None if the request must not be sent again.
     """
     if not route.kind.retryable:
         return None
-    if not begun:
-        return HEAD_SILENCE_FACTOR * route.target_latency_seconds
-    patience = min(caller_timeout_seconds(route), left_seconds)
+    patience = left_seconds
+    if route.kind.streams:
+        caller_stays = caller_timeout_seconds(route) - silent_seconds
+        patience = min(patience, caller_stays)
+    least = HEAD_SILENCE_FACTOR * route.target_latency_seconds
+    if begun:
+        least = STREAM_SILENCE_FACTOR * route.max_gap_seconds
     latest = patience - proof_seconds(route)
-    return max(
-        STREAM_SILENCE_FACTOR * route.max_gap_seconds,
-        min(SOUND_PAUSE_SECONDS - OVERLAP_SECONDS, latest),
-    )
+    return max(least, min(SOUND_PAUSE_SECONDS - OVERLAP_SECONDS, latest))
 
 
 def proof_seconds(route: configuration.Route) -> float:
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -54,6 +54,7 @@
             exchange.admitted.route,
             exchange.answer_framing is not None,
             exchange.remaining_seconds,
+            _now() - exchange.last_received_at,
         )
         try:
             async with asyncio.timeout(seconds):
