Test requests that are read behind an answer that closes (known failure)

What callers see: on a kept connection, requests that are sent while a stream is received, from an instance that got SIGTERM before the stream began, get neither an answer nor a refusal, however long before its end they were sent.

Cause: whether the connection closes is decided when the head of an answer is written (`may_keep_alive`); reading goes on, so that what arrives behind it is read and queued, and `finish_answer` closes without looking at the queue.

--- a/cranberryglade/tests/planned_work.py
+++ b/cranberryglade/tests/planned_work.py
@@ -7,6 +7,7 @@
 import dataclasses
 import socket
 
+from cranberryglade.gateway import messages
 from cranberryglade.gateway import sockets
 from cranberryglade.standins import callers
 from cranberryglade.standins import endpoint_standin
@@ -89,14 +90,21 @@
     return not answer.whole or answer.headers.get("connection") == "close"
 
 
-async def send_all(caller, ids, target, **fields) -> list[Sent]:
-    """Sends requests at once on one connection, and reads their answers."""
+async def send_all(caller, ids, target="/look/1", behind=None) -> list[Sent]:
+    """Sends requests at once on one connection, and reads their answers.
+
+    Args:
+        caller: the connection.
+        ids: the request ids.
+        target: request target.
+        behind: reading of the answer before these; None if there is none.
+    """
     now = asyncio.get_running_loop().time
     began = now()
     for id_ in ids:
-        caller.request(target=target, X_Attempt_Id=id_, **fields)
+        caller.request(target=target, X_Attempt_Id=id_)
+    behind_close = behind is not None and ends_connection(await behind)
     sent = []
-    behind_close = False
     for id_ in ids:
         answer = await asyncio.wait_for(caller.answer(), ANSWER_TIMEOUT_SECONDS)
         sent.append(Sent(id_, answer, now() - began, behind_close))
@@ -130,6 +138,22 @@
             return None
 
 
+def record_read_requests(monkeypatch) -> set[str]:
+    """Returns a set that gets the id of each request that is read whole."""
+    read = set()
+    make_request = messages.Request
+
+    def record(**fields) -> messages.Request:
+        request = make_request(**fields)
+        for header in request.headers:
+            if header.name.lower() == b"x-attempt-id":
+                read.add(header.value.decode())
+        return request
+
+    monkeypatch.setattr(messages, "Request", record)
+    return read
+
+
 def received_ids(cluster) -> set[str]:
     """Returns the ids of the requests that reached an endpoint."""
     return {
--- a/cranberryglade/tests/test_planned_work.py
+++ b/cranberryglade/tests/test_planned_work.py
@@ -304,3 +304,60 @@
             (b"HTTP/1.1 200", b"HTTP/1.1 503")
         )
         await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+@pytest.mark.parametrize("target", planned_work.TARGETS)
+@pytest.mark.parametrize("apply", [keep_all, changes.shrink_limits])
+@pytest.mark.parametrize("count", [10, 100])
+async def test_back_to_back_requests_read_beside_a_stop_are_answered(
+    monkeypatch, count, apply, target
+):
+    read = planned_work.record_read_requests(monkeypatch)
+    async with Cluster(runners=2, grace_seconds=GRACE_SECONDS) as cluster:
+        for endpoint in cluster.runners:
+            planned_work.work_for(endpoint, 0.005)
+            endpoint.event_gap_seconds = 0.002
+        (gateway,) = cluster.gateways
+        caller = await cluster.connect()
+        ids = [f"r-{number}" for number in range(count)]
+        sending = asyncio.create_task(
+            planned_work.send_all(caller, ids, target)
+        )
+        await gateway_cluster.wait_until(
+            lambda: len(planned_work.received_ids(cluster)) > 2
+        )
+        gateway.stop()
+        stopping = asyncio.create_task(gateway.drain())
+        await changes.change(cluster, apply)
+        lost = planned_work.find_lost(
+            await sending, cluster, lambda each, _: each.id not in read
+        )
+        assert not lost
+        assert len(read) >= 10
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+@pytest.mark.parametrize("count", [1, 10])
+async def test_no_request_is_read_and_dropped_behind_an_answer_that_closes(
+    monkeypatch, count
+):
+    read = planned_work.record_read_requests(monkeypatch)
+    async with Cluster(grace_seconds=GRACE_SECONDS) as cluster:
+        (endpoint,) = cluster.runners
+        planned_work.work_for(endpoint, 0.005)
+        endpoint.event_gap_seconds = 0.2
+        (gateway,) = cluster.gateways
+        gateway.stop()
+        stopping = asyncio.create_task(gateway.drain())
+        caller = await cluster.connect()
+        caller.request(target="/note/1", X_Attempt_Id="s-0")
+        await gateway_cluster.wait_until(lambda: endpoint.ran)
+        ids = [f"r-{number}" for number in range(count)]
+        stream = asyncio.create_task(caller.answer())
+        await asyncio.sleep(0.1)
+        sent = await planned_work.send_all(caller, ids, behind=stream)
+        lost = planned_work.find_lost(
+            sent, cluster, lambda each, _: each.id not in read
+        )
+        assert not lost
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
