Soak: a refusal after an endpoint broke off is no loss of the gateway

The endpoint that ran the request broke off, which the guarantee excuses, but the check looked at the last arrival, also one that did not run. It now looks at the last that ran. A request that was only refused, or refused after a sound endpoint, still counts (both planted).

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -27,9 +27,6 @@
 """Share of requests in which a sound endpoint falls silent, while it does."""
 
 READY_TIMEOUT_SECONDS = 10.0
-NOT_RUN_MODES = ("refuse", "unsealed", "pause")
-"""Faults in which an endpoint answers without running the request."""
-
 PAUSE = "0.3"
 """Value of the Retry-After header of endpoints that ask for a pause."""
 
@@ -253,7 +250,7 @@
                 arrival.ended = min(arrival.ended, loop.time())
 
         async def answer(received, reader, writer, is_faulty):
-            if not is_faulty or mode not in NOT_RUN_MODES:
+            if not is_faulty or mode not in observations.NOT_RUN_FAULTS:
                 now = asyncio.get_running_loop().time()
                 self.history.runs.append(
                     observations.Run(received.request_id, now)
--- a/cranberryglade/soak/losses.py
+++ b/cranberryglade/soak/losses.py
@@ -193,7 +193,12 @@
     def _broke_off(self, each: observations.Submission) -> bool:
         faults = [arrival.fault for arrival in self._arrivals.get(each.id, [])]
         begun = each.status != 0 and UNJOINABLE_FAULT in faults
-        return begun or (bool(faults) and faults[-1] in BREAKING_FAULTS)
+        ran = [
+            fault
+            for fault in faults
+            if fault not in observations.NOT_RUN_FAULTS
+        ]
+        return begun or (bool(ran) and ran[-1] in BREAKING_FAULTS)
 
     def _on_impaired_link(self, each: observations.Submission) -> bool:
         return any(
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -4,6 +4,9 @@
 
 STREAM_ROUTES = ("write", "note")
 
+NOT_RUN_FAULTS = ("refuse", "unsealed", "pause")
+"""Faults in which an endpoint answers without running the request."""
+
 CRASH = "crash"
 """Fault of an arrival: the endpoint crashed before it had answered."""
 
--- a/cranberryglade/tests/test_guarantees.py
+++ b/cranberryglade/tests/test_guarantees.py
@@ -116,10 +116,13 @@
 def test_an_endpoint_that_broke_off_excuses_a_cut(clause, work, fault):
     broken = histories.an_arrival(fault=fault)
     sound = histories.an_arrival(endpoint="i-1", at=10.3)
+    refused = histories.an_arrival(endpoint="i-1", at=10.3, fault="pause")
     lost = histories.a_lost_request()
     for arrivals, caught in (
         ([broken], set()),
         ([sound, broken], set()),
+        ([broken, refused], set()),
+        ([sound, refused], {clause}),
         ([broken, sound], {clause}),
     ):
         history = histories.a_history(lost, arrivals=arrivals, **work)
