--- a/cranberryglade/soak/losses.py
+++ b/cranberryglade/soak/losses.py
@@ -199,7 +199,17 @@
             return False
         if any(arrival.fault == UNJOINABLE_FAULT for arrival in arrivals):
             return True
-        last = arrivals[-1]
+        ran = [
+            arrival
+            for arrival in arrivals
+            if arrival.fault not in observations.NOT_RUN_FAULTS
+        ]
+        return bool(ran) and self._breaks(ran[-1], each)
+
+    def _breaks(
+        self, last: observations.Arrival, each: observations.Submission
+    ) -> bool:
+        """Returns whether the last attempt that ran was broken off."""
         return last.fault in BREAKING_FAULTS or any(
             period.endpoint == last.endpoint
             and period.overlaps(each.sent, each.ended)
--- a/cranberryglade/tests/test_guarantees.py
+++ b/cranberryglade/tests/test_guarantees.py
@@ -117,13 +117,17 @@
 def test_an_endpoint_that_broke_off_excuses_a_cut(clause, work, fault):
     broken = histories.an_arrival(fault=fault)
     sound = histories.an_arrival(endpoint="i-1", at=10.3)
+    refused = histories.an_arrival(endpoint="i-1", at=10.3, fault="pause")
     # With nothing sent yet, a refusal or another attempt is owed.
     for arrivals, status, is_caught in (
         ([broken], 200, False),
         ([sound, broken], 200, False),
+        ([broken, refused], 200, False),
+        ([sound, refused], 200, True),
         ([broken, sound], 200, fault != losses.UNJOINABLE_FAULT),
         ([broken], 0, True),
         ([sound, broken], 0, True),
+        ([broken, refused], 0, True),
         ([broken, sound], 0, True),
     ):
         lost = histories.a_lost_request(status=status)
