--- a/cranberryglade/tests/planned_work.py
+++ b/cranberryglade/tests/planned_work.py
@@ -31,14 +31,12 @@
     Attributes:
         id: its request id.
         answer: its answer; status 0 if there was none.
-        took_seconds: time from its sending to the end of its answer.
         behind_close: whether it was sent behind another whose answer says that
             the connection closes.
     """
 
     id: str
     answer: callers.Answer
-    took_seconds: float
     behind_close: bool = False
 
 
@@ -99,15 +97,13 @@
         target: request target.
         behind: reading of the answer before these; None if there is none.
     """
-    now = asyncio.get_running_loop().time
-    began = now()
     for id_ in ids:
         caller.request(target=target, X_Attempt_Id=id_)
     behind_close = behind is not None and ends_connection(await behind)
     sent = []
     for id_ in ids:
         answer = await asyncio.wait_for(caller.answer(), ANSWER_TIMEOUT_SECONDS)
-        sent.append(Sent(id_, answer, now() - began, behind_close))
+        sent.append(Sent(id_, answer, behind_close))
         behind_close = behind_close or ends_connection(answer)
     return sent
 
@@ -218,18 +214,15 @@
     return received.target.startswith(("/write/", "/note/"))
 
 
-def write_change(cluster, version: int, apply, **changes) -> None:
+def write_change(cluster, version: int, apply) -> None:
     """Writes a changed configuration without waiting for it.
 
     Args:
         cluster: the gateways.
         version: its version.
         apply: changes it in place.
-        **changes: changes that all versions of the test share.
     """
-    config = copy.deepcopy(
-        operator_configuration.a_config(version=version, **changes)
-    )
+    config = copy.deepcopy(operator_configuration.a_config(version=version))
     apply(config)
     cluster.configure(config)
 
