Tests: pauses within a tunnel through another gateway

No change of behaviour. What lets endpoints fail late stands in one function; the assertions are the same.

--- a/cranberryglade/tests/test_silent_endpoints.py
+++ b/cranberryglade/tests/test_silent_endpoints.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cranberryglade.gateway import outbound
+from cranberryglade.tests import cut_off_gateways
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
 
@@ -98,6 +99,21 @@
         assert sent_to(full) == ["occupying"]
 
 
+@pytest.mark.parametrize("runners", [1, 3])
+@pytest.mark.parametrize("failure", ["full", "pausing too"])
+async def test_pausing_stream_is_not_torn_behind_another_gateway(
+    runners, failure
+):
+    config = builders.make_short_gap_config(gap_aim_ms=400)
+    async with Cluster(2, runners, config) as cluster:
+        let_fail_late(cluster, 1.9, failure)
+        cut = cut_off_gateways.Cut.REFUSED
+        cut_off_gateways.cut_off(cluster.gateways[0], cut)
+        answer = await cluster.send_request(0, target=RESUMABLE, method="POST")
+        assert answer.body == builders.make_events(1, 6)
+        assert answer.whole
+
+
 async def test_stream_of_a_silent_endpoint_goes_on_without_retry_budget():
     async with Cluster(
         runners=2,
@@ -230,6 +246,25 @@
 """How endpoints fail that were asked for the rest of a stream."""
 
 
+def let_fail_late(cluster, pause_seconds, failure):
+    """Lets streams pause once, and endpoints fail that are asked for the rest.
+
+    Args:
+        cluster: whose endpoints.
+        pause_seconds: how long the pause lasts.
+        failure: names how they fail.
+    """
+    for endpoint in cluster.runners:
+        begin = endpoint.silent_within(3, 6, pause_seconds)
+        fail = LATE_FAILURES[failure](endpoint)
+
+        async def behave(received, reader, writer, begin=begin, fail=fail):
+            resumes = "last-event-id" in received.headers
+            await (fail if resumes else begin)(received, reader, writer)
+
+        endpoint.default_behaviour = behave
+
+
 @pytest.mark.parametrize(
     ("gap_aim_ms", "pause_seconds"), [(100, 1.6), (400, 1.9)]
 )
@@ -244,15 +279,7 @@
         max_attempts=max_attempts, gap_aim_ms=gap_aim_ms
     )
     async with Cluster(runners=3, config=config) as cluster:
-        for endpoint in cluster.runners:
-            begin = endpoint.silent_within(3, 6, pause_seconds)
-            fail = LATE_FAILURES[failure](endpoint)
-
-            async def behave(received, reader, writer, begin=begin, fail=fail):
-                resumes = "last-event-id" in received.headers
-                await (fail if resumes else begin)(received, reader, writer)
-
-            endpoint.default_behaviour = behave
+        let_fail_late(cluster, pause_seconds, failure)
         answer = await cluster.send_request(target=RESUMABLE, method="POST")
         assert answer.body == builders.make_events(1, 6)
         assert answer.whole
