--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -24,7 +24,7 @@
 """TCP_USER_TIMEOUT of callers' connections; it also ends those whose caller
 does not read for so long."""
 
-MIN_UNREAD_SECONDS = 10.0
+MIN_UNREAD_SECONDS = 4.0
 """Least time for which a caller may read nothing of an answer. What the system
 has buffered of it does not show."""
 
