Wait until accepted connections are open before a shutdown goes on

Callers whose connection waited to be accepted as the last act of a drain were reset when no other connection was open: the drain found none and ended. Cause: a connection counts from the turn after it was accepted. Evidence: test_a_connection_that_waits_to_be_accepted_is_answered fails before. Why it works: after the listener is closed, the drain waits until all that was accepted is open, which takes a turn of the loop.

--- a/cranberryglade/gateway/accepting.py
+++ b/cranberryglade/gateway/accepting.py
@@ -72,6 +72,11 @@
         self._unwatch()
         self._socket.close()
 
+    async def wait_opened(self) -> None:
+        """Waits until all connections that were accepted are open."""
+        if self._opening:
+            await asyncio.wait(self._opening)
+
     def _watch(self) -> None:
         self._resuming = None
         self._loop.add_reader(self._socket.fileno(), self._accept_waiting)
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -305,6 +305,7 @@
                 self._drop_callers_that_left()
                 await asyncio.sleep(TICK_SECONDS)
             self._caller_acceptor.close()
+            await self._caller_acceptor.wait_opened()
             await self._wait_for_callers(schedule.ends_at)
             await self._wait_for_tunnels(schedule.ends_at)
             self._forwarder.end_all()
--- a/cranberryglade/tests/test_planned_work.py
+++ b/cranberryglade/tests/test_planned_work.py
@@ -365,3 +365,16 @@
         )
         assert not lost
         await asyncio.wait_for(stopping, GRACE_SECONDS)
+
+
+async def test_a_connection_that_waits_to_be_accepted_is_answered(monkeypatch):
+    monkeypatch.setattr(shutdown, "BALANCER_SECONDS", 0.0)
+    async with Cluster(grace_seconds=GRACE_SECONDS) as cluster:
+        (gateway,) = cluster.gateways
+        gateway.stop()
+        connection = planned_work.connect_at_once(cluster)
+        stopping = asyncio.create_task(gateway.drain())
+        answer = await asyncio.wait_for(planned_work.read_some(connection), 1.0)
+        assert answer is not None
+        assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+        await asyncio.wait_for(stopping, GRACE_SECONDS)
