Tell by a test that a drain lasts until accepted connections are answered

Now it also asserts that the drain is not over when the answer comes; so it fails without the fix, and passes with it.

--- a/cranberryglade/tests/test_planned_work.py
+++ b/cranberryglade/tests/test_planned_work.py
@@ -377,4 +377,6 @@
         answer = await asyncio.wait_for(planned_work.read_some(connection), 1.0)
         assert answer is not None
         assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+        # The process ends with the drain.
+        assert not stopping.done()
         await asyncio.wait_for(stopping, GRACE_SECONDS)
