Store origins soon after an instance becomes the allocator

Cause: an origin that came before the role was taken up waited for up to 0.2 s, as nothing woke the writer. Why it works: while there are origins, the role is looked at every 20 ms.

--- a/cranberryglade/gateway/origin_rows.py
+++ b/cranberryglade/gateway/origin_rows.py
@@ -37,6 +37,10 @@
 """Least time from the end of a write to the next: with the time that the store
 takes for each, they leave most of its rate to others."""
 
+ROLE_SECONDS = 0.02
+"""Time after which an instance that has origins looks whether it is the
+allocator by now."""
+
 ROWS = 256
 """Number of rows, written in turn: a row is replaced after 51 s or later unless
 rows are full."""
@@ -150,8 +154,9 @@
         """Waits for a new one, or until it is time to look for the others."""
         if self._is_allocating() and self._unsaved:
             return
+        seconds = ROLE_SECONDS if self._unsaved else WRITE_SECONDS
         try:
-            async with asyncio.timeout(WRITE_SECONDS):
+            async with asyncio.timeout(seconds):
                 await self._added.wait()
         except TimeoutError:
             pass
