--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -263,14 +263,15 @@
         Returns at once if it can be inferred without the store, or while the
         store confirms nothing; else after MAX_HOLD_SECONDS at the latest.
         """
+        self.record(attempt, origin, tentative)
+        if not self._is_held(attempt, origin):
+            return
         stored = asyncio.get_running_loop().create_future()
         self._unstored[attempt] = stored
-        self.record(attempt, origin, tentative)
         try:
-            if self._is_held(attempt, origin):
-                await asyncio.wait([stored], timeout=MAX_HOLD_SECONDS)
-                if not stored.done():
-                    logger.info("origin.released_unstored", attempt=attempt)
+            await asyncio.wait([stored], timeout=MAX_HOLD_SECONDS)
+            if not stored.done():
+                logger.info("origin.released_unstored", attempt=attempt)
         finally:
             if self._unstored.get(attempt) is stored:
                 del self._unstored[attempt]
