--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -156,7 +156,7 @@
     for each in history.submissions.values():
         allowed = bounds.timeout_seconds + TIMEOUT_SLACK_SECONDS
         took = each.ended - each.sent
-        if took > allowed + each.lag_seconds and not _overlaps_any(
+        if took > allowed + each.lag_seconds and not observations.any_overlaps(
             history.disturbed, each
         ):
             yield Violation("held", each.id, f"ended after {took:.2f} s")
@@ -171,8 +171,8 @@
         lost = each.status == 0 and each.id in ran and not each.abandoned
         if (
             lost
-            and _overlaps_any(history.stops, each)
-            and not _overlaps_any(history.disturbed, each)
+            and observations.any_overlaps(history.stops, each)
+            and not observations.any_overlaps(history.disturbed, each)
         ):
             yield Violation("stop", each.id, "ran, but lost in a planned stop")
 
@@ -275,7 +275,8 @@
         late = [
             each.id
             for at, each in ran
-            if at > known_at and not _overlaps_any(history.disturbed, each)
+            if at > known_at
+            and not observations.any_overlaps(history.disturbed, each)
         ]
         if len(late) > MAX_LATE_CRASHING_RUNS:
             detail = f"{len(ran)} runs, {len(late)} once it was known"
@@ -310,12 +311,6 @@
                 break
 
 
-def _overlaps_any(
-    spans: list[observations.GatewayPeriod], each: observations.Submission
-) -> bool:
-    return any(s.overlaps(each.gateway, each.sent, each.ended) for s in spans)
-
-
 def _count_windows(
     times: list[float], seconds: float
 ) -> Iterator[tuple[float, int]]:
--- a/cranberryglade/soak/losses.py
+++ b/cranberryglade/soak/losses.py
@@ -159,12 +159,12 @@
 
     def _harmed(self, each: observations.Submission) -> bool:
         """Returns whether an unplanned disturbance may have ended it."""
-        return _any_overlaps(self._history.unplanned, each)
+        return observations.any_overlaps(self._history.unplanned, each)
 
     def _in_touch(self, each: observations.Submission) -> bool:
         history = self._history
         return not any(
-            _any_overlaps(periods, each)
+            observations.any_overlaps(periods, each)
             for periods in (history.unplanned, history.disturbed, history.stops)
         )
 
@@ -253,12 +253,3 @@
             f"{each.sent - work.begun:+.3f} s from planned work, cut after "
             f"{each.ended - each.sent:.3f} s; at {arrivals}"
         )
-
-
-def _any_overlaps(
-    periods: list[observations.GatewayPeriod], each: observations.Submission
-) -> bool:
-    return any(
-        period.overlaps(each.gateway, each.sent, each.ended)
-        for period in periods
-    )
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -254,3 +254,11 @@
     revocations: list[Period] = dataclasses.field(default_factory=list)
     late_stops: list[str] = dataclasses.field(default_factory=list)
     recovery_due: float = float("inf")
+
+
+def any_overlaps(periods: list[GatewayPeriod], each: Submission) -> bool:
+    """Returns whether a period of its gateway overlaps a request."""
+    return any(
+        period.overlaps(each.gateway, each.sent, each.ended)
+        for period in periods
+    )
