Wait in the drain until callers have taken their answers

Callers that read an answer late while their instance stopped, and had sent a request across the announced close, got a cut answer: 0.5 s after the last byte was written, the connection was closed with bytes unread, and the system then resets what is on its way.

A half-closed connection of a stopping instance now stays until its caller has closed its side and taken what was written, at the latest 0.5 s after it took it, and in no case while bytes are unread. What the system still holds is asked for (TIOCOUTQ), an end without reading, so that a request behind the announced close is still not read. The bound is the end of the drain, as for everything else.

Connections of rejected requests keep their 0.5 s.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -10,6 +10,7 @@
 from cranberryglade import log
 from cranberryglade.gateway import accepting
 from cranberryglade.gateway import configuration
+from cranberryglade.gateway import half_closing
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import sockets
@@ -31,9 +32,6 @@
 MIN_TIMER_SECONDS = 0.001
 """Less than this left of a time counts as nothing."""
 
-LINGER_SECONDS = 0.5
-"""Time between the half-close of a connection and its close."""
-
 logger = log.get_logger(__name__)
 
 
@@ -118,9 +116,9 @@
         "_body",
         "_chunked",
         "_read_failure",
+        "_half_close",
         "_headers",
         "_headers_done",
-        "_lingering",
         "_listener",
         "_loop",
         "_overhead_bytes",
@@ -144,7 +142,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._write_resumed: asyncio.Future | None = None
         self._read_failure: ReadFailure | None = None
-        self._lingering = False
+        self._half_close: half_closing.HalfClose | None = None
         self._reading_request = False
         self._reset_request()
 
@@ -165,7 +163,7 @@
         Load pattern: callers go on to send on kept connections while the
         instance stops, and it reads late. What has arrived is answered.
         """
-        if self.busy or self._lingering:
+        if self.busy or self._half_close is not None:
             return False
         opened = self._transport.get_extra_info("socket")
         return not sockets.has_unread(opened)
@@ -194,6 +192,8 @@
         """Cancels the handler and fails a write that waits."""
         self._listener.connections.discard(self)
         self._stop_timer()
+        if self._half_close is not None:
+            self._half_close.stop()
         if self._task is not None:
             self._task.cancel()
         if self._write_resumed is not None and not self._write_resumed.done():
@@ -271,8 +271,8 @@
 
     def drop_if_left(self) -> None:
         """Drops the connection if its caller left while nothing is read."""
-        is_reading = self._transport.is_reading() or self._lingering
-        if is_reading or self.closing or not self.busy:
+        is_reading = self._transport.is_reading()
+        if is_reading or self._half_close or self.closing or not self.busy:
             return
         if sockets.has_ended(self._transport.get_extra_info("socket")):
             self._transport.abort()
@@ -489,22 +489,18 @@
             # Its caller does not read the answer, which would stay in memory.
             self._transport.abort()
 
-    def _close(self) -> None:
-        self._transport.close()
-
     def _close_gracefully(self) -> None:
-        # Closing a socket with unread bytes sends a reset, which can discard
-        # the answer before the caller has read it. Therefore only the sending
-        # side is closed at first.
         rejected = self._read_failure is not None
-        lingers = rejected or self._listener.stopping
-        if not lingers or not self._transport.can_write_eof():
+        stopping = self._listener.stopping
+        if not (rejected or stopping) or not self._transport.can_write_eof():
             self._transport.close()
             return
-        self._lingering = True
+        self._stop_timer()
         self.stop_reading()
-        self._transport.write_eof()
-        self._start_timer(LINGER_SECONDS, self._close)
+        # While the instance stops, the end of the drain is the bound.
+        self._half_close = half_closing.HalfClose(
+            self._transport, patient=stopping
+        )
 
     def _start_timer(self, seconds: float, callback) -> None:
         self._stop_timer()
--- a/cranberryglade/gateway/sockets.py
+++ b/cranberryglade/gateway/sockets.py
@@ -1,9 +1,12 @@
 """Addresses, and socket options that detect unreachable peers."""
 
+import fcntl
 import functools
 import ipaddress
 import select
 import socket
+import struct
+import termios
 
 from cranberryglade import decoding
 
@@ -88,12 +91,44 @@
     return _poll(connected, select.POLLRDHUP)
 
 
-def _poll(connected: socket.socket | None, events: int) -> bool:
+def has_failed(connected: socket.socket | None) -> bool:
+    """Returns whether a connection was reset or has timed out.
+
+    Args:
+        connected: the connected socket; None, or a closed one, has not.
+    """
+    return _poll(connected, 0, select.POLLERR)
+
+
+def unacknowledged_bytes(connected: socket.socket | None) -> int:
+    """Returns how many bytes were written that the other side has not taken.
+
+    An end that was sent counts as one. After a failure the number stays.
+
+    Args:
+        connected: the connected socket; None, or a closed one, has none.
+    """
+    if connected is None or connected.fileno() < 0:
+        return 0
+    counted = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+    return struct.unpack("i", counted)[0]
+
+
+def _poll(
+    connected: socket.socket | None, events: int, reported: int = -1
+) -> bool:
+    """Returns whether one of the reported events has occurred.
+
+    Args:
+        connected: the connected socket; None, or a closed one, has none.
+        events: the events to ask for; errors are told in any case.
+        reported: those that count; any by default.
+    """
     if connected is None or connected.fileno() < 0:
         return False
     poller = select.poll()
     poller.register(connected.fileno(), events)
-    return bool(poller.poll(0))
+    return any(found & reported for _, found in poller.poll(0))
 
 
 def set_connection_options(
--- a/cranberryglade/tests/test_gateway_input.py
+++ b/cranberryglade/tests/test_gateway_input.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cranberryglade.gateway import inbound
+from cranberryglade.gateway import half_closing
 from cranberryglade.standins import callers
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_cluster
@@ -179,7 +179,7 @@
 )
 async def test_connection_of_a_rejected_request_is_closed(data, monkeypatch):
     # The caller neither closes its side nor sends more.
-    monkeypatch.setattr(inbound, "LINGER_SECONDS", 0.2)
+    monkeypatch.setattr(half_closing, "LINGER_SECONDS", 0.2)
     async with Cluster() as cluster:
         caller = await cluster.connect()
         caller.send(data)
