Close an idle connection in steps while its answer is on its way

A caller that reads late and sends its next request meanwhile got a cut answer when its instance stopped: the connection counted as idle, was closed at once, and the request that reached the closed socket reset what the caller had not read of the answer before.

An idle connection whose caller has not taken the whole answer is now half-closed first, as after an answer that announces the close.

test_answer_of_an_idle_connection_is_whole_though_a_request_follows failed before and passes.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -279,7 +279,11 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
-        if self._resting:
+        if not self._resting:
+            return
+        if half_closing.has_unsent(self._transport):
+            self._close_gracefully()
+        else:
             self._transport.close()
 
     def data_received(self, data: bytes) -> None:
--- a/cranberryglade/tests/test_slow_callers.py
+++ b/cranberryglade/tests/test_slow_callers.py
@@ -41,6 +41,21 @@
         await asyncio.wait_for(stopping, shutdowns.GRACE_SECONDS)
 
 
+async def test_answer_of_an_idle_connection_is_whole_though_a_request_follows():
+    config = shutdowns.config_with_long_routes()
+    async with shutdowns.stopping_cluster(config=config) as cluster:
+        caller = await begin_request(cluster, "r-1")
+        await asyncio.sleep(0.3)
+        stopping = shutdowns.stop(cluster)
+        await shutdowns.after_balancer()
+        caller.request(**shutdowns.a_request("r-2"))
+        await asyncio.sleep(0.2)
+        assert (await caller.answer()).whole
+        caller.close()
+        assert cluster.runners[0].ran == ["r-1"]
+        await asyncio.wait_for(stopping, shutdowns.GRACE_SECONDS)
+
+
 async def test_caller_that_reads_nothing_keeps_no_process_for_longer():
     config = shutdowns.config_with_long_routes()
     async with shutdowns.stopping_cluster(config=config) as cluster:
