Log the share that decides a refusal over quota

A refusal over quota logged what was used and the whole limit, by which it should often have been granted: it was the share of the limit that may be granted here which refused it, and nothing told what that was made of. The line now has the share, the number of instances and of those that reported, how many of these are younger than a window, the age of the youngest, how long this instance has allocated, and whether usage is known from the store. A refusal without an allocator names its own account and share; before, it showed the account of the allocator, which did not decide.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -362,12 +362,16 @@
         if isolated:
             instance_count = self._mesh.members.instance_count(now)
             wait = self._charges.charge_isolated(request, instance_count, now)
+            denied = None
+            if wait > 0:
+                fields = self._charges.isolated_log_fields(
+                    request, instance_count, now
+                )
+                denied = _over_quota(request, wait, fields)
         else:
-            wait = self._charges.charge(
-                request, self._usage_knowledge(now), now
-            )
-        if wait > 0:
-            return self._over_quota(request, wait, now)
+            denied = self._charge(request, now)
+        if denied is not None:
+            return denied
         self.deliver_decisions(
             self._slots.request_slot(self._name, request, now)
         )
@@ -454,13 +458,8 @@
     ) -> None:
         request = conversions.decode_slot_request(datagram, now)
         known = self._slots.contains(request.id)
-        wait = 0.0
-        if not known:
-            wait = self._charges.charge(
-                request, self._usage_knowledge(now), now
-            )
-        if wait > 0:
-            denied = self._over_quota(request, wait, now)
+        denied = None if known else self._charge(request, now)
+        if denied is not None:
             self._mesh.send_to(
                 datagram.name, conversions.encode_decision(denied)
             )
@@ -472,16 +471,17 @@
         ):
             self._mesh.send_to(datagram.name, datagrams.Queued(request.id))
 
-    def _over_quota(
-        self, request: messages.SlotRequest, wait: float, now: float
-    ) -> messages.Denied:
-        retry_after = min(MAX_QUOTA_RETRY_AFTER_SECONDS, wait)
-        logger.info(
-            "quota.exceeded",
-            id=request.id,
-            **self._charges.log_fields(request, now),
+    def _charge(
+        self, request: messages.SlotRequest, now: float
+    ) -> messages.Denied | None:
+        """Charges a request as the allocator; returns why it is refused."""
+        knowledge = self._usage_knowledge(now)
+        wait = self._charges.charge(request, knowledge, now)
+        if wait <= 0:
+            return None
+        return _over_quota(
+            request, wait, self._charges.log_fields(request, knowledge, now)
         )
-        return messages.Denied(request.id, messages.OVER_QUOTA, retry_after)
 
     def _free_slot(
         self, holder: str, id_: str, outcome: messages.Outcome, now: float
@@ -521,3 +521,11 @@
         pending = self._pending.get(decision.id)
         if pending is not None and not pending.future.done():
             pending.future.set_result(decision)
+
+
+def _over_quota(
+    request: messages.SlotRequest, wait: float, fields: dict[str, float | str]
+) -> messages.Denied:
+    retry_after = min(MAX_QUOTA_RETRY_AFTER_SECONDS, wait)
+    logger.info("quota.exceeded", id=request.id, **fields)
+    return messages.Denied(request.id, messages.OVER_QUOTA, retry_after)
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -68,6 +68,19 @@
             known += (1 - known) * (1 - ASSUMED_UNRECORDED_FRACTION)
         return min(allowed, known)
 
+    def log_fields(self, window_seconds: float) -> dict[str, float | bool]:
+        """Returns log fields on the share and what it was made of."""
+        young = [age for age in self.reporter_ages if age < window_seconds]
+        return {
+            "share": round(self.share(window_seconds), 4),
+            "instances": self.instance_count,
+            "reporters": len(self.reporter_ages),
+            "young_reporters": len(young),
+            "youngest_s": round(min(self.reporter_ages), 3),
+            "allocating_s": round(self.allocating_seconds, 3),
+            "stored_usage": self.has_stored_usage,
+        }
+
     def _known_fraction(self, window_seconds: float) -> float:
         """Returns the fraction of the window whose grants are known."""
         # Grants made here are known; earlier grants of others are known from
@@ -201,17 +214,31 @@
         )
 
     def log_fields(
-        self, request: messages.SlotRequest, now: float
+        self,
+        request: messages.SlotRequest,
+        knowledge: UsageKnowledge,
+        now: float,
     ) -> dict[str, float | str]:
         """Returns log fields on a request that does not fit into its quota."""
-        standing = self._shared.standing(request.organisation, now)
-        if standing is None:
-            return {}
-        return {
-            "organisation": request.organisation,
-            "cost": request.cost,
-            "used": round(standing.used),
-            "limit": round(standing.limit),
+        return _standing_fields(
+            self._shared, request, now
+        ) | knowledge.log_fields(self.window_seconds)
+
+    def isolated_log_fields(
+        self, request: messages.SlotRequest, instance_count: int, now: float
+    ) -> dict[str, float | str]:
+        """Returns the same for a request charged while no allocator answers.
+
+        Args:
+            request: the request.
+            instance_count: number of instances that share the quota.
+            now: seconds of the loop's clock.
+        """
+        share = ISOLATED_SHARE_FRACTION / instance_count
+        return _standing_fields(self._isolated, request, now) | {
+            "share": round(share, 4),
+            "instances": instance_count,
+            "isolated": True,
         }
 
     def make_final(self, id_: str) -> None:
@@ -285,3 +312,17 @@
                 account, request.organisation, request.cost, now
             )
         return wait
+
+
+def _standing_fields(
+    account: quotas.Quotas, request: messages.SlotRequest, now: float
+) -> dict[str, float | str]:
+    standing = account.standing(request.organisation, now)
+    if standing is None:
+        return {}
+    return {
+        "organisation": request.organisation,
+        "cost": request.cost,
+        "used": round(standing.used),
+        "limit": round(standing.limit),
+    }
--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -5,9 +5,12 @@
 import pytest
 import structlog
 
+from cranberryglade.gateway import charges
 from cranberryglade.gateway import forwarding
 from cranberryglade.gateway import quarantine_sync
+from cranberryglade.gateway import quotas
 from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import gateway_builders
 from cranberryglade.tests import gateway_cluster
 
 Cluster = gateway_cluster.Cluster
@@ -58,6 +61,41 @@
         assert line["used"] + line["cost"] > line["limit"] / 2
 
 
+async def test_a_request_over_quota_logs_the_share_that_decided_it():
+    config = operator_configuration.a_config()
+    config["tenants"][0] |= {"rate_per_s": 1, "burst": 2}
+    with structlog.testing.capture_logs() as lines:
+        async with Cluster(config=config) as cluster:
+            for number in range(8):
+                await cluster.send_request(X_Attempt_Id=f"a-{number}")
+    denials = [line for line in lines if line["event"] == "quota.exceeded"]
+    assert denials
+    for line in denials:
+        assert line["used"] + line["cost"] > line["share"] * line["limit"]
+        assert line["instances"] == line["reporters"] == 1
+        assert line["young_reporters"] == 1
+        assert 0 < line["youngest_s"] < 8
+        assert line["allocating_s"] >= 0
+        assert line["stored_usage"] is True
+
+
+def test_a_request_refused_without_an_allocator_logs_its_own_share():
+    organisation = gateway_builders.make_organisation(rate=1.0, burst=0.0)
+    tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
+    charging = charges.Charges(
+        quotas.Quotas(lambda name: organisation, tolerance),
+        quotas.Quotas(lambda name: organisation, tolerance),
+    )
+    request = gateway_builders.make_slot_request(
+        organisation="studio", cost=1.0
+    )
+    assert charging.charge_isolated(request, 8, 1.0) > 0
+    fields = charging.isolated_log_fields(request, 8, 1.0)
+    assert fields["used"] + fields["cost"] > fields["share"] * fields["limit"]
+    assert fields["isolated"]
+    assert fields["instances"] == 8
+
+
 async def test_disconnects_and_timeouts_log_one_final_line():
     config = operator_configuration.a_config()
     config["routes"][1]["timeout_ms"] = 300
