Hand the usage of an instance that stops to its next incarnation

In a planned restart the ledgers of what requests used of their quotas ended with their processes.

An instance that stops now tells its contacts, in one datagram sent after its last request was decided, all that its requests used in the present window, with who granted it and the times of which that is all. They tell the next incarnation of its name when it sends them heartbeats; it reports both as its own to any allocator. The allocator counts as known the part of the window that lies in those times, by the same rule as before, by which it was the uptime.

Whatever is not told stays unknown: a kill before the datagram, the time between two incarnations (another may have been killed in it), usage told for an incarnation that another one followed, and all of it if the contacts are gone.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -15,6 +15,7 @@
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import final_usage
 from cranberryglade.gateway import membership
 from cranberryglade.gateway import mesh
 from cranberryglade.gateway import messages
@@ -87,6 +88,8 @@
 
     __slots__ = (
         "_charges",
+        "_earlier_periods",
+        "_finished",
         "_granted_by",
         "_holders_seen",
         "_knowledge",
@@ -124,6 +127,8 @@
         self._granted_by: dict[str, str] = {}
         self._holders_seen: dict[str, float] = {}
         self._reporters: set[str] = set()
+        self._earlier_periods: dict[str, tuple[final_usage.Period, ...]] = {}
+        self._finished = False
         self._knowledge: charges.UsageKnowledge | None = None
         self._knowledge_at = 0.0
         self._last_reported_to = ""
@@ -142,6 +147,14 @@
         """
         self._settled.set()
 
+    def finish(self) -> None:
+        """Denies all requests from now on, as their usage is not told."""
+        self._finished = True
+
+    def report_again(self) -> None:
+        """Reports to the allocator soon, as more is to be reported."""
+        self._last_reported_to = ""
+
     def set_mesh(self, instances: mesh.Mesh) -> None:
         """Connects it to the other instances."""
         self._mesh = instances
@@ -172,6 +185,9 @@
                 granter = (
                     charges.NO_ALLOCATOR if isolated else self._mesh.incarnation
                 )
+            if self._finished:
+                self._withdraw(request.id, asked)
+                return messages.Denied(request.id, "stopping", 1.0)
             if isinstance(decision, messages.Granted):
                 now = asyncio.get_running_loop().time()
                 self._charges.record_usage(request, granter, now)
@@ -213,7 +229,13 @@
         now = asyncio.get_running_loop().time()
         incarnation = allocator.incarnation
         return datagrams.Report(
-            held, self._charges.usage_not_granted_by(incarnation, now)
+            held,
+            self._charges.usage_not_granted_by(incarnation, now),
+            final_usage.encode_periods(
+                self._charges.earlier_periods,
+                self._charges.window_seconds,
+                now,
+            ),
         )
 
     def tick(self, now: float) -> None:
@@ -260,9 +282,7 @@
                 self._forget_reporter(name)
             case datagrams.Ping(name=name, report=report):
                 self._holders_seen[name] = now
-                if name not in self._reporters:
-                    self._reporters.add(name)
-                    self._knowledge = None
+                self._record_reporter(name, report, now)
                 held = [messages.Granted(h.id, h.endpoint) for h in report.held]
                 self._charges.record_report(
                     name, quotas.decode_usage(report.usage, now)
@@ -287,6 +307,19 @@
             case datagrams.Deny():
                 self._deliver(conversions.decode_denial(message))
 
+    def _record_reporter(
+        self, name: str, report: datagrams.Report, now: float
+    ) -> None:
+        earlier = final_usage.decode_periods(report.earlier, now)
+        begins = bool(earlier) != (name in self._earlier_periods)
+        if earlier:
+            self._earlier_periods[name] = earlier
+        else:
+            self._earlier_periods.pop(name, None)
+        if begins or name not in self._reporters:
+            self._reporters.add(name)
+            self._knowledge = None
+
     async def _request_from_allocators(
         self,
         request: messages.SlotRequest,
@@ -389,20 +422,37 @@
         if self._allocating_since is not None:
             allocating = now - self._allocating_since
         instance_count = self._mesh.members.instance_count(now)
-        own_age, *ages = self._mesh.members.uptimes(self._reporters, now)
+        own_known, *known = self._known_seconds(now)
         if self._charges.has_stored_usage:
-            older = sum(age > own_age + START_SPREAD_SECONDS for age in ages)
+            before_start = self._mesh.members.uptime(now) + START_SPREAD_SECONDS
+            older = sum(seconds > before_start for seconds in known)
             if 2 * older >= instance_count:
                 self._charges.forget_stored()
         return charges.UsageKnowledge(
             allocating_seconds=allocating,
             instance_count=instance_count,
-            reporter_ages=(own_age, *ages),
+            reporter_ages=(own_known, *known),
             has_stored_usage=self._charges.has_stored_usage,
         )
 
+    def _known_seconds(self, now: float) -> list[float]:
+        """Returns the time of known usage of this instance, then of others."""
+        members = self._mesh.members
+        names = [name for name in self._reporters if members.get(name)]
+        own_uptime, *uptimes = members.uptimes(names, now)
+        periods = [self._charges.earlier_periods]
+        periods += [self._earlier_periods.get(name, ()) for name in names]
+        window = self._charges.window_seconds
+        return [
+            final_usage.known_seconds_of(uptime, earlier, window, now)
+            for uptime, earlier in zip(
+                (own_uptime, *uptimes), periods, strict=True
+            )
+        ]
+
     def _forget_reporter(self, name: str) -> None:
         """Counts the usage at an instance as unknown from now on."""
+        self._earlier_periods.pop(name, None)
         if name in self._reporters:
             self._reporters.discard(name)
             self._knowledge = None
@@ -416,6 +466,7 @@
             self._allocating_since = now
             self._knowledge = None
             self._reporters.clear()
+            self._earlier_periods.clear()
             logger.info("allocator.begun", held=self._slots.lease_count)
         usage = self._charges.usage_not_granted_by(self._mesh.incarnation, now)
         self._charges.record_report(self._name, quotas.decode_usage(usage, now))
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cranberryglade.gateway import datagrams
+from cranberryglade.gateway import final_usage
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import quotas
 
@@ -32,8 +33,9 @@
         allocating_seconds: how long it has been the allocator; 0 if it is not
             but was asked by an instance that cannot reach the allocator.
         instance_count: number of known instances, including this one.
-        reporter_ages: seconds since the start of each instance that has
-            reported its usage, including this one.
+        reporter_ages: seconds of which the usage is known, of each instance
+            that has reported it, including this one: those since its start,
+            and those before that it has reported, too.
         has_stored_usage: whether the usage before the start is known from the
             store, as far as it was large.
     """
@@ -123,6 +125,7 @@
     __slots__ = (
         "_isolated",
         "_ledger",
+        "_earlier",
         "_known_share",
         "_pending",
         "_shared",
@@ -140,6 +143,7 @@
         self._isolated = isolated
         self._ledger = quotas.Ledger()
         self._pending: dict[str, Charge] = {}
+        self._earlier: final_usage.FinalUsage | None = None
         self._stored_at: float | None = None
         self._known_share: tuple[UsageKnowledge, float, float] | None = None
 
@@ -148,6 +152,11 @@
         """Whether it counts the usage that the store had at the start."""
         return self._stored_at is not None
 
+    @property
+    def earlier_periods(self) -> tuple[final_usage.Period, ...]:
+        """Times before the start of which it has the usage of this instance."""
+        return self._earlier.periods if self._earlier is not None else ()
+
     @property
     def window_seconds(self) -> float:
         """Length of the window over which usage is counted."""
@@ -275,6 +284,42 @@
             granter, self.window_seconds, now
         )
 
+    def adopt(self, final: final_usage.FinalUsage) -> bool:
+        """Adds the usage of an earlier incarnation of this instance.
+
+        Returns:
+            Whether it is new; a later one replaces an earlier one, which it
+            contains as far as it was known.
+        """
+        earlier = self._earlier
+        if earlier is not None and (
+            earlier.incarnation == final.incarnation
+            or earlier.ended_at >= final.ended_at
+        ):
+            return False
+        self._earlier = final
+        self._ledger.set_earlier(final.usages)
+        return True
+
+    def final_usage(
+        self, incarnation: str, started_at: float, now: float
+    ) -> final_usage.FinalUsage:
+        """Returns all usage by requests of this instance.
+
+        To be called when it will charge nothing more.
+
+        Args:
+            incarnation: the incarnation of this instance.
+            started_at: when it began, seconds of the loop's clock.
+            now: seconds of the loop's clock.
+        """
+        own_period = final_usage.Period(started_at, now)
+        return final_usage.FinalUsage(
+            incarnation,
+            (*self.earlier_periods, own_period),
+            tuple(self._ledger.usages(self.window_seconds, now)),
+        )
+
     def expire(self, now: float) -> None:
         """Ends what is older than a window.
 
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -34,6 +34,18 @@
     age_seconds: decoding.Number
 
 
+class KnownPeriod(msgspec.Struct, array_like=True, frozen=True):
+    """A time of which all usage of quotas by an instance is known.
+
+    Attributes:
+        began_seconds: time since its beginning.
+        ended_seconds: time since its end.
+    """
+
+    began_seconds: decoding.Quantity
+    ended_seconds: decoding.Quantity
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """What the allocator needs to know of the sender's requests.
 
@@ -41,10 +53,13 @@
         held: requests that hold slots of endpoints.
         usage: usage within the current quota window that was not granted by
             the receiver in its present incarnation.
+        earlier: times before the sender's present incarnation of which it
+            reports the usage, too.
     """
 
     held: list[HeldSlot]
     usage: list[QuotaUsage]
+    earlier: list[KnownPeriod] = []
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True):
@@ -346,6 +361,41 @@
     attempts: list[str]
 
 
+class GrantedUsage(msgspec.Struct, array_like=True, frozen=True):
+    """Usage of a quota, with who granted it.
+
+    Attributes:
+        organisation: name of the organisation that has the quota.
+        cost: tokens or requests, by the unit of the quota.
+        age_seconds: time since they were charged, rounded down to a whole
+            step of `final_usage.AGE_STEP_SECONDS`.
+        granter: incarnation that granted it; "" without an allocator.
+    """
+
+    organisation: str
+    cost: decoding.Quantity
+    age_seconds: decoding.Quantity
+    granter: str
+
+
+class FinalUsage(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """All usage of quotas by an incarnation that has used its last.
+
+    Its contacts get it, and tell it to the next incarnation of its name.
+
+    Attributes:
+        name: name of the instance.
+        incarnation: the incarnation that has ended.
+        periods: the times in which all usage is listed.
+        usage: the usage in them.
+    """
+
+    name: str
+    incarnation: str
+    periods: list[KnownPeriod]
+    usage: list[GrantedUsage]
+
+
 OriginMessage = Origins | OriginQuery | OriginReply | OriginsStored
 
 Datagram = (
@@ -359,6 +409,7 @@
     | Leaving
     | EndpointLimit
     | OriginMessage
+    | FinalUsage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -1,6 +1,7 @@
 """Membership: known and reachable instances, and which one allocates."""
 
 import bisect
+from collections.abc import Iterable
 import dataclasses
 import random
 
@@ -268,6 +269,11 @@
             and not member.stopping
         )
 
+    @property
+    def started_at(self) -> float:
+        """When this instance started, seconds of the loop's clock."""
+        return self._started
+
     def uptime(self, now: float) -> float:
         """Returns the seconds since this instance started."""
         return now - self._started
@@ -524,7 +530,7 @@
             ]
         )
 
-    def uptimes(self, names: set[str], now: float) -> tuple[float, ...]:
+    def uptimes(self, names: Iterable[str], now: float) -> tuple[float, ...]:
         """Returns seconds since the start of this instance and those named."""
         start_times = [self._started]
         start_times += [
--- a/cranberryglade/gateway/mesh.py
+++ b/cranberryglade/gateway/mesh.py
@@ -49,6 +49,7 @@
     | datagrams.Grant
     | datagrams.Deny
     | datagrams.EndpointLimit
+    | datagrams.FinalUsage
 )
 """What tells how things are when it is sent, and is sent again."""
 
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -53,6 +53,7 @@
 from cranberryglade.gateway import store_watch
 from cranberryglade.gateway import telemetry
 from cranberryglade.gateway import tunnels
+from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
 
@@ -179,6 +180,9 @@
             self._capacity,
         )
         self._allocator.set_mesh(self._mesh)
+        self._usage_handover = usage_handover.UsageHandover(
+            initial_settings.instance, charging, self._allocator, self._mesh
+        )
         self._state.process_pauses.set_on_resumed(self._ask_again)
         self._origins.set_mesh(self._mesh)
         self._consultation = consultation.Consultation(
@@ -310,6 +314,7 @@
             await self._wait_for_tunnels(schedule.ends_at)
             self._forwarder.end_all()
             await self._wait_for_callers(now() + schedule.flush_seconds)
+            self._usage_handover.finish()
             self._logger.info("stopped", busy=self._caller_listener.busy)
         finally:
             self.close()
@@ -420,8 +425,11 @@
                 self._announce_leaving(
                     leaving.id, leaving.started_ms, message.name
                 )
+            self._usage_handover.hear(message)
         if isinstance(message, datagrams.OriginMessage):
             self._origins.receive(sender, message)
+        elif isinstance(message, datagrams.FinalUsage):
+            self._usage_handover.receive(message)
         else:
             self._allocator.receive(sender, message)
 
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -269,15 +269,30 @@
     from the ledgers of the other instances.
     """
 
-    __slots__ = ("_usages",)
+    __slots__ = ("_earlier", "_usages")
 
     def __init__(self):
+        self._earlier: tuple[Usage, ...] = ()
         self._usages: collections.deque[Usage] = collections.deque()
 
     def add(self, usage: Usage) -> None:
         """Records usage."""
         self._usages.append(usage)
 
+    def set_earlier(self, usages: tuple[Usage, ...]) -> None:
+        """Sets the usage before the present incarnation."""
+        self._earlier = usages
+
+    def usages(self, window_seconds: float, now: float) -> list[Usage]:
+        """Returns all usage within the window."""
+        oldest = now - window_seconds
+        while self._usages and self._usages[0].at < oldest:
+            self._usages.popleft()
+        self._earlier = tuple(
+            usage for usage in self._earlier if usage.at >= oldest
+        )
+        return [*self._earlier, *self._usages]
+
     def usage_not_granted_by(
         self, granter: str, window_seconds: float, now: float
     ) -> list[datagrams.QuotaUsage]:
@@ -291,9 +306,11 @@
         Returns:
             Sums of cost, by organisation and by age in whole steps.
         """
-        while self._usages and self._usages[0].at < now - window_seconds:
-            self._usages.popleft()
-        others = [usage for usage in self._usages if usage.granter != granter]
+        others = [
+            usage
+            for usage in self.usages(window_seconds, now)
+            if usage.granter != granter
+        ]
         return encode_usage(others, now)
 
 
--- a/cranberryglade/tests/wire_samples.py
+++ b/cranberryglade/tests/wire_samples.py
@@ -32,6 +32,7 @@
 STATUS = datagrams.Status(7, 250, 41, 3, 9000, 2, True, True)
 STATUS_WITHOUT_CONFIGURATION = datagrams.Status(0, -1, 0, 1, 0)
 USAGE = datagrams.QuotaUsage("studio", 120.5, 1.25)
+PERIOD = datagrams.KnownPeriod(7.5, 3.25)
 LIMIT = endpoint_limits.EndpointLimit("i-1", 1700000000001, 12.5, False, 99.5)
 QUARANTINE = quarantine.Entry(("p-1", "p-2"), NOW + 30.0, 4)
 SUSPICION = crash_evidence.Suspicion("p-1", 3, 2)
@@ -77,7 +78,9 @@
             "north",
             12,
             STATUS,
-            datagrams.Report([datagrams.HeldSlot("gate-0.1", "i-1")], [USAGE]),
+            datagrams.Report(
+                [datagrams.HeldSlot("gate-0.1", "i-1")], [USAGE], [PERIOD]
+            ),
             [datagrams.LeavingEndpoint("i-3", 1700000000003)],
             [conversions.encode_quarantine(QUARANTINE, NOW)],
             [conversions.encode_suspicion(SUSPICION)],
@@ -123,6 +126,12 @@
         "origins_stored": datagrams.OriginsStored(["a-1"]),
         "unknown_origin": datagrams.OriginReply(5, None, []),
         "endpoint_limit": conversions.encode_limit(LIMIT, NOW),
+        "final_usage": datagrams.FinalUsage(
+            "gate-0",
+            "life-1",
+            [PERIOD],
+            [datagrams.GrantedUsage("studio", 120.5, 1.25, "life-2")],
+        ),
     }
 
 
