--- /dev/null
+++ b/cranberryglade/checking/__init__.py
@@ -0,0 +1,1 @@
+"""A model of a request's life, and its exploration."""
--- a/cranberryglade/tools/reference.py
+++ b/cranberryglade/tools/reference.py
@@ -18,6 +18,7 @@
 from cranberryglade import responses
 from cranberryglade import settings
 from cranberryglade import verdicts
+from cranberryglade.checking import request_life
 from cranberryglade.tools import questions
 
 DOCS = pathlib.Path("docs")
@@ -73,6 +74,8 @@
             return _reasons()
         case "modules":
             return _modules(name)
+        case "life":
+            return _life()
         case _:
             raise ValueError(f"unknown block {kind}")
 
@@ -175,6 +178,16 @@
     return "\n".join(lines) + "\n"
 
 
+def _life() -> str:
+    lines = ["| state | event | outcome | reason |", "|---|---|---|---|"]
+    for position, cell in request_life.TABLE.items():
+        lines.append(
+            f"| {position.state.value} | {position.event.value} "
+            f"| {request_life.describe(cell.outcome)} | {cell.reason} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
 def _reasons() -> str:
     meanings = field_meanings(verdicts.Reason)
     lines = ["| reason | status when not run | meaning |", "|---|---|---|"]
