Look for the end of a limit also while allocators change

Cause: an allocator's bucket of a limited endpoint began empty. At 0.1 a second it takes 10 s for one token, and the allocator changed 5 times in 10 s, so that no request was sent that could have told of the limit's end. Why it works: the bucket counts from when the limit was last observed, which all instances tell each other; a request granted by a predecessor since then is still running, and then the bucket begins empty as before. Over a series of allocators (new tests) the requests in any 4 s keep to the bound for limits of 0, 1.7 and 6, with answers after 0.05 and 1.9 s. The test of the end of a limit fails without the change (5 of 5 cases) and passes with it; test_named_limits.py and test_gateway_slots.py pass.

--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -72,9 +72,19 @@
             state.bucket = None
             return math.inf
         if state.bucket is None:
-            state.bucket = endpoint_limits.TokenBucket(now)
+            state.bucket = self._new_bucket(state, now)
         return state.bucket.refill(rate, now)
 
+    def _new_bucket(
+        self, state: endpoint_states.EndpointState, now: float
+    ) -> endpoint_limits.TokenBucket:
+        # What another allocator granted since the limit was last observed is
+        # still running: its answer would have been observed.
+        observed_at = self._limits.observed_at(state.endpoint)
+        if state.leases or observed_at is None:
+            return endpoint_limits.TokenBucket(now)
+        return endpoint_limits.TokenBucket(observed_at)
+
 
 class MedianPace:
     """Median of the measured paces of the endpoints of one service."""
--- a/cranberryglade/gateway/endpoint_limits.py
+++ b/cranberryglade/gateway/endpoint_limits.py
@@ -150,6 +150,14 @@
         known = self._known(endpoint)
         return math.inf if known is None else known.rate(now)
 
+    def observed_at(self, endpoint: messages.Endpoint) -> float | None:
+        """Returns when an endpoint's limit, or its end, was last observed.
+
+        None if no limit of it is known.
+        """
+        known = self._known(endpoint)
+        return None if known is None else known.observed_at
+
     def shared(self) -> list[EndpointLimit]:
         """Returns the limits for the next heartbeat."""
         return heapq.nlargest(
@@ -205,13 +213,18 @@
 
 
 class TokenBucket:
-    """Tokens for the requests that an endpoint may get; starts empty."""
+    """Tokens for the requests that an endpoint may get."""
 
     __slots__ = ("_at", "_tokens")
 
-    def __init__(self, now: float):
+    def __init__(self, emptied_at: float):
+        """Creates a bucket.
+
+        Args:
+            emptied_at: since when the endpoint got no request.
+        """
         self._tokens = 0.0
-        self._at = now
+        self._at = emptied_at
 
     def refill(self, rate: float, now: float) -> float:
         """Adds the tokens since the last call.
--- a/cranberryglade/tests/test_named_limits.py
+++ b/cranberryglade/tests/test_named_limits.py
@@ -1,6 +1,7 @@
 """Endpoints that name the requests a second that they take from all."""
 
 import asyncio
+import itertools
 import math
 import random
 
@@ -277,6 +278,66 @@
     assert len(granted) >= 0.5 * limit * 12.0
 
 
+def grants_of_successive_allocators(
+    seed, limit, term_seconds, seconds, answer_seconds=0.05
+):
+    """Returns when an endpoint got requests from allocators in a series.
+
+    Each allocator is a new process that knows what the others know of limits.
+    """
+    rng = random.Random(seed)
+    limits = endpoint_limits.EndpointLimits()
+    scheduler = None
+    granted = []
+    answers = []
+    observe(limits, limit)
+    for step in range(int(seconds / 0.05)):
+        now = step * 0.05
+        if scheduler is None or rng.random() < 0.05 / term_seconds:
+            scheduler = slots.SlotScheduler(None, limits)
+            scheduler.update_endpoints({ENDPOINT.id: ENDPOINT}, now)
+            for _, id_ in answers:
+                scheduler.register_lease("a", id_, None, ENDPOINT.id, now)
+        for at, id_ in [each for each in answers if each[0] <= now]:
+            answers.remove((at, id_))
+            observe(limits, limit, now=now)
+            scheduler.release(id_, Outcome.SERVED, now)
+        request = builders.make_slot_request(f"r-{step}", wait_until=now + 1.0)
+        decisions = [
+            *scheduler.tick(now),
+            *scheduler.request_slot("a", request, now),
+        ]
+        for decision in decisions:
+            match decision.result:
+                case messages.Granted(id=id_):
+                    granted.append(now)
+                    answers.append((now + answer_seconds, id_))
+    return granted
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_end_of_a_limit_is_looked_for_though_allocators_change(seed):
+    granted = grants_of_successive_allocators(seed, 0, 2.0, 60.0)
+    asked = [0.0, *granted, 60.0]
+    gaps = [later - at for at, later in itertools.pairwise(asked)]
+    assert max(gaps) <= 1.2 / endpoint_limits.MIN_LIMIT_PER_SECOND
+
+
+@pytest.mark.parametrize("answer_seconds", [0.05, 1.9])
+@pytest.mark.parametrize("limit", [0, 1.7, 6.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_successive_allocators_keep_to_a_limit(seed, limit, answer_seconds):
+    granted = grants_of_successive_allocators(
+        seed, limit, 1.0, 30.0, answer_seconds
+    )
+    windows = [
+        sum(begin <= at < begin + WINDOW_SECONDS for at in granted)
+        for begin in granted
+    ]
+    assert granted
+    assert max(windows) <= allowed(limit)
+
+
 async def test_limit_is_kept_while_the_allocator_is_lost():
     async with Cluster(gateways=4, runners=3) as cluster:
         limited = cluster.runners[0]
