Count a bucket's time at the share that holds when it is used

Cause: an instance grants a quarter of a limit (of 4 instances) until it is the allocator. Its bucket was first filled in that moment, so that all the time since the limit was observed counted at the quarter: 13.4 s gave a third of a token, and the rest took 6.6 s more (traced by lines of each bucket and grant in a scratch copy). Why it works: the bucket keeps since when the endpoint got nothing, and counts it at the present rate, up to a quarter of a second's tokens or one, as before. The new test fails without the change and passes with it; test_named_limits.py and test_gateway_slots.py pass.

--- a/cranberryglade/gateway/endpoint_limits.py
+++ b/cranberryglade/gateway/endpoint_limits.py
@@ -213,9 +213,13 @@
 
 
 class TokenBucket:
-    """Tokens for the requests that an endpoint may get."""
+    """Tokens for the requests that an endpoint may get.
 
-    __slots__ = ("_at", "_tokens")
+    Keeps since when the endpoint got nothing, as the rate may change: what may
+    be granted here rises when an instance becomes the allocator.
+    """
+
+    __slots__ = ("_emptied_at", "_latest", "_most", "_rate")
 
     def __init__(self, emptied_at: float):
         """Creates a bucket.
@@ -223,25 +227,24 @@
         Args:
             emptied_at: since when the endpoint got no request.
         """
-        self._tokens = 0.0
-        self._at = emptied_at
+        self._emptied_at = emptied_at
+        self._latest = emptied_at
+        self._most = 1.0
+        self._rate = MIN_LIMIT_PER_SECOND
 
     def refill(self, rate: float, now: float) -> float:
-        """Adds the tokens since the last call.
+        """Returns the number of tokens.
 
         Args:
-            rate: tokens a second.
+            rate: tokens a second, above 0.
             now: the present time.
-
-        Returns:
-            The number of tokens.
         """
-        most = max(1.0, rate * BURST_SECONDS)
-        added = rate * max(0.0, now - self._at)
-        self._tokens = min(most, self._tokens + added)
-        self._at = now
-        return self._tokens
+        self._rate = rate
+        self._most = max(1.0, rate * BURST_SECONDS)
+        self._latest = now
+        return min(self._most, rate * max(0.0, now - self._emptied_at))
 
     def take(self) -> None:
-        """Takes one token."""
-        self._tokens -= 1.0
+        """Takes one token of those that `refill` returned last."""
+        full_since = self._latest - self._most / self._rate
+        self._emptied_at = max(self._emptied_at, full_since) + 1 / self._rate
--- a/cranberryglade/tests/test_named_limits.py
+++ b/cranberryglade/tests/test_named_limits.py
@@ -338,6 +338,21 @@
     assert max(windows) <= allowed(limit)
 
 
+def test_time_before_an_instance_allocates_counts_in_full():
+    limits = endpoint_limits.EndpointLimits()
+    scheduler = slots.SlotScheduler(None, limits)
+    scheduler.update_endpoints({ENDPOINT.id: ENDPOINT}, 0.0)
+    observe(limits, 0)
+    scheduler.limit_share = 0.25
+    request = builders.make_slot_request("r-1", wait_until=9.5)
+    (denied,) = scheduler.request_slot("a", request, 9.0)
+    assert isinstance(denied.result, messages.Denied)
+    scheduler.limit_share = 1.0
+    request = builders.make_slot_request("r-2", wait_until=12.0)
+    (granted,) = scheduler.request_slot("a", request, 10.1)
+    assert isinstance(granted.result, messages.Granted)
+
+
 async def test_limit_is_kept_while_the_allocator_is_lost():
     async with Cluster(gateways=4, runners=3) as cluster:
         limited = cluster.runners[0]
