Count as progress what the system has sent of an answer

Callers that read an answer of many megabytes slowly were cut after 4 s: only what the process had handed to the system counted as progress, and the system takes more only when much of its buffer is free.

The bytes that the system holds count as well now, so that any byte that a caller takes shows.

test_caller_that_reads_less_than_the_system_takes_is_not_cut failed before and passes (4 runs).

--- a/cranberryglade/gateway/half_closing.py
+++ b/cranberryglade/gateway/half_closing.py
@@ -73,3 +73,16 @@
         return True
     opened = transport.get_extra_info("socket")
     return sockets.unacknowledged_bytes(opened) > 0
+
+
+def find_unsent(transport: asyncio.Transport) -> int:
+    """Returns how many bytes the caller has not taken; 0 if the system has all.
+
+    The system takes more only when much of its buffer is free, so that the
+    bytes that it holds show first that a caller reads.
+    """
+    buffered = transport.get_write_buffer_size()
+    if not buffered:
+        return 0
+    opened = transport.get_extra_info("socket")
+    return buffered + sockets.unacknowledged_bytes(opened)
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -26,8 +26,7 @@
 does not read for so long."""
 
 MIN_UNREAD_SECONDS = 4.0
-"""Least time for which a caller may read nothing of an answer. What the system
-has buffered of it does not show."""
+"""Least time for which a caller may take nothing of an answer."""
 
 MIN_TIMER_SECONDS = 0.001
 """Less than this left of a time counts as nothing."""
@@ -464,7 +463,7 @@
         self._start_timer(seconds, self._on_request_timeout)
 
     def _start_idle_timer(self) -> None:
-        unsent = self._transport.get_write_buffer_size()
+        unsent = half_closing.find_unsent(self._transport)
         idle_since = self._loop.time()
         self._start_timer(
             self._idle_seconds(unsent),
@@ -484,7 +483,7 @@
                 left, lambda: self._on_idle(unsent_before, idle_since)
             )
             return
-        unsent = self._transport.get_write_buffer_size()
+        unsent = half_closing.find_unsent(self._transport)
         if not unsent:
             self._transport.close()
         elif unsent < unsent_before:
--- a/cranberryglade/tests/test_slow_callers.py
+++ b/cranberryglade/tests/test_slow_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cranberryglade.gateway import inbound
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import test_gateway_shutdown as shutdowns
 from cranberryglade.tests import test_request_ends as ends
@@ -72,3 +73,20 @@
         stopping = shutdowns.stop(cluster)
         assert (await caller.answer()).whole
         await asyncio.wait_for(stopping, shutdowns.SHUTDOWN_SECONDS - 0.2)
+
+
+async def test_caller_that_reads_less_than_the_system_takes_is_not_cut(
+    monkeypatch,
+):
+    monkeypatch.setattr(inbound, "MIN_UNREAD_SECONDS", 0.8)
+    config = ends.patient_config(idle_timeout_ms=800)
+    async with ends.Cluster(config=config) as cluster:
+        caller = await begin_request(cluster, "r-1", ends.ANSWER_BYTES)
+        await caller.reader.readuntil(b"\r\n\r\n")
+        got = 0
+        for _ in range(20):
+            got += len(await caller.reader.read(32_768))
+            await asyncio.sleep(0.1)
+        while data := await caller.reader.read(ends.ANSWER_BYTES - got):
+            got += len(data)
+        assert got == ends.ANSWER_BYTES
