Log how many answers were not taken when an instance has stopped

What a stop cuts of an answer that is written, but not taken by its caller, was in no log line: the request had ended as `served`. The line `stopped` now counts the connections whose caller has not taken all that was written.

test_caller_that_reads_nothing_keeps_no_process_for_longer checks it. Its answer was longer than the 16 MiB that a gateway relays, so that it tested a 502; it has 10 MB now. Callers that close or reset their connection behind a crossing request end the wait at once, also shown by a test.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -85,6 +85,11 @@
         """Number of connections with a request in progress."""
         return sum(1 for each in self.connections if each.busy)
 
+    @property
+    def untaken(self) -> int:
+        """Number of connections whose caller has not taken all of an answer."""
+        return sum(1 for each in self.connections if each.untaken)
+
     def report_read_failure(self, failure: ReadFailure) -> None:
         """Reports a request that was rejected while it was read."""
         self._on_read_failure(failure)
@@ -150,6 +155,11 @@
         """Whether a request is being read or handled."""
         return self._task is not None or self._reading_request
 
+    @property
+    def untaken(self) -> bool:
+        """Whether the caller has not taken all that was written."""
+        return not self.closing and half_closing.has_unsent(self._transport)
+
     @property
     def closing(self) -> bool:
         """Whether the connection is closed or closing."""
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -310,7 +310,11 @@
             await self._wait_for_tunnels(schedule.ends_at)
             self._forwarder.end_all()
             await self._wait_for_callers(now() + schedule.flush_seconds)
-            self._logger.info("stopped", busy=self._caller_listener.busy)
+            self._logger.info(
+                "stopped",
+                busy=self._caller_listener.busy,
+                untaken=self._caller_listener.untaken,
+            )
         finally:
             self.close()
 
--- a/cranberryglade/tests/test_slow_callers.py
+++ b/cranberryglade/tests/test_slow_callers.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import pytest
+import structlog
+
 from cranberryglade.gateway import inbound
+from cranberryglade.standins import connections
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import test_gateway_shutdown as shutdowns
 from cranberryglade.tests import test_request_ends as ends
@@ -60,9 +64,14 @@
 async def test_caller_that_reads_nothing_keeps_no_process_for_longer():
     config = shutdowns.config_with_long_routes()
     async with shutdowns.stopping_cluster(config=config) as cluster:
-        caller = await begin_request(cluster, "r-1", 20 * SIZE)
+        caller = await begin_request(cluster, "r-1", 10 * SIZE)
         caller.request(**shutdowns.a_request("r-2"))
-        await asyncio.wait_for(shutdowns.stop(cluster), shutdowns.GRACE_SECONDS)
+        with structlog.testing.capture_logs() as lines:
+            await asyncio.wait_for(
+                shutdowns.stop(cluster), shutdowns.GRACE_SECONDS
+            )
+        (stopped,) = [each for each in lines if each["event"] == "stopped"]
+        assert (stopped["busy"], stopped["untaken"]) == (0, 1)
 
 
 async def test_callers_that_took_their_answers_keep_no_process_for_longer():
@@ -75,6 +84,25 @@
         await asyncio.wait_for(stopping, shutdowns.SHUTDOWN_SECONDS - 0.2)
 
 
+@pytest.mark.parametrize("resets", [False, True])
+async def test_callers_that_close_behind_a_request_keep_no_process_for_longer(
+    resets,
+):
+    config = shutdowns.config_with_long_routes()
+    async with shutdowns.stopping_cluster(config=config) as cluster:
+        caller = await begin_request(cluster, "r-1")
+        stopping = shutdowns.stop(cluster)
+        await asyncio.sleep(0.2)
+        caller.request(**shutdowns.a_request("r-2"))
+        await asyncio.sleep(0.1)
+        if resets:
+            connections.reset(caller.writer)
+        else:
+            assert (await caller.answer()).whole
+            caller.close()
+        await asyncio.wait_for(stopping, shutdowns.SHUTDOWN_SECONDS - 0.6)
+
+
 async def test_caller_that_reads_less_than_the_system_takes_is_not_cut(
     monkeypatch,
 ):
