--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -315,7 +315,11 @@
             self._forwarder.end_all()
             await self._wait_for_callers(now() + schedule.flush_seconds)
             self._usage_handover.finish()
-            self._logger.info("stopped", busy=self._caller_listener.busy)
+            self._logger.info(
+                "stopped",
+                busy=self._caller_listener.busy,
+                untaken=self._caller_listener.untaken,
+            )
         finally:
             self.close()
 
