Let requests wait for the reports to a new allocator

For 0.6 s after it began to allocate, longer than the period of heartbeats, an allocator does not refuse a request that the known usage leaves room for: it tells the asking instance that the request is queued, and that one sends it again 0.15 s later, as any build does. Nothing is granted that was not granted before. What exceeds the whole quota by what is known is refused at once, and so is a request that may not wait for so long.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -41,6 +41,13 @@
 """For this long what is known of the usage of quotas is not gathered anew,
 unless an instance begins or stops to report."""
 
+TAKEOVER_SECONDS = 0.6
+"""The instances report to a new allocator within this time. Until then, a
+request waits that is refused only because they have not."""
+
+TAKEOVER_RETRY_SECONDS = 0.05
+"""Time between two attempts to charge such a request of the allocator."""
+
 ENDPOINT_FAULT_OUTCOMES = frozenset(
     (
         messages.Outcome.REFUSED,
@@ -400,9 +407,10 @@
                 fields = self._charges.isolated_log_fields(
                     request, instance_count, now
                 )
-                denied = _over_quota(request, wait, fields)
+                denied = _make_refusal(request, wait, fields)
         else:
-            denied = self._charge(request, now)
+            denied = await self._charge_own(request)
+            now = asyncio.get_running_loop().time()
         if denied is not None:
             return denied
         self.deliver_decisions(
@@ -509,8 +517,13 @@
     ) -> None:
         request = conversions.decode_slot_request(datagram, now)
         known = self._slots.contains(request.id)
-        denied = None if known else self._charge(request, now)
-        if denied is not None:
+        wait = 0.0 if known else self._charge(request, now)
+        if wait > 0 and self._awaits_reports(request, now):
+            # It is sent again.
+            self._mesh.send_to(datagram.name, datagrams.Queued(request.id))
+            return
+        if wait > 0:
+            denied = self._over_quota(request, wait, now)
             self._mesh.send_to(
                 datagram.name, conversions.encode_decision(denied)
             )
@@ -522,17 +535,42 @@
         ):
             self._mesh.send_to(datagram.name, datagrams.Queued(request.id))
 
-    def _charge(
-        self, request: messages.SlotRequest, now: float
+    async def _charge_own(
+        self, request: messages.SlotRequest
     ) -> messages.Denied | None:
-        """Charges a request as the allocator; returns why it is refused."""
+        """Charges a request of this instance; returns why it is refused."""
+        now = asyncio.get_running_loop().time
+        while (wait := self._charge(request, now())) > 0:
+            if not self._awaits_reports(request, now()):
+                return self._over_quota(request, wait, now())
+            await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
+        return None
+
+    def _charge(self, request: messages.SlotRequest, now: float) -> float:
+        return self._charges.charge(request, self._usage_knowledge(now), now)
+
+    def _awaits_reports(
+        self, request: messages.SlotRequest, now: float
+    ) -> bool:
+        """Returns whether reports that are on their way may admit a request.
+
+        Load pattern: all requests of the moment in which the allocator changes
+        ask the new one, which knows of nobody's usage yet.
+        """
+        if self._allocating_since is None:
+            # It becomes the allocator with its next tick.
+            begins = self._mesh.allocator == self._name
+        else:
+            begins = now - self._allocating_since < TAKEOVER_SECONDS
+        in_time = now + QUEUED_ANSWER_TIMEOUT_SECONDS < request.wait_until
+        return begins and in_time and self._charges.fits(request, now)
+
+    def _over_quota(
+        self, request: messages.SlotRequest, wait: float, now: float
+    ) -> messages.Denied:
         knowledge = self._usage_knowledge(now)
-        wait = self._charges.charge(request, knowledge, now)
-        if wait <= 0:
-            return None
-        return _over_quota(
-            request, wait, self._charges.log_fields(request, knowledge, now)
-        )
+        fields = self._charges.log_fields(request, knowledge, now)
+        return _make_refusal(request, wait, fields)
 
     def _free_slot(
         self, holder: str, id_: str, outcome: messages.Outcome, now: float
@@ -574,7 +612,7 @@
             pending.future.set_result(decision)
 
 
-def _over_quota(
+def _make_refusal(
     request: messages.SlotRequest, wait: float, fields: dict[str, float | str]
 ) -> messages.Denied:
     retry_after = min(MAX_QUOTA_RETRY_AFTER_SECONDS, wait)
--- a/cranberryglade/gateway/charges.py
+++ b/cranberryglade/gateway/charges.py
@@ -202,6 +202,10 @@
         share = self._share(knowledge)
         return self._charge(self._shared, request, share, now)
 
+    def fits(self, request: messages.SlotRequest, now: float) -> bool:
+        """Returns whether the known usage leaves room for a request."""
+        return self._shared.fits(request.organisation, request.cost, now)
+
     def charge_isolated(
         self, request: messages.SlotRequest, instance_count: int, now: float
     ) -> float:
--- a/cranberryglade/gateway/quotas.py
+++ b/cranberryglade/gateway/quotas.py
@@ -179,25 +179,30 @@
         if account is None:
             return 0.0
         limit = account.current_limit(self.window_seconds, now)
-        used = account.usage.total(now)
-        used += self._reported_usage(organisation, now)
-        excess = used + cost - share * limit
-        if cost > limit:
-            excess = min(excess, used)
+        used = self._used(organisation, account, now)
+        excess = _excess(used, cost, share, limit)
         if excess > 0:
             wait = account.usage.seconds_until_expired(excess, now)
             return max(MIN_WAIT_SECONDS, wait)
         account.usage.add(cost, now)
         return 0.0
 
+    def fits(self, organisation: str, cost: float, now: float) -> bool:
+        """Returns whether a cost fits into what is left of the whole quota."""
+        account = self._account(organisation, now) if cost else None
+        if account is None:
+            return True
+        limit = account.current_limit(self.window_seconds, now)
+        used = self._used(organisation, account, now)
+        return _excess(used, cost, 1.0, limit) <= 0
+
     def standing(self, organisation: str, now: float) -> Standing | None:
         """Returns what an organisation used and may use, for the log."""
         account = self._account(organisation, now)
         if account is None:
             return None
-        used = account.usage.total(now)
         return Standing(
-            used + self._reported_usage(organisation, now),
+            self._used(organisation, account, now),
             account.current_limit(self.window_seconds, now),
         )
 
@@ -246,8 +251,8 @@
         account.set_limit(limit, self.window_seconds, now)
         return account
 
-    def _reported_usage(self, organisation: str, now: float) -> float:
-        return math.fsum(
+    def _used(self, organisation: str, account: Account, now: float) -> float:
+        return account.usage.total(now) + math.fsum(
             usage.cost for usage in self._reported_usages(organisation, now)
         )
 
@@ -261,6 +266,12 @@
         ]
 
 
+def _excess(used: float, cost: float, share: float, limit: float) -> float:
+    excess = used + cost - share * limit
+    # A cost above the whole limit fits if there is no other usage.
+    return min(excess, used) if cost > limit else excess
+
+
 class Ledger:
     """Usage by the requests of one instance, with who granted it.
 
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -16,6 +16,7 @@
 from cranberryglade.gateway import slots
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
+from cranberryglade.tests import stepped_clock
 
 Outcome = messages.Outcome
 
@@ -444,16 +445,34 @@
 
         They come from b, c and d in turn.
         """
-        for number in range(self._sent, self._sent + 50):
+        self.ask(range(self._sent, self._sent + 50))
+        self._sent += 50
+        return len(self.grants)
+
+    @property
+    def grants(self) -> list[datagrams.Grant]:
+        """The grants so far."""
+        return [m for m in self._mesh.sent if isinstance(m, datagrams.Grant)]
+
+    @property
+    def denials(self) -> list[datagrams.Deny]:
+        """The denials so far."""
+        return [m for m in self._mesh.sent if isinstance(m, datagrams.Deny)]
+
+    def ask_in_time(self, first: int, last: int) -> None:
+        """Sends requests that may wait, or sends them again."""
+        self.ask(range(first, last), wait_until=self._now + 10.0)
+
+    def ask(self, numbers: range, **changes) -> None:
+        """Sends the requests of some numbers, whether they are new or not."""
+        for number in numbers:
             request = builders.make_slot_request(
-                f"{number}", organisation="studio", cost=self.COST
+                f"{number}", organisation="studio", cost=self.COST, **changes
             )
             datagram = conversions.encode_slot_request(
                 "bcd"[number % 3], request, self._now
             )
             self._allocator.receive(datagram.name, datagram)
-        self._sent += 50
-        return sum(isinstance(m, datagrams.Grant) for m in self._mesh.sent)
 
     def receive_heartbeat(self, name: str, used: float | None) -> None:
         """Receives a heartbeat, with the usage it reports; None for no report.
@@ -482,6 +501,42 @@
     assert pressed.count_grants() <= left / pressed.COST
 
 
+async def test_requests_wait_for_the_reports_to_a_new_allocator(monkeypatch):
+    # Load: the allocator stops as planned; all requests of that moment ask its
+    # successor before anybody has reported to it.
+    clock = stepped_clock.SteppedClock(monkeypatch)
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    pressed.ask_in_time(0, 9)
+    assert len(pressed.grants) <= pressed.QUOTA / 4 / pressed.COST
+    assert not pressed.denials
+    for name in ("b", "c", "d"):
+        pressed.receive_heartbeat(name, 100.0)
+    clock.step(0.15)
+    pressed.ask_in_time(0, 9)
+    assert {each.id for each in pressed.grants} >= {f"{n}" for n in range(9)}
+    assert not pressed.denials
+
+
+async def test_requests_wait_for_no_reports_beyond_the_time_for_them(
+    monkeypatch,
+):
+    clock = stepped_clock.SteppedClock(monkeypatch)
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    pressed.ask_in_time(0, 9)
+    waiting = {f"{n}" for n in range(9)} - {each.id for each in pressed.grants}
+    clock.step(allocation.TAKEOVER_SECONDS + 0.1)
+    pressed.ask_in_time(0, 9)
+    assert {each.id for each in pressed.denials} == waiting
+
+
+async def test_a_new_allocator_refuses_at_once_what_is_over_the_whole_quota():
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    for name in ("b", "c", "d"):
+        pressed.receive_heartbeat(name, pressed.QUOTA / 3)
+    pressed.ask_in_time(0, 9)
+    assert len(pressed.denials) == 9
+
+
 async def test_an_allocator_leaves_quota_to_the_one_that_others_turned_to():
     # Load: the allocator falls silent for a moment while an organisation
     # presses; some instances turn to its successor, which grants them more.
