Keep one allocator while restarted instances grow older

An instance now counts as old enough, too, if it started within two seconds after the oldest that may allocate: it knows as much. Where an instance is five seconds old, the limit is three seconds as before.

--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -28,6 +28,9 @@
 """An instance that started more recently allocates only if none is older: it
 does not yet know the running requests and the speeds of the endpoints."""
 
+START_SPREAD_SECONDS = 2.0
+"""Instances that started within this time after the oldest one know as much."""
+
 MAX_CONFIRMATION_AGE_SECONDS = 2.5
 """The configuration of a contact counts as current if the platform's store
 confirmed it within this time."""
@@ -470,7 +473,12 @@
 
         It is the first in order of precedence of the reachable instances that
         are neither stopping nor suspected. Those that have run for
-        MIN_ALLOCATOR_AGE_SECONDS precede the others.
+        MIN_ALLOCATOR_AGE_SECONDS precede the others; if the oldest have run
+        hardly longer than that, those that started with them precede.
+
+        Load pattern: half of the instances were started again, one after the
+        other, when the other half stops. The first of them would allocate as
+        each becomes old enough, for a moment each.
 
         Args:
             now: seconds of the loop's clock.
@@ -482,18 +490,20 @@
             if not member.stopping
             and self._suspects.get(member.name, 0.0) <= now
         ]
-        candidates = [
-            (
-                now - each.started_at >= MIN_ALLOCATOR_AGE_SECONDS,
-                each.precedence,
-            )
-            for each in usable
-        ]
+        ages = [now - each.started_at for each in usable]
+        precedences = [each.precedence for each in usable]
         names = [each.name for each in usable]
         if not own_stopping or not usable:
-            settled = now - self._started >= MIN_ALLOCATOR_AGE_SECONDS
-            candidates.append((settled, self._own_precedence))
+            ages.append(now - self._started)
+            precedences.append(self._own_precedence)
             names.append(self._own)
+        settled_age = min(
+            MIN_ALLOCATOR_AGE_SECONDS, max(ages) - START_SPREAD_SECONDS
+        )
+        candidates = [
+            (age >= settled_age, precedence)
+            for age, precedence in zip(ages, precedences, strict=True)
+        ]
         return names[candidates.index(max(candidates))]
 
     def rank(self, now: float) -> int:
--- a/cranberryglade/tests/restart_series.py
+++ b/cranberryglade/tests/restart_series.py
@@ -161,14 +161,15 @@
         )
 
     def _allocator(self) -> Instance:
-        settled = membership.MIN_ALLOCATOR_AGE_SECONDS
-        return min(
-            self._running.values(),
-            key=lambda each: (
-                each.stopping,
-                self.now - each.started_at < settled,
-                each.name,
-            ),
+        running = self._in_order()
+        usable = [each for each in running if not each.stopping] or running
+        oldest = max(self.now - each.started_at for each in usable)
+        settled_age = min(
+            membership.MIN_ALLOCATOR_AGE_SECONDS,
+            oldest - membership.START_SPREAD_SECONDS,
+        )
+        return next(
+            each for each in usable if self.now - each.started_at >= settled_age
         )
 
     def _report(self) -> None:
--- a/cranberryglade/tests/test_planned_stops.py
+++ b/cranberryglade/tests/test_planned_stops.py
@@ -104,3 +104,34 @@
     view.record_answer(first, life_of(first, 1), 4.0, NOW + 12)
     assert first in {each.name for each in view.contacts}
     assert not view.stopping_contacts
+
+
+@pytest.mark.parametrize("spread", [0.5, 1.0, 1.9])
+def test_the_allocator_does_not_change_as_restarted_instances_grow_older(
+    spread,
+):
+    # Load: half are started again one after the other; then the others stop.
+    order = in_order_of_precedence()
+    restarted = order[::2]
+    own, first = restarted[-1], restarted[0]
+    started = {
+        name: NOW + spread * (1 - place / len(restarted))
+        for place, name in enumerate(restarted)
+    }
+    view = membership.Membership(
+        own, domain_of(own), started[own], capacity_of(own)
+    )
+    for name in order:
+        view.register(
+            name, f"{name}:1", domain_of(name), NOW, capacity_of(name)
+        )
+    for name in order[1::2]:
+        view.record_stopping(name, life_of(name))
+    allocators = set()
+    for step in range(20, 100):
+        now = NOW + step / 10
+        for name in restarted[:-1]:
+            age = now - started[name]
+            view.record_answer(name, life_of(name, 1), age, now)
+        allocators.add(view.allocator(now))
+    assert allocators == {first}
