Count header fields and whole answers, not only their bytes

Callers of other endpoints waited, and memory grew, while faulty endpoints sent header fields of four bytes, or whole answers that belong to nobody. The limit of a head was one of bytes, and was looked at after a read of up to 256 KiB: 60 connections that sent "a:" lines held 109 MB and kept the event loop for 3.0 s in one turn; whole answers were not counted before the reader of the channel saw them: 64 MB and 4.4 s.

Each field, trailer field and interim response now counts 32 bytes beside its own, and parsing stops at the field that exceeds the limit; an exchange reads at most 8 answers. Before: 3 of the 16 kinds exceeded the bound of 512 KiB a connection (header lines, empty fields, answers); now none does.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -25,6 +25,14 @@
 """Most bytes between two parts of an answer: a head, or the framing and trailer
 fields of a body. Interim responses count as part of the head."""
 
+FIELD_BYTES = 32
+"""What a header or trailer field, or an interim response, counts beside its
+bytes; an empty field takes memory and time, too."""
+
+MAX_ANSWERS = 8
+"""Most answers that are read in one exchange; all but one are late answers to
+earlier requests."""
+
 TCP_USER_TIMEOUT_MS = 2000
 """TCP_USER_TIMEOUT of the connections."""
 
@@ -37,6 +45,9 @@
 BODILESS_STATUSES = (204, 304)
 """Statuses whose answers never have a body."""
 
+HEAD_TOO_LONG = "head or framing too long"
+UNREADABLE = "unreadable answer"
+
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
 """The beginning of an answer, which stands within no field of a head."""
 
@@ -74,6 +85,10 @@
     """A head that broke off and the next one were read as one."""
 
 
+class TooLongError(Exception):
+    """A head or the framing of a body is too long, or answers too many."""
+
+
 class BodyMemory:
     """Memory that the bodies of several answers may take together.
 
@@ -132,6 +147,7 @@
         self._event_ready: asyncio.Future | None = None
         self._buffered = 0
         self._overhead_bytes = 0
+        self._answer_count = 0
         self._in_body = False
         self._part = bytearray()
         self._in_exchange = False
@@ -189,6 +205,7 @@
         self.request_count += 1
         self.sent_at = self._loop.time()
         self._in_exchange = True
+        self._answer_count = 0
         self._bodiless = bodiless
         self._transport.write(head + body if len(body) < 4096 else head)
         if len(body) >= 4096:
@@ -282,14 +299,17 @@
         self._overhead_bytes += len(data)
         try:
             self._feed(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._emit_part()
-            self._fail("unreadable answer")
+            self._fail(_failure_reason(error))
             self._transport.abort()
             return
         self._emit_part()
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            self._fail("head or framing too long")
+            self._fail(HEAD_TOO_LONG)
             self._transport.abort()
 
     def _is_clean(self) -> bool:
@@ -324,6 +344,7 @@
         self._headers = []
         self._reason = b""
         self._in_body = False
+        self._count_field()
 
     def on_status(self, reason: bytes) -> None:
         """Appends a part of the reason phrase (parser callback)."""
@@ -331,6 +352,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header field; ignores trailer fields (parser callback)."""
+        self._count_field()
         if not self._in_body:
             self._headers.append(messages.Header(name, value))
 
@@ -343,6 +365,9 @@
         status = self._parser.get_status_code()
         if status in INTERIM_STATUSES:
             return
+        self._answer_count += 1
+        if self._answer_count > MAX_ANSWERS:
+            raise TooLongError("too many answers")
         self._in_body = True
         self.reusable = self._parser.should_keep_alive()
         framing = self._framing(status)
@@ -369,6 +394,11 @@
             self._emit_part()
             self._emit(End())
 
+    def _count_field(self) -> None:
+        self._overhead_bytes += FIELD_BYTES
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise TooLongError(HEAD_TOO_LONG)
+
     def _framing(self, status: int) -> dialect.Framing:
         if self._bodiless or status in BODILESS_STATUSES:
             return dialect.Framing.NO_BODY
@@ -400,6 +430,12 @@
             self._emit(AnswerLost(reason))
 
 
+def _failure_reason(error: Exception) -> str:
+    # The parser hides what a callback raised behind an error of its own.
+    raised = error.__context__
+    return str(raised) if isinstance(raised, TooLongError) else UNREADABLE
+
+
 def _size(event: Event) -> int:
     return EVENT_BYTES + (len(event.data) if isinstance(event, Data) else 0)
 
--- a/cranberryglade/tests/endless.py
+++ b/cranberryglade/tests/endless.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import socket
+import threading
 import tracemalloc
 
 from cranberryglade.tests import gateway_cluster
@@ -24,6 +26,7 @@
         b"",
         b"HTTP/1.1 103 Early Hints\r\nLink: y\r\n\r\n" * 500,
     ),
+    "empty fields": (HEAD, b"a:\r\n" * 4000),
     "not HTTP": (b"", BLOCK),
 }
 """Answers whose head does not end: how they begin, and what is repeated."""
@@ -36,6 +39,7 @@
         CHUNKED + SEALED + b"\r\n0\r\n",
         b"X-More: y\r\n" * 1000,
     ),
+    "empty trailers": (CHUNKED + SEALED + b"\r\n0\r\n", b"a:\r\n" * 4000),
 }
 """The same of answers whose body is complete or does not go on."""
 
@@ -59,6 +63,47 @@
         tracemalloc.stop()
 
 
+class ThreadedServer:
+    """As EndlessServer, in threads of its own, as fast as it is read."""
+
+    MIN_WRITE_BYTES = 1_000_000
+
+    def __init__(self, beginning: bytes, block: bytes):
+        self._beginning = beginning
+        self._block = block * (1 + self.MIN_WRITE_BYTES // len(block))
+        self._socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+
+    @property
+    def address(self) -> str:
+        """Address that it listens on, as HOST:PORT."""
+        host, port = self._socket.getsockname()
+        return f"{host}:{port}"
+
+    def __enter__(self):
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *_):
+        # Closing alone does not wake the thread that accepts.
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                opened, _ = self._socket.accept()
+                threading.Thread(
+                    target=self._flood, args=(opened,), daemon=True
+                ).start()
+
+    def _flood(self, opened: socket.socket) -> None:
+        with opened, contextlib.suppress(OSError):
+            opened.recv(65_536)
+            opened.sendall(self._beginning)
+            while True:
+                opened.sendall(self._block)
+
+
 class EndlessServer:
     """Answers each request with a beginning and then a block, repeatedly.
 
--- /dev/null
+++ b/cranberryglade/tests/test_many_endless_answers.py
@@ -0,0 +1,62 @@
+"""Bytes without end on many connections at once."""
+
+import asyncio
+
+import pytest
+
+from cranberryglade.gateway import outbound
+from cranberryglade.tests import endless
+
+CONNECTIONS = 60
+
+MOST_MEMORY_BYTES = CONNECTIONS * 524_288
+"""Memory that the answers may take together."""
+
+PATIENCE_SECONDS = 10.0
+
+TINY_CHUNKS = (
+    endless.CHUNKED + endless.SEALED + b"\r\n",
+    b"1\r\ny\r\n" * 3000,
+)
+ANSWERS = (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 500)
+BODY = (endless.HEAD + endless.SEALED + b"\r\n", endless.BLOCK)
+FLOODS = (
+    endless.ENDLESS_HEADS
+    | endless.ENDLESS_FRAMING
+    | {"tiny chunks": TINY_CHUNKS, "answers": ANSWERS, "body": BODY}
+)
+BODY_BYTES = 262_144
+"""Bytes of a body that is read; the connection is closed then."""
+
+
+async def connect(address: str) -> list[outbound.Channel]:
+    pool = outbound.Pool(address)
+    return [await pool.connect(5.0) for _ in range(CONNECTIONS)]
+
+
+async def read_until_lost(channel: outbound.Channel) -> None:
+    left = BODY_BYTES
+    while left > 0:
+        match await channel.next_event():
+            case outbound.AnswerLost():
+                return
+            case outbound.Data(data):
+                left -= len(data)
+    channel.abort()
+
+
+async def read_answers(channels: list[outbound.Channel]) -> None:
+    """Sends a request on each connection and reads until it is closed."""
+    for channel in channels:
+        channel.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        await asyncio.gather(*map(read_until_lost, channels))
+
+
+@pytest.mark.parametrize("kind", FLOODS)
+async def test_many_endless_answers_are_bounded_together(kind):
+    with endless.ThreadedServer(*FLOODS[kind]) as server:
+        channels = await connect(server.address)
+        with endless.measure_memory() as peak:
+            await read_answers(channels)
+        assert peak.size < MOST_MEMORY_BYTES
