Store usage once more when an allocator stops

Usage was stored every half second by whoever allocates. What was used between the last time and a planned stop was in the row only if the successor had learned it, and written it, before anybody started and read it.

An instance that stops, and that allocated long enough to know the usage (0.6 s), now stores it once more as soon as another one takes over. One that allocated for a moment only, as each does that has just started, stores nothing more: it would replace what is known by what it does not know.

The successor does not read the row again: its age is not known, and one that an allocator without access to the store left behind would count as new.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -91,7 +91,12 @@
 
 
 class SharedAllocator:
-    """Acquires slots from the allocator, or acts as the allocator."""
+    """Acquires slots from the allocator, or acts as the allocator.
+
+    Attributes:
+        handed_over: is set when this instance stops, and another one allocates
+            in its stead.
+    """
 
     __slots__ = (
         "_charges",
@@ -109,6 +114,7 @@
         "_last_reported_to",
         "_settled",
         "_slots",
+        "handed_over",
     )
 
     def __init__(
@@ -129,6 +135,7 @@
         self._charges = charging
         self._allocating_since: float | None = None
         self._settled = asyncio.Event()
+        self.handed_over = asyncio.Event()
         self._mesh: mesh.Mesh | None = None
         self._pending: dict[str, PendingSlotRequest] = {}
         self._granted_by: dict[str, str] = {}
@@ -467,6 +474,8 @@
 
     def _update_role(self, allocating: bool, now: float) -> None:
         if not allocating:
+            if self._allocated_long_until(now) and self._mesh.stopping:
+                self.handed_over.set()
             self._allocating_since = None
             self._knowledge = None
             return
@@ -479,6 +488,10 @@
         usage = self._charges.usage_not_granted_by(self._mesh.incarnation, now)
         self._charges.record_report(self._name, quotas.decode_usage(usage, now))
 
+    def _allocated_long_until(self, now: float) -> bool:
+        since = self._allocating_since
+        return since is not None and now - since >= TAKEOVER_SECONDS
+
     def _limit_share(self, now: float) -> float:
         """Returns the share of endpoints' limits that is granted here.
 
--- a/cranberryglade/gateway/usage_sync.py
+++ b/cranberryglade/gateway/usage_sync.py
@@ -28,6 +28,8 @@
 class UsageSync:
     """Reads the stored usage once; stores it while this is the allocator.
 
+    An allocator that stops stores it once more as another one takes over.
+
     Attributes:
         read: is set when the stored usage was read.
     """
@@ -53,14 +55,26 @@
         while not self.read.is_set() and not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
         self.read.set()
+        handed_over = self._allocator.handed_over
         while True:
-            await asyncio.sleep(shared_row.WRITE_SECONDS)
-            if self._allocator.is_allocating:
+            await self._wait_for(handed_over)
+            if handed_over.is_set():
+                # What was used since it was stored last is known here only.
+                handed_over.clear()
+                await self._save_changes()
+            elif self._allocator.is_allocating:
                 await self._save_changes()
             else:
                 # Another allocator may store something else.
                 self._row.forget()
 
+    async def _wait_for(self, handed_over: asyncio.Event) -> None:
+        try:
+            async with asyncio.timeout(shared_row.WRITE_SECONDS):
+                await handed_over.wait()
+        except TimeoutError:
+            pass
+
     async def _save_changes(self) -> None:
         if self._state.store_era != self._era:
             # A store that came back from an old copy may have older usage.
--- a/cranberryglade/tests/test_quota_after_total_loss.py
+++ b/cranberryglade/tests/test_quota_after_total_loss.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from cranberryglade.gateway import allocation
 from cranberryglade.gateway import ports
+from cranberryglade.gateway import shared_row
 from cranberryglade.gateway import usage_sync
 from cranberryglade.platform import store
 from cranberryglade.standins import operator_configuration
@@ -85,6 +87,24 @@
         assert await press(cluster, 20) == 20
 
 
+async def test_an_allocator_that_stops_stores_usage_last(monkeypatch):
+    # All that start after it know by that what was used since the last time.
+    async with make_cluster() as cluster:
+        await asyncio.sleep(allocation.TAKEOVER_SECONDS + 0.1)
+        monkeypatch.setattr(shared_row, "WRITE_SECONDS", 60.0)
+        await asyncio.sleep(0.6)
+        assert await press(cluster, int(0.6 * QUOTA)) > 0.4 * QUOTA
+        table = store.TABLES[ports.Table.USAGE]
+        assert b"shop" not in (cluster.store.row(table, usage_sync.KEY) or b"")
+        (allocator,) = [
+            each for each in cluster.gateways if each._allocator.is_allocating
+        ]
+        allocator.stop()
+        await gateway_cluster.wait_until(
+            lambda: b"shop" in cluster.store.row(table, usage_sync.KEY), 1.0
+        )
+
+
 async def test_usage_in_the_store_is_removed_when_it_is_over():
     async with make_cluster() as cluster:
         await asyncio.sleep(WINDOW_SECONDS)
