Read at most 16 KiB from a connection in one turn of the event loop

While 60 connections sent header lines, interim responses, trailer fields or chunks of one byte without end, everyone else on the instance waited for 0.3 to 3 s: each connection was read by 256 KiB, and all that are readable are served in one turn of the loop. A sound endpoint's connection, opened meanwhile, ran into its timeout of 0.3 s.

Connections of endpoints, peers, the store and callers are read into one shared buffer of 16 KiB (asyncio.BufferedProtocol).

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -12,6 +12,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import responding
+from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
 
 MAX_PIPELINED_REQUESTS = 8
@@ -108,7 +109,7 @@
         return accepting.Acceptor.listen(host, port, lambda: Connection(self))
 
 
-class Connection(asyncio.Protocol):
+class Connection(small_reads.Protocol):
     """One connection of a caller.
 
     Pipelined requests are queued and handled one at a time.
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -13,6 +13,7 @@
 from cranberryglade.gateway import dialect
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import opening
+from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
 
 HIGH_WATER_BYTES = 262_144
@@ -124,7 +125,7 @@
         self._taken_bytes -= size
 
 
-class Channel(asyncio.Protocol):
+class Channel(small_reads.Protocol):
     """A client connection that carries one request at a time.
 
     Attributes:
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -20,6 +20,7 @@
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import reachability
 from cranberryglade.gateway import responding
+from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
 
@@ -117,7 +118,7 @@
         )
 
 
-class _PeerSide(asyncio.Protocol):
+class _PeerSide(small_reads.Protocol):
     """The connection from the instance that uses a tunnel.
 
     Attributes:
@@ -154,7 +155,7 @@
             self.endpoint.abort()
 
 
-class _EndpointSide(asyncio.Protocol):
+class _EndpointSide(small_reads.Protocol):
     """The connection to the endpoint."""
 
     def __init__(self, peer: _PeerSide):
@@ -187,7 +188,7 @@
         self._peer.transport.close()
 
 
-class _Tunnel(asyncio.Protocol):
+class _Tunnel(small_reads.Protocol):
     """The connection to the instance that passes on.
 
     Attributes:
--- a/cranberryglade/tests/endless.py
+++ b/cranberryglade/tests/endless.py
@@ -1,11 +1,13 @@
 """Servers and callers that send bytes without end."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 import dataclasses
 import socket
 import threading
+import time
 import tracemalloc
 
 from cranberryglade.tests import gateway_cluster
@@ -46,9 +48,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Peak:
-    """The most memory that a block of code took at once, in bytes."""
+    """The most that a block of code took at once, of what is measured.
 
-    size: int = 0
+    Attributes:
+        size: bytes of memory, or seconds of a turn of the loop.
+    """
+
+    size: float = 0
 
 
 @contextlib.contextmanager
@@ -63,6 +69,32 @@
         tracemalloc.stop()
 
 
+@contextlib.asynccontextmanager
+async def measure_turns() -> AsyncIterator[Peak]:
+    """Measures the longest turn of the loop; the size is set at its end.
+
+    It is in seconds of the thread's processor time, so that other processes
+    do not add to it.
+    """
+    peak = Peak()
+    ended = asyncio.Event()
+    watch = asyncio.create_task(_watch_turns(peak, ended))
+    try:
+        yield peak
+    finally:
+        ended.set()
+        await watch
+
+
+async def _watch_turns(peak: Peak, ended: asyncio.Event) -> None:
+    last = time.thread_time()
+    while not ended.is_set():
+        await asyncio.sleep(0)
+        now = time.thread_time()
+        peak.size = max(peak.size, now - last)
+        last = now
+
+
 class ThreadedServer:
     """As EndlessServer, in threads of its own, as fast as it is read."""
 
--- a/cranberryglade/tests/test_many_endless_answers.py
+++ b/cranberryglade/tests/test_many_endless_answers.py
@@ -5,10 +5,14 @@
 import pytest
 
 from cranberryglade.gateway import outbound
+from cranberryglade.gateway import sending
 from cranberryglade.tests import endless
 
 CONNECTIONS = 60
 
+MOST_TURN_SECONDS = sending.CONNECT_TIMEOUT_SECONDS / 2
+"""Longest turn of the loop. A connection that is opened meanwhile needs two."""
+
 MOST_MEMORY_BYTES = CONNECTIONS * 524_288
 """Memory that the answers may take together."""
 
@@ -53,6 +57,15 @@
         await asyncio.gather(*map(read_until_lost, channels))
 
 
+@pytest.mark.parametrize("kind", FLOODS)
+async def test_many_endless_answers_leave_the_loop_to_others(kind):
+    with endless.ThreadedServer(*FLOODS[kind]) as server:
+        channels = await connect(server.address)
+        async with endless.measure_turns() as longest:
+            await read_answers(channels)
+        assert longest.size < MOST_TURN_SECONDS
+
+
 @pytest.mark.parametrize("kind", FLOODS)
 async def test_many_endless_answers_are_bounded_together(kind):
     with endless.ThreadedServer(*FLOODS[kind]) as server:
