Tell the present allocator what its predecessor's grants showed

Cause of one half: an instance told the end of an attempt only to the instance that had granted it. What a crash or a whole answer told of its parts was lost to a successor. Why it works: if another instance is the allocator by then, it gets the same message, with the parts, when the attempt crashed its endpoint or was served; the attempt is known there by the first report.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -51,6 +51,11 @@
     )
 )
 
+EVIDENCE_OUTCOMES = frozenset(
+    (messages.Outcome.SERVED, messages.Outcome.CRASHED)
+)
+"""What tells something of the parts of a request."""
+
 logger = log.get_logger(__name__)
 
 
@@ -192,10 +197,25 @@
         if granter != self._name:
             told = list(parts) if self._tells_of_parts(parts, outcome) else []
             self._mesh.send_to(granter, datagrams.Release(id_, outcome, told))
-        if granter == self._name or outcome is messages.Outcome.SERVED:
+        if outcome in EVIDENCE_OUTCOMES:
+            self._tell_successor(granter, request, outcome)
+        decides = self._name in (granter, self._mesh.allocator)
+        if decides or outcome is messages.Outcome.SERVED:
             self._slots.record_evidence(id_, parts, outcome, now)
         self._free_slot(self._name, id_, outcome, now)
 
+    def _tell_successor(
+        self,
+        granter: str,
+        request: messages.SlotRequest,
+        outcome: messages.Outcome,
+    ) -> None:
+        """Tells the present allocator what an earlier one's grant showed."""
+        allocator = self._mesh.allocator
+        if allocator not in (granter, self._name):
+            told = datagrams.Release(request.id, outcome, list(request.parts))
+            self._mesh.send_to(allocator, told)
+
     def _tells_of_parts(
         self, parts: tuple[str, ...], outcome: messages.Outcome
     ) -> bool:
