Ask for more crashes if not all that ran in one is known

Why it works: a crash is judged by three in a row only if all attempts at the endpoint were granted by the instance that judges; otherwise by five, as other weak evidence is. What is counted does not change. An instance that is alone, or was the granter all the while, finds a part as fast as before. The new tests fail without the change; test_quarantine, test_gateway_slots and the three files on crashing requests pass.

--- a/cranberryglade/crash_evidence.py
+++ b/cranberryglade/crash_evidence.py
@@ -35,8 +35,9 @@
 
 WEAK_EVIDENCE_QUARANTINE_CRASHES = 5
 """More crashes are needed for a part that did not run in MOST_CRASHES since its
-first, and while another part without whole answers ran in all of its crashes:
-that may have crashed endpoints to which requests were sent again."""
+first, while another part without whole answers ran in all of its crashes (that
+may have crashed endpoints to which requests were sent again), and if it is not
+known what else ran in the latest crash."""
 
 MOST_CRASHES = 0.75
 HALF_OF_CRASHES = 0.5
@@ -202,6 +203,7 @@
         process: Hashable,
         running: Iterable[RunningAttempt],
         now: float,
+        complete: bool = True,
     ) -> Finding | None:
         """Records that an endpoint crashed, and what ran there.
 
@@ -211,6 +213,7 @@
             process: the process that ended.
             running: the attempts that ran there.
             now: the present time.
+            complete: whether no other attempts ran there.
 
         Returns:
             The likeliest cause; None if no part ran.
@@ -220,14 +223,16 @@
             for part in attempt.parts:
                 known = latest.get(part, attempt.began_at)
                 latest[part] = max(known, attempt.began_at)
-        if latest and process not in self._crashed:
-            self._crashed.set(process, True, now)
-            self._crashes += 1
+        if latest:
+            self._crashes += process not in self._crashed
+            complete = complete and self._crashed.get(process) is not False
+            self._crashed.set(process, complete, now)
         for part, began_at in latest.items():
             record = self._records.get(part) or _Record(self._crashes - 1)
             record.add(process, began_at, now)
             self._records.set(part, record, now)
-        return self._judge([p for p in latest if p in self._records])
+        recorded = [part for part in latest if part in self._records]
+        return self._judge(recorded, complete)
 
     def record_served(self, parts: tuple[str, ...], now: float) -> None:
         """Records a whole answer, which clears all parts of its request."""
@@ -275,27 +280,32 @@
             return self._answered_requests
         return self._answered_prompt_parts
 
-    def _judge(self, parts: list[str]) -> Finding | None:
+    def _judge(self, parts: list[str], complete: bool) -> Finding | None:
         if not parts:
             return None
-        likely = [part for part in parts if self._is_enough(part, parts)]
+        likely = [p for p in parts if self._is_enough(p, parts, complete)]
         # What had no whole answer is likelier.
         likely = [p for p in likely if not self.was_answered(p)] or likely
         most = max(self._records.get(part).crashes for part in likely or parts)
         tied = [p for p in likely if self._records.get(p).crashes == most]
         return Finding(tuple(tied), most, len(parts))
 
-    def _is_enough(self, part: str, running: list[str]) -> bool:
+    def _is_enough(self, part: str, running: list[str], complete: bool) -> bool:
         """Returns whether the crashes of a part may be put down to it.
 
         Args:
             part: id of the part.
             running: the parts that ran in its latest crash.
+            complete: whether these are all.
         """
         record = self._records.get(part)
         needed = self._crashes_needed(part)
         presence = record.endpoints / max(1, self._crashes - record.earlier)
-        if presence < MOST_CRASHES or self._is_overshadowed(record, running):
+        if (
+            not complete
+            or presence < MOST_CRASHES
+            or self._is_overshadowed(record, running)
+        ):
             needed = max(needed, WEAK_EVIDENCE_QUARANTINE_CRASHES)
         return record.crashes >= needed and presence >= HALF_OF_CRASHES
 
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -40,6 +40,7 @@
         request: the request; None if it is known only from its holder's report.
         endpoint: id of the endpoint that runs it.
         granted_at: when it was granted, seconds of the loop's clock.
+        granted_here: whether this instance granted it.
         work_units: size of the request, in prompt tokens; 0 if it is unknown.
     """
 
@@ -47,6 +48,7 @@
     request: messages.SlotRequest | None
     endpoint: str
     granted_at: float
+    granted_here: bool = False
     work_units: float = dataclasses.field(init=False)
 
     def __post_init__(self):
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -252,7 +252,8 @@
             crash_evidence.RunningAttempt(parts, lease.granted_at),
             *self._running_at(lease.endpoint),
         ]
-        self._quarantine.record_crash(process, running, now)
+        complete = self._grants_all_at(lease.endpoint)
+        self._quarantine.record_crash(process, running, now, complete)
 
     def suspects(self, parts: tuple[str, ...]) -> bool:
         """Returns whether any of some parts may crash endpoints."""
@@ -304,6 +305,12 @@
             if lease.request is not None
         ]
 
+    def _grants_all_at(self, endpoint: str) -> bool:
+        """Returns whether all that runs at an endpoint was granted here."""
+        return all(
+            lease.granted_here for lease in self._leases.at(endpoint).values()
+        )
+
     def _join_group(
         self, state: endpoint_states.EndpointState, now: float
     ) -> None:
@@ -387,7 +394,9 @@
         request = waiting.request
         name = state.endpoint.id
         self.withdraw(request.id)
-        self.register_lease(waiting.holder, request.id, request, name, now)
+        lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
+        self._leases.add(request.id, lease)
+        self._renew(name, now)
         if state.bucket is not None:
             state.bucket.take()
         granted = messages.Granted(request.id, name)
--- a/cranberryglade/quarantine.py
+++ b/cranberryglade/quarantine.py
@@ -124,6 +124,7 @@
         process: Any,
         running: Iterable[crash_evidence.RunningAttempt],
         now: float,
+        complete: bool = True,
     ) -> None:
         """Records that an endpoint crashed; quarantines the likeliest cause.
 
@@ -132,8 +133,9 @@
                 logged.
             running: the attempts that ran there.
             now: the present time.
+            complete: whether no other attempts ran there.
         """
-        finding = self.evidence.record_crash(process, running, now)
+        finding = self.evidence.record_crash(process, running, now, complete)
         if finding is None:
             return
         self._log.info(
--- a/cranberryglade/tests/test_quarantine.py
+++ b/cranberryglade/tests/test_quarantine.py
@@ -252,6 +252,34 @@
     assert not barred(allocators[-1], "sound other")
 
 
+def test_a_crash_beside_unknown_attempts_needs_more_evidence():
+    # Load: an allocator took over while its predecessor's grants still ran.
+    record = quarantine.Quarantine()
+    scheduler = slots.SlotScheduler(record)
+    endpoints = [builders.make_endpoint(f"x-{n}") for n in range(5)]
+    scheduler.update_endpoints({each.id: each for each in endpoints}, 0.0)
+    for number, endpoint in enumerate(endpoints):
+        assert not barred(record, "sound")
+        now = 1.0 + number
+        id_ = f"r-{number}"
+        request = builders.make_slot_request(id_, parts=("sound",))
+        scheduler.register_lease("a", id_, request, endpoint.id, now)
+        scheduler.register_lease("b", f"o-{number}", None, endpoint.id, now)
+        scheduler.record_evidence(id_, (), Outcome.CRASHED, now + 0.1)
+    assert barred(record, "sound")
+
+
+def test_a_crash_stays_doubtful_once_the_unknown_attempts_have_ended():
+    record = quarantine.Quarantine()
+    for number in range(4):
+        now = 1.0 + number
+        for complete in (False, True):
+            running = crash_evidence.RunningAttempt(("sound",), now)
+            process = messages.EndpointProcess(f"e-{number}", 1)
+            record.record_crash(process, [running], now, complete)
+    assert not barred(record, "sound")
+
+
 def test_suspicions_of_answered_parts_displace_no_others():
     record = quarantine.Quarantine()
     usual = [f"usual{n}" for n in range(2 * crash_evidence.SHARED_SUSPICIONS)]
