--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -434,8 +434,9 @@
         self._mesh = fakes.FakeMesh(now)
         self._sent = 0
         endpoints = make_allocator(builders.make_endpoint(slots=100))
+        self._charges = charges.Charges(*accounts)
         self._allocator = allocation.SharedAllocator(
-            "a", endpoints, charges.Charges(*accounts)
+            "a", endpoints, self._charges
         )
         self._allocator.set_mesh(self._mesh)
         self._allocator.tick(now)
@@ -459,6 +460,27 @@
         """The denials so far."""
         return [m for m in self._mesh.sent if isinstance(m, datagrams.Deny)]
 
+    @property
+    def usage(self) -> list[datagrams.QuotaUsage]:
+        """The usage by requests of the allocator itself."""
+        return self._charges.usage_not_granted_by("", self._now)
+
+    def finish(self) -> None:
+        """Lets it use no more."""
+        self._allocator.finish()
+
+    async def ask_itself(self, number: int) -> messages.Decision:
+        """Asks for a slot for a request of the allocator itself."""
+        self._allocator.settle()
+        return await self._allocator.acquire(
+            builders.make_slot_request(
+                f"own-{number}",
+                organisation="studio",
+                cost=self.COST,
+                wait_until=self._now + 10.0,
+            )
+        )
+
     def ask_in_time(self, first: int, last: int) -> None:
         """Sends requests that may wait, or sends them again."""
         self.ask(range(first, last), wait_until=self._now + 10.0)
@@ -517,6 +539,32 @@
     assert not pressed.denials
 
 
+async def test_the_requests_of_a_new_allocator_itself_wait_for_the_reports():
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    async with asyncio.TaskGroup() as group:
+        own = [group.create_task(pressed.ask_itself(n)) for n in range(9)]
+        await asyncio.sleep(0.01)
+        assert not all(each.done() for each in own)
+        for name in ("b", "c", "d"):
+            pressed.receive_heartbeat(name, 100.0)
+    assert all(isinstance(each.result(), messages.Granted) for each in own)
+
+
+async def test_an_instance_that_told_its_final_usage_uses_no_more():
+    pressed = PressedAllocator(asyncio.get_running_loop().time())
+    async with asyncio.TaskGroup() as group:
+        own = [group.create_task(pressed.ask_itself(n)) for n in range(9)]
+        await asyncio.sleep(0.01)
+        granted = sum(each.done() for each in own)
+        pressed.finish()
+        for name in ("b", "c", "d"):
+            pressed.receive_heartbeat(name, 100.0)
+    results = [each.result() for each in own]
+    denied = [each for each in results if isinstance(each, messages.Denied)]
+    assert 0 < len(denied) == len(own) - granted
+    assert sum(u.cost for u in pressed.usage) == granted * pressed.COST
+
+
 async def test_requests_wait_for_no_reports_beyond_the_time_for_them(
     monkeypatch,
 ):
