Stand-ins: the store keeps time by a given clock, and ends its feeds

A store beside a gateway whose time is virtual has to name that time in its answers; it took the monotonic clock. A feed left one waiting task behind at each look, and went on after the store was closed.

--- a/cranberryglade/standins/callers.py
+++ b/cranberryglade/standins/callers.py
@@ -35,11 +35,18 @@
 
 
 class Caller:
-    """A connection to a gateway, with control of every byte sent."""
+    """A connection to a gateway, with control of every byte sent.
+
+    Attributes:
+        reader: reads what the gateway sends.
+        writer: sends to the gateway.
+        close_announced: whether an answer said that the gateway closes it.
+    """
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.close_announced = False
 
     def send(self, data: bytes) -> None:
         """Buffers bytes for sending."""
@@ -93,6 +100,7 @@
             name, _, value = line.partition(":")
             fields[name.lower()] = value.strip()
         status = int(lines[0].split()[1])
+        self.close_announced |= fields.get("connection") == "close"
         if bodiless or status in BODILESS_STATUSES:
             return Answer(status, fields, b"", True)
         body, whole = await self._read_body(fields)
--- a/cranberryglade/standins/endpoint_standin.py
+++ b/cranberryglade/standins/endpoint_standin.py
@@ -583,7 +583,7 @@
         is_chunked = framing is dialect.Framing.CHUNKED
         if is_chunked:
             lines.append("Transfer-Encoding: chunked")
-        encode = _chunk if is_chunked else bytes
+        encode = chunk if is_chunked else bytes
         writer.write(self._head(received, 200, lines, body_bytes))
         for number in numbers:
             writer.write(encode(event(number, self.event_text)))
@@ -594,6 +594,15 @@
     def _incomplete_event(self, number: int) -> bytes:
         return event(number, self.event_text)[:INCOMPLETE_EVENT_BYTES]
 
+    def stream_head(self, received: Received) -> bytes:
+        """Returns the head of a stream in chunks."""
+        lines = [
+            "X-Response-Seal: " + SEAL.format(self.id),
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        return self._head(received, 200, lines, None)
+
     def answer(
         self, received: Received, body: bytes, status: int = 200
     ) -> bytes:
@@ -644,7 +653,8 @@
     return f"id: {number}\ndata: {text} {number}\n\n".encode()
 
 
-def _chunk(data: bytes) -> bytes:
+def chunk(data: bytes) -> bytes:
+    """Returns bytes as a chunk of a body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
--- a/cranberryglade/standins/store.py
+++ b/cranberryglade/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+from collections.abc import Callable
 import dataclasses
 import json
 import time
@@ -98,10 +99,12 @@
 
     __slots__ = (
         "_changed",
+        "_closed",
         "_copy",
         "_era",
         "_history",
         "_history_start",
+        "_now",
         "_objects",
         "_rows",
         "_server",
@@ -111,8 +114,14 @@
         "faults",
     )
 
-    def __init__(self):
+    def __init__(self, now: Callable[[], float] = time.monotonic):
+        """Creates a store without rows.
+
+        Args:
+            now: returns its time, in seconds.
+        """
         self.faults = Faults()
+        self._now = now
         self.counts: collections.Counter[str] = collections.Counter()
         self._rows: dict[RowName, Change] = {}
         self._stale_rows: dict[RowName, Change] = {}
@@ -123,6 +132,7 @@
         self._era = 0
         self._copy = Copy({}, {}, 0)
         self._changed = asyncio.Event()
+        self._closed = False
         self._server: web.AppRunner | None = None
 
     @property
@@ -167,7 +177,9 @@
         return f"{host}:{bound}"
 
     async def close(self) -> None:
-        """Stops listening."""
+        """Stops listening, and ends the feeds that wait."""
+        self._closed = True
+        self._wake_feeds()
         await self._server.cleanup()
 
     def configure(self, config: dict) -> None:
@@ -282,7 +294,7 @@
         if not self._history_start <= after <= self._version:
             raise web.HTTPGone()
         era = self._era
-        deadline = time.monotonic() + int(http_request.query["wait_ms"]) / 1000
+        deadline = self._now() + int(http_request.query["wait_ms"]) / 1000
         while True:
             changes = [
                 change
@@ -290,13 +302,13 @@
                 if change.version > after
                 and change.name.table == http_request.query["table"]
             ]
-            remaining = deadline - time.monotonic()
-            if (changes and not self.faults.mute_feeds) or remaining <= 0:
+            remaining = deadline - self._now()
+            is_over = remaining <= 0 or self._closed
+            if is_over or (changes and not self.faults.mute_feeds):
                 break
-            await asyncio.wait(
-                [asyncio.ensure_future(self._changed.wait())],
-                timeout=min(remaining, 0.05),
-            )
+            waiting = asyncio.ensure_future(self._changed.wait())
+            await asyncio.wait([waiting], timeout=min(remaining, 0.05))
+            waiting.cancel()
         if self.faults.refuse or era != self._era:
             raise web.HTTPServiceUnavailable()
         return self._answer(
@@ -337,7 +349,7 @@
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             http_request.transport.abort()
-        return web.json_response({"ver": version, "now_ms": _now_ms()})
+        return web.json_response({"ver": version, "now_ms": self._now_ms()})
 
     def _version_of(self, wanted: Condition) -> int:
         found = self._find(wanted)
@@ -371,7 +383,7 @@
             "rows": rows,
             "has_more": more,
             "ver": version,
-            "now_ms": _now_ms(),
+            "now_ms": self._now_ms(),
         }
         return web.json_response(body, status=status)
 
@@ -402,6 +414,5 @@
         names = sorted(n for n in self._objects if n.startswith(prefix))
         return web.json_response({"names": names, "has_more": False})
 
-
-def _now_ms() -> int:
-    return int(time.monotonic() * 1000)
+    def _now_ms(self) -> int:
+        return int(self._now() * 1000)
--- a/cranberryglade/tests/gateway_cluster.py
+++ b/cranberryglade/tests/gateway_cluster.py
@@ -1,9 +1,6 @@
 """Runs gateways with stand-ins of the store and endpoints in one process."""
 
 import asyncio
-import itertools
-import random
-import socket
 
 from returns.result import Success
 
@@ -15,6 +12,7 @@
 from cranberryglade.platform import store
 from cranberryglade.standins import callers
 from cranberryglade.standins import endpoint_standin
+from cranberryglade.standins import free_ports
 from cranberryglade.standins import operator_configuration
 from cranberryglade.standins import store as store_standin
 from cranberryglade.tests import gateway_builders
@@ -22,31 +20,7 @@
 WAIT_TIMEOUT_SECONDS = 5.0
 """Default timeout of waits."""
 
-FIRST_PORT = 20_000
-LAST_PORT = 32_000
-"""End of the range of ports, exclusive."""
-
-_ports = itertools.cycle(
-    random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
-)
-
-
-def free_port() -> int:
-    """Returns a port that is free for TCP and UDP.
-
-    It lies below the ephemeral port range of the system, so that no outgoing
-    connection can take it before it is bound.
-    """
-    while True:
-        port = next(_ports)
-        try:
-            with socket.socket() as stream:
-                stream.bind(("127.0.0.1", port))
-            with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
-                datagrams.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        return port
+free_port = free_ports.free_port
 
 
 class Cluster:
