cranberryglade check: explore the orders of events on a real gateway

The command drives a real gateway, two endpoints and four requests on a loop whose time is virtual, all orders of events up to a depth and then random walks of Hypothesis, and compares each end with the table of request_life.py.

--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -5,6 +5,7 @@
 from cranberryglade import configuration
 from cranberryglade.tools import bench
 from cranberryglade.tools import changes
+from cranberryglade.tools import check
 from cranberryglade.tools import configure
 from cranberryglade.tools import demo
 from cranberryglade.tools import observe
@@ -33,6 +34,7 @@
 
 for command in (
     bench.bench,
+    check.check,
     configure.config,
     *(changes.make_group(kind) for kind in configuration.SECTION_OPTIONS),
     demo.demo,
