cranberryglade check: walks of more events, and two ends that the table left open

That found two ends which no cell of the table named, both known or right: a request queued behind an answer that is cut is dropped (in the first table of docs/request-ends.md, as unavoidable), and one that may have run and waits for its second attempt gets 504, not 503, at its time limit.

--- a/cranberryglade/checking/held_endpoints.py
+++ b/cranberryglade/checking/held_endpoints.py
@@ -29,6 +29,7 @@
         started: whether its head has been sent.
         next_event: number of the next event.
         over: whether its answer is out, or its connection is closed.
+        refused: whether the endpoint said that it has not run.
         active_at: when the endpoint last sent something of it.
     """
 
@@ -38,6 +39,7 @@
         "is_stream",
         "next_event",
         "over",
+        "refused",
         "request_id",
         "started",
     )
@@ -49,6 +51,7 @@
         seen = received.headers.get("last-event-id") or "0"
         self.next_event = int(seen) + 1
         self.over = False
+        self.refused = False
         self.active_at = now
         self._commands: asyncio.Queue[steps.Verb] = asyncio.Queue()
 
@@ -128,6 +131,7 @@
             case steps.Verb.REFUSE if not attempt.started:
                 self.standin.ran.remove(received.request_id)
                 writer.write(self.standin.refusal(received))
+                attempt.refused = True
                 attempt.over = True
             case steps.Verb.RESET:
                 connections.reset(writer)
--- a/cranberryglade/checking/request_life.py
+++ b/cranberryglade/checking/request_life.py
@@ -49,6 +49,7 @@
     DRAIN_ENDED = "the drain ended"
     TIME_LIMIT = "its time limit was reached"
     ERROR = "an error within the gateway"
+    CUT_BEFORE = "the answer before it on its connection is cut"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -380,3 +381,10 @@
     if event in row
 }
 """The outcome of each event in each state."""
+
+BEHIND_CUT = Cell(
+    Dropped(Excuse.CUT_BEFORE),
+    "an answer that has begun can be cut in no way but by closing",
+)
+"""What becomes of a request that is queued behind an answer that is cut,
+whichever event cuts that."""
