Bound what an instance sends before a tunnel is open

An instance that is asked for a tunnel to an endpoint could send a refusal of 16 MiB, which was kept whole, or empty frames without end, each of which was cut off the rest of what was read by a copy: whoever asked kept both for as long as its request lasted, three times over, on each connection.

The first frame must have 1 to 1024 bytes, or the connection is closed; the reason is logged. Nothing is read behind a refusal, and frames are found by position.

--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -47,6 +47,9 @@
 """Age up to which a tunnel is used again; then a direct connection is tried."""
 
 MAX_FRAME_BYTES = 16_777_216
+MAX_OPENING_BYTES = 1024
+"""Largest first frame: that the tunnel is open, or why not."""
+
 OPENED = b"opened"
 FRAME_HEAD = struct.Struct("!I")
 END = FRAME_HEAD.pack(0)
@@ -216,15 +219,16 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        while data and not self._ended:
+        position = 0
+        while position < len(data) and not self._transport.is_closing():
+            begin = position
             if self._left:
-                part, data = data[: self._left], data[self._left :]
-                self._left -= len(part)
-                self._receive(part)
+                position = min(len(data), begin + self._left)
+                self._left -= position - begin
+                self._receive(data[begin:position])
                 continue
-            missing = FRAME_HEAD.size - len(self._head)
-            self._head += data[:missing]
-            data = data[missing:]
+            position = begin + FRAME_HEAD.size - len(self._head)
+            self._head += data[begin:position]
             if len(self._head) == FRAME_HEAD.size:
                 self._begin_frame()
         if self.channel is not None:
@@ -242,23 +246,36 @@
     def _begin_frame(self) -> None:
         (self._left,) = FRAME_HEAD.unpack(self._head)
         self._head.clear()
-        if self._left > MAX_FRAME_BYTES:
-            self._transport.abort()
-        elif not self._left and self.channel is not None:
+        if self.channel is None:
+            if not 0 < self._left <= MAX_OPENING_BYTES:
+                self._drop("first frame of an impossible length")
+        elif self._left > MAX_FRAME_BYTES:
+            self._drop("frame too long")
+        elif not self._left:
             self._ended = True
             self.channel.eof_received()
             self._transport.close()
 
+    def _drop(self, reason: str) -> None:
+        logger.info("tunnel.dropped", endpoint=self._address, reason=reason)
+        self._refuse(reason)
+        self._transport.abort()
+
+    def _refuse(self, reason: str) -> None:
+        if not self.opened.done():
+            self.opened.set_exception(ConnectionRefusedError(reason))
+
     def _receive(self, part: bytes) -> None:
         if self.channel is not None:
             self.channel.data_received(part)
             return
+        if self.opened.done():
+            return
         self._answer += part
-        if self._left or self.opened.done():
+        if self._left:
             return
         if self._answer != OPENED:
-            reason = self._answer.decode("latin-1")
-            self.opened.set_exception(ConnectionRefusedError(reason))
+            self._refuse(self._answer.decode("latin-1"))
             return
         self.channel = outbound.Channel()
         self.channel.connection_made(self._transport)
--- a/cranberryglade/tests/test_many_endless_answers.py
+++ b/cranberryglade/tests/test_many_endless_answers.py
@@ -5,7 +5,9 @@
 import pytest
 
 from cranberryglade.gateway import outbound
+from cranberryglade.gateway import reachability
 from cranberryglade.gateway import sending
+from cranberryglade.gateway import tunnels
 from cranberryglade.tests import endless
 
 CONNECTIONS = 60
@@ -29,6 +31,29 @@
     | endless.ENDLESS_FRAMING
     | {"tiny chunks": TINY_CHUNKS, "answers": ANSWERS, "body": BODY}
 )
+FRAME = tunnels.encode_frame
+OPENED = FRAME(tunnels.OPENED)
+PEER_FLOODS = {
+    "refusal": (
+        tunnels.FRAME_HEAD.pack(tunnels.MAX_FRAME_BYTES),
+        endless.BLOCK,
+    ),
+    "long frame": (OPENED + b"\xff\xff\xff\xff", endless.BLOCK),
+    "frames without data": (b"", tunnels.END * 4000),
+    "frames of a byte": (OPENED, FRAME(b"0") * 4000),
+    "refusals": (FRAME(b"stopping"), FRAME(b"stopping") * 2000),
+    "no frames": (b"", endless.BLOCK),
+    "interim headers": (
+        OPENED,
+        FRAME(endless.ENDLESS_HEADS["interim headers"][1]),
+    ),
+    "empty fields": (
+        OPENED + FRAME(endless.HEAD),
+        FRAME(endless.ENDLESS_HEADS["empty fields"][1]),
+    ),
+}
+"""Floods of an instance that is asked to pass a connection on."""
+
 BODY_BYTES = 262_144
 """Bytes of a body that is read; the connection is closed then."""
 
@@ -38,6 +63,21 @@
     return [await pool.connect(5.0) for _ in range(CONNECTIONS)]
 
 
+async def read_through_tunnel(helper: str) -> None:
+    """Asks an instance for a tunnel, and reads until it is closed."""
+    client = tunnels.TunnelClient(
+        lambda: [helper], reachability.Reachability(), lambda: None
+    )
+    try:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            channel = await client.connect("127.0.0.1:1")
+    except ConnectionError:
+        return
+    channel.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        await read_until_lost(channel)
+
+
 async def read_until_lost(channel: outbound.Channel) -> None:
     left = BODY_BYTES
     while left > 0:
@@ -73,3 +113,29 @@
         with endless.measure_memory() as peak:
             await read_answers(channels)
         assert peak.size < MOST_MEMORY_BYTES
+
+
+@pytest.mark.parametrize("kind", PEER_FLOODS)
+async def test_many_endless_tunnels_leave_the_loop_to_others(kind):
+    with endless.ThreadedServer(*PEER_FLOODS[kind]) as server:
+        async with endless.measure_turns() as longest:
+            await asyncio.gather(
+                *(
+                    read_through_tunnel(server.address)
+                    for _ in range(CONNECTIONS)
+                )
+            )
+        assert longest.size < MOST_TURN_SECONDS
+
+
+@pytest.mark.parametrize("kind", PEER_FLOODS)
+async def test_many_endless_tunnels_are_bounded_together(kind):
+    with endless.ThreadedServer(*PEER_FLOODS[kind]) as server:
+        with endless.measure_memory() as peak:
+            await asyncio.gather(
+                *(
+                    read_through_tunnel(server.address)
+                    for _ in range(CONNECTIONS)
+                )
+            )
+        assert peak.size < MOST_MEMORY_BYTES
