Daemons read 16 KiB in a turn, and interim responses by position

Interim responses of an engine were cut off the rest of what was read by a copy each, and a read was up to 256 KiB: 20 engines that sent interim responses kept the event loop of a daemon for 0.23 s in one turn, ones that sent chunks of a blank line for 1.7 s; refusals in chunks of one byte held 14 MB.

Responses are read as by gateways, and interim ones found by position. Blank lines, a chunk extension and tiny chunks of a refusal are ended by the timeout of the dispatch only, which is tested apart: their memory is bounded.

--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -17,6 +17,7 @@
 import aiohttp
 
 from cranberryglade import log
+from cranberryglade.gateway import small_reads
 
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
@@ -85,7 +86,7 @@
         return response
 
 
-class Body(asyncio.Protocol):
+class Body(small_reads.Protocol):
     """Protocol between a transport and the protocol of aiohttp.
 
     It passes everything through to aiohttp except the bodies of event streams,
@@ -231,13 +232,14 @@
         self._transport.abort()
 
     def _skip_interim_responses(self, data: bytes) -> bytes:
-        while data.startswith(INTERIM_STATUS):
-            end = data.find(HEAD_END)
+        position = 0
+        while data.startswith(INTERIM_STATUS, position):
+            end = data.find(HEAD_END, position)
             if end < 0:
                 break
-            data = data[end + len(HEAD_END) :]
-            self._interim_bytes += end + len(HEAD_END)
-        return data
+            position = end + len(HEAD_END)
+        self._interim_bytes += position
+        return data[position:]
 
     def _buffer_data(self, data: bytes) -> None:
         self._buffer += data
--- a/cranberryglade/tests/test_endless_engines.py
+++ b/cranberryglade/tests/test_endless_engines.py
@@ -1,6 +1,7 @@
 """Bytes without end from engines and peers of daemons."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -12,6 +13,7 @@
 from cranberryglade import streams
 from cranberryglade import verdicts
 from cranberryglade import wire
+from cranberryglade.gateway import sending
 from cranberryglade.scheduling import answers
 from cranberryglade.scheduling import scheduler
 from cranberryglade.tests import builders
@@ -30,6 +32,8 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 REFUSED = b"HTTP/1.1 503 No\r\n\r\n"
 
+REFUSED_IN_CHUNKS = b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 FLOODS = endless.ENDLESS_HEADS | {
     "chunk line": (STREAM + b"1;", endless.BLOCK),
     "trailer line": (STREAM + b"0\r\nX-Long: ", endless.BLOCK),
@@ -37,7 +41,36 @@
     "event in chunks": (STREAM, CHUNK),
     "event without framing": (UNFRAMED, endless.BLOCK),
     "body of a refusal": (REFUSED, endless.BLOCK),
+    "trailer of a refusal": (
+        REFUSED_IN_CHUNKS + b"0\r\n",
+        b"X-More: y\r\n" * 1000,
+    ),
+}
+
+
+UNTIL_TIMEOUT = {
+    "events of no kind": (STREAM, b"1\r\n\n\r\n" * 3000),
+    "chunk line of a refusal": (REFUSED_IN_CHUNKS + b"1;", endless.BLOCK),
+    "chunks of a refusal": (REFUSED_IN_CHUNKS, b"1\r\ny\r\n" * 3000),
 }
+"""Floods that nothing but the timeout of the dispatch need end."""
+
+CONNECTIONS = 20
+
+MOST_TURN_SECONDS = sending.CONNECT_TIMEOUT_SECONDS / 2
+"""Longest turn of the loop while so many connections are read."""
+
+
+async def read_answer(session, address):
+    return await streams.read(
+        session,
+        "POST",
+        f"http://{address}/v1/generate",
+        b"{}",
+        {},
+        answers.AnswerCheck("r1"),
+        lambda events: None,
+    )
 
 
 async def measure(coroutine):
@@ -104,3 +137,45 @@
         _, most = await measure(read_lines())
         assert most < MOST_MEMORY_BYTES
         await reader.close()
+
+
+@pytest.mark.parametrize("kind", FLOODS)
+async def test_many_endless_engines_leave_the_loop_to_others(kind):
+    with endless.ThreadedServer(*FLOODS[kind]) as server:
+        async with (
+            aiohttp.ClientSession(request_class=bodies.Request) as session,
+            endless.measure_turns() as longest,
+        ):
+            async with asyncio.timeout(2 * PATIENCE_SECONDS):
+                outcomes = await asyncio.gather(
+                    *(
+                        read_answer(session, server.address)
+                        for _ in range(CONNECTIONS)
+                    )
+                )
+        assert longest.size < MOST_TURN_SECONDS, longest.size
+        assert not any(isinstance(each, streams.Complete) for each in outcomes)
+
+
+@pytest.mark.parametrize("kind", UNTIL_TIMEOUT)
+async def test_many_floods_until_the_timeout_are_bounded(kind):
+    with endless.ThreadedServer(*UNTIL_TIMEOUT[kind]) as server:
+        async with aiohttp.ClientSession(
+            request_class=bodies.Request
+        ) as session:
+
+            async def read_for_a_second():
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        await read_answer(session, server.address)
+
+            with endless.measure_memory() as peak:
+                await asyncio.gather(
+                    *(read_for_a_second() for _ in range(CONNECTIONS))
+                )
+            async with endless.measure_turns() as longest:
+                await asyncio.gather(
+                    *(read_for_a_second() for _ in range(CONNECTIONS // 2))
+                )
+        assert peak.size < MOST_MEMORY_BYTES
+        assert longest.size < MOST_TURN_SECONDS
