Soak: tell what a process does that ends late

The violation now has the state, the processor time and the wait channel of the process before it is killed. The check itself is unchanged.

--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -229,7 +229,8 @@
             lag = self._clock.lag(begun)
             detail = (
                 f"gate-{number} exceeded its grace period; "
-                f"the soak itself lagged by {lag:.2f} s"
+                f"the soak itself lagged by {lag:.2f} s; "
+                f"its process: {gateway.late_state}"
             )
             self._deployment.history.late_stops.append(detail)
         await self._restart(number, stopped)
--- a/cranberryglade/standins/machine.py
+++ b/cranberryglade/standins/machine.py
@@ -60,6 +60,23 @@
     quota_slack: float
 
 
+def describe_process(pid: int) -> str:
+    """Returns what a process does: its state, processor time and wait channel.
+
+    A state of Z means that it has ended, and its parent was not told yet.
+    """
+    folder = pathlib.Path("/proc") / str(pid)
+    try:
+        # The name before the last bracket may contain blanks.
+        fields = (folder / "stat").read_text().rpartition(")")[2].split()
+        waits_in = (folder / "wchan").read_text()
+    except OSError as error:
+        return f"unreadable, {type(error).__name__}"
+    ticks = int(fields[11]) + int(fields[12])
+    seconds = ticks / os.sysconf("SC_CLK_TCK")
+    return f"state {fields[0]}, processor {seconds:.2f} s, in {waits_in}"
+
+
 class Network:
     """A range of loopback addresses that no other run on the machine uses.
 
@@ -100,6 +117,8 @@
         name: name of the instance.
         host: its address; the ports are the same on all machines.
         process: the process started last; None before the first start.
+        late_state: state of the process that `wait_ended` killed last, as
+            `describe_process` returns it.
     """
 
     FRONT_PORT = 8221
@@ -126,6 +145,7 @@
         self.name = f"gate-{number}"
         self.host = f"127.{network.number}.0.{number + 1}"
         self.process: asyncio.subprocess.Process | None = None
+        self.late_state = ""
         self._settings_file = folder / f"{self.name}.toml"
         self._log_file = folder / f"{self.name}.log"
         settings = BOOT_FILE.format(
@@ -173,6 +193,7 @@
             async with asyncio.timeout(seconds):
                 await self.process.wait()
         except TimeoutError:
+            self.late_state = describe_process(self.process.pid)
             self.signal(signal.SIGKILL)
             await self.process.wait()
             return False
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -187,6 +187,23 @@
     assert violated(history) == {"stop in time"}
 
 
+async def test_what_a_process_does_that_ends_late_is_told(tmp_path):
+    bounds = machine.Bounds(2000, 6, 0.2, 30.0, 5.0, 2.0, 0.1, 30.0)
+    network = machine.Network()
+    try:
+        late = machine.Machine(0, tmp_path, "127.0.0.1:1", bounds, network)
+        late.process = await asyncio.create_subprocess_exec("sleep", "60")
+        assert not await late.wait_ended(0.1)
+    finally:
+        network.close()
+    state, processor, waits_in = late.late_state.split(", ")
+    assert state in ("state S", "state R", "state D")
+    assert processor.startswith("processor 0.0")
+    assert waits_in.startswith("in ")
+    ended = machine.describe_process(late.process.pid)
+    assert ended == "unreadable, FileNotFoundError"
+
+
 def test_use_of_a_revoked_key_is_caught():
     late = a_submission(second_key=True)
     history = a_history(late)
