Hold a first event from the first confirmation of the store on

Callers of a stream that began within the first tick after an instance had heard from the store could not resume it after all instances were killed during a release: 503 origin_unknown. Whether origins are held was decided by what the last tick had seen, and the first tick of an instance sees a store that has confirmed nothing yet.

The present age decides now. The new test fails without the change and passes with it; test_origin_sharing.py passes.

--- a/cranberryglade/gateway/origin_sharing.py
+++ b/cranberryglade/gateway/origin_sharing.py
@@ -187,6 +187,10 @@
         """Number of origins that this instance would store as allocator."""
         return self._rows.unsaved_count
 
+    @property
+    def _is_out_of_step(self) -> bool:
+        return self._age() > endpoint_processes.MAX_STEP_AGE_SECONDS
+
     def set_mesh(self, instances: mesh.Mesh) -> None:
         """Connects it to the other instances."""
         self._mesh = instances
@@ -212,7 +216,7 @@
         tentative origin.
         """
         now = _now()
-        out_of_step = self._age() > endpoint_processes.MAX_STEP_AGE_SECONDS
+        out_of_step = self._is_out_of_step
         self._tentative.confirm(self._processes.confirmed_until)
         if not self._processes.is_in_step(now):
             self._refute(self._tentative.take_all(), "out_of_step")
@@ -278,7 +282,7 @@
 
     def _is_held(self, attempt: str, origin: messages.StreamOrigin) -> bool:
         several = not self._has_single_version(origin.service, _now())
-        return bool(attempt) and several and not self._sharing_all
+        return bool(attempt) and several and not self._is_out_of_step
 
     def refute(self, attempt: str, service: str) -> None:
         """Records that it is not known which version began a stream."""
--- a/cranberryglade/tests/test_origin_sharing.py
+++ b/cranberryglade/tests/test_origin_sharing.py
@@ -667,6 +667,22 @@
         await holding
 
 
+async def test_a_stream_begun_just_after_the_start_is_held():
+    # Load: a stream begins before the next tick after the first confirmation.
+    network = Network(3)
+    network.list_versions("v1", "v2")
+    sharing = network.instances["i-0"]
+    network.age_seconds = float("inf")
+    sharing.tick()
+    network.age_seconds = 0.0
+    holding = asyncio.create_task(sharing.store("a-1", NEW))
+    await asyncio.sleep(0.01)
+    assert not holding.done()
+    sharing.receive("i-1", datagrams.OriginsStored(["a-1"]))
+    async with asyncio.timeout(0.5 * origin_sharing.MAX_HOLD_SECONDS):
+        await holding
+
+
 async def test_a_first_event_is_held_for_a_bounded_time_by_a_former_allocator():
     # It tells nobody what it has stored.
     network = Network(3)
