Tests: a stream goes on in an outage only if each connection was confirmed

The stream may go over another one, opened later and not confirmed yet, and is then refused in the outage, which is right (its process is not known).

It waits now until all connections used so far are confirmed. What it asserts is unchanged.

--- a/cranberryglade/tests/test_stream_resumption.py
+++ b/cranberryglade/tests/test_stream_resumption.py
@@ -443,7 +443,10 @@
 
 
 async def send_until_certain(cluster) -> None:
-    """Sends requests until each process that answers is known to be listed."""
+    """Sends requests until each process that answers is known to be listed.
+
+    That holds for each of their connections then.
+    """
     gateway = cluster.gateways[0]
     while not all(
         map(gateway._processes.is_certain, gateway._state.endpoints.values())
@@ -455,6 +458,10 @@
             )
         )
         await asyncio.sleep(SHARING_SECONDS)
+    used_until = asyncio.get_running_loop().time()
+    await gateway_cluster.wait_until(
+        lambda: gateway._processes.confirmed_until >= used_until
+    )
 
 
 async def test_stream_of_an_endpoint_that_restarted_in_an_outage_is_not_mixed():
