Drop a caller that takes nothing of an answer 4 s after its last progress

test_answer_that_its_caller_never_reads_is_dropped failed since the bytes that the system holds count as progress: the first look at them came as the answer ended, while the system still passed some of it on, so that a caller that reads nothing was dropped after 8 s instead of 4.

What is left is looked at each 0.1 s now, and the time counts from the last progress. The idle time of a connection begins when its caller has taken the answer.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -29,6 +29,9 @@
 MIN_UNREAD_SECONDS = 4.0
 """Least time for which a caller may take nothing of an answer."""
 
+UNREAD_POLL_SECONDS = 0.1
+"""Time between two looks at what a caller has taken of an answer."""
+
 MIN_TIMER_SECONDS = 0.001
 """Less than this left of a time counts as nothing."""
 
@@ -475,34 +478,48 @@
 
     def _start_idle_timer(self) -> None:
         unsent = half_closing.find_unsent(self._transport)
-        idle_since = self._loop.time()
+        now = self._loop.time()
+        if unsent:
+            self._watch_unread(unsent, now)
+        else:
+            self._wait_idle(now)
+
+    def _watch_unread(self, unsent: int, progress_at: float) -> None:
         self._start_timer(
-            self._idle_seconds(unsent),
-            lambda: self._on_idle(unsent, idle_since),
+            UNREAD_POLL_SECONDS, lambda: self._on_unread(unsent, progress_at)
         )
 
-    def _idle_seconds(self, unsent: int) -> float:
-        seconds = self._listener.limits.idle_timeout_seconds
-        return max(seconds, MIN_UNREAD_SECONDS) if unsent else seconds
-
-    def _on_idle(self, unsent_before: int, idle_since: float) -> None:
-        # The limit may have grown meanwhile, and the caller relies on it.
-        idle_until = idle_since + self._idle_seconds(unsent_before)
-        left = idle_until - self._loop.time()
-        if left > MIN_TIMER_SECONDS:
-            self._start_timer(
-                left, lambda: self._on_idle(unsent_before, idle_since)
-            )
-            return
+    def _on_unread(self, unsent_before: int, progress_at: float) -> None:
         unsent = half_closing.find_unsent(self._transport)
+        now = self._loop.time()
+        limit = self._listener.limits.idle_timeout_seconds
         if not unsent:
-            self._transport.close()
+            self._wait_idle(now)
         elif unsent < unsent_before:
-            self._start_idle_timer()
+            self._watch_unread(unsent, now)
+        elif now - progress_at < max(limit, MIN_UNREAD_SECONDS):
+            self._watch_unread(unsent, progress_at)
         else:
             # Its caller does not read the answer, which would stay in memory.
             self._transport.abort()
 
+    def _wait_idle(self, idle_since: float) -> None:
+        self._start_timer(
+            self._idle_seconds_left(idle_since),
+            lambda: self._on_idle(idle_since),
+        )
+
+    def _on_idle(self, idle_since: float) -> None:
+        # The limit may have grown meanwhile, and the caller relies on it.
+        if self._idle_seconds_left(idle_since) > MIN_TIMER_SECONDS:
+            self._wait_idle(idle_since)
+        else:
+            self._transport.close()
+
+    def _idle_seconds_left(self, idle_since: float) -> float:
+        limit = self._listener.limits.idle_timeout_seconds
+        return max(0.0, idle_since + limit - self._loop.time())
+
     def _close_gracefully(self) -> None:
         rejected = self._read_failure is not None
         stopping = self._listener.stopping
