--- a/cranberryglade/tests/endless.py
+++ b/cranberryglade/tests/endless.py
@@ -196,11 +196,16 @@
 
 @contextlib.asynccontextmanager
 async def flooded_cluster(
-    beginning: bytes, block: bytes, endpoints: int = 1, slots: int = 4
+    beginning: bytes,
+    block: bytes,
+    endpoints: int = 1,
+    slots: int = 4,
+    pause_seconds: float = 0.0,
 ):
     """Yields a cluster whose first endpoint is an EndlessServer, and that."""
     cluster = gateway_cluster.Cluster(runners=endpoints)
-    async with EndlessServer(beginning, block) as server, cluster:
+    server = EndlessServer(beginning, block, pause_seconds)
+    async with server, cluster:
         cluster.register_runner(
             cluster.runners[0], address=server.address, born=2, slots=slots
         )
