Tell by tests which bytes without end are bounded, from where

Replies of the store and peers with endless framing, bodies with a length and in chunks, and pipelined requests of a caller that reads nothing had no test. All are bounded as the code is.

--- a/cranberryglade/tests/test_endless_bytes.py
+++ b/cranberryglade/tests/test_endless_bytes.py
@@ -1,6 +1,7 @@
 """Bytes without end: heads, chunk lines, trailers, events and bodies."""
 
 import asyncio
+import contextlib
 import gc
 import random
 import time
@@ -12,6 +13,7 @@
 from cranberryglade.gateway import outbound
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import sockets
+from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import endless
 from cranberryglade.tests import gateway_cluster
 
@@ -35,6 +37,20 @@
 
 BEGINNINGS = endless.ENDLESS_HEADS | endless.ENDLESS_FRAMING
 
+BODIES = {
+    "length": (
+        endless.HEAD
+        + endless.SEALED
+        + b"Content-Length: 1000000000000\r\n\r\n",
+        endless.BLOCK,
+    ),
+    "until the close": (endless.HEAD + endless.SEALED + b"\r\n", endless.BLOCK),
+    "chunks": (
+        endless.CHUNKED + endless.SEALED + b"\r\n",
+        b"4000\r\n" + endless.BLOCK + b"\r\n",
+    ),
+}
+
 
 async def read_all(channel) -> str:
     """Reads an answer; returns why it was lost."""
@@ -71,7 +87,7 @@
         await gateway_cluster.wait_until(lambda: not server.open)
 
 
-@pytest.mark.parametrize("kind", endless.ENDLESS_HEADS)
+@pytest.mark.parametrize("kind", BEGINNINGS)
 async def test_endless_reply_of_the_store_or_a_peer_ends_the_call(kind):
     async with endless.EndlessServer(*BEGINNINGS[kind]) as server:
         fetcher = fetching.Fetcher(server.address)
@@ -82,9 +98,9 @@
         await gateway_cluster.wait_until(lambda: not server.open)
 
 
-async def test_endless_bodies_of_the_store_are_bounded_together():
-    reply = endless.HEAD + b"\r\n"
-    async with endless.EndlessServer(reply, endless.BLOCK) as server:
+@pytest.mark.parametrize("kind", BODIES)
+async def test_endless_bodies_of_the_store_are_bounded_together(kind):
+    async with endless.EndlessServer(*BODIES[kind]) as server:
         fetcher = fetching.Fetcher(server.address)
         with endless.measure_memory() as peak:
             async with asyncio.timeout(20.0):
@@ -93,9 +109,9 @@
         assert peak.size < 4 * MOST_BODY_MEMORY_BYTES
 
 
-async def test_endless_bodies_of_endpoints_are_bounded_together():
-    reply = endless.HEAD + endless.SEALED + b"\r\n"
-    flooded = endless.flooded_cluster(reply, endless.BLOCK, slots=40)
+@pytest.mark.parametrize("kind", BODIES)
+async def test_endless_bodies_of_endpoints_are_bounded_together(kind):
+    flooded = endless.flooded_cluster(*BODIES[kind], slots=40)
     async with flooded as (cluster, _):
         with endless.measure_memory() as peak:
             answers = await asyncio.gather(
@@ -174,6 +190,23 @@
         writer.close()
 
 
+@pytest.mark.parametrize("key", [operator_configuration.KEY, "none"])
+async def test_endless_requests_of_a_caller_that_reads_nothing(key):
+    request = b"GET /look/1 HTTP/1.1\r\nHost: %b\r\nAuthorization: Bearer %b"
+    host = operator_configuration.HOST.encode()
+    block = (request % (host, key.encode()) + b"\r\n\r\n") * 200
+    async with Cluster() as cluster:
+        _, writer = await open_connection(cluster)
+        caller = endless.EndlessServer(b"", block)
+        with endless.measure_memory() as peak:
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                async with asyncio.timeout(1.0):
+                    await caller.flood(writer)
+            assert (await cluster.send_request()).status == 200
+        assert peak.size < MOST_MEMORY_BYTES
+        writer.transport.abort()
+
+
 async def test_trailer_fields_of_a_caller_are_not_passed_on():
     async with Cluster() as cluster:
         caller = await cluster.connect()
