Drop a tunnel by a flag of its own

The test of the former build's tunnel failed since frames are read by position: its transport does not tell whether it closes. Whether the tunnel was dropped is kept in the tunnel; the test is as before.

--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -206,6 +206,7 @@
         self._left = 0
         self._answer = bytearray()
         self._ended = False
+        self._dropped = False
         self.opened = asyncio.get_running_loop().create_future()
         # Who waited may be gone, as another instance was faster.
         self.opened.add_done_callback(_retrieve_failure)
@@ -220,7 +221,7 @@
 
     def data_received(self, data: bytes) -> None:
         position = 0
-        while position < len(data) and not self._transport.is_closing():
+        while position < len(data) and not (self._ended or self._dropped):
             begin = position
             if self._left:
                 position = min(len(data), begin + self._left)
@@ -258,6 +259,7 @@
 
     def _drop(self, reason: str) -> None:
         logger.info("tunnel.dropped", endpoint=self._address, reason=reason)
+        self._dropped = True
         self._refuse(reason)
         self._transport.abort()
 
