--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -176,6 +176,11 @@
         sound = not self._failure and not self._transport.is_closing()
         return sound and self._is_clean()
 
+    @property
+    def failed(self) -> bool:
+        """Whether it was closed, here or by the server."""
+        return bool(self._failure)
+
     def is_live(self, max_idle_seconds: float) -> bool:
         """Returns whether it is open, and in use or was so lately."""
         if self._failure or self._transport.is_closing():
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -212,6 +212,11 @@
         self.opened.add_done_callback(_retrieve_failure)
         self.channel: outbound.Channel | None = None
 
+    @property
+    def _reads_on(self) -> bool:
+        is_lost = self.channel is not None and self.channel.failed
+        return not (self._ended or self._dropped or is_lost)
+
     def connection_made(self, transport) -> None:
         self._transport = transport
         host = self._address.encode()
@@ -221,7 +226,7 @@
 
     def data_received(self, data: bytes) -> None:
         position = 0
-        while position < len(data) and not (self._ended or self._dropped):
+        while position < len(data) and self._reads_on:
             begin = position
             if self._left:
                 position = min(len(data), begin + self._left)
@@ -259,11 +264,11 @@
 
     def _drop(self, reason: str) -> None:
         logger.info("tunnel.dropped", endpoint=self._address, reason=reason)
-        self._dropped = True
         self._refuse(reason)
         self._transport.abort()
 
     def _refuse(self, reason: str) -> None:
+        self._dropped = True
         if not self.opened.done():
             self.opened.set_exception(ConnectionRefusedError(reason))
 
