Count a head by its fields; read all of an answer while its request is sent

Sound answers with a large head were refused as too long if the read that ended the head held much of the body: the bytes of the whole read counted with the head's. An early answer of over 16 KiB was lost if its endpoint reset the connection while the request's body was still being sent: the loop reads once and then writes, which discards what is not read.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -148,6 +148,7 @@
         self._event_ready: asyncio.Future | None = None
         self._buffered = 0
         self._overhead_bytes = 0
+        self._field_bytes = 0
         self._answer_count = 0
         self._in_body = False
         self._part = bytearray()
@@ -166,6 +167,15 @@
         self.reuse_until = math.inf
         self.more_announced = False
 
+    @property
+    def reads_all(self) -> bool:
+        """Whether an answer is read at once, as its request is still sent.
+
+        The endpoint may reset the connection, and the loop writes next, which
+        then discards what is not read.
+        """
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def usable(self) -> bool:
         """Whether another request can be sent on it.
@@ -350,7 +360,7 @@
         self._headers = []
         self._reason = b""
         self._in_body = False
-        self._count_field()
+        self._count_field(0)
 
     def on_status(self, reason: bytes) -> None:
         """Appends a part of the reason phrase (parser callback)."""
@@ -358,7 +368,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header field; ignores trailer fields (parser callback)."""
-        self._count_field()
+        self._count_field(len(name) + len(value))
         if not self._in_body:
             self._headers.append(messages.Header(name, value))
 
@@ -400,9 +410,9 @@
             self._emit_part()
             self._emit(End())
 
-    def _count_field(self) -> None:
-        self._overhead_bytes += FIELD_BYTES
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+    def _count_field(self, size: int) -> None:
+        self._field_bytes += size + FIELD_BYTES
+        if self._field_bytes > MAX_OVERHEAD_BYTES:
             raise TooLongError(HEAD_TOO_LONG)
 
     def _framing(self, status: int) -> dialect.Framing:
@@ -424,6 +434,7 @@
     def _emit(self, event: Event) -> None:
         self._events.append(event)
         self._overhead_bytes = 0
+        self._field_bytes = 0
         self._buffered += _size(event)
         if self._buffered > HIGH_WATER_BYTES:
             self._transport.pause_reading()
--- a/cranberryglade/gateway/small_reads.py
+++ b/cranberryglade/gateway/small_reads.py
@@ -8,10 +8,13 @@
 
 import asyncio
 
-READ_BYTES = 16_384
+READ_BYTES = 8_192
 """Most bytes that are read from a connection in one turn of the event loop."""
 
-_buffer = bytearray(READ_BYTES)
+LARGE_READ_BYTES = 262_144
+"""The same while what is not read at once may be lost."""
+
+_buffer = memoryview(bytearray(LARGE_READ_BYTES))
 
 
 class Protocol(asyncio.BufferedProtocol):
@@ -20,13 +23,18 @@
     The buffer is the same for all, as what it holds is taken out at once.
     """
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    @property
+    def reads_all(self) -> bool:
+        """Whether up to LARGE_READ_BYTES are read at once."""
+        return False
+
+    def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer to read into (transport callback)."""
-        return _buffer
+        return _buffer if self.reads_all else _buffer[:READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Takes out what was read (transport callback)."""
-        self.data_received(bytes(memoryview(_buffer)[:nbytes]))
+        self.data_received(bytes(_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Processes received bytes."""
