Drop the stored usage only for instances that run long enough

What an instance handed over of its earlier life counted as its age, so that the usage in the store was dropped although a killed instance's usage was known from there only (found by reading, in review). The uptime counts, as before the handover.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -457,16 +457,15 @@
         if self._allocating_since is not None:
             allocating = now - self._allocating_since
         instance_count = self._mesh.members.instance_count(now)
-        own_known, *known = self._known_seconds(now)
         if self._charges.has_stored_usage:
-            before_start = self._mesh.members.uptime(now) + START_SPREAD_SECONDS
-            older = sum(seconds > before_start for seconds in known)
+            own_age, *ages = self._mesh.members.uptimes(self._reporters, now)
+            older = sum(age > own_age + START_SPREAD_SECONDS for age in ages)
             if 2 * older >= instance_count:
                 self._charges.forget_stored()
         return charges.UsageKnowledge(
             allocating_seconds=allocating,
             instance_count=instance_count,
-            reporter_ages=(own_known, *known),
+            reporter_ages=tuple(self._known_seconds(now)),
             has_stored_usage=self._charges.has_stored_usage,
         )
 
