--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -26,7 +26,7 @@
 """Most bytes between two parts of an answer: a head, or the framing and trailer
 fields of a body. Interim responses count as part of the head."""
 
-FIELD_BYTES = 32
+FIELD_BYTES = 96
 """What a header or trailer field, or an interim response, counts beside its
 bytes; an empty field takes memory and time, too."""
 
--- a/cranberryglade/gateway/usage_handover.py
+++ b/cranberryglade/gateway/usage_handover.py
@@ -12,6 +12,9 @@
 from cranberryglade.gateway import final_usage
 from cranberryglade.gateway import mesh
 
+MAX_BYTES = 65_507
+"""Largest datagram that can be sent."""
+
 logger = log.get_logger(__name__)
 
 
@@ -49,11 +52,16 @@
             self._mesh.incarnation, self._mesh.members.started_at, now
         )
         datagram = self._encode(self._name, final, now)
-        told = self._mesh.members.contacts
+        size = len(datagrams.encode(datagram))
+        told = self._mesh.members.contacts if size <= MAX_BYTES else []
         for member in told:
             self._mesh.send(member, datagram)
+        # What is too large to be told stays unknown, as after a kill.
         logger.info(
-            "usage.finished", told=len(told), entries=len(datagram.usage)
+            "usage.finished",
+            told=len(told),
+            entries=len(datagram.usage),
+            size_bytes=size,
         )
 
     def receive(self, message: datagrams.FinalUsage) -> None:
--- a/cranberryglade/tests/test_usage_handover.py
+++ b/cranberryglade/tests/test_usage_handover.py
@@ -12,6 +12,7 @@
 from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import final_usage
 from cranberryglade.gateway import quotas
+from cranberryglade.gateway import usage_handover
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import restart_series
@@ -221,3 +222,16 @@
             await asyncio.sleep(0.5)
     events = {line["event"] for line in lines}
     assert not events & {"usage.finished", "usage.adopted"}
+
+
+async def test_final_usage_that_fits_no_datagram_does_not_count_as_told(
+    monkeypatch,
+):
+    monkeypatch.setattr(usage_handover, "MAX_BYTES", 10)
+    cluster = gateway_cluster.Cluster(gateways=2, grace_seconds=1.0)
+    with structlog.testing.capture_logs() as lines:
+        async with cluster:
+            cluster.gateways[1].stop()
+            await cluster.gateways[1].drain()
+    (finished,) = [each for each in lines if each["event"] == "usage.finished"]
+    assert finished["told"] == 0
