Encode the explorer's requests with the stand-ins; read 4 KiB at once

test_platform_names failed: checking/world.py spelled names of the platform, which belong to its folder and the stand-ins; it uses the stand-in caller's encoding now, which stood twice. test_belief_ages replaced a function of the store's stand-in that is a method now; what it asserts is unchanged.

--- a/cranberryglade/checking/world.py
+++ b/cranberryglade/checking/world.py
@@ -451,28 +451,21 @@
 
 def _parts(name: str) -> list[bytes]:
     """Returns a request in three parts: half of the head, head, and body."""
-    target = _TARGETS[name]
-    lines = [
-        f"POST {target} HTTP/1.1",
-        f"Host: {operator_configuration.HOST}",
-        f"X-Attempt-Id: {name}",
-        "X-Deadline-Ms: 8000",
-        f"Authorization: Bearer {operator_configuration.KEY}",
-        f"Content-Length: {len(_BODY)}",
-    ]
-    head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+    request = callers.encode_request(
+        _TARGETS[name],
+        "POST",
+        _BODY,
+        X_Attempt_Id=name,
+        X_Deadline_Ms="8000",
+    )
+    head = request.removesuffix(_BODY)
     return [head[:30], head[30:] + _BODY[:4], _BODY[4:]]
 
 
 def _configuration(version: int) -> dict:
-    config = operator_configuration.a_config(version)
-    for route in config["routes"]:
-        route |= {
-            "timeout_ms": int(ROUTE_SECONDS * 1000),
-            "target_latency_ms": 200,
-            "gap_aim_ms": 100,
-        }
-    return config
+    return operator_configuration.a_config_with_long_routes(
+        version, ROUTE_SECONDS
+    )
 
 
 def _settings(store_address: str) -> settings.Settings:
--- a/cranberryglade/gateway/small_reads.py
+++ b/cranberryglade/gateway/small_reads.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-READ_BYTES = 8_192
+READ_BYTES = 4_096
 """Most bytes that are read from a connection in one turn of the event loop."""
 
 LARGE_READ_BYTES = 262_144
--- a/cranberryglade/standins/callers.py
+++ b/cranberryglade/standins/callers.py
@@ -34,6 +34,25 @@
         return "x-response-seal" in self.headers
 
 
+def encode_request(target="/look/1", method="GET", body=b"", **fields) -> bytes:
+    """Returns the bytes of a request; see `Caller.request`."""
+    headers = {
+        "Host": operator_configuration.HOST,
+        "X-Attempt-Id": "a-1",
+        "X-Deadline-Ms": "5000",
+        "Authorization": f"Bearer {operator_configuration.KEY}",
+    } | {name.replace("_", "-"): value for name, value in fields.items()}
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in headers.items()
+        if value is not None
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
 class Caller:
     """A connection to a gateway, with control of every byte sent.
 
@@ -62,21 +81,7 @@
             **fields: header fields that replace or extend the default ones,
                 with "_" for "-" in their names; None leaves a field out.
         """
-        headers = {
-            "Host": operator_configuration.HOST,
-            "X-Attempt-Id": "a-1",
-            "X-Deadline-Ms": "5000",
-            "Authorization": f"Bearer {operator_configuration.KEY}",
-        } | {name.replace("_", "-"): value for name, value in fields.items()}
-        lines = [f"{method} {target} HTTP/1.1"]
-        lines += [
-            f"{name}: {value}"
-            for name, value in headers.items()
-            if value is not None
-        ]
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
-        self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        self.send(encode_request(target, method, body, **fields))
 
     async def answer(self, bodiless: bool = False) -> Answer:
         """Reads one response.
--- a/cranberryglade/standins/operator_configuration.py
+++ b/cranberryglade/standins/operator_configuration.py
@@ -71,3 +71,15 @@
         "rate_per_s": rate,
         "burst": burst,
     }
+
+
+def a_config_with_long_routes(version: int, seconds: float) -> dict:
+    """Returns a configuration whose routes have a time limit, in seconds."""
+    config = a_config(version)
+    for route in config["routes"]:
+        route |= {
+            "timeout_ms": int(seconds * 1000),
+            "target_latency_ms": 200,
+            "gap_aim_ms": 100,
+        }
+    return config
--- a/cranberryglade/tests/test_belief_ages.py
+++ b/cranberryglade/tests/test_belief_ages.py
@@ -171,7 +171,9 @@
     standin = store_standin.StoreStandin()
     address = await standin.serve()
     standin.put("op", "config", b"{}")
-    monkeypatch.setattr(store_standin, "_now_ms", lambda: told)
+    monkeypatch.setattr(
+        store_standin.StoreStandin, "_now_ms", lambda standin: told
+    )
     client = store.StoreClient(address)
     read = await client.read_table(ports.Table.CONFIGURATION)
     assert read.unwrap().made_at == made_at
