--- a/cranberryglade/tests/test_gateway_logs.py
+++ b/cranberryglade/tests/test_gateway_logs.py
@@ -47,7 +47,8 @@
     assert "secret-stranger" not in str(lines)
 
 
-async def test_a_request_over_quota_logs_usage_and_limit():
+async def exceed_quota() -> list[dict]:
+    """Sends more than a quota allows; returns the lines on refusals."""
     config = operator_configuration.a_config()
     config["tenants"][0] |= {"rate_per_s": 1, "burst": 2}
     with structlog.testing.capture_logs() as lines:
@@ -56,20 +57,18 @@
                 await cluster.send_request(X_Attempt_Id=f"a-{number}")
     denials = [line for line in lines if line["event"] == "quota.exceeded"]
     assert denials
+    return denials
+
+
+async def test_a_request_over_quota_logs_usage_and_limit():
+    denials = await exceed_quota()
     for line in denials:
         assert line["organisation"] == "studio"
         assert line["used"] + line["cost"] > line["limit"] / 2
 
 
 async def test_a_request_over_quota_logs_the_share_that_decided_it():
-    config = operator_configuration.a_config()
-    config["tenants"][0] |= {"rate_per_s": 1, "burst": 2}
-    with structlog.testing.capture_logs() as lines:
-        async with Cluster(config=config) as cluster:
-            for number in range(8):
-                await cluster.send_request(X_Attempt_Id=f"a-{number}")
-    denials = [line for line in lines if line["event"] == "quota.exceeded"]
-    assert denials
+    denials = await exceed_quota()
     for line in denials:
         assert line["used"] + line["cost"] > line["share"] * line["limit"]
         assert line["instances"] == line["reporters"] == 1
