Settings: an INI file for the parts of a gateway

The platform's settings file holds addresses and bounds only, so operators could set nothing of the gateway's own parts. CRANBERRYGLADE_SETTINGS names an INI file with a section for each part; every option has a default that leaves the gateway as it was. A mistake is named with file, section, option and what is allowed.

--- a/cranberryglade/gateway/settings.py
+++ b/cranberryglade/gateway/settings.py
@@ -8,6 +8,7 @@
 
 from cranberryglade import decoding
 from cranberryglade.gateway import sockets
+from cranberryglade.gateway_settings import features
 
 FIXED = (
     "instance",
@@ -19,6 +20,8 @@
     "store_address",
     "processor_cores",
     "link_mbps",
+    "memory_bytes",
+    "max_descriptors",
 )
 """Settings that stay as they are until the next start."""
 
@@ -46,6 +49,14 @@
         quota_slack: overrun that is tolerated in addition.
         processor_cores: processor time that the instance may use, in cores.
         link_mbps: bandwidth of its machine's link, in Mbit/s.
+        memory_bytes: memory that the process may use.
+        max_descriptors: file descriptors that the process may use.
+        exposure_share: largest fraction of a service's requests that an
+            unproven software version may get during a roll-out.
+        exposure_slack: requests that it may get in addition.
+        rollback_seconds: time after which a version that is known to be bad
+            gets no more requests.
+        options: options of the parts that operators set.
     """
 
     instance: str
@@ -65,6 +76,14 @@
     quota_slack: float
     processor_cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_bytes: int = 300_000_000
+    max_descriptors: int = 4096
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
+    rollback_seconds: float = 5.0
+    options: features.Features = dataclasses.field(
+        default_factory=features.Features
+    )
 
 
 def check(settings: Settings) -> Result[Settings, str]:
--- /dev/null
+++ b/cranberryglade/gateway_settings/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' settings file of a gateway: its sections, and its reader."""
--- /dev/null
+++ b/cranberryglade/gateway_settings/reading.py
@@ -0,0 +1,77 @@
+"""Reads the operators' settings file of a gateway."""
+
+import configparser
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cranberryglade import options
+from cranberryglade.gateway_settings import features
+from cranberryglade.hedging import options as hedging_options
+from cranberryglade.memory import options as memory_options
+from cranberryglade.placement import options as placement_options
+from cranberryglade.preemption import options as preemption_options
+from cranberryglade.rollouts import options as rollouts_options
+
+
+def read(path: str) -> Result[features.Features, str]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: path of the INI file; "" for none.
+
+    Returns:
+        The options, defaults where the file names none; or all problems, one
+        a line, with file, section, option, value and what is allowed.
+    """
+    if not path:
+        return Success(features.Features())
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(f"{path}: {error}")
+    return parse(text, path)
+
+
+def parse(text: str, source: str) -> Result[features.Features, str]:
+    """Parses and checks settings.
+
+    Args:
+        text: INI text.
+        source: name of the text in problems.
+
+    Returns:
+        As `read`.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        return Failure(f"{source}: {str(error).splitlines()[0]}")
+    allowed = "one of " + ", ".join(features.SECTIONS)
+    problems = [
+        options.Problem(source, name, "", "(unknown)", allowed)
+        for name in parser.sections()
+        if name not in features.SECTIONS
+    ]
+    values = {}
+    for name, declared in features.SECTIONS.items():
+        found = dict(parser[name]) if parser.has_section(name) else {}
+        match options.read_section(source, name, found, declared):
+            case Success(section):
+                values[name] = section
+            case Failure(section_problems):
+                problems += section_problems
+    if problems:
+        return Failure("\n".join(str(problem) for problem in problems))
+    return Success(
+        features.Features(
+            memory_options.MemoryOptions(**values["memory"]),
+            rollouts_options.RolloutOptions(**values["rollouts"]),
+            preemption_options.PreemptionOptions(**values["preemption"]),
+            placement_options.PlacementOptions(**values["placement"]),
+            hedging_options.HedgingOptions(**values["hedging"]),
+        )
+    )
--- /dev/null
+++ b/cranberryglade/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Hedged requests: a second attempt for answers that are late."""
--- /dev/null
+++ b/cranberryglade/hedging/options.py
@@ -0,0 +1,43 @@
+"""Section `[hedging]` of a gateway's settings file."""
+
+import dataclasses
+
+from cranberryglade import options
+
+DEFAULT_REQUEST_SHARE = 0.0
+DEFAULT_QUANTILE = 0.95
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HedgingOptions:
+    """When a second endpoint is asked.
+
+    Attributes:
+        request_share: most hedged requests, as a fraction of all requests of
+            a service; 0 turns hedging off.
+        quantile: a first answer is late once it takes longer than this
+            fraction of the recent ones, relative to what was expected.
+    """
+
+    request_share: float = DEFAULT_REQUEST_SHARE
+    quantile: float = DEFAULT_QUANTILE
+
+
+SECTION = (
+    options.Option(
+        "request_share",
+        options.number(0.0, 0.2, float),
+        "a number from 0 to 0.2",
+        DEFAULT_REQUEST_SHARE,
+        "most hedged requests, as a fraction of all requests of a service; 0 "
+        "turns hedging off",
+    ),
+    options.Option(
+        "quantile",
+        options.number(0.5, 0.999, float),
+        "a number from 0.5 to 0.999",
+        DEFAULT_QUANTILE,
+        "a first answer is late once it takes longer than this fraction of the "
+        "recent ones, relative to what was expected",
+    ),
+)
--- /dev/null
+++ b/cranberryglade/memory/__init__.py
@@ -0,0 +1,1 @@
+"""The memory that a gateway holds for callers, endpoints and peers."""
--- /dev/null
+++ b/cranberryglade/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an endpoint: distance, present pace, cached prompt parts."""
--- a/cranberryglade/platform/boot.py
+++ b/cranberryglade/platform/boot.py
@@ -8,8 +8,12 @@
 
 from cranberryglade import decoding
 from cranberryglade.gateway import settings
+from cranberryglade.gateway_settings import features
+from cranberryglade.gateway_settings import reading
 
 PATH_VARIABLE = "CRANBERRYGLADE_BOOT"
+OPTIONS_VARIABLE = "CRANBERRYGLADE_SETTINGS"
+BYTES_PER_MB = 1_000_000
 
 
 class Listen(msgspec.Struct):
@@ -56,6 +60,11 @@
         quota_window_s: seconds of the window in which quotas are counted.
         quota_overage: tolerated overrun, as a fraction of the quota.
         quota_slack: tolerated overrun beyond that, in the quota's unit.
+        exposure_share: largest fraction of a service's requests that a new
+            software version may get before it is known to be good.
+        exposure_slack: requests that it may get in addition.
+        rollback_ms: milliseconds after which a version that is known to be bad
+            gets no more requests.
     """
 
     revoke_ms: float = 5000.0
@@ -67,6 +76,9 @@
     quota_window_s: float = 8.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
+    rollback_ms: float = 5000.0
 
 
 class StoreAddress(msgspec.Struct):
@@ -102,6 +114,9 @@
 def read(path: str | None = None) -> Result[settings.Settings, str]:
     """Reads the settings file into the gateway's settings.
 
+    The operators' own settings come from the file that the environment variable
+    CRANBERRYGLADE_SETTINGS names, if it does.
+
     Args:
         path: the file; by default the one that the environment variable
             CRANBERRYGLADE_BOOT names.
@@ -116,11 +131,21 @@
     except (OSError, ValueError) as error:
         return Failure(f"{path}: {error}")
     boot = decoding.from_toml(data, Boot)
-    checked = boot.map(_settings).bind(settings.check)
-    return checked.alt(lambda problem: f"{path}: {problem}")
+    checked = boot.alt(lambda problem: f"{path}: {problem}").bind(_complete)
+    return checked.bind(
+        lambda complete: settings.check(complete).alt(
+            lambda problem: f"{path}: {problem}"
+        )
+    )
+
+
+def _complete(boot: Boot) -> Result[settings.Settings, str]:
+    """Adds the operators' options to the settings."""
+    own = reading.read(os.environ.get(OPTIONS_VARIABLE, ""))
+    return own.map(lambda each: _settings(boot, each))
 
 
-def _settings(boot: Boot) -> settings.Settings:
+def _settings(boot: Boot, own: features.Features) -> settings.Settings:
     bounds = boot.bounds
     revoke = bounds.revoke_ms / 1000 if bounds.enforce_revocation else None
     return settings.Settings(
@@ -141,4 +166,10 @@
         quota_slack=bounds.quota_slack,
         processor_cores=boot.limits.cpu_share * boot.limits.cpu_cores,
         link_mbps=boot.limits.link_mbps,
+        memory_bytes=round(boot.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=boot.limits.max_fds,
+        exposure_share=bounds.exposure_share,
+        exposure_slack=bounds.exposure_slack,
+        rollback_seconds=bounds.rollback_ms / 1000,
+        options=own,
     )
--- /dev/null
+++ b/cranberryglade/preemption/__init__.py
@@ -0,0 +1,1 @@
+"""Who gets a slot under contention: reservations, preemption, shares."""
--- /dev/null
+++ b/cranberryglade/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of a software version: canary, verdict, promotion, rollback."""
--- a/cranberryglade/tests/test_platform_boot.py
+++ b/cranberryglade/tests/test_platform_boot.py
@@ -111,3 +111,25 @@
     path = tmp_path_factory.getbasetemp() / "any.toml"
     path.write_bytes(data)
     assert isinstance(boot.read(str(path)), (Success, Failure))
+
+
+def test_operators_options_are_part_of_the_settings(tmp_path, monkeypatch):
+    own = tmp_path / "gateway.ini"
+    own.write_text("[hedging]\nrequest_share = 0.02\n", encoding="utf-8")
+    monkeypatch.setenv("CRANBERRYGLADE_SETTINGS", str(own))
+    match read_settings(tmp_path, FILE):
+        case Success(configured):
+            assert configured.options.hedging.request_share == 0.02
+
+
+def test_operators_options_that_cannot_be_read_name_their_file(
+    tmp_path, monkeypatch
+):
+    own = tmp_path / "gateway.ini"
+    own.write_text("[hedging]\nrequest_share = many\n", encoding="utf-8")
+    monkeypatch.setenv("CRANBERRYGLADE_SETTINGS", str(own))
+    match read_settings(tmp_path, FILE):
+        case Failure(problem):
+            assert f"{own}: [hedging] request_share = many" in problem
+        case Success(_):
+            raise AssertionError
--- a/cranberryglade/tools/reference.py
+++ b/cranberryglade/tools/reference.py
@@ -19,6 +19,7 @@
 from cranberryglade import settings
 from cranberryglade import verdicts
 from cranberryglade.checking import request_life
+from cranberryglade.gateway_settings import features
 from cranberryglade.tools import questions
 
 DOCS = pathlib.Path("docs")
@@ -27,6 +28,7 @@
 )
 OPTIONS = {
     "daemon": settings.SECTIONS,
+    "gateway": features.SECTIONS,
     "configuration": {
         "deployment": configuration.DEPLOYMENT_OPTIONS,
         **configuration.SECTION_OPTIONS,
