--- a/cranberryglade/tests/silent_relay.py
+++ b/cranberryglade/tests/silent_relay.py
@@ -26,7 +26,7 @@
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(
-            self._relay, *sockets.split_address(self.address)
+            self._accept, *sockets.split_address(self.address)
         )
         return self
 
@@ -40,10 +40,15 @@
         """Delivers nothing more on the open connections, and closes none."""
         self._silent_up_to = self.connections
 
-    async def _relay(self, reader, writer) -> None:
+    def _accept(self, reader, writer) -> None:
         self.connections += 1
-        number = self.connections
-        self._tasks.add(asyncio.current_task())
+        # Python 3.11.7 reports the end of a task of its own that is cancelled
+        # as an error in a callback.
+        self._tasks.add(
+            asyncio.create_task(self._relay(self.connections, reader, writer))
+        )
+
+    async def _relay(self, number, reader, writer) -> None:
         target = sockets.split_address(self.target)
         upstream_reader, upstream_writer = await asyncio.open_connection(
             *target
