--- a/cranberryglade/gateway/admission.py
+++ b/cranberryglade/gateway/admission.py
@@ -53,11 +53,14 @@
         reason: why, for logs and the answer.
         retry_after_seconds: time after which a retry may succeed; None if
             retrying would not help.
+        unconfirmed: whether it may be admitted once the configuration is
+            confirmed.
     """
 
     status: int
     reason: str
     retry_after_seconds: float | None = None
+    unconfirmed: bool = False
 
 
 class Admission:
@@ -90,7 +93,7 @@
                 suspended.
         """
         if config is None:
-            return Rejected(503, "no_configuration", RETRY_AFTER_SECONDS)
+            return _reject_unconfirmed("no_configuration")
         if not self._pauses.admits(now):
             return Rejected(503, "process_paused", RETRY_AFTER_SECONDS)
         route = config.route(facts.host, facts.path)
@@ -101,9 +104,7 @@
             route.allow_anonymous and not facts.key
         ):
             if not self._admits_keys(now):
-                return Rejected(
-                    503, "configuration_too_old", RETRY_AFTER_SECONDS
-                )
+                return _reject_unconfirmed("configuration_too_old")
             organisation = config.organisation_of(facts.key)
             if organisation is None and not route.allow_anonymous:
                 return self._reject_unlisted(401, "unknown_key", now)
@@ -117,7 +118,7 @@
     ) -> Rejected:
         if self._config_age.may_reject_unknown(now):
             return Rejected(status, reason)
-        return Rejected(503, f"{reason}_yet", RETRY_AFTER_SECONDS)
+        return _reject_unconfirmed(f"{reason}_yet")
 
     def _admit(
         self,
@@ -151,6 +152,10 @@
         return self._random.choices(route.service_weights, weights)[0].service
 
 
+def _reject_unconfirmed(reason: str) -> Rejected:
+    return Rejected(503, reason, RETRY_AFTER_SECONDS, unconfirmed=True)
+
+
 def request_cost(
     facts: messages.RequestMetadata,
     organisation: configuration.Organisation | None,
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import math
 
 from cranberryglade import crash_evidence
 from cranberryglade import log
@@ -25,6 +26,7 @@
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
 from cranberryglade.gateway import stream_relaying
+from cranberryglade.warmup import waits
 
 ANSWER_MARGIN_SECONDS = 0.03
 """Time before a request's deadline at which a timeout is answered, unless its
@@ -36,6 +38,9 @@
 STOPPING_RETRY_AFTER_SECONDS = 0.0
 """Retry-After of an instance that shuts down: the other instances serve."""
 
+NO_WARMUP = waits.Warmup(-math.inf, 0.0)
+"""Of an instance whose requests do not wait for its configuration."""
+
 STOPPING = "stopping"
 """Reason of requests that a shutdown refuses or ends."""
 
@@ -56,6 +61,7 @@
         "_running",
         "_sender",
         "_state",
+        "_warmup",
     )
 
     def __init__(
@@ -69,8 +75,10 @@
         origins: origin_sharing.OriginSharing,
         pauses: endpoint_pauses.EndpointPauses,
         verifier: process_verification.ProcessVerifier,
+        warmup: waits.Warmup = NO_WARMUP,
     ):
         self._state = shared
+        self._warmup = warmup
         self._dialect = translator
         self._admission = admission_control
         self._budget = budget
@@ -126,10 +134,8 @@
             logger.info("request.unreadable", reason=str(error))
             responder.whole(400, [], str(error).encode())
             return
+        admission_decision = await self._admit(request, facts)
         now = asyncio.get_running_loop().time()
-        admission_decision = self._admission.decide(
-            facts, self._state.configuration, now
-        )
         match admission_decision:
             case admission.Rejected():
                 self._reject(facts, responder, admission_decision)
@@ -143,6 +149,42 @@
             case admission.Admitted():
                 await self._serve(request, facts, admission_decision, responder)
 
+    async def _admit(
+        self, request: messages.Request, facts: messages.RequestMetadata
+    ) -> admission.Admitted | admission.Rejected:
+        """Decides on a request; waits while the instance starts."""
+        now = asyncio.get_running_loop().time
+        until = self._warmup.wait_until(request.arrived)
+        waited = False
+        while True:
+            decision = self._admission.decide(
+                facts, self._state.configuration, now()
+            )
+            match decision:
+                case admission.Rejected(unconfirmed=True) if now() < until:
+                    waited = True
+                    await asyncio.sleep(waits.POLL_SECONDS)
+                case _:
+                    break
+        if waited:
+            self._log_warmup_wait(request, facts, decision)
+        return decision
+
+    def _log_warmup_wait(
+        self,
+        request: messages.Request,
+        facts: messages.RequestMetadata,
+        decision: admission.Admitted | admission.Rejected,
+    ) -> None:
+        waited_seconds = asyncio.get_running_loop().time() - request.arrived
+        self._state.metrics.count_event("request_waited_for_start")
+        logger.info(
+            "request.waited_for_start",
+            id=facts.id,
+            admitted=isinstance(decision, admission.Admitted),
+            waited_ms=round(waited_seconds * 1000),
+        )
+
     async def _serve(
         self,
         request: messages.Request,
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -56,6 +56,7 @@
 from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
+from cranberryglade.warmup import waits
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -210,6 +211,10 @@
             process_verification.ProcessVerifier(
                 self._state, self._processes, endpoints_read.get
             ),
+            waits.Warmup(
+                asyncio.get_running_loop().time(),
+                initial_settings.options.warmup.max_wait_ms / 1000,
+            ),
         )
         self._caller_listener = inbound.Listener(
             self._forwarder.handle, self._report_invalid_request
--- a/cranberryglade/gateway_settings/features.py
+++ b/cranberryglade/gateway_settings/features.py
@@ -7,6 +7,7 @@
 from cranberryglade.placement import options as placement_options
 from cranberryglade.preemption import options as preemption_options
 from cranberryglade.rollouts import options as rollouts_options
+from cranberryglade.warmup import options as warmup_options
 
 SECTIONS = {
     "memory": memory_options.SECTION,
@@ -14,6 +15,7 @@
     "preemption": preemption_options.SECTION,
     "placement": placement_options.SECTION,
     "hedging": hedging_options.SECTION,
+    "warmup": warmup_options.SECTION,
 }
 """Options by the name of their section."""
 
@@ -37,3 +39,6 @@
     hedging: hedging_options.HedgingOptions = dataclasses.field(
         default_factory=hedging_options.HedgingOptions
     )
+    warmup: warmup_options.WarmupOptions = dataclasses.field(
+        default_factory=warmup_options.WarmupOptions
+    )
--- a/cranberryglade/gateway_settings/reading.py
+++ b/cranberryglade/gateway_settings/reading.py
@@ -13,6 +13,7 @@
 from cranberryglade.placement import options as placement_options
 from cranberryglade.preemption import options as preemption_options
 from cranberryglade.rollouts import options as rollouts_options
+from cranberryglade.warmup import options as warmup_options
 
 
 def read(path: str) -> Result[features.Features, str]:
@@ -73,5 +74,6 @@
             preemption_options.PreemptionOptions(**values["preemption"]),
             placement_options.PlacementOptions(**values["placement"]),
             hedging_options.HedgingOptions(**values["hedging"]),
+            warmup_options.WarmupOptions(**values["warmup"]),
         )
     )
--- /dev/null
+++ b/cranberryglade/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that arrive while an instance starts."""
