Placement: distance is part of the cost of an endpoint

Cause: an endpoint was chosen by its speed and load only, so two thirds of the requests and of their events crossed failure domains.

Change: the cost of an endpoint outside the domain of the instance that asks is multiplied by [placement] remote_cost; endpoints above twice the median pace cost the factor once more. Each endpoint is in the order of its domain and in that of all; a grant searches these two. With remote_cost 1, the default, the choice is as before.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -187,6 +187,7 @@
     def set_mesh(self, instances: mesh.Mesh) -> None:
         """Connects it to the other instances."""
         self._mesh = instances
+        self._slots.placing.distance.set_domains(instances.members.domain_of)
 
     def set_tolerance(self, tolerance: quotas.OverrunTolerance) -> None:
         """Sets by how much quotas may be overrun."""
@@ -304,6 +305,11 @@
                 self.deliver_decisions(self._slots.remove_holder(holder, now))
         self.deliver_decisions(self._slots.tick(now))
         self._charges.expire(now)
+        granted = self._slots.placing.distance.take_summary(now)
+        if granted is not None:
+            logger.info(
+                "placement.counted", own=granted.own, other=granted.other
+            )
 
     def deliver_decisions(
         self, decisions: list[endpoint_states.SlotDecision]
--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -16,6 +16,7 @@
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
+from cranberryglade.placement import preference as preferences
 
 DEFAULT_PACE = 0.0
 
@@ -23,6 +24,9 @@
 """Most endpoints whose present costs are compared for one grant. Costs rise
 while requests run, so an order by earlier costs is nearly right."""
 
+MAX_REMOTE_COMPARED = 3
+"""Most endpoints that are compared then with the best of the own domain."""
+
 MAX_REST_SECONDS = 0.1
 """An endpoint whose limit is used up is looked at again after this time, since
 its limit may have changed."""
@@ -113,29 +117,94 @@
             del self._paces[bisect.bisect_left(self._paces, pace)]
 
 
+class CostOrder:
+    """Free endpoints in the order of what they cost when they were put here.
+
+    An entry is stale once the state of its endpoint has a newer revision.
+    """
+
+    __slots__ = ("_candidates", "_states")
+
+    def __init__(self, states: dict[str, endpoint_states.EndpointState]):
+        """Creates an empty order.
+
+        Args:
+            states: the endpoints that are in use, by id, now and later.
+        """
+        self._states = states
+        self._candidates: list[Candidate] = []
+
+    def put(self, candidate: Candidate) -> None:
+        """Puts an endpoint back that was taken out."""
+        heapq.heappush(self._candidates, candidate)
+
+    def add(self, candidate: Candidate) -> None:
+        """Adds an endpoint whose state has changed."""
+        heapq.heappush(self._candidates, candidate)
+        if len(self._candidates) > MIN_COMPACTION + 2 * len(self._states):
+            self._candidates = [e for e in self._candidates if self.holds(e)]
+            heapq.heapify(self._candidates)
+
+    def take_first(self) -> None:
+        """Takes the endpoint that `first` returned out of the order."""
+        heapq.heappop(self._candidates)
+
+    def first(self) -> Candidate | None:
+        """Returns the endpoint that had the least cost, if any is free."""
+        while self._candidates and not self.holds(self._candidates[0]):
+            heapq.heappop(self._candidates)
+        return self._candidates[0] if self._candidates else None
+
+    def holds(self, entry: tuple) -> bool:
+        """Returns whether an entry is not stale."""
+        _, id_, revision, state = entry
+        return revision == state.revision and self._states.get(id_) is state
+
+
 class VersionPool:
     """The endpoints of one service and software version.
 
-    Each is in one of three places: in the order of costs, at rest until a time,
-    or, while it is full, in neither. An entry is stale once the state of its
-    endpoint has a newer revision.
+    Each is in one of three places: in the orders of costs, at rest until a
+    time, or, while it is full, in neither.
 
     Attributes:
         load: slots of all of them, and the work in progress there.
         states: the endpoints by id.
+        order: all of them in the order of costs.
     """
 
-    __slots__ = ("_candidates", "_resting", "_revisions", "load", "states")
+    __slots__ = (
+        "_by_domain",
+        "_orders_domains",
+        "_resting",
+        "_revisions",
+        "load",
+        "order",
+        "states",
+    )
 
-    def __init__(self):
+    def __init__(self, orders_domains: bool):
+        """Creates an empty pool.
+
+        Args:
+            orders_domains: whether the endpoints of each failure domain are
+                kept in an order of their own, too.
+        """
         self.load = endpoint_states.NO_LOAD
         self.states: dict[str, endpoint_states.EndpointState] = {}
+        self.order = CostOrder(self.states)
+        self._by_domain: dict[str, CostOrder] = {}
+        self._orders_domains = orders_domains
         self._revisions = itertools.count(1)
-        self._candidates: list[Candidate] = []
         self._resting: list[
             tuple[float, str, int, endpoint_states.EndpointState]
         ] = []
 
+    @property
+    def has_resting(self) -> bool:
+        """Whether endpoints may be at rest."""
+        return bool(self._resting)
+
     def renew(
         self,
         state: endpoint_states.EndpointState,
@@ -150,10 +219,10 @@
         if state.free_slots <= 0:
             return
         cost = state.cost(default_pace, now)
-        self.put((cost, state.endpoint.id, state.revision, state))
-        if len(self._candidates) > MIN_COMPACTION + 2 * len(self.states):
-            self._candidates = [e for e in self._candidates if self._holds(e)]
-            heapq.heapify(self._candidates)
+        candidate = (cost, state.endpoint.id, state.revision, state)
+        self.order.add(candidate)
+        if self._orders_domains:
+            self._order_of_domain(state.domain).add(candidate)
 
     def remove(self, state: endpoint_states.EndpointState) -> None:
         """Removes an endpoint."""
@@ -161,16 +230,16 @@
         self.load -= state.counted
         state.counted = endpoint_states.NO_LOAD
 
-    def put(self, candidate: Candidate) -> None:
-        """Puts an endpoint into the order of costs."""
-        heapq.heappush(self._candidates, candidate)
+    def order_of(self, domain: str) -> CostOrder | None:
+        """Returns the endpoints of a failure domain in the order of costs.
 
-    def take_first(self) -> None:
-        """Takes the endpoint that `first` returned out of the order."""
-        heapq.heappop(self._candidates)
+        An instance's own domain and the order of all are searched: two orders,
+        however many domains there are.
+        """
+        return self._by_domain.get(domain)
 
     def rest(self, state: endpoint_states.EndpointState, until: float) -> None:
-        """Takes an endpoint out of the order of costs until a time."""
+        """Takes an endpoint out of the orders of costs until a time."""
         state.revision = next(self._revisions)
         id_ = state.endpoint.id
         heapq.heappush(self._resting, (until, id_, state.revision, state))
@@ -179,18 +248,14 @@
         """Puts endpoints back whose rest is over."""
         while self._resting and self._resting[0][0] <= now:
             entry = heapq.heappop(self._resting)
-            if self._holds(entry):
+            if self.order.holds(entry):
                 self.renew(entry[-1], default_pace, now)
 
-    def first(self) -> Candidate | None:
-        """Returns the endpoint that had the least cost, if any is free."""
-        while self._candidates and not self._holds(self._candidates[0]):
-            heapq.heappop(self._candidates)
-        return self._candidates[0] if self._candidates else None
-
-    def _holds(self, entry: tuple) -> bool:
-        _, id_, revision, state = entry
-        return revision == state.revision and self.states.get(id_) is state
+    def _order_of_domain(self, domain: str) -> CostOrder:
+        order = self._by_domain.get(domain)
+        if order is None:
+            order = self._by_domain[domain] = CostOrder(self.states)
+        return order
 
 
 class EndpointGroup:
@@ -199,10 +264,25 @@
     Times are seconds of the loop's clock.
     """
 
-    __slots__ = ("_keyed_median", "_median", "_pools", "_rates", "_unmeasured")
+    __slots__ = (
+        "_keyed_median",
+        "_median",
+        "_orders_domains",
+        "_pools",
+        "_rates",
+        "_unmeasured",
+    )
 
-    def __init__(self, rates: EndpointRates):
+    def __init__(self, rates: EndpointRates, orders_domains: bool = False):
+        """Creates a group without endpoints.
+
+        Args:
+            rates: the requests a second that endpoints take.
+            orders_domains: whether the endpoints of each failure domain are
+                kept in an order of their own, too.
+        """
         self._rates = rates
+        self._orders_domains = orders_domains
         self._median = MedianPace()
         self._keyed_median = DEFAULT_PACE
         self._pools: dict[str, VersionPool] = {}
@@ -224,7 +304,9 @@
     def add(self, state: endpoint_states.EndpointState, now: float) -> None:
         """Adds an endpoint."""
         version = state.endpoint.software_version
-        pool = self._pools.setdefault(version, VersionPool())
+        pool = self._pools.get(version)
+        if pool is None:
+            pool = self._pools[version] = VersionPool(self._orders_domains)
         pool.states[state.endpoint.id] = state
         self._median.add(state)
         if not state.samples:
@@ -284,12 +366,16 @@
     def has_free(self, now: float) -> bool:
         """Returns whether some request could get a slot now."""
         return any(
-            self._first_available(pool, now) is not None
+            self._first_available(pool, pool.order, now) is not None
             for pool in self._pools.values()
         )
 
     def choose(
-        self, request: messages.SlotRequest, accepts: Accepts, now: float
+        self,
+        request: messages.SlotRequest,
+        accepts: Accepts,
+        now: float,
+        preference: preferences.Preference | None = None,
     ) -> endpoint_states.EndpointState | None:
         """Returns the endpoint with a free slot where a request costs least.
 
@@ -297,11 +383,13 @@
             request: the request.
             accepts: says so of each endpoint that is considered.
             now: the present time.
+            preference: factors on the costs; None for none.
         """
         best = [
             candidate
             for pool in self._pools_for(request)
-            if (candidate := self._best_of(pool, accepts, now)) is not None
+            if (candidate := self._best_in(pool, accepts, preference, now))
+            is not None
         ]
         return min(best)[-1] if best else None
 
@@ -313,39 +401,84 @@
             return self._pools.values()
         return [self._pools[version]] if version in self._pools else []
 
+    def _best_in(
+        self,
+        pool: VersionPool,
+        accepts: Accepts,
+        preference: preferences.Preference | None,
+        now: float,
+    ) -> Candidate | None:
+        if preference is None:
+            return self._best_of(
+                pool, pool.order, accepts, None, 1.0, None, now
+            )
+        own = pool.order_of(preference.domain)
+        best: Candidate | None = None
+        if own is not None:
+            best = self._best_of(pool, own, accepts, preference, 1.0, None, now)
+        # Those of the own domain were compared just before.
+        least = preference.remote_weight
+        return self._best_of(
+            pool, pool.order, accepts, preference, least, best, now
+        )
+
     def _best_of(
-        self, pool: VersionPool, accepts: Accepts, now: float
+        self,
+        pool: VersionPool,
+        order: CostOrder,
+        accepts: Accepts,
+        preference: preferences.Preference | None,
+        least_weight: float,
+        best: Candidate | None,
+        now: float,
     ) -> Candidate | None:
+        """Returns the best endpoint of an order, or `best` if it costs less.
+
+        Args:
+            pool: the endpoints.
+            order: those that are compared, in the order of earlier costs.
+            accepts: says of each whether it may get the request.
+            preference: factors on the costs; None for none.
+            least_weight: the least factor.
+            best: the best one so far, if any.
+            now: the present time.
+        """
         taken: list[Candidate] = []
-        best: Candidate | None = None
         compared = 0
-        while compared < MAX_COMPARED:
-            first = self._first_available(pool, now)
-            if first is None or (best is not None and best[0] <= first[0]):
+        median_pace = self.median_pace
+        most = MAX_COMPARED if best is None else MAX_REMOTE_COMPARED
+        while compared < most:
+            first = self._first_available(pool, order, now)
+            if first is None:
+                break
+            if best is not None and _costs_less(
+                best[0], first[0], least_weight
+            ):
                 break
-            pool.take_first()
+            order.take_first()
             _, id_, revision, state = first
-            candidate = (
-                state.cost(self.median_pace, now),
-                id_,
-                revision,
-                state,
-            )
-            taken.append(candidate)
+            cost = state.cost(median_pace, now)
+            taken.append((cost, id_, revision, state))
             if not accepts(state):
                 continue
             compared += 1
+            if preference is not None:
+                cost = cost.weighted(preference.weigh(state, median_pace))
+            candidate = (cost, id_, revision, state)
             best = candidate if best is None else min(best, candidate)
         for candidate in taken:
-            pool.put(candidate)
+            order.put(candidate)
         return best
 
     def _first_available(
-        self, pool: VersionPool, now: float
+        self, pool: VersionPool, order: CostOrder, now: float
     ) -> Candidate | None:
-        pool.wake(self.median_pace, now)
-        while (first := pool.first()) is not None:
+        if pool.has_resting:
+            pool.wake(self.median_pace, now)
+        while (first := order.first()) is not None:
             state = first[-1]
+            if state.is_unrestricted(now) and self._rates.unlimited:
+                return first
             until = max(
                 state.paused_until, state.down_until, state.room_at(now)
             )
@@ -355,3 +488,12 @@
                 return first
             pool.rest(state, until)
         return None
+
+
+def _costs_less(
+    best: endpoint_states.Cost, other: endpoint_states.Cost, weight: float
+) -> bool:
+    """Returns whether a cost is not above another one times a factor."""
+    if weight == 1.0:
+        return best <= other
+    return best.seconds <= weight * other.seconds
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -94,12 +94,25 @@
     revision: int = 0
     counted: "Load" = dataclasses.field(default_factory=lambda: NO_LOAD)
 
+    @property
+    def domain(self) -> str:
+        """Its failure domain."""
+        return self.endpoint.domain
+
     @property
     def load(self) -> "Load":
         """Its slots, and the work in progress there."""
         work = sum(lease.work_units for lease in self.leases.values())
         return Load(self.endpoint.slots, work)
 
+    def is_unrestricted(self, now: float) -> bool:
+        """Returns whether it is certainly neither paused, down nor limited."""
+        return (
+            self.paused_until <= now
+            and self.concurrency_limit is None
+            and not self.unreachable_from
+        )
+
     def is_unreachable_from(self, holder: str, now: float) -> bool:
         """Returns whether it counts as unreachable for an instance."""
         if not self.unreachable_from:
@@ -232,6 +245,12 @@
     seconds: float
     running: int
 
+    def weighted(self, factor: float) -> "Cost":
+        """Returns the cost with its time multiplied by a factor."""
+        if factor == 1.0:
+            return self
+        return Cost(self.seconds * factor, self.running)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SlotDecision:
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -73,6 +73,17 @@
         "Quarantines, lifted ones included.",
         lambda: len(shared.quarantine.entries),
     )
+    distance = scheduler.placing.distance
+    watch(
+        "grants_own_domain",
+        "Slots granted in the failure domain of the instance that asked.",
+        lambda: distance.counts.own,
+    )
+    watch(
+        "grants_other_domain",
+        "Slots granted in another failure domain.",
+        lambda: distance.counts.other,
+    )
     watch(
         "requests_waiting",
         "Requests in the allocator's queue.",
--- a/cranberryglade/gateway/membership.py
+++ b/cranberryglade/gateway/membership.py
@@ -168,6 +168,13 @@
         """All known members."""
         return list(self._members.values())
 
+    def domain_of(self, name: str) -> str:
+        """Returns the failure domain of an instance; "" if it is unknown."""
+        if name == self._own:
+            return self._domain
+        member = self._members.get(name)
+        return member.domain if member is not None else ""
+
     @property
     def full_mesh(self) -> bool:
         """Whether each instance sends heartbeats to all others."""
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -19,6 +19,8 @@
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slot_queue
+from cranberryglade.placement import options as placement_options
+from cranberryglade.placement import placing
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -43,6 +45,9 @@
 
     Callers pass in events and the time `now`, in seconds of the loop's clock,
     and deliver the decisions that the methods return.
+
+    Attributes:
+        placing: what requests prefer among the endpoints.
     """
 
     __slots__ = (
@@ -55,12 +60,14 @@
         "_rates",
         "_states",
         "_waiting",
+        "placing",
     )
 
     def __init__(
         self,
         crashing_parts: quarantine.Quarantine | None = None,
         limits: endpoint_limits.EndpointLimits | None = None,
+        placement: placement_options.PlacementOptions | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -68,7 +75,11 @@
             crashing_parts: what crashes endpoints; None for a
                 record of its own.
             limits: the limits that endpoints name; None for none.
+            placement: terms of the cost of an endpoint; None for the defaults.
         """
+        self.placing = placing.Placing(
+            placement or placement_options.PlacementOptions()
+        )
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -327,7 +338,9 @@
         service = state.endpoint.service
         group = self._groups.get(service)
         if group is None:
-            group = endpoint_group.EndpointGroup(self._rates)
+            group = endpoint_group.EndpointGroup(
+                self._rates, self.placing.orders_domains
+            )
             self._groups[service] = group
         group.add(state, now)
 
@@ -405,6 +418,7 @@
         lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
         self._leases.add(request.id, lease)
         self._renew(name, now)
+        self.placing.record_grant(waiting.holder, state.domain)
         if state.bucket is not None:
             state.bucket.take()
         granted = messages.Granted(request.id, name)
@@ -454,7 +468,8 @@
                 and not (suspected and self._runs_suspected(state))
             )
 
-        return group.choose(request, accepts, now)
+        preference = self.placing.preference(waiting.holder)
+        return group.choose(request, accepts, now, preference)
 
     def _runs_suspected(self, state: endpoint_states.EndpointState) -> bool:
         return any(
--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -29,6 +29,7 @@
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import state
 from cranberryglade.gateway import telemetry
+from cranberryglade.placement import options as placement_options
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -59,14 +60,24 @@
     return steps
 
 
-def make_loaded_scheduler(endpoints: int, waiting: int) -> slots.SlotScheduler:
+def make_loaded_scheduler(
+    endpoints: int,
+    waiting: int,
+    placement: placement_options.PlacementOptions | None = None,
+    domains: int = 1,
+) -> slots.SlotScheduler:
     """Returns a scheduler with measured endpoints.
 
     Half of the slots are in use, or all of them if requests wait.
     """
-    scheduler = slots.SlotScheduler()
+    scheduler = slots.SlotScheduler(placement=placement)
+    scheduler.placing.distance.set_domains(
+        lambda holder: f"d-{sum(holder.encode()) % domains}"
+    )
     listed = {
-        f"e-{n}": builders.make_endpoint(f"e-{n}", slots=4)
+        f"e-{n}": builders.make_endpoint(
+            f"e-{n}", slots=4, domain=f"d-{n % domains}"
+        )
         for n in range(endpoints)
     }
     scheduler.update_endpoints(listed, 0.0)
@@ -116,6 +127,16 @@
     assert large <= MOST_GROWTH * base
 
 
+@pytest.mark.parametrize("waiting", [0, 10_000])
+@pytest.mark.parametrize("domains", [3, 30])
+def test_a_grant_costs_the_same_with_many_failure_domains(domains, waiting):
+    # Load: distance matters, with 2,000 endpoints in up to 30 domains.
+    near = placement_options.PlacementOptions(remote_cost=1.5)
+    few = make_loaded_scheduler(FEW_ENDPOINTS, min(waiting, 100), near, 3)
+    large = make_loaded_scheduler(2_000, waiting, near, domains)
+    assert steps_of_a_request(large) <= MOST_GROWTH * steps_of_a_request(few)
+
+
 def make_state(name: str, held: leases.LeaseTable, **changes):
     return endpoint_states.EndpointState(
         builders.make_endpoint(name, **changes), held.at(name)
--- a/cranberryglade/tools/bench.py
+++ b/cranberryglade/tools/bench.py
@@ -124,6 +124,12 @@
     "--seconds", default=5.0, show_default=True, help="Simulated time."
 )
 @click.option("--seed", default=1, show_default=True, help="Seed of the load.")
+@click.option(
+    "--remote-cost",
+    default=1.0,
+    show_default=True,
+    help="Factor on the cost of endpoints in another failure domain.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def measure_allocator(as_json: bool, **options) -> None:
     """Prints the processor time of an allocator, by type of message."""
--- a/cranberryglade/tools/benchallocator.py
+++ b/cranberryglade/tools/benchallocator.py
@@ -23,6 +23,7 @@
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import state
 from cranberryglade.gateway import telemetry
+from cranberryglade.placement import options
 
 OWN_NAME = "allocator"
 OWN_ADDRESS = "127.0.0.1:7600"
@@ -57,6 +58,7 @@
         organisations: number of organisations.
         seconds: simulated time.
         seed: seed of arrivals and sizes.
+        remote_cost: factor on the cost of endpoints in another domain.
     """
 
     instances: int = 195
@@ -67,6 +69,7 @@
     organisations: int = 19
     seconds: float = 5.0
     seed: int = 1
+    remote_cost: float = 1.0
 
     @property
     def requests_per_second(self) -> float:
@@ -188,7 +191,9 @@
             telemetry.Telemetry(),
         )
         self._slots = slots.SlotScheduler(
-            instance_state.quarantine, instance_state.endpoint_limits
+            instance_state.quarantine,
+            instance_state.endpoint_limits,
+            options.PlacementOptions(remote_cost=self._plan.remote_cost),
         )
         charging = charges.Charges(
             quotas.Quotas(_find_organisation, TOLERANCE),
