--- a/cranberryglade/gateway_settings/reading.py
+++ b/cranberryglade/gateway_settings/reading.py
@@ -1,12 +1,15 @@
 """Reads the operators' settings file of a gateway."""
 
 import configparser
+import dataclasses
+import os
 
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
 from cranberryglade import options
+from cranberryglade.gateway import settings
 from cranberryglade.gateway_settings import features
 from cranberryglade.hedging import options as hedging_options
 from cranberryglade.memory import options as memory_options
@@ -15,6 +18,25 @@
 from cranberryglade.rollouts import options as rollouts_options
 from cranberryglade.warmup import options as warmup_options
 
+PATH_VARIABLE = "CRANBERRYGLADE_SETTINGS"
+"""Environment variable that names the settings file."""
+
+
+def add_options(
+    platform_settings: settings.Settings,
+) -> Result[settings.Settings, str]:
+    """Adds the options of the file that the environment names, if it does.
+
+    Args:
+        platform_settings: what the platform sets.
+
+    Returns:
+        The complete settings, or what is wrong with the file.
+    """
+    return read(os.environ.get(PATH_VARIABLE, "")).map(
+        lambda own: dataclasses.replace(platform_settings, options=own)
+    )
+
 
 def read(path: str) -> Result[features.Features, str]:
     """Reads and checks a settings file.
--- a/cranberryglade/platform/boot.py
+++ b/cranberryglade/platform/boot.py
@@ -8,11 +8,9 @@
 
 from cranberryglade import decoding
 from cranberryglade.gateway import settings
-from cranberryglade.gateway_settings import features
 from cranberryglade.gateway_settings import reading
 
 PATH_VARIABLE = "CRANBERRYGLADE_BOOT"
-OPTIONS_VARIABLE = "CRANBERRYGLADE_SETTINGS"
 BYTES_PER_MB = 1_000_000
 
 
@@ -112,10 +110,7 @@
 
 
 def read(path: str | None = None) -> Result[settings.Settings, str]:
-    """Reads the settings file into the gateway's settings.
-
-    The operators' own settings come from the file that the environment variable
-    CRANBERRYGLADE_SETTINGS names, if it does.
+    """Reads the settings file, and the operators' options, into settings.
 
     Args:
         path: the file; by default the one that the environment variable
@@ -131,21 +126,12 @@
     except (OSError, ValueError) as error:
         return Failure(f"{path}: {error}")
     boot = decoding.from_toml(data, Boot)
-    checked = boot.alt(lambda problem: f"{path}: {problem}").bind(_complete)
-    return checked.bind(
-        lambda complete: settings.check(complete).alt(
-            lambda problem: f"{path}: {problem}"
-        )
-    )
-
-
-def _complete(boot: Boot) -> Result[settings.Settings, str]:
-    """Adds the operators' options to the settings."""
-    own = reading.read(os.environ.get(OPTIONS_VARIABLE, ""))
-    return own.map(lambda each: _settings(boot, each))
+    checked = boot.map(_settings).bind(settings.check)
+    named = checked.alt(lambda problem: f"{path}: {problem}")
+    return named.bind(reading.add_options)
 
 
-def _settings(boot: Boot, own: features.Features) -> settings.Settings:
+def _settings(boot: Boot) -> settings.Settings:
     bounds = boot.bounds
     revoke = bounds.revoke_ms / 1000 if bounds.enforce_revocation else None
     return settings.Settings(
@@ -171,5 +157,4 @@
         exposure_share=bounds.exposure_share,
         exposure_slack=bounds.exposure_slack,
         rollback_seconds=bounds.rollback_ms / 1000,
-        options=own,
     )
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store."""
 
 import base64
-import dataclasses
 import urllib.parse
 
 import msgspec
@@ -13,6 +12,8 @@
 from cranberryglade.gateway import fetching
 from cranberryglade.gateway import ports
 from cranberryglade.gateway import store_clock
+from cranberryglade.store_calls import pages
+from cranberryglade.store_calls import replies
 
 TABLES = {
     ports.Table.CONFIGURATION: "op",
@@ -33,12 +34,6 @@
 ERA_HEADER = b"store-era"
 """How often the store has come back from an old copy."""
 
-STATUS_ERRORS = {
-    404: ports.StoreError.ABSENT,
-    410: ports.StoreError.HISTORY_LOST,
-    412: ports.StoreError.CONFLICT,
-}
-
 
 class WireRow(msgspec.Struct):
     """A row; `ver` is its version, `value` is encoded as base64."""
@@ -59,14 +54,6 @@
     now_ms: object = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Page:
-    """One page of a read; `has_more` says whether further ones follow."""
-
-    read: ports.Rows
-    has_more: bool
-
-
 class Written(msgspec.Struct):
     """Reply to an applied transaction; `ver` is the version it created."""
 
@@ -164,28 +151,14 @@
         self, table: ports.Table
     ) -> Result[ports.Rows, ports.StoreError]:
         """Returns all rows of a table, read in pages."""
-        rows: list[ports.Row] = []
-        start = ""
-        first = None
-        while True:
-            query = {"table": TABLES[table], "part": "", "limit": PAGE_ROWS}
-            if start:
-                query["from"] = start
-            page = await self._fetch_rows(
-                "/rows-get", query, self._read_seconds
+        query = {"table": TABLES[table], "part": "", "limit": PAGE_ROWS}
+        return await pages.collect(
+            lambda start: self._fetch_rows(
+                "/rows-get",
+                query | ({"from": start} if start else {}),
+                self._read_seconds,
             )
-            match page:
-                case Success(Page(read)) if first and first.era != read.era:
-                    return Failure(ports.StoreError.HISTORY_LOST)
-                case Success(Page(read, has_more)):
-                    first = first or read
-                    rows += read.rows
-                    if not has_more or not read.rows:
-                        made_at = first.made_at
-                        return Success(ports.Rows(read.version, rows, made_at))
-                    start = read.rows[-1].key + "\0"
-                case Failure(_):
-                    return page
+        )
 
     async def changes(
         self, table: ports.Table, after: ports.Version, wait_seconds: float
@@ -205,7 +178,7 @@
         timeout = wait_seconds + self._read_seconds
         page = await self._fetch_rows("/rows-feed", query, timeout)
         match page:
-            case Success(Page(read)) if read.version.era != after.era:
+            case Success(pages.Page(read)) if read.version.era != after.era:
                 return Failure(ports.StoreError.HISTORY_LOST)
             case _:
                 return page.map(lambda found: found.read)
@@ -236,18 +209,18 @@
         match await self._fetcher.fetch(call):
             case Success(fetching.Reply(status=412) as reply):
                 era = _era(reply)
-                return _decode(reply.body, Refused).map(
+                return replies.decode(reply.body, Refused).map(
                     lambda wire: ports.Conflicting(
                         [_row(each, era) for each in wire.rows]
                     )
                 )
             case Success(reply):
                 era = _era(reply)
-                return _decode_reply(Success(reply), Written).map(
+                return replies.decode_reply(Success(reply), Written).map(
                     lambda wire: ports.Committed(ports.Version(era, wire.ver))
                 )
             case failure:
-                return _body(failure)
+                return replies.body(failure)
 
     async def put_object(
         self, name: str, data: bytes
@@ -255,14 +228,14 @@
         """Stores an object under a name."""
         target = f"/blob-put/{urllib.parse.quote(name, safe='')}"
         call = fetching.Call("PUT", target, data, self._write_seconds)
-        reply = _body(await self._fetcher.fetch(call))
+        reply = replies.body(await self._fetcher.fetch(call))
         return reply.map(lambda body: None)
 
     async def get_object(self, name: str) -> Result[bytes, ports.StoreError]:
         """Returns an object, or `ports.StoreError.ABSENT`."""
         target = f"/blob-get/{urllib.parse.quote(name, safe='')}"
         call = fetching.Call("GET", target, b"", self._read_seconds)
-        return _body(await self._fetcher.fetch(call))
+        return replies.body(await self._fetcher.fetch(call))
 
     async def _fetch_rows(self, path: str, query: dict, timeout: float):
         target = f"{path}?{urllib.parse.urlencode(query)}"
@@ -270,11 +243,11 @@
         match await self._fetcher.fetch(call):
             case Success(reply):
                 era = _era(reply)
-                return _decode_reply(Success(reply), WireRows).map(
+                return replies.decode_reply(Success(reply), WireRows).map(
                     lambda wire: _page(wire, era)
                 )
             case failure:
-                return _body(failure)
+                return replies.body(failure)
 
 
 def _era(reply: fetching.Reply) -> int:
@@ -284,29 +257,6 @@
     return 0
 
 
-def _body(
-    reply: Result[fetching.Reply, str],
-) -> Result[bytes, ports.StoreError]:
-    match reply:
-        case Failure(_):
-            return Failure(ports.StoreError.UNREACHABLE)
-        case Success(fetching.Reply(status=200, body=body)):
-            return Success(body)
-        case Success(other):
-            refused = ports.StoreError.REFUSED
-            return Failure(STATUS_ERRORS.get(other.status, refused))
-
-
-def _decode_reply(reply: Result[fetching.Reply, str], kind: type):
-    return _body(reply).bind(lambda body: _decode(body, kind))
-
-
-def _decode(body: bytes, kind: type):
-    return decoding.from_json(body, kind).alt(
-        lambda problem: ports.StoreError.UNREADABLE
-    )
-
-
 def _transaction(writes: list[ports.Write]) -> Transaction:
     transaction = Transaction([], [], [])
     for write in writes:
@@ -323,10 +273,10 @@
     return transaction
 
 
-def _page(wire: WireRows, era: int) -> Page:
+def _page(wire: WireRows, era: int) -> pages.Page:
     rows = [_row(each, era) for each in wire.rows]
     now = store_clock.to_seconds(wire.now_ms)
-    return Page(
+    return pages.Page(
         ports.Rows(ports.Version(era, wire.ver), rows, now), wire.has_more
     )
 
--- a/cranberryglade/tests/test_unreadable_rows.py
+++ b/cranberryglade/tests/test_unreadable_rows.py
@@ -29,6 +29,7 @@
 from cranberryglade.platform import documents
 from cranberryglade.platform import store
 from cranberryglade.standins import endpoint_standin
+from cranberryglade.store_calls import replies
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import odd_values
 
@@ -155,7 +156,7 @@
         case Success(member):
             assert sockets.is_ip_address(member.address)
     for kind in (store.WireRows, store.Refused, store.Written):
-        assert isinstance(store._decode(value, kind), (Success, Failure))
+        assert isinstance(replies.decode(value, kind), (Success, Failure))
 
 
 def check_usable(endpoint):
