Hedging: the decision, by a learnt quantile and a share

A few answers to plain requests that may be repeated take many times as long as the others. HedgeControl tells from which time on a first answer is late (a quantile of the service's recent ones, and no lower than what the share covers) and limits hedges by tokens that requests earn.

The default quantile is 0.9 in place of 0.95: with 5% slow attempts, 0.95 falls among the slow ones by chance.

--- a/cranberryglade/hedging/options.py
+++ b/cranberryglade/hedging/options.py
@@ -5,7 +5,9 @@
 from cranberryglade import options
 
 DEFAULT_REQUEST_SHARE = 0.0
-DEFAULT_QUANTILE = 0.95
+DEFAULT_QUANTILE = 0.9
+"""Answers that are slow for no reason of their own are rarely more than one in
+ten. A quantile at the very edge of them would fall among them by chance."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
