Hedging: ask a second endpoint for late plain requests

The first attempt of an idempotent request that is late is hedged if a slot is free at once, the retry budget and max_attempts allow it, and the instance neither stops nor was refused a slot lately. Both attempts go on until one has the whole answer; the other is stopped and its slot released. Without a hedge, silent attempts are replaced when they were before. The slot scheduler does not queue a request whose wait is over.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -17,6 +17,7 @@
 from cranberryglade.gateway import replacement
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
+from cranberryglade.hedging import control
 
 MIN_ATTEMPT_SECONDS = 0.05
 """Time left to the deadline at or below which no further attempt is made."""
@@ -27,6 +28,12 @@
 MAX_DENIAL_PAUSE_SECONDS = 1.0
 """Longest time until a slot is asked for again for a begun answer."""
 
+HEDGE_RANK = 2**31 - 1
+"""Rank of the slot requests of hedges: all that wait for a slot go first."""
+
+HEDGED = "hedged"
+"""Failure of an attempt whose hedge had the answer first."""
+
 logger = log.get_logger(__name__)
 
 
@@ -49,6 +56,7 @@
     __slots__ = (
         "_allocator",
         "_budget",
+        "_hedges",
         "_origins",
         "_pauses",
         "_request_numbers",
@@ -66,6 +74,7 @@
         pauses: endpoint_pauses.EndpointPauses,
         origins: origin_sharing.OriginSharing,
         verifier: process_verification.ProcessVerifier,
+        hedges: control.HedgeControl,
     ):
         self._state = shared
         self._allocator = allocator
@@ -74,6 +83,7 @@
         self._pauses = pauses
         self._origins = origins
         self._verifier = verifier
+        self._hedges = hedges
         self._request_numbers = itertools.count()
 
     def reserve(self, exchange: exchanges.Exchange) -> Refusal | None:
@@ -88,14 +98,63 @@
         exchange.refusal = refusal.reason if refusal is not None else ""
         return refusal
 
+    def reserve_hedge(
+        self, exchange: exchanges.Exchange, late: exchanges.Attempt
+    ) -> Refusal | None:
+        """Takes a hedge from its share, and from the retry budget.
+
+        `begin_hedge` uses it, or gives it back.
+
+        Args:
+            exchange: the request.
+            late: its attempt whose answer is late. While that was not sent,
+                another would be no repetition, but be counted as one.
+
+        Returns:
+            Why none may follow; None if one may.
+        """
+        if not late.sent.done():
+            return Refusal("not_sent", 0.0)
+        service = exchange.admitted.service
+        now = asyncio.get_running_loop().time()
+        stopping = self._state.shutdown.begun
+        reason = self._hedges.try_take(service, stopping, now)
+        if reason:
+            return Refusal(reason, 0.0)
+        refusal = self.reserve(exchange)
+        if refusal is not None:
+            self._hedges.give_back(service, now)
+        return refusal
+
+    async def begin_hedge(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Attempt | messages.Denied:
+        """Sends the request to a second endpoint, if one has a free slot.
+
+        Returns:
+            As `begin`.
+        """
+        taken_at = asyncio.get_running_loop().time()
+        begun = None
+        try:
+            begun = await self.begin(exchange, persistent=False, hedge=True)
+            return begun
+        finally:
+            if not isinstance(begun, exchanges.Attempt):
+                self._hedges.give_back(exchange.admitted.service, taken_at)
+
     async def begin(
-        self, exchange: exchanges.Exchange, persistent: bool
+        self,
+        exchange: exchanges.Exchange,
+        persistent: bool,
+        hedge: bool = False,
     ) -> exchanges.Attempt | messages.Denied:
         """Waits for a slot and sends the request to its endpoint.
 
         Args:
             exchange: the request.
             persistent: whether to ask again when there is no room.
+            hedge: whether it is a hedge, which takes only a slot that is free.
 
         Returns:
             The attempt, which must be given to `end`; or why there is none.
@@ -107,7 +166,7 @@
                     exchange.refusal = denied.reason
                     return denied
                 slot_request, decision = await self._acquire(
-                    exchange, persistent
+                    exchange, persistent, hedge
                 )
                 match decision:
                     case messages.Denied(reason=reason):
@@ -118,7 +177,9 @@
                             exchange, slot_request, id_
                         )
                         if endpoint is not None:
-                            return self._start(exchange, slot_request, endpoint)
+                            return self._start(
+                                exchange, slot_request, endpoint, hedge
+                            )
                         self._withhold(exchange, slot_request, id_)
         finally:
             self.give_back(exchange)
@@ -139,6 +200,8 @@
         """Ends an attempt: stops it, unless it is whole, and frees its slot."""
         if outcome is not messages.Outcome.SERVED:
             attempt.stop()
+        elif attempt.first_answer_seconds is not None:
+            self._record_latency(exchange, attempt, attempt.answered_at)
         self._conclude(exchange, attempt, outcome)
         self._allocator.release(
             attempt.slot_request, outcome, attempt.first_answer_seconds
@@ -255,6 +318,38 @@
         self._sender.distrust(attempt.endpoint)
         return await self.explain_loss(exchange, attempt)
 
+    def give_up_late(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
+    ) -> messages.Outcome:
+        """Stops a late attempt, as its hedge has the answer.
+
+        Returns:
+            How it ended, for `end`: nothing is known against its endpoint.
+        """
+        attempt.failure = HEDGED
+        attempt.stop()
+        exchange.earlier_attempt_may_have_run = True
+        if attempt.sent.done():
+            now = asyncio.get_running_loop().time()
+            self._record_latency(exchange, attempt, now)
+        return messages.Outcome.ABANDONED
+
+    def _record_latency(
+        self,
+        exchange: exchanges.Exchange,
+        attempt: exchanges.Attempt,
+        ended_at: float | None,
+    ) -> None:
+        """Records how long an attempt that is no hedge took to a time."""
+        if attempt.is_hedge or ended_at is None:
+            return
+        self._hedges.record_answer(
+            exchange.admitted.service,
+            exchange.admitted.route.kind,
+            ended_at - attempt.sent.result(),
+            ended_at,
+        )
+
     def _find_refusal(self, exchange: exchanges.Exchange) -> Refusal | None:
         route = exchange.admitted.route
         if exchange.may_have_run and not route.kind.retryable:
@@ -297,13 +392,16 @@
             self._budget.record_sent(service, reserved_at, now)
 
     async def _acquire(
-        self, exchange: exchanges.Exchange, persistent: bool
+        self, exchange: exchanges.Exchange, persistent: bool, hedge: bool
     ) -> tuple[messages.SlotRequest, messages.Decision]:
         """Asks for a slot; if it persists, again whenever there is no room."""
         while True:
             slot_request = self._build_slot_request(exchange)
+            if hedge:
+                slot_request = _at_once(slot_request)
             exchange.cost_submitted = True
             decision = await self._allocator.acquire(slot_request)
+            self._hedges.record_slot_decision(slot_request.service, decision)
             pause = self._pause_for_room(exchange, decision)
             if not persistent or pause is None:
                 return slot_request, decision
@@ -436,6 +534,7 @@
         exchange: exchanges.Exchange,
         slot_request: messages.SlotRequest,
         endpoint: messages.Endpoint,
+        hedge: bool,
     ) -> exchanges.Attempt:
         admitted = exchange.admitted
         exchange.attempted_endpoints.append(endpoint)
@@ -448,7 +547,7 @@
             last_event_id=exchange.splitter.last_id,
         )
         attempt = exchanges.Attempt(
-            endpoint, slot_request, exchange.retry_reserved_at
+            endpoint, slot_request, exchange.retry_reserved_at, hedge
         )
         exchange.retry_reserved_at = None
         attempt.opening = asyncio.create_task(
@@ -576,3 +675,9 @@
             digest=exchange.digest,
             **fields,
         )
+
+
+def _at_once(request: messages.SlotRequest) -> messages.SlotRequest:
+    """Returns the slot request of a hedge, which waits for no slot."""
+    now = asyncio.get_running_loop().time()
+    return dataclasses.replace(request, rank=HEDGE_RANK, wait_until=now)
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -26,6 +26,7 @@
         in_progress: whether the request counts it as in progress.
         is_current: whether its answer is the one that is awaited or relayed;
             not so while it is to replace another.
+        is_hedge: whether it was begun as the answer of another is late.
         retry_reserved_at: when its retry was taken from the budget, seconds of
             the loop's clock; None if it is no retry, or once it was sent.
         failure: why it has no answer that can be relayed; "" if it has one.
@@ -40,6 +41,7 @@
         "failure",
         "in_progress",
         "is_current",
+        "is_hedge",
         "opening",
         "retry_reserved_at",
         "sent",
@@ -52,6 +54,7 @@
         endpoint: messages.Endpoint,
         slot_request: messages.SlotRequest,
         retry_reserved_at: float | None = None,
+        is_hedge: bool = False,
     ):
         """Creates an attempt; `opening` must be set before use."""
         self.endpoint = endpoint
@@ -63,6 +66,7 @@
         )
         self.in_progress = True
         self.is_current = False
+        self.is_hedge = is_hedge
         self.failure = ""
         self.stream: attempt_streams.AttemptStream | None = None
         self.answered_at: float | None = None
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -25,6 +25,9 @@
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
 from cranberryglade.gateway import stream_relaying
+from cranberryglade.hedging import control
+from cranberryglade.hedging import options
+from cranberryglade.hedging import records
 
 ANSWER_MARGIN_SECONDS = 0.03
 """Time before a request's deadline at which a timeout is answered, unless its
@@ -50,6 +53,7 @@
         "_attempts",
         "_budget",
         "_dialect",
+        "_hedges",
         "_origins",
         "_relay",
         "_replacer",
@@ -69,6 +73,7 @@
         origins: origin_sharing.OriginSharing,
         pauses: endpoint_pauses.EndpointPauses,
         verifier: process_verification.ProcessVerifier,
+        hedges: control.HedgeControl | None = None,
     ):
         self._state = shared
         self._dialect = translator
@@ -76,10 +81,20 @@
         self._budget = budget
         self._sender = sender
         self._origins = origins
+        self._hedges = hedges or control.HedgeControl(options.HedgingOptions())
         self._attempts = attempts.Attempts(
-            shared, allocator, budget, sender, pauses, origins, verifier
+            shared,
+            allocator,
+            budget,
+            sender,
+            pauses,
+            origins,
+            verifier,
+            self._hedges,
+        )
+        self._replacer = replacing.Replacer(
+            self._attempts, self._hedges, records.HedgeRecords(shared.metrics)
         )
-        self._replacer = replacing.Replacer(self._attempts)
         self._relay = stream_relaying.StreamRelay(origins, self._replacer)
         self._running: set[asyncio.Timeout] = set()
 
@@ -150,9 +165,9 @@
         admitted: admission.Admitted,
         responder: responding.Responder,
     ) -> None:
-        self._budget.record_request(
-            admitted.service, asyncio.get_running_loop().time()
-        )
+        now = asyncio.get_running_loop().time()
+        self._budget.record_request(admitted.service, now)
+        self._hedges.record_request(admitted.service, admitted.route.kind, now)
         exchange = exchanges.Exchange(
             request=request,
             facts=facts,
@@ -329,6 +344,7 @@
                 attempt.endpoint,
                 lambda: asyncio.shield(attempt.opening),
                 exchange.goes_on_with,
+                attempt,
             )
             outcome, ended = await self._handle_result(
                 exchange, attempt, result
@@ -359,7 +375,11 @@
     async def _replace_silent(
         self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
     ) -> tuple[messages.Outcome, exchanges.RequestResult | None]:
-        outcome = await self._attempts.give_up_silent(exchange, attempt)
+        other = exchange.replacement
+        if other is not None and other.is_hedge:
+            outcome = self._attempts.give_up_late(exchange, attempt)
+        else:
+            outcome = await self._attempts.give_up_silent(exchange, attempt)
         return outcome, self._retry_or_give_up(
             exchange, attempt, attempt.failure
         )
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -56,6 +56,7 @@
 from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
+from cranberryglade.hedging import control
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -194,6 +195,9 @@
             initial_settings.retry_window_seconds,
             asyncio.get_running_loop().time(),
         )
+        self._hedges = control.HedgeControl(
+            initial_settings.options.hedging, randomness
+        )
         self._forwarder = forwarding.Forwarder(
             self._state,
             header_dialect,
@@ -210,6 +214,7 @@
             process_verification.ProcessVerifier(
                 self._state, self._processes, endpoints_read.get
             ),
+            self._hedges,
         )
         self._caller_listener = inbound.Listener(
             self._forwarder.handle, self._report_invalid_request
@@ -235,6 +240,11 @@
             self._slots,
             self._origins,
         )
+        self._state.metrics.add_gauge(
+            "hedged_share",
+            "Hedges for each request of the last minute.",
+            lambda: self._hedges.extra_share(asyncio.get_running_loop().time()),
+        )
 
     @property
     def _capacity(self) -> float:
@@ -420,6 +430,7 @@
             new_settings.retry_window_seconds,
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
+        self._hedges.set_options(new_settings.options.hedging)
 
     def _receive_datagram(
         self, sender: str, message: datagrams.Datagram
--- a/cranberryglade/gateway/replacement.py
+++ b/cranberryglade/gateway/replacement.py
@@ -11,6 +11,10 @@
 another endpoint is sought only when sound pauses are about to be over, unless
 the caller would leave before that one could go on. Without another endpoint, a
 silent attempt is not given up.
+
+A plain request may be hedged before its attempt counts as silent: it may run
+twice, so both attempts go on until one has the whole answer. If there is no
+hedge, or it fails, the rules for silent attempts hold.
 """
 
 import enum
@@ -74,7 +78,9 @@
     """
 
     __slots__ = (
+        "_hedges",
         "_replaced",
+        "_replace_at",
         "_lost",
         "_seek_at",
         "_seeking",
@@ -82,8 +88,16 @@
         "_resumed",
     )
 
-    def __init__(self, now: float):
-        """Begins when the silence has lasted so long that it is doubtful."""
+    def __init__(self, now: float, replace_at: float | None = None):
+        """Begins when the silence has lasted so long that it is doubtful.
+
+        Args:
+            now: the present time.
+            replace_at: when the silence will be doubtful, if a plain request
+                is to be hedged until then; None if it is doubtful now.
+        """
+        self._hedges = replace_at is not None
+        self._replace_at = now if replace_at is None else replace_at
         self._seek_at = now
         self._seeking = False
         self._sent_at = math.inf
@@ -91,13 +105,22 @@
         self._resumed = False
         self._lost = False
 
+    @property
+    def hedges(self) -> bool:
+        """Whether the other endpoint is sought, or runs, as a hedge."""
+        return self._hedges
+
     @property
     def due(self) -> float:
         """When `step` is to be called again if nothing happens; may be inf."""
         if self._seeking:
-            return self._sent_at + OVERLAP_SECONDS
+            return self._sent_at + self._overlap_seconds
         return self._seek_at
 
+    @property
+    def _overlap_seconds(self) -> float:
+        return math.inf if self._hedges else OVERLAP_SECONDS
+
     def resumed(self) -> None:
         """Records that the silent attempt went on."""
         self._resumed = True
@@ -122,6 +145,10 @@
         self._sent_at = math.inf
         self._replaced = False
         self._seek_at = now + max(MIN_SEEK_PAUSE_SECONDS, pause_seconds)
+        # Why there is no hedge neither hastens nor delays a replacement.
+        if self._hedges and now < self._replace_at and pause_seconds < math.inf:
+            self._seek_at = self._replace_at
+        self._hedges = False
 
     def sent(self, at: float) -> None:
         """Records when the request was sent to the other endpoint."""
@@ -140,7 +167,7 @@
             return Step.SWITCH
         if self._lost:
             return Step.WAIT if self._seeking else Step.KEEP
-        if sent and now >= self._sent_at + OVERLAP_SECONDS:
+        if sent and now >= self._sent_at + self._overlap_seconds:
             return Step.SWITCH
         if not self._seeking and now >= self._seek_at:
             return Step.SEEK
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -1,4 +1,4 @@
-"""Waits for attempts, and seeks another endpoint while one is silent."""
+"""Waits for attempts; seeks another endpoint while one is late or silent."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -12,6 +12,8 @@
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import replacement
 from cranberryglade.gateway import sending
+from cranberryglade.hedging import control
+from cranberryglade.hedging import records
 
 MIN_WAIT_SECONDS = 0.001
 """Least timeout of a wait, so that it ends when the next step is due."""
@@ -23,12 +25,22 @@
 
 
 class Replacer:
-    """Waits for what an attempt sends; replaces it if it stays silent."""
+    """Waits for what an attempt sends; replaces it if it stays silent.
 
-    __slots__ = ("_attempts",)
+    A plain request whose answer is late is hedged before that.
+    """
 
-    def __init__(self, attempt_control: attempts.Attempts):
+    __slots__ = ("_attempts", "_hedge_records", "_hedges")
+
+    def __init__(
+        self,
+        attempt_control: attempts.Attempts,
+        hedges: control.HedgeControl,
+        hedge_records: records.HedgeRecords,
+    ):
         self._attempts = attempt_control
+        self._hedges = hedges
+        self._hedge_records = hedge_records
 
     async def wait(
         self,
@@ -36,6 +48,7 @@
         endpoint: messages.Endpoint,
         receive: Callable[[], Awaitable[Received]],
         is_sound: Callable[[Received], bool],
+        attempt: exchanges.Attempt | None = None,
     ) -> Received | None:
         """Waits for the next that the current attempt of a request sends.
 
@@ -45,38 +58,71 @@
             receive: waits for it; loses nothing if it is cancelled.
             is_sound: whether the attempt goes on with what it sent, or has
                 failed.
+            attempt: the attempt, while its whole answer is awaited; None
+                within a stream.
 
         Returns:
             What it sent; if it failed, another attempt may be under way as
             `exchange.replacement`. None if that one goes on in its stead.
         """
+        began_at = _now()
         seconds = replacement.silence_seconds(
             exchange.admitted.route,
             exchange.answer_framing is not None,
             exchange.remaining_seconds,
-            _now() - exchange.last_received_at,
+            began_at - exchange.last_received_at,
         )
+        replace_at = None
+        late_after = self._late_after_seconds(exchange, attempt)
+        if late_after is not None and late_after < seconds:
+            replace_at = began_at + seconds
+            seconds = late_after
         try:
             async with asyncio.timeout(seconds):
                 return await receive()
         except TimeoutError:
             pass
-        logger.info(
-            "attempt.silent",
-            id=exchange.facts.id,
-            endpoint=endpoint.id,
-            silent_ms=round(seconds * 1000),
-            left_ms=round(exchange.remaining_seconds * 1000),
+        silence = _Silence(
+            self._attempts,
+            self._hedge_records,
+            exchange,
+            endpoint,
+            attempt,
+            receive,
+            is_sound,
+            began_at,
+            replace_at,
         )
-        silence = _Silence(self._attempts, exchange, receive, is_sound)
         return await silence.run()
 
+    def _late_after_seconds(
+        self, exchange: exchanges.Exchange, attempt: exchanges.Attempt | None
+    ) -> float | None:
+        """Returns after which time an attempt is hedged; None if it is not.
+
+        Only the first attempt of a request is.
+        """
+        if attempt is None or attempt.is_hedge:
+            return None
+        if len(exchange.attempted_endpoints) > 1:
+            return None
+        admitted = exchange.admitted
+        return self._hedges.late_after_seconds(
+            admitted.service, admitted.route.kind, _now()
+        )
+
 
 class _Silence:
     """One silence of an attempt, until it ends or the attempt is replaced."""
 
     __slots__ = (
+        "_attempt",
         "_attempts",
+        "_began_at",
+        "_endpoint",
+        "_hedge",
+        "_hedge_records",
+        "_is_logged",
         "_proving",
         "_exchange",
         "_is_sound",
@@ -85,15 +131,49 @@
         "_silence",
     )
 
-    def __init__(self, attempt_control, exchange, receive, is_sound):
-        self._attempts: attempts.Attempts = attempt_control
-        self._exchange: exchanges.Exchange = exchange
+    def __init__(
+        self,
+        attempt_control: attempts.Attempts,
+        hedge_records: records.HedgeRecords,
+        exchange: exchanges.Exchange,
+        endpoint: messages.Endpoint,
+        attempt: exchanges.Attempt | None,
+        receive: Callable[[], Awaitable[Received]],
+        is_sound: Callable[[Received], bool],
+        began_at: float,
+        replace_at: float | None,
+    ):
+        """Takes up a silence that has lasted since a time.
+
+        Args:
+            attempt_control: begins and ends attempts.
+            hedge_records: logs and counts hedges.
+            exchange: the request.
+            endpoint: where the silent attempt runs.
+            attempt: as in `Replacer.wait`.
+            receive: as in `Replacer.wait`.
+            is_sound: as in `Replacer.wait`.
+            began_at: since when nothing was received.
+            replace_at: as in `replacement.Replacement`.
+        """
+        self._attempts = attempt_control
+        self._hedge_records = hedge_records
+        self._exchange = exchange
+        self._endpoint = endpoint
+        self._attempt = attempt
         self._receive = receive
         self._is_sound = is_sound
-        self._silence = replacement.Replacement(_now())
+        self._began_at = began_at
+        self._is_logged = False
+        self._hedge: exchanges.Attempt | None = None
+        self._silence = replacement.Replacement(_now(), replace_at)
         self._seeking: asyncio.Task | None = None
         self._proving: asyncio.Task[str] | None = None
 
+    @property
+    def _silent_ms(self) -> int:
+        return round((_now() - self._began_at) * 1000)
+
     async def run(self):
         """Waits for the end of the silence; returns as `Replacer.wait`."""
         receiving = asyncio.ensure_future(self._receive())
@@ -115,6 +195,7 @@
             receiving.cancel()
             self._stop_seeking()
             await self._stop_proving()
+            self._record_hedge_end(won=step is Step.SWITCH)
             if step is not Step.SWITCH:
                 self._attempts.drop_replacement(self._exchange)
 
@@ -168,6 +249,7 @@
                     self._refuse(reason, seconds)
                 case exchanges.Attempt():
                     self._exchange.replacement = sought
+                    self._record_hedge(sought)
         other = self._exchange.replacement
         if other is None:
             return
@@ -216,19 +298,62 @@
         self._refuse(other.failure or outcome.value, 0.0)
 
     def _seek(self) -> None:
-        refusal = self._attempts.reserve(self._exchange)
+        hedges = self._silence.hedges
+        if hedges:
+            refusal = self._attempts.reserve_hedge(
+                self._exchange, self._attempt
+            )
+        else:
+            self._log_silence()
+            refusal = self._attempts.reserve(self._exchange)
         if refusal is not None:
             self._refuse(refusal.reason, refusal.pause_seconds)
             return
         self._silence.sought()
         self._seeking = asyncio.create_task(
-            self._attempts.begin(self._exchange, persistent=False)
+            self._attempts.begin_hedge(self._exchange)
+            if hedges
+            else self._attempts.begin(self._exchange, persistent=False)
         )
 
+    def _log_silence(self) -> None:
+        """Logs, once, that the attempt counts as silent."""
+        if self._is_logged:
+            return
+        self._is_logged = True
+        logger.info(
+            "attempt.silent",
+            id=self._exchange.facts.id,
+            endpoint=self._endpoint.id,
+            silent_ms=self._silent_ms,
+            left_ms=round(self._exchange.remaining_seconds * 1000),
+        )
+
+    def _record_hedge(self, begun: exchanges.Attempt) -> None:
+        if begun.is_hedge:
+            self._hedge = begun
+            self._hedge_records.asked(
+                self._exchange, self._endpoint.id, begun, self._silent_ms
+            )
+
+    def _record_hedge_end(self, won: bool) -> None:
+        if self._hedge is not None:
+            self._hedge = None
+            self._hedge_records.ended(self._exchange, won)
+
     def _refuse(self, reason: str, pause_seconds: float) -> None:
         """Goes on without another endpoint for a time, or for good."""
         self._exchange.refusal = reason
+        hedged = self._silence.hedges
         self._silence.unavailable(pause_seconds, _now())
+        if self._hedge is not None:
+            self._record_hedge_end(won=False)
+            return
+        if hedged:
+            self._hedge_records.not_made(
+                self._exchange, reason, self._silent_ms
+            )
+            return
         logger.info(
             "attempt.not_replaced",
             id=self._exchange.facts.id,
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -148,6 +148,8 @@
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
             denied = self._early_denial(holder, request, now)
+            if denied is None and request.wait_until <= now:
+                denied = self._make_denial(request, "waited", 0.0)
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
--- a/cranberryglade/tests/test_replacing.py
+++ b/cranberryglade/tests/test_replacing.py
@@ -263,7 +263,7 @@
 class World:
     """A forwarder among scripted endpoints, and one request to it."""
 
-    def __init__(self, seed, kind, denies_later=False):
+    def __init__(self, seed, kind, denies_later=False, hedges=None):
         draw = random.Random(seed)
         route = builders.make_route(
             kind=kind,
@@ -282,6 +282,7 @@
             id_: builders.make_endpoint(id_) for id_ in ENDPOINTS
         }
         self.kind = kind
+        self.metrics = shared.metrics
         self.sender = ScriptedSender(draw)
         self.allocator = ScriptedAllocator(draw, denies_later)
         self.budget = CountingBudget()
@@ -298,6 +299,7 @@
             Origins(),
             endpoint_pauses.EndpointPauses(draw),
             self.verifier,
+            hedges,
         )
 
     async def run(self):
