--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -56,6 +56,7 @@
 from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
+from cranberryglade.hedging import control
 from cranberryglade.warmup import waits
 
 INCARNATION_BYTES = 4
@@ -197,6 +198,9 @@
             initial_settings.retry_window_seconds,
             asyncio.get_running_loop().time(),
         )
+        self._hedges = control.HedgeControl(
+            initial_settings.options.hedging, randomness
+        )
         self._forwarder = forwarding.Forwarder(
             self._state,
             header_dialect,
@@ -213,6 +217,7 @@
             process_verification.ProcessVerifier(
                 self._state, self._processes, endpoints_read.get
             ),
+            self._hedges,
             waits.Warmup(
                 asyncio.get_running_loop().time(),
                 initial_settings.options.warmup.max_wait_ms / 1000,
@@ -242,6 +247,11 @@
             self._slots,
             self._origins,
         )
+        self._state.metrics.add_gauge(
+            "hedged_share",
+            "Hedges for each request of the last minute.",
+            lambda: self._hedges.extra_share(asyncio.get_running_loop().time()),
+        )
 
     @property
     def _capacity(self) -> float:
@@ -427,6 +437,7 @@
             new_settings.retry_window_seconds,
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
+        self._hedges.set_options(new_settings.options.hedging)
 
     def _receive_datagram(
         self, sender: str, message: datagrams.Datagram
