Tests: callers of a crowd leave when they are cancelled

A caller that waited for an answer kept its connection open when it was cancelled, so that the memory afterwards was measured while the crowd was still there. It closes its connection now. Crowd and bounds are as they were.

--- a/cranberryglade/tests/test_memory_crowds.py
+++ b/cranberryglade/tests/test_memory_crowds.py
@@ -132,9 +132,11 @@
         pass
     finally:
         sent.release()
-    with contextlib.suppress(OSError):
-        await caller.reader.read()
-    caller.writer.transport.abort()
+    try:
+        with contextlib.suppress(OSError):
+            await caller.reader.read()
+    finally:
+        caller.writer.transport.abort()
 
 
 async def check_bounds(deployment, resident_before, crowd) -> None:
