Gateways hold bodies, answers and connections within limits

Callers' bodies, kept bodies, bodies that endpoints have not taken, answers, answers that callers have not taken and tunnels are counted in one budget. When it is short, reading pauses, then requests that have not run get 503, and connections whose callers take nothing are closed last. An answer waits instead of being replaced by a 502. Callers' connections leave descriptors for endpoints, peers, the store and files. The body of a rejected request is freed at once; large blocks are mapped on their own, and freed memory goes back to the system.

--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -6,6 +6,9 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import state
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import connection_limit
+from cranberryglade.memory import holding
 
 
 def register(
@@ -14,6 +17,8 @@
     instances: mesh.Mesh,
     scheduler: slots.SlotScheduler,
     origins: origin_sharing.OriginSharing,
+    memory: memory_budget.MemoryBudget,
+    open_limit: connection_limit.ConnectionLimit,
 ) -> None:
     """Adds the gauges of an instance to its metrics.
 
@@ -23,7 +28,11 @@
         instances: the other instances.
         scheduler: slots and queue, while this instance allocates.
         origins: origins of streams.
+        memory: the bytes that it holds for others.
+        open_limit: the connections of its callers.
     """
+    _register_memory(shared, memory)
+    _register_connections(shared, open_limit)
     members = instances.members
     watch = shared.metrics.add_gauge
     watch(
@@ -78,3 +87,56 @@
         "Requests in the allocator's queue.",
         lambda: scheduler.queue_length,
     )
+
+
+def _register_memory(
+    shared: state.InstanceState, memory: memory_budget.MemoryBudget
+) -> None:
+    watch = shared.metrics.add_gauge
+    watch(
+        "memory_budget_bytes",
+        "What the instance may hold for others.",
+        lambda: memory.limit_bytes,
+    )
+    for kind in holding.Kind:
+        watch(
+            f"memory_{kind.value}_bytes",
+            f"What the instance holds of kind {kind.value}.",
+            lambda kind=kind: memory.held_by(kind),
+        )
+    watch(
+        "memory_waiting",
+        "Bodies that are not read further for want of memory.",
+        lambda: memory.waiting_count,
+    )
+    watch(
+        "memory_paused",
+        "Waits for memory since the start.",
+        lambda: memory.paused,
+    )
+    watch(
+        "memory_refused",
+        "Requests refused and connections closed for want of memory.",
+        lambda: memory.refused,
+    )
+
+
+def _register_connections(
+    shared: state.InstanceState, open_limit: connection_limit.ConnectionLimit
+) -> None:
+    watch = shared.metrics.add_gauge
+    watch(
+        "caller_connections",
+        "Open connections of callers.",
+        lambda: open_limit.count,
+    )
+    watch(
+        "caller_connections_limit",
+        "Connections of callers that may be open.",
+        lambda: open_limit.most,
+    )
+    watch(
+        "caller_connections_closed",
+        "Connections closed since the start for want of descriptors.",
+        lambda: open_limit.closed,
+    )
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import sys
 
 import httptools
 
@@ -15,6 +16,9 @@
 from cranberryglade.gateway import responding
 from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import connection_limit
+from cranberryglade.memory import holding
 
 MAX_PIPELINED_REQUESTS = 8
 """Pipelined requests in the queue of a connection that pause its reading."""
@@ -35,6 +39,19 @@
 MIN_TIMER_SECONDS = 0.001
 """Less than this left of a time counts as nothing."""
 
+SHORTAGE_RETRY_SECONDS = 1.0
+"""Retry-After of a request that is refused for want of memory or descriptors.
+"""
+
+LOGGED_CLOSES = 256
+"""One line is logged for so many connections closed for want of descriptors."""
+
+MAX_CLOSING = 64
+"""Connections beyond the limit that may still take the answer of a refusal."""
+
+AUTHORIZATION = b"authorization"
+"""Header field by whose value the memory of requests is shared out."""
+
 logger = log.get_logger(__name__)
 
 
@@ -45,10 +62,25 @@
     Attributes:
         status: HTTP status of the answer.
         reason: body of the answer, also logged.
+        retry_after_seconds: when to try again; None if that is of no use.
     """
 
     status: int
     reason: str
+    retry_after_seconds: float | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WholeRequest:
+    """A request that is read, and the memory that it takes until its answer.
+
+    Attributes:
+        request: the request.
+        held: what its body takes; None without a body.
+    """
+
+    request: messages.Request
+    held: holding.Holding | None
 
 
 Handler = Callable[[messages.Request, responding.Responder], Awaitable[None]]
@@ -61,6 +93,8 @@
         handler: called with each request and the responder for its answer.
         limits: size limits and timeouts in force; replaced when the
             configuration changes.
+        memory: the account of what callers' connections hold.
+        open_limit: the connections by what they do, and how many may be open.
         stopping: whether answers carry "Connection: close".
         connections: the open connections.
     """
@@ -70,6 +104,8 @@
         "connections",
         "handler",
         "limits",
+        "memory",
+        "open_limit",
         "stopping",
     )
 
@@ -77,7 +113,13 @@
         self,
         handler: Handler,
         on_read_failure: Callable[[ReadFailure], None],
+        memory: memory_budget.MemoryBudget | None = None,
+        max_connections: int = sys.maxsize,
     ):
+        self.open_limit: connection_limit.ConnectionLimit[Connection] = (
+            connection_limit.ConnectionLimit(max_connections)
+        )
+        self.memory = memory or memory_budget.unlimited()
         self.handler = handler
         self._on_read_failure = on_read_failure
         self.limits = configuration.Limits()
@@ -98,6 +140,20 @@
         """Reports a request that was rejected while it was read."""
         self._on_read_failure(failure)
 
+    def close_excess(self) -> None:
+        """Closes connections for which there are too few descriptors."""
+        while (excess := self.open_limit.find_excess()) is not None:
+            if not self.open_limit.closed % LOGGED_CLOSES:
+                logger.info(
+                    "connections.short",
+                    open=len(self.connections),
+                    closed=self.open_limit.closed,
+                )
+            self.open_limit.closed += 1
+            self.open_limit.remove(excess)
+            most = self.open_limit.most + MAX_CLOSING
+            excess.close_excess(at_once=len(self.connections) > most)
+
     def serve(self, host: str, port: int) -> accepting.Acceptor:
         """Starts to accept connections.
 
@@ -127,6 +183,7 @@
         "_half_close",
         "_headers",
         "_headers_done",
+        "_held",
         "_listener",
         "_loop",
         "_overhead_bytes",
@@ -137,6 +194,7 @@
         "_task",
         "_timer",
         "_transport",
+        "_unread",
         "_write_resumed",
     )
 
@@ -145,7 +203,9 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport = None
-        self._queue: list[messages.Request] = []
+        self._queue: list[WholeRequest] = []
+        self._held: holding.Holding | None = None
+        self._unread: holding.Holding | None = None
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._write_resumed: asyncio.Future | None = None
@@ -200,15 +260,19 @@
             transport.get_extra_info("socket"), TCP_USER_TIMEOUT_MS
         )
         self._start_idle_timer()
+        self._listener.open_limit.rest(self)
+        self._listener.close_excess()
 
     def connection_lost(self, exc) -> None:
         """Cancels the handler and fails a write that waits."""
         self._listener.connections.discard(self)
+        self._listener.open_limit.remove(self)
         self._stop_timer()
         if self._half_close is not None:
             self._half_close.stop()
         if self._task is not None:
             self._task.cancel()
+        self._release_all()
         if self._write_resumed is not None and not self._write_resumed.done():
             self._write_resumed.set_exception(responding.CallerGoneError())
             # Nobody waits if the answer was written at once.
@@ -217,12 +281,18 @@
     def pause_writing(self) -> None:
         """Makes `wait_writable` wait: the write buffer is full."""
         self._write_resumed = self._loop.create_future()
+        now = self._loop.time()
+        self._unread = self._memory.open(holding.Kind.UNREAD, now)
+        self._unread.refuse = self._drop_unread
+        self._note_unread()
 
     def resume_writing(self) -> None:
         """Ends the wait in `wait_writable`."""
         if self._write_resumed is not None and not self._write_resumed.done():
             self._write_resumed.set_result(None)
         self._write_resumed = None
+        self._memory.release(self._unread)
+        self._unread = None
 
     async def wait_writable(self) -> None:
         """Waits until the write buffer has room.
@@ -263,11 +333,15 @@
         elif self._listener.stopping and self._resting:
             # A request that arrived now could be dropped with the process.
             self._close_gracefully()
+        elif self._held is not None and self._held.waits_since is not None:
+            # Reading goes on once there is memory.
+            pass
         else:
             self._transport.resume_reading()
             if self._reading_request:
                 self._start_request_timer()
             else:
+                self._listener.open_limit.rest(self)
                 self._start_idle_timer()
 
     def abort(self) -> None:
@@ -280,8 +354,25 @@
         self._stop_timer()
         self._task = None
         self._listener.connections.discard(self)
+        self._listener.open_limit.remove(self)
+        self._release_all()
         return self._transport
 
+    def close_excess(self, at_once: bool) -> None:
+        """Closes the connection, as too many are open.
+
+        A request that is being read is refused; it has not run.
+
+        Args:
+            at_once: whether there is no time for an answer.
+        """
+        if at_once:
+            self._transport.abort()
+        elif self._reading_request:
+            self._refuse("connections short")
+        else:
+            self._transport.close()
+
     def drop_if_left(self) -> None:
         """Drops the connection if its caller left while nothing is read."""
         is_reading = self._transport.is_reading()
@@ -314,6 +405,7 @@
                 self._reject(ReadFailure(400, type(error).__name__))
         else:
             self._check_sizes()
+        self._take_memory()
 
     def on_message_begin(self) -> None:
         """Marks the connection as reading a request (parser callback)."""
@@ -321,6 +413,8 @@
         self._reading_request = self._read_failure is None
         if self._reading_request:
             self._start_request_timer()
+            if self._task is None:
+                self._listener.open_limit.read(self)
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target (parser callback)."""
@@ -367,9 +461,11 @@
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body, up to the limit (parser callback)."""
         self._overhead_bytes = 0
+        if self._read_failure is not None:
+            return
         if len(self._body) + len(data) <= self._listener.limits.max_body_bytes:
             self._body += data
-        elif self._read_failure is None:
+        else:
             self._reject(ReadFailure(413, "body too large"))
 
     def on_message_complete(self) -> None:
@@ -392,11 +488,12 @@
             ),
             arrived=self._loop.time(),
         )
+        whole = WholeRequest(request, self._keep_memory(request.arrived))
         self._reset_request()
         if self._task is None:
-            self._start_handler(request)
+            self._start_handler(whole)
         else:
-            self._queue.append(request)
+            self._queue.append(whole)
             if len(self._queue) >= MAX_PIPELINED_REQUESTS:
                 self._transport.pause_reading()
 
@@ -408,6 +505,84 @@
         self._body = bytearray()
         self._chunked = False
 
+    @property
+    def _memory(self) -> memory_budget.MemoryBudget:
+        return self._listener.memory
+
+    def _take_memory(self) -> None:
+        """Counts what was read of a body; stops reading if it is too much."""
+        if not self._body or self._read_failure is not None:
+            return
+        now = self._loop.time()
+        if self._held is None:
+            self._held = self._open_body(now)
+        more = allocated_bytes(len(self._body)) - self._held.size
+        if more and not self._memory.grow(self._held, more, now):
+            self._transport.pause_reading()
+            self._stop_timer()
+
+    def _open_body(self, now: float) -> holding.Holding:
+        fields = {each.name.lower(): each.value for each in self._headers}
+        owner = fields.get(AUTHORIZATION, b"").decode("latin-1")
+        held = self._memory.open(
+            holding.Kind.REQUEST,
+            now,
+            owner or str(self._transport.get_extra_info("peername")),
+            allocated_bytes(int(fields.get(b"content-length", b"0"))),
+        )
+        held.resume = self._resume_body
+        held.refuse = self._refuse_body
+        return held
+
+    def _keep_memory(self, now: float) -> holding.Holding | None:
+        """Counts the body of a whole request as kept until its answer."""
+        held = self._held
+        self._held = None
+        if held is None and self._body:
+            held = self._open_body(now)
+        if held is not None:
+            self._memory.resize(held, len(self._body), now)
+            self._memory.change_kind(held, holding.Kind.KEPT)
+        return held
+
+    def _resume_body(self) -> None:
+        if len(self._queue) >= MAX_PIPELINED_REQUESTS or self.closing:
+            return
+        self._transport.resume_reading()
+        self._start_request_timer()
+
+    def _refuse_body(self) -> None:
+        self._refuse("memory short")
+
+    def _refuse(self, reason: str) -> None:
+        # What follows is read and ignored, so that the answer arrives.
+        self._transport.resume_reading()
+        self._reject(ReadFailure(503, reason, SHORTAGE_RETRY_SECONDS))
+
+    def _release_body(self) -> None:
+        self._memory.release(self._held)
+        self._held = None
+        self._body = bytearray()
+
+    def _release_all(self) -> None:
+        self._release_body()
+        self._memory.release(self._unread)
+        self._unread = None
+        for each in self._queue:
+            self._memory.release(each.held)
+
+    def _note_unread(self) -> None:
+        """Counts what the caller has not taken of an answer."""
+        if self._unread is not None:
+            unsent = self._transport.get_write_buffer_size()
+            self._memory.resize(self._unread, unsent, self._loop.time())
+
+    def _drop_unread(self) -> None:
+        before = self._unread.size
+        self._note_unread()
+        if self._unread.size >= before:
+            self._transport.abort()
+
     def _check_sizes(self) -> None:
         # Between two parts of a body there are framing and trailer fields.
         limit = self._listener.limits.max_header_bytes
@@ -415,9 +590,11 @@
             what = "framing" if self._headers_done else "headers"
             self._reject(ReadFailure(431, f"{what} too large"))
 
-    def _start_handler(self, request: messages.Request) -> None:
+    def _start_handler(self, whole: WholeRequest) -> None:
         if not self._reading_request:
             self._stop_timer()
+        self._listener.open_limit.serve(self)
+        request = whole.request
         responder = responding.Responder(
             self, request.keep_alive, request.method == messages.HEAD
         )
@@ -427,6 +604,7 @@
         self._task.add_done_callback(
             lambda task: self._end_unanswered(task, responder)
         )
+        self._task.add_done_callback(lambda _: self._memory.release(whole.held))
 
     def _end_unanswered(
         self, task: asyncio.Task, responder: responding.Responder
@@ -447,6 +625,7 @@
         self._read_failure = failure
         self._reading_request = False
         self._stop_timer()
+        self._release_body()
         self._listener.report_read_failure(failure)
         if self._task is None and not self._queue:
             self._send_error()
@@ -454,8 +633,12 @@
     def _send_error(self) -> None:
         asks_for_head = self._parser.get_method() == messages.HEAD
         responder = responding.Responder(self, False, asks_for_head)
-        body = self._read_failure.reason.encode()
-        responder.whole(self._read_failure.status, [], body)
+        failure = self._read_failure
+        headers = []
+        if failure.retry_after_seconds is not None:
+            seconds = b"%.2f" % failure.retry_after_seconds
+            headers.append(messages.Header(b"Retry-After", seconds))
+        responder.whole(failure.status, headers, failure.reason.encode())
 
     def _on_request_timeout(self) -> None:
         self._reject(ReadFailure(408, "request not complete in time"))
@@ -490,6 +673,7 @@
         )
 
     def _on_unread(self, unsent_before: int, progress_at: float) -> None:
+        self._note_unread()
         unsent = half_closing.find_unsent(self._transport)
         now = self._loop.time()
         limit = self._listener.limits.idle_timeout_seconds
@@ -541,3 +725,12 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+
+def allocated_bytes(size: int) -> int:
+    """Returns what the buffer of a body takes: an eighth more than its bytes.
+
+    >>> allocated_bytes(1000)
+    1125
+    """
+    return size + (size >> 3)
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -15,6 +15,8 @@
 from cranberryglade.gateway import opening
 from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import holding
 
 HIGH_WATER_BYTES = 262_144
 """Unread bytes of an answer above which reading from the socket pauses."""
@@ -37,9 +39,6 @@
 TCP_USER_TIMEOUT_MS = 2000
 """TCP_USER_TIMEOUT of the connections."""
 
-SMALL_BODY_BYTES = 65_536
-"""Bodies up to this size are read however much others take."""
-
 INTERIM_STATUSES = range(100, 200)
 """Interim responses, which are ignored."""
 
@@ -91,38 +90,44 @@
 
 
 class BodyMemory:
-    """Memory that the bodies of several answers may take together.
+    """Memory that the body of an answer takes while it is read.
 
-    Load pattern: endpoints send bodies that do not end. Each is cut off at its
-    own limit, but many at once would take all memory before. A body that is
-    small still gets what it needs.
+    Load pattern: many large answers at once, or answers that do not end. One
+    that finds no memory left is not read further until there is some; a small
+    one is read in any case. It gives back what it took at the end of the block.
     """
 
-    __slots__ = ("_limit_bytes", "_taken_bytes")
+    __slots__ = ("_budget", "_held", "_loop", "_resumed")
 
-    def __init__(self, limit_bytes: int):
-        self._limit_bytes = limit_bytes
-        self._taken_bytes = 0
+    def __init__(
+        self, budget: memory_budget.MemoryBudget, expected_bytes: int = 0
+    ):
+        self._budget = budget
+        self._loop = asyncio.get_running_loop()
+        self._held = budget.open(
+            holding.Kind.ANSWER, self._loop.time(), expected=expected_bytes
+        )
+        self._held.resume = self._resume
+        self._resumed: asyncio.Future | None = None
 
-    def take(self, size: int, more: int) -> bool:
-        """Takes memory for a part of a body.
+    def __enter__(self) -> "BodyMemory":
+        return self
 
-        Args:
-            size: bytes that the body has taken so far.
-            more: bytes of the part.
+    def __exit__(self, *_) -> None:
+        self._budget.release(self._held)
 
-        Returns:
-            Whether there is enough.
-        """
-        is_small = size + more <= SMALL_BODY_BYTES
-        if not is_small and self._taken_bytes + more > self._limit_bytes:
-            return False
-        self._taken_bytes += more
-        return True
+    def take(self, size: int) -> bool:
+        """Takes memory for a part; returns whether more may be read."""
+        return self._budget.grow(self._held, size, self._loop.time())
+
+    async def wait(self) -> None:
+        """Waits until more may be read."""
+        self._resumed = self._loop.create_future()
+        await self._resumed
 
-    def give_back(self, size: int) -> None:
-        """Gives back what a body took."""
-        self._taken_bytes -= size
+    def _resume(self) -> None:
+        if self._resumed is not None and not self._resumed.done():
+            self._resumed.set_result(None)
 
 
 class Channel(small_reads.Protocol):
@@ -176,6 +181,11 @@
         """
         return self._transport.get_write_buffer_size() > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of a request that the system has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def usable(self) -> bool:
         """Whether another request can be sent on it.
@@ -258,34 +268,37 @@
         return True
 
     async def read_body(
-        self, max_bytes: int, memory: BodyMemory | None = None
+        self,
+        max_bytes: int,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> bytes | AnswerLost:
-        """Reads the rest of an answer.
+        """Reads the rest of an answer; pauses while no memory is left for it.
 
         Args:
             max_bytes: the largest body that is accepted.
-            memory: what several bodies may take together; None for no limit.
+            budget: what the body is taken from; None for no limit.
 
         Returns:
             The body; AnswerLost if it is incomplete or too long.
         """
         body = bytearray()
-        memory = memory or BodyMemory(max_bytes)
-        try:
+        budget = budget or memory_budget.unlimited()
+        with BodyMemory(budget, self._announced_bytes(max_bytes)) as memory:
             while True:
                 match await self.next_event():
                     case Data(data):
                         if len(body) + len(data) > max_bytes:
                             return AnswerLost("answer too long")
-                        if not memory.take(len(body), len(data)):
-                            return AnswerLost("answers too long together")
                         body += data
+                        if not memory.take(len(data)):
+                            # Nothing more piles up in the meantime.
+                            self._transport.pause_reading()
+                            await memory.wait()
+                            self._transport.resume_reading()
                     case End():
                         return bytes(body)
                     case AnswerLost() as lost:
                         return lost
-        finally:
-            memory.give_back(len(body))
 
     def finish_exchange(self) -> bool:
         """Ends an exchange.
@@ -328,6 +341,13 @@
             self._fail(HEAD_TOO_LONG)
             self._transport.abort()
 
+    def _announced_bytes(self, max_bytes: int) -> int:
+        """Returns the length that the head states, up to a limit; else 0."""
+        for header in self._headers:
+            if header.name.lower() == b"content-length":
+                return min(int(header.value), max_bytes)
+        return 0
+
     def _is_clean(self) -> bool:
         return self._at_end and not self.more_announced and not self._events
 
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -56,6 +56,9 @@
 from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import connection_limit
+from cranberryglade.memory import system_memory
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -101,6 +104,12 @@
         self._read_settings = read_settings
         self._metrics_port = metrics_port
         randomness = random.Random(secrets.randbits(64))
+        self._memory = memory_budget.MemoryBudget(
+            round(
+                initial_settings.options.memory.budget_share
+                * initial_settings.memory_bytes
+            )
+        )
         self._state = state.InstanceState(
             secrets.token_hex(INCARNATION_BYTES),
             configuration_age.ConfigurationAge(initial_settings.revoke_seconds),
@@ -158,8 +167,9 @@
             tunnels.TunnelClient(
                 self._helpers, self._state.reachability, self._cut_off
             ),
+            self._memory,
         )
-        self._tunnel_server = tunnels.TunnelServer(self._state)
+        self._tunnel_server = tunnels.TunnelServer(self._state, self._memory)
         self._store_watcher = store_watch.StoreWatcher(
             store,
             decoder,
@@ -212,14 +222,18 @@
             ),
         )
         self._caller_listener = inbound.Listener(
-            self._forwarder.handle, self._report_invalid_request
+            self._forwarder.handle,
+            self._report_invalid_request,
+            self._memory,
+            connection_limit.callers_limit(initial_settings.max_descriptors),
         )
         self._status_listener = inbound.Listener(
             status.StatusPages(self._state, self._ready).answer,
             self._report_invalid_request,
+            self._memory,
         )
         self._peer_listener = inbound.Listener(
-            self._handle_peer, self._report_invalid_request
+            self._handle_peer, self._report_invalid_request, self._memory
         )
         self._caller_acceptor: accepting.Acceptor | None = None
         self._acceptors: list[accepting.Acceptor] = []
@@ -234,6 +248,8 @@
             self._mesh,
             self._slots,
             self._origins,
+            self._memory,
+            self._caller_listener.open_limit,
         )
 
     @property
@@ -256,6 +272,7 @@
     async def start(self) -> None:
         """Opens the listeners and starts the background tasks."""
         self._state.process_pauses.observe(asyncio.get_running_loop().time())
+        system_memory.map_large_blocks()
         self._listen()
         await self._mesh.open()
         watch = self._store_watcher.watch
@@ -498,6 +515,7 @@
             self._state.process_pauses.observe(now)
             if self._state.directory.expire(now):
                 self._endpoints_changed()
+            self._memory.tick(now)
             self._allocator.tick(now)
             self._processes.tick(now)
             self._origins.tick()
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -11,6 +11,8 @@
 from cranberryglade.gateway import endpoint_processes
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import outbound
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import holding
 
 CONNECT_TIMEOUT_SECONDS = 0.3
 """Timeout of a connection attempt."""
@@ -40,9 +42,6 @@
 MAX_ANSWER_BYTES = 16_777_216
 """Largest body of an answer that is not relayed as a stream."""
 
-MAX_ANSWERS_BYTES = 67_108_864
-"""Memory that such bodies may take together."""
-
 MAX_SKIPPED_ANSWERS = 4
 """Answers to other requests that are skipped before the expected one."""
 
@@ -109,9 +108,9 @@
     """
 
     __slots__ = (
-        "_body_memory",
         "_dialect",
         "_limits",
+        "_memory",
         "_on_leaving",
         "_on_limit",
         "_pauses",
@@ -128,6 +127,7 @@
         on_limit: Callable[[endpoint_limits.EndpointLimit], None],
         processes: endpoint_processes.EndpointProcesses,
         detour: outbound.Detour | None = None,
+        memory: memory_budget.MemoryBudget | None = None,
     ):
         """Creates a sender without connections.
 
@@ -140,8 +140,9 @@
             on_limit: called with each limit that changes.
             processes: records the connections to the endpoints.
             detour: leads to endpoints that cannot be reached directly.
+            memory: what bodies are taken from; None for no limit.
         """
-        self._body_memory = outbound.BodyMemory(MAX_ANSWERS_BYTES)
+        self._memory = memory or memory_budget.unlimited()
         self._dialect = translator
         self._pauses = pauses
         self._limits = limits
@@ -196,7 +197,14 @@
                 request.method == messages.HEAD,
             )
             on_sent()
-            return await self._read_answer(channel, endpoint, facts, streams)
+            sent = self._memory.open(holding.Kind.SENT, now)
+            try:
+                self._memory.resize(sent, channel.unsent_bytes, now)
+                return await self._read_answer(
+                    channel, endpoint, facts, streams
+                )
+            finally:
+                self._memory.release(sent)
         except BaseException:
             channel.abort()
             raise
@@ -374,7 +382,7 @@
             is_certain = self._processes.observe(endpoint, channel, now)
             names_request = bool(facts.id) and answer_facts.id == facts.id
             return StreamStarted(head, channel, is_certain, names_request)
-        body = await channel.read_body(MAX_ANSWER_BYTES, self._body_memory)
+        body = await channel.read_body(MAX_ANSWER_BYTES, self._memory)
         if isinstance(body, outbound.AnswerLost):
             channel.abort()
             return AttemptFailure(
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -23,6 +23,8 @@
 from cranberryglade.gateway import small_reads
 from cranberryglade.gateway import sockets
 from cranberryglade.gateway import state
+from cranberryglade.memory import budget as memory_budget
+from cranberryglade.memory import holding
 
 PATH = b"/tunnel/"
 """Path of a request for a tunnel; the endpoint's address follows."""
@@ -69,9 +71,14 @@
         open_transports: the connections of the instances that use it.
     """
 
-    __slots__ = ("_state", "open_transports")
+    __slots__ = ("_memory", "_state", "open_transports")
 
-    def __init__(self, instance_state: state.InstanceState):
+    def __init__(
+        self,
+        instance_state: state.InstanceState,
+        memory: memory_budget.MemoryBudget | None = None,
+    ):
+        self._memory = memory or memory_budget.unlimited()
         self._state = instance_state
         self.open_transports: set[asyncio.Transport] = set()
 
@@ -80,7 +87,7 @@
     ) -> None:
         """Opens a tunnel on the connection of a peer's request."""
         address = request.target.removeprefix(PATH).decode("latin-1")
-        peer = _PeerSide(self.open_transports)
+        peer = _PeerSide(self.open_transports, self._memory)
         peer.attach(responder.take_connection())
         refusal = self._find_refusal(address)
         if refusal is None:
@@ -121,16 +128,49 @@
         )
 
 
+class _UntakenBytes:
+    """Counts what one side of a tunnel has not taken yet.
+
+    Reading from the other side pauses meanwhile, so that it does not grow.
+    """
+
+    __slots__ = ("_held", "_memory")
+
+    def __init__(self, memory: memory_budget.MemoryBudget):
+        self._memory = memory
+        self._held: holding.Holding | None = None
+
+    def take(self, transport: asyncio.Transport) -> None:
+        """Counts what the transport has buffered."""
+        self.give_back()
+        now = asyncio.get_running_loop().time()
+        self._held = self._memory.open(holding.Kind.TUNNEL, now)
+        unsent = transport.get_write_buffer_size()
+        self._memory.resize(self._held, unsent, now)
+
+    def give_back(self) -> None:
+        """Counts nothing any more; a second call does nothing."""
+        self._memory.release(self._held)
+        self._held = None
+
+
 class _PeerSide(small_reads.Protocol):
     """The connection from the instance that uses a tunnel.
 
     Attributes:
         transport: the connection.
         endpoint: the connection to the endpoint; None before it is open.
+        memory: what both sides of the tunnel are counted in.
     """
 
-    def __init__(self, open_transports: set[asyncio.Transport]):
+    def __init__(
+        self,
+        open_transports: set[asyncio.Transport],
+        memory: memory_budget.MemoryBudget,
+    ):
         self._open_transports = open_transports
+        self.memory = memory
+        self._untaken = _UntakenBytes(memory)
         self.transport: asyncio.Transport | None = None
         self.endpoint: asyncio.Transport | None = None
 
@@ -145,14 +185,17 @@
             self.endpoint.write(data)
 
     def pause_writing(self) -> None:
+        self._untaken.take(self.transport)
         if self.endpoint is not None:
             self.endpoint.pause_reading()
 
     def resume_writing(self) -> None:
+        self._untaken.give_back()
         if self.endpoint is not None:
             self.endpoint.resume_reading()
 
     def connection_lost(self, exc) -> None:
+        self._untaken.give_back()
         self._open_transports.discard(self.transport)
         if self.endpoint is not None:
             self.endpoint.abort()
@@ -163,6 +206,7 @@
 
     def __init__(self, peer: _PeerSide):
         self._peer = peer
+        self._untaken = _UntakenBytes(peer.memory)
 
     def connection_made(self, transport) -> None:
         sockets.set_connection_options(
@@ -182,12 +226,15 @@
         return False
 
     def pause_writing(self) -> None:
+        self._untaken.take(self._peer.endpoint)
         self._peer.transport.pause_reading()
 
     def resume_writing(self) -> None:
+        self._untaken.give_back()
         self._peer.transport.resume_reading()
 
     def connection_lost(self, exc) -> None:
+        self._untaken.give_back()
         self._peer.transport.close()
 
 
