Gateways: no refusal is written to a connection that closes

A connection whose transport is closing could still be chosen to be refused; the answer raised CallerGoneError, which ended the task that ticks. It gives back what it holds instead. The regression test fails without the change.

--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -555,6 +555,9 @@
         self._refuse("memory short")
 
     def _refuse(self, reason: str) -> None:
+        if self.closing:
+            self._release_body()
+            return
         # What follows is read and ignored, so that the answer arrives.
         self._transport.resume_reading()
         self._reject(ReadFailure(503, reason, SHORTAGE_RETRY_SECONDS))
@@ -578,6 +581,8 @@
             self._memory.resize(self._unread, unsent, self._loop.time())
 
     def _drop_unread(self) -> None:
+        if self._unread is None or self.closing:
+            return
         before = self._unread.size
         self._note_unread()
         if self._unread.size >= before:
