--- a/cranberryglade/memory/budget.py
+++ b/cranberryglade/memory/budget.py
@@ -222,13 +222,19 @@
         return is_read and self._promised == 0
 
     def _make_room(self, left: list[holding.Holding], now: float) -> None:
-        needed = min(
-            sum(decisions.remaining(each) for each in left), self.limit_bytes
+        # What one tick may give out; the next one makes more room.
+        needed = decisions.remaining(left[0])
+        oversized = decisions.find_oversized_owner(
+            left, self._owners, self.limit_bytes
         )
         yielding = decisions.find_yielding(
-            self._holders, self._owners, needed, now
+            self._holders, self._owners, needed, now, oversized
         )
-        overdue = decisions.find_overdue(left, now)
+        overdue = [
+            each
+            for each in decisions.find_overdue(left, now)
+            if each not in yielding
+        ]
         for each in (*yielding, *overdue):
             self.refused += 1
             each.refuse()
--- a/cranberryglade/memory/decisions.py
+++ b/cranberryglade/memory/decisions.py
@@ -83,11 +83,32 @@
     ]
 
 
+def find_oversized_owner(
+    waiting: Iterable[holding.Holding], owners: Owners, limit_bytes: int
+) -> str | None:
+    """Returns the owner that holds too much while requests of others wait.
+
+    Args:
+        waiting: those that wait to go on.
+        owners: bytes held by each owner.
+        limit_bytes: the budget.
+    """
+    largest = max(owners, key=owners.get, default=None)
+    if largest is None or owners[largest] <= OWNER_SHARE * limit_bytes:
+        return None
+    others_wait = any(
+        held.kind is holding.Kind.REQUEST and held.owner != largest
+        for held in waiting
+    )
+    return largest if others_wait else None
+
+
 def find_yielding(
     holders: Iterable[holding.Holding],
     owners: Owners,
     needed_bytes: int,
     now: float,
+    oversized_owner: str | None = None,
 ) -> list[holding.Holding]:
     """Returns those that give up what they hold, so that others go on.
 
@@ -100,8 +121,18 @@
         owners: bytes held by each owner.
         needed_bytes: how much is to become free.
         now: seconds of the loop's clock.
+        oversized_owner: the owner whose bodies yield also if they move.
     """
-    found = [held for held in holders if _may_yield(held, now)]
+    found = [
+        held
+        for held in holders
+        if _may_yield(held, now)
+        or (
+            held.kind is holding.Kind.REQUEST
+            and held.owner == oversized_owner
+            and held.size > SMALL_BYTES
+        )
+    ]
     found.sort(
         key=lambda held: (
             held.kind is holding.Kind.UNREAD,
--- a/cranberryglade/tests/test_memory_budget.py
+++ b/cranberryglade/tests/test_memory_budget.py
@@ -4,6 +4,7 @@
 from cranberryglade.memory import connection_limit
 from cranberryglade.memory import decisions
 from cranberryglade.memory import holding
+from cranberryglade.tests import gateway_cluster
 
 Kind = holding.Kind
 LIMIT_BYTES = 8_000_000
@@ -108,6 +109,20 @@
     assert [each.owner for each in order] == ["b", "a"]
 
 
+def test_owner_of_moving_bodies_keeps_others_from_reading():
+    memory = budget.MemoryBudget(LIMIT_BYTES)
+    crowd = [Body(memory, "crowd") for _ in range(7)]
+    for body in crowd:
+        body.read(0.0)
+    other = Body(memory, "other")
+    other.read(0.0)
+    assert all(body.may_read for body in crowd) and not other.may_read
+    memory.tick(0.05)
+    assert [body.refused for body in crowd].count(True) == 1
+    memory.tick(0.1)
+    assert other.may_read
+
+
 def test_answers_read_in_part_wait_for_each_other():
     memory = budget.MemoryBudget(2 * BODY_BYTES)
     answers = [Body(memory, "", Kind.ANSWER) for _ in range(40)]
@@ -165,3 +180,18 @@
     assert limit.find_excess() == "reading"
     limit.remove("reading")
     assert limit.find_excess() is None
+
+
+async def test_refusal_on_a_connection_that_closes_ends_the_ticks():
+    async with gateway_cluster.Cluster() as cluster:
+        caller = await cluster.connect()
+        caller.send(b"POST /pay/1 HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody")
+        connections = cluster.gateways[0]._caller_listener.connections
+        await gateway_cluster.wait_until(
+            lambda: [each for each in connections if each._held]
+        )
+        (connection,) = connections
+        held = connection._held
+        connection._transport.abort()
+        held.refuse()
+        assert cluster.gateways[0]._memory.held_bytes == 0
