Slots: refused requests are told when a slot will be free for them

Cause: all requests refused for want of a slot were told nearly the same time, met the same queue when they came back, and were refused again.

Change: the allocator measures the work of the requests whose slots become free, and tells each refused request the end of the next part of it that its rank can have. With [preemption] enabled, a request that comes back keeps its place within its rank.

--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -204,11 +204,21 @@
         holder: the instance that asked for the slot.
         request: the request.
         queued_at: when it was queued, seconds of the loop's clock.
+        returned_from: when it was first queued, if it was refused and has come
+            back when it was told to; None if not.
     """
 
     holder: str
     request: messages.SlotRequest
     queued_at: float
+    returned_from: float | None = None
+
+    @property
+    def place(self) -> float:
+        """The time that orders it among those of the same urgency."""
+        if self.returned_from is None:
+            return self.queued_at
+        return self.returned_from
 
     def is_late(self, pace: float, now: float) -> bool:
         """Returns whether its first answer would come after its target time.
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -78,3 +78,8 @@
         "Requests in the allocator's queue.",
         lambda: scheduler.queue_length,
     )
+    watch(
+        "returns_promised",
+        "Refused requests that the allocator told when to come back.",
+        lambda: scheduler.promised_returns,
+    )
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -107,7 +107,9 @@
             telemetry.Telemetry(),
         )
         self._slots = slots.SlotScheduler(
-            self._state.quarantine, self._state.endpoint_limits
+            self._state.quarantine,
+            self._state.endpoint_limits,
+            initial_settings.options.preemption,
         )
         self._quarantine_sync = quarantine_sync.QuarantineSync(
             store, self._state
--- a/cranberryglade/gateway/slot_queue.py
+++ b/cranberryglade/gateway/slot_queue.py
@@ -16,7 +16,7 @@
 """A heap with fewer entries than this is not rebuilt without the stale ones."""
 
 Entry = tuple[int, float, int, endpoint_states.QueuedRequest]
-"""Rank, time of queueing, and a number that orders entries of the same time."""
+"""Rank, place, and a number that orders entries of the same place."""
 
 
 LoadKey = tuple[int, str | None]
@@ -191,7 +191,7 @@
 
     def _entry(self, waiting: endpoint_states.QueuedRequest) -> Entry:
         number = next(self._numbers)
-        return (waiting.request.rank, waiting.queued_at, number, waiting)
+        return (waiting.request.rank, waiting.place, number, waiting)
 
 
 def _sum_up_to(
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -19,6 +19,8 @@
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slot_queue
+from cranberryglade.preemption import options
+from cranberryglade.preemption import returns
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -29,6 +31,10 @@
 MIN_CAPACITY = 0.01
 """Least number of slots that a wait is estimated with."""
 
+MIN_PACE = 1e-9
+"""Least seconds for a unit of work that a rate is estimated with; the pace is 0
+before the first answer."""
+
 MAX_LATE_WAIT_SHARE = 0.5
 """A request that will be late is denied if it would wait for more than this
 part of the longest time that it may wait."""
@@ -49,10 +55,12 @@
         "_expiries",
         "_groups",
         "_leases",
+        "_options",
         "_quarantine",
         "_quarantine_revision",
         "_queues",
         "_rates",
+        "_returns",
         "_states",
         "_waiting",
     )
@@ -61,6 +69,7 @@
         self,
         crashing_parts: quarantine.Quarantine | None = None,
         limits: endpoint_limits.EndpointLimits | None = None,
+        contention: options.PreemptionOptions | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -68,7 +77,11 @@
             crashing_parts: what crashes endpoints; None for a
                 record of its own.
             limits: the limits that endpoints name; None for none.
+            contention: what operators set for contention; None for the
+                defaults.
         """
+        self._options = contention or options.PreemptionOptions()
+        self._returns: dict[str, returns.ReturnSchedule] = {}
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -91,6 +104,11 @@
         """Number of requests in the queues."""
         return len(self._waiting)
 
+    @property
+    def promised_returns(self) -> int:
+        """Number of refused requests that were told when to come back."""
+        return sum(len(schedule) for schedule in self._returns.values())
+
     @property
     def limit_share(self) -> float:
         """Share of the endpoints' limits that may be granted here."""
@@ -143,11 +161,12 @@
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
-        self._enqueue(endpoint_states.QueuedRequest(holder, request, now))
+        waiting = self._make_waiting(holder, request, now)
+        self._enqueue(waiting)
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
-            denied = self._early_denial(holder, request, now)
+            denied = self._early_denial(waiting, now)
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
@@ -184,6 +203,8 @@
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
+        schedule = self._return_schedule(state.endpoint.service)
+        schedule.record_freed(lease.work_units, now)
         self._apply_outcome(state, lease, outcome, now)
         self._renew(lease.endpoint, now)
         return self._grant_waiting(state.endpoint.service, now)
@@ -300,7 +321,7 @@
             if waiting is None or now < waiting.request.wait_until:
                 continue
             self.withdraw(id_)
-            denied = self._make_denial(waiting.request, "waited", 0.5)
+            denied = self._deny_for_now(waiting, "waited", now)
             decisions.append(
                 endpoint_states.SlotDecision(waiting.holder, denied)
             )
@@ -407,6 +428,7 @@
         self._renew(name, now)
         if state.bucket is not None:
             state.bucket.take()
+        self._return_schedule(request.service).record_granted(request, now)
         granted = messages.Granted(request.id, name)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
@@ -463,8 +485,9 @@
         )
 
     def _early_denial(
-        self, holder: str, request: messages.SlotRequest, now: float
+        self, waiting: endpoint_states.QueuedRequest, now: float
     ) -> messages.Denied | None:
+        holder, request = waiting.holder, waiting.request
         group = self._groups.get(request.service)
         if group is None or next(group.usable(request), None) is None:
             any_version = request.software_version is None
@@ -479,10 +502,15 @@
             )
         queue = self._queues[request.service]
         share = _version_share(request, group)
-        ahead = queue.load_up_to(request.rank, request.software_version, share)
+        returned = waiting.returned_from is not None
+        # One that has come back precedes the new ones of its rank.
+        rank = request.rank - 1 if returned else request.rank
+        ahead = queue.load_up_to(rank, request.software_version, share)
         wait = self._expected_wait(request, group, ahead, now)
         if now + wait > request.wait_until:
-            return self._make_denial(request, "hopeless", wait)
+            return self._deny_for_now(waiting, "hopeless", now)
+        if returned:
+            return None
         oldest = queue.oldest_late(request.rank)
         if oldest is None or not self._will_be_late(request, group, now):
             return None
@@ -490,7 +518,7 @@
         # those in time leave slots.
         wait = max(wait, now - oldest)
         if wait > MAX_LATE_WAIT_SHARE * (request.wait_until - now):
-            return self._make_denial(request, "hopeless", wait)
+            return self._deny_for_now(waiting, "hopeless", now)
         return None
 
     def _will_be_late(
@@ -585,6 +613,49 @@
             group = self._groups[state.endpoint.service]
             group.record_pace(state, pace, now)
 
+    def _make_waiting(
+        self, holder: str, request: messages.SlotRequest, now: float
+    ) -> endpoint_states.QueuedRequest:
+        promise = self._return_schedule(request.service).redeem(request, now)
+        waiting = endpoint_states.QueuedRequest(holder, request, now)
+        if promise is not None and self._options.enabled:
+            waiting.returned_from = promise.since
+        return waiting
+
+    def _deny_for_now(
+        self,
+        waiting: endpoint_states.QueuedRequest,
+        reason: str,
+        now: float,
+    ) -> messages.Denied:
+        """Denies a request for want of a slot, until one will be free."""
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if group is None:
+            return self._make_denial(request, reason, MIN_RETRY_AFTER_SECONDS)
+        share = _version_share(request, group)
+        ahead = self._queues[request.service].load_up_to(
+            request.rank, request.software_version, share
+        )
+        # It may still be in the queue itself.
+        if request.id in self._waiting:
+            ahead.change(request, -1)
+        slot_count = max(MIN_CAPACITY, group.load_for(request).slots)
+        wait = self._return_schedule(request.service).promise(
+            waiting,
+            ahead.work_units,
+            self._expected_wait(request, group, ahead, now),
+            slot_count / max(MIN_PACE, group.median_pace),
+            now,
+        )
+        return self._make_denial(request, reason, wait)
+
+    def _return_schedule(self, service: str) -> returns.ReturnSchedule:
+        schedule = self._returns.get(service)
+        if schedule is None:
+            schedule = self._returns[service] = returns.ReturnSchedule()
+        return schedule
+
     def _make_denial(
         self, request: messages.SlotRequest, reason: str, wait: float
     ) -> messages.Denied:
