Slots: resumable streams yield them to urgent requests

Cause: an urgent request that met full engines missed its target time while streams that can go on elsewhere kept their slots.

Change, with [preemption] enabled only: the allocator asks the holder of the least urgent such slot for it (datagrams 17 and 18, which the build before ignores; the last field of a slot request says who may be asked). The holder reserves the retry, stops behind a whole event, closes the connection, releases the slot as abandoned, and takes the next free one. The bytes of a slot request grow by that field: the test of its exact bytes has the new ones, and a further test reads those of the build before.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 from typing import Protocol
 
@@ -66,6 +67,10 @@
 
 logger = log.get_logger(__name__)
 
+Yielder = Callable[[str], bool]
+"""Asks the attempt with a slot, by the id of its slot request, to yield it;
+returns whether it does."""
+
 
 class Allocator(Protocol):
     """Decides where requests run."""
@@ -129,6 +134,7 @@
         "_last_reported_to",
         "_settled",
         "_slots",
+        "_yielder",
         "handed_over",
     )
 
@@ -161,6 +167,7 @@
         self._knowledge: charges.UsageKnowledge | None = None
         self._knowledge_at = 0.0
         self._last_reported_to = ""
+        self._yielder: Yielder = lambda id_: False
 
     @property
     def is_allocating(self) -> bool:
@@ -188,6 +195,10 @@
         """Connects it to the other instances."""
         self._mesh = instances
 
+    def set_yielder(self, yielder: Yielder) -> None:
+        """Sets what asks requests of this instance to yield their slots."""
+        self._yielder = yielder
+
     def set_tolerance(self, tolerance: quotas.OverrunTolerance) -> None:
         """Sets by how much quotas may be overrun."""
         self._charges.set_tolerance(tolerance)
@@ -315,8 +326,15 @@
                     self._charges.make_final(id_)
                 case messages.Denied(id=id_):
                     self._charges.refund(id_)
+                case messages.Preempted(id=id_, endpoint=endpoint):
+                    logger.info(
+                        "slot.preempted",
+                        need=id_,
+                        endpoint=endpoint,
+                        holder=slot_decision.holder,
+                    )
             if slot_decision.holder == self._name:
-                self._deliver(slot_decision.result)
+                self._deliver_here(slot_decision.result)
             else:
                 self._mesh.send_to(
                     slot_decision.holder,
@@ -357,6 +375,12 @@
                 self._handle_grant(sender, messages.Granted(id_, endpoint))
             case datagrams.Deny():
                 self._deliver(conversions.decode_denial(message))
+            case datagrams.Preempt(id=id_):
+                asked_by_granter = self._granted_by.get(id_) == sender
+                if not asked_by_granter or not self._yielder(id_):
+                    self._mesh.send_to(sender, datagrams.Kept(id_))
+            case datagrams.Kept(id=id_):
+                self.deliver_decisions(self._slots.keep(sender, id_, now))
 
     def _record_reporter(
         self, name: str, report: datagrams.Report, now: float
@@ -662,6 +686,18 @@
         )
         self._deliver(granted)
 
+    def _deliver_here(
+        self, result: messages.Decision | messages.Preempted
+    ) -> None:
+        match result:
+            case messages.Preempted(id=id_):
+                if not self._yielder(id_):
+                    now = asyncio.get_running_loop().time()
+                    kept = self._slots.keep(self._name, id_, now)
+                    self.deliver_decisions(kept)
+            case _:
+                self._deliver(result)
+
     def _deliver(self, decision: messages.Decision) -> None:
         pending = self._pending.get(decision.id)
         if pending is not None and not pending.future.done():
--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -17,6 +17,7 @@
 from cranberryglade.gateway import replacement
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
+from cranberryglade.preemption import offering
 
 MIN_ATTEMPT_SECONDS = 0.05
 """Time left to the deadline at or below which no further attempt is made."""
@@ -146,6 +147,12 @@
         if outcome is not messages.Outcome.SERVED:
             self._log_end(exchange, attempt, outcome)
 
+    async def stop(self, attempt: exchanges.Attempt) -> None:
+        """Stops an attempt, and returns once its connection is closed."""
+        attempt.stop()
+        if not attempt.opening.done():
+            await asyncio.wait([attempt.opening])
+
     def drop_replacement(self, exchange: exchanges.Exchange) -> None:
         """Ends the attempt that was to replace a silent one, if any."""
         attempt = exchange.take_replacement()
@@ -241,6 +248,11 @@
         self._origins.refute(exchange.facts.id, endpoint.service)
         return False
 
+    def is_origin_certain(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether it is known already what began a stream."""
+        tentative = exchange.tentative
+        return tentative is None or self._verifier.is_confirmed(tentative.begun)
+
     async def give_up_silent(
         self, exchange: exchanges.Exchange, attempt: exchanges.Attempt
     ) -> messages.Outcome:
@@ -277,6 +289,9 @@
     def _spend_retry(self, exchange: exchanges.Exchange) -> bool:
         if not exchange.attempted_endpoints:
             return True
+        if exchange.retry_reserved_at is not None:
+            # An attempt that was to yield its slot has failed meanwhile.
+            return True
         now = asyncio.get_running_loop().time()
         service = exchange.admitted.service
         share = self._state.limit_share
@@ -525,7 +540,7 @@
         wait_until = exchange.arrived + admitted.max_wait_seconds
         due = exchange.arrived + admitted.route.target_latency_seconds
         # What has begun is not given up for want of a slot.
-        if exchange.begun or exchange.attempts_in_progress:
+        if exchange.begun or exchange.attempts_in_progress or exchange.yielded:
             wait_until = exchange.deadline - MIN_ATTEMPT_SECONDS
         if exchange.begun:
             due = (
@@ -535,7 +550,7 @@
         return messages.SlotRequest(
             id=f"{self._state.incarnation}.{next(self._request_numbers)}",
             service=admitted.service,
-            rank=admitted.rank,
+            rank=offering.rank(exchange),
             kind=admitted.route.kind,
             prompt_tokens=facts.prompt_tokens,
             output_tokens=min(facts.expected_tokens, facts.output_tokens),
@@ -554,6 +569,7 @@
                 exchange.origin.software_version if exchange.origin else None
             ),
             parts=exchange.parts,
+            yields=offering.offers(exchange, self._state.contention.enabled),
         )
 
     def _log_end(
--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -18,11 +18,15 @@
 MAX_LIMIT_PER_SECOND = 1e9
 
 
-def encode_decision(decision: messages.Decision) -> datagrams.Datagram:
+def encode_decision(
+    decision: messages.Decision | messages.Preempted,
+) -> datagrams.Datagram:
     """Returns the datagram of a decision."""
     match decision:
         case messages.Granted(id=id_, endpoint=endpoint):
             return datagrams.Grant(id_, endpoint)
+        case messages.Preempted(id=id_):
+            return datagrams.Preempt(id_)
         case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
             waiting = decision.waiting
             return datagrams.Deny(id_, reason, _milliseconds(after), waiting)
@@ -73,6 +77,7 @@
         cost=request.cost,
         software_version=request.software_version,
         parts=list(request.parts),
+        yields=request.yields,
     )
 
 
@@ -94,6 +99,7 @@
         cost=ask.cost,
         software_version=ask.software_version,
         parts=tuple(ask.parts),
+        yields=ask.yields,
     )
 
 
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -232,6 +232,7 @@
         software_version: the only version that may run it; None for any.
         parts: what it has in common with other requests, as in
             `crash_evidence`.
+        yields: whether it may be asked to yield its slot.
     """
 
     name: str
@@ -248,6 +249,7 @@
     cost: decoding.Quantity
     software_version: str | None = None
     parts: list[str] = []
+    yields: bool = False
 
 
 class Queued(msgspec.Struct, array_like=True, tag=4, frozen=True):
@@ -399,6 +401,28 @@
     usage: list[GrantedUsage]
 
 
+class Preempt(msgspec.Struct, array_like=True, tag=17, frozen=True):
+    """Asks the holder of a slot to yield it to a more urgent request.
+
+    If it is lost, the request goes on.
+
+    Attributes:
+        id: id of the request that runs.
+    """
+
+    id: str
+
+
+class Kept(msgspec.Struct, array_like=True, tag=18, frozen=True):
+    """The answer to a Preempt for a request that cannot yield its slot.
+
+    Attributes:
+        id: id of the request that runs, or has ended.
+    """
+
+    id: str
+
+
 OriginMessage = Origins | OriginQuery | OriginReply | OriginsStored
 
 Datagram = (
@@ -413,6 +437,8 @@
     | EndpointLimit
     | OriginMessage
     | FinalUsage
+    | Preempt
+    | Kept
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -248,7 +248,7 @@
     """A decision on a slot request, and the instance that receives it."""
 
     holder: str
-    result: messages.Decision
+    result: messages.Decision | messages.Preempted
 
 
 def work_units(request: messages.SlotRequest) -> float:
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -14,6 +14,10 @@
 from cranberryglade.gateway import tentative_origins
 
 
+class YieldedError(Exception):
+    """The current attempt of a request is to yield its slot."""
+
+
 class Attempt:
     """An attempt of a request at one endpoint.
 
@@ -155,6 +159,9 @@
         crashes: number of endpoints that crashed while they ran it.
         answer_framing: how the end of the last attempt's answer is marked;
             None if the attempt had no answer that can be relayed.
+        receiving: ends the wait for its endpoint; None unless it waits.
+        yield_requested: whether its current attempt is to yield its slot.
+        yielded: whether one was asked to and agreed.
     """
 
     request: messages.Request
@@ -186,6 +193,9 @@
     version: int = 0
     crashes: int = 0
     answer_framing: dialect.Framing | None = None
+    receiving: asyncio.Timeout | None = None
+    yield_requested: bool = False
+    yielded: bool = False
 
     def __post_init__(self):
         """Counts its silence from its arrival."""
@@ -213,6 +223,16 @@
         """Seconds until the final answer is due."""
         return self.deadline - asyncio.get_running_loop().time()
 
+    @property
+    def awaits_endpoint(self) -> bool:
+        """Whether it waits for its endpoint, and nothing else goes on."""
+        return self.receiving is not None and not self.receiving.expired()
+
+    def request_yield(self) -> None:
+        """Ends the wait for its endpoint, with YieldedError."""
+        self.yield_requested = True
+        self.receiving.reschedule(asyncio.get_running_loop().time())
+
     def take_replacement(self) -> Attempt | None:
         """Returns the attempt that is to go on, if any, and forgets it."""
         attempt, self.replacement = self.replacement, None
--- a/cranberryglade/gateway/forwarding.py
+++ b/cranberryglade/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from cranberryglade.gateway import sending
 from cranberryglade.gateway import state
 from cranberryglade.gateway import stream_relaying
+from cranberryglade.preemption import yielding
 
 ANSWER_MARGIN_SECONDS = 0.03
 """Time before a request's deadline at which a timeout is answered, unless its
@@ -56,6 +57,7 @@
         "_running",
         "_sender",
         "_state",
+        "_yielding",
     )
 
     def __init__(
@@ -81,8 +83,13 @@
         )
         self._replacer = replacing.Replacer(self._attempts)
         self._relay = stream_relaying.StreamRelay(origins, self._replacer)
+        self._yielding = yielding.Yielding(shared, self._attempts)
         self._running: set[asyncio.Timeout] = set()
 
+    def yield_slot(self, id_: str) -> bool:
+        """Asks an attempt to yield its slot; see `Yielding.ask`."""
+        return self._yielding.ask(id_)
+
     async def handle(
         self, request: messages.Request, responder: responding.Responder
     ) -> None:
@@ -266,6 +273,7 @@
                     return ended
         finally:
             self._attempts.drop_replacement(exchange)
+            self._attempts.give_back(exchange)
 
     async def _begin_attempt(
         self, exchange: exchanges.Exchange
@@ -273,8 +281,9 @@
         started = asyncio.get_running_loop().time()
         try:
             # An answer that has begun is not torn for want of a slot.
+            # Nor is what has yielded its slot.
             return await self._attempts.begin(
-                exchange, persistent=exchange.begun
+                exchange, persistent=exchange.begun or exchange.yielded
             )
         finally:
             exchange.waited_seconds += (
@@ -324,16 +333,22 @@
         outcome = messages.Outcome.ABANDONED
         exchange.make_current(attempt)
         try:
-            result = await self._replacer.wait(
-                exchange,
-                attempt.endpoint,
-                lambda: asyncio.shield(attempt.opening),
-                exchange.goes_on_with,
-            )
-            outcome, ended = await self._handle_result(
-                exchange, attempt, result
-            )
-            return ended
+            with self._yielding.watch(exchange, attempt):
+                result = await self._replacer.wait(
+                    exchange,
+                    attempt.endpoint,
+                    lambda: asyncio.shield(attempt.opening),
+                    exchange.goes_on_with,
+                )
+                outcome, ended = await self._handle_result(
+                    exchange, attempt, result
+                )
+                return ended
+        except exchanges.YieldedError:
+            attempt.failure = "yielded"
+            await self._attempts.stop(attempt)
+            self._yielding.record_yielded(exchange, attempt)
+            return None
         finally:
             self._attempts.end(exchange, attempt, outcome)
 
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -227,6 +227,7 @@
             stream; None for any.
         parts: what it has in common with other requests, as in
             `crash_evidence`.
+        yields: whether it may be asked to yield its slot.
     """
 
     id: str
@@ -242,6 +243,7 @@
     cost: float = 0.0
     software_version: str | None = None
     parts: tuple[str, ...] = ()
+    yields: bool = False
 
     def may_run_at(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint of its service may run it."""
@@ -280,4 +282,17 @@
     waiting: int = 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Preempted:
+    """A running request that is asked to yield its slot.
+
+    Attributes:
+        id: id of the request.
+        endpoint: id of the endpoint that runs it.
+    """
+
+    id: str
+    endpoint: str
+
+
 Decision = Granted | Denied
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -106,6 +106,7 @@
             configuration_age.ConfigurationAge(initial_settings.revoke_seconds),
             telemetry.Telemetry(),
         )
+        self._state.contention = initial_settings.options.preemption
         self._slots = slots.SlotScheduler(
             self._state.quarantine,
             self._state.endpoint_limits,
@@ -213,6 +214,7 @@
                 self._state, self._processes, endpoints_read.get
             ),
         )
+        self._allocator.set_yielder(self._forwarder.yield_slot)
         self._caller_listener = inbound.Listener(
             self._forwarder.handle, self._report_invalid_request
         )
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -49,7 +49,13 @@
         Returns:
             What it sent; if it failed, another attempt may be under way as
             `exchange.replacement`. None if that one goes on in its stead.
+
+        Raises:
+            YieldedError: if the attempt is to yield its slot.
         """
+        if exchange.yield_requested:
+            # What had arrived by then is relayed.
+            raise exchanges.YieldedError
         seconds = replacement.silence_seconds(
             exchange.admitted.route,
             exchange.answer_framing is not None,
@@ -57,10 +63,13 @@
             _now() - exchange.last_received_at,
         )
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(seconds) as exchange.receiving:
                 return await receive()
         except TimeoutError:
-            pass
+            if exchange.yield_requested:
+                raise exchanges.YieldedError from None
+        finally:
+            exchange.receiving = None
         logger.info(
             "attempt.silent",
             id=exchange.facts.id,
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -19,8 +19,10 @@
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slot_queue
+from cranberryglade.preemption import offering
 from cranberryglade.preemption import options
 from cranberryglade.preemption import returns
+from cranberryglade.preemption import victims
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -54,6 +56,7 @@
     __slots__ = (
         "_expiries",
         "_groups",
+        "_last_moments",
         "_leases",
         "_options",
         "_quarantine",
@@ -62,6 +65,7 @@
         "_rates",
         "_returns",
         "_states",
+        "_victims",
         "_waiting",
     )
 
@@ -82,6 +86,7 @@
         """
         self._options = contention or options.PreemptionOptions()
         self._returns: dict[str, returns.ReturnSchedule] = {}
+        self._victims = victims.Victims()
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -93,6 +98,7 @@
         self._queues: dict[str, slot_queue.SlotQueue] = {}
         self._waiting: dict[str, endpoint_states.QueuedRequest] = {}
         self._expiries: list[tuple[float, str]] = []
+        self._last_moments: list[tuple[float, str]] = []
 
     @property
     def lease_count(self) -> int:
@@ -166,12 +172,31 @@
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
-            denied = self._early_denial(waiting, now)
+            preempted = self._preempt_if_late(waiting, now)
+            decisions += preempted
+            denied = None if preempted else self._early_denial(waiting, now)
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
         return decisions
 
+    def keep(
+        self, holder: str, id_: str, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Records that a request does not yield its slot.
+
+        Returns:
+            The next request that is asked instead, if there is any.
+        """
+        lease = self._leases.get(id_)
+        if lease is None or lease.holder != holder:
+            return []
+        asked = self._victims.keep(id_)
+        waiting = self._waiting.get(asked.urgent) if asked else None
+        if waiting is None:
+            return []
+        return self._preempt_for(waiting, asked.tries + 1, now)
+
     def withdraw(self, id_: str) -> None:
         """Removes a request from the queue."""
         waiting = self._waiting.pop(id_, None)
@@ -200,6 +225,7 @@
         lease = self._leases.remove(id_)
         if lease is None:
             return []
+        self._victims.remove(lease)
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
@@ -325,7 +351,8 @@
             decisions.append(
                 endpoint_states.SlotDecision(waiting.holder, denied)
             )
-        return decisions + self._grant_all(now)
+        decisions += self._grant_all(now)
+        return decisions + self._preempt_at_last_moment(now)
 
     def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
         return [
@@ -368,6 +395,7 @@
         services: set[str] = set()
         for id_ in ids:
             lease = self._leases.remove(id_)
+            self._victims.remove(lease)
             self._renew(lease.endpoint, now)
             if lease.endpoint in self._states:
                 services.add(self._states[lease.endpoint].endpoint.service)
@@ -425,6 +453,7 @@
         self.withdraw(request.id)
         lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
         self._leases.add(request.id, lease)
+        self._victims.add(lease)
         self._renew(name, now)
         if state.bucket is not None:
             state.bucket.take()
@@ -613,6 +642,83 @@
             group = self._groups[state.endpoint.service]
             group.record_pace(state, pace, now)
 
+    def _preempt_if_late(
+        self, waiting: endpoint_states.QueuedRequest, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Asks for a slot at once for a request that will be late without.
+
+        For one that is expected to get a slot in time, it is asked for later,
+        if that does not come true.
+        """
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if not self._options.enabled or group is None:
+            return []
+        if self._will_be_late(request, group, now):
+            return self._preempt_for(waiting, 1, now)
+        seconds = _seconds_to_answer(request, group.median_pace)
+        last = request.first_answer_due - seconds - victims.MARGIN_SECONDS
+        entry = (last, request.id)
+        heapq.heappush(self._last_moments, entry)
+        return []
+
+    def _preempt_at_last_moment(
+        self, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        decisions = []
+        while self._last_moments and self._last_moments[0][0] <= now:
+            _, id_ = heapq.heappop(self._last_moments)
+            waiting = self._waiting.get(id_)
+            if waiting is not None:
+                decisions += self._preempt_for(waiting, 1, now)
+        return decisions
+
+    def _preempt_for(
+        self, waiting: endpoint_states.QueuedRequest, tries: int, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Asks a running request to yield its slot to one that waits.
+
+        Only if that one is in time then.
+        """
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if group is None or self.suspects(request.parts):
+            return []
+
+        def accepts(lease: endpoint_states.Lease) -> bool:
+            return self._may_yield(lease, waiting, group, now)
+
+        lease = self._victims.ask(request, accepts, now, tries)
+        if lease is None:
+            return []
+        preempted = messages.Preempted(lease.request.id, lease.endpoint)
+        return [endpoint_states.SlotDecision(lease.holder, preempted)]
+
+    def _may_yield(
+        self,
+        lease: endpoint_states.Lease,
+        waiting: endpoint_states.QueuedRequest,
+        group: endpoint_group.EndpointGroup,
+        now: float,
+    ) -> bool:
+        state = self._states.get(lease.endpoint)
+        if state is None or state.endpoint.leaving or state.paused_until > now:
+            return False
+        pace = state.seconds_per_work_unit or group.median_pace
+        if victims.is_nearly_done(lease, pace, now):
+            return False
+        answered_at = now + _seconds_to_answer(waiting.request, pace)
+        if answered_at > waiting.request.first_answer_due:
+            return False
+        queue = self._queues[waiting.request.service]
+        ahead = queue.load_up_to(offering.MOST_URGENT_RANK)
+        pause = self._expected_wait(lease.request, group, ahead, now)
+        return (
+            pause <= victims.MAX_PAUSE_SECONDS
+            and waiting.request.may_run_at(state.endpoint)
+            and not state.is_unreachable_from(waiting.holder, now)
+        )
+
     def _make_waiting(
         self, holder: str, request: messages.SlotRequest, now: float
     ) -> endpoint_states.QueuedRequest:
@@ -673,3 +779,14 @@
         return 1.0
     slots = group.load_for(request).slots
     return slots / max(MIN_CAPACITY, group.load.slots)
+
+
+def _seconds_to_answer(request: messages.SlotRequest, pace: float) -> float:
+    """Returns the time to the first answer in a slot that another yields.
+
+    Args:
+        request: the request.
+        pace: expected seconds of the endpoint for each unit of work.
+    """
+    first_answer = endpoint_states.first_answer_seconds(request, pace)
+    return victims.YIELD_SECONDS + first_answer
--- a/cranberryglade/gateway/state.py
+++ b/cranberryglade/gateway/state.py
@@ -12,6 +12,7 @@
 from cranberryglade.gateway import reachability
 from cranberryglade.gateway import shutdown
 from cranberryglade.gateway import telemetry
+from cranberryglade.preemption import options
 
 
 class InstanceState:
@@ -36,6 +37,7 @@
         endpoint_limits: limits that endpoints name.
         reachability: endpoints that only other instances reach.
         shutdown: whether the instance shuts down, and until when.
+        contention: what operators set for contention.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.endpoint_limits = endpoint_limits.EndpointLimits()
         self.reachability = reachability.Reachability()
         self.shutdown = shutdown.Shutdown()
+        self.contention = options.PreemptionOptions()
 
     @property
     def version(self) -> int:
--- a/cranberryglade/tests/test_contention.py
+++ b/cranberryglade/tests/test_contention.py
@@ -80,3 +80,30 @@
     told = [refuse(schedule, number, 0.0)[1] for number in range(50)]
     assert len(schedule) == 10
     assert max(told) == returns.MAX_RETURN_SECONDS
+
+
+def play_small_pool(enabled):
+    """Plays a long burst of urgent requests on three engines, five times."""
+    phases = [(4.0, 1.2), (10.0, 2.0), (10.0, 0.6)]
+    contention = options.PreemptionOptions(enabled=enabled)
+    for seed in range(5):
+        played = contention_load.Replay(
+            slots.SlotScheduler(contention=contention),
+            seed,
+            3,
+            contention_load.MIXED_KINDS,
+        )
+        played.run(phases)
+        yield played.outcomes
+
+
+def test_streams_give_way_to_urgent_requests_and_go_on_in_time():
+    # Guards against streams that wait for seconds behind what they gave way to.
+    before = sum(each["urgent"].late for each in play_small_pool(False))
+    late = 0
+    for outcomes in play_small_pool(True):
+        late += outcomes["urgent"].late
+        assert outcomes["note"].yielded > 0
+        assert outcomes["note"].torn == 0
+        assert outcomes["note"].longest_pause < 2.0
+    assert late < 0.6 * before
--- a/cranberryglade/tests/test_former_build.py
+++ b/cranberryglade/tests/test_former_build.py
@@ -40,6 +40,8 @@
 KINDS_THAT_MAY_BE_LOST = {
     datagrams.OriginsStored.__struct_config__.tag,
     datagrams.FinalUsage.__struct_config__.tag,
+    datagrams.Preempt.__struct_config__.tag,
+    datagrams.Kept.__struct_config__.tag,
 }
 """Tags of datagrams that the former build does not know: it drops them, so
 nothing may depend on them while both builds run."""
--- a/cranberryglade/tests/wire_samples.py
+++ b/cranberryglade/tests/wire_samples.py
@@ -51,6 +51,7 @@
     cost=1100.0,
     software_version="v1",
     parts=("p-1", "p-2"),
+    yields=True,
 )
 PLAIN_REQUEST = messages.SlotRequest(
     id="gate-0.2",
@@ -119,6 +120,8 @@
         "release": datagrams.Release(
             "gate-0.1", messages.Outcome.CRASHED, ["p-1"], 250
         ),
+        "preempt": datagrams.Preempt("gate-0.1"),
+        "kept": datagrams.Kept("gate-0.1"),
         "leaving": datagrams.Leaving("gate-0", "life-1"),
         "origins": datagrams.Origins([ORIGIN]),
         "origin_query": datagrams.OriginQuery("gate-0", 5, "a-1", "writers"),
