--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -29,6 +29,7 @@
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import state
 from cranberryglade.gateway import telemetry
+from cranberryglade.preemption import options
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -59,12 +60,14 @@
     return steps
 
 
-def make_loaded_scheduler(endpoints: int, waiting: int) -> slots.SlotScheduler:
+def make_loaded_scheduler(
+    endpoints: int, waiting: int, contention=None, running_rank: int = 0
+) -> slots.SlotScheduler:
     """Returns a scheduler with measured endpoints.
 
     Half of the slots are in use, or all of them if requests wait.
     """
-    scheduler = slots.SlotScheduler()
+    scheduler = slots.SlotScheduler(contention=contention)
     listed = {
         f"e-{n}": builders.make_endpoint(f"e-{n}", slots=4)
         for n in range(endpoints)
@@ -77,7 +80,9 @@
         pace = 0.3 + number % 7 / 10
         scheduler.release(f"first-{number}", Outcome.SERVED, 1.0 + pace)
     for number in range((4 if waiting else 2) * endpoints):
-        request = builders.make_slot_request(f"running-{number}")
+        request = builders.make_slot_request(
+            f"running-{number}", rank=running_rank, yields=running_rank > 0
+        )
         scheduler.request_slot(f"holder-{number % 200}", request, 3.0)
     for number in range(waiting):
         request = builders.make_slot_request(
@@ -116,6 +121,18 @@
     assert large <= MOST_GROWTH * base
 
 
+@pytest.mark.parametrize("waiting", [100, 10_000])
+def test_a_grant_costs_the_same_at_any_size_if_streams_may_yield(waiting):
+    enabled = options.PreemptionOptions(enabled=True)
+    base = steps_of_a_request(
+        make_loaded_scheduler(FEW_ENDPOINTS, 100, enabled, 2)
+    )
+    large = steps_of_a_request(
+        make_loaded_scheduler(2_000, waiting, enabled, 2)
+    )
+    assert large <= MOST_GROWTH * base
+
+
 def make_state(name: str, held: leases.LeaseTable, **changes):
     return endpoint_states.EndpointState(
         builders.make_endpoint(name, **changes), held.at(name)
