Slots: a request that waited without any endpoint is told a second

Cause: with no endpoint of its service listed, a request that had waited was told the least time, and one that had not waited a second.

Change: both are told a second.

--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -738,7 +738,9 @@
         request = waiting.request
         group = self._groups.get(request.service)
         if group is None:
-            return self._make_denial(request, reason, MIN_RETRY_AFTER_SECONDS)
+            return self._make_denial(
+                request, reason, UNREACHABLE_BACKOFF_SECONDS
+            )
         share = _version_share(request, group)
         ahead = self._queues[request.service].load_up_to(
             request.rank, request.software_version, share
