Settings: the preemption option says what it switches on

Cause: its text named reserved slots, which are not built.

Change: the text, and the table that is generated from it. test_docs and test_gateway_settings pass.

--- a/cranberryglade/preemption/options.py
+++ b/cranberryglade/preemption/options.py
@@ -12,7 +12,8 @@
     """Whether urgent requests may take slots from running ones.
 
     Attributes:
-        enabled: whether slots are reserved and running work is preempted.
+        enabled: whether running work is preempted, and refused requests keep
+            their places.
     """
 
     enabled: bool = DEFAULT_ENABLED
@@ -24,7 +25,7 @@
         options.parse_flag,
         "`yes` or `no`",
         DEFAULT_ENABLED,
-        "whether slots are kept free for urgent requests, and resumable "
-        "streams give way to them",
+        "whether resumable streams yield their slots to urgent requests, and "
+        "refused requests that come back when told keep their places",
     ),
 )
