--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -117,10 +117,12 @@
             configuration_age.ConfigurationAge(initial_settings.revoke_seconds),
             telemetry.Telemetry(),
         )
+        self._state.contention = initial_settings.options.preemption
         self._slots = slots.SlotScheduler(
             self._state.quarantine,
             self._state.endpoint_limits,
             initial_settings.options.placement,
+            initial_settings.options.preemption,
         )
         self._quarantine_sync = quarantine_sync.QuarantineSync(
             store, self._state
@@ -233,6 +235,7 @@
                 initial_settings.options.warmup.max_wait_ms / 1000,
             ),
         )
+        self._allocator.set_yielder(self._forwarder.yield_slot)
         self._caller_listener = inbound.Listener(
             self._forwarder.handle,
             self._report_invalid_request,
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -64,7 +64,13 @@
         Returns:
             What it sent; if it failed, another attempt may be under way as
             `exchange.replacement`. None if that one goes on in its stead.
+
+        Raises:
+            YieldedError: if the attempt is to yield its slot.
         """
+        if exchange.yield_requested:
+            # What had arrived by then is relayed.
+            raise exchanges.YieldedError
         began_at = _now()
         seconds = replacement.silence_seconds(
             exchange.admitted.route,
@@ -78,10 +84,13 @@
             replace_at = began_at + seconds
             seconds = late_after
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(seconds) as exchange.receiving:
                 return await receive()
         except TimeoutError:
-            pass
+            if exchange.yield_requested:
+                raise exchanges.YieldedError from None
+        finally:
+            exchange.receiving = None
         silence = _Silence(
             self._attempts,
             self._hedge_records,
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -21,6 +21,10 @@
 from cranberryglade.gateway import slot_queue
 from cranberryglade.placement import options as placement_options
 from cranberryglade.placement import placing
+from cranberryglade.preemption import offering
+from cranberryglade.preemption import options
+from cranberryglade.preemption import returns
+from cranberryglade.preemption import victims
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -31,6 +35,10 @@
 MIN_CAPACITY = 0.01
 """Least number of slots that a wait is estimated with."""
 
+MIN_PACE = 1e-9
+"""Least seconds for a unit of work that a rate is estimated with; the pace is 0
+before the first answer."""
+
 MAX_LATE_WAIT_SHARE = 0.5
 """A request that will be late is denied if it would wait for more than this
 part of the longest time that it may wait."""
@@ -53,12 +61,16 @@
     __slots__ = (
         "_expiries",
         "_groups",
+        "_last_moments",
         "_leases",
+        "_options",
         "_quarantine",
         "_quarantine_revision",
         "_queues",
         "_rates",
+        "_returns",
         "_states",
+        "_victims",
         "_waiting",
         "placing",
     )
@@ -68,6 +80,7 @@
         crashing_parts: quarantine.Quarantine | None = None,
         limits: endpoint_limits.EndpointLimits | None = None,
         placement: placement_options.PlacementOptions | None = None,
+        contention: options.PreemptionOptions | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -76,10 +89,15 @@
                 record of its own.
             limits: the limits that endpoints name; None for none.
             placement: terms of the cost of an endpoint; None for the defaults.
+            contention: what operators set for contention; None for the
+                defaults.
         """
         self.placing = placing.Placing(
             placement or placement_options.PlacementOptions()
         )
+        self._options = contention or options.PreemptionOptions()
+        self._returns: dict[str, returns.ReturnSchedule] = {}
+        self._victims = victims.Victims()
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -91,6 +109,7 @@
         self._queues: dict[str, slot_queue.SlotQueue] = {}
         self._waiting: dict[str, endpoint_states.QueuedRequest] = {}
         self._expiries: list[tuple[float, str]] = []
+        self._last_moments: list[tuple[float, str]] = []
 
     @property
     def lease_count(self) -> int:
@@ -102,6 +121,11 @@
         """Number of requests in the queues."""
         return len(self._waiting)
 
+    @property
+    def promised_returns(self) -> int:
+        """Number of refused requests that were told when to come back."""
+        return sum(len(schedule) for schedule in self._returns.values())
+
     @property
     def limit_share(self) -> float:
         """Share of the endpoints' limits that may be granted here."""
@@ -154,18 +178,41 @@
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
-        self._enqueue(endpoint_states.QueuedRequest(holder, request, now))
+        waiting = self._make_waiting(holder, request, now)
+        self._enqueue(waiting)
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
-            denied = self._early_denial(holder, request, now)
-            if denied is None and request.wait_until <= now:
+            denied = None
+            if request.wait_until <= now:
+                # A hedge takes no place among those that wait or come back.
                 denied = self._make_denial(request, "waited", 0.0)
+            elif preempted := self._preempt_if_late(waiting, now):
+                decisions += preempted
+            else:
+                denied = self._early_denial(waiting, now)
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
         return decisions
 
+    def keep(
+        self, holder: str, id_: str, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Records that a request does not yield its slot.
+
+        Returns:
+            The next request that is asked instead, if there is any.
+        """
+        lease = self._leases.get(id_)
+        if lease is None or lease.holder != holder:
+            return []
+        asked = self._victims.keep(id_)
+        waiting = self._waiting.get(asked.urgent) if asked else None
+        if waiting is None:
+            return []
+        return self._preempt_for(waiting, asked.tries + 1, now)
+
     def withdraw(self, id_: str) -> None:
         """Removes a request from the queue."""
         waiting = self._waiting.pop(id_, None)
@@ -194,9 +241,12 @@
         lease = self._leases.remove(id_)
         if lease is None:
             return []
+        self._victims.remove(lease)
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
+        schedule = self._return_schedule(state.endpoint.service)
+        schedule.record_freed(lease.work_units, now)
         self._apply_outcome(state, lease, outcome, now)
         self._renew(lease.endpoint, now)
         return self._grant_waiting(state.endpoint.service, now)
@@ -313,11 +363,12 @@
             if waiting is None or now < waiting.request.wait_until:
                 continue
             self.withdraw(id_)
-            denied = self._make_denial(waiting.request, "waited", 0.5)
+            denied = self._deny_for_now(waiting, "waited", now)
             decisions.append(
                 endpoint_states.SlotDecision(waiting.holder, denied)
             )
-        return decisions + self._grant_all(now)
+        decisions += self._grant_all(now)
+        return decisions + self._preempt_at_last_moment(now)
 
     def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
         return [
@@ -362,6 +413,7 @@
         services: set[str] = set()
         for id_ in ids:
             lease = self._leases.remove(id_)
+            self._victims.remove(lease)
             self._renew(lease.endpoint, now)
             if lease.endpoint in self._states:
                 services.add(self._states[lease.endpoint].endpoint.service)
@@ -419,10 +471,12 @@
         self.withdraw(request.id)
         lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
         self._leases.add(request.id, lease)
+        self._victims.add(lease)
         self._renew(name, now)
         self.placing.record_grant(waiting.holder, state.domain)
         if state.bucket is not None:
             state.bucket.take()
+        self._return_schedule(request.service).record_granted(request, now)
         granted = messages.Granted(request.id, name)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
@@ -480,8 +534,9 @@
         )
 
     def _early_denial(
-        self, holder: str, request: messages.SlotRequest, now: float
+        self, waiting: endpoint_states.QueuedRequest, now: float
     ) -> messages.Denied | None:
+        holder, request = waiting.holder, waiting.request
         group = self._groups.get(request.service)
         if group is None or next(group.usable(request), None) is None:
             any_version = request.software_version is None
@@ -496,10 +551,15 @@
             )
         queue = self._queues[request.service]
         share = _version_share(request, group)
-        ahead = queue.load_up_to(request.rank, request.software_version, share)
+        returned = waiting.returned_from is not None
+        # One that has come back precedes the new ones of its rank.
+        rank = request.rank - 1 if returned else request.rank
+        ahead = queue.load_up_to(rank, request.software_version, share)
         wait = self._expected_wait(request, group, ahead, now)
         if now + wait > request.wait_until:
-            return self._make_denial(request, "hopeless", wait)
+            return self._deny_for_now(waiting, "hopeless", now)
+        if returned:
+            return None
         oldest = queue.oldest_late(request.rank)
         if oldest is None or not self._will_be_late(request, group, now):
             return None
@@ -507,7 +567,7 @@
         # those in time leave slots.
         wait = max(wait, now - oldest)
         if wait > MAX_LATE_WAIT_SHARE * (request.wait_until - now):
-            return self._make_denial(request, "hopeless", wait)
+            return self._deny_for_now(waiting, "hopeless", now)
         return None
 
     def _will_be_late(
@@ -602,6 +662,128 @@
             group = self._groups[state.endpoint.service]
             group.record_pace(state, pace, now)
 
+    def _preempt_if_late(
+        self, waiting: endpoint_states.QueuedRequest, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Asks for a slot at once for a request that will be late without.
+
+        For one that is expected to get a slot in time, it is asked for later,
+        if that does not come true.
+        """
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if not self._options.enabled or group is None:
+            return []
+        if self._will_be_late(request, group, now):
+            return self._preempt_for(waiting, 1, now)
+        seconds = _seconds_to_answer(request, group.median_pace)
+        last = request.first_answer_due - seconds - victims.MARGIN_SECONDS
+        entry = (last, request.id)
+        heapq.heappush(self._last_moments, entry)
+        return []
+
+    def _preempt_at_last_moment(
+        self, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        decisions = []
+        while self._last_moments and self._last_moments[0][0] <= now:
+            _, id_ = heapq.heappop(self._last_moments)
+            waiting = self._waiting.get(id_)
+            if waiting is not None:
+                decisions += self._preempt_for(waiting, 1, now)
+        return decisions
+
+    def _preempt_for(
+        self, waiting: endpoint_states.QueuedRequest, tries: int, now: float
+    ) -> list[endpoint_states.SlotDecision]:
+        """Asks a running request to yield its slot to one that waits.
+
+        Only if that one is in time then.
+        """
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if group is None or self.suspects(request.parts):
+            return []
+
+        def accepts(lease: endpoint_states.Lease) -> bool:
+            return self._may_yield(lease, waiting, group, now)
+
+        lease = self._victims.ask(request, accepts, now, tries)
+        if lease is None:
+            return []
+        preempted = messages.Preempted(lease.request.id, lease.endpoint)
+        return [endpoint_states.SlotDecision(lease.holder, preempted)]
+
+    def _may_yield(
+        self,
+        lease: endpoint_states.Lease,
+        waiting: endpoint_states.QueuedRequest,
+        group: endpoint_group.EndpointGroup,
+        now: float,
+    ) -> bool:
+        state = self._states.get(lease.endpoint)
+        if state is None or state.endpoint.leaving or state.paused_until > now:
+            return False
+        pace = state.seconds_per_work_unit or group.median_pace
+        if victims.is_nearly_done(lease, pace, now):
+            return False
+        answered_at = now + _seconds_to_answer(waiting.request, pace)
+        if answered_at > waiting.request.first_answer_due:
+            return False
+        queue = self._queues[waiting.request.service]
+        ahead = queue.load_up_to(offering.MOST_URGENT_RANK)
+        pause = self._expected_wait(lease.request, group, ahead, now)
+        return (
+            pause <= victims.MAX_PAUSE_SECONDS
+            and waiting.request.may_run_at(state.endpoint)
+            and not state.is_unreachable_from(waiting.holder, now)
+        )
+
+    def _make_waiting(
+        self, holder: str, request: messages.SlotRequest, now: float
+    ) -> endpoint_states.QueuedRequest:
+        promise = self._return_schedule(request.service).redeem(request, now)
+        waiting = endpoint_states.QueuedRequest(holder, request, now)
+        if promise is not None and self._options.enabled:
+            waiting.returned_from = promise.since
+        return waiting
+
+    def _deny_for_now(
+        self,
+        waiting: endpoint_states.QueuedRequest,
+        reason: str,
+        now: float,
+    ) -> messages.Denied:
+        """Denies a request for want of a slot, until one will be free."""
+        request = waiting.request
+        group = self._groups.get(request.service)
+        if group is None:
+            return self._make_denial(
+                request, reason, UNREACHABLE_BACKOFF_SECONDS
+            )
+        share = _version_share(request, group)
+        ahead = self._queues[request.service].load_up_to(
+            request.rank, request.software_version, share
+        )
+        # It may still be in the queue itself.
+        if request.id in self._waiting:
+            ahead.change(request, -1)
+        slot_count = max(MIN_CAPACITY, group.load_for(request).slots)
+        wait = self._return_schedule(request.service).promise(
+            waiting,
+            ahead.work_units,
+            self._expected_wait(request, group, ahead, now),
+            slot_count / max(MIN_PACE, group.median_pace),
+            now,
+        )
+        return self._make_denial(request, reason, wait)
+
+    def _return_schedule(self, service: str) -> returns.ReturnSchedule:
+        schedule = self._returns.get(service)
+        if schedule is None:
+            schedule = self._returns[service] = returns.ReturnSchedule()
+        return schedule
+
     def _make_denial(
         self, request: messages.SlotRequest, reason: str, wait: float
     ) -> messages.Denied:
@@ -619,3 +801,14 @@
         return 1.0
     slots = group.load_for(request).slots
     return slots / max(MIN_CAPACITY, group.load.slots)
+
+
+def _seconds_to_answer(request: messages.SlotRequest, pace: float) -> float:
+    """Returns the time to the first answer in a slot that another yields.
+
+    Args:
+        request: the request.
+        pace: expected seconds of the endpoint for each unit of work.
+    """
+    first_answer = endpoint_states.first_answer_seconds(request, pace)
+    return victims.YIELD_SECONDS + first_answer
--- a/cranberryglade/tests/test_allocation_cost.py
+++ b/cranberryglade/tests/test_allocation_cost.py
@@ -30,6 +30,7 @@
 from cranberryglade.gateway import state
 from cranberryglade.gateway import telemetry
 from cranberryglade.placement import options as placement_options
+from cranberryglade.preemption import options
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 
@@ -65,12 +66,14 @@
     waiting: int,
     placement: placement_options.PlacementOptions | None = None,
     domains: int = 1,
+    contention: options.PreemptionOptions | None = None,
+    running_rank: int = 0,
 ) -> slots.SlotScheduler:
     """Returns a scheduler with measured endpoints.
 
     Half of the slots are in use, or all of them if requests wait.
     """
-    scheduler = slots.SlotScheduler(placement=placement)
+    scheduler = slots.SlotScheduler(placement=placement, contention=contention)
     scheduler.placing.distance.set_domains(
         lambda holder: f"d-{sum(holder.encode()) % domains}"
     )
@@ -88,7 +91,9 @@
         pace = 0.3 + number % 7 / 10
         scheduler.release(f"first-{number}", Outcome.SERVED, 1.0 + pace)
     for number in range((4 if waiting else 2) * endpoints):
-        request = builders.make_slot_request(f"running-{number}")
+        request = builders.make_slot_request(
+            f"running-{number}", rank=running_rank, yields=running_rank > 0
+        )
         scheduler.request_slot(f"holder-{number % 200}", request, 3.0)
     for number in range(waiting):
         request = builders.make_slot_request(
@@ -137,6 +142,22 @@
     assert steps_of_a_request(large) <= MOST_GROWTH * steps_of_a_request(few)
 
 
+@pytest.mark.parametrize("waiting", [100, 10_000])
+def test_a_grant_costs_the_same_at_any_size_if_streams_may_yield(waiting):
+    enabled = options.PreemptionOptions(enabled=True)
+    base = steps_of_a_request(
+        make_loaded_scheduler(
+            FEW_ENDPOINTS, 100, contention=enabled, running_rank=2
+        )
+    )
+    large = steps_of_a_request(
+        make_loaded_scheduler(
+            2_000, waiting, contention=enabled, running_rank=2
+        )
+    )
+    assert large <= MOST_GROWTH * base
+
+
 def make_state(name: str, held: leases.LeaseTable, **changes):
     return endpoint_states.EndpointState(
         builders.make_endpoint(name, **changes), held.at(name)
