Slots: a hedge that finds no free slot takes no place among those that come back

The slot scheduler promised each refused request a time to come back, hedges included, whose wait is over when they ask. 11 test files of slots, hedging, contention and placement pass.

--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -183,14 +183,9 @@
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
-            denied = None
-            if request.wait_until <= now:
-                # A hedge takes no place among those that wait or come back.
-                denied = self._make_denial(request, "waited", 0.0)
-            elif preempted := self._preempt_if_late(waiting, now):
-                decisions += preempted
-            else:
-                denied = self._early_denial(waiting, now)
+            preempted = self._preempt_if_late(waiting, now)
+            decisions += preempted
+            denied = None if preempted else self._early_denial(waiting, now)
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
@@ -549,6 +544,9 @@
             return self._make_denial(
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
             )
+        if request.wait_until <= now:
+            # A hedge takes no place among those that wait or come back.
+            return self._make_denial(request, "waited", 0.0)
         queue = self._queues[request.service]
         share = _version_share(request, group)
         returned = waiting.returned_from is not None
