Placement: work is kept from endpoints that have just slowed down

Cause: the moving average of an endpoint's pace follows a slowdown of 600 ms too late, and the time to the first answer in releases was not used.

Change: with [placement] recent_pace, off by default, the pace of the last part of each answer is compared with the endpoint's usual one. An endpoint found to be slowed gets no work of rank 0 for 0.3 s while another is free, and costs more for others. Counts of the decisions are logged every 10 s.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -305,11 +305,9 @@
                 self.deliver_decisions(self._slots.remove_holder(holder, now))
         self.deliver_decisions(self._slots.tick(now))
         self._charges.expire(now)
-        granted = self._slots.placing.distance.take_summary(now)
-        if granted is not None:
-            logger.info(
-                "placement.counted", own=granted.own, other=granted.other
-            )
+        counted = self._slots.placing.take_summary(now)
+        if counted is not None:
+            logger.info("placement.counted", **dataclasses.asdict(counted))
 
     def deliver_decisions(
         self, decisions: list[endpoint_states.SlotDecision]
--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -463,7 +463,10 @@
                 continue
             compared += 1
             if preference is not None:
-                cost = cost.weighted(preference.weigh(state, median_pace))
+                weight = preference.weigh(state, cost, median_pace)
+                if math.isinf(weight):
+                    continue
+                cost = cost.weighted(weight)
             candidate = (cost, id_, revision, state)
             best = candidate if best is None else min(best, candidate)
         for candidate in taken:
--- a/cranberryglade/gateway/endpoint_states.py
+++ b/cranberryglade/gateway/endpoint_states.py
@@ -158,6 +158,19 @@
         running = len(self.leases)
         return Cost(pace * (1 + SLOWDOWN_PER_REQUEST * running), running)
 
+    def overdue_factor(self, cost: "Cost") -> float:
+        """Returns how much longer than usual its oldest request has taken.
+
+        Args:
+            cost: its present cost.
+        """
+        if not self.samples:
+            return 1.0
+        usual = self.seconds_per_work_unit
+        return cost.seconds / (
+            usual * (1 + SLOWDOWN_PER_REQUEST * cost.running)
+        )
+
     @property
     def free_slots(self) -> int:
         """Number of slots that are not in use."""
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -73,16 +73,26 @@
         "Quarantines, lifted ones included.",
         lambda: len(shared.quarantine.entries),
     )
-    distance = scheduler.placing.distance
+    placed = scheduler.placing.counts
     watch(
         "grants_own_domain",
         "Slots granted in the failure domain of the instance that asked.",
-        lambda: distance.counts.own,
+        lambda: placed.own,
     )
     watch(
         "grants_other_domain",
         "Slots granted in another failure domain.",
-        lambda: distance.counts.other,
+        lambda: placed.other,
+    )
+    watch(
+        "endpoint_slowdowns",
+        "How often an endpoint was found to be slower than usual.",
+        lambda: placed.slowed,
+    )
+    watch(
+        "grants_spared",
+        "How often urgent work was kept from an endpoint that was slowed.",
+        lambda: placed.spared,
     )
     watch(
         "requests_waiting",
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -137,6 +137,7 @@
             self._states[name] = state
             self._join_group(state, now)
         self._leases.forget_endpoints(self._states)
+        self.placing.forget_endpoints(self._states)
         return self._grant_all(now)
 
     def request_slot(
@@ -195,7 +196,7 @@
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
-        self._apply_outcome(state, lease, outcome, now)
+        self._apply_outcome(state, lease, outcome, now, first_answer_seconds)
         self._renew(lease.endpoint, now)
         return self._grant_waiting(state.endpoint.service, now)
 
@@ -468,7 +469,7 @@
                 and not (suspected and self._runs_suspected(state))
             )
 
-        preference = self.placing.preference(waiting.holder)
+        preference = self.placing.preference(waiting.holder, request, now)
         return group.choose(request, accepts, now, preference)
 
     def _runs_suspected(self, state: endpoint_states.EndpointState) -> bool:
@@ -562,6 +563,7 @@
         lease: endpoint_states.Lease,
         outcome: messages.Outcome,
         now: float,
+        first_answer_seconds: float | None,
     ) -> None:
         match outcome:
             case messages.Outcome.SERVED:
@@ -570,6 +572,7 @@
                 if lease.work_units:
                     pace = (now - lease.granted_at) / lease.work_units
                     self._record_pace(state, pace, now)
+                self.placing.record_served(lease, first_answer_seconds, now)
             case messages.Outcome.FAILED | messages.Outcome.ABANDONED:
                 pass
             case messages.Outcome.UNREACHABLE:
--- a/cranberryglade/placement/options.py
+++ b/cranberryglade/placement/options.py
@@ -14,9 +14,12 @@
     Attributes:
         remote_cost: factor on the cost of endpoints in another failure domain
             than the instance that sends the request; 1 makes no difference.
+        recent_pace: whether urgent work is kept from endpoints that are slower
+            than usual for a short time.
     """
 
     remote_cost: float = DEFAULT_REMOTE_COST
+    recent_pace: bool = False
 
 
 SECTION = (
@@ -28,4 +31,12 @@
         "factor on the cost of endpoints in another failure domain than the "
         "instance that sends the request; 1 makes no difference",
     ),
+    options.Option(
+        "recent_pace",
+        options.parse_flag,
+        "yes or no",
+        False,
+        "whether urgent work is kept from endpoints that are slower than usual "
+        "for a short time",
+    ),
 )
--- a/cranberryglade/tests/test_placement.py
+++ b/cranberryglade/tests/test_placement.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cranberryglade.placement import options
+from cranberryglade.placement import recent_pace
 from cranberryglade.tools import placement_replay as replay
 
 NEAR = options.PlacementOptions(remote_cost=1.5)
@@ -51,3 +52,46 @@
     ]
     shares = [sum(each) / len(each) for each in windows]
     assert max(shares) - min(shares) < 0.25
+
+
+RECENT = options.PlacementOptions(recent_pace=True)
+SHORT_CALLS = {
+    "endpoints": 12,
+    "slots": 6,
+    "plain_seconds": 0.09,
+    "slowed_share": 0.15,
+    "swing": 0.0,
+}
+
+
+def test_urgent_calls_go_on_to_an_endpoint_that_has_just_slowed_down():
+    before, after = play(**SHORT_CALLS), play(RECENT, **SHORT_CALLS)
+    assert before.urgent_slowed_share > 0.03
+    assert after.urgent_slowed_share < 0.75 * before.urgent_slowed_share
+    assert after.mean_seconds < before.mean_seconds
+
+
+def test_endpoint_that_was_slowed_gets_urgent_work_again():
+    paces = recent_pace.RecentPaces()
+    usual = recent_pace.Sample(0.1, is_streamed=True)
+    for name in ("e-1", "e-2", "e-3", "e-4"):
+        for number in range(5):
+            assert not paces.record(name, usual, number / 10)
+    slowed = recent_pace.Sample(0.25, is_streamed=True)
+    assert paces.record("e-1", slowed, 1.0)
+    assert paces.factor("e-1", 1.1) == pytest.approx(2.5)
+    assert paces.factor("e-1", 1.0 + recent_pace.MEMORY_SECONDS) == 1.0
+    assert not paces.record("e-1", usual, 1.5)
+    # Load slows all endpoints, which is no reason to spare any of them.
+    assert paces.record("e-1", slowed, 2.0)
+    assert paces.record("e-2", slowed, 2.0)
+    assert paces.factor("e-1", 2.1) == 1.0
+
+
+def test_endpoint_that_is_always_slow_keeps_getting_work():
+    load = {"speeds": UNEVEN, "load": 1.0}
+    results = [play(placement, **load) for placement in (None, RECENT)]
+    before, after = [
+        sum(e.endpoint % 3 == 2 for e in each.of_rank(0)) for each in results
+    ]
+    assert after >= 0.9 * before > 50
--- a/cranberryglade/tools/placement_replay.py
+++ b/cranberryglade/tools/placement_replay.py
@@ -55,6 +55,8 @@
         slowed_share: part of the time in which an endpoint is slowed.
         slowed_factor: factor on its times then.
         prompts: number of different long prompt parts; 0 for none.
+        plain_seconds: if not 0, all requests are plain calls that take this
+            time.
         seconds: simulated time.
         seed: seed of arrivals.
     """
@@ -74,6 +76,7 @@
     slowed_share: float = 0.0
     slowed_factor: float = 2.5
     prompts: int = 0
+    plain_seconds: float = 0.0
     seconds: float = 24.0
     seed: int = 1
 
@@ -236,11 +239,11 @@
 
     @property
     def _rate(self) -> float:
-        seconds = statistics.mean(
+        plan = self._plan
+        seconds = plan.plain_seconds or statistics.mean(
             tokens * SECONDS_PER_PROMPT_TOKEN + out * SECONDS_PER_OUTPUT_TOKEN
             for _, tokens, out, _ in SIZES
         )
-        plan = self._plan
         return plan.load * plan.endpoints * plan.slots / seconds
 
     def _push(self, at: float, kind: str, subject: object) -> None:
@@ -273,6 +276,8 @@
         if self._random.random() * (1 + self._plan.swing) > level:
             return
         rank, tokens, output, target = self._random.choice(SIZES)
+        if self._plan.plain_seconds:
+            tokens = output = 0
         parts = ()
         if self._plan.prompts:
             parts = (f"part-{self._random.randrange(self._plan.prompts)}",)
@@ -307,7 +312,8 @@
         endpoint = self._endpoints[number]
         request = arrival.request
         own = self._domain_of(number) == arrival.domain
-        prompt = request.prompt_tokens * SECONDS_PER_PROMPT_TOKEN
+        prompt = self._plan.plain_seconds
+        prompt += request.prompt_tokens * SECONDS_PER_PROMPT_TOKEN
         output = request.output_tokens * SECONDS_PER_OUTPUT_TOKEN
         trip = 0.0 if own else REMOTE_ROUND_TRIP_SECONDS
         first_at = endpoint.end_of(now + trip, prompt)
