Placement: endpoints used just before cost less

Cause: each pair of instance and endpoint is used once in some seconds, and a connection that was idle for more than 1.0 s (4.0 s) is not used again, so over half of the requests opened a connection. Prompt parts were read again by whichever endpoint was free. Both need the same search: a few endpoints by their recent use.

Change: [placement] new_connection_cost and reread_cost, both off by default, are factors on the cost of endpoints that the instance has not just had an answer from, or that have not lately read a part of the prompt. Idle times and pools are unchanged.

--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -24,8 +24,9 @@
 """Most endpoints whose present costs are compared for one grant. Costs rise
 while requests run, so an order by earlier costs is nearly right."""
 
-MAX_REMOTE_COMPARED = 3
-"""Most endpoints that are compared then with the best of the own domain."""
+MAX_FURTHER_COMPARED = 3
+"""The same for each order of costs if a request prefers some endpoints; then
+there are two orders, and the preferred ones are compared, too."""
 
 MAX_REST_SECONDS = 0.1
 """An endpoint whose limit is used up is looked at again after this time, since
@@ -413,15 +414,54 @@
                 pool, pool.order, accepts, None, 1.0, None, now
             )
         own = pool.order_of(preference.domain)
-        best: Candidate | None = None
+        best = self._best_favoured(pool, accepts, preference, now)
         if own is not None:
-            best = self._best_of(pool, own, accepts, preference, 1.0, None, now)
+            least = preference.usual_weight
+            best = self._best_of(
+                pool, own, accepts, preference, least, best, now
+            )
         # Those of the own domain were compared just before.
         least = preference.remote_weight
         return self._best_of(
             pool, pool.order, accepts, preference, least, best, now
         )
 
+    def _best_favoured(
+        self,
+        pool: VersionPool,
+        accepts: Accepts,
+        preference: preferences.Preference,
+        now: float,
+    ) -> Candidate | None:
+        best: Candidate | None = None
+        median_pace = self.median_pace
+        for id_ in preference.favoured:
+            state = pool.states.get(id_)
+            if state is None or state.free_slots <= 0:
+                continue
+            if self._available_at(state, now) > now or not accepts(state):
+                continue
+            cost = state.cost(median_pace, now)
+            weight = preference.weigh(state, cost, median_pace)
+            if math.isinf(weight):
+                continue
+            candidate = (cost.weighted(weight), id_, state.revision, state)
+            best = candidate if best is None else min(best, candidate)
+        return best
+
+    def _available_at(
+        self, state: endpoint_states.EndpointState, now: float
+    ) -> float:
+        """Returns when an endpoint may get a request, `now` if it may now."""
+        if state.is_unrestricted(now) and self._rates.unlimited:
+            return now
+        until = max(
+            now, state.paused_until, state.down_until, state.room_at(now)
+        )
+        if until <= now and self._rates.tokens(state, now) < 1.0:
+            return now + MAX_REST_SECONDS
+        return until
+
     def _best_of(
         self,
         pool: VersionPool,
@@ -446,8 +486,9 @@
         taken: list[Candidate] = []
         compared = 0
         median_pace = self.median_pace
-        most = MAX_COMPARED if best is None else MAX_REMOTE_COMPARED
-        while compared < most:
+        most = MAX_COMPARED if preference is None else MAX_FURTHER_COMPARED
+        spared = 0
+        while compared < most and spared < MAX_COMPARED:
             first = self._first_available(pool, order, now)
             if first is None:
                 break
@@ -461,12 +502,16 @@
             taken.append((cost, id_, revision, state))
             if not accepts(state):
                 continue
-            compared += 1
+            weight = 1.0
             if preference is not None:
                 weight = preference.weigh(state, cost, median_pace)
-                if math.isinf(weight):
-                    continue
                 cost = cost.weighted(weight)
+            if weight < preferences.SPARED_WEIGHT:
+                compared += 1
+            else:
+                spared += 1
+            if math.isinf(weight):
+                continue
             candidate = (cost, id_, revision, state)
             best = candidate if best is None else min(best, candidate)
         for candidate in taken:
@@ -480,13 +525,7 @@
             pool.wake(self.median_pace, now)
         while (first := order.first()) is not None:
             state = first[-1]
-            if state.is_unrestricted(now) and self._rates.unlimited:
-                return first
-            until = max(
-                state.paused_until, state.down_until, state.room_at(now)
-            )
-            if until <= now and self._rates.tokens(state, now) < 1.0:
-                until = now + MAX_REST_SECONDS
+            until = self._available_at(state, now)
             if until <= now:
                 return first
             pool.rest(state, until)
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -94,6 +94,11 @@
         "How often urgent work was kept from an endpoint that was slowed.",
         lambda: placed.spared,
     )
+    watch(
+        "grants_prefixed",
+        "Slots granted at endpoints that had lately read a prompt part.",
+        lambda: placed.prefixed,
+    )
     watch(
         "requests_waiting",
         "Requests in the allocator's queue.",
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -419,7 +419,7 @@
         lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
         self._leases.add(request.id, lease)
         self._renew(name, now)
-        self.placing.record_grant(waiting.holder, state.domain)
+        self.placing.record_grant(waiting.holder, request, state.endpoint, now)
         if state.bucket is not None:
             state.bucket.take()
         granted = messages.Granted(request.id, name)
--- a/cranberryglade/placement/placing.py
+++ b/cranberryglade/placement/placing.py
@@ -14,6 +14,15 @@
 from cranberryglade.placement import options
 from cranberryglade.placement import preference
 from cranberryglade.placement import recent_pace
+from cranberryglade.placement import recent_uses
+
+CONNECTION_SECONDS = 0.8
+"""A connection counts as just used for this time: less than the idle time after
+which an instance sends no request on it that may run only once."""
+
+READ_SECONDS = 9.0
+"""An endpoint counts as having read a part for this time: what some endpoint
+has read is charged if it is read again within 10 s."""
 
 
 class Placing:
@@ -24,9 +33,26 @@
         distance: the cost of distance.
     """
 
-    __slots__ = ("_recent", "_summaries", "counts", "distance")
+    __slots__ = (
+        "_connections",
+        "_is_on",
+        "_options",
+        "_reads",
+        "_recent",
+        "_saves_connections",
+        "_saves_reading",
+        "_summaries",
+        "counts",
+        "distance",
+    )
 
     def __init__(self, placement: options.PlacementOptions):
+        self._options = placement
+        self._is_on = placement != options.PlacementOptions()
+        self._saves_connections = placement.new_connection_cost != 1.0
+        self._saves_reading = placement.reread_cost != 1.0
+        self._connections = recent_uses.RecentUses(CONNECTION_SECONDS)
+        self._reads = recent_uses.RecentUses(READ_SECONDS)
         self._summaries = counts.Summaries()
         self._recent = (
             recent_pace.RecentPaces() if placement.recent_pace else None
@@ -49,18 +75,52 @@
             request: the request.
             now: seconds of the loop's clock.
         """
-        domain = self.distance.domain_of(holder)
-        if not domain and self._recent is None:
+        if not self._is_on:
             return None
+        connected = readers = []
+        if self._saves_connections:
+            connected = self._connections.find(holder, now)
+        if self._saves_reading:
+            readers = self._readers(request.parts, now)
         return preference.Preference(
-            request, now, self.distance, domain, self._recent, self.counts
+            request,
+            now,
+            self.distance,
+            self.distance.domain_of(holder),
+            self._recent,
+            self.counts,
+            connected,
+            self._options.new_connection_cost if connected else 1.0,
+            readers,
+            self._options.reread_cost if readers else 1.0,
         )
 
-    def record_grant(self, holder: str, domain: str) -> None:
-        """Records a grant of an endpoint in a domain."""
-        is_own = self.distance.is_own(holder, domain)
+    def record_grant(
+        self,
+        holder: str,
+        request: messages.SlotRequest,
+        endpoint: messages.Endpoint,
+        now: float,
+    ) -> None:
+        """Records a grant.
+
+        Args:
+            holder: the instance that asked.
+            request: the request.
+            endpoint: the endpoint that runs it.
+            now: seconds of the loop's clock.
+        """
+        is_own = self.distance.is_own(holder, endpoint.domain)
         self.counts.own += is_own is True
         self.counts.other += is_own is False
+        if self._saves_connections:
+            self._connections.discard(holder, endpoint.id)
+        if self._saves_reading:
+            known = [
+                self._reads.record(part, endpoint.id, now)
+                for part in request.parts
+            ]
+            self.counts.prefixed += any(known)
 
     def record_served(
         self,
@@ -75,6 +135,8 @@
             first_answer_seconds: time to the first answer; None if unknown.
             now: seconds of the loop's clock.
         """
+        if self._saves_connections:
+            self._connections.record(lease.holder, lease.endpoint, now)
         if self._recent is None or first_answer_seconds is None:
             return
         if lease.request is None or first_answer_seconds <= 0:
@@ -92,6 +154,12 @@
 
     def take_summary(self, now: float) -> counts.Counts | None:
         """Returns what was counted since the last summary, if one is due."""
-        if not self.distance.is_on and self._recent is None:
-            return None
-        return self._summaries.take(self.counts, now)
+        return self._summaries.take(self.counts, now) if self._is_on else None
+
+    def _readers(self, parts: tuple[str, ...], now: float) -> list[str]:
+        # The last part includes the most of the prompt.
+        for part in reversed(parts):
+            found = self._reads.find(part, now)
+            if found:
+                return found
+        return []
--- a/cranberryglade/placement/preference.py
+++ b/cranberryglade/placement/preference.py
@@ -26,6 +26,11 @@
         distance: the cost of distance.
         domain: failure domain of the instance that asks; "" if unknown.
         recent: the present paces of the endpoints; None if they do not matter.
+        connected: ids of endpoints to which the instance has a connection that
+            it used just before.
+        new_connection_cost: factor on the cost of the others.
+        readers: ids of endpoints that have lately read a part of the prompt.
+        reread_cost: factor on the cost of the others.
         counted: counts of the decisions.
     """
 
@@ -35,11 +40,26 @@
     domain: str
     recent: recent_pace.RecentPaces | None
     counted: counts.Counts
+    connected: list[str]
+    new_connection_cost: float
+    readers: list[str]
+    reread_cost: float
+
+    @property
+    def favoured(self) -> list[str]:
+        """Ids of endpoints that cost less than others."""
+        return self.connected + self.readers
+
+    @property
+    def usual_weight(self) -> float:
+        """Least factor on the cost of an endpoint that is not favoured."""
+        return self.new_connection_cost * self.reread_cost
 
     @property
     def remote_weight(self) -> float:
-        """Least factor on the cost of an endpoint outside the domain."""
-        return self.distance.remote_cost if self.domain else 1.0
+        """The same for an endpoint outside the domain."""
+        remote = self.distance.remote_cost if self.domain else 1.0
+        return remote * self.usual_weight
 
     def weigh(
         self,
@@ -63,6 +83,10 @@
             weight = self.distance.weigh(
                 self.domain, state.domain, pace, median_pace
             )
+        if state.endpoint.id not in self.connected:
+            weight *= self.new_connection_cost
+        if state.endpoint.id not in self.readers:
+            weight *= self.reread_cost
         if self.recent is None:
             return weight
         return weight * self._weigh_slowdown(state, cost, median_pace)
--- a/cranberryglade/tests/test_placement.py
+++ b/cranberryglade/tests/test_placement.py
@@ -1,9 +1,14 @@
 """Replays of uneven demand and endpoints; each names what it guards against."""
 
+import collections
+
 import pytest
 
+from cranberryglade.gateway import messages
+from cranberryglade.gateway import slots
 from cranberryglade.placement import options
 from cranberryglade.placement import recent_pace
+from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tools import placement_replay as replay
 
 NEAR = options.PlacementOptions(remote_cost=1.5)
@@ -95,3 +100,49 @@
         sum(e.endpoint % 3 == 2 for e in each.of_rank(0)) for each in results
     ]
     assert after >= 0.9 * before > 50
+
+
+@pytest.mark.parametrize("remote_cost", [1.0, 1.5])
+def test_pairs_that_are_rarely_used_do_not_each_need_a_new_connection(
+    remote_cost,
+):
+    load = {"speeds": UNEVEN, "load": 0.6}
+    kept = options.PlacementOptions(
+        remote_cost=remote_cost, new_connection_cost=1.3
+    )
+    before, after = play(**load), play(kept, **load)
+    assert before.new_connection_share > 0.6
+    assert after.new_connection_share < 0.5 * before.new_connection_share
+    assert after.mean_seconds <= SLOWER * before.mean_seconds
+
+
+READ = options.PlacementOptions(reread_cost=1.3)
+
+
+def test_prompt_parts_are_read_again_less_often():
+    before, after = [play(each, prompts=60) for each in (None, READ)]
+    assert after.reread_share < 0.5 * before.reread_share
+    assert after.mean_seconds <= SLOWER * before.mean_seconds
+
+
+def test_prompt_part_of_all_requests_does_not_fill_one_endpoint():
+    result = play(READ, prompts=1)
+    loads = collections.Counter(each.endpoint for each in result.served)
+    assert max(loads.values()) < 1.3 * len(result.served) / len(loads)
+
+
+def test_endpoint_that_lately_read_a_part_has_to_be_available():
+    scheduler = slots.SlotScheduler(placement=READ)
+    listed = {
+        id_: builders.make_endpoint(id_, slots=1) for id_ in ("e-1", "e-2")
+    }
+    scheduler.update_endpoints(listed, 0.0)
+    decisions = []
+    for number in range(3):
+        request = builders.make_slot_request(f"r-{number}", parts=("p",))
+        decisions += scheduler.request_slot("a", request, number / 10)
+        if not number:
+            refused = messages.Outcome.REFUSED
+            scheduler.release("r-0", refused, 0.05)
+    chosen = [each.result.endpoint for each in decisions]
+    assert chosen == ["e-1", "e-2", "e-1"]
--- a/cranberryglade/tools/placement_replay.py
+++ b/cranberryglade/tools/placement_replay.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -16,6 +17,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import sending
 from cranberryglade.gateway import slots
 from cranberryglade.placement import options
 
@@ -34,6 +36,8 @@
 
 WAIT_SECONDS = 6.0
 URGENT_RANK = 0
+REPEATABLE_RANK = 1
+"""Rank of the requests that may be repeated."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,6 +98,7 @@
         seconds: time from its arrival to its end.
         late: whether its first answer came after its target time.
         reread: whether its endpoint had not read its prompt part lately.
+        connected: whether its instance had a connection that it could use.
     """
 
     rank: int
@@ -104,6 +109,7 @@
     seconds: float
     late: bool
     reread: bool
+    connected: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +138,16 @@
         """Returns the granted requests of a rank."""
         return [each for each in self.served if each.rank == rank]
 
+    @property
+    def new_connection_share(self) -> float:
+        """Share of the requests that needed a new connection."""
+        return statistics.mean(not each.connected for each in self.served)
+
+    @property
+    def reread_share(self) -> float:
+        """Share of the requests whose endpoint had not read their part."""
+        return statistics.mean(each.reread for each in self.served)
+
     @property
     def urgent_late_share(self) -> float:
         """Share of the most urgent requests whose first answer was late."""
@@ -187,6 +203,7 @@
 
     request: messages.SlotRequest
     domain: int
+    holder: str
     at: float
 
 
@@ -211,6 +228,9 @@
         self._events: list[tuple[float, int, str, object]] = []
         self._numbers = itertools.count()
         self._arrivals: dict[str, Arrival] = {}
+        self._idle: dict[tuple[str, int], list[float]] = (
+            collections.defaultdict(list)
+        )
         self._reads: dict[tuple[int, str], float] = {}
         self._result = Result()
 
@@ -292,9 +312,9 @@
             now + target,
             parts=parts,
         )
-        self._arrivals[request.id] = Arrival(request, domain, now)
         instance = self._random.randrange(INSTANCES_PER_DOMAIN)
         holder = f"d{domain}.{instance}"
+        self._arrivals[request.id] = Arrival(request, domain, holder, now)
         self._follow(self._slots.request_slot(holder, request, now), now)
 
     def _follow(
@@ -330,9 +350,21 @@
                 end_at - arrival.at,
                 first_at > request.first_answer_due,
                 not self._has_read(request, number, now),
+                self._takes_idle(arrival, number, now),
             )
         )
 
+    def _takes_idle(self, arrival: Arrival, number: int, now: float) -> bool:
+        repeatable = arrival.request.rank == REPEATABLE_RANK
+        limit = sending.ONCE_MAX_IDLE_SECONDS
+        if repeatable:
+            limit = sending.MAX_IDLE_SECONDS
+        idle = self._idle[arrival.holder, number]
+        while idle:
+            if now - idle.pop() < limit:
+                return True
+        return False
+
     def _has_read(
         self, request: messages.SlotRequest, number: int, now: float
     ) -> bool:
@@ -344,6 +376,7 @@
     def _end(self, ended: tuple[str, int, float], now: float) -> None:
         id_, number, first_answer_seconds = ended
         self._endpoints[number].running -= 1
+        self._idle[self._arrivals[id_].holder, number].append(now)
         served = messages.Outcome.SERVED
         self._follow(
             self._slots.release(id_, served, now, first_answer_seconds), now
