Placement: running requests alone do not mark an endpoint as slowed

Cause: a request that takes 1.3 times as long as expected marked its endpoint as slowed, without the limit on the share of slowed endpoints. Expected lengths of answers are estimates, so that urgent work could have waited while slots were free.

Change: only ended answers mark an endpoint; the cost still contains what running requests show.

--- a/cranberryglade/placement/preference.py
+++ b/cranberryglade/placement/preference.py
@@ -97,17 +97,14 @@
         cost: endpoint_states.Cost,
         median_pace: float,
     ) -> float:
-        overdue = state.overdue_factor(cost)
-        if overdue < recent_pace.OVERDUE_FACTOR:
-            overdue = 1.0
-        found = self.recent.factor(state.endpoint.id, self.now)
-        if max(found, overdue) <= 1.0:
+        slowdown = self.recent.factor(state.endpoint.id, self.now)
+        if slowdown <= 1.0:
             return 1.0
         if self.request.rank != URGENT_RANK:
             # The cost contains what running requests have shown.
-            return max(1.0, found / overdue)
+            return max(1.0, slowdown / state.overdue_factor(cost))
         self.counted.spared += 1
-        slowed_pace = state.seconds_per_work_unit * max(found, overdue)
+        slowed_pace = state.seconds_per_work_unit * slowdown
         waits = self._is_late(slowed_pace) and not self._is_late(median_pace)
         return math.inf if waits else SPARED_WEIGHT
 
--- a/cranberryglade/placement/recent_pace.py
+++ b/cranberryglade/placement/recent_pace.py
@@ -3,8 +3,7 @@
 Load pattern: an endpoint slows down by a factor of 2.5 for some 600 ms, 15% of
 the time. The moving average of its pace follows too late, and not at all once
 it is over. What tells earlier is the last part of each answer, from its first
-events to its end, and a running request that should have ended. An endpoint
-that is always slow is as fast as usual.
+events to its end. An endpoint that is always slow is as fast as usual.
 """
 
 from collections.abc import Iterable
@@ -18,10 +17,6 @@
 """From this factor above its usual pace on, an endpoint is slowed. A spell that
 covers half of the last part of an answer slows that part by 1.75."""
 
-OVERDUE_FACTOR = 1.3
-"""A running request that takes longer than usual by this factor shows that its
-endpoint is slowed. A full batch slows a request by less."""
-
 MEMORY_SECONDS = 0.3
 """An endpoint counts as slowed for this time after it was found to be: half of
 the spells that the load has."""
