--- a/cranberryglade/tools/placement_replay.py
+++ b/cranberryglade/tools/placement_replay.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -16,6 +17,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import sending
 from cranberryglade.gateway import slots
 from cranberryglade.placement import options
 
@@ -34,6 +36,8 @@
 
 WAIT_SECONDS = 6.0
 URGENT_RANK = 0
+REPEATABLE_RANK = 1
+"""Rank of the requests that may be repeated."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,6 +59,8 @@
         slowed_share: part of the time in which an endpoint is slowed.
         slowed_factor: factor on its times then.
         prompts: number of different long prompt parts; 0 for none.
+        plain_seconds: if not 0, all requests are plain calls that take this
+            time.
         seconds: simulated time.
         seed: seed of arrivals.
     """
@@ -74,6 +80,7 @@
     slowed_share: float = 0.0
     slowed_factor: float = 2.5
     prompts: int = 0
+    plain_seconds: float = 0.0
     seconds: float = 24.0
     seed: int = 1
 
@@ -91,6 +98,7 @@
         seconds: time from its arrival to its end.
         late: whether its first answer came after its target time.
         reread: whether its endpoint had not read its prompt part lately.
+        connected: whether its instance had a connection that it could use.
     """
 
     rank: int
@@ -101,6 +109,7 @@
     seconds: float
     late: bool
     reread: bool
+    connected: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,6 +138,16 @@
         """Returns the granted requests of a rank."""
         return [each for each in self.served if each.rank == rank]
 
+    @property
+    def new_connection_share(self) -> float:
+        """Share of the requests that needed a new connection."""
+        return statistics.mean(not each.connected for each in self.served)
+
+    @property
+    def reread_share(self) -> float:
+        """Share of the requests whose endpoint had not read their part."""
+        return statistics.mean(each.reread for each in self.served)
+
     @property
     def urgent_late_share(self) -> float:
         """Share of the most urgent requests whose first answer was late."""
@@ -184,6 +203,7 @@
 
     request: messages.SlotRequest
     domain: int
+    holder: str
     at: float
 
 
@@ -208,6 +228,9 @@
         self._events: list[tuple[float, int, str, object]] = []
         self._numbers = itertools.count()
         self._arrivals: dict[str, Arrival] = {}
+        self._idle: dict[tuple[str, int], list[float]] = (
+            collections.defaultdict(list)
+        )
         self._reads: dict[tuple[int, str], float] = {}
         self._result = Result()
 
@@ -236,11 +259,11 @@
 
     @property
     def _rate(self) -> float:
-        seconds = statistics.mean(
+        plan = self._plan
+        seconds = plan.plain_seconds or statistics.mean(
             tokens * SECONDS_PER_PROMPT_TOKEN + out * SECONDS_PER_OUTPUT_TOKEN
             for _, tokens, out, _ in SIZES
         )
-        plan = self._plan
         return plan.load * plan.endpoints * plan.slots / seconds
 
     def _push(self, at: float, kind: str, subject: object) -> None:
@@ -273,6 +296,8 @@
         if self._random.random() * (1 + self._plan.swing) > level:
             return
         rank, tokens, output, target = self._random.choice(SIZES)
+        if self._plan.plain_seconds:
+            tokens = output = 0
         parts = ()
         if self._plan.prompts:
             parts = (f"part-{self._random.randrange(self._plan.prompts)}",)
@@ -287,9 +312,9 @@
             now + target,
             parts=parts,
         )
-        self._arrivals[request.id] = Arrival(request, domain, now)
         instance = self._random.randrange(INSTANCES_PER_DOMAIN)
         holder = f"d{domain}.{instance}"
+        self._arrivals[request.id] = Arrival(request, domain, holder, now)
         self._follow(self._slots.request_slot(holder, request, now), now)
 
     def _follow(
@@ -307,7 +332,8 @@
         endpoint = self._endpoints[number]
         request = arrival.request
         own = self._domain_of(number) == arrival.domain
-        prompt = request.prompt_tokens * SECONDS_PER_PROMPT_TOKEN
+        prompt = self._plan.plain_seconds
+        prompt += request.prompt_tokens * SECONDS_PER_PROMPT_TOKEN
         output = request.output_tokens * SECONDS_PER_OUTPUT_TOKEN
         trip = 0.0 if own else REMOTE_ROUND_TRIP_SECONDS
         first_at = endpoint.end_of(now + trip, prompt)
@@ -324,9 +350,21 @@
                 end_at - arrival.at,
                 first_at > request.first_answer_due,
                 not self._has_read(request, number, now),
+                self._takes_idle(arrival, number, now),
             )
         )
 
+    def _takes_idle(self, arrival: Arrival, number: int, now: float) -> bool:
+        repeatable = arrival.request.rank == REPEATABLE_RANK
+        limit = sending.ONCE_MAX_IDLE_SECONDS
+        if repeatable:
+            limit = sending.MAX_IDLE_SECONDS
+        idle = self._idle[arrival.holder, number]
+        while idle:
+            if now - idle.pop() < limit:
+                return True
+        return False
+
     def _has_read(
         self, request: messages.SlotRequest, number: int, now: float
     ) -> bool:
@@ -338,6 +376,7 @@
     def _end(self, ended: tuple[str, int, float], now: float) -> None:
         id_, number, first_answer_seconds = ended
         self._endpoints[number].running -= 1
+        self._idle[self._arrivals[id_].holder, number].append(now)
         served = messages.Outcome.SERVED
         self._follow(
             self._slots.release(id_, served, now, first_answer_seconds), now
