place: show where a request would go now, and why

Operators could not see why a request goes to an endpoint. The status address of the allocating gateway answers /place with the endpoints that may run a request, their state and the terms of their cost; `cranberryglade place` prints it. It reads the allocator's state and sends nothing.

--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -57,6 +57,7 @@
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
 from cranberryglade.hedging import control
+from cranberryglade.placement import explaining
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -220,7 +221,16 @@
             self._forwarder.handle, self._report_invalid_request
         )
         self._status_listener = inbound.Listener(
-            status.StatusPages(self._state, self._ready).answer,
+            status.StatusPages(
+                self._state,
+                self._ready,
+                explaining.Explainer(
+                    initial_settings.instance,
+                    self._state,
+                    self._slots,
+                    self._mesh,
+                ),
+            ).answer,
             self._report_invalid_request,
         )
         self._peer_listener = inbound.Listener(
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -265,6 +265,15 @@
         complete = self._grants_all_at(lease.endpoint)
         self._quarantine.record_crash(process, running, now, complete)
 
+    def candidates(
+        self, request: messages.SlotRequest
+    ) -> tuple[list[endpoint_states.EndpointState], float]:
+        """Returns who may run a request, and the median pace; to be read."""
+        group = self._groups.get(request.service)
+        if group is None:
+            return [], endpoint_group.DEFAULT_PACE
+        return list(group.usable(request)), group.median_pace
+
     def suspects(self, parts: tuple[str, ...]) -> bool:
         """Returns whether any of some parts may crash endpoints."""
         return bool(self._quarantine.evidence.suspected(parts))
--- a/cranberryglade/tools/commands.py
+++ b/cranberryglade/tools/commands.py
@@ -9,6 +9,7 @@
 from cranberryglade.tools import configure
 from cranberryglade.tools import demo
 from cranberryglade.tools import observe
+from cranberryglade.tools import place
 from cranberryglade.tools import questionnaire
 from cranberryglade.tools import replay
 from cranberryglade.tools import soak
@@ -43,6 +44,7 @@
     observe.order,
     observe.status,
     observe.watch,
+    place.place,
     questionnaire.questionnaire,
     replay.replay,
     replay.trace_group,
