--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -60,6 +60,7 @@
 from cranberryglade.memory import budget as memory_budget
 from cranberryglade.memory import connection_limit
 from cranberryglade.memory import system_memory
+from cranberryglade.placement import explaining
 from cranberryglade.warmup import waits
 
 INCARNATION_BYTES = 4
@@ -243,7 +244,16 @@
             connection_limit.callers_limit(initial_settings.max_descriptors),
         )
         self._status_listener = inbound.Listener(
-            status.StatusPages(self._state, self._ready).answer,
+            status.StatusPages(
+                self._state,
+                self._ready,
+                explaining.Explainer(
+                    initial_settings.instance,
+                    self._state,
+                    self._slots,
+                    self._mesh,
+                ),
+            ).answer,
             self._report_invalid_request,
             self._memory,
         )
