Rollouts: a software version is moved to under a limit, with a verdict

An order in the operators' table moves a service to a software version: a canary phase within the exposure limit, a sequential test against the old version beside it, promotion with draining, and a conditional status row.

--- a/cranberryglade/gateway/endpoint_group.py
+++ b/cranberryglade/gateway/endpoint_group.py
@@ -16,6 +16,7 @@
 from cranberryglade.gateway import endpoint_limits
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
+from cranberryglade.rollouts import bars
 
 DEFAULT_PACE = 0.0
 
@@ -197,12 +198,23 @@
     """The endpoints of one service that accept requests; performs no I/O.
 
     Times are seconds of the loop's clock.
+
+    Attributes:
+        barred: software versions that are left out.
     """
 
-    __slots__ = ("_keyed_median", "_median", "_pools", "_rates", "_unmeasured")
+    __slots__ = (
+        "_keyed_median",
+        "_median",
+        "_pools",
+        "_rates",
+        "_unmeasured",
+        "barred",
+    )
 
     def __init__(self, rates: EndpointRates):
         self._rates = rates
+        self.barred = bars.NO_BARS
         self._median = MedianPace()
         self._keyed_median = DEFAULT_PACE
         self._pools: dict[str, VersionPool] = {}
@@ -285,7 +297,8 @@
         """Returns whether some request could get a slot now."""
         return any(
             self._first_available(pool, now) is not None
-            for pool in self._pools.values()
+            for version, pool in self._pools.items()
+            if version not in self.barred.any_version
         )
 
     def choose(
@@ -309,9 +322,20 @@
         self, request: messages.SlotRequest
     ) -> Iterable[VersionPool]:
         version = request.software_version
-        if version is None:
+        if version is None and self.barred.is_empty:
             return self._pools.values()
-        return [self._pools[version]] if version in self._pools else []
+        if version is None:
+            return self._unbarred()
+        barred = version in self.barred.all_requests
+        known = version in self._pools and not barred
+        return [self._pools[version]] if known else []
+
+    def _unbarred(self) -> list[VersionPool]:
+        return [
+            pool
+            for version, pool in self._pools.items()
+            if version not in self.barred.any_version
+        ]
 
     def _best_of(
         self, pool: VersionPool, accepts: Accepts, now: float
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -6,6 +6,7 @@
 from cranberryglade.gateway import origin_sharing
 from cranberryglade.gateway import slots
 from cranberryglade.gateway import state
+from cranberryglade.rollouts import control
 
 
 def register(
@@ -14,6 +15,7 @@
     instances: mesh.Mesh,
     scheduler: slots.SlotScheduler,
     origins: origin_sharing.OriginSharing,
+    rollouts: control.RolloutControl,
 ) -> None:
     """Adds the gauges of an instance to its metrics.
 
@@ -23,6 +25,7 @@
         instances: the other instances.
         scheduler: slots and queue, while this instance allocates.
         origins: origins of streams.
+        rollouts: roll-outs, while this instance allocates.
     """
     members = instances.members
     watch = shared.metrics.add_gauge
@@ -73,6 +76,21 @@
         "Quarantines, lifted ones included.",
         lambda: len(shared.quarantine.entries),
     )
+    watch(
+        "rollouts_running",
+        "Roll-outs that this instance conducts.",
+        lambda: rollouts.running_count,
+    )
+    watch(
+        "rollout_answers_bad",
+        "Bad answers of the new versions in these.",
+        lambda: rollouts.bad_answers,
+    )
+    watch(
+        "rollout_grants_reserved",
+        "Grants of the new versions that are reserved in the store.",
+        lambda: rollouts.reserved,
+    )
     watch(
         "requests_waiting",
         "Requests in the allocator's queue.",
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -56,6 +56,9 @@
 from cranberryglade.gateway import usage_handover
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
+from cranberryglade.rollouts import control
+from cranberryglade.rollouts import exposure
+from cranberryglade.rollouts import gate
 
 INCARNATION_BYTES = 4
 TICK_SECONDS = 0.05
@@ -106,8 +109,9 @@
             configuration_age.ConfigurationAge(initial_settings.revoke_seconds),
             telemetry.Telemetry(),
         )
+        self._versions = gate.ServiceVersions()
         self._slots = slots.SlotScheduler(
-            self._state.quarantine, self._state.endpoint_limits
+            self._state.quarantine, self._state.endpoint_limits, self._versions
         )
         self._quarantine_sync = quarantine_sync.QuarantineSync(
             store, self._state
@@ -168,6 +172,19 @@
             self._configuration_changed,
             self._endpoints_changed,
         )
+        self._rollouts = control.RolloutControl(
+            store,
+            decoder,
+            self._versions,
+            _exposure_limit(initial_settings),
+            initial_settings.options.rollouts,
+            lambda: self._allocator.is_allocating,
+            self._hears_all,
+            self._slots.requests_at,
+            self._state.metrics.count_event,
+            randomness,
+        )
+        self._store_watcher.on_orders = self._rollouts.observe_orders
         self._peer_sync = peer_sync.PeerSync(self._state, self._store_watcher)
         self._mesh = mesh.Mesh(
             initial_settings.instance,
@@ -234,6 +251,7 @@
             self._mesh,
             self._slots,
             self._origins,
+            self._rollouts,
         )
 
     @property
@@ -270,6 +288,8 @@
             "usage": self._usage_sync.run,
             "versions": self._version_sync.run,
             "origins": self._origin_rows.run,
+            "rollouts": self._rollouts.run,
+            "rollout_statuses": self._rollouts.watch,
             "settle": self._settle,
             "tick": self._tick,
             "settings": self._reread_settings,
@@ -420,6 +440,8 @@
             new_settings.retry_window_seconds,
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
+        self._rollouts.limit = _exposure_limit(new_settings)
+        self._rollouts.schedule = new_settings.options.rollouts
 
     def _receive_datagram(
         self, sender: str, message: datagrams.Datagram
@@ -548,6 +570,11 @@
             configured.quota_slack,
         )
 
+    def _hears_all(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        members = self._mesh.members
+        return members.reachable_count(now) >= members.instance_count(now)
+
     def _create_quotas(self, configured: settings.Settings) -> quotas.Quotas:
         return quotas.Quotas(
             self._find_organisation, self._quota_tolerance(configured)
@@ -569,6 +596,7 @@
         self._processes.keep_only(listed)
         self._origins.observe_endpoints(listed)
         self._sender.pools.close_others({e.address for e in listed.values()})
+        self._versions.observe_endpoints(listed)
         now = asyncio.get_running_loop().time()
         self._allocator.deliver_decisions(
             self._slots.update_endpoints(listed, now)
@@ -589,3 +617,7 @@
         for field in dataclasses.fields(after)
         if getattr(before, field.name) != getattr(after, field.name)
     ]
+
+
+def _exposure_limit(configured: settings.Settings) -> exposure.Limit:
+    return exposure.Limit(configured.exposure_share, configured.exposure_slack)
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -19,6 +19,8 @@
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slot_queue
+from cranberryglade.rollouts import comparison
+from cranberryglade.rollouts import gate
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -54,6 +56,7 @@
         "_queues",
         "_rates",
         "_states",
+        "_versions",
         "_waiting",
     )
 
@@ -61,6 +64,7 @@
         self,
         crashing_parts: quarantine.Quarantine | None = None,
         limits: endpoint_limits.EndpointLimits | None = None,
+        versions: gate.VersionGate | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -68,7 +72,10 @@
             crashing_parts: what crashes endpoints; None for a
                 record of its own.
             limits: the limits that endpoints name; None for none.
+            versions: limits the software versions that get slots; None to
+                treat all alike.
         """
+        self._versions = versions
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -143,6 +150,8 @@
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
+        if self._versions is not None:
+            self._versions.record_request(request)
         self._enqueue(endpoint_states.QueuedRequest(holder, request, now))
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
@@ -185,6 +194,11 @@
         if state is None:
             return []
         self._apply_outcome(state, lease, outcome, now)
+        if self._versions is not None and lease.request is not None:
+            answer = comparison.describe(
+                lease, state, outcome, first_answer_seconds, now
+            )
+            self._versions.record_outcome(state.endpoint, answer)
         self._renew(lease.endpoint, now)
         return self._grant_waiting(state.endpoint.service, now)
 
@@ -267,6 +281,10 @@
         """Returns whether any of some parts may crash endpoints."""
         return bool(self._quarantine.evidence.suspected(parts))
 
+    def requests_at(self, endpoints: Iterable[str]) -> list[str]:
+        """Returns the ids of the requests that run at some endpoints."""
+        return [id_ for name in endpoints for id_ in self._leases.at(name)]
+
     def leases_of(self, holder: str) -> list[messages.Granted]:
         """Returns the leases of one instance."""
         return [
@@ -382,7 +400,9 @@
         if not queue or group is None:
             return decisions
         queue.restore(MAX_RESTORED)
-        while group.has_free(now):
+        if self._versions is not None:
+            group.barred = self._versions.barred(service)
+        while group.has_free(now) or self._canary(service, now) is not None:
             waiting = queue.first(group.median_pace, now)
             if waiting is None:
                 break
@@ -407,6 +427,8 @@
         self._renew(name, now)
         if state.bucket is not None:
             state.bucket.take()
+        if self._versions is not None:
+            self._versions.record_grant(state.endpoint)
         granted = messages.Granted(request.id, name)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
@@ -454,8 +476,25 @@
                 and not (suspected and self._runs_suspected(state))
             )
 
+        canary = self._canary(request.service, now)
+        if canary is not None and accepts(canary):
+            return canary
         return group.choose(request, accepts, now)
 
+    def _canary(
+        self, service: str, now: float
+    ) -> endpoint_states.EndpointState | None:
+        """Returns the free endpoint that a roll-out's next request goes to."""
+        if self._versions is None:
+            return None
+        name = self._versions.canary_endpoint(service, now)
+        state = self._states.get(name)
+        if state is None or state.endpoint.leaving or state.free_slots <= 0:
+            return None
+        until = max(state.paused_until, state.down_until, state.room_at(now))
+        free = until <= now and self._rates.tokens(state, now) >= 1.0
+        return state if free else None
+
     def _runs_suspected(self, state: endpoint_states.EndpointState) -> bool:
         return any(
             lease.request is not None and self.suspects(lease.request.parts)
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -57,6 +57,8 @@
             store, for a newer configuration than it has.
         relies_on_peers: whether peers report all changes, so that this instance
             need not read the store itself.
+        on_orders: receives rows of the operators' table, and whether they are
+            all of them.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         "_stored_version",
         "_unaccepted",
         "_unreadable",
+        "on_orders",
         "peers_asked",
         "relies_on_peers",
         "probe_delay_seconds",
@@ -105,6 +108,7 @@
         self._store_clock = store_clock.StoreClock()
         now = asyncio.get_running_loop().time()
         self._startup_end = now + STARTUP_SECONDS
+        self.on_orders: Callable[[list[ports.Row], bool], None] = _ignore_orders
         self.probe_delay_seconds = 0.0
         self.relies_on_peers = False
         self.peers_asked = False
@@ -267,6 +271,7 @@
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
                     self._confirm_configuration(made_at)
+                    self.on_orders(rows.rows, True)
                 if table is ports.Table.ENDPOINTS:
                     self._remove_unlisted(rows)
                 self._state.process_pauses.confirm(BELIEFS[table], asked_at)
@@ -281,6 +286,7 @@
                 self._apply_rows(table, rows)
                 if table is ports.Table.CONFIGURATION:
                     self._confirm_configuration(made_at - FEED_LAG_SECONDS)
+                    self.on_orders(rows.rows, False)
         return result
 
     def _date(self, answer: ports.Rows, asked_at: float) -> float:
@@ -428,3 +434,7 @@
             self._state.directory.store_lost()
         if error is ports.StoreError.UNREACHABLE:
             self._unreachable_at = asyncio.get_running_loop().time()
+
+
+def _ignore_orders(rows: list[ports.Row], whole: bool) -> None:
+    """Ignores orders, where nothing conducts them."""
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -13,8 +13,10 @@
 from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import ports
+from cranberryglade.rollouts import orders
 
 CONFIGURATION_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
 DEFAULT_MAX_CONNECTIONS = 1000
 Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 
@@ -126,6 +128,26 @@
     sequence: decoding.Count = 0
 
 
+class WireRollout(msgspec.Struct):
+    """An order of a roll-out."""
+
+    to: str
+    period_s: decoding.Quantity
+    service: str = ""
+
+
+class WireRolloutStatus(msgspec.Struct):
+    """A roll-out's status; the platform reads `state` and `to`."""
+
+    state: orders.State
+    to: str
+    order: str = ""
+    phase: orders.Phase = orders.Phase.CANARY
+    began_ms: decoding.Count = 0
+    requests: decoding.Count = 0
+    reserved: decoding.Count = 0
+
+
 class Decoder:
     """Decodes rows of the store."""
 
@@ -143,6 +165,62 @@
             lambda wire: _endpoint(row.key, wire)
         )
 
+    def decode_rollout(
+        self, row: ports.Row
+    ) -> Result[orders.Order | orders.Withdrawn, str] | None:
+        """Decodes an order of a roll-out; returns None for any other row."""
+        if not row.key.startswith(ROLLOUT_PREFIX):
+            return None
+        service = row.key.removeprefix(ROLLOUT_PREFIX)
+        if row.value is None:
+            return Success(orders.Withdrawn(service))
+        return decoding.from_json(row.value, WireRollout).bind(
+            lambda wire: _order(service, row.version, wire)
+        )
+
+    def decode_rollout_status(
+        self, row: ports.Row
+    ) -> Result[orders.Status, str] | None:
+        """Decodes a roll-out's status; None for any other or an absent row."""
+        if not row.key.startswith(ROLLOUT_PREFIX) or row.value is None:
+            return None
+        service = row.key.removeprefix(ROLLOUT_PREFIX)
+        return decoding.from_json(row.value, WireRolloutStatus).map(
+            lambda wire: orders.Status(
+                service,
+                wire.state,
+                wire.to,
+                wire.order,
+                wire.phase,
+                wire.began_ms,
+                wire.requests,
+                wire.reserved,
+            )
+        )
+
+    def encode_rollout_status(self, status: orders.Status) -> ports.Write:
+        """Returns the write of a roll-out's status, without a condition."""
+        wire = WireRolloutStatus(
+            status.state,
+            status.version,
+            status.order_id,
+            status.phase,
+            status.began_ms,
+            status.requests,
+            status.reserved,
+        )
+        key = ROLLOUT_PREFIX + status.service
+        return ports.Write(ports.Table.STATUS, key, msgspec.json.encode(wire))
+
+
+def _order(
+    service: str, version: ports.Version, wire: WireRollout
+) -> Result[orders.Order, str]:
+    if wire.service not in ("", service) or not wire.period_s:
+        return Failure("another service than the key's, or no period")
+    id_ = f"{version.era}.{version.number}"
+    return Success(orders.Order(service, wire.to, wire.period_s, id_))
+
 
 def _endpoint(id_: str, wire: WireEndpoint) -> Result[messages.Endpoint, str]:
     endpoint = messages.Endpoint(
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -25,6 +25,7 @@
     ports.Table.QUARANTINE: "cranberryglade-quarantine",
     ports.Table.USAGE: "cranberryglade-usage",
     ports.Table.ORIGINS: "cranberryglade-origins",
+    ports.Table.STATUS: "status",
 }
 PAGE_ROWS = 500
 READ_TIMEOUT_SECONDS = 2.0
--- /dev/null
+++ b/cranberryglade/rollouts/comparison.py
@@ -0,0 +1,501 @@
+"""Compares the answers of a new version with those of the old one beside it.
+
+Load pattern: a part of the answers fails or takes several times as long, at
+once or later, under load only or on one route only. Meanwhile endpoints crash,
+single ones fail, a third of them is several times slower, and load jumps. Each
+answer is compared with the old version on the same route and at similar load.
+"""
+
+import collections
+import dataclasses
+import enum
+import math
+import statistics
+
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import messages
+from cranberryglade.rollouts import sequential_test
+
+FALSE_ROLLBACK_RATE = 0.001
+"""Probability that a version as good as the old one is found bad. Half of it is
+for the tests over all routes, half for those of single routes."""
+
+MAX_ANSWERS = 10_000
+"""Answers of the new version within which that probability holds."""
+
+MAX_TESTS = 45
+"""Most tests of single routes: three measures on each of up to 15 routes."""
+
+MIN_ERROR_RATE = 0.02
+MIN_SLOW_RATE = 0.03
+RATE_MARGIN = 1.5
+"""Factor by which a good version may exceed the rate of the old one."""
+
+MAX_EXPECTED_RATE = 0.85
+SLOW_FACTOR = 2.0
+"""An answer is slow if it takes this many times the old version's median."""
+
+MIN_LEVEL = 3
+"""Answers of an endpoint that its usual time needs."""
+
+LEVEL_ANSWERS = 20
+"""Latest answers of an endpoint that its usual time includes."""
+
+LEAST_LEVEL = 0.75
+"""Least usual time of an endpoint, as a part of the old version's median."""
+
+MEASURED_SHARE = 0.5
+"""Part of the old endpoints whose usual times must be known before an endpoint
+that is slower than all of them counts as slow by its version."""
+
+MIN_REFERENCE = 20
+"""Answers of the old version that a median needs."""
+
+REFERENCE_ANSWERS = 200
+"""Latest answers of the old version that a median includes."""
+
+RENEWAL_ANSWERS = 10
+"""A median is computed anew after this many answers."""
+
+CROWDED_SHARE = 0.5
+"""Share of an endpoint's slots in use from which on it is crowded."""
+
+NO_ANSWER_SECONDS = 1.0
+"""An abandoned attempt without any answer is bad after this time, if the old
+version gives no other measure."""
+
+COMMON_CAUSE_SECONDS = 0.25
+"""Attempts that an endpoint breaks off within this time count as one."""
+
+FREE_BAD_ANSWERS = 3
+"""Bad answers of an endpoint that count in any case."""
+
+MAX_ENDPOINT_SHARE = 1 / 3
+"""Part of the bad answers that one of several endpoints may account for. More
+of them are a fault of the endpoint, not of its version."""
+
+DOUBT_LOGARITHM = 9.0
+"""From this logarithm on, a version is not promoted without further answers."""
+
+BROKEN = frozenset((messages.Outcome.LOST, messages.Outcome.CRASHED))
+ERRORS = BROKEN | {
+    messages.Outcome.FAILED,
+    messages.Outcome.REFUSED,
+    messages.Outcome.OVERLOADED,
+    messages.Outcome.UNREACHABLE,
+}
+
+Route = tuple[int, str, bool]
+"""Rank, kind, and whether the request has a prompt: what tells routes apart."""
+
+ALL_ROUTES: Route = (-1, "", False)
+
+
+class Measure(enum.Enum):
+    """What makes an answer bad.
+
+    Attributes:
+        ERROR: it fails, breaks off, is refused or does not come.
+        DURATION: its whole duration, for its size.
+        FIRST: the time to its first part, for its size.
+    """
+
+    ERROR = "error"
+    DURATION = "duration"
+    FIRST = "first"
+
+
+TIMES = (Measure.DURATION, Measure.FIRST)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """How an attempt ended.
+
+    Attributes:
+        endpoint: id of the endpoint.
+        route: its route.
+        crowded: whether many requests ran at the endpoint.
+        outcome: how it ended.
+        seconds: its duration.
+        first_seconds: time to its first part; None if there was none.
+        work_units: size of the request.
+        prompt_tokens: length of its prompt; 0 for plain calls.
+        ended_at: when it ended, seconds of the loop's clock.
+    """
+
+    endpoint: str
+    route: Route
+    crowded: bool
+    outcome: messages.Outcome
+    seconds: float
+    first_seconds: float | None
+    work_units: float
+    prompt_tokens: int
+    ended_at: float
+
+    def value(self, measure: Measure) -> float | None:
+        """Returns a time for its size; None if the answer has none."""
+        match measure:
+            case Measure.DURATION if self.outcome is messages.Outcome.SERVED:
+                return self.seconds / max(1.0, self.work_units)
+            case Measure.FIRST if self.first_seconds is not None:
+                return self.first_seconds / max(1, self.prompt_tokens)
+        return None
+
+
+def describe(
+    lease: endpoint_states.Lease,
+    state: endpoint_states.EndpointState,
+    outcome: messages.Outcome,
+    first_seconds: float | None,
+    now: float,
+) -> Answer:
+    """Describes the end of an attempt whose request is known.
+
+    Args:
+        lease: its lease, which has ended.
+        state: its endpoint.
+        outcome: how it ended.
+        first_seconds: time to its first part; None if there was none.
+        now: seconds of the loop's clock.
+    """
+    request = lease.request
+    route = (request.rank, request.kind.value, request.prompt_tokens > 0)
+    running = 1 + len(state.leases)
+    return Answer(
+        endpoint=state.endpoint.id,
+        route=route,
+        crowded=running > CROWDED_SHARE * state.endpoint.slots,
+        outcome=outcome,
+        seconds=now - lease.granted_at,
+        first_seconds=first_seconds,
+        work_units=lease.work_units,
+        prompt_tokens=request.prompt_tokens,
+        ended_at=now,
+    )
+
+
+class Reference:
+    """Median time of the old version in one situation."""
+
+    __slots__ = ("_added", "_early", "_median", "_values")
+
+    def __init__(self):
+        self._values: collections.deque[float] = collections.deque(
+            maxlen=REFERENCE_ANSWERS
+        )
+        self._median: float | None = None
+        self._added = 0
+        self._early: list[tuple[str, float]] = []
+
+    def ratio(self, value: float) -> float | None:
+        """Returns a time relative to the median; None if it is unknown."""
+        return value / self._median if self._median else None
+
+    def add(self, endpoint: str, value: float) -> list[tuple[str, float]]:
+        """Includes an answer of the old version.
+
+        Returns:
+            Endpoints and times that can be compared from now on. Endpoints
+            that turn out to be slow get requests at first only.
+        """
+        self._values.append(value)
+        self._early.append((endpoint, value))
+        self._added += 1
+        if self._added >= MIN_REFERENCE and not self._added % RENEWAL_ANSWERS:
+            self._median = statistics.median(self._values)
+        if self._median is None:
+            return []
+        comparable, self._early = self._early, []
+        return comparable
+
+
+class Levels:
+    """Usual times of endpoints, relative to the old version's median.
+
+    A version of which a part of the answers is slow is told from a slow
+    endpoint by the endpoint's faster answers.
+    """
+
+    __slots__ = ("_latest", "_levels")
+
+    def __init__(self):
+        self._latest: dict[str, collections.deque[float]] = {}
+        self._levels: dict[str, float] = {}
+
+    def highest(self, endpoints: int) -> float:
+        """Returns the usual time of the slowest endpoint.
+
+        Args:
+            endpoints: number of endpoints; if too few of them have been
+                measured, there is no highest time.
+        """
+        if len(self._latest) < max(1.0, MEASURED_SHARE * endpoints):
+            return math.inf
+        return max(statistics.fmean(each) for each in self._latest.values())
+
+    def is_slow(self, endpoint: str, ratio: float, most: float) -> bool:
+        """Returns whether an answer is slow.
+
+        Args:
+            endpoint: id of the endpoint.
+            ratio: its time, relative to the median.
+            most: longest usual time that an endpoint may have.
+        """
+        level = self._levels.get(endpoint, math.inf)
+        return ratio > SLOW_FACTOR * min(most, max(LEAST_LEVEL, level))
+
+    def add(self, endpoint: str, ratio: float) -> None:
+        """Includes an answer."""
+        latest = self._latest.get(endpoint)
+        if latest is None:
+            latest = collections.deque(maxlen=LEVEL_ANSWERS)
+            self._latest[endpoint] = latest
+        latest.append(ratio)
+        if len(latest) >= MIN_LEVEL:
+            self._levels[endpoint] = sorted(latest)[len(latest) // 4]
+
+
+class BadRate:
+    """The old version's rate of bad answers, over its latest answers."""
+
+    __slots__ = ("_latest", "_least")
+
+    def __init__(self, least: float):
+        """Creates one that has no answers.
+
+        Args:
+            least: rate that is expected without any bad answer.
+        """
+        self._least = least
+        self._latest: collections.deque[bool] = collections.deque(
+            maxlen=REFERENCE_ANSWERS
+        )
+
+    def add(self, bad: bool) -> None:
+        """Includes an answer."""
+        self._latest.append(bad)
+
+    def expected(self) -> float:
+        """Returns the probability that a good version's answer is bad."""
+        if not self._latest:
+            return self._least
+        observed = sum(self._latest) / len(self._latest)
+        return min(MAX_EXPECTED_RATE, self._least + RATE_MARGIN * observed)
+
+
+class Comparison:
+    """Finds whether a new version is worse than the old one; performs no I/O.
+
+    Attributes:
+        answers: answers of the new version that were compared.
+        bad_answers: those of them that were bad.
+        reason: which test found the version bad; "" if none did so far.
+    """
+
+    __slots__ = (
+        "_bad_by_endpoint",
+        "_broken_at",
+        "_common_alarm",
+        "_errors",
+        "_new_levels",
+        "_old_levels",
+        "_references",
+        "_route_alarm",
+        "_slow_rates",
+        "_tests",
+        "answers",
+        "bad_answers",
+        "reason",
+    )
+
+    def __init__(self):
+        self._route_alarm = sequential_test.alarm_logarithm(
+            MAX_ANSWERS, MAX_TESTS, FALSE_ROLLBACK_RATE / 2
+        )
+        self._common_alarm = sequential_test.alarm_logarithm(
+            MAX_ANSWERS, len(Measure), FALSE_ROLLBACK_RATE / 2
+        )
+        self._references: dict[tuple[Measure, Route, bool], Reference] = {}
+        self._errors: dict[Route, BadRate] = {}
+        self._slow_rates = {each: BadRate(MIN_SLOW_RATE) for each in TIMES}
+        self._old_levels = {each: Levels() for each in TIMES}
+        self._new_levels = {each: Levels() for each in TIMES}
+        self._tests: dict[
+            tuple[Measure, Route], sequential_test.SequentialTest
+        ] = {}
+        self._broken_at: dict[str, float] = {}
+        self._bad_by_endpoint: dict[Measure, collections.Counter[str]] = {
+            measure: collections.Counter() for measure in Measure
+        }
+        self.answers = 0
+        self.bad_answers = 0
+        self.reason = ""
+
+    @property
+    def doubt(self) -> str:
+        """Which test comes near to finding it bad; "" if none does."""
+        for key, test in self._tests.items():
+            if test.logarithm >= DOUBT_LOGARITHM:
+                return _describe(*key)
+        return ""
+
+    def add_old(self, answer: Answer) -> None:
+        """Includes an answer of the old version."""
+        bad = self._is_error(answer)
+        if bad is not None and not self._has_common_cause(answer):
+            for route in (answer.route, ALL_ROUTES):
+                self._error_rate(route).add(bad)
+        for measure in TIMES:
+            value = answer.value(measure)
+            if value is not None:
+                self._add_old_time(measure, answer, value)
+
+    def _add_old_time(
+        self, measure: Measure, answer: Answer, value: float
+    ) -> None:
+        reference = self._reference(measure, answer)
+        levels = self._old_levels[measure]
+        for endpoint, comparable in reference.add(answer.endpoint, value):
+            ratio = reference.ratio(comparable)
+            slow = levels.is_slow(endpoint, ratio, math.inf)
+            self._slow_rates[measure].add(slow)
+            levels.add(endpoint, ratio)
+
+    def add_new(
+        self, answer: Answer, endpoints: int, old_endpoints: int
+    ) -> None:
+        """Includes an answer of the new version.
+
+        Args:
+            answer: the answer.
+            endpoints: number of endpoints of that version.
+            old_endpoints: number of endpoints of other versions.
+        """
+        self.answers += 1
+        found = [self._add_error(answer, endpoints)]
+        for measure in TIMES:
+            found.append(
+                self._add_time(measure, answer, endpoints, old_endpoints)
+            )
+        self.bad_answers += any(found)
+
+    def _add_error(self, answer: Answer, endpoints: int) -> bool:
+        """Tests an answer for an error; returns whether it was one."""
+        bad = self._is_error(answer)
+        if bad is None or self._has_common_cause(answer):
+            return bool(bad)
+        if bad and not self._counts(Measure.ERROR, answer.endpoint, endpoints):
+            return True
+        for route in (answer.route, ALL_ROUTES):
+            rate = self._error_rate(route).expected()
+            self._observe(Measure.ERROR, route, bad, rate)
+        return bad
+
+    def _add_time(
+        self,
+        measure: Measure,
+        answer: Answer,
+        endpoints: int,
+        old_endpoints: int,
+    ) -> bool:
+        """Tests a time of an answer; returns whether it was slow."""
+        value = answer.value(measure)
+        if value is None:
+            return False
+        ratio = self._reference(measure, answer).ratio(value)
+        if ratio is None:
+            return False
+        levels = self._new_levels[measure]
+        most = self._old_levels[measure].highest(old_endpoints)
+        slow = levels.is_slow(answer.endpoint, ratio, most)
+        levels.add(answer.endpoint, ratio)
+        if slow and not self._counts(measure, answer.endpoint, endpoints):
+            return True
+        rate = self._slow_rates[measure].expected()
+        for route in (answer.route, ALL_ROUTES):
+            self._observe(measure, route, slow, rate)
+        return slow
+
+    def _observe(
+        self, measure: Measure, route: Route, bad: bool, rate: float
+    ) -> None:
+        test = self._tests.get((measure, route))
+        if test is None:
+            if len(self._tests) >= MAX_TESTS + len(Measure):
+                return
+            test = sequential_test.SequentialTest()
+            self._tests[measure, route] = test
+        test.observe(bad, rate)
+        common = route == ALL_ROUTES
+        alarm = self._common_alarm if common else self._route_alarm
+        if bad and not self.reason and test.logarithm >= alarm:
+            self.reason = _describe(measure, route)
+
+    def _counts(self, measure: Measure, endpoint: str, endpoints: int) -> bool:
+        """Returns whether a bad answer counts, and counts it.
+
+        Those of an endpoint that accounts for too many do not.
+        """
+        counted = self._bad_by_endpoint[measure]
+        share = max(MAX_ENDPOINT_SHARE, 1 / max(1, endpoints))
+        if counted[endpoint] >= FREE_BAD_ANSWERS + share * counted.total():
+            return False
+        counted[endpoint] += 1
+        return True
+
+    def _error_rate(self, route: Route) -> BadRate:
+        rate = self._errors.get(route)
+        if rate is None:
+            rate = self._errors[route] = BadRate(MIN_ERROR_RATE)
+        return rate
+
+    def _reference(self, measure: Measure, answer: Answer) -> Reference:
+        key = (measure, answer.route, answer.crowded)
+        return self._references.setdefault(key, Reference())
+
+    def _is_error(self, answer: Answer) -> bool | None:
+        """Returns whether an answer is an error; None if it tells nothing."""
+        match answer.outcome:
+            case messages.Outcome.SERVED:
+                return False
+            case messages.Outcome.ABANDONED:
+                return self._is_silent(answer)
+            case outcome if outcome in ERRORS:
+                return True
+        return None
+
+    def _is_silent(self, answer: Answer) -> bool | None:
+        """Returns True for an attempt that was given up for want of an answer.
+
+        A caller that left earlier tells nothing.
+        """
+        if answer.first_seconds is not None:
+            return None
+        waited = answer.seconds / max(1, answer.prompt_tokens)
+        ratio = self._reference(Measure.FIRST, answer).ratio(waited)
+        if ratio is None:
+            return True if answer.seconds >= NO_ANSWER_SECONDS else None
+        most = self._old_levels[Measure.FIRST].highest(0)
+        return True if ratio > SLOW_FACTOR * most else None
+
+    def _has_common_cause(self, answer: Answer) -> bool:
+        """Returns whether an attempt broke off together with another one."""
+        if answer.outcome not in BROKEN:
+            return False
+        earlier = self._broken_at.get(answer.endpoint)
+        if (
+            earlier is not None
+            and answer.ended_at - earlier < COMMON_CAUSE_SECONDS
+        ):
+            return True
+        self._broken_at[answer.endpoint] = answer.ended_at
+        return False
+
+
+def _describe(measure: Measure, route: Route) -> str:
+    if route == ALL_ROUTES:
+        return f"{measure.value} on all routes"
+    rank, kind, _ = route
+    return f"{measure.value} of rank {rank}, {kind}"
--- /dev/null
+++ b/cranberryglade/rollouts/orders.py
@@ -0,0 +1,74 @@
+"""Orders of roll-outs, and what is stored of their state."""
+
+import dataclasses
+import enum
+
+
+class State(enum.Enum):
+    """State of a roll-out, as others are told."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class Phase(enum.Enum):
+    """Step of a running roll-out.
+
+    Attributes:
+        CANARY: the new version gets a limited number of requests.
+        PROMOTION: the new version gets all new requests; the old one drains.
+    """
+
+    CANARY = "canary"
+    PROMOTION = "promotion"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """An order to move the traffic of a service to a software version.
+
+    Attributes:
+        service: the service.
+        version: the software version that is to serve it.
+        period_seconds: time within which the roll-out ends.
+        id: tells this order from an earlier one for the same service.
+    """
+
+    service: str
+    version: str
+    period_seconds: float
+    id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Withdrawn:
+    """No order exists for a service any more."""
+
+    service: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Status:
+    """The stored state of a service's latest roll-out.
+
+    Attributes:
+        service: the service.
+        state: the state that others act on.
+        version: the new software version.
+        order_id: id of the order; "" if another writer made the row.
+        phase: step of a running roll-out.
+        began_ms: when it began, milliseconds of Unix time.
+        requests: requests that reached the service since it began.
+        reserved: grants of the new version that may have been made in the
+            canary phase. They are stored before they are made.
+    """
+
+    service: str
+    state: State
+    version: str
+    order_id: str = ""
+    phase: Phase = Phase.CANARY
+    began_ms: int = 0
+    requests: int = 0
+    reserved: int = 0
