--- a/cranberryglade/tests/rollout_builders.py
+++ b/cranberryglade/tests/rollout_builders.py
@@ -8,6 +8,7 @@
 from cranberryglade.gateway import configuration
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slots
+from cranberryglade.rollouts import comparison
 from cranberryglade.rollouts import exposure
 from cranberryglade.rollouts import gate
 from cranberryglade.rollouts import options
@@ -41,6 +42,20 @@
     return orders.Status(**(fields | changes))
 
 
+def make_answer(endpoint, outcome, number) -> comparison.Answer:
+    return comparison.Answer(
+        endpoint,
+        (0, "once", True),
+        False,
+        outcome,
+        1.0,
+        0.2,
+        1000.0,
+        100,
+        number,
+    )
+
+
 def make_endpoints(count: int, slots_each: int = 5) -> dict:
     """Returns endpoints of the old version and as many of the new one."""
     numbers = itertools.product(("v1", "v2"), range(count))
@@ -182,7 +197,7 @@
                         self._apply(each, each.tick(now), now)
                     self._push(now + 0.05, "tick", None)
                 case "step":
-                    self._step(allocating, schedulers[0], now)
+                    self._step(allocating, schedulers, now)
                 case "stored":
                     self._confirm(allocating, detail, now)
         return self
@@ -283,9 +298,10 @@
             self.bad_at_verdict = self.bad
         self._apply(scheduler, decisions, now)
 
-    def _step(self, versions, scheduler, now: float) -> None:
+    def _step(self, versions, schedulers, now: float) -> None:
         if not self.conducted.is_over:
-            running = scheduler.requests_at(versions.old_endpoints(SERVICE))
+            old = versions.old_endpoints(SERVICE)
+            running = [id_ for e in schedulers for id_ in e.requests_at(old)]
             self.conducted.advance(running, not self._is_cut(now), now)
             versions.renew(SERVICE)
             status = self.conducted.status_to_store()
