--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -218,7 +218,7 @@
 ) -> Result[orders.Order, str]:
     if wire.service not in ("", service) or not wire.period_s:
         return Failure("another service than the key's, or no period")
-    id_ = f"{version.era}.{version.number}"
+    id_ = str(version.number)
     return Success(orders.Order(service, wire.to, wire.period_s, id_))
 
 
--- a/cranberryglade/rollouts/comparison.py
+++ b/cranberryglade/rollouts/comparison.py
@@ -11,6 +11,7 @@
 import enum
 import math
 import statistics
+from typing import NamedTuple
 
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
@@ -41,6 +42,10 @@
 LEVEL_ANSWERS = 20
 """Latest answers of an endpoint that its usual time includes."""
 
+MIN_EXCESS_SECONDS = 0.025
+"""A time counts as slow only if it exceeds the usual one by this much. Callers
+do not notice less, and short times vary with the load of the machines."""
+
 LEAST_LEVEL = 0.75
 """Least usual time of an endpoint, as a part of the old version's median."""
 
@@ -55,7 +60,11 @@
 """Latest answers of the old version that a median includes."""
 
 RENEWAL_ANSWERS = 10
-"""A median is computed anew after this many answers."""
+"""A median or a highest time is computed anew after this many answers."""
+
+RENEWAL_SHARE = 2.0
+"""The highest of many endpoints is computed anew after this many answers for
+each of them, so that an answer costs the same for any number."""
 
 CROWDED_SHARE = 0.5
 """Share of an endpoint's slots in use from which on it is crowded."""
@@ -67,6 +76,10 @@
 COMMON_CAUSE_SECONDS = 0.25
 """Attempts that an endpoint breaks off within this time count as one."""
 
+SPELL_SECONDS = 0.6
+"""Slow answers of an endpoint within this time count as one. Endpoints slow
+down for as long without any fault of their version."""
+
 FREE_BAD_ANSWERS = 3
 """Bad answers of an endpoint that count in any case."""
 
@@ -134,16 +147,32 @@
     prompt_tokens: int
     ended_at: float
 
-    def value(self, measure: Measure) -> float | None:
-        """Returns a time for its size; None if the answer has none."""
+    def timing(self, measure: Measure) -> "Timing | None":
+        """Returns a time of the answer; None if it has none."""
         match measure:
             case Measure.DURATION if self.outcome is messages.Outcome.SERVED:
-                return self.seconds / max(1.0, self.work_units)
+                size = max(1.0, self.work_units)
+                return Timing(self.endpoint, self.seconds, size)
             case Measure.FIRST if self.first_seconds is not None:
-                return self.first_seconds / max(1, self.prompt_tokens)
+                size = max(1.0, self.prompt_tokens)
+                return Timing(self.endpoint, self.first_seconds, size)
         return None
 
 
+class Timing(NamedTuple):
+    """A time of one answer.
+
+    Attributes:
+        endpoint: id of the endpoint.
+        seconds: the time.
+        size: what it is divided by to compare requests.
+    """
+
+    endpoint: str
+    seconds: float
+    size: float
+
+
 def describe(
     lease: endpoint_states.Lease,
     state: endpoint_states.EndpointState,
@@ -187,25 +216,27 @@
         )
         self._median: float | None = None
         self._added = 0
-        self._early: list[tuple[str, float]] = []
+        self._early: list[Timing] = []
 
-    def ratio(self, value: float) -> float | None:
+    def ratio(self, timing: Timing) -> float | None:
         """Returns a time relative to the median; None if it is unknown."""
-        return value / self._median if self._median else None
+        if not self._median:
+            return None
+        return timing.seconds / timing.size / self._median
 
-    def add(self, endpoint: str, value: float) -> list[tuple[str, float]]:
+    def add(self, timing: Timing) -> list[Timing]:
         """Includes an answer of the old version.
 
         Returns:
-            Endpoints and times that can be compared from now on. Endpoints
-            that turn out to be slow get requests at first only.
+            Times that can be compared from now on. Endpoints that turn out to
+            be slow get requests at first only.
         """
-        self._values.append(value)
-        self._early.append((endpoint, value))
+        self._values.append(timing.seconds / timing.size)
+        self._early.append(timing)
         self._added += 1
         if self._added >= MIN_REFERENCE and not self._added % RENEWAL_ANSWERS:
             self._median = statistics.median(self._values)
-        if self._median is None:
+        if not self._median:
             return []
         comparable, self._early = self._early, []
         return comparable
@@ -218,11 +249,14 @@
     endpoint by the endpoint's faster answers.
     """
 
-    __slots__ = ("_latest", "_levels")
+    __slots__ = ("_added", "_highest", "_latest", "_levels", "_renewal_at")
 
     def __init__(self):
         self._latest: dict[str, collections.deque[float]] = {}
         self._levels: dict[str, float] = {}
+        self._highest = 0.0
+        self._added = 0
+        self._renewal_at = 0
 
     def highest(self, endpoints: int) -> float:
         """Returns the usual time of the slowest endpoint.
@@ -233,21 +267,30 @@
         """
         if len(self._latest) < max(1.0, MEASURED_SHARE * endpoints):
             return math.inf
-        return max(statistics.fmean(each) for each in self._latest.values())
-
-    def is_slow(self, endpoint: str, ratio: float, most: float) -> bool:
+        if self._added >= self._renewal_at:
+            means = (statistics.fmean(each) for each in self._latest.values())
+            self._highest = max(means, default=math.inf)
+            pause = max(RENEWAL_ANSWERS, RENEWAL_SHARE * len(self._latest))
+            self._renewal_at = self._added + round(pause)
+        return self._highest
+
+    def is_slow(self, timing: Timing, ratio: float, most: float) -> bool:
         """Returns whether an answer is slow.
 
         Args:
-            endpoint: id of the endpoint.
-            ratio: its time, relative to the median.
+            timing: its time.
+            ratio: the time, relative to the median.
             most: longest usual time that an endpoint may have.
         """
-        level = self._levels.get(endpoint, math.inf)
-        return ratio > SLOW_FACTOR * min(most, max(LEAST_LEVEL, level))
+        level = self._levels.get(timing.endpoint, math.inf)
+        usual = min(most, max(LEAST_LEVEL, level))
+        if ratio <= SLOW_FACTOR * usual:
+            return False
+        return timing.seconds * (1 - usual / ratio) > MIN_EXCESS_SECONDS
 
     def add(self, endpoint: str, ratio: float) -> None:
         """Includes an answer."""
+        self._added += 1
         latest = self._latest.get(endpoint)
         if latest is None:
             latest = collections.deque(maxlen=LEVEL_ANSWERS)
@@ -303,6 +346,7 @@
         "_old_levels",
         "_references",
         "_route_alarm",
+        "_slow_at",
         "_slow_rates",
         "_tests",
         "answers",
@@ -326,6 +370,7 @@
             tuple[Measure, Route], sequential_test.SequentialTest
         ] = {}
         self._broken_at: dict[str, float] = {}
+        self._slow_at: dict[tuple[Measure, str], float] = {}
         self._bad_by_endpoint: dict[Measure, collections.Counter[str]] = {
             measure: collections.Counter() for measure in Measure
         }
@@ -348,20 +393,20 @@
             for route in (answer.route, ALL_ROUTES):
                 self._error_rate(route).add(bad)
         for measure in TIMES:
-            value = answer.value(measure)
-            if value is not None:
-                self._add_old_time(measure, answer, value)
+            timing = answer.timing(measure)
+            if timing is not None:
+                self._add_old_time(measure, answer, timing)
 
     def _add_old_time(
-        self, measure: Measure, answer: Answer, value: float
+        self, measure: Measure, answer: Answer, timing: Timing
     ) -> None:
         reference = self._reference(measure, answer)
         levels = self._old_levels[measure]
-        for endpoint, comparable in reference.add(answer.endpoint, value):
+        for comparable in reference.add(timing):
             ratio = reference.ratio(comparable)
-            slow = levels.is_slow(endpoint, ratio, math.inf)
+            slow = levels.is_slow(comparable, ratio, math.inf)
             self._slow_rates[measure].add(slow)
-            levels.add(endpoint, ratio)
+            levels.add(comparable.endpoint, ratio)
 
     def add_new(
         self, answer: Answer, endpoints: int, old_endpoints: int
@@ -401,23 +446,39 @@
         old_endpoints: int,
     ) -> bool:
         """Tests a time of an answer; returns whether it was slow."""
-        value = answer.value(measure)
-        if value is None:
+        timing = answer.timing(measure)
+        if timing is None:
             return False
-        ratio = self._reference(measure, answer).ratio(value)
+        ratio = self._reference(measure, answer).ratio(timing)
         if ratio is None:
             return False
         levels = self._new_levels[measure]
         most = self._old_levels[measure].highest(old_endpoints)
-        slow = levels.is_slow(answer.endpoint, ratio, most)
+        slow = levels.is_slow(timing, ratio, most)
         levels.add(answer.endpoint, ratio)
-        if slow and not self._counts(measure, answer.endpoint, endpoints):
+        if slow and (
+            self._is_same_spell(measure, answer)
+            or not self._counts(measure, answer.endpoint, endpoints)
+        ):
             return True
         rate = self._slow_rates[measure].expected()
         for route in (answer.route, ALL_ROUTES):
             self._observe(measure, route, slow, rate)
         return slow
 
+    def _is_same_spell(self, measure: Measure, answer: Answer) -> bool:
+        """Returns whether a slow answer has the cause of the one before it.
+
+        An endpoint, or an instance, that is slow for a moment delays all that
+        runs there.
+        """
+        key = (measure, answer.endpoint)
+        earlier = self._slow_at.get(key, -math.inf)
+        if answer.ended_at - earlier < SPELL_SECONDS:
+            return True
+        self._slow_at[key] = answer.ended_at
+        return False
+
     def _observe(
         self, measure: Measure, route: Route, bad: bool, rate: float
     ) -> None:
@@ -473,7 +534,9 @@
         """
         if answer.first_seconds is not None:
             return None
-        waited = answer.seconds / max(1, answer.prompt_tokens)
+        waited = Timing(
+            answer.endpoint, answer.seconds, max(1.0, answer.prompt_tokens)
+        )
         ratio = self._reference(Measure.FIRST, answer).ratio(waited)
         if ratio is None:
             return True if answer.seconds >= NO_ANSWER_SECONDS else None
--- a/cranberryglade/rollouts/control.py
+++ b/cranberryglade/rollouts/control.py
@@ -227,7 +227,7 @@
 
     def _accept(self, order: orders.Order) -> None:
         known = self._gate.orders.get(order.service)
-        if known is not None and known.id == order.id:
+        if known == order:
             return
         self._gate.orders[order.service] = order
         self._gate.forget_end(order.service)
@@ -311,7 +311,7 @@
         """Reads the status row, and goes on from it or begins anew."""
         known = self._gate.statuses.get(service)
         ended = known is not None and known.state is not orders.State.RUNNING
-        if order is not None and ended and known.order_id == order.id:
+        if order is not None and ended and known.answers(order):
             return
         blank = orders.Status(service, orders.State.RUNNING, "")
         key = self._decoder.encode_rollout_status(blank).key
@@ -334,7 +334,7 @@
         now = asyncio.get_running_loop().time()
         runs = status is not None and status.state is orders.State.RUNNING
         known = order is not None and status is not None
-        if known and status.order_id == order.id:
+        if known and status.answers(order):
             if runs:
                 self._resume(order, status, now)
             return
--- a/cranberryglade/rollouts/gate.py
+++ b/cranberryglade/rollouts/gate.py
@@ -91,10 +91,11 @@
     ) -> None:
         """Includes the end of an attempt in the verdict."""
         conducted = self.rollouts.get(endpoint.service)
-        if conducted is not None and not conducted.is_over:
-            conducted.record_answer(endpoint.software_version, answer)
-            if conducted.comparison.reason:
-                self.renew(endpoint.service)
+        if conducted is None or conducted.is_over or conducted.rejection:
+            return
+        conducted.record_answer(endpoint.software_version, answer)
+        if conducted.rejection:
+            self.renew(endpoint.service)
 
     def observe_endpoints(
         self, listed: Mapping[str, messages.Endpoint]
@@ -130,7 +131,10 @@
                 [e for e in _accepting(listed) if e.software_version == new],
                 [e for e in listed if e.software_version != new],
             )
-        self._bars[service] = self._make_bars(service, listed)
+        barred = self._make_bars(service, listed)
+        if self._leaves_none(service, barred, listed):
+            barred = bars.NO_BARS
+        self._bars[service] = barred
 
     def old_endpoints(self, service: str) -> list[str]:
         """Returns the ids of the endpoints that a roll-out replaces."""
@@ -139,6 +143,31 @@
             return []
         return [each.id for each in conducted.endpoints.old]
 
+    def _leaves_none(
+        self,
+        service: str,
+        barred: bars.Bars,
+        listed: Iterable[messages.Endpoint],
+    ) -> bool:
+        """Returns whether bars would leave a service without endpoints.
+
+        A version that was found bad, or whose order was withdrawn, gets no
+        requests even then.
+        """
+        conducted = self.rollouts.get(service)
+        status = self.statuses.get(service)
+        if conducted is not None and conducted.rejection:
+            return False
+        order = self.orders.get(service)
+        if (
+            status is not None
+            and status.state is orders.State.ROLLED_BACK
+            and (order is None or status.answers(order))
+        ):
+            return False
+        versions = {each.software_version for each in _accepting(listed)}
+        return versions <= barred.any_version
+
     def _make_bars(
         self, service: str, listed: Iterable[messages.Endpoint]
     ) -> bars.Bars:
@@ -147,9 +176,7 @@
         status = self.statuses.get(service)
         if conducted is not None and not conducted.is_over:
             return _with_replacement(conducted, order)
-        if order is not None and (
-            status is None or status.order_id != order.id
-        ):
+        if order is not None and (status is None or not status.answers(order)):
             return bars.bar(frozenset((order.version,)))
         match status:
             case orders.Status(state=orders.State.COMPLETED, version=version):
--- a/cranberryglade/rollouts/orders.py
+++ b/cranberryglade/rollouts/orders.py
@@ -32,7 +32,8 @@
         service: the service.
         version: the software version that is to serve it.
         period_seconds: time within which the roll-out ends.
-        id: tells this order from an earlier one for the same service.
+        id: tells this order from an earlier one for the same service, also
+            after the store has come back from an old copy.
     """
 
     service: str
@@ -72,3 +73,7 @@
     began_ms: int = 0
     requests: int = 0
     reserved: int = 0
+
+    def answers(self, order: Order) -> bool:
+        """Returns whether it is the state of an order."""
+        return (self.order_id, self.version) == (order.id, order.version)
