--- a/cranberryglade/rollouts/comparison.py
+++ b/cranberryglade/rollouts/comparison.py
@@ -57,7 +57,7 @@
 """Answers of the old version that a median needs."""
 
 REFERENCE_ANSWERS = 200
-"""Latest answers of the old version that a median includes."""
+"""Latest answers of the old version that a median or a rate includes."""
 
 RENEWAL_ANSWERS = 10
 """A median or a highest time is computed anew after this many answers."""
@@ -301,9 +301,13 @@
 
 
 class BadRate:
-    """The old version's rate of bad answers, over its latest answers."""
+    """The old version's highest rate of bad answers over some in a row.
 
-    __slots__ = ("_latest", "_least")
+    Load pattern: endpoints crash in bursts. A good version may meet one after
+    the old version has met the one before.
+    """
+
+    __slots__ = ("_bad", "_highest", "_latest", "_least")
 
     def __init__(self, least: float):
         """Creates one that has no answers.
@@ -312,20 +316,23 @@
             least: rate that is expected without any bad answer.
         """
         self._least = least
-        self._latest: collections.deque[bool] = collections.deque(
-            maxlen=REFERENCE_ANSWERS
-        )
+        self._latest: collections.deque[bool] = collections.deque()
+        self._bad = 0
+        self._highest = 0.0
 
     def add(self, bad: bool) -> None:
         """Includes an answer."""
         self._latest.append(bad)
+        self._bad += bad
+        if len(self._latest) > REFERENCE_ANSWERS:
+            self._bad -= self._latest.popleft()
+        count = max(len(self._latest), REFERENCE_ANSWERS // 2)
+        self._highest = max(self._highest, self._bad / count)
 
     def expected(self) -> float:
         """Returns the probability that a good version's answer is bad."""
-        if not self._latest:
-            return self._least
-        observed = sum(self._latest) / len(self._latest)
-        return min(MAX_EXPECTED_RATE, self._least + RATE_MARGIN * observed)
+        rate = self._least + RATE_MARGIN * self._highest
+        return min(MAX_EXPECTED_RATE, rate)
 
 
 class Comparison:
