--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -9,6 +9,7 @@
 from cranberryglade.memory import budget as memory_budget
 from cranberryglade.memory import connection_limit
 from cranberryglade.memory import holding
+from cranberryglade.rollouts import control
 
 
 def register(
@@ -19,6 +20,7 @@
     origins: origin_sharing.OriginSharing,
     memory: memory_budget.MemoryBudget,
     open_limit: connection_limit.ConnectionLimit,
+    rollouts: control.RolloutControl,
 ) -> None:
     """Adds the gauges of an instance to its metrics.
 
@@ -30,6 +32,7 @@
         origins: origins of streams.
         memory: the bytes that it holds for others.
         open_limit: the connections of its callers.
+        rollouts: roll-outs, while this instance allocates.
     """
     _register_memory(shared, memory)
     _register_connections(shared, open_limit)
@@ -108,6 +111,21 @@
         "Slots granted at endpoints that had lately read a prompt part.",
         lambda: placed.prefixed,
     )
+    watch(
+        "rollouts_running",
+        "Roll-outs that this instance conducts.",
+        lambda: rollouts.running_count,
+    )
+    watch(
+        "rollout_answers_bad",
+        "Bad answers of the new versions in these.",
+        lambda: rollouts.bad_answers,
+    )
+    watch(
+        "rollout_grants_reserved",
+        "Grants of the new versions that are reserved in the store.",
+        lambda: rollouts.reserved,
+    )
     watch(
         "requests_waiting",
         "Requests in the allocator's queue.",
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -25,6 +25,8 @@
 from cranberryglade.preemption import options
 from cranberryglade.preemption import returns
 from cranberryglade.preemption import victims
+from cranberryglade.rollouts import comparison
+from cranberryglade.rollouts import gate
 
 UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
@@ -71,6 +73,7 @@
         "_returns",
         "_states",
         "_victims",
+        "_versions",
         "_waiting",
         "placing",
     )
@@ -81,6 +84,7 @@
         limits: endpoint_limits.EndpointLimits | None = None,
         placement: placement_options.PlacementOptions | None = None,
         contention: options.PreemptionOptions | None = None,
+        versions: gate.VersionGate | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -91,6 +95,8 @@
             placement: terms of the cost of an endpoint; None for the defaults.
             contention: what operators set for contention; None for the
                 defaults.
+            versions: limits the software versions that get slots; None to
+                treat all alike.
         """
         self.placing = placing.Placing(
             placement or placement_options.PlacementOptions()
@@ -98,6 +104,7 @@
         self._options = contention or options.PreemptionOptions()
         self._returns: dict[str, returns.ReturnSchedule] = {}
         self._victims = victims.Victims()
+        self._versions = versions
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -179,6 +186,8 @@
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
+        if self._versions is not None:
+            self._versions.record_request(request)
         waiting = self._make_waiting(holder, request, now)
         self._enqueue(waiting)
         decisions = self._deny_if_quarantined([request.id], now)
@@ -244,6 +253,11 @@
         schedule = self._return_schedule(state.endpoint.service)
         schedule.record_freed(lease.work_units, now)
         self._apply_outcome(state, lease, outcome, now, first_answer_seconds)
+        if self._versions is not None and lease.request is not None:
+            answer = comparison.describe(
+                lease, state, outcome, first_answer_seconds, now
+            )
+            self._versions.record_outcome(state.endpoint, answer)
         self._renew(lease.endpoint, now)
         return self._grant_waiting(state.endpoint.service, now)
 
@@ -335,6 +349,10 @@
         """Returns whether any of some parts may crash endpoints."""
         return bool(self._quarantine.evidence.suspected(parts))
 
+    def requests_at(self, endpoints: Iterable[str]) -> list[str]:
+        """Returns the ids of the requests that run at some endpoints."""
+        return [id_ for name in endpoints for id_ in self._leases.at(name)]
+
     def leases_of(self, holder: str) -> list[messages.Granted]:
         """Returns the leases of one instance."""
         return [
@@ -454,7 +472,9 @@
         if not queue or group is None:
             return decisions
         queue.restore(MAX_RESTORED)
-        while group.has_free(now):
+        if self._versions is not None:
+            group.barred = self._versions.barred(service)
+        while group.has_free(now) or self._canary(service, now) is not None:
             waiting = queue.first(group.median_pace, now)
             if waiting is None:
                 break
@@ -482,6 +502,8 @@
         if state.bucket is not None:
             state.bucket.take()
         self._return_schedule(request.service).record_granted(request, now)
+        if self._versions is not None:
+            self._versions.record_grant(state.endpoint)
         granted = messages.Granted(request.id, name)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
@@ -529,9 +551,26 @@
                 and not (suspected and self._runs_suspected(state))
             )
 
+        canary = self._canary(request.service, now)
+        if canary is not None and accepts(canary):
+            return canary
         preference = self.placing.preference(waiting.holder, request, now)
         return group.choose(request, accepts, now, preference)
 
+    def _canary(
+        self, service: str, now: float
+    ) -> endpoint_states.EndpointState | None:
+        """Returns the free endpoint that a roll-out's next request goes to."""
+        if self._versions is None:
+            return None
+        name = self._versions.canary_endpoint(service, now)
+        state = self._states.get(name)
+        if state is None or state.endpoint.leaving or state.free_slots <= 0:
+            return None
+        until = max(state.paused_until, state.down_until, state.room_at(now))
+        free = until <= now and self._rates.tokens(state, now) >= 1.0
+        return state if free else None
+
     def _runs_suspected(self, state: endpoint_states.EndpointState) -> bool:
         return any(
             lease.request is not None and self.suspects(lease.request.parts)
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -13,8 +13,11 @@
 from cranberryglade.gateway import endpoint_checks
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import ports
+from cranberryglade.rollouts import orders
+from cranberryglade.rollouts import status_rows
 
 CONFIGURATION_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
 DEFAULT_MAX_CONNECTIONS = 1000
 Rank = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
 
@@ -126,6 +129,14 @@
     sequence: decoding.Count = 0
 
 
+class WireRollout(msgspec.Struct):
+    """An order of a roll-out."""
+
+    to: str
+    period_s: decoding.Quantity
+    service: str = ""
+
+
 class Decoder:
     """Decodes rows of the store."""
 
@@ -143,6 +154,43 @@
             lambda wire: _endpoint(row.key, wire)
         )
 
+    def decode_rollout(
+        self, row: ports.Row
+    ) -> Result[orders.Order | orders.Withdrawn, str] | None:
+        """Decodes an order of a roll-out; returns None for any other row."""
+        if not row.key.startswith(ROLLOUT_PREFIX):
+            return None
+        service = row.key.removeprefix(ROLLOUT_PREFIX)
+        if row.value is None:
+            return Success(orders.Withdrawn(service))
+        return decoding.from_json(row.value, WireRollout).bind(
+            lambda wire: _order(service, row.version, wire)
+        )
+
+    def decode_rollout_status(
+        self, row: ports.Row
+    ) -> Result[orders.Status, str] | None:
+        """Decodes a roll-out's status; None for any other or an absent row."""
+        if not row.key.startswith(ROLLOUT_PREFIX) or row.value is None:
+            return None
+        service = row.key.removeprefix(ROLLOUT_PREFIX)
+        return status_rows.decode(service, row.value)
+
+    def encode_rollout_status(self, status: orders.Status) -> ports.Write:
+        """Returns the write of a roll-out's status, without a condition."""
+        key = ROLLOUT_PREFIX + status.service
+        value = status_rows.encode(status)
+        return ports.Write(ports.Table.STATUS, key, value)
+
+
+def _order(
+    service: str, version: ports.Version, wire: WireRollout
+) -> Result[orders.Order, str]:
+    if wire.service not in ("", service) or not wire.period_s:
+        return Failure("another service than the key's, or no period")
+    id_ = str(version.number)
+    return Success(orders.Order(service, wire.to, wire.period_s, id_))
+
 
 def _endpoint(id_: str, wire: WireEndpoint) -> Result[messages.Endpoint, str]:
     endpoint = messages.Endpoint(
--- a/cranberryglade/platform/store.py
+++ b/cranberryglade/platform/store.py
@@ -26,6 +26,7 @@
     ports.Table.QUARANTINE: "cranberryglade-quarantine",
     ports.Table.USAGE: "cranberryglade-usage",
     ports.Table.ORIGINS: "cranberryglade-origins",
+    ports.Table.STATUS: "status",
 }
 PAGE_ROWS = 500
 READ_TIMEOUT_SECONDS = 2.0
@@ -134,13 +135,8 @@
         self, table: ports.Table, key: str
     ) -> Result[ports.Row, ports.StoreError]:
         """Returns one row; its version is 0 if it is absent."""
-        query = {
-            "table": TABLES[table],
-            "part": "",
-            "from": key,
-            "to": key + "\0",
-            "limit": 1,
-        }
+        query = {"table": TABLES[table], "part": "", "limit": 1}
+        query |= {"from": key, "to": key + "\0"}
         page = await self._fetch_rows("/rows-get", query, self._read_seconds)
         absent = ports.Row(key, ports.NO_VERSION, None)
         return page.map(
