Rollouts: statuses are read only where there is an order

Every instance followed the table of statuses from its start, also where no rollout was ever ordered: a read and a long poll for each instance. They are followed from the first order on; the allocator looks once for one whose order was removed. 15 tests of rollouts with clusters pass.

--- a/cranberryglade/rollouts/control.py
+++ b/cranberryglade/rollouts/control.py
@@ -68,7 +68,9 @@
         "_all_heard",
         "_count_event",
         "_decoder",
+        "_follows_statuses",
         "_gate",
+        "_has_looked",
         "_is_allocating",
         "_orders_read",
         "_random",
@@ -126,6 +128,8 @@
         self._versions: dict[str, ports.Version] = {}
         self._rejected: dict[str, str] = {}
         self._orders_read = False
+        self._follows_statuses = False
+        self._has_looked = False
         self._stepped_at = 0.0
         self._unreadable = bounded_warnings.BoundedWarning("rollout.unreadable")
 
@@ -181,12 +185,20 @@
             await self.step()
 
     async def watch(self) -> None:
-        """Follows the stored statuses until cancelled."""
+        """Follows the stored statuses until cancelled.
+
+        Nothing is read before there is an order. The allocator looks once for
+        a status whose order was removed while no instance ran.
+        """
         version = None
         while True:
+            if not self._follows_statuses and not self._must_look():
+                await asyncio.sleep(STEP_SECONDS)
+                continue
             match await self._read(version):
                 case Success(rows):
-                    version = rows.version
+                    self._has_looked = True
+                    version = rows.version if self._follows_statuses else None
                     for row in rows.rows:
                         self._observe_status(row)
                 case Failure(ports.StoreError.HISTORY_LOST):
@@ -195,6 +207,12 @@
                 case Failure(_):
                     await self._pause()
 
+    def _must_look(self) -> bool:
+        allocates = self._is_allocating()
+        if not allocates:
+            self._has_looked = False
+        return allocates and not self._has_looked
+
     async def step(self) -> None:
         """Takes the next step of each roll-out."""
         now = asyncio.get_running_loop().time()
@@ -229,6 +247,7 @@
         known = self._gate.orders.get(order.service)
         if known == order:
             return
+        self._follows_statuses = True
         self._gate.orders[order.service] = order
         self._gate.forget_end(order.service)
         self._gate.renew(order.service)
@@ -272,6 +291,7 @@
         return None
 
     def _learn(self, status: orders.Status) -> None:
+        self._follows_statuses = True
         known = self._gate.statuses.get(status.service)
         if known is None or known.order_id != status.order_id:
             self._gate.forget_end(status.service)
--- a/cranberryglade/tests/test_rollout_control.py
+++ b/cranberryglade/tests/test_rollout_control.py
@@ -7,6 +7,8 @@
 import pytest
 import structlog
 
+from cranberryglade.platform import store
+from cranberryglade.rollouts import control
 from cranberryglade.standins import operator_configuration
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
@@ -237,3 +239,26 @@
         with structlog.testing.capture_logs() as lines:
             await wait_for_state(cluster, "completed")
         assert any(x["event"] == "rollout.taken_over" for x in lines)
+
+
+async def test_statuses_are_read_only_where_there_are_rollouts(monkeypatch):
+    """Each call of the store is paid for, by all deployments."""
+    tables = []
+    fetch_rows = store.StoreClient._fetch_rows
+
+    async def record(self, path, query, timeout):
+        tables.append(query["table"])
+        return await fetch_rows(self, path, query, timeout)
+
+    monkeypatch.setattr(store.StoreClient, "_fetch_rows", record)
+    async with gateway_cluster.Cluster(gateways=3) as cluster:
+        await asyncio.sleep(3 * control.STEP_SECONDS)
+        allocators = sum(
+            each._allocator.is_allocating for each in cluster.gateways
+        )
+        # One that starts first allocates until it has heard the others.
+        assert tables.count("status") <= 3
+        order(cluster, "v1")
+        await asyncio.sleep(3 * control.STEP_SECONDS)
+        assert tables.count("status") >= 3
+    assert allocators == 1
