check: note attempts before each step

The endpoint had the request, but attempts were noted only after a step that waits for quiet, so the reset was booked on a request that waits for a slot.

--- a/cranberryglade/checking/world.py
+++ b/cranberryglade/checking/world.py
@@ -170,6 +170,8 @@
 
     async def _make(self, step: steps.Step) -> bool:
         """Makes a step; returns whether it had an effect."""
+        # The step before may not have waited until nothing was left to do.
+        self._note_attempts()
         match step.verb:
             case Verb.BEGIN:
                 return await self._send(step.subject, whole=False)
@@ -358,17 +360,21 @@
 
     async def _settle(self) -> None:
         await self._loop.quiet()
-        for endpoint in self._endpoints.values():
-            for attempt in endpoint.attempts:
-                known = self._requests[attempt.request_id].attempts
-                if attempt not in known:
-                    known.append(attempt)
+        self._note_attempts()
         for request in self._requests.values():
             caller = self._callers.get(_connection(request.name))
             if request.sent_at is None or caller is None:
                 continue
             request.read_whole |= not caller.close_announced
 
+    def _note_attempts(self) -> None:
+        """Notes which requests endpoints have received."""
+        for endpoint in self._endpoints.values():
+            for attempt in endpoint.attempts:
+                known = self._requests[attempt.request_id].attempts
+                if attempt not in known:
+                    known.append(attempt)
+
     def _unfinished(self) -> list[observed.Observed]:
         return [each for each in self._requests.values() if self._is_open(each)]
 
