Mend what the review of the merged parts found

- A rollout was completed while streams that had broken off at the old version waited to go on there: they count as running.
- Streams at a version that gets no more slots, and on an instance that stops, were asked to yield; a stream that goes on made the next one yield; the pause was estimated with slots of all versions.
- Times to come back changed where nobody asked for it: [preemption] schedule_returns.
At the longest time they were no longer spread.
- A request whose wait was over was taken for a hedge; hedges are known by rank now.
- A cancelled search gave back a retry that another attempt had reserved.
- Idle connections were closed with a request in the socket.
- One name for rollouts.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -29,9 +29,6 @@
 MAX_DENIAL_PAUSE_SECONDS = 1.0
 """Longest time until a slot is asked for again for a begun answer."""
 
-HEDGE_RANK = 2**31 - 1
-"""Rank of the slot requests of hedges: all that wait for a slot go first."""
-
 HEDGED = "hedged"
 """Failure of an attempt whose hedge had the answer first."""
 
@@ -160,6 +157,7 @@
         Returns:
             The attempt, which must be given to `end`; or why there is none.
         """
+        reserved_at = exchange.retry_reserved_at
         try:
             while True:
                 denied = await self._find_denial(exchange)
@@ -183,7 +181,9 @@
                             )
                         self._withhold(exchange, slot_request, id_)
         finally:
-            self.give_back(exchange)
+            # If this is cancelled, another retry may be reserved meanwhile.
+            if exchange.retry_reserved_at == reserved_at:
+                self.give_back(exchange)
 
     def give_back(self, exchange: exchanges.Exchange) -> None:
         """Gives a retry back that was reserved and not sent."""
@@ -696,4 +696,6 @@
 def _at_once(request: messages.SlotRequest) -> messages.SlotRequest:
     """Returns the slot request of a hedge, which waits for no slot."""
     now = asyncio.get_running_loop().time()
-    return dataclasses.replace(request, rank=HEDGE_RANK, wait_until=now)
+    return dataclasses.replace(
+        request, rank=messages.HEDGE_RANK, wait_until=now
+    )
--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -32,7 +32,7 @@
         origins: origins of streams.
         memory: the bytes that it holds for others.
         open_limit: the connections of its callers.
-        rollouts: roll-outs, while this instance allocates.
+        rollouts: rollouts, while this instance allocates.
     """
     _register_memory(shared, memory)
     _register_connections(shared, open_limit)
@@ -113,7 +113,7 @@
     )
     watch(
         "rollouts_running",
-        "Roll-outs that this instance conducts.",
+        "Rollouts that this instance conducts.",
         lambda: rollouts.running_count,
     )
     watch(
--- a/cranberryglade/gateway/inbound.py
+++ b/cranberryglade/gateway/inbound.py
@@ -339,6 +339,7 @@
         else:
             self._transport.resume_reading()
             if self._reading_request:
+                self._listener.open_limit.read(self)
                 self._start_request_timer()
             else:
                 self._listener.open_limit.rest(self)
@@ -370,7 +371,8 @@
             self._transport.abort()
         elif self._reading_request:
             self._refuse("connections short")
-        else:
+        elif self._resting:
+            # A request that has arrived is read and answered first.
             self._transport.close()
 
     def drop_if_left(self) -> None:
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -160,6 +160,9 @@
         )
 
 
+HEDGE_RANK = 2**31 - 1
+"""Rank of the slot requests of hedges: all that wait for a slot go first."""
+
 OVER_QUOTA = "over_quota"
 QUARANTINED = "quarantined"
 ORIGIN_UNKNOWN = "origin_unknown"
--- a/cranberryglade/gateway/ports.py
+++ b/cranberryglade/gateway/ports.py
@@ -24,7 +24,7 @@
         QUARANTINE: prompt parts and requests that crash endpoints.
         USAGE: usage of quotas, and software versions in use.
         ORIGINS: what began recent streams, during a release.
-        STATUS: states of roll-outs, which the platform acts on.
+        STATUS: states of rollouts, which the platform acts on.
     """
 
     CONFIGURATION = "configuration"
--- a/cranberryglade/gateway/settings.py
+++ b/cranberryglade/gateway/settings.py
@@ -52,7 +52,7 @@
         memory_bytes: memory that the process may use.
         max_descriptors: file descriptors that the process may use.
         exposure_share: largest fraction of a service's requests that an
-            unproven software version may get during a roll-out.
+            unproven software version may get during a rollout.
         exposure_slack: requests that it may get in addition.
         rollback_seconds: time after which a version that is known to be bad
             gets no more requests.
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 import heapq
 import math
 
@@ -33,6 +34,9 @@
 MAX_BACKOFF_SECONDS = 4.0
 REFUSED_BACKOFF_SECONDS = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.25
+EXPIRED_RETRY_SECONDS = 0.5
+"""Retry-After of a request whose wait is over, if returns are not scheduled."""
+
 
 MIN_CAPACITY = 0.01
 """Least number of slots that a wait is estimated with."""
@@ -350,8 +354,24 @@
         return bool(self._quarantine.evidence.suspected(parts))
 
     def requests_at(self, endpoints: Iterable[str]) -> list[str]:
-        """Returns the ids of the requests that run at some endpoints."""
-        return [id_ for name in endpoints for id_ in self._leases.at(name)]
+        """Returns the ids of the requests that run at some endpoints.
+
+        A stream that broke off there and waits to go on at the same software
+        version counts as well.
+        """
+        names = list(endpoints)
+        listed = [self._states[name] for name in names if name in self._states]
+        versions = {
+            (each.endpoint.service, each.endpoint.software_version)
+            for each in listed
+        }
+        waiting = [
+            id_
+            for id_, each in self._waiting.items()
+            if (each.request.service, each.request.software_version) in versions
+        ]
+        running = [id_ for name in names for id_ in self._leases.at(name)]
+        return running + waiting
 
     def leases_of(self, holder: str) -> list[messages.Granted]:
         """Returns the leases of one instance."""
@@ -386,7 +406,9 @@
             if waiting is None or now < waiting.request.wait_until:
                 continue
             self.withdraw(id_)
-            denied = self._deny_for_now(waiting, "waited", now)
+            denied = self._deny_for_now(
+                waiting, "waited", EXPIRED_RETRY_SECONDS, now
+            )
             decisions.append(
                 endpoint_states.SlotDecision(waiting.holder, denied)
             )
@@ -560,7 +582,7 @@
     def _canary(
         self, service: str, now: float
     ) -> endpoint_states.EndpointState | None:
-        """Returns the free endpoint that a roll-out's next request goes to."""
+        """Returns the free endpoint that a rollout's next request goes to."""
         if self._versions is None:
             return None
         name = self._versions.canary_endpoint(service, now)
@@ -593,7 +615,7 @@
             return self._make_denial(
                 request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
             )
-        if request.wait_until <= now:
+        if request.rank == messages.HEDGE_RANK:
             # A hedge takes no place among those that wait or come back.
             return self._make_denial(request, "waited", 0.0)
         queue = self._queues[request.service]
@@ -604,7 +626,7 @@
         ahead = queue.load_up_to(rank, request.software_version, share)
         wait = self._expected_wait(request, group, ahead, now)
         if now + wait > request.wait_until:
-            return self._deny_for_now(waiting, "hopeless", now)
+            return self._deny_for_now(waiting, "hopeless", wait, now)
         if returned:
             return None
         oldest = queue.oldest_late(request.rank)
@@ -614,7 +636,7 @@
         # those in time leave slots.
         wait = max(wait, now - oldest)
         if wait > MAX_LATE_WAIT_SHARE * (request.wait_until - now):
-            return self._deny_for_now(waiting, "hopeless", now)
+            return self._deny_for_now(waiting, "hopeless", wait, now)
         return None
 
     def _will_be_late(
@@ -723,6 +745,9 @@
         group = self._groups.get(request.service)
         if not self._options.enabled or group is None:
             return []
+        if request.software_version is not None:
+            # A stream that has yielded does not make the next one yield.
+            return []
         if self._will_be_late(request, group, now):
             return self._preempt_for(waiting, 1, now)
         seconds = _seconds_to_answer(request, group.median_pace)
@@ -776,12 +801,17 @@
         pace = state.seconds_per_work_unit or group.median_pace
         if victims.is_nearly_done(lease, pace, now):
             return False
+        version = state.endpoint.software_version
+        if version in group.barred.any_version | group.barred.all_requests:
+            # The stream could not go on, and nothing else may run there.
+            return False
         answered_at = now + _seconds_to_answer(waiting.request, pace)
         if answered_at > waiting.request.first_answer_due:
             return False
         queue = self._queues[waiting.request.service]
         ahead = queue.load_up_to(offering.MOST_URGENT_RANK)
-        pause = self._expected_wait(lease.request, group, ahead, now)
+        resumed = dataclasses.replace(lease.request, software_version=version)
+        pause = self._expected_wait(resumed, group, ahead, now)
         return (
             pause <= victims.MAX_PAUSE_SECONDS
             and waiting.request.may_run_at(state.endpoint)
@@ -801,10 +831,20 @@
         self,
         waiting: endpoint_states.QueuedRequest,
         reason: str,
+        wait: float,
         now: float,
     ) -> messages.Denied:
-        """Denies a request for want of a slot, until one will be free."""
+        """Denies a request for want of a slot, until one will be free.
+
+        Args:
+            waiting: the request.
+            reason: why, for logs.
+            wait: seconds that it is told if returns are not scheduled.
+            now: seconds of the loop's clock.
+        """
         request = waiting.request
+        if not self._options.schedule_returns:
+            return self._make_denial(request, reason, wait)
         group = self._groups.get(request.service)
         if group is None:
             return self._make_denial(
--- a/cranberryglade/hedging/latency.py
+++ b/cranberryglade/hedging/latency.py
@@ -27,12 +27,12 @@
         self._sorted: list[float] = []
 
     def record(self, seconds: float, now: float) -> None:
-        """Records the time to one first answer, as a multiple of its size.
+        """Records the time to one first answer.
 
         Args:
-            seconds: the time, in seconds for each unit of work. One that is
-                known to be longer than the quantile may be recorded by the
-                part that was observed: that does not change the quantile.
+            seconds: the time. One that is known to be longer than the quantile
+                may be recorded by the part that was observed: that does not
+                change the quantile.
             now: seconds of the loop's clock.
         """
         if len(self._recent) == MAX_SAMPLES:
@@ -48,8 +48,8 @@
             now: seconds of the loop's clock.
 
         Returns:
-            Seconds for each unit of work; None if fewer answers are recent than
-            it takes for one of them to be beyond the quantile.
+            Seconds; None if fewer answers are recent than it takes for one of
+            them to be beyond the quantile.
         """
         while self._recent and now - self._recent[0][0] > MAX_AGE_SECONDS:
             self._drop_oldest()
--- a/cranberryglade/hedging/options.py
+++ b/cranberryglade/hedging/options.py
@@ -18,7 +18,7 @@
         request_share: most hedged requests, as a fraction of all requests of
             a service; 0 turns hedging off.
         quantile: a first answer is late once it takes longer than this
-            fraction of the recent ones, relative to what was expected.
+            fraction of the service's recent ones.
     """
 
     request_share: float = DEFAULT_REQUEST_SHARE
@@ -40,6 +40,6 @@
         "a number from 0.5 to 0.999",
         DEFAULT_QUANTILE,
         "a first answer is late once it takes longer than this fraction of the "
-        "recent ones, relative to what was expected",
+        "service's recent ones",
     ),
 )
--- a/cranberryglade/platform/documents.py
+++ b/cranberryglade/platform/documents.py
@@ -130,7 +130,7 @@
 
 
 class WireRollout(msgspec.Struct):
-    """An order of a roll-out."""
+    """An order of a rollout."""
 
     to: str
     period_s: decoding.Quantity
@@ -157,7 +157,7 @@
     def decode_rollout(
         self, row: ports.Row
     ) -> Result[orders.Order | orders.Withdrawn, str] | None:
-        """Decodes an order of a roll-out; returns None for any other row."""
+        """Decodes an order of a rollout; returns None for any other row."""
         if not row.key.startswith(ROLLOUT_PREFIX):
             return None
         service = row.key.removeprefix(ROLLOUT_PREFIX)
@@ -170,14 +170,14 @@
     def decode_rollout_status(
         self, row: ports.Row
     ) -> Result[orders.Status, str] | None:
-        """Decodes a roll-out's status; None for any other or an absent row."""
+        """Decodes a rollout's status; None for any other or an absent row."""
         if not row.key.startswith(ROLLOUT_PREFIX) or row.value is None:
             return None
         service = row.key.removeprefix(ROLLOUT_PREFIX)
         return status_rows.decode(service, row.value)
 
     def encode_rollout_status(self, status: orders.Status) -> ports.Write:
-        """Returns the write of a roll-out's status, without a condition."""
+        """Returns the write of a rollout's status, without a condition."""
         key = ROLLOUT_PREFIX + status.service
         value = status_rows.encode(status)
         return ports.Write(ports.Table.STATUS, key, value)
--- a/cranberryglade/preemption/returns.py
+++ b/cranberryglade/preemption/returns.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from cranberryglade.gateway import budgets
 from cranberryglade.gateway import endpoint_states
@@ -22,6 +23,9 @@
 MAX_RETURN_SECONDS = 10.0
 """No caller is told a longer time: beyond it the load is not foreseen."""
 
+SPREAD_STEP = (math.sqrt(5) - 1) / 2
+"""Multiples of it, without their whole parts, are spread evenly."""
+
 MIN_KEPT_SHARE = 0.5
 """A request that comes back after less than this share of the time that it was
 told is treated as a new one, so that asking early gains nothing."""
@@ -61,13 +65,14 @@
     behind what waits and behind those that were refused before it.
     """
 
-    __slots__ = ("_freed", "_granted", "_promises", "_tails")
+    __slots__ = ("_freed", "_granted", "_promises", "_spread", "_tails")
 
     def __init__(self):
         self._freed = budgets.SlidingWindow(WINDOW_SECONDS)
         self._granted: dict[int, budgets.SlidingWindow] = {}
         self._promises: dict[str, Promise] = {}
         self._tails: dict[int, float] = {}
+        self._spread = 0.0
 
     def __len__(self) -> int:
         """Returns the number of promises that are kept."""
@@ -108,11 +113,23 @@
         wait = max(least_wait, ahead / rate)
         begins = max(now + wait, self._tail(request.rank, now))
         size = endpoint_states.work_units(request)
-        due = min(begins + size / rate, now + MAX_RETURN_SECONDS)
-        self._tails[request.rank] = due
+        due = begins + size / rate
+        if due > now + MAX_RETURN_SECONDS:
+            self._tails[request.rank] = now + MAX_RETURN_SECONDS
+            due = now + self._spread_seconds()
+        else:
+            self._tails[request.rank] = due
         self._keep(request, Promise(waiting.place, now, due), now)
         return due - now
 
+    def _spread_seconds(self) -> float:
+        """Returns a time in the second half of the longest, spread evenly.
+
+        Callers that were all told the longest time would come back at once.
+        """
+        self._spread = (self._spread + SPREAD_STEP) % 1.0
+        return MAX_RETURN_SECONDS * (0.5 + 0.5 * self._spread)
+
     def redeem(
         self, request: messages.SlotRequest, now: float
     ) -> Promise | None:
--- a/cranberryglade/preemption/yielding.py
+++ b/cranberryglade/preemption/yielding.py
@@ -97,6 +97,8 @@
         """Returns why an attempt goes on; "" if its retry is reserved."""
         if not exchange.awaits_endpoint:
             return "busy"
+        if self._state.shutdown.begun:
+            return "stopping"
         if exchange.yielded or exchange.attempts_in_progress != 1:
             return "replaced"
         if not attempt.sent.done():
--- a/cranberryglade/rollouts/__init__.py
+++ b/cranberryglade/rollouts/__init__.py
@@ -1,1 +1,1 @@
-"""Roll-outs of a software version: canary, verdict, promotion, rollback."""
+"""Rollouts of a software version: canary, verdict, promotion, rollback."""
--- a/cranberryglade/rollouts/control.py
+++ b/cranberryglade/rollouts/control.py
@@ -1,6 +1,6 @@
-"""Conducts roll-outs while this instance is the allocator.
+"""Conducts rollouts while this instance is the allocator.
 
-Load pattern: the allocator disappears during a roll-out, stands still and
+Load pattern: the allocator disappears during a rollout, stands still and
 wakes, or two instances allocate for a second. All that a successor needs is in
 the status row, which is written only if it is as it was last read.
 """
@@ -26,6 +26,9 @@
 from cranberryglade.rollouts import rollout
 
 STEP_SECONDS = 0.25
+LOOK_AFTER_SECONDS = 10.0
+"""Time after which an allocator looks for a status whose order was removed."""
+
 LONG_POLL_SECONDS = 25.0
 RETRY_SECONDS = 1.0
 """Mean time after which a table that could not be read is read again."""
@@ -40,7 +43,7 @@
 
 
 class Decoder(Protocol):
-    """Translates the rows of roll-outs."""
+    """Translates the rows of rollouts."""
 
     def decode_rollout(
         self, row: ports.Row
@@ -57,15 +60,16 @@
 
 
 class RolloutControl:
-    """Reads orders and statuses, and conducts the roll-outs.
+    """Reads orders and statuses, and conducts the rollouts.
 
     Attributes:
         limit: most requests for a version that may be bad.
-        schedule: the steps of a roll-out.
+        schedule: the steps of a rollout.
     """
 
     __slots__ = (
         "_all_heard",
+        "_allocating_since",
         "_count_event",
         "_decoder",
         "_follows_statuses",
@@ -106,7 +110,7 @@
             decoder: translates its rows.
             versions: the version gate of this instance.
             limit: most requests for a version that may be bad.
-            schedule: the steps of a roll-out.
+            schedule: the steps of a rollout.
             is_allocating: whether this instance is the allocator.
             all_heard: whether all instances report their requests here.
             requests_at: returns the ids of the requests at some endpoints.
@@ -129,13 +133,14 @@
         self._rejected: dict[str, str] = {}
         self._orders_read = False
         self._follows_statuses = False
+        self._allocating_since: float | None = None
         self._has_looked = False
         self._stepped_at = 0.0
         self._unreadable = bounded_warnings.BoundedWarning("rollout.unreadable")
 
     @property
     def running_count(self) -> int:
-        """Number of roll-outs that this instance conducts."""
+        """Number of rollouts that this instance conducts."""
         return sum(not each.is_over for each in self._gate.rollouts.values())
 
     @property
@@ -179,7 +184,7 @@
                 self._withdraw(service)
 
     async def run(self) -> None:
-        """Conducts the roll-outs until cancelled."""
+        """Conducts the rollouts until cancelled."""
         while True:
             await asyncio.sleep(STEP_SECONDS)
             await self.step()
@@ -188,7 +193,8 @@
         """Follows the stored statuses until cancelled.
 
         Nothing is read before there is an order. The allocator looks once for
-        a status whose order was removed while no instance ran.
+        a status whose order was removed while no instance ran, later: at the
+        start, other reads show whether connections to the store are silent.
         """
         version = None
         while True:
@@ -208,13 +214,18 @@
                     await self._pause()
 
     def _must_look(self) -> bool:
-        allocates = self._is_allocating()
-        if not allocates:
+        now = asyncio.get_running_loop().time()
+        if not self._is_allocating():
+            self._allocating_since = None
             self._has_looked = False
-        return allocates and not self._has_looked
+            return False
+        if self._allocating_since is None:
+            self._allocating_since = now
+        allocates_long = now - self._allocating_since >= LOOK_AFTER_SECONDS
+        return allocates_long and not self._has_looked
 
     async def step(self) -> None:
-        """Takes the next step of each roll-out."""
+        """Takes the next step of each rollout."""
         now = asyncio.get_running_loop().time()
         stood_still = now - self._stepped_at > FENCE_SECONDS
         self._stepped_at = now
@@ -229,7 +240,7 @@
             await self._conduct(service)
 
     def _stop_conducting(self) -> None:
-        """Leaves the roll-outs to the next allocator.
+        """Leaves the rollouts to the next allocator.
 
         Of a version that was found bad, the verdict is stored first, as
         the next allocator has not seen its answers.
@@ -319,7 +330,7 @@
         self._gate.renew(service)
 
     def _is_unordered(self, service: str) -> bool:
-        """Returns whether a stored roll-out runs that nobody orders."""
+        """Returns whether a stored rollout runs that nobody orders."""
         status = self._gate.statuses.get(service)
         return (
             self._orders_read
@@ -392,7 +403,7 @@
         )
 
     def _end_stored(self, status: orders.Status, now: float) -> None:
-        """Rolls back a stored roll-out that is no longer ordered."""
+        """Rolls back a stored rollout that is no longer ordered."""
         order = orders.Order(
             status.service, status.version, 0.0, status.order_id
         )
--- a/cranberryglade/rollouts/exposure.py
+++ b/cranberryglade/rollouts/exposure.py
@@ -45,7 +45,7 @@
         """Creates a budget of which all that is reserved counts as used.
 
         Args:
-            limit: the limit on the whole roll-out.
+            limit: the limit on the whole rollout.
             requests: requests that predecessors counted.
             reserved: grants that predecessors reserved.
         """
--- a/cranberryglade/rollouts/gate.py
+++ b/cranberryglade/rollouts/gate.py
@@ -39,12 +39,12 @@
 class ServiceVersions:
     """The version gate of an instance; performs no I/O.
 
-    A service with an order, or with a status that says that a roll-out runs,
-    gives the new version no slots unless this instance conducts the roll-out.
+    A service with an order, or with a status that says that a rollout runs,
+    gives the new version no slots unless this instance conducts the rollout.
 
     Attributes:
         orders: orders in force, by service.
-        rollouts: roll-outs that this instance conducts, by service.
+        rollouts: rollouts that this instance conducts, by service.
         statuses: stored states that are known, by service.
     """
 
@@ -108,17 +108,17 @@
         self.renew_all()
 
     def conduct(self, service: str, conducted: rollout.Rollout) -> None:
-        """Begins to conduct a roll-out."""
+        """Begins to conduct a rollout."""
         self.rollouts[service] = conducted
         self.renew(service)
 
     def renew_all(self) -> None:
-        """Renews the bars of all services that have or had a roll-out."""
+        """Renews the bars of all services that have or had a rollout."""
         for service in self.concerned():
             self.renew(service)
 
     def concerned(self) -> set[str]:
-        """Returns the services that have or had a roll-out."""
+        """Returns the services that have or had a rollout."""
         return self.orders.keys() | self.rollouts.keys() | self.statuses.keys()
 
     def renew(self, service: str) -> None:
@@ -137,7 +137,7 @@
         self._bars[service] = barred
 
     def old_endpoints(self, service: str) -> list[str]:
-        """Returns the ids of the endpoints that a roll-out replaces."""
+        """Returns the ids of the endpoints that a rollout replaces."""
         conducted = self.rollouts.get(service)
         if conducted is None:
             return []
@@ -190,7 +190,7 @@
     ) -> bars.Bars:
         """Bars the replaced versions until they are gone.
 
-        Versions that are started later are not known to a roll-out.
+        Versions that are started later are not known to a rollout.
         """
         versions = {each.software_version for each in listed}
         replaced = self._ended.get(service)
@@ -202,7 +202,7 @@
         return bars.bar(self._ended[service])
 
     def forget_end(self, service: str) -> None:
-        """Drops the versions that an earlier roll-out replaced."""
+        """Drops the versions that an earlier rollout replaced."""
         self._ended.pop(service, None)
 
 
--- a/cranberryglade/rollouts/options.py
+++ b/cranberryglade/rollouts/options.py
@@ -9,10 +9,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RolloutOptions:
-    """The steps of a roll-out.
+    """The steps of a rollout.
 
     Attributes:
-        canary_fraction: fraction of a roll-out's period in which the new
+        canary_fraction: fraction of a rollout's period in which the new
             version gets no more than the exposure that the platform allows.
     """
 
@@ -25,7 +25,7 @@
         options.number(0.1, 0.9, float),
         "a number from 0.1 to 0.9",
         DEFAULT_CANARY_FRACTION,
-        "fraction of a roll-out's period in which the new version gets no more "
+        "fraction of a rollout's period in which the new version gets no more "
         "than the exposure that the platform allows",
     ),
 )
--- a/cranberryglade/rollouts/orders.py
+++ b/cranberryglade/rollouts/orders.py
@@ -1,11 +1,11 @@
-"""Orders of roll-outs, and what is stored of their state."""
+"""Orders of rollouts, and what is stored of their state."""
 
 import dataclasses
 import enum
 
 
 class State(enum.Enum):
-    """State of a roll-out, as others are told."""
+    """State of a rollout, as others are told."""
 
     RUNNING = "running"
     COMPLETED = "completed"
@@ -13,7 +13,7 @@
 
 
 class Phase(enum.Enum):
-    """Step of a running roll-out.
+    """Step of a running rollout.
 
     Attributes:
         CANARY: the new version gets a limited number of requests.
@@ -31,7 +31,7 @@
     Attributes:
         service: the service.
         version: the software version that is to serve it.
-        period_seconds: time within which the roll-out ends.
+        period_seconds: time within which the rollout ends.
         id: tells this order from an earlier one for the same service, also
             after the store has come back from an old copy.
     """
@@ -51,14 +51,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Status:
-    """The stored state of a service's latest roll-out.
+    """The stored state of a service's latest rollout.
 
     Attributes:
         service: the service.
         state: the state that others act on.
         version: the new software version.
         order_id: id of the order; "" if another writer made the row.
-        phase: step of a running roll-out.
+        phase: step of a running rollout.
         began_ms: when it began, milliseconds of Unix time.
         requests: requests that reached the service since it began.
         reserved: grants of the new version that may have been made in the
--- a/cranberryglade/rollouts/rollout.py
+++ b/cranberryglade/rollouts/rollout.py
@@ -1,4 +1,4 @@
-"""Decides the steps of one roll-out.
+"""Decides the steps of one rollout.
 
 Load pattern: a new version is started beside the old one under full traffic. It
 first gets few requests (canary phase), then all new ones while the old version
@@ -57,7 +57,7 @@
 
 
 class Rollout:
-    """One roll-out, as the allocator conducts it; performs no I/O.
+    """One rollout, as the allocator conducts it; performs no I/O.
 
     A step that gives the new version more is taken once it is stored
     (`confirm`); what takes from it holds at once.
@@ -100,7 +100,7 @@
             limit: most requests for a version that may be bad.
             schedule: the steps, as fractions of the period.
             initial: the status to begin with, or that predecessors stored.
-            began_at: when the roll-out began, seconds of the loop's clock.
+            began_at: when the rollout began, seconds of the loop's clock.
         """
         self.order = order
         self.stored: orders.Status | None = None
@@ -177,7 +177,7 @@
             self.roll_back(self.comparison.reason)
 
     def roll_back(self, reason: str) -> None:
-        """Stops the new version, unless the roll-out has ended."""
+        """Stops the new version, unless the rollout has ended."""
         if self._next.state is not orders.State.RUNNING or self.is_over:
             return
         self.rejection = reason
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -648,3 +648,15 @@
     release = datagrams.Release("r-1", outcome, ["bad"])
     assert (("c", release) in mesh.told) is told
     assert any(name == "b" for name, _ in mesh.told[1:])
+
+
+def test_a_stream_that_waits_to_go_on_counts_as_running_at_its_version():
+    """Endpoints of a version must not stop while its streams are to go on."""
+    allocator = make_allocator(builders.make_endpoint("e-1", slots=1))
+    first = builders.make_slot_request("r-1")
+    allocator.request_slot("a", first, 0.0)
+    resumed = builders.make_slot_request("r-2", software_version="v1")
+    allocator.request_slot("a", resumed, 0.1)
+    assert allocator.requests_at(["e-1"]) == ["r-1", "r-2"]
+    allocator.withdraw("r-2")
+    assert allocator.requests_at(["e-1"]) == ["r-1"]
--- a/cranberryglade/tests/test_preemption.py
+++ b/cranberryglade/tests/test_preemption.py
@@ -20,6 +20,7 @@
 from cranberryglade.gateway_settings import features
 from cranberryglade.preemption import options
 from cranberryglade.preemption import victims
+from cranberryglade.rollouts import bars
 from cranberryglade.tests import fakes
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import gateway_cluster
@@ -287,3 +288,25 @@
         holder.deliver_decisions([decision])
     assert asked == ["r-a"]
     assert mesh.told[-1] == ("b", datagrams.Preempt("r-b"))
+
+
+def test_a_stream_at_an_excluded_version_does_not_yield():
+    """It could not go on, as its version gets no more slots."""
+    scheduler = make_full_scheduler()
+    assert ask_urgently(scheduler)
+    scheduler = make_full_scheduler()
+    (group,) = scheduler._groups.values()
+    group.barred = bars.Bars(any_version=frozenset({"v1"}))
+    assert not ask_urgently(scheduler)
+
+
+def test_a_stream_that_goes_on_makes_no_other_yield():
+    """One preemption would follow the other, each at the cost of a retry."""
+    scheduler = make_full_scheduler()
+    resumed = builders.make_slot_request(
+        "resumed",
+        software_version="v1",
+        first_answer_due=10.6,
+        wait_until=15.0,
+    )
+    assert not preempted(scheduler.request_slot("z", resumed, 10.2))
