Settings: one reader of INI sections for daemons and gateways

The gateway's settings file was parsed and checked by a copy of the daemon's code. options.read_sections serves both; problems name file, section, option and what is allowed, as before.

--- a/cranberryglade/gateway_settings/reading.py
+++ b/cranberryglade/gateway_settings/reading.py
@@ -1,6 +1,5 @@
 """Reads the operators' settings file of a gateway."""
 
-import configparser
 import dataclasses
 import os
 
@@ -68,34 +67,18 @@
     Returns:
         As `read`.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source)
-    except configparser.Error as error:
-        return Failure(f"{source}: {str(error).splitlines()[0]}")
-    allowed = "one of " + ", ".join(features.SECTIONS)
-    problems = [
-        options.Problem(source, name, "", "(unknown)", allowed)
-        for name in parser.sections()
-        if name not in features.SECTIONS
-    ]
-    values = {}
-    for name, declared in features.SECTIONS.items():
-        found = dict(parser[name]) if parser.has_section(name) else {}
-        match options.read_section(source, name, found, declared):
-            case Success(section):
-                values[name] = section
-            case Failure(section_problems):
-                problems += section_problems
-    if problems:
-        return Failure("\n".join(str(problem) for problem in problems))
-    return Success(
-        features.Features(
-            memory_options.MemoryOptions(**values["memory"]),
-            rollouts_options.RolloutOptions(**values["rollouts"]),
-            preemption_options.PreemptionOptions(**values["preemption"]),
-            placement_options.PlacementOptions(**values["placement"]),
-            hedging_options.HedgingOptions(**values["hedging"]),
-            warmup_options.WarmupOptions(**values["warmup"]),
-        )
+    values = options.read_sections(text, source, features.SECTIONS)
+    return values.map(_build_features).alt(
+        lambda problems: "\n".join(str(problem) for problem in problems)
+    )
+
+
+def _build_features(values) -> features.Features:
+    return features.Features(
+        memory_options.MemoryOptions(**values["memory"]),
+        rollouts_options.RolloutOptions(**values["rollouts"]),
+        preemption_options.PreemptionOptions(**values["preemption"]),
+        placement_options.PlacementOptions(**values["placement"]),
+        hedging_options.HedgingOptions(**values["hedging"]),
+        warmup_options.WarmupOptions(**values["warmup"]),
     )
--- a/cranberryglade/options.py
+++ b/cranberryglade/options.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import configparser
 import dataclasses
 import pathlib
 import re
@@ -114,6 +115,42 @@
     return Failure(problems) if problems else Success(parsed)
 
 
+def read_sections(
+    text: str, source: str, sections: Mapping[str, tuple[Option, ...]]
+) -> Result[dict[str, dict[str, Any]], list[Problem]]:
+    """Parses and checks an INI text.
+
+    Args:
+        text: INI text.
+        source: name of the text, for problems.
+        sections: options by the name of their section; no others are allowed.
+
+    Returns:
+        Values by section and option name with defaults filled in, or all
+        problems.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        line = str(error).splitlines()[0]
+        return Failure([Problem(source, "-", "", line, "INI text")])
+    problems = [
+        Problem(source, name, "", "(unknown)", "one of " + ", ".join(sections))
+        for name in parser.sections()
+        if name not in sections
+    ]
+    values = {}
+    for name, declared in sections.items():
+        found = dict(parser[name]) if parser.has_section(name) else {}
+        match read_section(source, name, found, declared):
+            case Success(section):
+                values[name] = section
+            case Failure(section_problems):
+                problems += section_problems
+    return Failure(problems) if problems else Success(values)
+
+
 def parse_name(text: str) -> str:
     """Parses a name of lower-case letters, digits and hyphens.
 
--- a/cranberryglade/settings.py
+++ b/cranberryglade/settings.py
@@ -1,12 +1,10 @@
 """Settings of one daemon: its INI file, defaults and checks."""
 
-import configparser
 import dataclasses
 import logging
 
 from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
 from cranberryglade import options
 
@@ -211,30 +209,8 @@
     Returns:
         The settings, or every problem found.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text, source)
-    except configparser.Error as error:
-        line = str(error).splitlines()[0]
-        return Failure([options.Problem(source, "-", "", line, "INI text")])
-    problems = [
-        options.Problem(
-            source, name, "", "(unknown)", "one of " + ", ".join(SECTIONS)
-        )
-        for name in parser.sections()
-        if name not in SECTIONS
-    ]
-    values = {}
-    for name, declared in SECTIONS.items():
-        found = dict(parser[name]) if parser.has_section(name) else {}
-        match options.read_section(source, name, found, declared):
-            case Success(section):
-                values[name] = section
-            case Failure(section_problems):
-                problems += section_problems
-    if problems:
-        return Failure(problems)
-    return Success(_build_settings(values))
+    read = options.read_sections(text, source, SECTIONS)
+    return read.map(_build_settings)
 
 
 def _build_settings(values) -> Settings:
