--- a/cranberryglade/tests/test_store_restore.py
+++ b/cranberryglade/tests/test_store_restore.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade.gateway import configuration_age
 from cranberryglade.gateway import consultation
 from cranberryglade.gateway import endpoint_directory
 from cranberryglade.gateway import messages
@@ -39,8 +40,16 @@
     )
 
 
-async def test_a_key_that_was_taken_away_stays_away_after_a_restore():
-    async with Cluster(gateways=2) as cluster:
+async def test_a_key_that_was_taken_away_stays_away_after_a_restore(
+    monkeypatch,
+):
+    # Nothing confirms the newer configuration here, so its age grows with the
+    # time that this test takes. On a slow machine it passed 2 s, after which
+    # an unknown key is refused with 503.
+    monkeypatch.setattr(
+        configuration_age, "MAX_AGE_TO_REJECT_UNKNOWN_SECONDS", 60.0
+    )
+    async with Cluster(gateways=2, revoke_seconds=60.0) as cluster:
         cluster.store.take_copy()
         tenants = operator_configuration.a_config()["tenants"]
         tenants[0]["api_keys"] = ["key-2"]
@@ -55,6 +64,25 @@
         await cluster.add_gateway("gate-new")
         await gateway_cluster.wait_until(lambda: versions(cluster) == [2] * 3)
         assert (await cluster.send_request(2)).status == 401
+        assert not cluster.runners[0].received
+
+
+async def test_a_key_that_was_taken_away_is_refused_beyond_the_age_limit(
+    monkeypatch,
+):
+    monkeypatch.setattr(
+        configuration_age, "MAX_AGE_TO_REJECT_UNKNOWN_SECONDS", 0.0
+    )
+    async with Cluster(revoke_seconds=60.0) as cluster:
+        cluster.store.take_copy()
+        tenants = operator_configuration.a_config()["tenants"]
+        tenants[0]["api_keys"] = ["key-2"]
+        cluster.configure(operator_configuration.a_config(2, tenants=tenants))
+        await gateway_cluster.wait_until(lambda: versions(cluster) == [2])
+        await restore(cluster)
+        answer = await cluster.send_request()
+        assert (answer.status, answer.body) == (503, b"unknown_key_yet")
+        assert not cluster.runners[0].received
 
 
 async def test_an_older_configuration_of_a_restored_store_confirms_nothing():
