Endpoints that are granted before they are listed are looked up

Cause: the allocator follows the store, other instances read the list of endpoints from peers up to a second later.

An earlier build answers 404, and all is as before.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from cranberryglade import log
+from cranberryglade.endpoint_lookup import lookup as endpoint_lookup
 from cranberryglade.gateway import charges
 from cranberryglade.gateway import conversions
 from cranberryglade.gateway import datagrams
@@ -132,6 +133,7 @@
         "_pending",
         "_reporters",
         "_last_reported_to",
+        "_lookup",
         "_settled",
         "_slots",
         "_yielder",
@@ -168,6 +170,7 @@
         self._knowledge_at = 0.0
         self._last_reported_to = ""
         self._yielder: Yielder = lambda id_: False
+        self._lookup: endpoint_lookup.EndpointLookup | None = None
 
     @property
     def is_allocating(self) -> bool:
@@ -204,6 +207,10 @@
         """Sets by how much quotas may be overrun."""
         self._charges.set_tolerance(tolerance)
 
+    def set_lookup(self, lookup: endpoint_lookup.EndpointLookup) -> None:
+        """Sets what looks up granted endpoints that are not listed here."""
+        self._lookup = lookup
+
     async def acquire(self, request: messages.SlotRequest) -> messages.Decision:
         """Asks for a slot and waits for the decision."""
         if request.organisation and request.cost:
@@ -226,6 +233,7 @@
                 granter = (
                     charges.NO_ALLOCATOR if isolated else self._mesh.incarnation
                 )
+            await self._ensure_listed(decision)
             if self._finished:
                 self._withdraw(request.id, asked)
                 return messages.Denied(request.id, "stopping", 1.0)
@@ -239,6 +247,14 @@
         finally:
             self._pending.pop(request.id, None)
 
+    async def _ensure_listed(self, decision: messages.Decision) -> None:
+        granter = self._granted_by.get(decision.id)
+        if self._lookup is None or granter is None:
+            return
+        match decision:
+            case messages.Granted(endpoint=endpoint):
+                await self._lookup.ensure_listed(endpoint, granter)
+
     def release(
         self,
         request: messages.SlotRequest,
--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -74,6 +74,10 @@
         """The endpoints and the versions of their rows."""
         return list(self._entries.values())
 
+    def entry(self, id_: str) -> Entry | None:
+        """Returns one endpoint and the version of its row, if it is listed."""
+        return self._entries.get(id_)
+
     @property
     def endpoints(self) -> dict[str, messages.Endpoint]:
         """The endpoints by id."""
@@ -136,6 +140,21 @@
             self._leaving.pop(endpoint.id, None)
         return known is None or known.endpoint != endpoint
 
+    def put_ahead(
+        self, endpoint: messages.Endpoint, version: ports.Version
+    ) -> bool:
+        """Applies a row while rows of lower versions may still be missing.
+
+        `version` stays as it is, so that those are still read.
+
+        Returns:
+            As `put`.
+        """
+        applied = self._version
+        changed = self.put(endpoint, version)
+        self._version = applied
+        return changed
+
     def remove(self, id_: str, version: ports.Version, now: float) -> bool:
         """Removes an entry, with a delay during and right after an outage.
 
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+from urllib import parse
 
 import msgspec
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from cranberryglade import decoding
@@ -77,16 +79,20 @@
     ) -> None:
         """Answers a request of a peer.
 
-        Sends the configuration in force or the list of endpoints, encoded as
-        MessagePack. The status is 404 for other paths, and for the
-        configuration while none is in force.
+        Sends the configuration in force, the list of endpoints, or one
+        endpoint by its id, encoded as MessagePack. The status is 404 for other
+        paths, for the configuration while none is in force, and for an endpoint
+        that is not listed.
         """
         path = request.target.decode("latin-1")
         configuration = self._state.configuration_row
+        entry = self._state.directory.entry(_endpoint_id(path))
         if path == CONFIGURATION_PATH and configuration is not None:
             responder.whole(200, [], msgspec.msgpack.encode(configuration))
         elif path == ENDPOINTS_PATH:
             responder.whole(200, [], msgspec.msgpack.encode(self._listing()))
+        elif entry is not None:
+            responder.whole(200, [], msgspec.msgpack.encode(entry))
         else:
             responder.whole(404, [], b"")
 
@@ -105,6 +111,35 @@
         if endpoints > self._state.directory.version:
             self._start_fetch(ENDPOINTS_PATH, member, endpoints)
 
+    async def fetch_endpoint(self, id_: str, member: membership.Member) -> bool:
+        """Fetches one endpoint from a peer, and lists it.
+
+        Returns:
+            Whether the peer had one that is usable. A peer of a build that
+            does not serve single endpoints has none.
+        """
+        path = f"{ENDPOINTS_PATH}/{parse.quote(id_, safe='')}"
+        match await self._call(path, member):
+            case Success(fetching.Reply(status=200, body=body)):
+                return self._apply_entry(id_, body, member)
+            case _:
+                return False
+
+    def _apply_entry(
+        self, id_: str, body: bytes, member: membership.Member
+    ) -> bool:
+        match decoding.from_msgpack(body, endpoint_directory.Entry):
+            case Success(entry) if entry.endpoint.id == id_ and self._is_usable(
+                entry, member
+            ):
+                self._store_watcher.apply_entry(entry)
+                return True
+            case Failure(problem):
+                logger.warning(
+                    "peer.unreadable", peer=member.name, problem=problem
+                )
+        return False
+
     def _start_fetch(
         self,
         path: str,
@@ -132,12 +167,7 @@
             await self._try_store_first(path)
             if self._known_version(path) >= version:
                 return
-            fetcher = self._fetchers.get(member.address)
-            if fetcher is None:
-                fetcher = fetching.Fetcher(member.address)
-                self._fetchers[member.address] = fetcher
-            call = fetching.Call("GET", path, b"", FETCH_TIMEOUT_SECONDS)
-            match await fetcher.fetch(call):
+            match await self._call(path, member):
                 case Success(fetching.Reply(status=200, body=body)):
                     self._apply_reply(path, body, member)
                 case Success(reply):
@@ -151,6 +181,16 @@
         finally:
             self._pending_paths.discard(path)
 
+    async def _call(
+        self, path: str, member: membership.Member
+    ) -> Result[fetching.Reply, str]:
+        fetcher = self._fetchers.get(member.address)
+        if fetcher is None:
+            fetcher = fetching.Fetcher(member.address)
+            self._fetchers[member.address] = fetcher
+        call = fetching.Call("GET", path, b"", FETCH_TIMEOUT_SECONDS)
+        return await fetcher.fetch(call)
+
     async def _try_store_first(self, path: str) -> None:
         if self._state.version and not self._store_watcher.peers_asked:
             # A store that came back from an old copy does not have it.
@@ -203,3 +243,9 @@
                 endpoint=entry.endpoint.id, problem=problem, peer=member.name
             )
         return problem is None
+
+
+def _endpoint_id(path: str) -> str:
+    """Returns the id of the endpoint that a path asks for; "" if it is none."""
+    prefix = f"{ENDPOINTS_PATH}/"
+    return parse.unquote(path[len(prefix) :]) if path.startswith(prefix) else ""
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -13,6 +13,7 @@
 
 from cranberryglade import log
 from cranberryglade import supervision
+from cranberryglade.endpoint_lookup import lookup
 from cranberryglade.gateway import accepting
 from cranberryglade.gateway import admission
 from cranberryglade.gateway import allocation
@@ -215,6 +216,13 @@
             self._capacity,
         )
         self._allocator.set_mesh(self._mesh)
+        self._allocator.set_lookup(
+            lookup.EndpointLookup(
+                lambda id_: id_ in self._state.endpoints,
+                self._fetch_endpoint,
+                self._state.metrics.count_event,
+            )
+        )
         self._usage_handover = usage_handover.UsageHandover(
             initial_settings.instance, charging, self._allocator, self._mesh
         )
@@ -553,6 +561,12 @@
             await asyncio.sleep(SETTINGS_REREAD_SECONDS)
             self._reload()
 
+    async def _fetch_endpoint(self, id_: str, peer: str) -> bool:
+        member = self._mesh.members.get(peer)
+        if member is None:
+            return False
+        return await self._peer_sync.fetch_endpoint(id_, member)
+
     def _ready(self) -> bool:
         configured = self._state.configuration is not None
         if not configured or self._stopping.is_set():
--- a/cranberryglade/gateway/store_watch.py
+++ b/cranberryglade/gateway/store_watch.py
@@ -394,6 +394,16 @@
         if any(changed):
             self._on_endpoints()
 
+    def apply_entry(self, entry: endpoint_directory.Entry) -> None:
+        """Applies one endpoint of a peer's list, ahead of the others.
+
+        One of another era of the store is left to the whole list.
+        """
+        if entry.version.era != self._state.store_era:
+            return
+        if self._state.directory.put_ahead(entry.endpoint, entry.version):
+            self._on_endpoints()
+
     def _remove_unlisted(self, rows: ports.Rows) -> None:
         now = asyncio.get_running_loop().time()
         listed = {row.key for row in rows.rows}
