Slots: denials, forecasts and preemption have modules of their own

No behaviour changes; the tests of slots, preemption, contention, placement and the cost of a grant pass unchanged.

--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -8,9 +8,7 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import heapq
-import math
 
 from cranberryglade import crash_evidence
 from cranberryglade import quarantine
@@ -22,33 +20,20 @@
 from cranberryglade.gateway import slot_queue
 from cranberryglade.placement import options as placement_options
 from cranberryglade.placement import placing
-from cranberryglade.preemption import offering
+from cranberryglade.preemption import denials
+from cranberryglade.preemption import forecast
 from cranberryglade.preemption import options
-from cranberryglade.preemption import returns
-from cranberryglade.preemption import victims
+from cranberryglade.preemption import preempting
+from cranberryglade.preemption import tables
 from cranberryglade.rollouts import comparison
 from cranberryglade.rollouts import gate
 
-UNREACHABLE_BACKOFF_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.4
 MAX_BACKOFF_SECONDS = 4.0
 REFUSED_BACKOFF_SECONDS = 0.1
-MIN_RETRY_AFTER_SECONDS = 0.25
 EXPIRED_RETRY_SECONDS = 0.5
 """Retry-After of a request whose wait is over, if returns are not scheduled."""
 
-
-MIN_CAPACITY = 0.01
-"""Least number of slots that a wait is estimated with."""
-
-MIN_PACE = 1e-9
-"""Least seconds for a unit of work that a rate is estimated with; the pace is 0
-before the first answer."""
-
-MAX_LATE_WAIT_SHARE = 0.5
-"""A request that will be late is denied if it would wait for more than this
-part of the longest time that it may wait."""
-
 MAX_RESTORED = 8
 """Requests that found no endpoint among the free ones, and are tried again when
 another becomes free; all are tried again from time to time."""
@@ -65,18 +50,17 @@
     """
 
     __slots__ = (
+        "_denials",
         "_expiries",
         "_groups",
-        "_last_moments",
         "_leases",
         "_options",
+        "_preemption",
         "_quarantine",
         "_quarantine_revision",
         "_queues",
         "_rates",
-        "_returns",
         "_states",
-        "_victims",
         "_versions",
         "_waiting",
         "placing",
@@ -106,8 +90,6 @@
             placement or placement_options.PlacementOptions()
         )
         self._options = contention or options.PreemptionOptions()
-        self._returns: dict[str, returns.ReturnSchedule] = {}
-        self._victims = victims.Victims()
         self._versions = versions
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
@@ -120,7 +102,14 @@
         self._queues: dict[str, slot_queue.SlotQueue] = {}
         self._waiting: dict[str, endpoint_states.QueuedRequest] = {}
         self._expiries: list[tuple[float, str]] = []
-        self._last_moments: list[tuple[float, str]] = []
+        shared = tables.SlotTables(
+            self._states, self._groups, self._queues, self._waiting
+        )
+        wait_forecast = forecast.WaitForecast(self._queues, self._rates)
+        self._denials = denials.Denials(shared, wait_forecast, self._options)
+        self._preemption = preempting.Preemption(
+            shared, wait_forecast, self._options, self.suspects
+        )
 
     @property
     def lease_count(self) -> int:
@@ -135,7 +124,7 @@
     @property
     def promised_returns(self) -> int:
         """Number of refused requests that were told when to come back."""
-        return sum(len(schedule) for schedule in self._returns.values())
+        return self._denials.promised_returns
 
     @property
     def limit_share(self) -> float:
@@ -197,9 +186,11 @@
         decisions = self._deny_if_quarantined([request.id], now)
         decisions += self._grant_waiting(request.service, now)
         if request.id in self._waiting:
-            preempted = self._preempt_if_late(waiting, now)
+            preempted = self._preemption.ask_if_late(waiting, now)
             decisions += preempted
-            denied = None if preempted else self._early_denial(waiting, now)
+            denied = (
+                None if preempted else self._denials.deny_early(waiting, now)
+            )
             if denied is not None:
                 self.withdraw(request.id)
                 decisions.append(endpoint_states.SlotDecision(holder, denied))
@@ -216,11 +207,7 @@
         lease = self._leases.get(id_)
         if lease is None or lease.holder != holder:
             return []
-        asked = self._victims.keep(id_)
-        waiting = self._waiting.get(asked.urgent) if asked else None
-        if waiting is None:
-            return []
-        return self._preempt_for(waiting, asked.tries + 1, now)
+        return self._preemption.keep(id_, now)
 
     def withdraw(self, id_: str) -> None:
         """Removes a request from the queue."""
@@ -250,11 +237,11 @@
         lease = self._leases.remove(id_)
         if lease is None:
             return []
-        self._victims.remove(lease)
+        self._preemption.remove(lease)
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
-        schedule = self._return_schedule(state.endpoint.service)
+        schedule = self._denials.return_schedule(state.endpoint.service)
         schedule.record_freed(lease.work_units, now)
         self._apply_outcome(state, lease, outcome, now, first_answer_seconds)
         if self._versions is not None and lease.request is not None:
@@ -281,7 +268,7 @@
             id_
             for id_, lease in self._leases.of(holder).items()
             if id_ not in listed
-            and now - lease.granted_at > MIN_RETRY_AFTER_SECONDS
+            and now - lease.granted_at > denials.MIN_RETRY_AFTER_SECONDS
         ]
         for id_, endpoint in listed.items():
             if id_ not in self._leases:
@@ -406,14 +393,14 @@
             if waiting is None or now < waiting.request.wait_until:
                 continue
             self.withdraw(id_)
-            denied = self._deny_for_now(
+            denied = self._denials.deny_for_now(
                 waiting, "waited", EXPIRED_RETRY_SECONDS, now
             )
             decisions.append(
                 endpoint_states.SlotDecision(waiting.holder, denied)
             )
         decisions += self._grant_all(now)
-        return decisions + self._preempt_at_last_moment(now)
+        return decisions + self._preemption.ask_at_last_moment(now)
 
     def _running_at(self, endpoint: str) -> list[crash_evidence.RunningAttempt]:
         return [
@@ -458,7 +445,7 @@
         services: set[str] = set()
         for id_ in ids:
             lease = self._leases.remove(id_)
-            self._victims.remove(lease)
+            self._preemption.remove(lease)
             self._renew(lease.endpoint, now)
             if lease.endpoint in self._states:
                 services.add(self._states[lease.endpoint].endpoint.service)
@@ -518,12 +505,14 @@
         self.withdraw(request.id)
         lease = endpoint_states.Lease(waiting.holder, request, name, now, True)
         self._leases.add(request.id, lease)
-        self._victims.add(lease)
+        self._preemption.add(lease)
         self._renew(name, now)
         self.placing.record_grant(waiting.holder, request, state.endpoint, now)
         if state.bucket is not None:
             state.bucket.take()
-        self._return_schedule(request.service).record_granted(request, now)
+        self._denials.return_schedule(request.service).record_granted(
+            request, now
+        )
         if self._versions is not None:
             self._versions.record_grant(state.endpoint)
         granted = messages.Granted(request.id, name)
@@ -546,7 +535,7 @@
             entry = self._quarantine.find(waiting.request.parts, now)
             if entry is not None:
                 self.withdraw(id_)
-                denied = self._make_denial(
+                denied = self._denials.deny(
                     waiting.request, messages.QUARANTINED, entry.until - now
                 )
                 decisions.append(
@@ -599,94 +588,6 @@
             for lease in state.leases.values()
         )
 
-    def _early_denial(
-        self, waiting: endpoint_states.QueuedRequest, now: float
-    ) -> messages.Denied | None:
-        holder, request = waiting.holder, waiting.request
-        group = self._groups.get(request.service)
-        if group is None or next(group.usable(request), None) is None:
-            any_version = request.software_version is None
-            reason = "no_endpoint" if any_version else "no_endpoint_of_version"
-            return self._make_denial(request, reason, 1.0)
-        if all(
-            state.is_unreachable_from(holder, now)
-            for state in group.usable(request)
-        ):
-            return self._make_denial(
-                request, "unreachable", UNREACHABLE_BACKOFF_SECONDS
-            )
-        if request.rank == messages.HEDGE_RANK:
-            # A hedge takes no place among those that wait or come back.
-            return self._make_denial(request, "waited", 0.0)
-        queue = self._queues[request.service]
-        share = _version_share(request, group)
-        returned = waiting.returned_from is not None
-        # One that has come back precedes the new ones of its rank.
-        rank = request.rank - 1 if returned else request.rank
-        ahead = queue.load_up_to(rank, request.software_version, share)
-        wait = self._expected_wait(request, group, ahead, now)
-        if now + wait > request.wait_until:
-            return self._deny_for_now(waiting, "hopeless", wait, now)
-        if returned:
-            return None
-        oldest = queue.oldest_late(request.rank)
-        if oldest is None or not self._will_be_late(request, group, now):
-            return None
-        # Late requests are served in the order of their arrival, as far as
-        # those in time leave slots.
-        wait = max(wait, now - oldest)
-        if wait > MAX_LATE_WAIT_SHARE * (request.wait_until - now):
-            return self._deny_for_now(waiting, "hopeless", wait, now)
-        return None
-
-    def _will_be_late(
-        self,
-        request: messages.SlotRequest,
-        group: endpoint_group.EndpointGroup,
-        now: float,
-    ) -> bool:
-        """Returns whether a waiting request will miss its target time."""
-        queue = self._queues[request.service]
-        share = _version_share(request, group)
-        ahead = queue.timely_load_up_to(
-            request.rank, request.software_version, share
-        )
-        granted_at = now + self._expected_wait(request, group, ahead, now)
-        first_answer = endpoint_states.first_answer_seconds(
-            request, group.median_pace
-        )
-        return granted_at + first_answer > request.first_answer_due
-
-    def _expected_wait(
-        self,
-        request: messages.SlotRequest,
-        group: endpoint_group.EndpointGroup,
-        ahead: slot_queue.RankLoad,
-        now: float,
-    ) -> float:
-        load = group.load_for(request)
-        # The first of the running requests to end is about half done.
-        mean_running = load.work_units / max(MIN_CAPACITY, load.slots)
-        work = ahead.work_units + 0.5 * mean_running
-        pace = group.median_pace
-        if self._rates.unlimited:
-            return work * pace / max(MIN_CAPACITY, load.slots)
-        usable = list(group.usable(request))
-        limits = [self._rates.limit(state, now) for state in usable]
-        seconds = endpoint_states.work_units(request) * pace
-        capacity = sum(
-            state.endpoint.slots
-            if math.isinf(limit)
-            else min(state.endpoint.slots, limit * seconds)
-            for state, limit in zip(usable, limits, strict=True)
-        )
-        by_load = work * pace / max(MIN_CAPACITY, capacity)
-        if math.inf in limits:
-            return by_load
-        tokens = sum(self._rates.tokens(state, now) for state in usable)
-        by_limits = (ahead.requests - tokens) / sum(limits)
-        return max(by_load, by_limits)
-
     def _apply_outcome(
         self,
         state: endpoint_states.EndpointState,
@@ -706,7 +607,7 @@
             case messages.Outcome.FAILED | messages.Outcome.ABANDONED:
                 pass
             case messages.Outcome.UNREACHABLE:
-                until = now + UNREACHABLE_BACKOFF_SECONDS
+                until = now + denials.UNREACHABLE_BACKOFF_SECONDS
                 state.record_unreachable(lease.holder, until, now)
             case messages.Outcome.REFUSED:
                 state.paused_until = now + REFUSED_BACKOFF_SECONDS
@@ -733,171 +634,13 @@
             group = self._groups[state.endpoint.service]
             group.record_pace(state, pace, now)
 
-    def _preempt_if_late(
-        self, waiting: endpoint_states.QueuedRequest, now: float
-    ) -> list[endpoint_states.SlotDecision]:
-        """Asks for a slot at once for a request that will be late without.
-
-        For one that is expected to get a slot in time, it is asked for later,
-        if that does not come true.
-        """
-        request = waiting.request
-        group = self._groups.get(request.service)
-        if not self._options.enabled or group is None:
-            return []
-        if request.software_version is not None:
-            # A stream that has yielded does not make the next one yield.
-            return []
-        if self._will_be_late(request, group, now):
-            return self._preempt_for(waiting, 1, now)
-        seconds = _seconds_to_answer(request, group.median_pace)
-        last = request.first_answer_due - seconds - victims.MARGIN_SECONDS
-        entry = (last, request.id)
-        heapq.heappush(self._last_moments, entry)
-        return []
-
-    def _preempt_at_last_moment(
-        self, now: float
-    ) -> list[endpoint_states.SlotDecision]:
-        decisions = []
-        while self._last_moments and self._last_moments[0][0] <= now:
-            _, id_ = heapq.heappop(self._last_moments)
-            waiting = self._waiting.get(id_)
-            if waiting is not None:
-                decisions += self._preempt_for(waiting, 1, now)
-        return decisions
-
-    def _preempt_for(
-        self, waiting: endpoint_states.QueuedRequest, tries: int, now: float
-    ) -> list[endpoint_states.SlotDecision]:
-        """Asks a running request to yield its slot to one that waits.
-
-        Only if that one is in time then.
-        """
-        request = waiting.request
-        group = self._groups.get(request.service)
-        if group is None or self.suspects(request.parts):
-            return []
-
-        def accepts(lease: endpoint_states.Lease) -> bool:
-            return self._may_yield(lease, waiting, group, now)
-
-        lease = self._victims.ask(request, accepts, now, tries)
-        if lease is None:
-            return []
-        preempted = messages.Preempted(lease.request.id, lease.endpoint)
-        return [endpoint_states.SlotDecision(lease.holder, preempted)]
-
-    def _may_yield(
-        self,
-        lease: endpoint_states.Lease,
-        waiting: endpoint_states.QueuedRequest,
-        group: endpoint_group.EndpointGroup,
-        now: float,
-    ) -> bool:
-        state = self._states.get(lease.endpoint)
-        if state is None or state.endpoint.leaving or state.paused_until > now:
-            return False
-        pace = state.seconds_per_work_unit or group.median_pace
-        if victims.is_nearly_done(lease, pace, now):
-            return False
-        version = state.endpoint.software_version
-        if version in group.barred.any_version | group.barred.all_requests:
-            # The stream could not go on, and nothing else may run there.
-            return False
-        answered_at = now + _seconds_to_answer(waiting.request, pace)
-        if answered_at > waiting.request.first_answer_due:
-            return False
-        queue = self._queues[waiting.request.service]
-        ahead = queue.load_up_to(offering.MOST_URGENT_RANK)
-        resumed = dataclasses.replace(lease.request, software_version=version)
-        pause = self._expected_wait(resumed, group, ahead, now)
-        return (
-            pause <= victims.MAX_PAUSE_SECONDS
-            and waiting.request.may_run_at(state.endpoint)
-            and not state.is_unreachable_from(waiting.holder, now)
-        )
-
     def _make_waiting(
         self, holder: str, request: messages.SlotRequest, now: float
     ) -> endpoint_states.QueuedRequest:
-        promise = self._return_schedule(request.service).redeem(request, now)
+        promise = self._denials.return_schedule(request.service).redeem(
+            request, now
+        )
         waiting = endpoint_states.QueuedRequest(holder, request, now)
         if promise is not None and self._options.enabled:
             waiting.returned_from = promise.since
         return waiting
-
-    def _deny_for_now(
-        self,
-        waiting: endpoint_states.QueuedRequest,
-        reason: str,
-        wait: float,
-        now: float,
-    ) -> messages.Denied:
-        """Denies a request for want of a slot, until one will be free.
-
-        Args:
-            waiting: the request.
-            reason: why, for logs.
-            wait: seconds that it is told if returns are not scheduled.
-            now: seconds of the loop's clock.
-        """
-        request = waiting.request
-        if not self._options.schedule_returns:
-            return self._make_denial(request, reason, wait)
-        group = self._groups.get(request.service)
-        if group is None:
-            return self._make_denial(
-                request, reason, UNREACHABLE_BACKOFF_SECONDS
-            )
-        share = _version_share(request, group)
-        ahead = self._queues[request.service].load_up_to(
-            request.rank, request.software_version, share
-        )
-        # It may still be in the queue itself.
-        if request.id in self._waiting:
-            ahead.change(request, -1)
-        slot_count = max(MIN_CAPACITY, group.load_for(request).slots)
-        wait = self._return_schedule(request.service).promise(
-            waiting,
-            ahead.work_units,
-            self._expected_wait(request, group, ahead, now),
-            slot_count / max(MIN_PACE, group.median_pace),
-            now,
-        )
-        return self._make_denial(request, reason, wait)
-
-    def _return_schedule(self, service: str) -> returns.ReturnSchedule:
-        schedule = self._returns.get(service)
-        if schedule is None:
-            schedule = self._returns[service] = returns.ReturnSchedule()
-        return schedule
-
-    def _make_denial(
-        self, request: messages.SlotRequest, reason: str, wait: float
-    ) -> messages.Denied:
-        retry_after = max(MIN_RETRY_AFTER_SECONDS, wait)
-        return messages.Denied(
-            request.id, reason, retry_after, len(self._waiting)
-        )
-
-
-def _version_share(
-    request: messages.SlotRequest, group: endpoint_group.EndpointGroup
-) -> float:
-    """Returns the share of a service's slots that have a request's version."""
-    if request.software_version is None:
-        return 1.0
-    slots = group.load_for(request).slots
-    return slots / max(MIN_CAPACITY, group.load.slots)
-
-
-def _seconds_to_answer(request: messages.SlotRequest, pace: float) -> float:
-    """Returns the time to the first answer in a slot that another yields.
-
-    Args:
-        request: the request.
-        pace: expected seconds of the endpoint for each unit of work.
-    """
-    first_answer = endpoint_states.first_answer_seconds(request, pace)
-    return victims.YIELD_SECONDS + first_answer
