Rollouts: a version that is slow in all its answers is found in time

Cause: an answer counted as slow only beyond twice the slowest old endpoint. Where engines differ 4.4 times in speed, only the slow third of the new endpoints gave evidence, and slow answers of one endpoint within 0.6 s count once.

Change: beside the tests per answer, all new endpoints are compared with all old ones (version_test). Each counts once, by its rank among the old ones slowed by 2.5; old endpoints not measured yet count as slower. The canary phase takes endpoints in hashed order, so that the first ones are a fair sample. Half of the false alarm rate goes to the new test, a quarter each to the others.

--- a/cranberryglade/rollouts/canary.py
+++ b/cranberryglade/rollouts/canary.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Sequence
+import functools
+import hashlib
 
 from cranberryglade.gateway import messages
 
@@ -12,6 +14,16 @@
 """Time after which the next endpoint follows, if one takes no requests."""
 
 
+@functools.lru_cache(maxsize=8192)
+def turn(endpoint: str) -> bytes:
+    """Returns the place of an endpoint in the rotation.
+
+    Endpoints with neighbouring ids often have the same hardware. In this order
+    the first ones are a fair sample of their version.
+    """
+    return hashlib.blake2b(endpoint.encode(), digest_size=8).digest()
+
+
 class CanaryRotation:
     """Goes through the endpoints of the new version; performs no I/O."""
 
@@ -28,7 +40,7 @@
         """Returns the endpoint that gets the next request; "" if none does.
 
         Args:
-            endpoints: those of the new version, in an order that is kept.
+            endpoints: those of the new version, ordered by `turn`.
             unused: grants that the exposure limit admits.
             now: seconds of the loop's clock.
         """
@@ -53,7 +65,10 @@
 def _following(
     endpoints: Sequence[messages.Endpoint], current: str
 ) -> messages.Endpoint:
+    if not current:
+        return endpoints[0]
+    passed = turn(current)
     for endpoint in endpoints:
-        if endpoint.id > current:
+        if turn(endpoint.id) > passed:
             return endpoint
     return endpoints[0]
--- a/cranberryglade/rollouts/comparison.py
+++ b/cranberryglade/rollouts/comparison.py
@@ -16,10 +16,12 @@
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
 from cranberryglade.rollouts import sequential_test
+from cranberryglade.rollouts import version_test
 
 FALSE_ROLLBACK_RATE = 0.001
 """Probability that a version as good as the old one is found bad. Half of it is
-for the tests over all routes, half for those of single routes."""
+for the tests of whole versions, a quarter for the tests over all routes, and a
+quarter for those of single routes."""
 
 MAX_ANSWERS = 10_000
 """Answers of the new version within which that probability holds."""
@@ -42,6 +44,10 @@
 LEVEL_ANSWERS = 20
 """Latest answers of an endpoint that its usual time includes."""
 
+SPELL_FACTOR = 2.5
+"""An endpoint is slower than another one if it takes more than this many times
+as long. Endpoints slow down by as much without any fault of their version."""
+
 MIN_EXCESS_SECONDS = 0.025
 """A time counts as slow only if it exceeds the usual one by this much. Callers
 do not notice less, and short times vary with the load of the machines."""
@@ -274,6 +280,26 @@
             self._renewal_at = self._added + round(pause)
         return self._highest
 
+    def level(self, endpoint: str) -> float | None:
+        """Returns the usual time of an endpoint; None if it is unknown."""
+        return self._levels.get(endpoint)
+
+    def rank(self, level: float, endpoints: int) -> float:
+        """Returns which part of the endpoints is at least as slow as another.
+
+        Endpoints that have not been measured count as slower.
+
+        Args:
+            level: usual time of the other endpoint.
+            endpoints: number of endpoints.
+        """
+        count = max(endpoints, len(self._levels))
+        faster = sum(
+            SPELL_FACTOR * max(LEAST_LEVEL, each) < level
+            for each in self._levels.values()
+        )
+        return (1 + count - faster) / (1 + count)
+
     def is_slow(self, timing: Timing, ratio: float, most: float) -> bool:
         """Returns whether an answer is slow.
 
@@ -356,6 +382,8 @@
         "_slow_at",
         "_slow_rates",
         "_tests",
+        "_version_alarm",
+        "_version_tests",
         "answers",
         "bad_answers",
         "reason",
@@ -363,11 +391,17 @@
 
     def __init__(self):
         self._route_alarm = sequential_test.alarm_logarithm(
-            MAX_ANSWERS, MAX_TESTS, FALSE_ROLLBACK_RATE / 2
+            MAX_ANSWERS, MAX_TESTS, FALSE_ROLLBACK_RATE / 4
         )
         self._common_alarm = sequential_test.alarm_logarithm(
-            MAX_ANSWERS, len(Measure), FALSE_ROLLBACK_RATE / 2
+            MAX_ANSWERS, len(Measure), FALSE_ROLLBACK_RATE / 4
+        )
+        self._version_alarm = version_test.alarm_logarithm(
+            len(TIMES), FALSE_ROLLBACK_RATE / 2
         )
+        self._version_tests = {
+            each: version_test.VersionTest() for each in TIMES
+        }
         self._references: dict[tuple[Measure, Route, bool], Reference] = {}
         self._errors: dict[Route, BadRate] = {}
         self._slow_rates = {each: BadRate(MIN_SLOW_RATE) for each in TIMES}
@@ -463,6 +497,7 @@
         most = self._old_levels[measure].highest(old_endpoints)
         slow = levels.is_slow(timing, ratio, most)
         levels.add(answer.endpoint, ratio)
+        self._compare_levels(measure, answer.endpoint, old_endpoints)
         if slow and (
             self._is_same_spell(measure, answer)
             or not self._counts(measure, answer.endpoint, endpoints)
@@ -473,6 +508,19 @@
             self._observe(measure, route, slow, rate)
         return slow
 
+    def _compare_levels(
+        self, measure: Measure, endpoint: str, old_endpoints: int
+    ) -> None:
+        """Compares an endpoint with all old ones, once it is measured."""
+        test = self._version_tests[measure]
+        level = self._new_levels[measure].level(endpoint)
+        if level is None or test.has_counted(endpoint):
+            return
+        rank = self._old_levels[measure].rank(level, old_endpoints)
+        test.observe(endpoint, rank)
+        if not self.reason and test.logarithm >= self._version_alarm:
+            self.reason = f"{measure.value} of the whole version"
+
     def _is_same_spell(self, measure: Measure, answer: Answer) -> bool:
         """Returns whether a slow answer has the cause of the one before it.
 
--- a/cranberryglade/rollouts/gate.py
+++ b/cranberryglade/rollouts/gate.py
@@ -6,6 +6,7 @@
 
 from cranberryglade.gateway import messages
 from cranberryglade.rollouts import bars
+from cranberryglade.rollouts import canary
 from cranberryglade.rollouts import comparison
 from cranberryglade.rollouts import orders
 from cranberryglade.rollouts import rollout
@@ -102,7 +103,7 @@
     ) -> None:
         """Applies the current list of endpoints."""
         services: dict[str, list[messages.Endpoint]] = {}
-        for endpoint in sorted(listed.values(), key=lambda each: each.id):
+        for endpoint in sorted(listed.values(), key=_turn):
             services.setdefault(endpoint.service, []).append(endpoint)
         self._endpoints = services
         self.renew_all()
@@ -206,6 +207,10 @@
         self._ended.pop(service, None)
 
 
+def _turn(endpoint: messages.Endpoint) -> tuple[bytes, str]:
+    return canary.turn(endpoint.id), endpoint.id
+
+
 def _accepting(
     listed: Iterable[messages.Endpoint],
 ) -> Iterable[messages.Endpoint]:
--- a/cranberryglade/rollouts/rollout.py
+++ b/cranberryglade/rollouts/rollout.py
@@ -43,7 +43,7 @@
     """Endpoints of a service that accept requests, by software version.
 
     Attributes:
-        new: those of the new version, ordered by id.
+        new: those of the new version, in the order of the canary phase.
         old: those of other versions.
     """
 
--- a/cranberryglade/tests/rollout_builders.py
+++ b/cranberryglade/tests/rollout_builders.py
@@ -27,6 +27,10 @@
 SLOW_ENDPOINT = 4.4
 """Times as long as the others take on a third of the endpoints."""
 
+SLOWDOWN = 2.5
+SLOWDOWN_SECONDS = 0.6
+"""Engines slow down by this factor for as long, without any fault."""
+
 
 def make_order(version="v2", period=40.0, id_="0.1") -> orders.Order:
     return orders.Order(SERVICE, version, period, id_)
@@ -109,6 +113,7 @@
         instances: number of instances.
         cut_off_share: share of the instances that decide alone for a while.
         crashes: whether endpoints of both versions crash and fail at times.
+        slowdowns: whether each endpoint is slower for a tenth of the time.
         jump: factor of the load in the middle third of the period.
         exposed: grants of the new version.
         bad: answers of the new version that were bad.
@@ -130,6 +135,7 @@
     instances: int = 59
     cut_off_share: float = 0.25
     crashes: bool = False
+    slowdowns: bool = False
     jump: float = 1.0
     exposed: int = 0
     bad: int = 0
@@ -250,6 +256,8 @@
             self.last_exposed_at = now
         if slow:
             seconds *= self.fault.slowness
+        if self.slowdowns and self._is_slowed(endpoint, now):
+            seconds *= SLOWDOWN
         if failing or self._fails_anyway(endpoint, now):
             outcome = Outcome.FAILED
         detail = (scheduler, granted, outcome, now, new and (slow or failing))
@@ -262,6 +270,10 @@
         spread = self._random.lognormvariate(0.0, 0.15)
         return pace * busy * spread * work_units / 60_000
 
+    def _is_slowed(self, endpoint, now: float) -> bool:
+        spell = f"{self.seed} {endpoint.id} {int(now / SLOWDOWN_SECONDS)}"
+        return random.Random(spell).random() < 0.1
+
     def _find_fault(self, endpoint, rank: int, now: float) -> tuple[bool, bool]:
         fault = self.fault
         affected = (
--- a/cranberryglade/tests/test_rollouts.py
+++ b/cranberryglade/tests/test_rollouts.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from cranberryglade.rollouts import canary
 from cranberryglade.rollouts import comparison
 from cranberryglade.rollouts import exposure
 from cranberryglade.rollouts import orders
 from cranberryglade.rollouts import sequential_test
+from cranberryglade.rollouts import version_test
 from cranberryglade.tests import rollout_builders as builders
 
 ROLLBACK_SECONDS = 5.0
@@ -38,6 +40,30 @@
     assert late <= ROLLBACK_SECONDS
 
 
+@pytest.mark.parametrize("seed", [1, 11])
+def test_a_slow_version_is_found_in_time_among_many_endpoints(seed):
+    """Guards against evidence from the slowest third of the endpoints only."""
+    fault = FAULTS["all slow"]
+    replay = builders.Replay(
+        fault, seed, instances=300, endpoints=44, rate=420, period=15.0
+    ).run()
+    assert replay.state is orders.State.ROLLED_BACK
+    assert replay.exposed <= replay.exposure_limit
+    late = replay.last_exposed_at - replay.fiftieth_bad_at
+    assert late <= ROLLBACK_SECONDS
+
+
+def test_a_good_version_on_slow_engines_first_is_not_found_slow():
+    """Guards against a canary phase that samples one kind of engine only."""
+    endpoints = [f"v2-{number:04}" for number in range(44)]
+    test = version_test.VersionTest()
+    alarm = version_test.alarm_logarithm(2, 0.0005)
+    for endpoint in sorted(endpoints, key=canary.turn):
+        rank = 1.0 if int(endpoint[3:]) >= 15 else 1 / 3
+        test.observe(endpoint, rank)
+        assert test.logarithm < alarm
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_half_bad_answers_are_detected_after_at_most_25(seed):
     replay = builders.Replay(FAULTS["half fail"], seed).run()
@@ -46,7 +72,13 @@
 
 @pytest.mark.parametrize(
     "changes",
-    [{}, {"crashes": True}, {"jump": 1.8}, {"crashes": True, "jump": 1.8}],
+    [
+        {},
+        {"crashes": True},
+        {"jump": 1.8},
+        {"crashes": True, "jump": 1.8},
+        {"slowdowns": True},
+    ],
 )
 @pytest.mark.parametrize("seed", range(2))
 def test_a_good_version_is_completed_once_the_old_one_is_empty(changes, seed):
