Soak: rollouts, and crowds that take memory

The soak did not cover rollouts or callers that hold a gateway's memory.

In half of the runs, drawn from a generator of its own, a version that is good, bad at once, bad later or slow is ordered, with endpoints beside the old ones. Checked are the exposure limit, the time after the 50th bad answer, and the end in the status row, without excuses. The stand-ins act on the status: old endpoints stop at once at `completed`, new ones drain and stop at `rolled_back`. Up to two crowds in a run stop short of the end of their bodies, or read slowly; a request must be answered afterwards. A process that ends without a fault is a violation in every run. Existing faults of a seed are drawn as before. A delayed answer excuses no loss.

Measured: each new check finds a planted violation and passes without it.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -6,6 +6,7 @@
 import random
 
 from cranberryglade.gateway import dialect
+from cranberryglade.soak import crowds
 from cranberryglade.soak import links
 from cranberryglade.soak import observations
 from cranberryglade.standins import endpoint_standin
@@ -19,6 +20,9 @@
 """Time until an endpoint that crashed is back."""
 
 WORK_SECONDS = (0.002, 0.04)
+SLOW_SECONDS = (0.2, 0.4)
+"""Delay of an answer of a slow software version: over five times the work."""
+
 SILENCE_SECONDS = (0.6, 1.9)
 SOUND_SILENCE_SECONDS = (1.0, 1.9)
 """Silences of sound endpoints beside planned work."""
@@ -43,6 +47,11 @@
 QUOTA_SLACK = 30.0
 QUOTA_WINDOW_SECONDS = 2.0
 
+LARGE_ANSWER_BYTES = 2_000_000
+"""Answers of this size, left unread, once made gateways fail later ones."""
+
+ORDER_KEY = f"rollout/{operator_configuration.SERVICE}"
+
 BOUNDS = observations.Bounds(
     timeout_seconds=2.0,
     revoke_seconds=2.0,
@@ -56,6 +65,9 @@
     retry_slack=30.0,
     retry_window_seconds=5.0,
     events=EVENTS_PER_STREAM,
+    exposure_share=0.1,
+    exposure_slack=50.0,
+    rollback_seconds=5.0,
 )
 CHANGE_SECONDS = BOUNDS.apply_seconds + 1.0
 """Time after its writing for which a configuration counts as planned work."""
@@ -73,6 +85,7 @@
         second_key, QUOTA_RATE, QUOTA_BURST
     )
     config["tenants"].append(shop)
+    config["limits"]["max_body_bytes"] = crowds.MAX_BODY_BYTES
     return config
 
 
@@ -120,6 +133,8 @@
         self._restarts: set[asyncio.Task] = set()
         self._second_key = True
         self._listed_states: dict[int, str] = {}
+        self._ended: set[int] = set()
+        self._order = b""
         self._reports = itertools.count(1)
         self._folder = folder
         self._gateways = gateways
@@ -131,15 +146,7 @@
         target = await self.store.serve()
         versions = itertools.cycle(SOFTWARE_VERSIONS)
         for each in self.endpoints:
-            each.software_version = next(versions)
-            each.event_text = f"piece of {each.software_version}"
-            each.event_gap_seconds = EVENT_GAP_SECONDS
-            each.default_behaviour = self.behaviour(each)
-            await each.start()
-            link = links.Link(each.address)
-            await link.start()
-            self.endpoint_links.append(link)
-            self.list_endpoint(len(self.endpoint_links) - 1)
+            await self._start_endpoint(each, next(versions))
         self.configure(second_key=True)
         bounds = machine.Bounds(
             revoke_ms=int(BOUNDS.revoke_seconds * 1000),
@@ -150,6 +157,9 @@
             quota_window_seconds=BOUNDS.quota_window_seconds,
             quota_ratio=QUOTA_RATIO,
             quota_slack=QUOTA_SLACK,
+            exposure_share=BOUNDS.exposure_share,
+            exposure_slack=BOUNDS.exposure_slack,
+            rollback_ms=int(BOUNDS.rollback_seconds * 1000),
         )
         for number in range(self._gateways):
             link = links.Link(target)
@@ -176,6 +186,42 @@
         await self.store.close()
         self._network.close()
 
+    async def add_endpoint(
+        self, endpoint: endpoint_standin.EndpointStandin, version: str
+    ) -> None:
+        """Starts one more endpoint, of a software version, and lists it."""
+        self.endpoints.append(endpoint)
+        self.silences.append(0)
+        self._in_progress[endpoint.id] = []
+        await self._start_endpoint(endpoint, version)
+
+    async def _start_endpoint(
+        self, endpoint: endpoint_standin.EndpointStandin, version: str
+    ) -> None:
+        endpoint.software_version = version
+        endpoint.event_text = f"piece of {version}"
+        endpoint.event_gap_seconds = EVENT_GAP_SECONDS
+        endpoint.default_behaviour = self.behaviour(endpoint)
+        await endpoint.start()
+        link = links.Link(endpoint.address)
+        await link.start()
+        self.endpoint_links.append(link)
+        self.list_endpoint(len(self.endpoint_links) - 1)
+
+    def end_endpoint(self, number: int) -> None:
+        """Ends an endpoint at once and for good, and removes its row."""
+        endpoint = self.endpoints[number]
+        self._ended.add(number)
+        self._listed_states.pop(number, None)
+        endpoint.crash()
+        self.endpoint_links[number].close()
+        self.store.remove("servers", endpoint.id)
+
+    def order_rollout(self, order: bytes) -> None:
+        """Writes the order of a rollout."""
+        self._order = order
+        self.store.put("op", ORDER_KEY, order)
+
     def configure(self, second_key: bool) -> None:
         """Writes a new version of the configuration."""
         self.version += 1
@@ -187,6 +233,10 @@
         self._write_configuration()
         for number, state in self._listed_states.items():
             self.list_endpoint(number, state)
+        for number in self._ended:
+            self.store.remove("servers", self.endpoints[number].id)
+        if self._order and self.store.row("op", ORDER_KEY) is None:
+            self.store.put("op", ORDER_KEY, self._order)
 
     def _write_configuration(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -196,7 +246,9 @@
         )
 
     def list_endpoint(self, number: int, state: str = "ready") -> None:
-        """Writes an endpoint's row, with the address of its link."""
+        """Writes a running endpoint's row, with the address of its link."""
+        if number in self._ended:
+            return
         each = self.endpoints[number]
         self._listed_states[number] = state
         entry = each.entry(
@@ -301,8 +353,10 @@
         self, endpoint: endpoint_standin.EndpointStandin
     ) -> None:
         await asyncio.sleep(self._random.uniform(*RESTART_SECONDS))
-        await endpoint.start()
         number = self.endpoints.index(endpoint)
+        if number in self._ended:
+            return
+        await endpoint.start()
         await self.endpoint_links[number].open_to(endpoint.address)
         self.list_endpoint(number, self._listed_states[number])
 
@@ -321,6 +375,10 @@
                 return endpoint.without_end(EVENTS_PER_STREAM, first=seen + 1)
             case "reset_unframed":
                 return endpoint.reset_unframed(EVENTS_PER_STREAM - 1, seen + 1)
+            case "slow":
+                seconds = self._random.uniform(*SLOW_SECONDS)
+                normal = self._normal(endpoint, received)
+                return endpoint.silent_first(seconds, normal)
             case "pause":
                 return endpoint.ask_for_pause(PAUSE)
             case fault:
@@ -367,9 +425,10 @@
             return endpoint.events(seen + 1, EVENTS_PER_STREAM)
 
         async def answer(received, reader, writer):
-            writer.write(
-                endpoint.answer(received, received.request_id.encode())
-            )
+            body = received.request_id.encode()
+            if received.request_id.startswith(crowds.LARGE_PREFIX):
+                body += bytes(LARGE_ANSWER_BYTES)
+            writer.write(endpoint.answer(received, body))
             await writer.drain()
 
         return answer
--- a/cranberryglade/soak/faults.py
+++ b/cranberryglade/soak/faults.py
@@ -156,6 +156,38 @@
     seconds: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rollout:
+    """An order for a software version, with new endpoints beside the old.
+
+    Attributes:
+        quality: quality of the version; see ROLLOUT_QUALITIES.
+        good_seconds: time for which it answers well before a fault begins.
+        period_seconds: period of the order.
+    """
+
+    quality: str
+    good_seconds: float
+    period_seconds: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Crowd:
+    """Many callers at one gateway that hold its memory.
+
+    Attributes:
+        gateway: number of the gateway.
+        kind: what they do; see CROWD_KINDS.
+        callers: how many there are.
+        seconds: how long they stay.
+    """
+
+    gateway: int
+    kind: str
+    callers: int
+    seconds: float
+
+
 Fault = (
     Kill
     | Stop
@@ -172,6 +204,8 @@
     | CrashingPart
     | NamedLimit
     | Silence
+    | Rollout
+    | Crowd
 )
 
 LINK_MODES = ("slow", "reset", "requests", "answers", "silent", "refuse")
@@ -202,6 +236,28 @@
 behind the last event."""
 
 
+ROLLOUT_QUALITIES = {"good": "", "bad": "fail", "later": "fail", "slow": "slow"}
+"""Faults of half of the answers of a new version, by its quality."""
+
+CROWD_KINDS = {"lengths": 40, "chunks": 40, "readers": 12}
+"""Callers of a crowd. They send bodies, with a length or in chunks, and stop
+just short of the end; or they read large answers slowly, fewer since each holds
+a slot of an endpoint."""
+
+CROWD_SECONDS = (0.5, 2.5)
+
+ROLLOUT_SHARE = 0.5
+"""Share of the runs with a rollout."""
+
+MAX_ORDER_SECONDS = 3.0
+TURNS_BAD_SECONDS = (1.0, 5.0)
+"""Within the first steps of a rollout, in which requests are limited."""
+
+ROLLOUT_END_SECONDS = (9.0, 11.0)
+"""Time from the last start of a fault until the end of a rollout's period. By
+then the faults of the store and of gateways are over, so that no fault excuses
+a status that is not written."""
+
 PLANNED_WORK = (Stop, Reload, RevokeKey, Configure)
 """Planned work beside which sound endpoints fall silent."""
 
@@ -260,9 +316,43 @@
         planned += _schedule_kind(own, seconds, endpoints, longest_gap, draw)
     own = random.Random(f"silences {seed}")
     planned += _schedule_silences(own, planned, endpoints)
+    own = random.Random(f"crowds {seed}")
+    planned += _schedule_crowds(own, seconds, gateways)
+    own = random.Random(f"rollouts {seed}")
+    planned += _schedule_rollout(own, seconds)
     return sorted(planned, key=lambda each: each.at)
 
 
+def _schedule_crowds(
+    rng: random.Random, seconds: float, gateways: int
+) -> list[ScheduledFault]:
+    """Draws up to two crowds."""
+    planned = []
+    for _ in range(rng.randint(0, 2)):
+        kind = rng.choice(list(CROWD_KINDS))
+        crowd = Crowd(
+            rng.randrange(gateways),
+            kind,
+            CROWD_KINDS[kind],
+            round(rng.uniform(*CROWD_SECONDS), 2),
+        )
+        planned.append(ScheduledFault(rng.uniform(0.2, seconds), crowd))
+    return planned
+
+
+def _schedule_rollout(
+    rng: random.Random, seconds: float
+) -> list[ScheduledFault]:
+    """Draws at most one rollout."""
+    if rng.random() >= ROLLOUT_SHARE:
+        return []
+    at = rng.uniform(0.0, min(MAX_ORDER_SECONDS, seconds))
+    quality = rng.choice(list(ROLLOUT_QUALITIES))
+    good = rng.uniform(*TURNS_BAD_SECONDS) if quality == "later" else 0.0
+    period = seconds - at + rng.uniform(*ROLLOUT_END_SECONDS)
+    return [ScheduledFault(at, Rollout(quality, good, round(period, 2)))]
+
+
 def _schedule_silences(
     rng: random.Random, planned: list[ScheduledFault], endpoints: int
 ) -> list[ScheduledFault]:
--- a/cranberryglade/soak/guarantees.py
+++ b/cranberryglade/soak/guarantees.py
@@ -7,6 +7,7 @@
 
 from cranberryglade.soak import losses
 from cranberryglade.soak import observations
+from cranberryglade.soak import rollout_checks
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that state that the request has not run and will not run."""
@@ -69,6 +70,9 @@
             _check_crashing_parts,
             _check_sound_parts,
             _check_named_limits,
+            _check_rollouts,
+            _check_crowds,
+            _check_processes,
         )
         for violation in checker(history, bounds)
     ]
@@ -311,6 +315,33 @@
                 break
 
 
+def _check_crowds(
+    history: observations.History, bounds: observations.Bounds
+) -> Iterator[Violation]:
+    excused = history.disturbed + history.stops
+    for each in history.probes:
+        if not each.answered and not any(
+            period.overlaps(each.gateway, each.begun, each.ended)
+            for period in excused
+        ):
+            detail = f"no answer from gate-{each.gateway} after {each.crowd}"
+            yield Violation("crowd", "", detail)
+
+
+def _check_processes(
+    history: observations.History, bounds: observations.Bounds
+) -> Iterator[Violation]:
+    for detail in history.ended_processes:
+        yield Violation("process", "", detail)
+
+
+def _check_rollouts(
+    history: observations.History, bounds: observations.Bounds
+) -> Iterator[Violation]:
+    for guarantee, detail in rollout_checks.find(history, bounds):
+        yield Violation(guarantee, "", detail)
+
+
 def _count_windows(
     times: list[float], seconds: float
 ) -> Iterator[tuple[float, int]]:
--- a/cranberryglade/soak/losses.py
+++ b/cranberryglade/soak/losses.py
@@ -35,8 +35,8 @@
 """Fault in which an endpoint breaks off an answer that is no stream of events,
 so that no other endpoint can go on with it."""
 
-SOUND_FAULTS = ("", "fall_silent")
-"""Faults of arrivals whose endpoint is sound; silence is none."""
+SOUND_FAULTS = ("", "fall_silent", "slow")
+"""Faults of arrivals whose endpoint is sound; silence and delay are none."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -180,6 +180,47 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """Ordinary requests to a gateway after a crowd, until one was answered.
+
+    Attributes:
+        gateway: number of the gateway.
+        crowd: kind of the crowd.
+        begun: when the first was sent, in seconds of the event loop's clock.
+        ended: when the last ended, on the same clock.
+        answered: whether one got an answer, whatever its status.
+    """
+
+    gateway: int
+    crowd: str
+    begun: float
+    ended: float = 0.0
+    answered: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Rollout:
+    """A rollout as the platform observed it.
+
+    Attributes:
+        endpoints: ids of the endpoints of the new version.
+        is_bad: whether the new version is bad or slow, perhaps only later.
+        ordered: when it was ordered, in seconds of the event loop's clock.
+        due: end of its period, on the same clock.
+        state: state in the status row that was read last; "" if none.
+        ended: when the status row said that it had ended, on the same clock;
+            infinite if it did not within the period.
+    """
+
+    endpoints: frozenset[str]
+    is_bad: bool
+    ordered: float
+    due: float
+    state: str = ""
+    ended: float = float("inf")
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Bounds:
     """The limits that the guarantees are checked against.
@@ -200,6 +241,10 @@
         retry_window_seconds: length of the window that retries are counted
             in.
         events: number of events in a complete stream.
+        exposure_share: share of the requests of its service that a bad
+            software version may get during its rollout.
+        exposure_slack: requests that it may get in addition.
+        rollback_seconds: longest time until a bad version gets no requests.
     """
 
     timeout_seconds: float
@@ -213,6 +258,9 @@
     retry_slack: float
     retry_window_seconds: float
     events: int
+    exposure_share: float
+    exposure_slack: float
+    rollback_seconds: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -235,6 +283,9 @@
             deployment.CHANGE_SECONDS later.
         revocations: periods in which the second key was revoked: from the
             confirmed write until just before the key is restored.
+        rollouts: the rollouts that were ordered.
+        probes: requests after crowds.
+        ended_processes: gateways whose process ended without a fault.
         late_stops: descriptions of the planned stops that exceeded the grace
             period.
         recovery_due: when all faults are over and the gateways should have
@@ -252,6 +303,9 @@
     reloads: list[GatewayPeriod] = dataclasses.field(default_factory=list)
     changes: list[Period] = dataclasses.field(default_factory=list)
     revocations: list[Period] = dataclasses.field(default_factory=list)
+    rollouts: list[Rollout] = dataclasses.field(default_factory=list)
+    probes: list[Probe] = dataclasses.field(default_factory=list)
+    ended_processes: list[str] = dataclasses.field(default_factory=list)
     late_stops: list[str] = dataclasses.field(default_factory=list)
     recovery_due: float = float("inf")
 
--- a/cranberryglade/soak/run.py
+++ b/cranberryglade/soak/run.py
@@ -5,12 +5,14 @@
 import pathlib
 import signal
 
+from cranberryglade.soak import crowds
 from cranberryglade.soak import deployment
 from cranberryglade.soak import faults
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.soak import load
 from cranberryglade.soak import observations
+from cranberryglade.soak import rollout_driver
 
 CALLERS_PER_GATEWAY = 4
 RESTART_SECONDS = 0.3
@@ -20,6 +22,7 @@
 """A gateway counts as disturbed until this long after its own fault."""
 
 DELAY_SECONDS = 0.15
+WATCH_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,6 +97,7 @@
         count = CALLERS_PER_GATEWAY * len(self._deployment.machines)
         load_tasks = [asyncio.create_task(callers.run()) for _ in range(count)]
         load_tasks.append(asyncio.create_task(clock.run()))
+        load_tasks.append(asyncio.create_task(self._watch_processes()))
         faults_in_progress = []
         for planned in self._schedule:
             await asyncio.sleep(max(0.0, begun + planned.at - loop.time()))
@@ -179,9 +183,36 @@
                 await self._leave(endpoint, seconds)
             case faults.RevokeKey(seconds):
                 await self._revoke_key(seconds)
+            case faults.Crowd(gateway):
+                await crowds.Crowd(
+                    self._deployment.machines[gateway],
+                    gateway,
+                    self._deployment.history,
+                    fault,
+                    self._clock,
+                ).run()
+            case faults.Rollout():
+                await rollout_driver.RolloutDriver(
+                    self._deployment, fault
+                ).run()
             case faults.Configure():
                 self._deployment.configure(second_key=not self._revocations)
 
+    async def _watch_processes(self) -> None:
+        """Records processes that end without a fault, until cancelled."""
+        ended = set()
+        while True:
+            for number, each in enumerate(self._deployment.machines):
+                code = each.process.returncode
+                if code is None or number in self._faulted:
+                    ended.discard(number)
+                elif number not in ended:
+                    ended.add(number)
+                    self._deployment.history.ended_processes.append(
+                        f"gate-{number} ended with code {code}"
+                    )
+            await asyncio.sleep(WATCH_SECONDS)
+
     async def _kill(self, number: int, seconds: float) -> None:
         if not self._reserve(number):
             return
--- a/cranberryglade/standins/machine.py
+++ b/cranberryglade/standins/machine.py
@@ -32,6 +32,9 @@
 quota_window_s = {quota_window_seconds}
 quota_overage = {quota_ratio}
 quota_slack = {quota_slack}
+exposure_share = {exposure_share}
+exposure_slack = {exposure_slack}
+rollback_ms = {rollback_ms}
 """
 
 
@@ -48,6 +51,10 @@
         quota_window_seconds: window that quota usage is counted in.
         quota_ratio: allowed overrun of a quota, as a share of it.
         quota_slack: allowed overrun in addition.
+        exposure_share: share of a service's requests that an unproven
+            software version may get.
+        exposure_slack: requests that it may get in addition.
+        rollback_ms: longest time until a bad version gets no more requests.
     """
 
     revoke_ms: int
@@ -58,6 +65,9 @@
     quota_window_seconds: float
     quota_ratio: float
     quota_slack: float
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
+    rollback_ms: int = 5000
 
 
 def describe_process(pid: int) -> str:
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -1,16 +1,20 @@
 """The soak: its checks find planted violations, and short runs pass."""
 
 import asyncio
+import json
+import types
 
 import pytest
 
 from cranberryglade.gateway import messages
+from cranberryglade.soak import crowds
 from cranberryglade.soak import deployment
 from cranberryglade.soak import faults
 from cranberryglade.soak import guarantees
 from cranberryglade.soak import links
 from cranberryglade.soak import load
 from cranberryglade.soak import observations
+from cranberryglade.soak import rollout_driver
 from cranberryglade.soak import run
 from cranberryglade.standins import callers
 from cranberryglade.standins import machine
@@ -396,3 +400,148 @@
             observations.Arrival("i-0", 10.0 + n / 100) for n in range(count)
         ] + [observations.Arrival("i-1", 15.0)] * count
         assert "named limit" not in violated(history)
+
+
+def rollout_history(
+    exposed: int, bad: int = 0, **changes
+) -> observations.History:
+    """Returns a rollout with requests at 11 s, some of them at a bad version.
+
+    Args:
+        exposed: requests at the new version, of 1,000.
+        bad: how many of them got a bad answer, at 11.1 s.
+        **changes: changed fields of the rollout.
+    """
+    fields = {"is_bad": True, "ordered": 10.0, "due": 30.0, "ended": 20.0}
+    history = a_history()
+    history.rollouts = [
+        observations.Rollout(frozenset({"n-0"}), **(fields | changes))
+    ]
+    history.arrivals = [
+        observations.Arrival(
+            "n-0" if n < exposed else "i-0",
+            11.0,
+            f"s-{n}",
+            "fail" if n < bad else "",
+            ended=11.1,
+        )
+        for n in range(1000)
+    ]
+    return history
+
+
+def test_a_bad_version_with_too_many_requests_is_caught():
+    bounds = deployment.BOUNDS
+    most = int(bounds.exposure_share * 1000 + bounds.exposure_slack)
+    assert violated(rollout_history(most)) == set()
+    assert violated(rollout_history(most + 1)) == {"exposure"}
+    assert violated(rollout_history(most + 1, is_bad=False)) == set()
+    # Requests before the order are not part of the limit.
+    assert violated(rollout_history(most, ordered=12.0)) == set()
+
+
+def test_a_request_long_after_the_fiftieth_bad_answer_is_caught():
+    allowed = deployment.BOUNDS.rollback_seconds
+    for bad, late, caught in (
+        (50, 0.5, True),
+        (50, -0.5, False),
+        (49, 0.5, False),
+    ):
+        history = rollout_history(60, bad)
+        history.arrivals.append(
+            observations.Arrival("n-0", 11.1 + allowed + late, "s-60")
+        )
+        assert violated(history) == ({"rollback"} if caught else set())
+
+
+def test_a_rollout_without_an_end_is_caught():
+    history = rollout_history(0, state="running", ended=float("inf"))
+    assert violated(history) == {"rollout end"}
+
+
+@pytest.mark.parametrize(
+    ("state", "remaining"), [("completed", "n-0"), ("rolled_back", "i-0")]
+)
+async def test_the_stored_status_of_a_rollout_is_acted_on(
+    tmp_path, monkeypatch, state, remaining
+):
+    # Without this, a wrong promotion or rollback would go unnoticed.
+    monkeypatch.setattr(rollout_driver, "DRAIN_SECONDS", 0.1)
+    monkeypatch.setattr(rollout_driver, "START_SECONDS", 0.1)
+    site = deployment.Deployment(tmp_path, gateways=0, endpoints=1, seed=1)
+    try:
+        await site.start()
+        ordered = faults.Rollout("bad", 0.0, 5.0)
+        driver = rollout_driver.RolloutDriver(site, ordered)
+        running = asyncio.create_task(driver.run())
+        await asyncio.sleep(0.3)
+        row = json.dumps({"state": state, "to": rollout_driver.NEW_VERSION})
+        site.store.put("status", deployment.ORDER_KEY, row.encode())
+        await running
+        listed = [
+            each.id
+            for each in site.endpoints
+            if site.store.row("servers", each.id)
+        ]
+    finally:
+        await site.stop()
+    assert listed == [remaining]
+    assert site.history.rollouts[0].state == state
+
+
+def test_a_gateway_that_answers_nothing_after_a_crowd_is_caught():
+    history = a_history()
+    probe = observations.Probe(0, "readers", begun=10.0, ended=12.0)
+    history.probes.append(probe)
+    assert violated(history) == {"crowd"}
+    history.stops = [observations.GatewayPeriod(0, 11.0, 12.0)]
+    assert violated(history) == set()
+    history.stops = [observations.GatewayPeriod(1, 11.0, 12.0)]
+    assert violated(history) == {"crowd"}
+    probe.answered = True
+    assert violated(history) == set()
+
+
+async def test_a_process_that_ends_without_a_fault_is_caught(tmp_path):
+    bounds = machine.Bounds(2000, 6, 0.2, 30.0, 5.0, 2.0, 0.1, 30.0)
+    network = machine.Network()
+    soak = run.Soak(tmp_path, 1, 1.0, gateways=1, endpoints=1)
+    try:
+        ended = machine.Machine(0, tmp_path, "127.0.0.1:1", bounds, network)
+        ended.process = await asyncio.create_subprocess_exec("false")
+        await ended.process.wait()
+    finally:
+        network.close()
+    soak._deployment.machines.append(ended)
+    for faulted, caught in (({0}, set()), (set(), {"process"})):
+        soak._faulted = faulted
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(soak._watch_processes(), 0.3)
+        assert violated(soak._deployment.history) == caught
+    assert len(soak._deployment.history.ended_processes) == 1
+
+
+@pytest.mark.parametrize("kind", faults.CROWD_KINDS)
+@pytest.mark.parametrize("answers", [True, False])
+async def test_a_crowd_stays_and_asks_afterwards(kind, answers, monkeypatch):
+    # A probe that takes a lost connection for an answer would find nothing.
+    heads = []
+
+    async def serve(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        if b"probe-" not in heads[-1]:
+            await reader.read()
+        elif answers:
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    history = observations.History()
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()
+        monkeypatch.setattr(machine.Machine, "FRONT_PORT", port)
+        gateway = types.SimpleNamespace(host=host)
+        planned = faults.Crowd(0, kind, 3, 0.3)
+        clock = load.LagMonitor()
+        await crowds.Crowd(gateway, 0, history, planned, clock).run()
+    assert sum(b"probe-" not in head for head in heads) == 3
+    assert violated(history) == (set() if answers else {"crowd"})
