Soak: hedging and preemption in a part of the runs

No soak had hedged requests or streams that yield their slots.

Half of the runs have [hedging], half have [preemption] in the gateways' settings file, drawn from a generator of its own. The existing checks apply to them.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -52,6 +52,16 @@
 
 ORDER_KEY = f"rollout/{operator_configuration.SERVICE}"
 
+OPTIONS = (
+    "[hedging]\nrequest_share = 0.1\nquantile = 0.8\n",
+    "[preemption]\nenabled = yes\nschedule_returns = yes\n",
+)
+"""Sections of the operators' settings file that a run may have. Hedges are more
+frequent than operators want them, so that a short run has some."""
+
+OPTION_SHARE = 0.5
+"""Share of the runs that have a section."""
+
 BOUNDS = observations.Bounds(
     timeout_seconds=2.0,
     revoke_seconds=2.0,
@@ -73,6 +83,19 @@
 """Time after its writing for which a configuration counts as planned work."""
 
 
+def draw_options(seed: int) -> str:
+    """Returns the operators' settings file of a run; "" in a part of the runs.
+
+    >>> draw_options(7) == draw_options(7)
+    True
+    """
+    # Random numbers of their own, so that a seed keeps its faults.
+    rng = random.Random(f"options {seed}")
+    return "".join(
+        section for section in OPTIONS if rng.random() < OPTION_SHARE
+    )
+
+
 def configuration(version: int, second_key: bool) -> dict:
     """Returns a version of the configuration of a soak.
 
@@ -138,6 +161,7 @@
         self._reports = itertools.count(1)
         self._folder = folder
         self._gateways = gateways
+        self._options = draw_options(seed)
         self._random = random.Random(seed)
         self._network = machine.Network()
 
@@ -166,7 +190,12 @@
             await link.start()
             self.store_links.append(link)
             gateway = machine.Machine(
-                number, self._folder, link.address, bounds, self._network
+                number,
+                self._folder,
+                link.address,
+                bounds,
+                self._network,
+                self._options,
             )
             self.machines.append(gateway)
             await gateway.start()
--- a/cranberryglade/standins/machine.py
+++ b/cranberryglade/standins/machine.py
@@ -142,8 +142,9 @@
         store: str,
         bounds: Bounds,
         network: Network,
+        options: str = "",
     ):
-        """Writes the settings file.
+        """Writes the settings files.
 
         Args:
             number: index of the machine, from 0.
@@ -151,12 +152,16 @@
             store: address at which the machine reaches the store.
             bounds: limits in the settings.
             network: addresses of this run.
+            options: contents of the operators' settings file; "" for no file.
         """
         self.name = f"gate-{number}"
         self.host = f"127.{network.number}.0.{number + 1}"
         self.process: asyncio.subprocess.Process | None = None
         self.late_state = ""
         self._settings_file = folder / f"{self.name}.toml"
+        self._options_file = folder / f"{self.name}.ini" if options else None
+        if self._options_file:
+            self._options_file.write_text(options, encoding="utf-8")
         self._log_file = folder / f"{self.name}.log"
         settings = BOOT_FILE.format(
             name=self.name,
@@ -175,6 +180,8 @@
         environment = os.environ | {
             "CRANBERRYGLADE_BOOT": str(self._settings_file)
         }
+        if self._options_file:
+            environment["CRANBERRYGLADE_SETTINGS"] = str(self._options_file)
         with open(self._log_file, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/cranberryglade/tests/test_soak.py
+++ b/cranberryglade/tests/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cranberryglade.gateway import messages
+from cranberryglade.gateway_settings import reading
 from cranberryglade.soak import crowds
 from cranberryglade.soak import deployment
 from cranberryglade.soak import faults
@@ -545,3 +546,35 @@
         await crowds.Crowd(gateway, 0, history, planned, clock).run()
     assert sum(b"probe-" not in head for head in heads) == 3
     assert violated(history) == (set() if answers else {"crowd"})
+
+
+def test_hedging_and_preemption_are_on_in_a_part_of_the_runs():
+    # A section that gateways refuse, or that is never drawn, tests nothing.
+    drawn = {deployment.draw_options(seed) for seed in range(40)}
+    assert drawn == {"", *deployment.OPTIONS, "".join(deployment.OPTIONS)}
+    for text in drawn:
+        features = reading.parse(text, "gate-0.ini").unwrap()
+        assert features.preemption.enabled == ("[preemption]" in text)
+        assert bool(features.hedging.request_share) == ("[hedging]" in text)
+
+
+async def test_gateways_get_the_options_of_their_run(tmp_path, monkeypatch):
+    # Options that do not reach the process would leave both parts off.
+    started = []
+
+    async def record(*args, env, **others):
+        started.append(env.get(reading.PATH_VARIABLE))
+
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", record)
+    monkeypatch.delenv(reading.PATH_VARIABLE, raising=False)
+    bounds = machine.Bounds(2000, 6, 0.2, 30.0, 5.0, 2.0, 0.1, 30.0)
+    network = machine.Network()
+    try:
+        for options in ("", deployment.OPTIONS[0]):
+            await machine.Machine(
+                0, tmp_path, "127.0.0.1:1", bounds, network, options
+            ).start()
+    finally:
+        network.close()
+    assert started == [None, str(tmp_path / "gate-0.ini")]
+    assert (tmp_path / "gate-0.ini").read_text() == deployment.OPTIONS[0]
