--- a/cranberryglade/standins/machine.py
+++ b/cranberryglade/standins/machine.py
@@ -32,6 +32,9 @@
 quota_window_s = {quota_window_seconds}
 quota_overage = {quota_ratio}
 quota_slack = {quota_slack}
+exposure_share = {exposure_share}
+exposure_slack = {exposure_slack}
+rollback_ms = {rollback_ms}
 """
 
 
@@ -48,6 +51,10 @@
         quota_window_seconds: window that quota usage is counted in.
         quota_ratio: allowed overrun of a quota, as a share of it.
         quota_slack: allowed overrun in addition.
+        exposure_share: share of a service's requests that an unproven
+            software version may get.
+        exposure_slack: requests that it may get in addition.
+        rollback_ms: longest time until a bad version gets no more requests.
     """
 
     revoke_ms: int
@@ -58,6 +65,9 @@
     quota_window_seconds: float
     quota_ratio: float
     quota_slack: float
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
+    rollback_ms: int = 5000
 
 
 def describe_process(pid: int) -> str:
@@ -132,8 +142,9 @@
         store: str,
         bounds: Bounds,
         network: Network,
+        options: str = "",
     ):
-        """Writes the settings file.
+        """Writes the settings files.
 
         Args:
             number: index of the machine, from 0.
@@ -141,12 +152,16 @@
             store: address at which the machine reaches the store.
             bounds: limits in the settings.
             network: addresses of this run.
+            options: contents of the operators' settings file; "" for no file.
         """
         self.name = f"gate-{number}"
         self.host = f"127.{network.number}.0.{number + 1}"
         self.process: asyncio.subprocess.Process | None = None
         self.late_state = ""
         self._settings_file = folder / f"{self.name}.toml"
+        self._options_file = folder / f"{self.name}.ini" if options else None
+        if self._options_file:
+            self._options_file.write_text(options, encoding="utf-8")
         self._log_file = folder / f"{self.name}.log"
         settings = BOOT_FILE.format(
             name=self.name,
@@ -165,6 +180,8 @@
         environment = os.environ | {
             "CRANBERRYGLADE_BOOT": str(self._settings_file)
         }
+        if self._options_file:
+            environment["CRANBERRYGLADE_SETTINGS"] = str(self._options_file)
         with open(self._log_file, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
