Hedges that are sought and not sent go back to their share

Cause: when the late answer arrived while a slot for the hedge was sought, the search was cancelled. If its task had not begun, or its attempt had begun and was not sent, the hedge stayed taken from the instance's share. Change: the exchange holds the hedge until an attempt has it, as it does for the retry. What was not sent is given back, once. Result: the property test of hedged requests checks the share.

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -120,8 +120,9 @@
         if reason:
             return Refusal(reason, 0.0)
         refusal = self.reserve(exchange)
+        exchange.hedge_taken_at = now
         if refusal is not None:
-            self._hedges.give_back(service, now)
+            self.give_back_hedge(exchange)
         return refusal
 
     async def begin_hedge(
@@ -132,14 +133,10 @@
         Returns:
             As `begin`.
         """
-        taken_at = asyncio.get_running_loop().time()
-        begun = None
         try:
-            begun = await self.begin(exchange, persistent=False, hedge=True)
-            return begun
+            return await self.begin(exchange, persistent=False, hedge=True)
         finally:
-            if not isinstance(begun, exchanges.Attempt):
-                self._hedges.give_back(exchange.admitted.service, taken_at)
+            self.give_back_hedge(exchange)
 
     async def begin(
         self,
@@ -192,6 +189,12 @@
             exchange.retry_reserved_at = None
             self._budget.give_back(exchange.admitted.service, reserved_at)
 
+    def give_back_hedge(self, exchange: exchanges.Exchange) -> None:
+        """Gives a hedge back to its share that no attempt has."""
+        taken_at, exchange.hedge_taken_at = exchange.hedge_taken_at, None
+        if taken_at is not None:
+            self._hedges.give_back(exchange.admitted.service, taken_at)
+
     def end(
         self,
         exchange: exchanges.Exchange,
@@ -562,9 +565,14 @@
             last_event_id=exchange.splitter.last_id,
         )
         attempt = exchanges.Attempt(
-            endpoint, slot_request, exchange.retry_reserved_at, hedge
+            endpoint,
+            slot_request,
+            exchange.retry_reserved_at,
+            hedge,
+            exchange.hedge_taken_at,
         )
         exchange.retry_reserved_at = None
+        exchange.hedge_taken_at = None
         attempt.opening = asyncio.create_task(
             self._send(exchange, attempt, added)
         )
@@ -627,6 +635,9 @@
         if outcome is messages.Outcome.ABANDONED:
             # Nothing is known against its endpoint.
             exchange.excluded_endpoints.remove(attempt.endpoint.id)
+        if attempt.hedge_taken_at is not None:
+            service = exchange.admitted.service
+            self._hedges.give_back(service, attempt.hedge_taken_at)
         reserved_at = attempt.take_retry()
         if reserved_at is not None:
             self._budget.give_back(exchange.admitted.service, reserved_at)
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -33,6 +33,8 @@
         is_hedge: whether it was begun as the answer of another is late.
         retry_reserved_at: when its retry was taken from the budget, seconds of
             the loop's clock; None if it is no retry, or once it was sent.
+        hedge_taken_at: when it was taken from the share of hedges, seconds of
+            the loop's clock; None if it is no hedge.
         failure: why it has no answer that can be relayed; "" if it has one.
         stream: its stream, once its head was received; None before.
         answered_at: when its answer was received whole, seconds of the loop's
@@ -45,6 +47,7 @@
         "failure",
         "in_progress",
         "is_current",
+        "hedge_taken_at",
         "is_hedge",
         "opening",
         "retry_reserved_at",
@@ -59,6 +62,7 @@
         slot_request: messages.SlotRequest,
         retry_reserved_at: float | None = None,
         is_hedge: bool = False,
+        hedge_taken_at: float | None = None,
     ):
         """Creates an attempt; `opening` must be set before use."""
         self.endpoint = endpoint
@@ -71,6 +75,7 @@
         self.in_progress = True
         self.is_current = False
         self.is_hedge = is_hedge
+        self.hedge_taken_at = hedge_taken_at
         self.failure = ""
         self.stream: attempt_streams.AttemptStream | None = None
         self.answered_at: float | None = None
@@ -138,6 +143,8 @@
         excluded_endpoints: ids of the endpoints that it must not be sent to
             again.
         cost_submitted: whether its cost was part of an earlier slot request.
+        hedge_taken_at: when a hedge was taken from its share that no attempt
+            has yet, seconds of the loop's clock; None if there is none.
         stream_head: head of the first stream, which the caller received; None
             before it.
         origin: what began its stream; None before the first event.
@@ -182,6 +189,7 @@
     )
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
+    hedge_taken_at: float | None = None
     stream_head: dialect.AnswerHead | None = None
     origin: messages.StreamOrigin | None = None
     attempts_in_progress: int = 0
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -395,6 +395,7 @@
             seeking.cancel()
             # It may not have begun to run.
             self._attempts.give_back(self._exchange)
+            self._attempts.give_back_hedge(self._exchange)
         elif not seeking.cancelled() and seeking.exception() is None:
             begun = seeking.result()
             if isinstance(begun, exchanges.Attempt):
--- a/cranberryglade/tests/test_hedged_requests.py
+++ b/cranberryglade/tests/test_hedged_requests.py
@@ -27,7 +27,14 @@
         hedges.record_answer(
             builders.SERVICE, Kind.IDEMPOTENT, LATE_SECONDS, 0.0
         )
-    return test_replacing.World(seed, kind, hedges=hedges)
+    world = test_replacing.World(seed, kind, hedges=hedges)
+    world.hedges = hedges
+    return world
+
+
+def hedges_taken(world) -> int:
+    """Returns how many hedges were taken from the share and not given back."""
+    return round(100 * world.hedges.extra_share(0.0))
 
 
 def count(world, event) -> int:
@@ -60,6 +67,8 @@
     # Endpoints that were withheld are asked for again.
     assert asked <= 1
     assert asked <= len(hedges)
+    # Guards against a share that is used up by hedges that were never sent.
+    assert hedges_taken(world) <= max(0, len(world.sender.works) - 1)
     assert world.connection.data.count(b"whole") <= 1
 
 
