The allocator learns when answers are late and shares hedges

Cause: 17 repeatable plain requests a second over 59 instances are one in three seconds at each. An instance learnt no threshold within minutes. Change: the allocator counts plain slot requests, learns from the times of their releases, and sends the threshold in the last field of a grant. A hedge's slot request takes a token of the service's common share there, and is denied without one. A hedge that was never sent gives it back. The former build reads the grants, and its own are read.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -391,8 +391,8 @@
             case datagrams.Queued(id=id_):
                 if id_ in self._pending:
                     self._pending[id_].acknowledged = True
-            case datagrams.Grant(id=id_, endpoint=endpoint):
-                self._handle_grant(sender, messages.Granted(id_, endpoint))
+            case datagrams.Grant():
+                self._handle_grant(sender, conversions.decode_grant(message))
             case datagrams.Deny():
                 self._deliver(conversions.decode_denial(message))
             case datagrams.Preempt(id=id_):
@@ -553,6 +553,7 @@
             self._knowledge = None
 
     def _update_role(self, allocating: bool, now: float) -> None:
+        self._slots.set_allocating(allocating)
         if not allocating:
             if self._allocated_long_until(now) and self._mesh.stopping:
                 self.handed_over.set()
--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -116,11 +116,13 @@
         service = exchange.admitted.service
         now = asyncio.get_running_loop().time()
         stopping = self._state.shutdown.begun
-        reason = self._hedges.try_take(service, stopping, now)
+        common = late.late_after_seconds is not None
+        reason = self._hedges.try_take(service, stopping, now, common)
         if reason:
             return Refusal(reason, 0.0)
         refusal = self.reserve(exchange)
         exchange.hedge_taken_at = now
+        exchange.hedge_is_common = common
         if refusal is not None:
             self.give_back_hedge(exchange)
         return refusal
@@ -169,12 +171,17 @@
                         exchange.refusal = reason
                         return decision
                     case messages.Granted(endpoint=id_):
+                        late_after = decision.late_after_seconds
                         endpoint = await self._find_endpoint(
                             exchange, slot_request, id_
                         )
                         if endpoint is not None:
                             return self._start(
-                                exchange, slot_request, endpoint, hedge
+                                exchange,
+                                slot_request,
+                                endpoint,
+                                hedge,
+                                late_after,
                             )
                         self._withhold(exchange, slot_request, id_)
         finally:
@@ -193,7 +200,9 @@
         """Gives a hedge back to its share that no attempt has."""
         taken_at, exchange.hedge_taken_at = exchange.hedge_taken_at, None
         if taken_at is not None:
-            self._hedges.give_back(exchange.admitted.service, taken_at)
+            self._hedges.give_back(
+                exchange.admitted.service, taken_at, exchange.hedge_is_common
+            )
 
     def end(
         self,
@@ -208,7 +217,7 @@
             self._record_latency(exchange, attempt, attempt.answered_at)
         self._conclude(exchange, attempt, outcome)
         self._allocator.release(
-            attempt.slot_request, outcome, attempt.first_answer_seconds
+            attempt.slot_request, outcome, _seconds_to_tell(attempt, outcome)
         )
         if outcome is not messages.Outcome.SERVED:
             self._log_end(exchange, attempt, outcome)
@@ -416,7 +425,7 @@
         while True:
             slot_request = self._build_slot_request(exchange)
             if hedge:
-                slot_request = _at_once(slot_request)
+                slot_request = _at_once(slot_request, exchange.hedge_is_common)
             exchange.cost_submitted = True
             decision = await self._allocator.acquire(slot_request)
             self._hedges.record_slot_decision(slot_request.service, decision)
@@ -553,6 +562,7 @@
         slot_request: messages.SlotRequest,
         endpoint: messages.Endpoint,
         hedge: bool,
+        late_after_seconds: float | None,
     ) -> exchanges.Attempt:
         admitted = exchange.admitted
         exchange.attempted_endpoints.append(endpoint)
@@ -570,6 +580,7 @@
             exchange.retry_reserved_at,
             hedge,
             exchange.hedge_taken_at,
+            late_after_seconds,
         )
         exchange.retry_reserved_at = None
         exchange.hedge_taken_at = None
@@ -637,7 +648,9 @@
             exchange.excluded_endpoints.remove(attempt.endpoint.id)
         if attempt.hedge_taken_at is not None:
             service = exchange.admitted.service
-            self._hedges.give_back(service, attempt.hedge_taken_at)
+            self._hedges.give_back(
+                service, attempt.hedge_taken_at, exchange.hedge_is_common
+            )
         reserved_at = attempt.take_retry()
         if reserved_at is not None:
             self._budget.give_back(exchange.admitted.service, reserved_at)
@@ -704,9 +717,32 @@
         )
 
 
-def _at_once(request: messages.SlotRequest) -> messages.SlotRequest:
+def _at_once(
+    request: messages.SlotRequest, common: bool
+) -> messages.SlotRequest:
     """Returns the slot request of a hedge, which waits for no slot."""
     now = asyncio.get_running_loop().time()
     return dataclasses.replace(
-        request, rank=messages.HEDGE_RANK, wait_until=now
+        request,
+        rank=messages.HEDGE_RANK,
+        wait_until=now,
+        takes_common_hedge=common,
     )
+
+
+def _seconds_to_tell(
+    attempt: exchanges.Attempt, outcome: messages.Outcome
+) -> float | None:
+    """Returns the time of an attempt that its granter is told.
+
+    Of a hedge that is abandoned, or an attempt that its hedge overtook, it is
+    the time since it was sent; without it, the granter would take the hedge for
+    unsent, and learn only from the answers that were not hedged.
+    """
+    seconds = attempt.first_answer_seconds
+    hedged = attempt.is_hedge or attempt.failure == HEDGED
+    abandoned = outcome is messages.Outcome.ABANDONED
+    if seconds is None and hedged and abandoned and attempt.sent.done():
+        now = asyncio.get_running_loop().time()
+        return now - attempt.sent.result()
+    return seconds
--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -24,7 +24,11 @@
     """Returns the datagram of a decision."""
     match decision:
         case messages.Granted(id=id_, endpoint=endpoint):
-            return datagrams.Grant(id_, endpoint)
+            late_after = decision.late_after_seconds
+            if late_after is None:
+                return datagrams.Grant(id_, endpoint)
+            late_after_ms = max(1, _milliseconds(late_after))
+            return datagrams.Grant(id_, endpoint, late_after_ms)
         case messages.Preempted(id=id_):
             return datagrams.Preempt(id_)
         case messages.Denied(id=id_, reason=reason, retry_after_seconds=after):
@@ -32,6 +36,14 @@
             return datagrams.Deny(id_, reason, _milliseconds(after), waiting)
 
 
+def decode_grant(grant: datagrams.Grant) -> messages.Granted:
+    """Returns the grant that a datagram carries."""
+    late_after = None
+    if grant.late_after_ms > 0:
+        late_after = _seconds(grant.late_after_ms)
+    return messages.Granted(grant.id, grant.endpoint, late_after)
+
+
 def decode_denial(deny: datagrams.Deny) -> messages.Denied:
     """Returns the denial that a datagram carries."""
     after = max(0.0, _seconds(deny.retry_after_ms))
--- a/cranberryglade/gateway/datagrams.py
+++ b/cranberryglade/gateway/datagrams.py
@@ -259,10 +259,17 @@
 
 
 class Grant(msgspec.Struct, array_like=True, tag=5, frozen=True):
-    """The request is granted a slot."""
+    """The request is granted a slot.
+
+    Attributes:
+        id: id of the request.
+        endpoint: id of the endpoint.
+        late_after_ms: milliseconds after which its answer is late; 0 for none.
+    """
 
     id: str
     endpoint: str
+    late_after_ms: int = 0
 
 
 class Deny(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -289,7 +296,8 @@
         outcome: how it ended.
         parts: as in SlotRequest, if the outcome tells something of them.
         first_answer_ms: milliseconds from its sending to its answer, or its
-            stream's first events; -1 if it had none.
+            stream's first events; -1 if it had none. Of an abandoned hedge, or
+            an attempt that its hedge overtook: to its end, -1 if never sent.
     """
 
     id: str
--- a/cranberryglade/gateway/exchanges.py
+++ b/cranberryglade/gateway/exchanges.py
@@ -35,6 +35,7 @@
             the loop's clock; None if it is no retry, or once it was sent.
         hedge_taken_at: when it was taken from the share of hedges, seconds of
             the loop's clock; None if it is no hedge.
+        late_after_seconds: as in `messages.Granted`.
         failure: why it has no answer that can be relayed; "" if it has one.
         stream: its stream, once its head was received; None before.
         answered_at: when its answer was received whole, seconds of the loop's
@@ -49,6 +50,7 @@
         "is_current",
         "hedge_taken_at",
         "is_hedge",
+        "late_after_seconds",
         "opening",
         "retry_reserved_at",
         "sent",
@@ -63,6 +65,7 @@
         retry_reserved_at: float | None = None,
         is_hedge: bool = False,
         hedge_taken_at: float | None = None,
+        late_after_seconds: float | None = None,
     ):
         """Creates an attempt; `opening` must be set before use."""
         self.endpoint = endpoint
@@ -76,6 +79,7 @@
         self.is_current = False
         self.is_hedge = is_hedge
         self.hedge_taken_at = hedge_taken_at
+        self.late_after_seconds = late_after_seconds
         self.failure = ""
         self.stream: attempt_streams.AttemptStream | None = None
         self.answered_at: float | None = None
@@ -145,6 +149,8 @@
         cost_submitted: whether its cost was part of an earlier slot request.
         hedge_taken_at: when a hedge was taken from its share that no attempt
             has yet, seconds of the loop's clock; None if there is none.
+        hedge_is_common: whether the hedge is one of the share that the
+            allocator holds.
         stream_head: head of the first stream, which the caller received; None
             before it.
         origin: what began its stream; None before the first event.
@@ -190,6 +196,7 @@
     excluded_endpoints: list[str] = dataclasses.field(default_factory=list)
     cost_submitted: bool = False
     hedge_taken_at: float | None = None
+    hedge_is_common: bool = False
     stream_head: dialect.AnswerHead | None = None
     origin: messages.StreamOrigin | None = None
     attempts_in_progress: int = 0
--- a/cranberryglade/gateway/messages.py
+++ b/cranberryglade/gateway/messages.py
@@ -167,6 +167,9 @@
 QUARANTINED = "quarantined"
 ORIGIN_UNKNOWN = "origin_unknown"
 
+HEDGES_USED_UP = "hedges_used_up"
+"""Reason of the denial of a hedge beyond the service's common share."""
+
 NO_ROOM = frozenset(("hopeless", "unreachable", "waited"))
 """Reasons of denials that pass: there are endpoints, but no slot for now."""
 
@@ -231,6 +234,8 @@
         parts: what it has in common with other requests, as in
             `crash_evidence`.
         yields: whether it may be asked to yield its slot.
+        takes_common_hedge: whether it is that of a hedge which the allocator's
+            share is to cover; not sent, as the allocator covers all of them.
     """
 
     id: str
@@ -247,6 +252,7 @@
     software_version: str | None = None
     parts: tuple[str, ...] = ()
     yields: bool = False
+    takes_common_hedge: bool = False
 
     def may_run_at(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint of its service may run it."""
@@ -262,10 +268,14 @@
     Attributes:
         id: id of the request.
         endpoint: id of the endpoint.
+        late_after_seconds: time from which on its answer is late, and is hedged
+            from the share that the allocator holds; None if the allocator tells
+            none.
     """
 
     id: str
     endpoint: str
+    late_after_seconds: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -58,6 +58,7 @@
 from cranberryglade.gateway import usage_sync
 from cranberryglade.gateway import version_sync
 from cranberryglade.hedging import control as hedge_control
+from cranberryglade.hedging import service_hedges
 from cranberryglade.memory import budget as memory_budget
 from cranberryglade.memory import connection_limit
 from cranberryglade.memory import system_memory
@@ -124,12 +125,16 @@
         )
         self._state.contention = initial_settings.options.preemption
         self._versions = gate.ServiceVersions()
+        self._service_hedges = service_hedges.ServiceHedges(
+            initial_settings.options.hedging, randomness
+        )
         self._slots = slots.SlotScheduler(
             self._state.quarantine,
             self._state.endpoint_limits,
             initial_settings.options.placement,
             initial_settings.options.preemption,
             self._versions,
+            self._service_hedges,
         )
         self._quarantine_sync = quarantine_sync.QuarantineSync(
             store, self._state
@@ -308,6 +313,14 @@
             "Hedges for each request of the last minute.",
             lambda: self._hedges.extra_share(asyncio.get_running_loop().time()),
         )
+        self._state.metrics.add_gauge(
+            "common_hedged_share",
+            "Hedges granted for each plain slot request of the last minute; 0 "
+            "if this instance does not allocate.",
+            lambda: self._service_hedges.extra_share(
+                asyncio.get_running_loop().time()
+            ),
+        )
 
     @property
     def _capacity(self) -> float:
@@ -497,6 +510,7 @@
         )
         self._allocator.set_tolerance(self._quota_tolerance(new_settings))
         self._hedges.set_options(new_settings.options.hedging)
+        self._service_hedges.set_options(new_settings.options.hedging)
         self._rollouts.limit = _exposure_limit(new_settings)
         self._rollouts.schedule = new_settings.options.rollouts
 
--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -117,7 +117,10 @@
             return None
         admitted = exchange.admitted
         return self._hedges.late_after_seconds(
-            admitted.service, admitted.route.kind, _now()
+            admitted.service,
+            admitted.route.kind,
+            _now(),
+            attempt.late_after_seconds,
         )
 
 
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -18,6 +18,8 @@
 from cranberryglade.gateway import leases
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slot_queue
+from cranberryglade.hedging import options as hedging_options
+from cranberryglade.hedging import service_hedges
 from cranberryglade.placement import options as placement_options
 from cranberryglade.placement import placing
 from cranberryglade.preemption import denials
@@ -53,6 +55,7 @@
         "_denials",
         "_expiries",
         "_groups",
+        "_hedges",
         "_leases",
         "_options",
         "_preemption",
@@ -73,6 +76,7 @@
         placement: placement_options.PlacementOptions | None = None,
         contention: options.PreemptionOptions | None = None,
         versions: gate.VersionGate | None = None,
+        hedges: service_hedges.ServiceHedges | None = None,
     ):
         """Creates a scheduler without endpoints.
 
@@ -85,12 +89,16 @@
                 defaults.
             versions: limits the software versions that get slots; None to
                 treat all alike.
+            hedges: shares hedges over all instances; None to share none.
         """
         self.placing = placing.Placing(
             placement or placement_options.PlacementOptions()
         )
         self._options = contention or options.PreemptionOptions()
         self._versions = versions
+        self._hedges = hedges or service_hedges.ServiceHedges(
+            hedging_options.HedgingOptions()
+        )
         self._quarantine = crashing_parts or quarantine.Quarantine()
         self._quarantine_revision = self._quarantine.revision
         self._rates = endpoint_group.EndpointRates(
@@ -135,6 +143,10 @@
     def limit_share(self, share: float) -> None:
         self._rates.limit_share = share
 
+    def set_allocating(self, allocating: bool) -> None:
+        """Records whether this instance grants slots to all others."""
+        self._hedges.set_allocating(allocating)
+
     def update_endpoints(
         self, listed: dict[str, messages.Endpoint], now: float
     ) -> list[endpoint_states.SlotDecision]:
@@ -175,10 +187,15 @@
         """
         held = self._leases.get(request.id)
         if held is not None:
-            granted = messages.Granted(request.id, held.endpoint)
+            late_after = self._hedges.late_after_seconds(held.request, now)
+            granted = messages.Granted(request.id, held.endpoint, late_after)
             return [endpoint_states.SlotDecision(holder, granted)]
         if request.id in self._waiting:
             return []
+        hedge_denied = self._hedges.deny(request)
+        if hedge_denied is not None:
+            return [endpoint_states.SlotDecision(holder, hedge_denied)]
+        self._hedges.record_request(request, now)
         if self._versions is not None:
             self._versions.record_request(request)
         waiting = self._make_waiting(holder, request, now)
@@ -238,6 +255,7 @@
         if lease is None:
             return []
         self._preemption.remove(lease)
+        self._hedges.record_release(lease, outcome, first_answer_seconds, now)
         state = self._states.get(lease.endpoint)
         if state is None:
             return []
@@ -515,7 +533,8 @@
         )
         if self._versions is not None:
             self._versions.record_grant(state.endpoint)
-        granted = messages.Granted(request.id, name)
+        late_after = self._hedges.record_grant(request, now)
+        granted = messages.Granted(request.id, name, late_after)
         return endpoint_states.SlotDecision(waiting.holder, granted)
 
     def _deny_newly_quarantined(
--- a/cranberryglade/hedging/control.py
+++ b/cranberryglade/hedging/control.py
@@ -125,7 +125,11 @@
                 self._record_of(service).lacks_room = True
 
     def late_after_seconds(
-        self, service: str, kind: configuration.Kind, now: float
+        self,
+        service: str,
+        kind: configuration.Kind,
+        now: float,
+        granted: float | None = None,
     ) -> float | None:
         """Returns after which time a request is to be hedged.
 
@@ -138,6 +142,8 @@
             service: the service that runs it.
             kind: its kind.
             now: the present time.
+            granted: the threshold that came with its grant, which precedes what
+                was learnt here; None without.
 
         Returns:
             Seconds from its sending; None if it is not to be hedged, or too
@@ -145,19 +151,29 @@
         """
         if not self.enabled or not is_hedgeable(kind):
             return None
+        if granted is not None:
+            return max(MIN_LATE_SECONDS, granted)
         record = self._record_of(service)
         covered = record.share.covered(self._options.request_share, now)
         fraction = max(self._options.quantile, 1.0 - covered)
         seconds = record.latencies.quantile(fraction, now)
         return None if seconds is None else max(MIN_LATE_SECONDS, seconds)
 
-    def try_take(self, service: str, stopping: bool, now: float) -> str:
+    def has_hedge(self, service: str) -> bool:
+        """Returns whether the share has a hedge."""
+        return self._record_of(service).share.has_token
+
+    def try_take(
+        self, service: str, stopping: bool, now: float, common: bool = False
+    ) -> str:
         """Takes a hedge from the share.
 
         Args:
             service: the service that the hedge is for.
             stopping: whether the instance shuts down.
             now: the present time.
+            common: whether the allocator holds the share, so that none is taken
+                here.
 
         Returns:
             Why there is none; "" if there is one.
@@ -167,14 +183,17 @@
             return STOPPING
         if record.lacks_room:
             return NO_ROOM
-        if not record.share.try_take():
+        if not common and not record.share.try_take():
             return SHARE_USED_UP
         self._hedges.add(1, now)
         return ""
 
-    def give_back(self, service: str, taken_at: float) -> None:
+    def give_back(
+        self, service: str, taken_at: float, common: bool = False
+    ) -> None:
         """Gives a hedge back that was taken at a time and not sent."""
-        self._record_of(service).share.give_back()
+        if not common:
+            self._record_of(service).share.give_back()
         self._hedges.subtract(1, taken_at)
 
     def _record_of(self, service: str) -> ServiceRecord:
--- a/cranberryglade/hedging/share.py
+++ b/cranberryglade/hedging/share.py
@@ -37,6 +37,11 @@
         self._requests = budgets.SlidingWindow(WINDOW_SECONDS)
         self._hedgeable = budgets.SlidingWindow(WINDOW_SECONDS)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether a hedge can be made now."""
+        return self._tokens >= 1.0
+
     def record_request(self, share: float, hedgeable: bool, now: float) -> None:
         """Counts a request, which earns a share of a hedge.
 
@@ -64,7 +69,7 @@
 
     def try_take(self) -> bool:
         """Takes a token; returns whether there was one."""
-        if self._tokens < 1.0:
+        if not self.has_token:
             return False
         self._tokens -= 1.0
         return True
--- a/cranberryglade/tests/hedging_replay.py
+++ b/cranberryglade/tests/hedging_replay.py
@@ -11,27 +11,32 @@
 from cranberryglade.gateway import slots
 from cranberryglade.hedging import control
 from cranberryglade.hedging import options
+from cranberryglade.hedging import service_hedges
 from cranberryglade.tests import gateway_builders as builders
 
 Kind = configuration.Kind
 
 ENDPOINTS = 10
 SLOTS = 6
-INSTANCE = "gate-0"
 
 
 @dataclasses.dataclass
 class Call:
-    """A request; `attempts` holds when each of its attempts was sent."""
+    """A request; `attempts` holds when each of its attempts was sent.
+
+    `late_after` is the threshold that came with its grant.
+    """
 
     kind: Kind
     arrived: float
+    instance: int
+    late_after: float | None = None
     answered_at: float | None = None
     attempts: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Replay:
-    """One instance that is also the allocator; in virtual time."""
+    """Instances and their allocator; in virtual time."""
 
     def __init__(
         self,
@@ -39,6 +44,8 @@
         share: float,
         service_seconds: Callable[[random.Random, float], float],
         repeatable_share: float = 1.0,
+        instances: int = 1,
+        common: bool = False,
     ):
         """Creates one in which nothing has happened.
 
@@ -48,16 +55,23 @@
             service_seconds: draws how long an attempt takes that begins at a
                 time.
             repeatable_share: fraction of the requests that may be repeated.
+            instances: their number.
+            common: whether the allocator learns and has the share of hedges.
         """
         self.calls: list[Call] = []
         self.hedged_at: list[float] = []
         self._draw = random.Random(seed)
         self._service_seconds = service_seconds
         self._repeatable_share = repeatable_share
-        self._control = control.HedgeControl(
-            options.HedgingOptions(request_share=share), random.Random(seed)
-        )
-        self._scheduler = slots.SlotScheduler()
+        self._draw_instance = random.Random(seed)
+        hedging = options.HedgingOptions(request_share=share)
+        self._controls = [
+            control.HedgeControl(hedging, random.Random(seed + number))
+            for number in range(instances)
+        ]
+        hedges = service_hedges.ServiceHedges(hedging, random.Random(seed))
+        self._scheduler = slots.SlotScheduler(hedges=hedges if common else None)
+        self._scheduler.set_allocating(common)
         names = [f"e-{number}" for number in range(ENDPOINTS)]
         self._scheduler.update_endpoints(
             {id_: builders.make_endpoint(id_, slots=SLOTS) for id_ in names},
@@ -95,9 +109,13 @@
 
     def _arrive(self, now):
         repeatable = self._draw.random() < self._repeatable_share
-        call = Call(Kind.IDEMPOTENT if repeatable else Kind.ONCE, now)
+        kind = Kind.IDEMPOTENT if repeatable else Kind.ONCE
+        instance = self._draw_instance.randrange(len(self._controls))
+        call = Call(kind, now, instance)
         self.calls.append(call)
-        self._control.record_request(builders.SERVICE, call.kind, now)
+        self._controls[instance].record_request(
+            builders.SERVICE, call.kind, now
+        )
         self._ask(call, now, rank=0, wait_until=now + 1.0)
 
     def _ask(self, call, now, **fields):
@@ -107,17 +125,22 @@
             id_, prompt_tokens=0, output_tokens=0, **fields
         )
         self._waiting[id_] = (call, request.rank == messages.HEDGE_RANK)
-        self._deliver(self._scheduler.request_slot(INSTANCE, request, now), now)
+        holder = f"gate-{call.instance}"
+        self._deliver(self._scheduler.request_slot(holder, request, now), now)
 
     def _deliver(self, decisions, now):
         for each in decisions:
             call, is_hedge = self._waiting.pop(each.result.id)
-            self._control.record_slot_decision(builders.SERVICE, each.result)
+            hedges = self._controls[call.instance]
+            hedges.record_slot_decision(builders.SERVICE, each.result)
             match each.result:
                 case messages.Granted(id=id_):
+                    if not is_hedge:
+                        call.late_after = each.result.late_after_seconds
                     self._send(call, id_, is_hedge, now)
                 case messages.Denied() if is_hedge:
-                    self._control.give_back(builders.SERVICE, now)
+                    common = call.late_after is not None
+                    hedges.give_back(builders.SERVICE, now, common)
 
     def _send(self, call, id_, is_hedge, now):
         call.attempts[id_] = now
@@ -126,8 +149,8 @@
         if is_hedge:
             self.hedged_at.append(now)
             return
-        late_after = self._control.late_after_seconds(
-            builders.SERVICE, call.kind, now
+        late_after = self._controls[call.instance].late_after_seconds(
+            builders.SERVICE, call.kind, now, call.late_after
         )
         if late_after is not None:
             self._at(now + late_after, self._hedge, call)
@@ -135,7 +158,9 @@
     def _hedge(self, now, call):
         if call.answered_at is not None:
             return
-        if not self._control.try_take(builders.SERVICE, False, now):
+        hedges = self._controls[call.instance]
+        common = call.late_after is not None
+        if not hedges.try_take(builders.SERVICE, False, now, common):
             rank = messages.HEDGE_RANK
             self._ask(call, now, rank=rank, wait_until=now)
 
@@ -144,11 +169,13 @@
             return
         call.answered_at = now
         first_sent_at = next(iter(call.attempts.values()))
-        self._control.record_answer(
+        self._controls[call.instance].record_answer(
             builders.SERVICE, call.kind, now - first_sent_at, now
         )
-        for each in call.attempts:
+        for each, sent_at in call.attempts.items():
             outcome = messages.Outcome.ABANDONED
             if each == id_:
                 outcome = messages.Outcome.SERVED
-            self._deliver(self._scheduler.release(each, outcome, now), now)
+            self._deliver(
+                self._scheduler.release(each, outcome, now, now - sent_at), now
+            )
--- a/cranberryglade/tests/test_unreadable_datagrams.py
+++ b/cranberryglade/tests/test_unreadable_datagrams.py
@@ -103,6 +103,7 @@
             "gate-x", gateway_builders.make_slot_request(), 99.0
         ),
         datagrams.Release("r-1", messages.Outcome.SERVED),
+        datagrams.Grant("r-1", "i-0", 120),
         datagrams.Deny("r-1", "busy", 10, 1),
         datagrams.EndpointLimit("i-0", 5, 2.0, False, 7),
         datagrams.Origins([datagrams.OriginRecord("a", "writers", "v1")]),
@@ -163,6 +164,9 @@
             assert datagrams.encode(encoded)
         case Success(datagrams.EndpointLimit() as limit):
             pass_on(conversions.decode_limit, conversions.encode_limit, limit)
+        case Success(datagrams.Grant() as grant):
+            granted = conversions.decode_grant(grant)
+            assert datagrams.encode(conversions.encode_decision(granted))
         case Success(datagrams.Deny() as deny):
             denied = conversions.decode_denial(deny)
             assert datagrams.encode(conversions.encode_decision(denied))
@@ -207,6 +211,15 @@
     assert datagrams.decode(former) == Success(released)
 
 
+def test_a_grant_of_the_former_build_has_no_threshold():
+    former = datagrams.decode(b"\x93\x05\xa3r-1\xa3i-0").unwrap()
+    granted = conversions.decode_grant(former)
+    assert granted == messages.Granted("r-1", "i-0", None)
+    present = conversions.encode_decision(messages.Granted("r-1", "i-0", 0.12))
+    read = datagrams.decode(datagrams.encode(present)).unwrap()
+    assert conversions.decode_grant(read).late_after_seconds == 0.12
+
+
 def test_a_slot_request_of_the_former_build_is_read():
     present, encoded = ENCODED[0]
     former = b"\x9f" + encoded[3:-1]
--- a/cranberryglade/tests/wire_samples.py
+++ b/cranberryglade/tests/wire_samples.py
@@ -114,6 +114,9 @@
         "grant": conversions.encode_decision(
             messages.Granted("gate-0.1", "i-1")
         ),
+        "grant_with_threshold": conversions.encode_decision(
+            messages.Granted("gate-0.1", "i-1", 0.12)
+        ),
         "deny": conversions.encode_decision(
             messages.Denied("gate-0.1", messages.OVER_QUOTA, 0.4)
         ),
