--- a/cranberryglade/tests/test_service_hedges.py
+++ b/cranberryglade/tests/test_service_hedges.py
@@ -24,7 +24,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_slowest_answers_come_a_third_sooner_over_many_instances(seed):
     # Load: 17 repeatable and 230 other requests a second over 59 instances; 5%
-    # of the attempts take ten times as long. An instance alone learns nothing.
+    # of the attempts take ten times as long.
     replays = []
     for request_share in (0.0, SHARE):
         replay = hedging_replay.Replay(
