Tests: the threshold of a grant is used, with the common share

Cause: no test followed a threshold from the grant to the hedge. Change: scripted endpoints with a threshold in the grant.

--- a/cranberryglade/tests/test_hedged_requests.py
+++ b/cranberryglade/tests/test_hedged_requests.py
@@ -10,6 +10,7 @@
 from cranberryglade.gateway import messages
 from cranberryglade.hedging import control
 from cranberryglade.hedging import options
+from cranberryglade.hedging import share
 from cranberryglade.tests import gateway_builders as builders
 from cranberryglade.tests import test_replacing
 
@@ -108,28 +109,33 @@
 class FreeSlots(test_replacing.ScriptedAllocator):
     """Grants at once; records when slots are given back."""
 
-    def __init__(self):
+    def __init__(self, late_after_seconds):
         super().__init__(None, False)
+        self._late_after_seconds = late_after_seconds
+        self.told: list[float] = []
         self.released: list[tuple[float, messages.Outcome]] = []
 
     async def acquire(self, request):
         self.requests.append(request)
         endpoint = test_replacing.ENDPOINTS[len(self.requests)]
         self.held[request.id] = endpoint
-        return messages.Granted(request.id, endpoint)
+        return messages.Granted(request.id, endpoint, self._late_after_seconds)
 
     def release(self, request, outcome, first_answer_seconds=None):
         super().release(request, outcome)
+        self.told.append(round(first_answer_seconds, 3))
         at = round(asyncio.get_running_loop().time(), 3)
         self.released.append((at, outcome))
 
 
-def play_two(first_seconds):
+def play_two(first_seconds, late_after_seconds=None):
     world = make_world(1, Kind.IDEMPOTENT)
     world.leaves_after = None
     world._forwarder._sender = world.sender = TwoEndpoints(first_seconds)
     world._forwarder._attempts._sender = world.sender
-    world.allocator = world._forwarder._attempts._allocator = FreeSlots()
+    world.allocator = world._forwarder._attempts._allocator = FreeSlots(
+        late_after_seconds
+    )
     return test_replacing.play(world)
 
 
@@ -145,6 +151,21 @@
     assert count(world, "hedge_won") == 1
 
 
+def test_threshold_of_the_grant_is_used_and_no_hedge_of_the_own_share():
+    # Else each instance would hedge by its own share beside the common one.
+    world = play_two(first_seconds=1.0, late_after_seconds=0.2)
+    assert world.allocator.released[0] == (0.25, messages.Outcome.ABANDONED)
+    assert [each.takes_common_hedge for each in world.allocator.requests] == [
+        False,
+        True,
+    ]
+    assert world.allocator.told == [0.25, 0.05]
+    taken = 0
+    while not world.hedges.try_take(builders.SERVICE, False, 0.0):
+        taken += 1
+    assert taken == share.MAX_TOKENS
+
+
 def test_hedge_is_stopped_once_the_late_attempt_has_the_answer():
     world = play_two(first_seconds=0.06)
     assert world.connection.data.endswith(b"e-1")
