--- a/cranberryglade/gateway/replacing.py
+++ b/cranberryglade/gateway/replacing.py
@@ -117,7 +117,10 @@
             return None
         admitted = exchange.admitted
         return self._hedges.late_after_seconds(
-            admitted.service, admitted.route.kind, _now()
+            admitted.service,
+            admitted.route.kind,
+            _now(),
+            attempt.late_after_seconds,
         )
 
 
@@ -395,6 +398,7 @@
             seeking.cancel()
             # It may not have begun to run.
             self._attempts.give_back(self._exchange)
+            self._attempts.give_back_hedge(self._exchange)
         elif not seeking.cancelled() and seeking.exception() is None:
             begun = seeking.result()
             if isinstance(begun, exchanges.Attempt):
