Hedging: the common share counts all requests of a service

The option limits hedges to a part of all requests of a service, and an instance's own share counts them all; the common share counted plain requests only.

--- a/cranberryglade/gateway/process.py
+++ b/cranberryglade/gateway/process.py
@@ -315,7 +315,7 @@
         )
         self._state.metrics.add_gauge(
             "common_hedged_share",
-            "Hedges granted for each plain slot request of the last minute; 0 "
+            "Hedges granted for each slot request of the last minute; 0 "
             "if this instance does not allocate.",
             lambda: self._service_hedges.extra_share(
                 asyncio.get_running_loop().time()
--- a/cranberryglade/hedging/service_hedges.py
+++ b/cranberryglade/hedging/service_hedges.py
@@ -68,7 +68,7 @@
         self._is_allocating = allocating
 
     def extra_share(self, now: float) -> float:
-        """Returns the hedges for each plain request of the last minute."""
+        """Returns the hedges for each request of the last minute."""
         return self._control.extra_share(now) if self.decides else 0.0
 
     def deny(self, request: messages.SlotRequest) -> messages.Denied | None:
@@ -87,8 +87,8 @@
         return messages.Denied(request.id, messages.HEDGES_USED_UP, 0.0)
 
     def record_request(self, request: messages.SlotRequest, now: float) -> None:
-        """Counts a plain slot request, which earns a share of a hedge."""
-        if self.decides and is_counted(request):
+        """Counts a slot request of any kind, which earns a share of a hedge."""
+        if self.decides and request.rank != messages.HEDGE_RANK:
             self._control.record_request(request.service, request.kind, now)
 
     def record_grant(
