Queue: a freed slot goes to a waiting request of its own domain

Cause: while requests wait, a freed slot went to the first in the queue, from any failure domain; at load 0.9, 0.36 of the grants stayed in the own domain.

Change: where remote_cost is over 1, the first of the first 8 requests of a rank whose instance is in the endpoint's domain goes first, if none that is overtaken becomes late. Counted in grants_reordered.

--- a/cranberryglade/gateway/gauges.py
+++ b/cranberryglade/gateway/gauges.py
@@ -111,6 +111,11 @@
         "Slots granted at endpoints that had lately read a prompt part.",
         lambda: placed.prefixed,
     )
+    watch(
+        "grants_reordered",
+        "Slots granted before the first request, to one of the same domain.",
+        lambda: placed.reordered,
+    )
     watch(
         "rollouts_running",
         "Rollouts that this instance conducts.",
--- a/cranberryglade/gateway/slot_queue.py
+++ b/cranberryglade/gateway/slot_queue.py
@@ -144,6 +144,28 @@
             entry = late if late[0] < timely[0] else timely
         return entry[-1] if entry is not None else None
 
+    def first_timely(
+        self, most: int, pace: float, now: float
+    ) -> list[endpoint_states.QueuedRequest]:
+        """Returns the first requests of one rank that can be on time.
+
+        Those that were set aside are left out.
+
+        Args:
+            most: how many at the most.
+            pace: expected seconds of an endpoint for each unit of work.
+            now: seconds of the loop's clock.
+        """
+        taken: list[Entry] = []
+        while len(taken) < most:
+            entry = self._first_timely(pace, now)
+            if entry is None or (taken and entry[0] != taken[0][0]):
+                break
+            taken.append(heapq.heappop(self._timely))
+        for entry in taken:
+            heapq.heappush(self._timely, entry)
+        return [entry[-1] for entry in taken]
+
     def set_aside(self, waiting: endpoint_states.QueuedRequest) -> None:
         """Skips a request, which cannot run at any free endpoint."""
         for heap in (self._timely, self._late):
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -490,10 +490,29 @@
             state = self._choose_endpoint(group, waiting, now)
             if state is None:
                 queue.set_aside(waiting)
-            else:
-                decisions.append(self._grant(waiting, state, now))
+                continue
+            waiting, state = self._prefer_local(group, waiting, state, now)
+            decisions.append(self._grant(waiting, state, now))
         return decisions
 
+    def _prefer_local(
+        self,
+        group: endpoint_group.EndpointGroup,
+        first: endpoint_states.QueuedRequest,
+        state: endpoint_states.EndpointState,
+        now: float,
+    ) -> tuple[endpoint_states.QueuedRequest, endpoint_states.EndpointState]:
+        """Returns who gets a slot now: the first, or one that goes before."""
+        queue = self._queues[first.request.service]
+        local = self.placing.find_local(queue, group, first, state, now)
+        if local is None:
+            return first, state
+        chosen = self._choose_endpoint(group, local, now)
+        if chosen is None or chosen.domain != state.domain:
+            return first, state
+        self.placing.counts.reordered += 1
+        return local, chosen
+
     def _grant(
         self,
         waiting: endpoint_states.QueuedRequest,
--- a/cranberryglade/placement/counts.py
+++ b/cranberryglade/placement/counts.py
@@ -16,6 +16,8 @@
         slowed: how often an endpoint was found to be slower than usual.
         spared: how often urgent work was kept from such an endpoint.
         prefixed: grants of endpoints that had lately read a prompt part.
+        reordered: grants before the first request in the queue, to one of the
+            endpoint's domain.
     """
 
     own: int = 0
@@ -23,6 +25,7 @@
     slowed: int = 0
     spared: int = 0
     prefixed: int = 0
+    reordered: int = 0
 
     def since(self, earlier: "Counts") -> "Counts":
         """Returns what was counted since an earlier copy."""
--- a/cranberryglade/placement/placing.py
+++ b/cranberryglade/placement/placing.py
@@ -7,9 +7,12 @@
 
 from collections.abc import Iterable
 
+from cranberryglade.gateway import endpoint_group
 from cranberryglade.gateway import endpoint_states
 from cranberryglade.gateway import messages
+from cranberryglade.gateway import slot_queue
 from cranberryglade.placement import counts
+from cranberryglade.placement import local_order
 from cranberryglade.placement import locality
 from cranberryglade.placement import options
 from cranberryglade.placement import preference
@@ -95,6 +98,36 @@
             self._options.reread_cost if readers else 1.0,
         )
 
+    def find_local(
+        self,
+        queue: slot_queue.SlotQueue,
+        group: endpoint_group.EndpointGroup,
+        first: endpoint_states.QueuedRequest,
+        state: endpoint_states.EndpointState,
+        now: float,
+    ) -> endpoint_states.QueuedRequest | None:
+        """Returns a request that may go before the first one, if any.
+
+        Args:
+            queue: the requests that wait.
+            group: the endpoints of their service.
+            first: the request that is next.
+            state: the endpoint that it would get.
+            now: seconds of the loop's clock.
+        """
+        if not self.distance.is_on or len(queue) < 2:
+            return None
+        if self.distance.is_own(first.holder, state.domain) is not False:
+            return None
+        pace = group.median_pace
+        waiting = queue.first_timely(local_order.MAX_CONSIDERED, pace, now)
+        if len(waiting) < 2 or waiting[0] is not first:
+            return None
+        gap = local_order.slot_gap(group.load, first.request, pace)
+        return local_order.choose(
+            waiting, state.domain, self.distance, pace, gap, now
+        )
+
     def record_grant(
         self,
         holder: str,
--- a/cranberryglade/tests/test_placement.py
+++ b/cranberryglade/tests/test_placement.py
@@ -146,3 +146,67 @@
             scheduler.release("r-0", refused, 0.05)
     chosen = [each.result.endpoint for each in decisions]
     assert chosen == ["e-1", "e-2", "e-1"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_work_stays_in_its_domain_while_requests_wait(seed):
+    # Failure: a freed slot goes to the first request, from any domain.
+    load = {"load": 0.9, "seed": seed}
+    before, near = play(**load), play(NEAR, **load)
+    assert near.own_share > 0.55
+    assert near.mean_seconds <= SLOWER * before.mean_seconds
+    assert near.denied <= before.denied
+    assert near.urgent_late_share <= before.urgent_late_share
+
+
+def grant_to_one_of_three(placement, first_fields, second_rank=0):
+    """Returns which request gets a slot in "d-1" that becomes free.
+
+    The first one to wait is from "d-0", and two from "d-1" follow it.
+    """
+    scheduler = slots.SlotScheduler(placement=placement)
+    scheduler.placing.distance.set_domains(lambda holder: holder)
+    endpoint = builders.make_endpoint("e-1", slots=1, domain="d-1")
+    scheduler.update_endpoints({"e-1": endpoint}, 0.0)
+    running = builders.make_slot_request("running")
+    scheduler.request_slot("d-1", running, 0.0)
+    first = builders.make_slot_request("first", **first_fields)
+    scheduler.request_slot("d-0", first, 0.1)
+    for id_, rank in (("second", second_rank), ("third", 0)):
+        request = builders.make_slot_request(id_, rank=rank)
+        scheduler.request_slot("d-1", request, 0.2)
+    served = messages.Outcome.SERVED
+    (decision,) = scheduler.release("running", served, 1.0)
+    return decision.result.id
+
+
+@pytest.mark.parametrize(
+    "first_fields, granted",
+    [
+        pytest.param({}, "second", id="the first has time"),
+        pytest.param(
+            {"first_answer_due": 3.0}, "first", id="it would become late"
+        ),
+        pytest.param({"wait_until": 3.0}, "first", id="its wait would end"),
+        pytest.param(
+            {"first_answer_due": 1.05}, "second", id="it is late already"
+        ),
+        pytest.param(
+            {"excluded_endpoints": ("e-2",)}, "first", id="few slots suit it"
+        ),
+        pytest.param({"software_version": "v1"}, "first", id="one version"),
+    ],
+)
+def test_request_is_overtaken_only_while_it_stays_on_time(
+    first_fields, granted
+):
+    assert grant_to_one_of_three(NEAR, first_fields) == granted
+
+
+def test_less_urgent_request_of_the_domain_does_not_overtake():
+    assert grant_to_one_of_three(NEAR, {}, second_rank=1) == "third"
+
+
+def test_queue_keeps_its_order_if_distance_does_not_matter():
+    off = options.PlacementOptions(recent_pace=True)
+    assert grant_to_one_of_three(off, {}) == "first"
