Queue: a request that overtakes needs no search of its own

Cause: a reordered grant searched the endpoints twice and took a median of 114 us at 2,000 endpoints in 4 domains, over the limit of 100 us.

Change: it gets the endpoint that was found for the first request, if it may run there. Requests with a suspected part do not overtake.

--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -507,11 +507,20 @@
         local = self.placing.find_local(queue, group, first, state, now)
         if local is None:
             return first, state
-        chosen = self._choose_endpoint(group, local, now)
-        if chosen is None or chosen.domain != state.domain:
+        suspected = self._quarantine.evidence.suspected(local.request.parts)
+        if suspected or not self._may_run(local, state, now):
             return first, state
         self.placing.counts.reordered += 1
-        return local, chosen
+        return local, state
+
+    def _may_run(
+        self,
+        waiting: endpoint_states.QueuedRequest,
+        state: endpoint_states.EndpointState,
+        now: float,
+    ) -> bool:
+        reachable = not state.is_unreachable_from(waiting.holder, now)
+        return reachable and waiting.request.may_run_at(state.endpoint)
 
     def _grant(
         self,
@@ -575,10 +584,8 @@
             return None
 
         def accepts(state: endpoint_states.EndpointState) -> bool:
-            return (
-                request.may_run_at(state.endpoint)
-                and not state.is_unreachable_from(waiting.holder, now)
-                and not (suspected and self._runs_suspected(state))
+            return self._may_run(waiting, state, now) and not (
+                suspected and self._runs_suspected(state)
             )
 
         canary = self._canary(request.service, now)
