--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -508,10 +508,38 @@
             state = self._choose_endpoint(group, waiting, now)
             if state is None:
                 queue.set_aside(waiting)
-            else:
-                decisions.append(self._grant(waiting, state, now))
+                continue
+            waiting, state = self._prefer_local(group, waiting, state, now)
+            decisions.append(self._grant(waiting, state, now))
         return decisions
 
+    def _prefer_local(
+        self,
+        group: endpoint_group.EndpointGroup,
+        first: endpoint_states.QueuedRequest,
+        state: endpoint_states.EndpointState,
+        now: float,
+    ) -> tuple[endpoint_states.QueuedRequest, endpoint_states.EndpointState]:
+        """Returns who gets a slot now: the first, or one that goes before."""
+        queue = self._queues[first.request.service]
+        local = self.placing.find_local(queue, group, first, state, now)
+        if local is None:
+            return first, state
+        suspected = self._quarantine.evidence.suspected(local.request.parts)
+        if suspected or not self._may_run(local, state, now):
+            return first, state
+        self.placing.counts.reordered += 1
+        return local, state
+
+    def _may_run(
+        self,
+        waiting: endpoint_states.QueuedRequest,
+        state: endpoint_states.EndpointState,
+        now: float,
+    ) -> bool:
+        reachable = not state.is_unreachable_from(waiting.holder, now)
+        return reachable and waiting.request.may_run_at(state.endpoint)
+
     def _grant(
         self,
         waiting: endpoint_states.QueuedRequest,
@@ -575,10 +603,8 @@
             return None
 
         def accepts(state: endpoint_states.EndpointState) -> bool:
-            return (
-                request.may_run_at(state.endpoint)
-                and not state.is_unreachable_from(waiting.holder, now)
-                and not (suspected and self._runs_suspected(state))
+            return self._may_run(waiting, state, now) and not (
+                suspected and self._runs_suspected(state)
             )
 
         canary = self._canary(request.service, now)
