Lookup: a removed endpoint is not listed again

Cause: a granter that has not seen a removal answers a lookup with the row before it. It was listed again, until the next complete read.

Change: a row no newer than the rows read here is ignored, and found=True is logged only if the endpoint is listed. The test with two gateways no longer depends on an answer within 0.15 s.

--- a/cranberryglade/endpoint_lookup/lookup.py
+++ b/cranberryglade/endpoint_lookup/lookup.py
@@ -19,7 +19,7 @@
 
 Fetch = Callable[[str, str], Awaitable[bool]]
 """Fetches one endpoint, by its id, from a peer, by its name, and lists it.
-Returns whether the peer had it."""
+Returns whether it is listed then."""
 
 logger = log.get_logger(__name__)
 
--- a/cranberryglade/gateway/endpoint_directory.py
+++ b/cranberryglade/gateway/endpoint_directory.py
@@ -145,12 +145,16 @@
     ) -> bool:
         """Applies a row while rows of lower versions may still be missing.
 
-        `version` stays as it is, so that those are still read.
+        `version` stays as it is, so that those are still read. A row of that
+        version or a lower one was applied before, and may have been removed
+        since.
 
         Returns:
             As `put`.
         """
         applied = self._version
+        if version <= applied:
+            return False
         changed = self.put(endpoint, version)
         self._version = applied
         return changed
--- a/cranberryglade/gateway/peer_sync.py
+++ b/cranberryglade/gateway/peer_sync.py
@@ -115,8 +115,8 @@
         """Fetches one endpoint from a peer, and lists it.
 
         Returns:
-            Whether the peer had one that is usable. A peer of a build that
-            does not serve single endpoints has none.
+            Whether it is listed then. A peer of a build that does not serve
+            single endpoints has none.
         """
         path = f"{ENDPOINTS_PATH}/{parse.quote(id_, safe='')}"
         match await self._call(path, member):
@@ -133,12 +133,11 @@
                 entry, member
             ):
                 self._store_watcher.apply_entry(entry)
-                return True
             case Failure(problem):
                 logger.warning(
                     "peer.unreadable", peer=member.name, problem=problem
                 )
-        return False
+        return self._state.directory.entry(id_) is not None
 
     def _start_fetch(
         self,
--- a/cranberryglade/tests/test_endpoint_lookup.py
+++ b/cranberryglade/tests/test_endpoint_lookup.py
@@ -69,6 +69,8 @@
     monkeypatch,
 ):
     # The slot was given back, and the request refused although it was free.
+    # The answer of the peer is awaited on a slow machine, too.
+    monkeypatch.setattr(lookup, "MAX_WAIT_SECONDS", 10.0)
     async with gateway_cluster.Cluster(gateways=2) as cluster:
         await gateway_cluster.wait_until(
             lambda: any(
@@ -128,3 +130,12 @@
     assert directory.put_ahead(wire_samples.ENDPOINT, ahead)
     assert directory.version == ports.NO_VERSION
     assert directory.entry(wire_samples.ENDPOINT.id).version == ahead
+
+
+def test_a_lookup_brings_no_removed_endpoint_back():
+    # A granter that has not seen the removal answers with the row before it.
+    directory = endpoint_directory.EndpointDirectory()
+    directory.put(wire_samples.ENDPOINT, ports.Version(0, 41))
+    assert directory.remove(wire_samples.ENDPOINT.id, ports.Version(0, 50), 9.0)
+    assert not directory.put_ahead(wire_samples.ENDPOINT, ports.Version(0, 41))
+    assert not directory.endpoints
