--- a/cranberryglade/rollouts/version_test.py
+++ b/cranberryglade/rollouts/version_test.py
@@ -17,7 +17,12 @@
 """Factor by which a good version may have more slow engines."""
 
 MIN_RANK = 0.02
-"""Part of the endpoints that may be slow without any slow old one."""
+"""Added to each rank: part of the new endpoints that may be slow although no
+old one is."""
+
+MIN_VALUE = 1e-300
+"""Least value of an alternative, which some hundred good endpoints would bring
+to 0."""
 
 
 class VersionTest:
@@ -57,7 +62,7 @@
             ratio = 1 - CERTAINTY
             if rank <= highest:
                 ratio += CERTAINTY / highest
-            self._values[index] *= ratio
+            self._values[index] = max(MIN_VALUE, self._values[index] * ratio)
 
 
 def alarm_logarithm(tests: int, error_rate: float) -> float:
