Hedges are paid for by one share, and are no evidence in a rollout

Change: such hedges are denied, leases of an earlier term give nothing back, and comparison.is_evidence leaves out hedges and overtaken plain attempts.

Measured: four new tests; tests of hedging, slots, datagrams and rollouts pass.

--- a/cranberryglade/gateway/allocation.py
+++ b/cranberryglade/gateway/allocation.py
@@ -553,7 +553,7 @@
             self._knowledge = None
 
     def _update_role(self, allocating: bool, now: float) -> None:
-        self._slots.set_allocating(allocating)
+        self._slots.set_allocating(allocating, now)
         if not allocating:
             if self._allocated_long_until(now) and self._mesh.stopping:
                 self.handed_over.set()
--- a/cranberryglade/gateway/conversions.py
+++ b/cranberryglade/gateway/conversions.py
@@ -112,6 +112,8 @@
         software_version=ask.software_version,
         parts=tuple(ask.parts),
         yields=ask.yields,
+        # The sender may have taken no hedge from a share of its own.
+        takes_common_hedge=ask.rank == messages.HEDGE_RANK,
     )
 
 
--- a/cranberryglade/gateway/slots.py
+++ b/cranberryglade/gateway/slots.py
@@ -143,9 +143,9 @@
     def limit_share(self, share: float) -> None:
         self._rates.limit_share = share
 
-    def set_allocating(self, allocating: bool) -> None:
+    def set_allocating(self, allocating: bool, now: float) -> None:
         """Records whether this instance grants slots to all others."""
-        self._hedges.set_allocating(allocating)
+        self._hedges.set_allocating(allocating, now)
 
     def update_endpoints(
         self, listed: dict[str, messages.Endpoint], now: float
@@ -262,7 +262,9 @@
         schedule = self._denials.return_schedule(state.endpoint.service)
         schedule.record_freed(lease.work_units, now)
         self._apply_outcome(state, lease, outcome, now, first_answer_seconds)
-        if self._versions is not None and lease.request is not None:
+        if self._versions is not None and comparison.is_evidence(
+            lease, outcome, first_answer_seconds
+        ):
             answer = comparison.describe(
                 lease, state, outcome, first_answer_seconds, now
             )
--- a/cranberryglade/hedging/service_hedges.py
+++ b/cranberryglade/hedging/service_hedges.py
@@ -5,6 +5,7 @@
 threshold or to earn a hedge within a minute. The allocator sees all of them.
 """
 
+import math
 import random
 
 from cranberryglade.gateway import endpoint_states
@@ -13,8 +14,9 @@
 from cranberryglade.hedging import options
 
 LEARNT_FROM = frozenset((messages.Outcome.SERVED, messages.Outcome.ABANDONED))
-"""Outcomes whose time to the first answer counts. An abandoned attempt has one
-only if its hedge overtook it: the time until then."""
+"""Outcomes whose time to the first answer counts. Of an attempt that is no
+hedge, an abandoned one has a time only if its hedge overtook it: that until
+then."""
 
 NEVER_SENT = frozenset(
     (messages.Outcome.ABANDONED, messages.Outcome.UNREACHABLE)
@@ -29,7 +31,13 @@
     of the loop's clock.
     """
 
-    __slots__ = ("_control", "_is_allocating", "_options", "_randomness")
+    __slots__ = (
+        "_control",
+        "_is_allocating",
+        "_options",
+        "_randomness",
+        "_since",
+    )
 
     def __init__(
         self,
@@ -45,6 +53,7 @@
         self._options = hedging_options
         self._randomness = randomness or random.Random()
         self._is_allocating = False
+        self._since = -math.inf
         self._forget()
 
     @property
@@ -57,7 +66,7 @@
         self._options = hedging_options
         self._control.set_options(hedging_options)
 
-    def set_allocating(self, allocating: bool) -> None:
+    def set_allocating(self, allocating: bool, now: float) -> None:
         """Records whether this instance is the allocator.
 
         A new allocator learns from the beginning, and has less than one hedge
@@ -65,6 +74,7 @@
         """
         if allocating and not self._is_allocating:
             self._forget()
+            self._since = now
         self._is_allocating = allocating
 
     def extra_share(self, now: float) -> float:
@@ -137,6 +147,9 @@
         request = lease.request
         if request is None or not lease.granted_here or not self.decides:
             return
+        if lease.granted_at < self._since:
+            # An earlier share paid for it.
+            return
         if request.rank == messages.HEDGE_RANK:
             if first_answer_seconds is None and outcome in NEVER_SENT:
                 self._control.give_back(request.service, lease.granted_at)
--- a/cranberryglade/hedging/share.py
+++ b/cranberryglade/hedging/share.py
@@ -1,4 +1,7 @@
-"""Limits the hedges of one service at one instance to a share of its requests.
+"""Limits the hedges of one service to a share of its requests.
+
+An instance has one for the requests that it counts: its own, or, as the
+allocator, those of all instances.
 
 Load pattern: all endpoints of a service slow down at once, so that every answer
 is late. Hedges must not add more than a fixed share to such a load.
@@ -9,7 +12,7 @@
 from cranberryglade.gateway import budgets
 
 MAX_TOKENS = 5.0
-"""Hedges that an instance can make at once. With 3, late answers that come
+"""Hedges that can be made at once. With 3, late answers that come
 close together left part of the share unused."""
 
 WINDOW_SECONDS = 60.0
--- a/cranberryglade/rollouts/comparison.py
+++ b/cranberryglade/rollouts/comparison.py
@@ -179,6 +179,32 @@
     size: float
 
 
+def is_evidence(
+    lease: endpoint_states.Lease,
+    outcome: messages.Outcome,
+    first_seconds: float | None,
+) -> bool:
+    """Returns whether the end of an attempt tells something of its version.
+
+    A hedge, or a plain attempt that its hedge overtook, ends when the other one
+    answers, so its time is not that of its endpoint.
+
+    Args:
+        lease: its lease.
+        outcome: how it ended.
+        first_seconds: as in `describe`.
+    """
+    request = lease.request
+    if request is None or request.rank == messages.HEDGE_RANK:
+        return False
+    overtaken = (
+        not request.kind.streams
+        and outcome is messages.Outcome.ABANDONED
+        and first_seconds is not None
+    )
+    return not overtaken
+
+
 def describe(
     lease: endpoint_states.Lease,
     state: endpoint_states.EndpointState,
--- a/cranberryglade/tests/hedging_replay.py
+++ b/cranberryglade/tests/hedging_replay.py
@@ -71,7 +71,7 @@
         ]
         hedges = service_hedges.ServiceHedges(hedging, random.Random(seed))
         self._scheduler = slots.SlotScheduler(hedges=hedges if common else None)
-        self._scheduler.set_allocating(common)
+        self._scheduler.set_allocating(common, 0.0)
         names = [f"e-{number}" for number in range(ENDPOINTS)]
         self._scheduler.update_endpoints(
             {id_: builders.make_endpoint(id_, slots=SLOTS) for id_ in names},
--- a/cranberryglade/tests/test_rollouts.py
+++ b/cranberryglade/tests/test_rollouts.py
@@ -4,14 +4,21 @@
 
 import pytest
 
+from cranberryglade.gateway import configuration
+from cranberryglade.gateway import endpoint_states
+from cranberryglade.gateway import messages
 from cranberryglade.rollouts import canary
 from cranberryglade.rollouts import comparison
 from cranberryglade.rollouts import exposure
 from cranberryglade.rollouts import orders
 from cranberryglade.rollouts import sequential_test
 from cranberryglade.rollouts import version_test
+from cranberryglade.tests import gateway_builders
 from cranberryglade.tests import rollout_builders as builders
 
+Kind = configuration.Kind
+Outcome = messages.Outcome
+
 ROLLBACK_SECONDS = 5.0
 
 FAULTS = {
@@ -120,3 +127,30 @@
     budget.confirm(budget.wanted)
     assert budget.reserved == 75
     assert budget.unused == 15
+
+
+def test_many_good_endpoints_end_no_comparison():
+    # The ratio of 324 good endpoints is below the least number above 0.
+    test = version_test.VersionTest()
+    for number in range(2_000):
+        test.observe(f"e-{number}", 1.0)
+    assert test.logarithm < 0
+
+
+@pytest.mark.parametrize(
+    "rank, kind, outcome, seconds, told",
+    [
+        (0, Kind.IDEMPOTENT, Outcome.SERVED, 0.1, True),
+        (0, Kind.IDEMPOTENT, Outcome.ABANDONED, None, True),
+        (0, Kind.IDEMPOTENT, Outcome.ABANDONED, 0.1, False),
+        (0, Kind.RESUMABLE, Outcome.ABANDONED, 0.1, True),
+        (messages.HEDGE_RANK, Kind.IDEMPOTENT, Outcome.SERVED, 0.1, False),
+    ],
+)
+def test_attempts_of_hedged_requests_are_no_evidence(
+    rank, kind, outcome, seconds, told
+):
+    # They end when the other attempt answers, and would make a version bad.
+    request = gateway_builders.make_slot_request(rank=rank, kind=kind)
+    lease = endpoint_states.Lease("gate-0", request, "e-1", 0.0, True)
+    assert comparison.is_evidence(lease, outcome, seconds) is told
--- a/cranberryglade/tests/test_service_hedges.py
+++ b/cranberryglade/tests/test_service_hedges.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cranberryglade.gateway import configuration
+from cranberryglade.gateway import conversions
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import slots
 from cranberryglade.hedging import options
@@ -51,7 +52,7 @@
             random.Random(1),
         )
         self.scheduler = slots.SlotScheduler(hedges=self.hedges)
-        self.scheduler.set_allocating(allocating)
+        self.scheduler.set_allocating(allocating, 0.0)
         names = ("e-1", "e-2")
         listed = {id_: builders.make_endpoint(id_, slots=20) for id_ in names}
         self.scheduler.update_endpoints(listed, 0.0)
@@ -121,9 +122,9 @@
 def test_new_allocator_begins_anew_with_at_most_one_hedge():
     # Else each change of the allocator would allow five more hedges at once.
     allocator = Allocator()
-    allocator.scheduler.set_allocating(False)
+    allocator.scheduler.set_allocating(False, 1.0)
     assert allocator.ask("r-1").late_after_seconds is None
-    allocator.scheduler.set_allocating(True)
+    allocator.scheduler.set_allocating(True, 1.0)
     assert allocator.ask("r-2").late_after_seconds is None
     # The requests since have earned 0.4 of one.
     assert allocator.count_hedges() <= 1
@@ -136,6 +137,27 @@
     assert common.reason == messages.HEDGES_USED_UP
 
 
+def test_hedges_of_an_earlier_term_give_nothing_to_the_new_share():
+    # Else each return of the role would begin with the hedges still unsent.
+    allocator = Allocator()
+    assert allocator.count_hedges() == 5
+    allocator.scheduler.set_allocating(False, 1.5)
+    allocator.scheduler.set_allocating(True, 2.0)
+    for number in range(5):
+        allocator.release(f"h-{number}", Outcome.ABANDONED)
+    assert isinstance(allocator.ask("n-0", **HEDGE), messages.Denied)
+
+
+def test_an_instance_that_does_not_allocate_denies_the_hedges_of_others():
+    # Neither instance would have taken it from a share.
+    alone = Allocator(allocating=False)
+    asked = builders.make_slot_request("h", kind=Kind.IDEMPOTENT, **HEDGE)
+    sent = conversions.encode_slot_request("gate-1", asked, 0.0)
+    received = conversions.decode_slot_request(sent, 0.0)
+    (decided,) = alone.scheduler.request_slot("gate-1", received, 1.0)
+    assert decided.result.reason == messages.HEDGES_USED_UP
+
+
 def test_share_of_zero_turns_hedges_off_at_the_allocator():
     allocator = Allocator(request_share=0.0)
     assert allocator.ask("r").late_after_seconds is None
