Rollouts: endpoints are sorted only for services with a rollout

Each change of the list of endpoints sorted all of them by a hash, also where no rollout was ever ordered; now those of a service are sorted when its bars are renewed. A step renewed the bars once more after nothing had changed.

--- a/cranberryglade/rollouts/control.py
+++ b/cranberryglade/rollouts/control.py
@@ -327,7 +327,7 @@
         restarts = replaced and order.version == conducted.order.version
         if conducted.is_over or restarts:
             self._gate.rollouts.pop(service, None)
-        self._gate.renew(service)
+            self._gate.renew(service)
 
     def _is_unordered(self, service: str) -> bool:
         """Returns whether a stored rollout runs that nobody orders."""
--- a/cranberryglade/rollouts/gate.py
+++ b/cranberryglade/rollouts/gate.py
@@ -53,6 +53,7 @@
         "_bars",
         "_endpoints",
         "_ended",
+        "_listed",
         "orders",
         "rollouts",
         "statuses",
@@ -62,6 +63,7 @@
         self.orders: dict[str, orders.Order] = {}
         self.rollouts: dict[str, rollout.Rollout] = {}
         self.statuses: dict[str, orders.Status] = {}
+        self._listed: Mapping[str, messages.Endpoint] = {}
         self._endpoints: dict[str, list[messages.Endpoint]] = {}
         self._ended: dict[str, frozenset[str]] = {}
         self._bars: dict[str, bars.Bars] = {}
@@ -102,10 +104,8 @@
         self, listed: Mapping[str, messages.Endpoint]
     ) -> None:
         """Applies the current list of endpoints."""
-        services: dict[str, list[messages.Endpoint]] = {}
-        for endpoint in sorted(listed.values(), key=_turn):
-            services.setdefault(endpoint.service, []).append(endpoint)
-        self._endpoints = services
+        self._listed = listed
+        self._endpoints = {}
         self.renew_all()
 
     def conduct(self, service: str, conducted: rollout.Rollout) -> None:
@@ -124,7 +124,7 @@
 
     def renew(self, service: str) -> None:
         """Renews the bars of a service after a change."""
-        listed = self._endpoints.get(service, ())
+        listed = self._endpoints_of(service)
         conducted = self.rollouts.get(service)
         if conducted is not None:
             new = conducted.order.version
@@ -137,6 +137,18 @@
             barred = bars.NO_BARS
         self._bars[service] = barred
 
+    def _endpoints_of(self, service: str) -> list[messages.Endpoint]:
+        """Returns the endpoints of a service in the order of `canary.turn`.
+
+        They are sorted only for services that have or had a rollout.
+        """
+        found = self._endpoints.get(service)
+        if found is None:
+            listed = (e for e in self._listed.values() if e.service == service)
+            found = sorted(listed, key=_turn)
+            self._endpoints[service] = found
+        return found
+
     def old_endpoints(self, service: str) -> list[str]:
         """Returns the ids of the endpoints that a rollout replaces."""
         conducted = self.rollouts.get(service)
