--- a/cranberryglade/soak/crowds.py
+++ b/cranberryglade/soak/crowds.py
@@ -176,10 +176,7 @@
             caller.close()
             submission.ended = _now()
             submission.lag_seconds = self._clock.lag(submission.sent)
-        submission.status = answer.status
-        submission.whole = answer.whole
-        submission.sealed = answer.sealed
-        submission.body = answer.body
+        submission.record_answer(answer)
         return answer.status > 0
 
     def _submit(self, id_: str) -> observations.Submission:
--- a/cranberryglade/soak/load.py
+++ b/cranberryglade/soak/load.py
@@ -150,10 +150,7 @@
         submission.lag_seconds = self._clock.lag(submission.sent)
         if answer is None:
             return False
-        submission.status = answer.status
-        submission.whole = answer.whole
-        submission.sealed = answer.sealed
-        submission.body = answer.body
+        submission.record_answer(answer)
         if submission.resumable:
             self._broken.append(submission)
         closing = answer.headers.get("connection", "").lower() == "close"
--- a/cranberryglade/soak/observations.py
+++ b/cranberryglade/soak/observations.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from cranberryglade.standins import callers
+
 STREAM_ROUTES = ("write", "note")
 
 NOT_RUN_FAULTS = ("refuse", "unsealed", "pause")
@@ -81,6 +83,13 @@
         """Software versions that its events came from."""
         return {text.rpartition(b" ")[0] for text in self._fields(b"data: ")}
 
+    def record_answer(self, answer: callers.Answer) -> None:
+        """Records what its caller received."""
+        self.status = answer.status
+        self.whole = answer.whole
+        self.sealed = answer.sealed
+        self.body = answer.body
+
     def _fields(self, name: bytes) -> list[bytes]:
         """Returns the values of a field in the whole events of the body."""
         whole = self.body.rpartition(b"\n\n")[0]
