--- a/cranberryglade/tests/fakes.py
+++ b/cranberryglade/tests/fakes.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from cranberryglade import tables
+from cranberryglade.gateway import datagrams
 from cranberryglade.gateway import membership
 
 LOST = Failure(tables.PlatformError("TimeoutError"))
@@ -85,6 +86,28 @@
         self.sent.append(message)
 
 
+class GrantingMesh(FakeMesh):
+    """Mesh whose allocator grants each slot request a slot of "e-1" at once.
+
+    Attributes:
+        told: what was sent, and to whom.
+        holder: the instance that asks; set by the test.
+    """
+
+    def __init__(self, now):
+        super().__init__(now)
+        self.told = []
+        self.holder = None
+
+    def send_to(self, name, message):
+        self.told.append((name, message))
+        if isinstance(message, datagrams.SlotRequest):
+            self.holder.receive(name, datagrams.Grant(message.id, "e-1"))
+
+    def ping(self, member):
+        pass
+
+
 class NoOriginRows:
     """Origins in a store that has none."""
 
--- a/cranberryglade/tests/test_gateway_slots.py
+++ b/cranberryglade/tests/test_gateway_slots.py
@@ -602,23 +602,6 @@
     assert pressed.count_grants() == left / pressed.COST
 
 
-class RelayingMesh(fakes.FakeMesh):
-    """Mesh of an instance whose slot requests are granted at once."""
-
-    def __init__(self, now):
-        super().__init__(now)
-        self.told = []
-        self.holder = None
-
-    def send_to(self, name, message):
-        self.told.append((name, message))
-        if isinstance(message, datagrams.SlotRequest):
-            self.holder.receive(name, datagrams.Grant(message.id, "e-1"))
-
-    def ping(self, member):
-        pass
-
-
 @pytest.mark.parametrize(
     ("outcome", "told"),
     [
@@ -631,7 +614,7 @@
     outcome, told
 ):
     # Load: the allocator changes while requests with a faulty part run.
-    mesh = RelayingMesh(asyncio.get_running_loop().time())
+    mesh = fakes.GrantingMesh(asyncio.get_running_loop().time())
     tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
     accounts = [quotas.Quotas(lambda _: None, tolerance) for _ in range(2)]
     mesh.holder = allocation.SharedAllocator(
--- a/cranberryglade/tests/test_preemption.py
+++ b/cranberryglade/tests/test_preemption.py
@@ -223,24 +223,6 @@
     assert scheduler.keep("d", "r-2", 11.8) == []
 
 
-class Mesh(fakes.FakeMesh):
-    """Keeps what is sent to whom; grants slots as allocator "b"."""
-
-    def __init__(self, now):
-        super().__init__(now)
-        self.allocator = "b"
-        self.told = []
-        self.holder = None
-
-    def send_to(self, name, message):
-        self.told.append((name, message))
-        if isinstance(message, datagrams.SlotRequest):
-            self.holder.receive(name, datagrams.Grant(message.id, "e-1"))
-
-    def ping(self, member):
-        pass
-
-
 async def make_holder(mesh) -> allocation.SharedAllocator:
     """Returns one with a slot for "r-1" that "b" has granted."""
     tolerance = quotas.OverrunTolerance(8.0, 0.0, 0.0)
@@ -268,7 +250,8 @@
     sender, id_, yields, kept
 ):
     # Load: a former allocator resumes, or a datagram is late or repeated.
-    mesh = Mesh(asyncio.get_running_loop().time())
+    mesh = fakes.GrantingMesh(asyncio.get_running_loop().time())
+    mesh.allocator = "b"
     await make_holder(mesh)
     asked = []
     mesh.holder.set_yielder(lambda each: asked.append(each) or yields)
@@ -278,7 +261,8 @@
 
 
 async def test_the_allocator_asks_other_holders_by_datagram():
-    mesh = Mesh(asyncio.get_running_loop().time())
+    mesh = fakes.GrantingMesh(asyncio.get_running_loop().time())
+    mesh.allocator = "b"
     holder = await make_holder(mesh)
     asked = []
     holder.set_yielder(lambda each: asked.append(each))
