Answers without a length end by a close, not by a reset

Cause: if the endpoint's end (FIN) comes before the reset, the system tells the end to the reader, and the reset only to who writes. The reader took the end for that of the answer. A plain reset was told and lost the answer before, too. The instance that passes a connection on sent its end frame likewise.

Change: after such an end, an answer counts once the endpoint has taken the whole request; a failure of the connection until then loses it. Nothing is on its way behind most requests, so that they do not wait. Tunnels do the same before they tell the end.

Evidence: on 10 of the cases of test_early_unframed_answers.py with an end and a reset failed (2 on a connection, 8 through a gateway, all four kinds of route); with the end frame as before, both tunnel cases of 500 kB failed. Now all 34 pass, three runs.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cranberryglade import log
+from cranberryglade.answer_grammar import closing
 from cranberryglade.answer_grammar import faults
 from cranberryglade.answer_grammar import heads
 from cranberryglade.answer_grammar import parsing
@@ -138,6 +139,7 @@
     def __init__(self):
         self._loop = asyncio.get_running_loop()
         self._parser = parsing.AnswerParser(self)
+        self._close_watch: closing.CloseWatch | None = None
         self._transport = None
         self._events: collections.deque[Event] = collections.deque()
         self._event_ready: asyncio.Future | None = None
@@ -355,14 +357,33 @@
         )
 
     def eof_received(self) -> bool:
-        """Ends an answer that is delimited by the end of the connection."""
-        if self._ends_at_close:
-            self._ends_at_close = False
+        """Ends an answer that is delimited by the end of the connection.
+
+        Returns:
+            Whether the connection stays open until it is certain that the
+            endpoint closed it, and did not reset it.
+        """
+        if not self._ends_at_close:
+            return False
+        self._close_watch = closing.CloseWatch(
+            self._transport, self._settle_close
+        )
+        return self._close_watch.start()
+
+    def _settle_close(self, is_end: bool) -> None:
+        """Ends the answer, or rejects it, as its connection has ended."""
+        self._close_watch = None
+        self._ends_at_close = False
+        if is_end:
             self._emit(End())
-        return False
+            self._transport.close()
+        else:
+            self._reject("reset", faults.Fault(faults.Kind.CUT, "reset"))
 
     def connection_lost(self, exc) -> None:
         """Reports the loss to the reader."""
+        if self._close_watch is not None:
+            self._close_watch.stop()
         self._fail("reset" if exc else "closed")
 
     def on_message_begin(self) -> None:
--- a/cranberryglade/gateway/tunnels.py
+++ b/cranberryglade/gateway/tunnels.py
@@ -15,6 +15,7 @@
 import struct
 
 from cranberryglade import log
+from cranberryglade.answer_grammar import closing
 from cranberryglade.gateway import messages
 from cranberryglade.gateway import opening
 from cranberryglade.gateway import outbound
@@ -207,8 +208,11 @@
     def __init__(self, peer: _PeerSide):
         self._peer = peer
         self._untaken = _UntakenBytes(peer.memory)
+        self._transport: asyncio.Transport | None = None
+        self._close_watch: closing.CloseWatch | None = None
 
     def connection_made(self, transport) -> None:
+        self._transport = transport
         sockets.set_connection_options(
             transport.get_extra_info("socket"), outbound.TCP_USER_TIMEOUT_MS
         )
@@ -222,8 +226,19 @@
         self._peer.transport.write(encode_frame(data))
 
     def eof_received(self) -> bool:
-        self._peer.transport.write(END)
-        return False
+        self._close_watch = closing.CloseWatch(
+            self._transport, self._settle_close
+        )
+        return self._close_watch.start()
+
+    def _settle_close(self, is_end: bool) -> None:
+        """Tells the end of the connection, unless it was a reset."""
+        self._close_watch = None
+        if is_end:
+            self._peer.transport.write(END)
+            self._transport.close()
+        else:
+            self._transport.abort()
 
     def pause_writing(self) -> None:
         self._untaken.take(self._peer.endpoint)
@@ -234,6 +249,8 @@
         self._peer.transport.resume_reading()
 
     def connection_lost(self, exc) -> None:
+        if self._close_watch is not None:
+            self._close_watch.stop()
         self._untaken.give_back()
         self._peer.transport.close()
 
@@ -306,8 +323,8 @@
             self._drop("frame too long")
         elif not self._left:
             self._ended = True
-            self.channel.eof_received()
-            self._transport.close()
+            if not self.channel.eof_received():
+                self._transport.close()
 
     def _drop(self, reason: str) -> None:
         logger.info("tunnel.dropped", endpoint=self._address, reason=reason)
