Daemons and the command line: what aiohttp reads passes the same rule

A refusal that no grammar allows was a promise that a request had not run, and an order counted as done, or as refused, by the first bytes of an answer whose rest was malformed or missing.

Cause: only event streams were looked at before aiohttp's parser, and there neither the line end behind a chunk nor the trailer. Three of five sessions had no such check at all.

Change: all sessions use a request class whose connections check each head, chunk, trailer and close by `answer_grammar/` before aiohttp sees it; what fails is a `MalformedResponseError`, which every reader already treats as a lost answer. Orders read the whole answer before they believe its status.

--- a/cranberryglade/answer_grammar/parsing.py
+++ b/cranberryglade/answer_grammar/parsing.py
@@ -7,9 +7,6 @@
 from cranberryglade.answer_grammar import faults
 from cranberryglade.answer_grammar import heads
 
-FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
-"""Fields that must not stand in a trailer."""
-
 OVERLAP_BYTES = len(heads.HEAD_END) - 1
 """Bytes of the end of a head that may have come before the others."""
 
@@ -90,22 +87,38 @@
         """
         begin = 0
         while begin < len(data):
-            if self._in_head:
-                end = self._find_head_end(data, begin)
-            else:
-                end = self._find_body_end(data, begin)
-            piece = data[begin:end] if end - begin < len(data) else data
-            try:
-                self._parser.feed_data(piece)
-            except httptools.HttpParserCallbackError as error:
-                # The parser hides what a callback raised behind its own.
-                raise error.__context__ or error from None
-            except (
-                httptools.HttpParserError,
-                httptools.HttpParserUpgrade,
-            ) as error:
-                raise self._explain(error) from error
-            begin = end
+            begin = self.feed_piece(data, begin)
+
+    def feed_piece(self, data: bytes, begin: int = 0) -> int:
+        """Reads bytes up to the end of a head or of an answer at most.
+
+        Args:
+            data: the bytes.
+            begin: position of the first one that was not read yet.
+
+        Returns:
+            The position behind the last one that was read.
+
+        Raises:
+            MalformedAnswerError: if the piece is no part of an answer.
+            Exception: what a callback raised.
+        """
+        if self._in_head:
+            end = self._find_head_end(data, begin)
+        else:
+            end = self._find_body_end(data, begin)
+        piece = data[begin:end] if end - begin < len(data) else data
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserCallbackError as error:
+            # The parser hides what a callback raised behind its own.
+            raise error.__context__ or error from None
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise self._explain(error) from error
+        return end
 
     def _find_head_end(self, data: bytes, begin: int) -> int:
         """Returns where a head ends, which is checked, or the data do."""
@@ -169,13 +182,3 @@
         is_field = "header" in text or "Content-Length" in text
         kind = Kind.TRAILER if is_field else Kind.CHUNK
         return MalformedAnswerError(kind, text)
-
-
-def check_trailer_field(name: bytes) -> None:
-    """Checks the name of a field behind the last chunk.
-
-    Raises:
-        MalformedAnswerError: if it must not stand there.
-    """
-    if name.lower() in FRAMING_FIELDS:
-        raise MalformedAnswerError(Kind.TRAILER, name)
--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -1,9 +1,12 @@
-"""Reads streamed response bodies without a task per chunk.
+"""Checks responses before aiohttp reads them, and reads streamed bodies.
 
-aiohttp opens the connection, sends the request and reads the head. The body of
-a chunked event stream is then read directly from the transport and passed to a
-callback in the same iteration of the event loop. At its end aiohttp receives
-an empty body, so that it returns the connection to its pool.
+aiohttp opens the connection and sends the request. What it then receives was
+checked against the grammar of an answer, as its own parser takes more.
+
+The body of a chunked event stream can be read directly from the transport and
+passed to a callback in the same iteration of the event loop, without a task per
+chunk. At its end aiohttp receives an empty body, so that it returns the
+connection to its pool.
 
 A connection on which anything arrives behind an answer is closed: aiohttp would
 read it as the answer to the next request.
@@ -12,35 +15,41 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import functools
 import re
 
 import aiohttp
 
 from cranberryglade import log
+from cranberryglade.answer_grammar import chunks
+from cranberryglade.answer_grammar import closing
+from cranberryglade.answer_grammar import faults
+from cranberryglade.answer_grammar import heads
+from cranberryglade.answer_grammar import parsing
+from cranberryglade.answer_grammar import reporting
 from cranberryglade.gateway import small_reads
 
-HEAD_END = b"\r\n\r\n"
-LINE_END = b"\r\n"
+HEAD_END = heads.HEAD_END
+LINE_END = heads.LINE_END
 LAST_CHUNK = b"0\r\n\r\n"
-STREAM_STATUS = b"HTTP/1.1 200 "
-STREAM_FIELDS = (b"transfer-encoding: chunked", b"text/event-stream")
+STREAM_STATUS = 200
+STREAM_TYPE = b"text/event-stream"
 MAX_BUFFERED_BYTES = 65_536
 MAX_CHUNK_BYTES = 1_048_576
 MAX_CHUNK_SIZE_LINE_BYTES = 256
 MAX_TRAILER_BYTES = 8192
-INTERIM_STATUS = b"HTTP/1.1 1"
-MAX_INTERIM_BYTES = 65_536
-"""Most bytes of interim responses, which are ignored."""
-
-STATUS_CODE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})")
-BODILESS_STATUSES = (204, 304)
-CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]+)[ \t]*\r\n")
-TRANSFER_ENCODING = b"\r\ntransfer-encoding:"
+MAX_HEAD_BYTES = 65_536
+"""Most bytes of a head, and of the interim responses before it, which are
+ignored."""
 
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
-"""`int` would also take signs, spaces, underscores and "0x"."""
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+
+CUT_BY_RESET = faults.Fault(faults.Kind.CUT, "reset")
 
 Consumer = Callable[[bytes], asyncio.Future | None]
+Rejection = Callable[[], aiohttp.ClientPayloadError]
+"""Returns why a response is rejected, a new error for each that is told."""
 
 
 logger = log.get_logger(__name__)
@@ -50,18 +59,50 @@
     """The body is not valid HTTP chunked encoding."""
 
 
+class HeadTooLongError(aiohttp.ClientPayloadError):
+    """The head of a response, or what precedes it, is too long."""
+
+
+class MalformedResponseError(aiohttp.ClientPayloadError):
+    """A response is not what the grammar allows.
+
+    Attributes:
+        fault: what is wrong with it.
+    """
+
+    def __init__(self, fault: faults.Fault):
+        super().__init__(f"{fault.kind.value}: {fault.detail}")
+        self.fault = fault
+
+
 class Response(aiohttp.ClientResponse):
     """A response.
 
     Attributes:
         is_first: whether its request was the first one on its connection.
+        body: what it was received by; None before its request is sent.
     """
 
     is_first = False
+    body: "Body | None" = None
 
+    async def start(self, connection: aiohttp.connector.Connection):
+        """Waits for the head of the response.
 
-class Request(aiohttp.ClientRequest):
-    """A request whose streamed response body is read by Body."""
+        Raises:
+            ClientPayloadError: if it was rejected, or what followed it so far.
+        """
+        await super().start(connection)
+        error = self.body.error
+        if error is not None:
+            raise error
+        return self
+
+
+class CheckedRequest(aiohttp.ClientRequest):
+    """A request whose response is checked by Body, and read by aiohttp."""
+
+    reads_streams_directly = False
 
     async def send(self, conn: aiohttp.connector.Connection):
         """Sends the request after installing Body on the connection.
@@ -78,25 +119,63 @@
                 transport.abort()
             body = Body(conn.protocol, transport)
             transport.set_protocol(body)
-        body.reset()
+        body.reset(self.method == "HEAD", self.reads_streams_directly)
         body.request_count += 1
         self.response_class = Response
         response = await super().send(conn)
         response.is_first = body.request_count == 1
+        response.body = body
+        body.response = response
         return response
 
 
+class Request(CheckedRequest):
+    """A request whose streamed response body is read by Body."""
+
+    reads_streams_directly = True
+
+
+class _AnswerEnd:
+    """Tells a parser the end of its answer, and checks the trailer fields."""
+
+    __slots__ = ("_in_body", "parser")
+
+    def __init__(self):
+        self._in_body = False
+        self.parser = parsing.AnswerParser(self)
+
+    def on_headers_complete(self) -> None:
+        """Begins the body (parser callback)."""
+        self._in_body = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Checks a trailer field (parser callback)."""
+        if self._in_body:
+            chunks.check_trailer_field(name)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer (parser callback)."""
+        self.parser.end_message()
+
+
 class Body(small_reads.Protocol):
     """Protocol between a transport and the protocol of aiohttp.
 
-    It passes everything through to aiohttp except the bodies of event streams,
-    which go to a consumer.
+    It checks all responses, and passes them through to aiohttp except the
+    bodies of event streams, which go to a consumer.
 
     Attributes:
         request_count: number of requests that were sent on the connection.
+        response: the response that is received; None before its request is
+            sent.
     """
 
     __slots__ = (
+        "_asks_for_head",
+        "_chunks",
+        "_close_watch",
+        "_ends_at_close",
+        "_reads_streams",
         "_consumer",
         "_completed",
         "_head",
@@ -108,7 +187,9 @@
         "_paused",
         "_protocol",
         "_transport",
+        "_rejection",
         "request_count",
+        "response",
     )
 
     def __init__(self, protocol, transport: asyncio.Transport):
@@ -118,13 +199,33 @@
         self.request_count = 0
         self.reset()
 
+    @property
+    def error(self) -> aiohttp.ClientPayloadError | None:
+        """Why the response was rejected; None if it was not."""
+        return self._rejection and self._rejection()
+
     @property
     def in_body(self) -> bool:
         """Whether a streamed body has started and not ended."""
         return self._in_body
 
-    def reset(self) -> None:
-        """Resets the state for the head of the next response."""
+    def reset(
+        self, asks_for_head: bool = False, reads_streams: bool = True
+    ) -> None:
+        """Resets the state for the head of the next response.
+
+        Args:
+            asks_for_head: whether the method of its request is HEAD.
+            reads_streams: whether the body of an event stream is kept for
+                `deliver`.
+        """
+        self._asks_for_head = asks_for_head
+        self._reads_streams = reads_streams
+        self._chunks: parsing.AnswerParser | None = None
+        self._close_watch: closing.CloseWatch | None = None
+        self._ends_at_close = False
+        self._rejection: Rejection | None = None
+        self.response: Response | None = None
         self._head: bytes | None = b""
         self._left: int | None = None
         self._interim_bytes = 0
@@ -170,17 +271,42 @@
             self._receive_head(data)
 
     def eof_received(self):
-        """Passes the end of the data on to aiohttp."""
-        return self._protocol.eof_received()
+        """Passes the end of the data on to aiohttp.
+
+        Returns:
+            Whether the connection stays open until it is certain that its end
+            is that of the response.
+        """
+        if not self._ends_at_close:
+            return self._protocol.eof_received()
+        self._close_watch = closing.CloseWatch(
+            self._transport, self._settle_close
+        )
+        return self._close_watch.start()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails an unfinished body and passes the event on to aiohttp."""
+        if self._close_watch is not None:
+            self._close_watch.stop()
+        if self._ends_at_close:
+            # aiohttp would take it for the end of the response.
+            self._lose(functools.partial(MalformedResponseError, CUT_BY_RESET))
         self._in_body = False
         self._fail(
             ConnectionResetError("connection closed before the end of the body")
         )
         self._protocol.connection_lost(exc)
 
+    def _settle_close(self, is_end: bool) -> None:
+        """Ends the response, or rejects it, as its connection has ended."""
+        self._close_watch = None
+        self._ends_at_close = False
+        if is_end:
+            self._protocol.eof_received()
+            self._transport.close()
+        else:
+            self._reject(CUT_BY_RESET)
+
     def pause_writing(self) -> None:
         """Passes the request to pause on to aiohttp."""
         self._protocol.pause_writing()
@@ -190,40 +316,96 @@
         self._protocol.resume_writing()
 
     def _receive_head(self, data: bytes) -> None:
-        data = self._skip_interim_responses(self._head + data)
-        if self._interim_bytes > MAX_INTERIM_BYTES:
-            self._transport.abort()
-            return
-        end = data.find(HEAD_END) + len(HEAD_END)
-        if end < len(HEAD_END) and len(data) <= MAX_BUFFERED_BYTES:
-            self._head = data
-            return
+        data = self._head + data
+        while (end := data.find(HEAD_END)) >= 0:
+            end += len(HEAD_END)
+            try:
+                head = heads.read(data[:end], self._asks_for_head)
+            except faults.MalformedAnswerError as error:
+                self._reject(error.fault)
+                return
+            if not head.is_interim:
+                self._begin_body(head, data, end)
+                return
+            self._interim_bytes += end
+            data = data[end:]
+        self._head = data
+        if self._interim_bytes + len(data) > MAX_HEAD_BYTES:
+            self._lose(HeadTooLongError)
+
+    def _begin_body(self, head: heads.Head, data: bytes, end: int) -> None:
+        """Passes a head on, and what follows it.
+
+        Args:
+            head: what the head states.
+            data: the head, and what was received behind it.
+            end: position behind the head.
+        """
         self._head = None
-        if not _is_event_stream(data[:end]):
-            self._left = _bytes_left(data[:end])
-            if self._left is None:
-                # Its end is not known here.
-                self._protocol.force_close()
-            else:
-                self._left += end
-            self._pass_on(data)
+        if self._reads_streams and _is_event_stream(head, data[:end]):
+            self._in_body = True
+            self._buffer = data[end:]
+            self._protocol.read_timeout = None
+            self._protocol.data_received(data[:end])
             return
-        self._in_body = True
-        self._buffer = data[end:]
-        self._protocol.read_timeout = None
-        self._protocol.data_received(data[:end])
+        match head.framing:
+            case heads.Framing.CHUNKED:
+                self._chunks = _AnswerEnd().parser
+                self._protocol.force_close()
+            case heads.Framing.CONNECTION_CLOSE:
+                self._ends_at_close = True
+                self._protocol.force_close()
+            case _:
+                self._left = end + head.length
+        self._pass_on(data)
 
     def _pass_on(self, data: bytes) -> None:
-        if self._left is None:
+        if self._ends_at_close:
             self._protocol.data_received(data)
             return
-        answer = data[: self._left]
-        self._left -= len(answer)
-        if answer:
-            self._protocol.data_received(answer)
-        if len(answer) < len(data):
+        try:
+            size = self._count_answer_bytes(data)
+        except faults.MalformedAnswerError as error:
+            self._reject(error.fault)
+            return
+        if size:
+            self._protocol.data_received(data[:size])
+        if size < len(data):
             self._close_spoiled()
 
+    def _count_answer_bytes(self, data: bytes) -> int:
+        """Returns how many of the bytes belong to the answer.
+
+        Raises:
+            MalformedAnswerError: if its chunks are malformed.
+        """
+        if self._left is not None:
+            size = min(len(data), self._left)
+            self._left -= size
+            return size
+        size = 0
+        while size < len(data):
+            size = self._chunks.feed_piece(data, size)
+            if self._chunks.is_between_answers:
+                self._left = 0
+                break
+        return size
+
+    def _reject(self, fault: faults.Fault) -> None:
+        """Loses a response that is malformed."""
+        reporting.report(fault, self._transport.get_extra_info("peername"))
+        self._lose(functools.partial(MalformedResponseError, fault))
+
+    def _lose(self, rejection: Rejection) -> None:
+        """Fails the response and closes the connection."""
+        self._rejection = rejection
+        self._ends_at_close = False
+        if self.response is not None and self.response.content is not None:
+            self.response.content.set_exception(self.error)
+        self._protocol.set_exception(self.error)
+        self._fail(self.error)
+        self._transport.abort()
+
     def _close_spoiled(self) -> None:
         logger.info(
             "connection.spoiled",
@@ -231,16 +413,6 @@
         )
         self._transport.abort()
 
-    def _skip_interim_responses(self, data: bytes) -> bytes:
-        position = 0
-        while data.startswith(INTERIM_STATUS, position):
-            end = data.find(HEAD_END, position)
-            if end < 0:
-                break
-            position = end + len(HEAD_END)
-        self._interim_bytes += position
-        return data[position:]
-
     def _buffer_data(self, data: bytes) -> None:
         self._buffer += data
         if len(self._buffer) > MAX_BUFFERED_BYTES and not self._paused:
@@ -251,6 +423,8 @@
         try:
             if self._buffer or not self._deliver_single_chunk(data):
                 self._deliver_chunks(self._buffer + data)
+        except faults.MalformedAnswerError as error:
+            self._reject(error.fault)
         except Exception as error:
             self._fail(error)
 
@@ -261,13 +435,15 @@
         size = int(data[:line_end], 16)
         if size <= 0 or len(data) != line_end + size + 4:
             return False
+        if not data.endswith(LINE_END):
+            return False
         drained = self._consumer(data[line_end + 2 : -2])
         if drained is not None:
             self._pause_until(drained)
         return True
 
     def _deliver_chunks(self, data: bytes) -> None:
-        chunks = []
+        received = []
         start = 0
         size = None
         ended = False
@@ -277,19 +453,26 @@
             if size == 0:
                 end = data.find(HEAD_END, line_end) + len(HEAD_END)
                 ended = end >= len(HEAD_END)
+                if ended:
+                    chunks.check_trailer(data[line_end + len(LINE_END) : end])
                 break
             chunk_start = line_end + len(LINE_END)
-            if len(data) < chunk_start + size + len(LINE_END):
+            chunk_end = chunk_start + size
+            if len(data) < chunk_end + len(LINE_END):
                 break
-            chunks.append(data[chunk_start : chunk_start + size])
-            start = chunk_start + size + len(LINE_END)
-        if size == 0 and not ended and len(data) - start > MAX_TRAILER_BYTES:
-            raise BrokenBodyError("trailer is too long")
-        if line_end < 0 and len(data) - start > MAX_CHUNK_SIZE_LINE_BYTES:
-            raise BrokenBodyError("chunk size line is too long")
+            if not data.startswith(LINE_END, chunk_end):
+                raise faults.MalformedAnswerError(
+                    faults.Kind.CHUNK, data[chunk_end:]
+                )
+            received.append(data[chunk_start:chunk_end])
+            start = chunk_end + len(LINE_END)
+        if size == 0 and not ended:
+            _check_unfinished_trailer(data[start:])
+        elif line_end < 0:
+            _check_unfinished_size_line(data[start:])
         self._buffer = b"" if ended else data[start:]
-        if chunks:
-            drained = self._consumer(b"".join(chunks))
+        if received:
+            drained = self._consumer(b"".join(received))
             if drained is not None:
                 self._pause_until(drained)
         if ended:
@@ -337,23 +520,36 @@
     return body if isinstance(body, Body) and body.in_body else None
 
 
-def _bytes_left(head: bytes) -> int | None:
-    """Returns the size of the body behind a head; None if it is not stated."""
-    status = STATUS_CODE.match(head)
-    if status is not None and int(status[1]) in BODILESS_STATUSES:
-        return 0
-    lowered = head.lower()
-    lengths = CONTENT_LENGTH.findall(lowered)
-    if len(lengths) != 1 or TRANSFER_ENCODING in lowered:
-        return None
-    return int(lengths[0])
+def _is_event_stream(head: heads.Head, raw: bytes) -> bool:
+    is_chunked = head.framing is heads.Framing.CHUNKED
+    is_success = head.status == STREAM_STATUS
+    return is_success and is_chunked and STREAM_TYPE in raw.lower()
 
 
-def _is_event_stream(head: bytes) -> bool:
-    if not head.startswith(STREAM_STATUS):
-        return False
-    lowered = head.lower()
-    return all(field in lowered for field in STREAM_FIELDS)
+def _check_unfinished_size_line(data: bytes) -> None:
+    """Checks the beginning of a line with the size of a chunk.
+
+    Raises:
+        MalformedAnswerError: if it has ended without a carriage return.
+        BrokenBodyError: if it is too long.
+    """
+    if b"\n" in data:
+        raise faults.MalformedAnswerError(faults.Kind.CHUNK, data)
+    if len(data) > MAX_CHUNK_SIZE_LINE_BYTES:
+        raise BrokenBodyError("chunk size line is too long")
+
+
+def _check_unfinished_trailer(data: bytes) -> None:
+    """Checks the last chunk, without the end of its trailer.
+
+    Raises:
+        MalformedAnswerError: if a line has ended without a carriage return.
+        BrokenBodyError: if it is too long.
+    """
+    if BARE_LINE_FEED.search(data):
+        raise faults.MalformedAnswerError(faults.Kind.TRAILER, data)
+    if len(data) > MAX_TRAILER_BYTES:
+        raise BrokenBodyError("trailer is too long")
 
 
 def parse_chunk_size(line: bytes) -> int:
@@ -363,13 +559,10 @@
         line: the line before it, without its end.
 
     Raises:
-        BrokenBodyError: if it begins with anything but hexadecimal digits, or
-            the chunk is too large.
+        MalformedAnswerError: if the grammar does not allow the line.
+        BrokenBodyError: if the chunk is too large.
     """
-    digits = line.partition(b";")[0]
-    if not CHUNK_SIZE.fullmatch(digits):
-        raise BrokenBodyError("chunk size is not a number")
-    size = int(digits, 16)
+    size = chunks.read_size(line)
     if size > MAX_CHUNK_BYTES:
         raise BrokenBodyError("chunk size is too large")
     return size
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cranberryglade import log
+from cranberryglade.answer_grammar import chunks
 from cranberryglade.answer_grammar import closing
 from cranberryglade.answer_grammar import faults
 from cranberryglade.answer_grammar import heads
@@ -401,7 +402,7 @@
         """Appends a header field; ignores trailer fields (parser callback)."""
         self._count_field(len(name) + len(value))
         if self._in_body:
-            parsing.check_trailer_field(name)
+            chunks.check_trailer_field(name)
         else:
             self._headers.append(messages.Header(name, value))
 
--- a/cranberryglade/orders.py
+++ b/cranberryglade/orders.py
@@ -18,6 +18,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import bodies
+from cranberryglade import limited_reading
 from cranberryglade import log
 from cranberryglade import tables
 from cranberryglade import wire
@@ -36,6 +38,8 @@
 POLL_INTERVAL_SECONDS = 1.0
 READ_BACK_ATTEMPTS = 3
 NONCE_BYTES = 8
+MAX_REPLY_BYTES = 65_536
+"""Largest body of the answer to an order, of which only the status counts."""
 
 
 class OrderDocument(wire.Document):
@@ -230,7 +234,9 @@
     def __init__(self, leases: LeaseManager):
         self._leases = leases
         self._locks: dict[str, asyncio.Lock] = {}
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(
+            request_class=bodies.CheckedRequest
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -289,6 +295,8 @@
                 data=wire.encode(order),
                 timeout=aiohttp.ClientTimeout(total=seconds),
             ) as response:
+                # An answer that breaks off says nothing of the order.
+                await limited_reading.read_body(response, MAX_REPLY_BYTES)
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             return NotDone(type(error).__name__)
--- a/cranberryglade/reports.py
+++ b/cranberryglade/reports.py
@@ -17,6 +17,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cranberryglade import bodies
 from cranberryglade import decoding
 from cranberryglade import limited_reading
 from cranberryglade import log
@@ -127,6 +128,7 @@
         self._tasks: dict[messages.Endpoint, asyncio.Task] = {}
         self._subject: subject.Subject = subject.Subject()
         self._session = aiohttp.ClientSession(
+            request_class=bodies.CheckedRequest,
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=CONNECT_TIMEOUT_SECONDS,
--- a/cranberryglade/tests/answer_forms.py
+++ b/cranberryglade/tests/answer_forms.py
@@ -3,10 +3,23 @@
 import dataclasses
 import enum
 
-from cranberryglade.tests import gateway_builders
+from cranberryglade.scheduling import answers
+from cranberryglade.standins import endpoint_standin
 
-BODY = gateway_builders.make_events(1, 2)
-"""Body of all answers: events, so that it also suits a stream."""
+ENGINE_BODY = answers.token_event(0, b'{"text":"w"}') + answers.end_event(
+    "r1", 1
+)
+"""What an engine streams as a whole answer to the request r1."""
+
+REFUSAL_BODY = b'{"verdict":"not_run","reason":"shed","request_id":"r1"}'.ljust(
+    len(ENGINE_BODY)
+)
+"""What an engine answers that refuses the request r1."""
+
+_EVENT = endpoint_standin.event(1, "")
+BODY = endpoint_standin.event(1, "x" * (len(ENGINE_BODY) - len(_EVENT)))
+"""Body of the answers: an event, so that it also suits a stream, and as long as
+the others, which can take its place."""
 
 
 class Close(enum.Enum):
--- a/cranberryglade/tools/client.py
+++ b/cranberryglade/tools/client.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cranberryglade import bodies
 from cranberryglade import wire
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -62,6 +63,7 @@
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            request_class=bodies.CheckedRequest,
             read_bufsize=MAXIMUM_LINE_BYTES,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
