An answer that breaks off is no evidence of its endpoint

What callers saw: an endpoint whose answer said "leaving", "wait 30 s" or named a limit, and then broke off or went on in malformed chunks, got no requests for as long as it had said, though nobody could read the answer.

Cause: what a head says was believed before its body was read.

Change: it is believed once the answer is whole; of a stream, with its head, as that cannot wait for its end. A late answer to an earlier request counts if it is whole, too. That such an answer is "may have run", and a fault of its endpoint, held already; tests show it, and what the log line and the counter say.

--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -290,7 +290,7 @@
         answer_facts: dialect.AnswerFacts,
         sent_at: float | None,
     ) -> None:
-        """Reports what an answer says of its endpoint.
+        """Reports what a whole answer, or a stream's head, tells.
 
         Args:
             endpoint: the endpoint.
@@ -325,12 +325,10 @@
             match await channel.next_event():
                 case dialect.AnswerHead() as head:
                     answer_facts = self._dialect.decode_answer(head)
-                    own = answer_facts.id == facts.id
-                    sent_at = channel.sent_at if own else None
-                    self._observe(endpoint, head, answer_facts, sent_at)
                     if answer_facts.id and answer_facts.id != facts.id:
                         skipped += 1
-                        await self._skip_answer(channel)
+                        if await self._skip_answer(channel):
+                            self._observe(endpoint, head, answer_facts, None)
                         if skipped > MAX_SKIPPED_ANSWERS:
                             channel.abort()
                         continue
@@ -346,16 +344,19 @@
                 case _:
                     pass
 
-    async def _skip_answer(self, channel: outbound.Channel) -> None:
-        # A late answer to an earlier request precedes the expected one.
+    async def _skip_answer(self, channel: outbound.Channel) -> bool:
+        """Reads a late answer to an earlier request; returns if it is whole."""
         left = MAX_ANSWER_BYTES
         while left > 0:
             match await channel.next_event():
                 case outbound.Data(data):
                     left -= len(data)
-                case outbound.End() | outbound.AnswerLost():
-                    return
+                case outbound.End():
+                    return True
+                case outbound.AnswerLost():
+                    return False
         channel.abort()
+        return False
 
     async def _classify(
         self,
@@ -371,6 +372,8 @@
             if answer_facts.idle_seconds is None
             else max(0.0, answer_facts.idle_seconds - IDLE_MARGIN_SECONDS)
         )
+        own = answer_facts.id == facts.id
+        sent_at = channel.sent_at if own else None
         success = 200 <= head.status < 300
         if (
             streams
@@ -378,6 +381,8 @@
             and answer_facts.stamped
             and not answer_facts.encoded
         ):
+            # What it says cannot wait for the end of a stream.
+            self._observe(endpoint, head, answer_facts, sent_at)
             now = asyncio.get_running_loop().time()
             is_certain = self._processes.observe(endpoint, channel, now)
             names_request = bool(facts.id) and answer_facts.id == facts.id
@@ -388,6 +393,7 @@
             return AttemptFailure(
                 messages.Outcome.LOST, f"answer {body.reason}"
             )
+        self._observe(endpoint, head, answer_facts, sent_at)
         refused = answer_facts.not_run or head.status == MISDIRECTED_STATUS
         if refused and not (facts.id and answer_facts.id == facts.id):
             # It may be the refusal of another request.
