A process that sends bytes unasked is not known to run, or to have ended

What callers saw: an answer without a length that its endpoint's crash cut off could be passed on as whole, or a sound endpoint count as crashed, if whatever answers at its address wrote bytes before any request (a proxy with an error page).

Cause: a connection that opens such bytes close was read as "closed at once", or as "stays open", by which came first; both are certainties.

Change: it is unclear, which neither ends a doubt nor counts as a crash.

Evidence: the new test failed before (the process counted as ended) and passes.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -135,6 +135,7 @@
         reuse_until: time after which it carries no further request, seconds of
             the loop's clock; infinite for a direct connection.
         more_announced: whether more bytes are known to be on their way.
+        is_spoiled: whether bytes came that nothing had asked for.
     """
 
     def __init__(self):
@@ -163,6 +164,7 @@
         self.reusable = False
         self.reuse_until = math.inf
         self.more_announced = False
+        self.is_spoiled = False
 
     @property
     def reads_all(self) -> bool:
@@ -352,6 +354,7 @@
         return at_end and not self.more_announced and not self._events
 
     def _report_spoiled(self) -> None:
+        self.is_spoiled = True
         logger.info(
             "connection.spoiled",
             peer=self._transport.get_extra_info("peername"),
--- a/cranberryglade/gateway/sending.py
+++ b/cranberryglade/gateway/sending.py
@@ -263,7 +263,14 @@
             )
             return None
         try:
-            return await channel.closes_within(ACCEPTED_SECONDS)
+            ended = await channel.closes_within(ACCEPTED_SECONDS)
+            if channel.is_spoiled:
+                # Whoever sends bytes unasked is not known to be the endpoint.
+                logger.info(
+                    "endpoint.unclear", endpoint=endpoint.id, reason="spoiled"
+                )
+                return None
+            return ended
         finally:
             channel.abort()
 
--- a/cranberryglade/tests/test_malformed_evidence.py
+++ b/cranberryglade/tests/test_malformed_evidence.py
@@ -65,6 +65,24 @@
         assert (later.status, later.whole) == (200, True)
 
 
+async def test_process_that_sends_bytes_unasked_is_not_known_to_run_or_not():
+    async def speak(reader, writer):
+        writer.write(b"HTTP/1.1 000 No\r\n\r\n")
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(speak, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with Cluster() as cluster:
+        (gateway,) = cluster.gateways
+        (listed,) = gateway._state.endpoints.values()
+        speaking = dataclasses.replace(listed, address=f"{host}:{port}")
+        assert await gateway._sender.still_runs(listed, 0.1)
+        assert not await gateway._sender.has_ended(speaking)
+        assert not await gateway._sender.still_runs(speaking, 0.1)
+    server.close()
+
+
 async def test_malformed_answer_counts_against_its_endpoint():
     form = MALFORMED["status: b'HTTP/1.1 000 OK\\r\\n'"]
     async with Cluster(runners=2) as cluster:
