A failure without a length may have been cut off by its endpoint's end

What callers saw: a sealed 500 without a length, of which an endpoint that crashed had sent a part, was passed on as the endpoint's whole answer.

Cause: whether the end of a connection was that of the endpoint was asked for successes and streams only, not for failures, which are kept for the case that no other attempt succeeds.

Change: it is asked before a failure is kept. Evidence: both cases of test_part_of_a_failure_without_a_length_is_none failed before (500 instead of 502).

--- a/cranberryglade/gateway/attempts.py
+++ b/cranberryglade/gateway/attempts.py
@@ -253,9 +253,16 @@
             How the attempt ended, for `end`.
         """
         match result:
-            case sending.Answer(outcome=outcome):
+            case sending.Answer(outcome=outcome, head=head):
                 exchange.earlier_attempt_may_have_run = True
-                exchange.fallback_answer = result
+                exchange.answer_framing = head.framing
+                attempt.failure = await self.doubt_end(
+                    exchange, attempt.endpoint
+                )
+                if attempt.failure:
+                    outcome = await self.explain_loss(exchange, attempt)
+                else:
+                    exchange.fallback_answer = result
             case sending.StreamStarted(head=head):
                 attempt.failure = problem or exchange.find_mismatch(head)
                 attempt.stop()
--- a/cranberryglade/tests/test_malformed_evidence.py
+++ b/cranberryglade/tests/test_malformed_evidence.py
@@ -9,6 +9,7 @@
 from cranberryglade.answer_grammar import faults
 from cranberryglade.answer_grammar import reporting
 from cranberryglade.gateway import messages
+from cranberryglade.standins import endpoint_standin
 from cranberryglade.tests import answer_forms
 from cranberryglade.tests import gateway_cluster
 from cranberryglade.tests import test_malformed_answers
@@ -83,6 +84,26 @@
     server.close()
 
 
+@pytest.mark.parametrize("target", ["/look/1", "/pay/1"])
+async def test_part_of_a_failure_without_a_length_is_none(target):
+    # The end of the connection is that of the endpoint.
+    async with Cluster() as cluster:
+        (endpoint,) = cluster.runners
+
+        async def fail_and_crash(received, reader, writer):
+            endpoint.ran.append(received.request_id)
+            seal = endpoint_standin.SEAL.format(endpoint.id)
+            lines = [f"X-Response-Seal: {seal}"]
+            writer.write(endpoint._head(received, 500, lines, None) + b"part")
+            await writer.drain()
+            endpoint.crash()
+
+        endpoint.default_behaviour = fail_and_crash
+        answer = await cluster.send_request(target=target)
+        assert answer.status == 502
+        assert not answer.sealed
+
+
 async def test_malformed_answer_counts_against_its_endpoint():
     form = MALFORMED["status: b'HTTP/1.1 000 OK\\r\\n'"]
     async with Cluster(runners=2) as cluster:
