Stand-ins of callers read answers by the same rule

The caller that most tests use took any status line that began with HTTP/1.1, sizes of chunks that `int` reads, and any two bytes behind a chunk. It now reads heads and chunks by `answer_grammar/`, so that these tests also check what gateways write. The soak's look at whether a gateway is ready reads the status where it stands.

--- a/cranberryglade/soak/deployment.py
+++ b/cranberryglade/soak/deployment.py
@@ -492,4 +492,4 @@
                 writer.close()
     except (OSError, TimeoutError):
         return False
-    return b" 200 " in line
+    return line.startswith(b"HTTP/1.1 200 ")
--- a/cranberryglade/standins/callers.py
+++ b/cranberryglade/standins/callers.py
@@ -5,13 +5,14 @@
 import os
 import socket
 
+from cranberryglade.answer_grammar import chunks
+from cranberryglade.answer_grammar import faults
+from cranberryglade.answer_grammar import heads
 from cranberryglade.standins import operator_configuration
 
-BODILESS_STATUSES = (204, 304)
-
 
 class StrayBytesError(Exception):
-    """Bytes that belong to no response stand before one."""
+    """Bytes that belong to no response stand before one, or within it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,36 +120,52 @@
             head = await self.reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
             return Answer(0, {}, b"", False)
-        if not head.startswith(b"HTTP/1.1 "):
-            raise StrayBytesError(head)
+        try:
+            stated = heads.read(head, bodiless)
+        except faults.MalformedAnswerError as error:
+            raise StrayBytesError(head) from error
         lines = head.decode("latin-1").split("\r\n")
         fields = {}
         for line in filter(None, lines[1:]):
             name, _, value = line.partition(":")
             fields[name.lower()] = value.strip()
-        status = int(lines[0].split()[1])
         self.close_announced |= fields.get("connection") == "close"
-        if bodiless or status in BODILESS_STATUSES:
-            return Answer(status, fields, b"", True)
-        body, whole = await self._read_body(fields)
-        return Answer(status, fields, body, whole)
-
-    async def _read_body(self, fields):
-        if "content-length" in fields:
-            length = int(fields["content-length"])
-            try:
-                return await self.reader.readexactly(length), True
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return b"", False
+        body, whole = await self._read_body(stated)
+        return Answer(stated.status, fields, body, whole)
+
+    async def _read_body(self, stated: heads.Head) -> tuple[bytes, bool]:
         body = b""
         try:
-            while True:
-                size = int(await self.reader.readuntil(b"\r\n"), 16)
-                body += (await self.reader.readexactly(size + 2))[:-2]
-                if size == 0:
-                    return body, True
+            match stated.framing:
+                case heads.Framing.NO_BODY:
+                    pass
+                case heads.Framing.LENGTH:
+                    body = await self.reader.readexactly(stated.length)
+                case heads.Framing.CHUNKED:
+                    while data := await self._read_chunk():
+                        body += data
+                case heads.Framing.CONNECTION_CLOSE:
+                    # No gateway leaves the end of an answer to a close.
+                    return b"", False
         except (asyncio.IncompleteReadError, ConnectionError):
             return body, False
+        return body, True
+
+    async def _read_chunk(self) -> bytes:
+        """Returns the data of a chunk; b"" for the last one.
+
+        Raises:
+            StrayBytesError: if it is none.
+        """
+        line = await self.reader.readuntil(b"\r\n")
+        try:
+            size = chunks.read_size(line[:-2])
+        except faults.MalformedAnswerError as error:
+            raise StrayBytesError(line) from error
+        data = await self.reader.readexactly(size + 2)
+        if not data.endswith(b"\r\n"):
+            raise StrayBytesError(data)
+        return data[:-2]
 
     def close(self) -> None:
         """Closes the connection."""
