Responses: a connection that is lost is not closed once more

A response rejected in connection_lost aborted its transport, which asyncio's own loop would close a second time, with an error in a callback (by reading; daemons run on uvloop). The tests of test_malformed_responses.py pass as before.

--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -332,6 +332,7 @@
         self._head = data
         if self._interim_bytes + len(data) > MAX_HEAD_BYTES:
             self._lose(HeadTooLongError)
+            self._transport.abort()
 
     def _begin_body(self, head: heads.Head, data: bytes, end: int) -> None:
         """Passes a head on, and what follows it.
@@ -395,16 +396,16 @@
         """Loses a response that is malformed."""
         reporting.report(fault, self._transport.get_extra_info("peername"))
         self._lose(functools.partial(MalformedResponseError, fault))
+        self._transport.abort()
 
     def _lose(self, rejection: Rejection) -> None:
-        """Fails the response and closes the connection."""
+        """Fails the response."""
         self._rejection = rejection
         self._ends_at_close = False
         if self.response is not None and self.response.content is not None:
             self.response.content.set_exception(self.error)
         self._protocol.set_exception(self.error)
         self._fail(self.error)
-        self._transport.abort()
 
     def _close_spoiled(self) -> None:
         logger.info(
