A connection that has closed after its last byte was written is not closed again

What callers saw: an endpoint that ended its sending side within an answer while the request was still on its way cost its caller a "fault" (`attempt.faulted`) where the answer was lost; a proper early answer without a length could end so, too (on the cases "ended" of test_early_unframed_answers.py failed now and then).

Cause: asyncio's transport forgets its loop when it is closed by its last write, and a later abort raises. Change: the connection remembers that it is closed.

--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -152,6 +152,7 @@
         self._in_body = False
         self._part = bytearray()
         self._in_exchange = False
+        self._is_closed = False
         self._bodiless = False
         self._ends_at_close = False
         self._headers: list[messages.Header] = []
@@ -309,9 +310,10 @@
         return self.usable and self.reusable and not unsent
 
     def abort(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once; does nothing if it is closed."""
         self._failure = self._failure or "dropped"
-        self._transport.abort()
+        if not self._is_closed:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection on invalid ones."""
@@ -386,6 +388,7 @@
 
     def connection_lost(self, exc) -> None:
         """Reports the loss to the reader."""
+        self._is_closed = True
         if self._close_watch is not None:
             self._close_watch.stop()
         self._fail("reset" if exc else "closed")
--- a/cranberryglade/tests/early_endpoints.py
+++ b/cranberryglade/tests/early_endpoints.py
@@ -36,7 +36,7 @@
 
 
 class EarlyEndpoint:
-    """Answers the first request on each connection, without a length.
+    """Answers the first request on each connection before it is whole.
 
     Use as a context manager.
 
@@ -45,8 +45,15 @@
         connections: number of connections on which it answered.
     """
 
-    def __init__(self, ending: Ending):
+    def __init__(self, ending: Ending, answer: bytes = b""):
+        """Creates one that listens.
+
+        Args:
+            ending: what follows the answer.
+            answer: the answer; by default one without a length.
+        """
         self._ending = ending
+        self._given = answer
         self._listening = socket.create_server(("127.0.0.1", 0))
         host, port = self._listening.getsockname()
         self.address = f"{host}:{port}"
@@ -75,9 +82,11 @@
         name, _, rest = head.partition(b"X-Attempt-Id: ")
         request_id = rest.partition(b"\r\n")[0] if name else b""
         opened.sendall(
-            b"HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
+            self._given
+            or b"HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n"
             b"Content-Type: text/event-stream\r\n"
-            b"X-Attempt-Id: %b\r\n\r\n%b" % (request_id, BODY)
+            b"X-Attempt-Id: %b\r\n\r\n%b"
+            % (request_id, BODY)
         )
         if self._ending.value.startswith("ended"):
             opened.shutdown(socket.SHUT_WR)
--- a/cranberryglade/tests/test_early_unframed_answers.py
+++ b/cranberryglade/tests/test_early_unframed_answers.py
@@ -1,4 +1,4 @@
-"""Answers without a length that come before their request is sent."""
+"""Answers that come before their request is sent, most without a length."""
 
 import asyncio
 
@@ -9,6 +9,7 @@
 from cranberryglade.gateway import tunnels
 from cranberryglade.standins import endpoint_standin
 from cranberryglade.standins import operator_configuration
+from cranberryglade.tests import answer_forms
 from cranberryglade.tests import early_endpoints
 from cranberryglade.tests import gateway_cluster
 
@@ -46,6 +47,31 @@
         assert not channel.finish_exchange()
 
 
+FIRST_OF_EACH_FAULT = {
+    form.fault: form for form in reversed(answer_forms.MALFORMED.values())
+}
+
+
+@pytest.mark.parametrize("fault", FIRST_OF_EACH_FAULT)
+async def test_malformed_answer_to_a_request_on_its_way_is_none(fault):
+    answer = FIRST_OF_EACH_FAULT[fault].encode() or b"HTTP/1.1 2"
+    with early_endpoints.EarlyEndpoint(Ending.ENDED, answer) as endpoint:
+        channel = await outbound.Pool(endpoint.address).connect(1.0)
+        assert isinstance(await read(channel), outbound.AnswerLost)
+        channel.abort()
+
+
+@pytest.mark.parametrize("name", answer_forms.PROPER)
+async def test_proper_answer_to_a_request_on_its_way_is_whole(name):
+    form = answer_forms.PROPER[name]
+    answer = form.encode()
+    with early_endpoints.EarlyEndpoint(Ending.ENDED, answer) as endpoint:
+        channel = await outbound.Pool(endpoint.address).connect(1.0)
+        body = answer_forms.BODY if len(form.body) > 5 else b""
+        assert await read(channel) == body
+        channel.abort()
+
+
 def make_config() -> dict:
     """Returns a configuration that allows long requests."""
     config = operator_configuration.a_config()
