--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -31,6 +31,7 @@
 
 HEAD_END = heads.HEAD_END
 LINE_END = heads.LINE_END
+CARRIAGE_RETURN, LINE_FEED = LINE_END
 LAST_CHUNK = b"0\r\n\r\n"
 STREAM_STATUS = 200
 STREAM_TYPE = b"text/event-stream"
@@ -433,7 +434,7 @@
         size = int(data[:line_end], 16)
         if size <= 0 or len(data) != line_end + size + 4:
             return False
-        if not data.endswith(LINE_END):
+        if data[-1] != LINE_FEED or data[-2] != CARRIAGE_RETURN:
             return False
         drained = self._consumer(data[line_end + 2 : -2])
         if drained is not None:
