Daemons tell statsd how many malformed answers they received, by kind

The log line was there; the counter was shown by gateways only. A test reads both behind an answer of an engine with a blank in a field name.

--- a/cranberryglade/answer_grammar/reporting.py
+++ b/cranberryglade/answer_grammar/reporting.py
@@ -30,3 +30,13 @@
         kind=fault.kind.value,
         detail=fault.detail,
     )
+
+
+def count_by_kind() -> dict[str, int]:
+    """Returns how many malformed answers this process has received, by kind."""
+    (family,) = MALFORMED_ANSWERS.collect()
+    return {
+        sample.labels["kind"]: int(sample.value)
+        for sample in family.samples
+        if sample.name.endswith("_total")
+    }
--- a/cranberryglade/gauges.py
+++ b/cranberryglade/gauges.py
@@ -6,6 +6,7 @@
 from cranberryglade import facts
 from cranberryglade import metrics
 from cranberryglade import subscriptions
+from cranberryglade.answer_grammar import reporting
 
 PERIOD_SECONDS = 5.0
 
@@ -41,8 +42,15 @@
         self._metrics.gauge("dropped.answers", self._executor.exchanges.dropped)
         self._metrics.gauge("dropped.requests", core.dropped)
         self._metrics.gauge("dropped.facts", self._facts.dropped)
+        report_malformed_answers(self._metrics)
         for digest in core.digests():
             self._metrics.gauge(f"waiting.{digest.target}", digest.waiting)
             self._metrics.gauge(
                 f"free_slots.{digest.target}", digest.free_slots
             )
+
+
+def report_malformed_answers(sink: metrics.Metrics) -> None:
+    """Sends how many malformed answers this process has received, by kind."""
+    for kind, count in reporting.count_by_kind().items():
+        sink.gauge(f"malformed_answers.{kind.replace(' ', '_')}", count)
--- a/cranberryglade/tests/test_malformed_responses.py
+++ b/cranberryglade/tests/test_malformed_responses.py
@@ -7,8 +7,10 @@
 import pytest
 from returns.result import Failure
 from returns.result import Success
+import structlog
 
 from cranberryglade import bodies
+from cranberryglade import gauges
 from cranberryglade import orders
 from cranberryglade import peers
 from cranberryglade import streams
@@ -186,3 +188,26 @@
                 received = None
     is_whole = ending is early_endpoints.Ending.ENDED
     assert (received == early_endpoints.BODY) == is_whole
+
+
+class FakeSink:
+    """Keeps the gauges that are sent."""
+
+    def __init__(self):
+        self.sent = {}
+
+    def gauge(self, name, value):
+        self.sent[name] = value
+
+
+async def test_daemon_logs_and_counts_a_malformed_answer():
+    name = "field name: b'X Y: 1\\r\\n'"
+    before, after = FakeSink(), FakeSink()
+    gauges.report_malformed_answers(before)
+    with structlog.testing.capture_logs() as lines:
+        await run(MALFORMED[name], answer_forms.ENGINE_BODY, b"200")
+    gauges.report_malformed_answers(after)
+    (line,) = [each for each in lines if each["event"] == "answer.malformed"]
+    assert (line["kind"], line["detail"]) == ("field name", "b'X Y: 1'")
+    counted = "malformed_answers.field_name"
+    assert after.sent[counted] == before.sent.get(counted, 0) + 1
