--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -346,10 +346,8 @@
 
     def _announced_bytes(self, max_bytes: int) -> int:
         """Returns the length that the head states, up to a limit; else 0."""
-        for header in self._headers:
-            if header.name.lower() == b"content-length":
-                return min(int(header.value), max_bytes)
-        return 0
+        head = self._parser.head
+        return 0 if head is None else min(head.length, max_bytes)
 
     def _is_clean(self) -> bool:
         at_end = self._parser.is_between_answers
--- a/cranberryglade/tests/test_malformed_answers.py
+++ b/cranberryglade/tests/test_malformed_answers.py
@@ -65,6 +65,15 @@
     ]
 
 
+async def test_body_whose_length_has_thousands_of_zeros_is_read():
+    form = Form(fields=b"Content-Length: %b%d\r\n" % (b"0" * 5000, len(BODY)))
+    channel = test_stray_bytes.open_channel()
+    channel.send(b"", b"")
+    channel.data_received(form.encode())
+    assert (await channel.next_event()).status == 200
+    assert await channel.read_body(len(BODY)) == BODY
+
+
 def _part(line: bytes) -> tuple[bytes, bytes, bytes]:
     return line.partition(b":")
 
