--- a/cranberryglade/answer_grammar/closing.py
+++ b/cranberryglade/answer_grammar/closing.py
@@ -9,9 +9,13 @@
 import asyncio
 from collections.abc import Callable
 
+from cranberryglade.answer_grammar import faults
 from cranberryglade.gateway import half_closing
 from cranberryglade.gateway import sockets
 
+CUT_BY_RESET = faults.Fault(faults.Kind.CUT, "reset")
+"""Fault of an answer without a length whose connection was reset."""
+
 POLL_SECONDS = 0.01
 """Time between two looks at what the endpoint has taken."""
 
--- a/cranberryglade/bodies.py
+++ b/cranberryglade/bodies.py
@@ -46,8 +46,6 @@
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 
-CUT_BY_RESET = faults.Fault(faults.Kind.CUT, "reset")
-
 Consumer = Callable[[bytes], asyncio.Future | None]
 Rejection = Callable[[], aiohttp.ClientPayloadError]
 """Returns why a response is rejected, a new error for each that is told."""
@@ -57,7 +55,7 @@
 
 
 class BrokenBodyError(ConnectionError):
-    """The body is not valid HTTP chunked encoding."""
+    """A chunk, or the framing of the body, is too long."""
 
 
 class HeadTooLongError(aiohttp.ClientPayloadError):
@@ -246,7 +244,8 @@
 
         Raises:
             ConnectionError: the connection closed before the body ended, or
-                the chunked encoding is invalid.
+                a chunk or its framing is too long.
+            MalformedResponseError: the chunked encoding is malformed.
             Exception: any exception that the consumer raised.
         """
         self._consumer = consumer
@@ -291,7 +290,9 @@
             self._close_watch.stop()
         if self._ends_at_close:
             # aiohttp would take it for the end of the response.
-            self._lose(functools.partial(MalformedResponseError, CUT_BY_RESET))
+            self._lose(
+                functools.partial(MalformedResponseError, closing.CUT_BY_RESET)
+            )
         self._in_body = False
         self._fail(
             ConnectionResetError("connection closed before the end of the body")
@@ -306,7 +307,7 @@
             self._protocol.eof_received()
             self._transport.close()
         else:
-            self._reject(CUT_BY_RESET)
+            self._reject(closing.CUT_BY_RESET)
 
     def pause_writing(self) -> None:
         """Passes the request to pause on to aiohttp."""
--- a/cranberryglade/gateway/outbound.py
+++ b/cranberryglade/gateway/outbound.py
@@ -382,7 +382,7 @@
             self._emit(End())
             self._transport.close()
         else:
-            self._reject("reset", faults.Fault(faults.Kind.CUT, "reset"))
+            self._reject("reset", closing.CUT_BY_RESET)
 
     def connection_lost(self, exc) -> None:
         """Reports the loss to the reader."""
--- a/cranberryglade/tests/test_early_unframed_answers.py
+++ b/cranberryglade/tests/test_early_unframed_answers.py
@@ -79,12 +79,17 @@
     return config
 
 
-def replace_runner(cluster, endpoint) -> None:
-    """Lists an endpoint in the place of the cluster's own one."""
+async def replace_runner(cluster, endpoint) -> None:
+    """Lists an endpoint in the place of the cluster's own one, and waits."""
     listed = endpoint_standin.EndpointStandin(cluster.runners[0].id)
     listed._address = endpoint.address
     listed.started_ms = 2
     cluster.register_runner(listed)
+    await cluster.wait_for_endpoints(
+        lambda known: (
+            [each.address for each in known.values()] == [endpoint.address]
+        )
+    )
 
 
 @pytest.mark.parametrize("target", ["/look/1", "/pay/1", "/write/1", "/note/1"])
@@ -92,13 +97,7 @@
 async def test_caller_gets_no_part_of_an_early_answer_as_whole(ending, target):
     async with Cluster(config=make_config()) as cluster:
         with early_endpoints.EarlyEndpoint(ending) as endpoint:
-            replace_runner(cluster, endpoint)
-            await cluster.wait_for_endpoints(
-                lambda known: (
-                    [each.address for each in known.values()]
-                    == [endpoint.address]
-                )
-            )
+            await replace_runner(cluster, endpoint)
             answer = await cluster.send_request(
                 target=target, method="POST", body=bytes(8_000_000)
             )
@@ -125,13 +124,7 @@
 async def test_tunnel_tells_the_end_of_a_whole_answer_only(ending, size):
     async with Cluster(config=make_config()) as cluster:
         with early_endpoints.EarlyEndpoint(ending) as endpoint:
-            replace_runner(cluster, endpoint)
-            await cluster.wait_for_endpoints(
-                lambda known: (
-                    [each.address for each in known.values()]
-                    == [endpoint.address]
-                )
-            )
+            await replace_runner(cluster, endpoint)
             client = tunnels.TunnelClient(
                 lambda: [f"127.0.0.1:{cluster.settings[0].peer_port}"],
                 reachability.Reachability(),
