--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -29,10 +29,6 @@
 ANSWER_SECONDS = 0.004
 """Time of an answer of the store, as the sheet of the site says."""
 
-KEEPALIVE_S = 1.0
-USER_TIMEOUT_S = 2.0
-"""The daemon's own options on its channels to the store."""
-
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -260,64 +256,6 @@
         return 200, {"ver": self.version, "now_ms": self.now_ms()}
 
 
-class Proxy:
-    """Passes channels on; those that are open can go silent for good.
-
-    Nothing shows that but a time-out or a keep-alive. As the system of this machine
-    answers keep-alives itself, `silence` resets the channels when those of their
-    owner would have failed: it sends one a second, and its TCP_USER_TIMEOUT of 2 s
-    ends a channel whose last one, or bytes, were confirmed 2 s before.
-    """
-
-    def __init__(self, target):
-        self._target = target
-        self._pairs = set()
-
-    async def serve(self, host, port):
-        self._server = await asyncio.start_server(self._serve, host, port)
-        self.address = f"{host}:{port}"
-
-    async def _serve(self, reader, writer):
-        host, _, port = self._target.rpartition(":")
-        silent = asyncio.Event()
-        try:
-            other_reader, other = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        pair = (writer, other, silent)
-        self._pairs.add(pair)
-
-        async def pump(source, sink):
-            try:
-                while data := await source.read(65536):
-                    if silent.is_set():
-                        await asyncio.sleep(3600)
-                    sink.write(data)
-                    await sink.drain()
-            except (ConnectionError, asyncio.CancelledError):
-                pass
-            if not silent.is_set():
-                sink.close()
-
-        try:
-            await asyncio.gather(pump(reader, other), pump(other_reader, writer))
-        except asyncio.CancelledError:
-            pass
-        finally:
-            self._pairs.discard(pair)
-
-    def silence(self):
-        """Makes all open channels silent; returns their number."""
-        loop = asyncio.get_running_loop()
-        for writer, other, silent in list(self._pairs):
-            silent.set()
-            noticed_after = random.uniform(KEEPALIVE_S, USER_TIMEOUT_S)
-            loop.call_later(noticed_after, writer.transport.abort)
-            loop.call_later(noticed_after, other.transport.abort)
-        return len(self._pairs)
-
-
 @dataclasses.dataclass
 class Arrival:
     """A request that reached a runner.
@@ -342,8 +280,11 @@
         arrivals: the requests that reached it.
     """
 
-    def __init__(self, store, record, id_, service, host, port, work_s=0.09, slots=6):
+    def __init__(
+        self, store, record, id_, service, host, port, work_s=0.09, slots=6, version="v1"
+    ):
         self.id, self.service, self.work_s, self.slots = id_, service, work_s, slots
+        self.version = version
         self.address = f"{host}:{port}"
         self.arrivals = []
         self.state = "ready"
@@ -362,7 +303,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "salt-lake",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -371,7 +312,9 @@
         }
 
     async def start(self):
+        """Starts as a process does, and registers."""
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
+        self._born = int(time.time() * 1000)
         self.register()
 
     def register(self):
@@ -429,6 +372,8 @@
             self._running -= 1
 
     def _write(self, writer, status, lines, body):
+        if self.state == "draining":
+            lines += "Server-Leaving: 1\r\n"
         writer.write(
             f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode()
             + body
@@ -644,6 +589,8 @@
             return
         self._running += 1
         try:
+            if self.state == "draining":
+                echo += "Server-Leaving: 1\r\n"
             writer.write(
                 f"HTTP/1.1 200 OK\r\n{echo}X-Response-Seal: seal-{self.id}-{id_}\r\n"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -651,7 +598,7 @@
             )
             for number in range(seen + 1, self.events + 1):
                 await asyncio.sleep(self.gap_s)
-                event = f"id: {number}\ndata: piece {number} of {id_}\n\n".encode()
+                event = f"id: {number}\ndata: piece {number} by {self.version}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
             arrival.ended = now()
@@ -663,12 +610,18 @@
 
 @dataclasses.dataclass
 class Streamed:
-    """A stream as its requester got it."""
+    """A stream as its requester got it.
+
+    Attributes:
+        ids: the ids of its events.
+        versions: the software versions that made them, in order.
+    """
 
     id: str
     at: float
     status: int = 0
     ids: list = dataclasses.field(default_factory=list)
+    versions: list = dataclasses.field(default_factory=list)
     whole: bool = False
     ended_at: float = 0.0
 
@@ -699,10 +652,11 @@
                 if not size:
                     sent.whole = True
                     break
-                sent.ids += [
-                    int(line[4:]) for line in data.decode().split("\n")
-                    if line.startswith("id: ")
-                ]
+                for line in data.decode().split("\n"):
+                    if line.startswith("id: "):
+                        sent.ids.append(int(line[4:]))
+                    if line.startswith("data: "):
+                        sent.versions.append(line.rpartition(" ")[2])
     except (TimeoutError, OSError, asyncio.IncompleteReadError):
         pass
     finally:
