--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -18,8 +18,10 @@
 import signal
 import socket
 import sys
+import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -90,6 +92,17 @@
     raise OSError("no loopback addresses are free")
 
 
+def run(main):
+    """Runs a case in a temporary folder; exits with 2 if it could not run."""
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            code = asyncio.run(main(folder))
+        except Exception:
+            traceback.print_exc()
+            code = 2
+    sys.exit(code)
+
+
 async def read_head(reader):
     """Returns the first line and the fields of a message; None at the end."""
     try:
@@ -108,9 +121,8 @@
     """The platform's store: rows with versions, feeds, transactions.
 
     Attributes:
-        on_page: called with the table and the number of the page when the
+        on_page: called with the table and the first key of the page when the
             answer to a read is made, before the next call is answered.
-        connections: open connections, by the writer.
     """
 
     def __init__(self, record):
@@ -118,7 +130,7 @@
         self.rows = {}
         self.history = []
         self.version = 0
-        self.on_page = lambda table, page: None
+        self.on_page = lambda table, start: None
         self.writers = set()
         self.calls = collections.Counter()
         self._changed = asyncio.Event()
@@ -311,11 +323,12 @@
             "born": self._born,
         }
 
-    async def start(self):
-        """Starts as a process does, and registers."""
+    async def start(self, register=True):
+        """Starts as a process does, and registers if the store takes that."""
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
         self._born = int(time.time() * 1000)
-        self.register()
+        if register:
+            self.register()
 
     def register(self):
         return self.store.put("servers", self.id, self.entry())
@@ -357,7 +370,7 @@
             return
         arrival = Arrival(id_, now(), self._running < self.slots, fields=fields)
         self.arrivals.append(arrival)
-        self.record.write("runner", self.id, "gets", id_, first.split(" ")[1])
+        self.record.write("runner", self.id, "runs" if arrival.ran else "refuses", id_)
         if not arrival.ran:
             self._write(writer, 503, echo + "X-Not-Executed: 1\r\n", b"")
             return
@@ -583,7 +596,8 @@
         arrival = Arrival(id_, now(), self._running < self.slots, fields=fields)
         self.arrivals.append(arrival)
         seen = int(fields.get("last-event-id") or 0)
-        self.record.write("runner", self.id, "gets", id_, "after event", seen)
+        self.record.write("runner", self.id, self.version,
+                          "runs" if arrival.ran else "refuses", id_, "after event", seen)
         if not arrival.ran:
             self._write(writer, 503, echo + "X-Not-Executed: 1\r\n", b"")
             return
